--- /dev/null
+++ b/Makefile
@@ -0,0 +1,150 @@
+# Targets for people: demo, check, bench, fuzz, mutants, install.
+VERSION = 0.1.0
+SOMAJOR = 0
+PREFIX ?= /usr/local
+BUILD ?= build
+CC ?= gcc
+PKGS = glib-2.0 jansson libcurl log4c
+CPPFLAGS += -Iinclude -I. -D_GNU_SOURCE -DFFL_VERSION='"$(VERSION)"' \
+	$(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CFLAGS ?= -O2 -g
+WARN = -std=gnu11 -Wall -Wextra -Wno-unused-parameter -Werror=implicit
+LIBS = $(shell pkg-config --libs glib-2.0 jansson) -lmsgpackc -lxxhash \
+	-lsodium -lpthread
+DLIBS = $(shell pkg-config --libs libcurl log4c) -lcivetweb -linih -largtable2 \
+	-lurcu
+SAN ?=
+
+LIB_SRCS := $(sort $(wildcard lib/*/*.c))
+LIB_OBJS := $(LIB_SRCS:%.c=$(BUILD)/%.o)
+DAEMON_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard daemon/*.c)))
+CLI_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard cli/*.c)))
+FAKE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard fakes/*.c)))
+STANDIN_OBJS := $(FAKE_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard standin/*.c)))
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/*_test.c)))
+
+PROGRAMS = $(BUILD)/fireflyledged $(BUILD)/ffl $(BUILD)/ffl-platform
+
+.PHONY: all programs demo check check-tests setup tests fuzz fuzzers fuzz-all \
+	mutants mutant format format-check tidy cppcheck lint clean
+.SECONDARY:
+
+all: programs
+
+programs: $(PROGRAMS) $(BUILD)/libfireflyledge.a
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(WARN) $(CFLAGS) $(SAN) -fPIC -MMD -MP -c $< -o $@
+
+$(BUILD)/libfireflyledge.a: $(LIB_OBJS)
+	ar rcs $@ $^
+
+$(BUILD)/fireflyledged: $(DAEMON_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
+
+$(BUILD)/ffl: $(CLI_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
+
+$(BUILD)/ffl-platform: $(STANDIN_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
+
+# Tests run under ASan and UBSan, threads under TSan, fuzzers under libFuzzer.
+CHECK_SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+FUZZ_CC ?= clang
+FUZZ_FLAGS = -O1 -g -fsanitize=fuzzer-no-link,address,undefined \
+	-fno-sanitize-recover=undefined
+FUZZ_TARGETS := $(patsubst fuzz/%_fuzz.c,%,$(sort $(wildcard fuzz/*_fuzz.c)))
+FUZZ_OBJS := $(patsubst %.c,$(BUILD)/fuzz/%.o,$(LIB_SRCS) \
+	$(sort $(wildcard fakes/*.c)) fuzz/fuzz.c)
+TARGET ?= config
+SEED ?= 1
+RUNS ?= 2000
+# Runs of each target in CI.
+FUZZ_CI_RUNS ?= 300
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(FAKE_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
+
+$(BUILD)/fuzz/%.o: %.c
+	@mkdir -p $(@D)
+	$(FUZZ_CC) $(CPPFLAGS) $(WARN) $(FUZZ_FLAGS) -MMD -MP -c $< -o $@
+
+$(BUILD)/fuzz/%: $(BUILD)/fuzz/fuzz/%_fuzz.o $(FUZZ_OBJS)
+	$(FUZZ_CC) -fsanitize=fuzzer,address,undefined -o $@ $^ -linih $(LIBS)
+
+tests: $(TESTS)
+
+# make fuzz TARGET=config SEED=1 RUNS=2000
+fuzz: $(BUILD)/fuzz/$(TARGET)
+	@sh scripts/fuzz.sh $(BUILD)/fuzz/$(TARGET) $(SEED) $(RUNS)
+
+fuzzers: $(FUZZ_TARGETS:%=$(BUILD)/fuzz/%)
+
+fuzz-all: fuzzers
+	@for t in $(FUZZ_TARGETS); do \
+		sh scripts/fuzz.sh $(BUILD)/fuzz/$$t 1 $(FUZZ_CI_RUNS) || exit 1; \
+	done
+
+mutants:
+	@sh scripts/mutants.sh
+
+# Builds one fuzzer with one file replaced; called by scripts/mutants.sh.
+mutant: $(BUILD)/fuzz/$(TARGET)
+	$(FUZZ_CC) $(CPPFLAGS) $(WARN) $(FUZZ_FLAGS) -iquote $(dir $(FILE)) \
+		-c $(MUTANT) -o $(MUTANT).o
+	$(FUZZ_CC) -fsanitize=fuzzer,address,undefined \
+		-o $(BUILD)/mutants/$(TARGET)/$(TARGET) $(MUTANT).o \
+		$(BUILD)/fuzz/fuzz/$(TARGET)_fuzz.o \
+		$(filter-out $(BUILD)/fuzz/$(FILE:.c=.o),$(FUZZ_OBJS)) \
+		-linih $(LIBS)
+
+check: setup
+	@$(MAKE) -s -j check-tests
+
+check-tests: programs
+	@$(MAKE) -s -j BUILD=build/asan SAN="$(CHECK_SAN)" CFLAGS="-O1 -g" \
+		programs tests
+	@$(MAKE) -s fuzzers
+	@$(MAKE) -s fuzz-all
+	@prove build/asan/tests/*_test tests/*.sh
+
+setup:
+	@sh scripts/setup.sh
+
+demo: setup
+	@$(MAKE) -s -j programs
+	@sh scripts/demo.sh
+
+SOURCES := $(sort $(wildcard include/*/*.h lib/*/*.[ch] daemon/*.[ch] \
+	cli/*.[ch] standin/*.[ch] fakes/*.[ch] fuzz/*.[ch] tests/*.[ch] \
+	bench/*.[ch]))
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+TIDY_SOURCES = $(LIB_SRCS) $(wildcard daemon/*.c cli/*.c standin/*.c)
+
+# A stamp for each file, so that only what changed is checked again.
+$(BUILD)/tidy/%.ok: %.c .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- $(CPPFLAGS) -std=gnu11 >$@.log 2>&1 || \
+		{ cat $@.log; exit 1; }
+	@touch $@
+
+tidy: $(TIDY_SOURCES:%.c=$(BUILD)/tidy/%.ok)
+
+cppcheck:
+	@cppcheck --quiet --std=c11 --enable=warning,portability \
+		--suppress=missingIncludeSystem --inline-suppr -Iinclude -I. \
+		--error-exitcode=1 -j 4 lib daemon cli standin
+
+lint: format-check tidy cppcheck
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/daemon/client.c
@@ -0,0 +1,368 @@
+#include <string.h>
+#include <curl/curl.h>
+
+#include "daemon/daemon.h"
+#include "fireflyledge/platform.h"
+
+/** Longest URL, and times in milliseconds. */
+#define URL_BYTES	256
+#define CONNECT_MS	500
+#define CALL_MS		2000
+#define POLL_MS		100
+#define REPLY_BYTES_MAX (64U << 20)
+#define CONNECTIONS_MAX 256
+
+/** What a call is for. */
+typedef enum {
+	CALL_LOG_READ,
+	CALL_LOG_APPEND,
+	CALL_HOST_LIST,
+	CALL_WORKER,
+	CALL__MAX
+} call_kind_t;
+
+/** One HTTP call on its way. */
+typedef struct {
+	call_kind_t kind;
+	uint64_t number;
+	uint32_t timeout_ms;
+	ffl_name_t worker;
+	char url[URL_BYTES];
+	GByteArray *body; /**< NULL for GET */
+	GByteArray *reply;
+	CURL *easy;
+} call_t;
+
+struct ffld_client {
+	ffld_t *d;
+	ffl_ring_t calls; /**< of call_t */
+	CURLM *multi;
+	GPtrArray *idle; /**< of CURL *, kept for their connections */
+	pthread_t thread;
+	struct curl_slist *headers;
+	uint64_t poll_at_ms;
+	bool polling;
+	_Atomic bool stop;
+};
+
+/** Turns the end of a call into an event. */
+typedef ffl_box_t *(*finish_fn_t)(call_t *call, ffl_status_t status);
+
+static call_t *call_new(call_kind_t kind);
+static void call_free(call_t *call);
+static size_t take_reply(char *data, size_t size, size_t n, void *user);
+static void submit(ffld_client_t *c, call_t *call);
+static void start_call(ffld_client_t *c, call_t *call);
+static ffl_status_t outcome(CURLcode code, long http_status);
+static void finish_call(ffld_client_t *c, CURL *easy, CURLcode code);
+static ffl_bytes_t reply_bytes(const call_t *call);
+static ffl_box_t *finish_log_read(call_t *call, ffl_status_t status);
+static ffl_box_t *finish_log_append(call_t *call, ffl_status_t status);
+static ffl_box_t *finish_host_list(call_t *call, ffl_status_t status);
+static ffl_box_t *finish_worker(call_t *call, ffl_status_t status);
+static void poll_hosts(ffld_client_t *c);
+static void *run(void *arg);
+
+static const finish_fn_t finishers[CALL__MAX] = {
+	[CALL_LOG_READ] = finish_log_read,
+	[CALL_LOG_APPEND] = finish_log_append,
+	[CALL_HOST_LIST] = finish_host_list,
+	[CALL_WORKER] = finish_worker,
+};
+
+static call_t *call_new(call_kind_t kind)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->kind = kind;
+	call->timeout_ms = CALL_MS;
+	call->reply = g_byte_array_new();
+	return call;
+}
+
+static void call_free(call_t *call)
+{
+	if (call->body)
+		g_byte_array_free(call->body, TRUE);
+	g_byte_array_free(call->reply, TRUE);
+	g_free(call);
+}
+
+static size_t take_reply(char *data, size_t size, size_t n, void *user)
+{
+	call_t *call = user;
+
+	if (call->reply->len + size * n > REPLY_BYTES_MAX)
+		return 0;
+	g_byte_array_append(call->reply, (const guint8 *)data,
+			    (guint)(size * n));
+	return size * n;
+}
+
+static ffl_bytes_t reply_bytes(const call_t *call)
+{
+	ffl_bytes_t b = { call->reply->data, call->reply->len };
+
+	return b;
+}
+
+static ffl_box_t *finish_log_read(call_t *call, ffl_status_t status)
+{
+	ffl_box_t *box = ffl_box_new(FFL_EV_LOG_READ);
+	ffl_log_page_t page;
+	ffl_log_entry_t *entries;
+	const ffl_log_row_t *rows;
+
+	if (status == FFL_OK)
+		status = ffl_schema_decode(&ffl_log_page_schema,
+					   reply_bytes(call), &page,
+					   &box->arena, NULL);
+	box->ev.log_read.status = status;
+	if (status != FFL_OK)
+		return box;
+	rows = page.rows.items;
+	entries = ffl_arena_alloc(&box->arena,
+				  (page.rows.count + 1) * sizeof(*entries));
+	for (uint32_t i = 0; i < page.rows.count; i++) {
+		entries[i].offset = rows[i].offset;
+		entries[i].data = rows[i].data;
+	}
+	box->ev.log_read.first = page.first;
+	box->ev.log_read.end = page.end;
+	box->ev.log_read.entries = entries;
+	box->ev.log_read.count = page.rows.count;
+	return box;
+}
+
+static ffl_box_t *finish_log_append(call_t *call, ffl_status_t status)
+{
+	ffl_box_t *box = ffl_box_new(FFL_EV_LOG_APPENDED);
+	ffl_log_ack_t ack = { 0 };
+
+	if (status == FFL_OK &&
+	    ffl_schema_decode(&ffl_log_ack_schema, reply_bytes(call), &ack,
+			      &box->arena, NULL) != FFL_OK)
+		status = FFL_UNKNOWN;
+	box->ev.log_appended.append = call->number;
+	box->ev.log_appended.status = status;
+	box->ev.log_appended.offset = ack.offset;
+	return box;
+}
+
+static ffl_box_t *finish_host_list(call_t *call, ffl_status_t status)
+{
+	ffl_box_t *box = ffl_box_new(FFL_EV_HOST_LIST);
+
+	if (status == FFL_OK)
+		status = ffl_schema_decode(
+			&ffl_host_list_schema, reply_bytes(call),
+			&box->ev.host_list, &box->arena, NULL);
+	if (status == FFL_OK)
+		return box;
+	ffl_box_free(box);
+	return NULL;
+}
+
+static ffl_box_t *finish_worker(call_t *call, ffl_status_t status)
+{
+	ffl_box_t *box = ffl_box_new(FFL_EV_WORKER_REPLY);
+	ffl_ev_worker_reply_t *r = &box->ev.worker_reply;
+
+	if (status == FFL_OK &&
+	    ffl_schema_decode(&ffl_worker_reply_schema, reply_bytes(call),
+			      &r->reply, &box->arena, NULL) != FFL_OK)
+		status = FFL_UNKNOWN;
+	ffl_copy(r->worker, sizeof(r->worker), call->worker);
+	r->call = call->number;
+	r->status = status;
+	return box;
+}
+
+/* Only a connection that was never made, or the service's own 503, is
+ * certain not to have taken effect. */
+static ffl_status_t outcome(CURLcode code, long http_status)
+{
+	if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+		return FFL_UNAVAILABLE;
+	if (code != CURLE_OK)
+		return FFL_UNKNOWN;
+	if (http_status == 200)
+		return FFL_OK;
+	return http_status == 503 ? FFL_UNAVAILABLE : FFL_UNKNOWN;
+}
+
+static void finish_call(ffld_client_t *c, CURL *easy, CURLcode code)
+{
+	ffl_box_t *box;
+	call_t *call;
+	long http_status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
+	curl_multi_remove_handle(c->multi, easy);
+	g_ptr_array_add(c->idle, easy);
+	if (call->kind == CALL_HOST_LIST)
+		c->polling = false;
+	box = finishers[call->kind](call, outcome(code, http_status));
+	if (box)
+		ffld_post_sure(c->d, box);
+	call_free(call);
+}
+
+static void start_call(ffld_client_t *c, call_t *call)
+{
+	CURL *easy = c->idle->len ? g_ptr_array_remove_index(c->idle,
+							     c->idle->len - 1)
+				  : curl_easy_init();
+
+	curl_easy_reset(easy);
+	curl_easy_setopt(easy, CURLOPT_URL, call->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_reply);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, c->headers);
+	if (call->body) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body->data);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+				 (long)call->body->len);
+	}
+	curl_multi_add_handle(c->multi, easy);
+}
+
+static void poll_hosts(ffld_client_t *c)
+{
+	uint64_t now = ffld_now_ms();
+	call_t *call;
+
+	if (c->polling || now < c->poll_at_ms)
+		return;
+	c->polling = true;
+	c->poll_at_ms = now + c->d->settings.poll_hosts_ms;
+	call = call_new(CALL_HOST_LIST);
+	g_snprintf(call->url, sizeof(call->url), "%s/v1/hosts",
+		   c->d->settings.platform_hosts);
+	start_call(c, call);
+}
+
+static void *run(void *arg)
+{
+	ffld_client_t *c = arg;
+	int running;
+	int left;
+
+	while (!atomic_load(&c->stop)) {
+		call_t *call;
+		CURLMsg *msg;
+
+		while ((call = ffl_ring_pop(&c->calls, 0)))
+			start_call(c, call);
+		poll_hosts(c);
+		curl_multi_perform(c->multi, &running);
+		while ((msg = curl_multi_info_read(c->multi, &left))) {
+			if (msg->msg == CURLMSG_DONE)
+				finish_call(c, msg->easy_handle,
+					    msg->data.result);
+		}
+		curl_multi_poll(c->multi, NULL, 0, POLL_MS, NULL);
+	}
+	return NULL;
+}
+
+ffld_client_t *ffld_client_start(ffld_t *d)
+{
+	ffld_client_t *c = g_new0(ffld_client_t, 1);
+
+	c->d = d;
+	ffl_ring_init(&c->calls, FFLD_CALLS_MAX);
+	c->multi = curl_multi_init();
+	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_MAX);
+	c->idle = g_ptr_array_new();
+	c->headers =
+		curl_slist_append(NULL, "Content-Type: application/msgpack");
+	c->headers = curl_slist_append(c->headers, "Expect:");
+	pthread_create(&c->thread, NULL, run, c);
+	return c;
+}
+
+void ffld_client_stop(ffld_client_t *c)
+{
+	call_t *call;
+
+	atomic_store(&c->stop, true);
+	curl_multi_wakeup(c->multi);
+	pthread_join(c->thread, NULL);
+	ffl_ring_close(&c->calls);
+	while ((call = ffl_ring_pop(&c->calls, 0)))
+		call_free(call);
+	for (guint i = 0; i < c->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(c->idle, i));
+	g_ptr_array_free(c->idle, TRUE);
+	curl_multi_cleanup(c->multi);
+	curl_slist_free_all(c->headers);
+	ffl_ring_finish(&c->calls);
+	g_free(c);
+}
+
+/* A full ring is answered as a call that was never made. */
+static void submit(ffld_client_t *c, call_t *call)
+{
+	ffl_box_t *box;
+
+	if (ffl_ring_push(&c->calls, call)) {
+		curl_multi_wakeup(c->multi);
+		return;
+	}
+	ffl_count(&c->d->counters, FFL_CTR_RING_FULL, 1);
+	box = finishers[call->kind](call, FFL_UNAVAILABLE);
+	call_free(call);
+	if (box)
+		ffld_post(c->d, box);
+}
+
+void ffld_client_log_read(void *self, const ffl_act_log_read_t *act)
+{
+	ffld_t *d = self;
+	call_t *call = call_new(CALL_LOG_READ);
+
+	call->timeout_ms = act->wait_ms + CALL_MS;
+	g_snprintf(call->url, sizeof(call->url),
+		   "%s/v1/log?from=%" G_GUINT64_FORMAT "&max=%u&wait_ms=%u",
+		   d->settings.platform_log, act->from, act->max, act->wait_ms);
+	submit(d->client, call);
+}
+
+void ffld_client_log_append(void *self, const ffl_act_log_append_t *act)
+{
+	ffld_t *d = self;
+	call_t *call = call_new(CALL_LOG_APPEND);
+	ffl_log_item_t items[FFL_LOG_BATCH_MAX];
+	ffl_log_batch_t batch = { .items = { items, act->count } };
+
+	for (uint32_t i = 0; i < act->count; i++)
+		items[i].data = act->records[i];
+	call->number = act->append;
+	call->body = g_byte_array_new();
+	ffl_schema_encode(&ffl_log_batch_schema, &batch, call->body);
+	g_snprintf(call->url, sizeof(call->url), "%s/v1/log",
+		   d->settings.platform_log);
+	submit(d->client, call);
+}
+
+void ffld_client_worker_send(void *self, const ffl_act_worker_send_t *act)
+{
+	ffld_t *d = self;
+	call_t *call = call_new(CALL_WORKER);
+
+	call->number = act->call;
+	call->body = g_byte_array_new();
+	ffl_copy(call->worker, sizeof(call->worker), act->worker);
+	ffl_schema_encode(&ffl_worker_cmd_schema, &act->cmd, call->body);
+	g_snprintf(call->url, sizeof(call->url), "http://%s/v1/workers/%s",
+		   act->addr, act->worker);
+	submit(d->client, call);
+}
--- /dev/null
+++ b/daemon/post.c
@@ -0,0 +1,40 @@
+#include <time.h>
+
+#include "daemon/daemon.h"
+
+#define MS_PER_S  1000
+#define NS_PER_MS 1000000
+/** Pause before an event that must not be lost is offered again. */
+#define RETRY_NS 1000000
+
+bool ffld_post(ffld_t *d, ffl_box_t *box)
+{
+	if (ffl_ring_push(&d->events, box))
+		return true;
+	ffl_count(&d->counters, FFL_CTR_RING_FULL, 1);
+	ffl_box_free(box);
+	return false;
+}
+
+void ffld_post_sure(ffld_t *d, ffl_box_t *box)
+{
+	const struct timespec pause = { .tv_nsec = RETRY_NS };
+
+	while (!ffl_ring_push(&d->events, box)) {
+		if (atomic_load(&d->exiting)) {
+			ffl_box_free(box);
+			return;
+		}
+		ffl_count(&d->counters, FFL_CTR_RING_FULL, 1);
+		nanosleep(&pause, NULL);
+	}
+}
+
+uint64_t ffld_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * MS_PER_S +
+	       (uint64_t)ts.tv_nsec / NS_PER_MS;
+}
--- /dev/null
+++ b/daemon/web.h
@@ -0,0 +1,70 @@
+/**
+ * @file web.h
+ * @brief Calls of callers and operators that wait for the core thread.
+ */
+#ifndef FFLD_WEB_H
+#define FFLD_WEB_H
+
+#include <civetweb.h>
+
+#include "daemon/daemon.h"
+
+/** What the core thread decided last for a call. */
+typedef enum {
+	FFLD_STEP_NONE,
+	FFLD_STEP_ANSWER,
+	FFLD_STEP_FORWARD,
+	FFLD_STEP_FINISH,
+	FFLD_STEP__MAX
+} ffld_step_t;
+
+/** A call that waits; belongs to the thread that serves it. */
+typedef struct {
+	uint64_t id;
+	pthread_cond_t changed;
+	ffld_step_t step;
+	ffl_act_answer_t answer;
+	ffl_act_forward_t forward;
+	GByteArray *body; /**< of the answer */
+} ffld_call_t;
+
+struct ffld_web {
+	ffld_t *d;
+	struct mg_context *callers;
+	struct mg_context *operators;
+	pthread_mutex_t lock;
+	GHashTable *calls; /**< ffld_call_t by id */
+	uint64_t next_id;
+	GPtrArray *idle; /**< of CURL *, for upstreams */
+};
+
+/** Registers a call and gives it an id. */
+void ffld_call_open(ffld_web_t *w, ffld_call_t *call);
+void ffld_call_close(ffld_web_t *w, ffld_call_t *call);
+/** Waits for the next step; FFLD_STEP_NONE after @p timeout_ms. */
+ffld_step_t ffld_call_wait(ffld_web_t *w, ffld_call_t *call,
+			   uint32_t timeout_ms);
+
+/** Sends an answer. */
+void ffld_send(struct mg_connection *conn, uint32_t http_status,
+	       const char *content_type, const void *body, size_t size_bytes,
+	       uint32_t retry_after_ms);
+/** Sends a problem document. */
+void ffld_send_problem(struct mg_connection *conn, uint32_t http_status,
+		       const char *type, const char *detail, ffl_ran_t ran);
+/** Returns the bearer token of a request, or "". */
+const char *ffld_bearer(const struct mg_connection *conn);
+
+/**
+ * Reads a request's body.
+ *
+ * @return FFL_OK, FFL_FULL where it is larger than @p max_bytes, or
+ *         FFL_TRUNCATED where the sender stopped early
+ */
+ffl_status_t ffld_read_body(struct mg_connection *conn, GByteArray *body,
+			    size_t max_bytes);
+
+/** Serves one request by an upstream. */
+int ffld_relay(ffld_web_t *w, struct mg_connection *conn);
+
+#endif
--- /dev/null
+++ b/fakes/fake_log.c
@@ -0,0 +1,62 @@
+#include "fakes/fake_log.h"
+
+void fake_log_init(fake_log_t *log)
+{
+	log->records = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_byte_array_unref);
+	log->first = 1;
+	log->down = false;
+	log->lose_answers = 0;
+}
+
+void fake_log_finish(fake_log_t *log)
+{
+	g_ptr_array_free(log->records, TRUE);
+}
+
+ffl_status_t fake_log_append(fake_log_t *log, const ffl_bytes_t *records,
+			     uint32_t count, uint64_t *offset)
+{
+	if (log->down)
+		return FFL_UNAVAILABLE;
+	*offset = fake_log_end(log);
+	for (uint32_t i = 0; i < count; i++) {
+		GByteArray *rec = g_byte_array_new();
+
+		g_byte_array_append(rec, records[i].data,
+				    (guint)records[i].size_bytes);
+		g_ptr_array_add(log->records, rec);
+	}
+	if (!log->lose_answers)
+		return FFL_OK;
+	log->lose_answers--;
+	return FFL_UNKNOWN;
+}
+
+uint64_t fake_log_end(const fake_log_t *log)
+{
+	return log->first + log->records->len;
+}
+
+ffl_bytes_t fake_log_at(const fake_log_t *log, uint64_t offset)
+{
+	const GByteArray *rec =
+		g_ptr_array_index(log->records, offset - log->first);
+	ffl_bytes_t b = { rec->data, rec->len };
+
+	return b;
+}
+
+void fake_log_trim(fake_log_t *log, uint64_t first)
+{
+	guint n;
+
+	if (first <= log->first)
+		return;
+	n = (guint)(first - log->first);
+	if (n > log->records->len)
+		n = log->records->len;
+	if (n)
+		g_ptr_array_remove_range(log->records, 0, n);
+	log->first += n;
+}
--- /dev/null
+++ b/fakes/fake_worker.c
@@ -0,0 +1,203 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/fake_worker.h"
+
+/** Run time of a task whose payload states none, in milliseconds. */
+#define RUN_MS 1000
+/** Time for which an ended task is still reported. */
+#define KEEP_MS 60000
+#define RUN_KEY "run_ms="
+
+/** Carries out one command. */
+typedef ffl_status_t (*command_fn_t)(fake_worker_t *w,
+				     const ffl_worker_cmd_t *cmd,
+				     uint64_t now_ms);
+
+static fake_task_t *find_task(fake_worker_t *w, const ffl_worker_cmd_t *cmd);
+static ffl_status_t do_renew(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			     uint64_t now_ms);
+static ffl_status_t do_hold(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms);
+static ffl_status_t do_start(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			     uint64_t now_ms);
+static ffl_status_t do_stop(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms);
+static ffl_status_t do_checkpoint(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+				  uint64_t now_ms);
+static ffl_status_t do_throttle(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+				uint64_t now_ms);
+static bool active(const fake_task_t *t);
+
+static const command_fn_t commands[FFL_WCMD__MAX] = {
+	[FFL_WCMD_RENEW] = do_renew,
+	[FFL_WCMD_HOLD] = do_hold,
+	[FFL_WCMD_START] = do_start,
+	[FFL_WCMD_STOP] = do_stop,
+	[FFL_WCMD_CHECKPOINT] = do_checkpoint,
+	[FFL_WCMD_THROTTLE] = do_throttle,
+};
+
+void fake_worker_init(fake_worker_t *w, const char *name)
+{
+	memset(w, 0, sizeof(*w));
+	ffl_copy(w->name, sizeof(w->name), name);
+	w->boot = 1;
+	w->tasks = g_array_new(FALSE, TRUE, sizeof(fake_task_t));
+	w->reports = g_array_new(FALSE, TRUE, sizeof(ffl_task_report_t));
+}
+
+void fake_worker_finish(fake_worker_t *w)
+{
+	g_array_free(w->tasks, TRUE);
+	g_array_free(w->reports, TRUE);
+}
+
+void fake_worker_restart(fake_worker_t *w)
+{
+	w->boot++;
+	g_array_set_size(w->tasks, 0);
+}
+
+static fake_task_t *find_task(fake_worker_t *w, const ffl_worker_cmd_t *cmd)
+{
+	for (guint i = 0; i < w->tasks->len; i++) {
+		fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+
+		if (t->report.job == cmd->job &&
+		    t->report.incarnation == cmd->incarnation)
+			return t;
+	}
+	return NULL;
+}
+
+static bool active(const fake_task_t *t)
+{
+	return t->report.state == FFL_TASK_HELD ||
+	       t->report.state == FFL_TASK_RUNNING;
+}
+
+void fake_worker_advance(fake_worker_t *w, uint64_t now_ms)
+{
+	for (guint i = w->tasks->len; i-- > 0;) {
+		fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+		uint64_t until =
+			now_ms < t->lease_until_ms ? now_ms : t->lease_until_ms;
+
+		if (t->report.state == FFL_TASK_RUNNING) {
+			t->report.progress_ms = until - t->run_from_ms;
+			if (t->report.progress_ms >= t->run_ms) {
+				t->report.state = FFL_TASK_DONE;
+				ffl_copy(t->report.result,
+					 sizeof(t->report.result), "ok");
+			}
+		}
+		if (now_ms < t->lease_until_ms)
+			continue;
+		if (active(t))
+			t->report.state = FFL_TASK_STOPPED;
+		else if (now_ms - t->lease_until_ms > KEEP_MS)
+			g_array_remove_index(w->tasks, i);
+	}
+}
+
+static ffl_status_t do_renew(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			     uint64_t now_ms)
+{
+	for (guint i = 0; i < w->tasks->len; i++) {
+		fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+
+		if (t->report.state == FFL_TASK_RUNNING)
+			t->lease_until_ms = now_ms + cmd->lease_ms;
+	}
+	return FFL_OK;
+}
+
+static ffl_status_t do_hold(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms)
+{
+	fake_task_t fresh = { .lease_until_ms = now_ms + cmd->lease_ms };
+
+	if (find_task(w, cmd))
+		return FFL_OK;
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+
+		if (active(t) && (t->report.slots & cmd->slots))
+			return FFL_CONFLICT;
+	}
+	fresh.report.job = cmd->job;
+	fresh.report.incarnation = cmd->incarnation;
+	fresh.report.rank = cmd->rank;
+	fresh.report.members = cmd->members;
+	fresh.report.slots = cmd->slots;
+	fresh.report.state = FFL_TASK_HELD;
+	g_array_append_val(w->tasks, fresh);
+	return FFL_OK;
+}
+
+static ffl_status_t do_start(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			     uint64_t now_ms)
+{
+	fake_task_t *t = find_task(w, cmd);
+	const char *run = strstr(cmd->payload, RUN_KEY);
+
+	if (!t)
+		return FFL_NOT_FOUND;
+	if (t->report.state != FFL_TASK_HELD)
+		return FFL_OK;
+	t->report.state = w->broken ? FFL_TASK_FAILED : FFL_TASK_RUNNING;
+	t->report.checkpoint_ms = cmd->progress_ms;
+	t->run_from_ms = now_ms - cmd->progress_ms;
+	t->run_ms = run ? strtoull(run + strlen(RUN_KEY), NULL, 10) : RUN_MS;
+	t->lease_until_ms = now_ms + cmd->lease_ms;
+	w->starts++;
+	return FFL_OK;
+}
+
+static ffl_status_t do_stop(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms)
+{
+	fake_task_t *t = find_task(w, cmd);
+
+	if (t && active(t))
+		t->report.state = FFL_TASK_STOPPED;
+	return FFL_OK;
+}
+
+static ffl_status_t do_checkpoint(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+				  uint64_t now_ms)
+{
+	fake_task_t *t = find_task(w, cmd);
+
+	if (t && t->report.state == FFL_TASK_RUNNING)
+		t->report.checkpoint_ms = t->report.progress_ms;
+	return do_stop(w, cmd, now_ms);
+}
+
+static ffl_status_t do_throttle(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+				uint64_t now_ms)
+{
+	return find_task(w, cmd) ? FFL_OK : FFL_NOT_FOUND;
+}
+
+void fake_worker_command(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			 uint64_t now_ms, ffl_worker_reply_t *reply)
+{
+	memset(reply, 0, sizeof(*reply));
+	reply->status = FFL_CONFLICT;
+	fake_worker_advance(w, now_ms);
+	if (cmd->epoch >= w->epoch && cmd->cmd < FFL_WCMD__MAX) {
+		w->epoch = cmd->epoch;
+		reply->status = commands[cmd->cmd](w, cmd, now_ms);
+	}
+	g_array_set_size(w->reports, 0);
+	for (guint i = 0; i < w->tasks->len; i++)
+		g_array_append_val(
+			w->reports,
+			g_array_index(w->tasks, fake_task_t, i).report);
+	reply->epoch = w->epoch;
+	reply->boot = w->boot;
+	reply->tasks.items = w->reports->data;
+	reply->tasks.count = w->reports->len;
+}
--- /dev/null
+++ b/include/fireflyledge/counters.h
@@ -0,0 +1,55 @@
+/**
+ * @file counters.h
+ * @brief Counters of one process, written by any thread.
+ */
+#ifndef FFL_COUNTERS_H
+#define FFL_COUNTERS_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+#include <glib.h>
+
+/** Every counter and gauge; ffl_counter_name() gives its name. */
+typedef enum {
+	FFL_CTR_EVENTS,
+	FFL_CTR_ACTIONS,
+	FFL_CTR_RECORDS_FOLDED,
+	FFL_CTR_RECORDS_SKIPPED,
+	FFL_CTR_RECORDS_DUPLICATE,
+	FFL_CTR_APPENDS,
+	FFL_CTR_APPENDS_UNKNOWN,
+	FFL_CTR_PLANS,
+	FFL_CTR_CONFIRMED,
+	FFL_CTR_CONFLICTS,
+	FFL_CTR_REQUESTS,
+	FFL_CTR_REQUESTS_REFUSED,
+	FFL_CTR_REQUESTS_FORWARDED,
+	FFL_CTR_REQUESTS_RETRIED,
+	FFL_CTR_REQUESTS_DONE,
+	FFL_CTR_JOBS_SUBMITTED,
+	FFL_CTR_JOBS_STARTED,
+	FFL_CTR_JOBS_ENDED,
+	FFL_CTR_JOBS_PREEMPTED,
+	FFL_CTR_LEASES_LAPSED,
+	FFL_CTR_FENCED,
+	FFL_CTR_RING_FULL,
+	FFL_CTR_FRAMES_DROPPED,
+	FFL_CTR_REVISION,
+	FFL_CTR_LOG_OFFSET,
+	FFL_CTR__MAX
+} ffl_counter_t;
+
+typedef struct {
+	_Atomic uint64_t value[FFL_CTR__MAX];
+} ffl_counters_t;
+
+void ffl_counters_init(ffl_counters_t *c);
+void ffl_count(ffl_counters_t *c, ffl_counter_t id, uint64_t n);
+void ffl_gauge(ffl_counters_t *c, ffl_counter_t id, uint64_t value);
+uint64_t ffl_counter(const ffl_counters_t *c, ffl_counter_t id);
+const char *ffl_counter_name(ffl_counter_t id);
+const char *ffl_counter_text(ffl_counter_t id);
+/** Appends all counters as plain text, a name and a value a line. */
+void ffl_counters_format(const ffl_counters_t *c, GString *out);
+
+#endif
--- /dev/null
+++ b/include/fireflyledge/peer.h
@@ -0,0 +1,61 @@
+/**
+ * @file peer.h
+ * @brief Messages between entry hosts, framed over TCP.
+ */
+#ifndef FFL_PEER_H
+#define FFL_PEER_H
+
+#include "fireflyledge/schema.h"
+
+/** Version of the peer protocol. */
+#define FFL_PEER_VERSION 1
+/** Largest frame between entry hosts, in bytes. */
+#define FFL_FRAME_BYTES_MAX (1U << 20)
+
+/** Kind of a peer message. */
+typedef enum {
+	FFL_PEER_HEARTBEAT,
+	FFL_PEER_STATE_ASK, /**< asks for the folded state */
+	FFL_PEER_STATE,	    /**< a part of the folded state */
+	FFL_PEER_ONCE_ASK,  /**< asks a key's home whether it may run */
+	FFL_PEER_ONCE_TELL, /**< a home's answer */
+	FFL_PEER_ONCE_DONE, /**< a run's outcome for its home */
+	FFL_PEER_HANDOVER,  /**< keys that a leaving home hands over */
+	FFL_PEER_LOAD,	    /**< use of upstreams and limits */
+	FFL_PEER_DIGEST,    /**< free shapes of a cell */
+	FFL_PEER__MAX
+} ffl_peer_kind_t;
+
+/** Header of every peer message. */
+typedef struct {
+	uint32_t version;
+	uint64_t cluster;
+	ffl_peer_kind_t kind;
+	uint64_t from; /**< member */
+	uint64_t to;   /**< member; 0 for any */
+	uint64_t seq;
+} ffl_peer_head_t;
+
+/** Sent to every peer at each heartbeat interval. */
+typedef struct {
+	uint64_t revision;
+	uint64_t next_offset;
+	bool log_reachable;
+	bool leaving;
+} ffl_heartbeat_t;
+
+/** A peer message: header and a body of its kind. */
+typedef struct {
+	ffl_peer_head_t head;
+	union {
+		ffl_heartbeat_t heartbeat;
+	};
+} ffl_peer_msg_t;
+
+void ffl_peer_encode(const ffl_peer_msg_t *msg, GByteArray *out);
+/** Decodes a message; FFL_NOT_FOUND for an unknown kind or version. */
+ffl_status_t ffl_peer_decode(ffl_bytes_t in, ffl_peer_msg_t *msg,
+			     ffl_arena_t *arena);
+const char *ffl_peer_kind_name(uint32_t kind);
+
+#endif
--- /dev/null
+++ b/lib/base/counters.c
@@ -0,0 +1,93 @@
+#include <inttypes.h>
+
+#include "fireflyledge/counters.h"
+
+/** Name and meaning of one counter. */
+typedef struct {
+	const char *name;
+	const char *text;
+} counter_info_t;
+
+static const counter_info_t infos[FFL_CTR__MAX] = {
+	[FFL_CTR_EVENTS] = { "events_total", "events taken by the host" },
+	[FFL_CTR_ACTIONS] = { "actions_total", "actions decided" },
+	[FFL_CTR_RECORDS_FOLDED] = { "records_folded_total",
+				     "log records folded" },
+	[FFL_CTR_RECORDS_SKIPPED] = { "records_skipped_total",
+				      "log records skipped as unreadable" },
+	[FFL_CTR_RECORDS_DUPLICATE] = { "records_duplicate_total",
+					"log records dropped as duplicates" },
+	[FFL_CTR_APPENDS] = { "appends_total", "appends sent to the log" },
+	[FFL_CTR_APPENDS_UNKNOWN] = { "appends_unknown_total",
+				      "appends whose answer was lost" },
+	[FFL_CTR_PLANS] = { "plans_total", "plans computed" },
+	[FFL_CTR_CONFIRMED] = { "confirmed_total", "plans in force" },
+	[FFL_CTR_CONFLICTS] = { "conflicts_total",
+				"confirmations that came too late" },
+	[FFL_CTR_REQUESTS] = { "requests_total", "requests received" },
+	[FFL_CTR_REQUESTS_REFUSED] = { "requests_refused_total",
+				       "requests refused" },
+	[FFL_CTR_REQUESTS_FORWARDED] = { "requests_forwarded_total",
+					 "attempts sent to upstreams" },
+	[FFL_CTR_REQUESTS_RETRIED] = { "requests_retried_total",
+				       "attempts that were retries" },
+	[FFL_CTR_REQUESTS_DONE] = { "requests_done_total",
+				    "requests answered whole" },
+	[FFL_CTR_JOBS_SUBMITTED] = { "jobs_submitted_total", "jobs accepted" },
+	[FFL_CTR_JOBS_STARTED] = { "jobs_started_total", "gangs started" },
+	[FFL_CTR_JOBS_ENDED] = { "jobs_ended_total", "jobs ended" },
+	[FFL_CTR_JOBS_PREEMPTED] = { "jobs_preempted_total", "jobs preempted" },
+	[FFL_CTR_LEASES_LAPSED] = { "leases_lapsed_total",
+				    "worker leases that lapsed" },
+	[FFL_CTR_FENCED] = { "fenced_total",
+			     "commands refused for an old epoch" },
+	[FFL_CTR_RING_FULL] = { "ring_full_total",
+				"events refused by a full ring" },
+	[FFL_CTR_FRAMES_DROPPED] = { "frames_dropped_total",
+				     "peer frames dropped as invalid" },
+	[FFL_CTR_REVISION] = { "config_revision",
+			       "revision of the configuration" },
+	[FFL_CTR_LOG_OFFSET] = { "log_offset", "next log offset to read" },
+};
+
+void ffl_counters_init(ffl_counters_t *c)
+{
+	for (int i = 0; i < FFL_CTR__MAX; i++)
+		atomic_init(&c->value[i], 0);
+}
+
+void ffl_count(ffl_counters_t *c, ffl_counter_t id, uint64_t n)
+{
+	atomic_fetch_add_explicit(&c->value[id], n, memory_order_relaxed);
+}
+
+void ffl_gauge(ffl_counters_t *c, ffl_counter_t id, uint64_t value)
+{
+	atomic_store_explicit(&c->value[id], value, memory_order_relaxed);
+}
+
+uint64_t ffl_counter(const ffl_counters_t *c, ffl_counter_t id)
+{
+	return atomic_load_explicit(&c->value[id], memory_order_relaxed);
+}
+
+const char *ffl_counter_name(ffl_counter_t id)
+{
+	return id < FFL_CTR__MAX ? infos[id].name : "?";
+}
+
+const char *ffl_counter_text(ffl_counter_t id)
+{
+	return id < FFL_CTR__MAX ? infos[id].text : "?";
+}
+
+void ffl_counters_format(const ffl_counters_t *c, GString *out)
+{
+	for (int i = 0; i < FFL_CTR__MAX; i++) {
+		g_string_append_printf(out, "# HELP ffl_%s %s\n", infos[i].name,
+				       infos[i].text);
+		g_string_append_printf(out, "ffl_%s %" PRIu64 "\n",
+				       infos[i].name,
+				       ffl_counter(c, (ffl_counter_t)i));
+	}
+}
--- /dev/null
+++ b/lib/base/settings.c
@@ -0,0 +1,425 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ini.h>
+
+#include "fireflyledge/settings.h"
+
+/** Largest settings file, in bytes. */
+#define FILE_BYTES_MAX (1U << 20)
+
+/** A unit and its factor. */
+typedef struct {
+	const char *name;
+	uint32_t factor;
+} unit_t;
+
+/** State of reading one file. */
+typedef struct {
+	const char *next; /**< rest of the text */
+	const char *end;
+	uint32_t line;
+	ffl_settings_t *out;
+	ffl_findings_t *fs;
+	uint32_t *seen_line; /**< line of each key, 0 where not seen */
+	char section[FFL_NAME_BYTES];
+	GHashTable *sections; /**< line of each section by name */
+} reader_t;
+
+/** Stores one value; adds a finding where it is wrong. */
+typedef void (*store_fn_t)(reader_t *r, const ffl_setting_t *s,
+			   const char *value, void *dst);
+
+static void store_name(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst);
+static void store_address(reader_t *r, const ffl_setting_t *s,
+			  const char *value, void *dst);
+static void store_url(reader_t *r, const ffl_setting_t *s, const char *value,
+		      void *dst);
+static void store_hash(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst);
+static void store_count(reader_t *r, const ffl_setting_t *s, const char *value,
+			void *dst);
+static void store_duration(reader_t *r, const ffl_setting_t *s,
+			   const char *value, void *dst);
+static void store_size(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst);
+static void store_number(reader_t *r, const ffl_setting_t *s, const char *value,
+			 const unit_t *units, void *dst);
+static bool valid_address(const char *text);
+static char *read_line(char *buf, int size, void *stream);
+static int take_pair(void *user, const char *section, const char *key,
+		     const char *value);
+static const ffl_setting_t *find_key(const char *section, const char *key,
+				     uint32_t *index);
+static bool known_section(const char *section);
+static void check_section(reader_t *r, const char *line);
+static void apply_defaults(reader_t *r);
+static void set_default(const ffl_setting_t *s, reader_t *r);
+
+#define ROW(section, key, type, member, min, max, def, live, text)         \
+	{                                                                  \
+		section, key, type, offsetof(ffl_settings_t, member), min, \
+			max, def, live, text                               \
+	}
+
+static const ffl_setting_t rows[] = {
+	ROW("host", "name", FFL_SET_NAME, name, 0, 0, NULL, false,
+	    "name of this entry host"),
+	ROW("host", "data_centre", FFL_SET_NAME, data_centre, 0, 0, NULL, false,
+	    "data centre that the host is in"),
+	ROW("host", "region", FFL_SET_NAME, region, 0, 0, NULL, false,
+	    "region that the host is in"),
+	ROW("host", "cluster", FFL_SET_COUNT, cluster, 1, UINT32_MAX, NULL,
+	    false, "number that every record and message of a cluster has"),
+	ROW("listen", "callers", FFL_SET_ADDRESS, callers, 0, 0, NULL, false,
+	    "address for callers"),
+	ROW("listen", "operators", FFL_SET_ADDRESS, operators, 0, 0, NULL,
+	    false, "address for operators"),
+	ROW("listen", "peers", FFL_SET_ADDRESS, peers, 0, 0, NULL, false,
+	    "address for other entry hosts"),
+	ROW("listen", "threads", FFL_SET_COUNT, threads, 4, 1024, "64", false,
+	    "threads that serve callers"),
+	ROW("listen", "body_bytes", FFL_SET_SIZE, body_bytes, 1024, 1U << 30,
+	    "1MB", false, "largest body of a request"),
+	ROW("platform", "log", FFL_SET_URL, platform_log, 0, 0, NULL, false,
+	    "URL of the log service"),
+	ROW("platform", "hosts", FFL_SET_URL, platform_hosts, 0, 0, NULL, false,
+	    "URL of the list of hosts"),
+	ROW("platform", "poll_hosts", FFL_SET_DURATION, poll_hosts_ms, 50,
+	    60000, "500ms", false, "time between reads of the list of hosts"),
+	ROW("membership", "heartbeat", FFL_SET_DURATION, heartbeat_ms, 10,
+	    60000, "250ms", false, "time between heartbeats to peers"),
+	ROW("membership", "suspect", FFL_SET_DURATION, suspect_ms, 50, 600000,
+	    "2s", false, "silence after which a peer is suspect"),
+	ROW("membership", "renew", FFL_SET_DURATION, renew_ms, 100, 3600000,
+	    "60s", false, "time between registrations on the log"),
+	ROW("membership", "expiry", FFL_SET_DURATION, expiry_ms, 1000, 36000000,
+	    "180s", false, "time after which a registration ends"),
+	ROW("membership", "lease", FFL_SET_DURATION, lease_ms, 500, 600000,
+	    "6s", false, "lease of a task on a worker"),
+	ROW("requests", "queue", FFL_SET_COUNT, queue_max, 1, 1000000, "2048",
+	    true, "requests that may wait"),
+	ROW("requests", "timeout", FFL_SET_DURATION, timeout_ms, 1, 3600000,
+	    "10s", true, "deadline of a request that states none"),
+	ROW("requests", "max_timeout", FFL_SET_DURATION, max_timeout_ms, 1,
+	    3600000, "60s", true, "latest deadline that a request may state"),
+	ROW("requests", "attempts", FFL_SET_COUNT, attempts_max, 1, 10, "3",
+	    true, "attempts of one request at upstreams"),
+	ROW("requests", "eject_failures", FFL_SET_COUNT, eject_failures, 1,
+	    1000, "5", true, "failures in a row that eject an upstream"),
+	ROW("requests", "eject", FFL_SET_DURATION, eject_ms, 100, 3600000, "5s",
+	    true, "time for which an upstream is ejected"),
+	ROW("operators", "bootstrap_token_hash", FFL_SET_HASH, bootstrap_hash,
+	    0, 0, "", false,
+	    "hash of the token that holds until an operator is confirmed"),
+};
+
+static const unit_t no_units[] = { { "", 1 }, { NULL, 0 } };
+static const unit_t duration_units[] = {
+	{ "ms", 1 }, { "s", 1000 }, { "min", 60000 }, { NULL, 0 }
+};
+static const unit_t size_units[] = {
+	{ "B", 1 }, { "KB", 1024 }, { "MB", 1048576 }, { NULL, 0 }
+};
+
+static const store_fn_t stores[FFL_SET__MAX] = {
+	[FFL_SET_NAME] = store_name,	     [FFL_SET_ADDRESS] = store_address,
+	[FFL_SET_URL] = store_url,	     [FFL_SET_HASH] = store_hash,
+	[FFL_SET_COUNT] = store_count,	     [FFL_SET_SIZE] = store_size,
+	[FFL_SET_DURATION] = store_duration,
+};
+
+static const char *const type_names[FFL_SET__MAX] = {
+	[FFL_SET_NAME] = "name",   [FFL_SET_ADDRESS] = "address",
+	[FFL_SET_URL] = "url",	   [FFL_SET_HASH] = "hash",
+	[FFL_SET_COUNT] = "count", [FFL_SET_DURATION] = "duration",
+	[FFL_SET_SIZE] = "size",
+};
+
+uint32_t ffl_settings_count(void)
+{
+	return G_N_ELEMENTS(rows);
+}
+
+const ffl_setting_t *ffl_settings_at(uint32_t i)
+{
+	return &rows[i];
+}
+
+const char *ffl_setting_type_name(uint32_t type)
+{
+	return type < FFL_SET__MAX ? type_names[type] : "?";
+}
+
+static void store_name(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst)
+{
+	if (!value[0])
+		ffl_findings_add(r->fs, FFL_MSG_MISSING, s->key, r->line, 0,
+				 "a name is expected");
+	else if (!ffl_copy(dst, FFL_NAME_BYTES, value))
+		ffl_findings_add(r->fs, FFL_MSG_TOO_LONG, s->key, r->line, 0,
+				 "at most %d bytes", FFL_NAME_BYTES - 1);
+}
+
+static bool valid_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long port;
+
+	if (!colon || colon == text)
+		return false;
+	if (strspn(text, "0123456789.") != (size_t)(colon - text))
+		return false;
+	errno = 0;
+	port = strtol(colon + 1, &end, 10);
+	return end != colon + 1 && *end == '\0' && !errno && port > 0 &&
+	       port <= UINT16_MAX;
+}
+
+static void store_address(reader_t *r, const ffl_setting_t *s,
+			  const char *value, void *dst)
+{
+	if (!valid_address(value) || !ffl_copy(dst, FFL_ADDR_BYTES, value))
+		ffl_findings_add(r->fs, FFL_MSG_BAD_VALUE, s->key, r->line, 0,
+				 "\"%.60s\" is not IP:PORT", value);
+}
+
+static void store_url(reader_t *r, const ffl_setting_t *s, const char *value,
+		      void *dst)
+{
+	static const char scheme[] = "http://";
+
+	if (strncmp(value, scheme, sizeof(scheme) - 1) != 0 ||
+	    !valid_address(value + sizeof(scheme) - 1) ||
+	    !ffl_copy(dst, FFL_URL_BYTES, value))
+		ffl_findings_add(r->fs, FFL_MSG_BAD_VALUE, s->key, r->line, 0,
+				 "\"%.60s\" is not http://IP:PORT", value);
+}
+
+static void store_hash(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst)
+{
+	size_t n = strspn(value, "0123456789abcdef");
+
+	if (value[0] && (n != FFL_HEX_BYTES - 1 || value[n]))
+		ffl_findings_add(r->fs, FFL_MSG_BAD_VALUE, s->key, r->line, 0,
+				 "%d hexadecimal digits are expected",
+				 FFL_HEX_BYTES - 1);
+	else
+		ffl_copy(dst, FFL_HEX_BYTES, value);
+}
+
+static void store_number(reader_t *r, const ffl_setting_t *s, const char *value,
+			 const unit_t *units, void *dst)
+{
+	char *end;
+	uint64_t n;
+
+	errno = 0;
+	n = strtoull(value, &end, 10);
+	if (value[0] < '0' || value[0] > '9' || errno) {
+		ffl_findings_add(r->fs, FFL_MSG_BAD_NUMBER, s->key, r->line, 0,
+				 "\"%.60s\"", value);
+		return;
+	}
+	while (units->name && strcmp(units->name, end) != 0)
+		units++;
+	if (!units->name) {
+		ffl_findings_add(r->fs, FFL_MSG_BAD_UNIT, s->key, r->line, 0,
+				 "\"%.60s\"", value);
+		return;
+	}
+	if (n > s->max || n * units->factor < s->min ||
+	    n * units->factor > s->max) {
+		ffl_findings_add(r->fs, FFL_MSG_OUT_OF_RANGE, s->key, r->line,
+				 0, "\"%.40s\" is outside %u..%u", value,
+				 s->min, s->max);
+		return;
+	}
+	*(uint32_t *)dst = (uint32_t)(n * units->factor);
+}
+
+static void store_count(reader_t *r, const ffl_setting_t *s, const char *value,
+			void *dst)
+{
+	store_number(r, s, value, no_units, dst);
+}
+
+static void store_duration(reader_t *r, const ffl_setting_t *s,
+			   const char *value, void *dst)
+{
+	store_number(r, s, value, duration_units, dst);
+}
+
+static void store_size(reader_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst)
+{
+	store_number(r, s, value, size_units, dst);
+}
+
+static const ffl_setting_t *find_key(const char *section, const char *key,
+				     uint32_t *index)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		if (strcmp(rows[i].section, section) == 0 &&
+		    strcmp(rows[i].key, key) == 0) {
+			*index = i;
+			return &rows[i];
+		}
+	}
+	return NULL;
+}
+
+static bool known_section(const char *section)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		if (strcmp(rows[i].section, section) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The parser does not tell of section lines, so they are checked here. */
+static void check_section(reader_t *r, const char *line)
+{
+	const char *open = line + strspn(line, " \t");
+	const char *close = strchr(open, ']');
+	gpointer first;
+	gchar *name;
+
+	if (*open != '[' || !close)
+		return;
+	name = g_strndup(open + 1, (gsize)(close - open - 1));
+	first = g_hash_table_lookup(r->sections, name);
+	if (!known_section(name))
+		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_SECTION, name, r->line,
+				 0, "%s", "");
+	else if (first)
+		ffl_findings_add(r->fs, FFL_MSG_DUPLICATE_SECTION, name,
+				 r->line, 0, "first at line %u",
+				 GPOINTER_TO_UINT(first));
+	if (!first)
+		g_hash_table_insert(r->sections, name,
+				    GUINT_TO_POINTER(r->line));
+	else
+		g_free(name);
+}
+
+static char *read_line(char *buf, int size, void *stream)
+{
+	reader_t *r = stream;
+	size_t left = (size_t)(r->end - r->next);
+	const char *nl = left ? memchr(r->next, '\n', left) : NULL;
+	size_t n = nl ? (size_t)(nl - r->next) + 1 : left;
+
+	if (!left)
+		return NULL;
+	r->line++;
+	if (n >= (size_t)size) {
+		ffl_findings_add(r->fs, FFL_MSG_TOO_LONG, "", r->line, 0,
+				 "a line has at most %d bytes", size - 1);
+		r->next += n;
+		buf[0] = '\n';
+		buf[1] = '\0';
+		return buf;
+	}
+	memcpy(buf, r->next, n);
+	buf[n] = '\0';
+	r->next += n;
+	check_section(r, buf);
+	return buf;
+}
+
+static int take_pair(void *user, const char *section, const char *key,
+		     const char *value)
+{
+	reader_t *r = user;
+	const ffl_setting_t *s;
+	uint32_t i = 0;
+
+	if (!known_section(section))
+		return 1;
+	s = find_key(section, key, &i);
+	if (!s) {
+		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_KEY, key, r->line, 0,
+				 "section [%s] has no such key", section);
+		return 1;
+	}
+	if (r->seen_line[i]) {
+		ffl_findings_add(r->fs, FFL_MSG_DUPLICATE_KEY, key, r->line, 0,
+				 "first at line %u", r->seen_line[i]);
+		return 1;
+	}
+	r->seen_line[i] = r->line;
+	stores[s->type](r, s, value, (char *)r->out + s->offset);
+	return 1;
+}
+
+static void set_default(const ffl_setting_t *s, reader_t *r)
+{
+	if (!s->def) {
+		ffl_findings_add(r->fs, FFL_MSG_MISSING, s->key, 0, 0,
+				 "section [%s] needs it", s->section);
+		return;
+	}
+	stores[s->type](r, s, s->def, (char *)r->out + s->offset);
+}
+
+static void apply_defaults(reader_t *r)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		if (!r->seen_line[i])
+			set_default(&rows[i], r);
+	}
+}
+
+ffl_status_t ffl_settings_parse(const char *text, size_t size_bytes,
+				ffl_settings_t *out, ffl_findings_t *fs)
+{
+	uint32_t seen_line[G_N_ELEMENTS(rows)] = { 0 };
+	uint32_t before = fs->errors;
+	reader_t r = { .next = text,
+		       .end = text + size_bytes,
+		       .out = out,
+		       .fs = fs,
+		       .seen_line = seen_line };
+	int bad_line;
+
+	memset(out, 0, sizeof(*out));
+	r.sections =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bad_line = ini_parse_stream(read_line, &r, take_pair, &r);
+	if (bad_line > 0)
+		ffl_findings_add(fs, FFL_MSG_BAD_SYNTAX, "", (uint32_t)bad_line,
+				 0, "neither a section nor key = value");
+	apply_defaults(&r);
+	g_hash_table_destroy(r.sections);
+	return fs->errors > before ? FFL_INVALID : FFL_OK;
+}
+
+ffl_status_t ffl_settings_load(const char *path, ffl_settings_t *out,
+			       ffl_findings_t *fs)
+{
+	ffl_status_t status;
+	gchar *text = NULL;
+	gsize size = 0;
+
+	if (!g_file_get_contents(path, &text, &size, NULL)) {
+		ffl_findings_add(fs, FFL_MSG_MISSING, "", 0, 0,
+				 "the file cannot be read");
+		return FFL_SYSTEM;
+	}
+	if (size > FILE_BYTES_MAX) {
+		ffl_findings_add(fs, FFL_MSG_TOO_LONG, "", 0, 0,
+				 "the file is larger than %u bytes",
+				 FILE_BYTES_MAX);
+		status = FFL_INVALID;
+	} else {
+		status = ffl_settings_parse(text, size, out, fs);
+	}
+	g_free(text);
+	return status;
+}
--- /dev/null
+++ b/lib/config/config_json.c
@@ -0,0 +1,70 @@
+#include "fireflyledge/config.h"
+
+static json_t *guarantee_to_json(const ffl_guarantee_t *g);
+static json_t *customer_to_json(const ffl_customer_t *c);
+
+static json_t *guarantee_to_json(const ffl_guarantee_t *g)
+{
+	return json_pack("{s:s,s:s,s:i,s:i,s:s,s:I}", "customer", g->customer,
+			 "dc", g->dc, "count", (int)g->count, "accelerators",
+			 (int)g->accelerators, "adjacency",
+			 ffl_adjacency_name(g->adjacency), "revision",
+			 (json_int_t)g->revision);
+}
+
+static json_t *customer_to_json(const ffl_customer_t *c)
+{
+	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "name", c->name,
+			 "weight", (json_int_t)c->weight, "quota_accelerators",
+			 (json_int_t)c->quota_accelerators, "rate_per_s",
+			 (json_int_t)c->rate_per_s, "burst",
+			 (json_int_t)c->burst, "concurrent",
+			 (json_int_t)c->concurrent, "revision",
+			 (json_int_t)c->revision);
+}
+
+json_t *ffl_config_to_json(const ffl_config_t *cfg)
+{
+	json_t *customers = json_array();
+	json_t *guarantees = json_array();
+	json_t *drains = json_array();
+
+	for (guint i = 0; i < cfg->customers->len; i++)
+		json_array_append_new(
+			customers, customer_to_json(&g_array_index(
+					   cfg->customers, ffl_customer_t, i)));
+	for (guint i = 0; i < cfg->guarantees->len; i++)
+		json_array_append_new(
+			guarantees,
+			guarantee_to_json(&g_array_index(cfg->guarantees,
+							 ffl_guarantee_t, i)));
+	for (guint i = 0; i < cfg->drains->len; i++)
+		json_array_append_new(
+			drains,
+			json_string(g_array_index(cfg->drains, ffl_drain_t, i)
+					    .host));
+	return json_pack("{s:I,s:s,s:o,s:o,s:o}", "revision",
+			 (json_int_t)cfg->revision, "order", cfg->order,
+			 "customers", customers, "guarantees", guarantees,
+			 "drains", drains);
+}
+
+json_t *ffl_config_history_to_json(const ffl_config_t *cfg)
+{
+	json_t *array = json_array();
+
+	for (guint i = 0; i < cfg->audit->len; i++) {
+		const ffl_audit_t *a =
+			&g_array_index(cfg->audit, ffl_audit_t, i);
+		json_t *entry = json_pack(
+			"{s:I,s:I,s:I,s:I,s:s,s:o}", "revision",
+			(json_int_t)a->revision, "plan", (json_int_t)a->plan,
+			"at_ms", (json_int_t)a->at_ms, "supersedes",
+			(json_int_t)a->supersedes, "confirmed_by",
+			a->confirmed_by, "intent",
+			ffl_schema_to_json(&ffl_intent_schema, &a->intent));
+
+		json_array_append_new(array, entry);
+	}
+	return array;
+}
--- /dev/null
+++ b/lib/config/intent.c
@@ -0,0 +1,82 @@
+#include <string.h>
+
+#include "fireflyledge/config.h"
+
+/** Checks the fields of one kind of intent. */
+typedef void (*check_fn_t)(const ffl_intent_t *in, ffl_findings_t *fs);
+
+static void check_guarantee(const ffl_intent_t *in, ffl_findings_t *fs);
+static void check_order(const ffl_intent_t *in, ffl_findings_t *fs);
+static void check_name(const ffl_intent_t *in, ffl_findings_t *fs);
+static void check_token(const ffl_intent_t *in, ffl_findings_t *fs);
+static void check_withdraw(const ffl_intent_t *in, ffl_findings_t *fs);
+
+static const check_fn_t checks[FFL_INTENT__MAX] = {
+	[FFL_INTENT_GUARANTEE] = check_guarantee,
+	[FFL_INTENT_ORDER] = check_order,
+	[FFL_INTENT_DRAIN] = check_name,
+	[FFL_INTENT_UNDRAIN] = check_name,
+	[FFL_INTENT_CUSTOMER] = check_token,
+	[FFL_INTENT_OPERATOR] = check_token,
+	[FFL_INTENT_LIMIT] = check_name,
+	[FFL_INTENT_WITHDRAW] = check_withdraw,
+};
+
+static void check_name(const ffl_intent_t *in, ffl_findings_t *fs)
+{
+	if (!in->name[0])
+		ffl_findings_add(fs, FFL_MSG_MISSING, "name", 0, 0,
+				 "%s needs a name",
+				 ffl_intent_kind_name(in->kind));
+}
+
+static void check_guarantee(const ffl_intent_t *in, ffl_findings_t *fs)
+{
+	check_name(in, fs);
+	if (!in->dc[0])
+		ffl_findings_add(fs, FFL_MSG_MISSING, "dc", 0, 0,
+				 "a guarantee names its data centre");
+	if (!in->accelerators)
+		ffl_findings_add(fs, FFL_MSG_OUT_OF_RANGE, "accelerators", 0, 0,
+				 "a shape has at least one accelerator");
+}
+
+static void check_order(const ffl_intent_t *in, ffl_findings_t *fs)
+{
+	if (!in->order[0])
+		ffl_findings_add(fs, FFL_MSG_MISSING, "order", 0, 0,
+				 "kinds of work, the first yields first");
+}
+
+static void check_token(const ffl_intent_t *in, ffl_findings_t *fs)
+{
+	static const uint8_t none[FFL_HASH_BYTES];
+
+	check_name(in, fs);
+	if (memcmp(in->token_hash, none, sizeof(none)) == 0)
+		ffl_findings_add(fs, FFL_MSG_MISSING, "token_hash", 0, 0,
+				 "%s needs the hash of a token",
+				 ffl_intent_kind_name(in->kind));
+}
+
+static void check_withdraw(const ffl_intent_t *in, ffl_findings_t *fs)
+{
+	if (!in->revision)
+		ffl_findings_add(fs, FFL_MSG_MISSING, "revision", 0, 0,
+				 "a withdrawal names the revision to undo");
+}
+
+ffl_status_t ffl_intent_check(const ffl_intent_t *intent, ffl_findings_t *fs)
+{
+	uint32_t before = fs->errors;
+
+	if (!intent->reason[0])
+		ffl_findings_add(fs, FFL_MSG_MISSING, "reason", 0, 0,
+				 "an intent says why");
+	if (intent->kind >= FFL_INTENT__MAX)
+		ffl_findings_add(fs, FFL_MSG_BAD_VALUE, "kind", 0, 0,
+				 "unknown kind of intent");
+	else
+		checks[intent->kind](intent, fs);
+	return fs->errors > before ? FFL_INVALID : FFL_OK;
+}
--- /dev/null
+++ b/lib/gang/job.c
@@ -0,0 +1,212 @@
+#include <string.h>
+
+#include "fireflyledge/gang.h"
+#include "lib/gang/gang_int.h"
+
+static const char *const state_names[FFL_JOB__MAX] = {
+	[FFL_JOB_QUEUED] = "queued",	 [FFL_JOB_HOLDING] = "holding",
+	[FFL_JOB_STARTING] = "starting", [FFL_JOB_RUNNING] = "running",
+	[FFL_JOB_STOPPING] = "stopping", [FFL_JOB_ENDED] = "ended",
+};
+
+static void job_free(gpointer p);
+static guint job_hash(gconstpointer p);
+static gboolean job_equal(gconstpointer a, gconstpointer b);
+static guint name_hash(gconstpointer p);
+static gboolean name_equal(gconstpointer a, gconstpointer b);
+static void fold_submit(ffl_gangs_t *g, uint64_t offset,
+			const ffl_job_spec_t *spec, uint64_t now_ms);
+static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end);
+
+const char *ffl_job_state_name(uint32_t state)
+{
+	return state < FFL_JOB__MAX ? state_names[state] : "?";
+}
+
+static void job_free(gpointer p)
+{
+	ffl_job_t *job = p;
+
+	g_free(job->parts);
+	g_free(job);
+}
+
+static guint job_hash(gconstpointer p)
+{
+	return (guint)ffl_mix(((const ffl_job_t *)p)->id, 0);
+}
+
+static gboolean job_equal(gconstpointer a, gconstpointer b)
+{
+	return ((const ffl_job_t *)a)->id == ((const ffl_job_t *)b)->id;
+}
+
+static guint name_hash(gconstpointer p)
+{
+	const ffl_job_t *job = p;
+	uint64_t h =
+		ffl_hash(job->spec.customer, strlen(job->spec.customer), 0);
+
+	return (guint)ffl_hash(job->spec.name, strlen(job->spec.name), h);
+}
+
+static gboolean name_equal(gconstpointer pa, gconstpointer pb)
+{
+	const ffl_job_t *a = pa;
+	const ffl_job_t *b = pb;
+
+	return strcmp(a->spec.name, b->spec.name) == 0 &&
+	       strcmp(a->spec.customer, b->spec.customer) == 0;
+}
+
+void ffl_gangs_init(ffl_gangs_t *g, uint32_t lease_ms)
+{
+	memset(g, 0, sizeof(*g));
+	g->by_id = g_hash_table_new_full(job_hash, job_equal, job_free, NULL);
+	g->by_name = g_hash_table_new(name_hash, name_equal);
+	g->open = g_array_new(FALSE, TRUE, sizeof(ffl_job_t *));
+	g->next_call = 1;
+	g->lease_ms = lease_ms;
+	g->renew_ms = lease_ms / 3;
+}
+
+void ffl_gangs_finish(ffl_gangs_t *g)
+{
+	g_hash_table_destroy(g->by_name);
+	g_hash_table_destroy(g->by_id);
+	g_array_free(g->open, TRUE);
+}
+
+const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id)
+{
+	return ffl_job_find(g, id);
+}
+
+ffl_job_t *ffl_job_find(const ffl_gangs_t *g, uint64_t id)
+{
+	ffl_job_t probe = { .id = id };
+
+	return g_hash_table_lookup(g->by_id, &probe);
+}
+
+const ffl_job_t *ffl_gangs_find_name(const ffl_gangs_t *g, const char *customer,
+				     const char *name)
+{
+	ffl_job_t probe = { .id = 0 };
+
+	ffl_copy(probe.spec.customer, sizeof(probe.spec.customer), customer);
+	ffl_copy(probe.spec.name, sizeof(probe.spec.name), name);
+	return g_hash_table_lookup(g->by_name, &probe);
+}
+
+static void fold_submit(ffl_gangs_t *g, uint64_t offset,
+			const ffl_job_spec_t *spec, uint64_t now_ms)
+{
+	ffl_job_t *job;
+
+	if (ffl_gangs_find_name(g, spec->customer, spec->name))
+		return;
+	job = g_new0(ffl_job_t, 1);
+	job->id = offset;
+	job->spec = *spec;
+	job->queued_ms = now_ms;
+	job->since_ms = now_ms;
+	g_hash_table_add(g->by_id, job);
+	g_hash_table_add(g->by_name, job);
+	g_array_append_val(g->open, job);
+}
+
+static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end)
+{
+	ffl_job_t *job = ffl_job_find(g, end->job);
+
+	if (!job || job->state == FFL_JOB_ENDED)
+		return;
+	job->state = FFL_JOB_ENDED;
+	job->end = end->end;
+	ffl_copy(job->result, sizeof(job->result), end->result);
+	for (guint i = 0; i < g->open->len; i++) {
+		if (g_array_index(g->open, ffl_job_t *, i) != job)
+			continue;
+		g_array_remove_index(g->open, i);
+		return;
+	}
+}
+
+void ffl_gangs_fold(ffl_gangs_t *g, uint64_t offset, const ffl_record_t *rec,
+		    uint64_t now_ms)
+{
+	ffl_job_t *job;
+
+	switch (rec->kind) {
+	case FFL_REC_JOB:
+		fold_submit(g, offset, &rec->job, now_ms);
+		break;
+	case FFL_REC_JOB_CANCEL:
+		job = ffl_job_find(g, rec->job_cancel.job);
+		if (job)
+			job->cancelled = true;
+		break;
+	case FFL_REC_JOB_END:
+		fold_end(g, &rec->job_end);
+		break;
+	default:
+		break;
+	}
+}
+
+ffl_status_t ffl_job_check(const ffl_job_spec_t *spec, const ffl_config_t *cfg,
+			   const ffl_fleet_t *fleet, ffl_findings_t *fs)
+{
+	uint32_t before = fs->errors;
+	uint32_t largest = 0;
+	uint32_t total = 0;
+
+	if (!spec->name[0])
+		ffl_findings_add(fs, FFL_MSG_MISSING, "name", 0, 0,
+				 "a job has an id of its caller's");
+	if (!ffl_config_customer(cfg, spec->customer))
+		ffl_findings_add(fs, FFL_MSG_UNKNOWN_CUSTOMER, "customer", 0, 0,
+				 "\"%s\"", spec->customer);
+	if (!spec->accelerators)
+		ffl_findings_add(fs, FFL_MSG_OUT_OF_RANGE, "accelerators", 0, 0,
+				 "a job needs at least one accelerator");
+	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
+		const ffl_worker_t *w = ffl_fleet_at(fleet, i);
+
+		if (spec->dc[0] && strcmp(spec->dc, w->info.dc) != 0)
+			continue;
+		if (w->info.accelerators > largest)
+			largest = w->info.accelerators;
+		total += w->info.accelerators;
+	}
+	if (spec->adjacency == FFL_ADJ_WORKER && spec->accelerators > largest)
+		ffl_findings_add(fs, FFL_MSG_IMPOSSIBLE_JOB, "accelerators", 0,
+				 0, "%u in one worker; the largest has %u",
+				 spec->accelerators, largest);
+	else if (spec->accelerators > total)
+		ffl_findings_add(fs, FFL_MSG_IMPOSSIBLE_JOB, "accelerators", 0,
+				 0, "%u; the fleet has %u", spec->accelerators,
+				 total);
+	return fs->errors > before ? FFL_INVALID : FFL_OK;
+}
+
+json_t *ffl_job_to_json(const ffl_job_t *job)
+{
+	json_t *parts = json_array();
+
+	for (uint32_t i = 0; i < job->part_count; i++)
+		json_array_append_new(
+			parts,
+			json_pack("{s:s,s:I}", "worker", job->parts[i].worker,
+				  "slots", (json_int_t)job->parts[i].slots));
+	return json_pack(
+		"{s:I,s:s,s:s,s:i,s:s,s:s,s:i,s:b,s:s,s:s,s:o}", "id",
+		(json_int_t)job->id, "customer", job->spec.customer, "name",
+		job->spec.name, "accelerators", (int)job->spec.accelerators,
+		"urgency", ffl_urgency_name(job->spec.urgency), "state",
+		ffl_job_state_name(job->state), "incarnation",
+		(int)job->incarnation, "cancelled", job->cancelled, "end",
+		job->state == FFL_JOB_ENDED ? ffl_end_name(job->end) : "",
+		"result", job->result, "parts", parts);
+}
--- /dev/null
+++ b/lib/host/host.c
@@ -0,0 +1,335 @@
+#include <string.h>
+
+#include "fireflyledge/host.h"
+#include "lib/host/host_int.h"
+
+/** Longest wait of a planned stop, in milliseconds. */
+#define STOP_DRAIN_MS 30000
+#define STOP_LEAVE_MS 3000
+
+/** Takes one kind of event. */
+typedef void (*take_fn_t)(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			  ffl_actions_t *out);
+
+static void on_tick(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out);
+static void on_log_read(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			ffl_actions_t *out);
+static void on_log_appended(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out);
+static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			 ffl_actions_t *out);
+static void on_worker_reply(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out);
+static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out);
+static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		       ffl_actions_t *out);
+static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		       ffl_actions_t *out);
+static void on_request_gone(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out);
+static void on_upstream_done(ffl_host_t *h, const ffl_event_t *ev,
+			     uint64_t now_ms, ffl_actions_t *out);
+static void on_stop(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out);
+static bool accept(ffl_host_t *h, const ffl_record_t *rec);
+static void fold(ffl_host_t *h, const ffl_log_entry_t *e, uint64_t now_ms,
+		 ffl_actions_t *out);
+static void fold_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
+			uint64_t now_ms, ffl_actions_t *out);
+static void run(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
+static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
+static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
+static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms);
+
+static const take_fn_t takers[FFL_EV__MAX] = {
+	[FFL_EV_TICK] = on_tick,
+	[FFL_EV_LOG_READ] = on_log_read,
+	[FFL_EV_LOG_APPENDED] = on_log_appended,
+	[FFL_EV_HOST_LIST] = on_host_list,
+	[FFL_EV_WORKER_REPLY] = on_worker_reply,
+	[FFL_EV_PEER] = on_peer,
+	[FFL_EV_COMMAND] = on_command,
+	[FFL_EV_REQUEST] = on_request,
+	[FFL_EV_REQUEST_GONE] = on_request_gone,
+	[FFL_EV_UPSTREAM_DONE] = on_upstream_done,
+	[FFL_EV_STOP] = on_stop,
+};
+
+void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
+		   ffl_counters_t *counters)
+{
+	memset(h, 0, sizeof(*h));
+	h->opt = *opt;
+	h->counters = counters;
+	ffl_logc_init(&h->logc, opt->cluster, opt->self.member, opt->seed);
+	ffl_config_init(&h->config);
+	ffl_members_init(&h->members, &opt->self, &opt->times);
+	ffl_fleet_init(&h->fleet);
+	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
+	ffl_requests_init(&h->requests, &opt->limits, opt->self.region);
+	h->writers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	h->waiters = g_array_new(FALSE, TRUE, sizeof(ffl_waiter_t));
+	ffl_arena_init(&h->scratch);
+}
+
+void ffl_host_finish(ffl_host_t *h)
+{
+	ffl_arena_finish(&h->scratch);
+	g_array_free(h->waiters, TRUE);
+	g_hash_table_destroy(h->writers);
+	ffl_requests_finish(&h->requests);
+	ffl_gangs_finish(&h->gangs);
+	ffl_fleet_finish(&h->fleet);
+	ffl_members_finish(&h->members);
+	ffl_config_finish(&h->config);
+	ffl_logc_finish(&h->logc);
+}
+
+/* Each writer numbers its records: one that was seen before is dropped. */
+static bool accept(ffl_host_t *h, const ffl_record_t *rec)
+{
+	uint64_t *last = g_hash_table_lookup(h->writers, &rec->writer);
+	gint64 *key;
+
+	if (rec->cluster != h->opt.cluster) {
+		ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
+		return false;
+	}
+	if (last && rec->seq <= *last) {
+		ffl_count(h->counters, FFL_CTR_RECORDS_DUPLICATE, 1);
+		return false;
+	}
+	if (!last) {
+		key = g_new(gint64, 1);
+		*key = (gint64)rec->writer;
+		last = g_new(uint64_t, 1);
+		g_hash_table_insert(h->writers, key, last);
+	}
+	*last = rec->seq;
+	return true;
+}
+
+static void fold_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
+			uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_verdict_t verdict;
+
+	switch (rec->kind) {
+	case FFL_REC_INTENT:
+		ffl_config_intent(&h->config, offset, rec);
+		ffl_host_on_intent(h, offset, rec, out);
+		break;
+	case FFL_REC_CONFIRM:
+		verdict = ffl_config_confirm(&h->config, offset, rec);
+		ffl_fleet_on_config(&h->fleet, &h->config);
+		ffl_requests_on_config(&h->requests, &h->config);
+		ffl_host_on_verdict(h, rec, &verdict, out);
+		break;
+	default:
+		ffl_members_fold(&h->members, offset, rec, now_ms);
+		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
+		ffl_host_on_record(h, offset, rec, out);
+		break;
+	}
+}
+
+static void fold(ffl_host_t *h, const ffl_log_entry_t *e, uint64_t now_ms,
+		 ffl_actions_t *out)
+{
+	ffl_record_t rec;
+	ffl_status_t status;
+
+	if (e->offset < h->logc.next_offset)
+		return;
+	h->logc.next_offset = e->offset + 1;
+	ffl_arena_reset(&h->scratch);
+	status = ffl_record_decode(e->data, &rec, &h->scratch);
+	if (status != FFL_OK) {
+		ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
+		return;
+	}
+	if (!accept(h, &rec))
+		return;
+	ffl_count(h->counters, FFL_CTR_RECORDS_FOLDED, 1);
+	if (rec.writer == h->logc.writer)
+		ffl_logc_seen(&h->logc, rec.seq);
+	fold_record(h, e->offset, &rec, now_ms, out);
+}
+
+static void on_tick(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out)
+{
+	ffl_host_expire_waiters(h, now_ms, out);
+}
+
+static void on_log_read(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			ffl_actions_t *out)
+{
+	const ffl_ev_log_read_t *r = &ev->log_read;
+
+	if (r->status == FFL_OK) {
+		for (uint32_t i = 0; i < r->count; i++)
+			fold(h, &r->entries[i], now_ms, out);
+		if (h->logc.next_offset >= r->end)
+			h->caught_up = true;
+	}
+	ffl_logc_on_read(&h->logc, r, now_ms);
+	ffl_gauge(h->counters, FFL_CTR_LOG_OFFSET, h->logc.next_offset);
+	ffl_gauge(h->counters, FFL_CTR_REVISION, h->config.revision);
+}
+
+static void on_log_appended(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out)
+{
+	if (ev->log_appended.status == FFL_UNKNOWN)
+		ffl_count(h->counters, FFL_CTR_APPENDS_UNKNOWN, 1);
+	ffl_logc_on_appended(&h->logc, &ev->log_appended, now_ms);
+}
+
+static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			 ffl_actions_t *out)
+{
+	ffl_fleet_on_list(&h->fleet, &ev->host_list);
+	ffl_fleet_on_config(&h->fleet, &h->config);
+	ffl_requests_on_list(&h->requests, &ev->host_list);
+	ffl_requests_on_config(&h->requests, &h->config);
+}
+
+static void on_worker_reply(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_gangs_on_reply(&h->gangs, &h->fleet, &h->members, &ev->worker_reply,
+			   now_ms, out);
+}
+
+static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out)
+{
+	if (ev->peer.head.cluster != h->opt.cluster) {
+		ffl_count(h->counters, FFL_CTR_FRAMES_DROPPED, 1);
+		return;
+	}
+	ffl_members_on_peer(&h->members, &ev->peer, now_ms);
+}
+
+static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		       ffl_actions_t *out)
+{
+	ffl_host_command(h, &ev->command, now_ms, out);
+}
+
+static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		       ffl_actions_t *out)
+{
+	ffl_count(h->counters, FFL_CTR_REQUESTS, 1);
+	ffl_requests_on_request(&h->requests, &ev->request, &h->config, now_ms,
+				out);
+}
+
+static void on_request_gone(ffl_host_t *h, const ffl_event_t *ev,
+			    uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_requests_on_gone(&h->requests, ev->request_gone, out);
+}
+
+static void on_upstream_done(ffl_host_t *h, const ffl_event_t *ev,
+			     uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_requests_on_done(&h->requests, &ev->upstream_done, now_ms, out);
+}
+
+static void on_stop(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		    ffl_actions_t *out)
+{
+	if (h->stop == FFL_STOP_NONE) {
+		h->stop = FFL_STOP_DRAINING;
+		h->stop_ms = now_ms;
+		ffl_requests_stop(&h->requests);
+		set_ready(h, false, out);
+		return;
+	}
+	if (h->stop == FFL_STOP_DONE)
+		return;
+	ffl_actions_report(out, FFL_LEVEL_WARNING, "stop-hurried",
+			   h->opt.self.name, "%u requests were cut",
+			   g_hash_table_size(h->requests.by_id));
+	h->stop = FFL_STOP_DONE;
+	ffl_actions_add(out, FFL_ACT_EXIT);
+}
+
+static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out)
+{
+	if (h->ready == ready)
+		return;
+	h->ready = ready;
+	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
+}
+
+static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->members.members->len; i++) {
+		if (ffl_member_alive(
+			    &h->members,
+			    &g_array_index(h->members.members, ffl_member_t, i),
+			    now_ms))
+			n++;
+	}
+	return n ? n : 1;
+}
+
+static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
+{
+	uint64_t spent = now_ms - h->stop_ms;
+
+	if (h->stop == FFL_STOP_DRAINING &&
+	    (ffl_requests_idle(&h->requests) || spent > STOP_DRAIN_MS)) {
+		h->stop = FFL_STOP_LEAVING;
+		h->stop_ms = now_ms;
+		ffl_members_leave(&h->members, &h->logc);
+		return;
+	}
+	if (h->stop == FFL_STOP_LEAVING &&
+	    (ffl_logc_idle(&h->logc) || spent > STOP_LEAVE_MS)) {
+		h->stop = FFL_STOP_DONE;
+		ffl_actions_add(out, FFL_ACT_EXIT);
+	}
+}
+
+static void run(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
+{
+	if (h->caught_up) {
+		ffl_members_run(&h->members, &h->logc, h->config.revision,
+				h->opt.cluster, now_ms, out);
+		ffl_gangs_run(&h->gangs, &h->fleet, &h->members, &h->config,
+			      &h->logc, now_ms, out);
+	}
+	h->requests.entry_hosts = live_members(h, now_ms);
+	ffl_requests_run(&h->requests, now_ms, out);
+	set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
+	run_stop(h, now_ms, out);
+	ffl_logc_run(&h->logc, now_ms, out);
+}
+
+void ffl_host_step(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+		   ffl_actions_t *out)
+{
+	uint32_t before = ffl_actions_count(out);
+
+	if (ev->kind >= FFL_EV__MAX || h->stop == FFL_STOP_DONE)
+		return;
+	ffl_count(h->counters, FFL_CTR_EVENTS, 1);
+	takers[ev->kind](h, ev, now_ms, out);
+	run(h, now_ms, out);
+	ffl_count(h->counters, FFL_CTR_ACTIONS,
+		  ffl_actions_count(out) - before);
+}
+
+uint64_t ffl_host_state_hash(const ffl_host_t *h)
+{
+	return ffl_config_hash(&h->config);
+}
--- /dev/null
+++ b/lib/wire/fields.h
@@ -0,0 +1,61 @@
+/**
+ * @file fields.h
+ * @brief Short forms for the rows of schema tables.
+ */
+#ifndef FFL_WIRE_FIELDS_H
+#define FFL_WIRE_FIELDS_H
+
+#include "fireflyledge/schema.h"
+
+#define FIELD_SIZE(type, member) sizeof(((type *)NULL)->member)
+#define FIELD_BOOL(type, member)                                             \
+	{                                                                    \
+#member, FFL_FIELD_BOOL, offsetof(type, member), 0, 0, NULL, \
+			NULL                                                 \
+	}
+#define FIELD_U32(type, member, max)                                      \
+	{                                                                 \
+#member, FFL_FIELD_U32, offsetof(type, member), 0, (max), \
+			NULL, NULL                                        \
+	}
+#define FIELD_U64(type, member)                                             \
+	{                                                                   \
+#member, FFL_FIELD_U64, offsetof(type, member), 0, 0, NULL, \
+			NULL                                                \
+	}
+#define FIELD_ENUM(type, member, max, name_fn)                             \
+	{                                                                  \
+#member, FFL_FIELD_ENUM, offsetof(type, member), 0, (max), \
+			NULL, (name_fn)                                    \
+	}
+#define FIELD_TEXT(type, member)                                          \
+	{                                                                 \
+#member, FFL_FIELD_TEXT, offsetof(type, member),          \
+			(uint32_t)FIELD_SIZE(type, member), 0, NULL, NULL \
+	}
+#define FIELD_HASH(type, member)                                             \
+	{                                                                    \
+#member, FFL_FIELD_HASH, offsetof(type, member), 0, 0, NULL, \
+			NULL                                                 \
+	}
+#define FIELD_LIST(type, member, cap, schema)                              \
+	{                                                                  \
+#member, FFL_FIELD_LIST, offsetof(type, member), (cap), 0, \
+			(schema), NULL                                     \
+	}
+#define FIELD_BLOB(type, member, cap)                                      \
+	{                                                                  \
+#member, FFL_FIELD_BLOB, offsetof(type, member), (cap), 0, \
+			NULL, NULL                                         \
+	}
+#define SCHEMA(type, fields)                                           \
+	{                                                              \
+#type, sizeof(type), (fields), FFL_FIELD_COUNT(fields) \
+	}
+
+/** Name functions with the signature that a schema expects. */
+const char *ffl_field_adjacency_name(uint32_t value);
+const char *ffl_field_urgency_name(uint32_t value);
+const char *ffl_field_status_name(uint32_t value);
+
+#endif
--- /dev/null
+++ b/lib/wire/peer.c
@@ -0,0 +1,68 @@
+#include "fireflyledge/peer.h"
+#include "lib/wire/fields.h"
+
+static const char *const peer_kind_names[FFL_PEER__MAX] = {
+	[FFL_PEER_HEARTBEAT] = "heartbeat", [FFL_PEER_STATE_ASK] = "state-ask",
+	[FFL_PEER_STATE] = "state",	    [FFL_PEER_ONCE_ASK] = "once-ask",
+	[FFL_PEER_ONCE_TELL] = "once-tell", [FFL_PEER_ONCE_DONE] = "once-done",
+	[FFL_PEER_HANDOVER] = "handover",   [FFL_PEER_LOAD] = "load",
+	[FFL_PEER_DIGEST] = "digest",
+};
+
+static const ffl_field_t head_fields[] = {
+	FIELD_U32(ffl_peer_head_t, version, 0),
+	FIELD_U64(ffl_peer_head_t, cluster),
+	FIELD_U32(ffl_peer_head_t, kind, 0),
+	FIELD_U64(ffl_peer_head_t, from),
+	FIELD_U64(ffl_peer_head_t, to),
+	FIELD_U64(ffl_peer_head_t, seq),
+};
+
+static const ffl_field_t heartbeat_fields[] = {
+	FIELD_U64(ffl_heartbeat_t, revision),
+	FIELD_U64(ffl_heartbeat_t, next_offset),
+	FIELD_BOOL(ffl_heartbeat_t, log_reachable),
+	FIELD_BOOL(ffl_heartbeat_t, leaving),
+};
+
+static const ffl_schema_t head_schema = SCHEMA(ffl_peer_head_t, head_fields);
+static const ffl_schema_t heartbeat_schema =
+	SCHEMA(ffl_heartbeat_t, heartbeat_fields);
+
+static const ffl_schema_t *const peer_schemas[FFL_PEER__MAX] = {
+	[FFL_PEER_HEARTBEAT] = &heartbeat_schema,
+};
+
+const char *ffl_peer_kind_name(uint32_t kind)
+{
+	return kind < FFL_PEER__MAX ? peer_kind_names[kind] : "?";
+}
+
+void ffl_peer_encode(const ffl_peer_msg_t *msg, GByteArray *out)
+{
+	const ffl_schema_t *body = peer_schemas[msg->head.kind];
+
+	ffl_schema_encode(&head_schema, &msg->head, out);
+	if (body)
+		ffl_schema_encode(body, &msg->heartbeat, out);
+}
+
+ffl_status_t ffl_peer_decode(ffl_bytes_t in, ffl_peer_msg_t *msg,
+			     ffl_arena_t *arena)
+{
+	ffl_status_t status;
+	size_t used = 0;
+
+	if (in.size_bytes > FFL_FRAME_BYTES_MAX)
+		return FFL_INVALID;
+	status = ffl_schema_decode(&head_schema, in, &msg->head, arena, &used);
+	if (status != FFL_OK)
+		return status;
+	if (msg->head.version != FFL_PEER_VERSION ||
+	    msg->head.kind >= FFL_PEER__MAX || !peer_schemas[msg->head.kind])
+		return FFL_NOT_FOUND;
+	in.data += used;
+	in.size_bytes -= used;
+	return ffl_schema_decode(peer_schemas[msg->head.kind], in,
+				 &msg->heartbeat, arena, NULL);
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,118 @@
+#!/bin/sh
+# Shows the main path with real processes on loopback, checking each step.
+set -eu
+. "$(dirname "$0")/cluster.sh"
+PASSED=0
+FAILED=0
+SUMMARY=""
+FFL="$BUILD/ffl"
+
+# check TEXT COMMAND: one step of the summary.
+check() {
+	text=$1
+	shift
+	if eval "$@" >"$DIR/out" 2>&1; then
+		PASSED=$((PASSED + 1))
+		SUMMARY="$SUMMARY  ok      $text
+"
+		echo "ok: $text"
+	else
+		FAILED=$((FAILED + 1))
+		SUMMARY="$SUMMARY  FAILED  $text
+"
+		echo "FAILED: $text"
+		sed 's/^/    /' "$DIR/out"
+	fi
+}
+
+revision_of() { curl -sf -H "Authorization: Bearer $FFL_TOKEN" \
+	"$(operators_url "$1")/v1/status" | jq .revision; }
+everywhere() { for i in $1; do [ "$(revision_of "$i")" = "$2" ] ||
+	return 1; done; }
+leader() { "$FFL" --json status | jq -e '.cells[0].leader != ""'; }
+job_state() { [ "$("$FFL" --json job "$1" | jq -r .state)" = "$2" ]; }
+served() { curl -sf "$PLATFORM/v1/state" | jq ".hosts[\"$1\"].served"; }
+starts() { curl -sf "$PLATFORM/v1/state" | jq ".hosts[\"$1\"].starts"; }
+
+echo "Starting the stand-in platform and three entry hosts."
+start_platform
+for i in 1 2 3; do start_host $i; done
+check "three entry hosts are ready" \
+	'wait_for 100 "ready 1 && ready 2 && ready 3"'
+check "the cell altiplano-1 has a leader" 'wait_for 100 leader'
+
+echo "An operator states intents, sees plans and confirms them."
+hash=$("$FFL" token-hash rocio-token)
+check "customer rocio is confirmed" 'change customer name=rocio \
+	token_hash=$hash weight=2 reason="first customer"'
+check "a guarantee of two 8-accelerator shapes is confirmed" \
+	'change guarantee name=rocio dc=altiplano-1 count=2 accelerators=8 \
+	adjacency=worker reason="survey models, contract 7"'
+rev=$("$FFL" --json config | jq .revision)
+check "every entry host has revision $rev within a second" \
+	'wait_for 10 "everywhere \"1 2 3\" $rev"'
+check "a stale plan is rejected" '! "$FFL" confirm 999999 0'
+
+echo "A caller submits a gang of 8 accelerators."
+FFL_TOKEN=rocio-token
+job=$("$FFL" --json submit name=liner-1 accelerators=8 adjacency=worker \
+	payload=run_ms=700 | jq .id)
+check "job $job runs whole and completes" \
+	'wait_for 150 "job_state $job ended"'
+check "its accelerators are one aligned block of one worker" \
+	'"$FFL" --json job $job | jq -e ".end == \"done\""'
+check "the same submission again is the same job" \
+	'[ "$("$FFL" --json submit name=liner-1 accelerators=8 \
+	adjacency=worker payload=run_ms=700 | jq .id)" = "$job" ]'
+
+echo "A caller sends a request through an entry host."
+check "the whole answer returns" '[ "$(curl -sf -d "reading 17" \
+	-H "Authorization: Bearer rocio-token" $(callers_url 2)/readings)" \
+	= "reading 17" ]'
+
+echo "An upstream and a worker are set leaving."
+fault leaving=altiplano-1-u0
+FFL_TOKEN=$OPERATOR_TOKEN
+check "draining a worker is confirmed" 'change drain \
+	name=altiplano-1-w0 reason="power supply"'
+sleep 1
+u0=$(served altiplano-1-u0)
+w0=$(starts altiplano-1-w0)
+FFL_TOKEN=rocio-token
+for i in 1 2 3 4 5 6; do
+	curl -sf -d x -H "Authorization: Bearer rocio-token" \
+		"$(callers_url 1)/readings" >/dev/null || true
+	"$FFL" --json submit name=after-$i accelerators=4 adjacency=worker \
+		payload=run_ms=100 >/dev/null || true
+done
+idle() { [ "$("$FFL" --json jobs | jq length)" = 0 ]; }
+check "later jobs complete elsewhere" 'wait_for 200 idle'
+check "the leaving upstream served nothing new" \
+	'[ "$(served altiplano-1-u0)" = "$u0" ]'
+check "the drained worker started nothing new" \
+	'[ "$(starts altiplano-1-w0)" = "$w0" ]'
+
+echo "Entry host 1 is killed and a new one takes its place."
+FFL_TOKEN=$OPERATOR_TOKEN
+kill -9 "$HOST1"
+wait "$HOST1" 2>/dev/null || true
+start_host 1
+check "the new host is ready" 'wait_for 100 "ready 1"'
+rev=$(revision_of 2)
+check "it has all that was confirmed" 'wait_for 50 "everywhere 1 $rev"'
+check "the cell has a leader again" 'wait_for 100 leader'
+FFL_TOKEN=rocio-token
+job=$("$FFL" --json submit name=liner-2 accelerators=16 adjacency=rack \
+	payload=run_ms=300 | jq .id)
+check "job $job over two neighbouring workers completes" \
+	'wait_for 200 "job_state $job ended"'
+
+echo "Entry host 2 is stopped in good order."
+kill -TERM "$HOST2"
+check "it exits with status 0" 'wait "$HOST2"'
+
+echo
+echo "Summary"
+printf '%s' "$SUMMARY"
+echo "$PASSED passed, $FAILED failed"
+[ "$FAILED" -eq 0 ]
--- /dev/null
+++ b/tests/host_test.c
@@ -0,0 +1,124 @@
+#include <string.h>
+
+#include "fakes/world.h"
+
+#define CUSTOMER                                                          \
+	"{\"kind\":\"customer\",\"name\":\"rocio\",\"reason\":\"first\"," \
+	"\"token_hash\":\""
+
+static void add_customer(world_t *w, const char *token);
+static void test_confirmed_everywhere(void);
+static void test_request(void);
+static void test_gang(void);
+static void test_leader_replaced(void);
+static void test_lost_answer(void);
+
+static void add_customer(world_t *w, const char *token)
+{
+	uint8_t hash[FFL_HASH_BYTES];
+	GString *json = g_string_new(CUSTOMER);
+
+	ffl_token_hash(token, hash);
+	for (size_t i = 0; i < sizeof(hash); i++)
+		g_string_append_printf(json, "%02x", hash[i]);
+	g_string_append(json, "\"}");
+	g_assert_true(world_change(w, 0, json->str));
+	g_string_free(json, TRUE);
+}
+
+static void test_confirmed_everywhere(void)
+{
+	world_t w;
+
+	world_init(&w, 1, 3, 4, 1);
+	world_run(&w, 1000);
+	add_customer(&w, "token");
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_nonnull(
+			ffl_config_customer(&w.hosts[i].host.config, "rocio"));
+	world_finish(&w);
+}
+
+static void test_request(void)
+{
+	const world_answer_t *a;
+	uint64_t id;
+	world_t w;
+
+	world_init(&w, 1, 3, 4, 2);
+	world_run(&w, 1000);
+	add_customer(&w, "token");
+	id = world_request(&w, 1, "token", "crew", FFL_NORMAL, "");
+	world_run(&w, 1000);
+	a = world_answer(&w, id);
+	g_assert_nonnull(a);
+	g_assert_true(a->finished);
+	id = world_request(&w, 1, "wrong", "crew", FFL_NORMAL, "");
+	world_run(&w, 1000);
+	a = world_answer(&w, id);
+	g_assert_nonnull(a);
+	g_assert_cmpuint(a->http_status, ==, 401);
+	world_finish(&w);
+}
+
+static void test_gang(void)
+{
+	const ffl_job_t *job;
+	uint64_t id;
+	world_t w;
+
+	world_init(&w, 1, 3, 8, 1);
+	world_run(&w, 1000);
+	add_customer(&w, "token");
+	id = world_command(&w, 2, FFL_CMD_SUBMIT, "token", "",
+			   "{\"name\":\"a\",\"accelerators\":16,"
+			   "\"adjacency\":\"rack\"}");
+	world_run(&w, 10000);
+	g_assert_cmpuint(world_answer(&w, id)->http_status, ==, 201);
+	job = ffl_gangs_find_name(&w.hosts[0].host.gangs, "rocio", "a");
+	g_assert_nonnull(job);
+	g_assert_cmpuint(job->state, ==, FFL_JOB_ENDED);
+	g_assert_cmpuint(job->end, ==, FFL_END_DONE);
+	world_finish(&w);
+}
+
+static void test_leader_replaced(void)
+{
+	int leader;
+	world_t w;
+
+	world_init(&w, 1, 3, 4, 1);
+	world_run(&w, 3000);
+	leader = world_leader(&w);
+	g_assert_cmpint(leader, >=, 0);
+	world_kill(&w, (uint32_t)leader);
+	world_run(&w, 10000);
+	g_assert_cmpint(world_leader(&w), >=, 0);
+	g_assert_cmpint(world_leader(&w), !=, leader);
+	world_finish(&w);
+}
+
+static void test_lost_answer(void)
+{
+	world_t w;
+
+	world_init(&w, 1, 3, 4, 1);
+	world_run(&w, 1000);
+	w.log.lose_answers = 1;
+	add_customer(&w, "token");
+	g_assert_cmpuint(w.hosts[0].host.config.audit->len, ==, 1);
+	g_assert_cmpuint(w.hosts[1].host.config.audit->len, ==, 1);
+	world_finish(&w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/host/confirmed-everywhere",
+			test_confirmed_everywhere);
+	g_test_add_func("/host/request", test_request);
+	g_test_add_func("/host/gang", test_gang);
+	g_test_add_func("/host/leader-replaced", test_leader_replaced);
+	g_test_add_func("/host/lost-answer", test_lost_answer);
+	return g_test_run();
+}
