--- a/cli/main.c
+++ b/cli/main.c
@@ -46,6 +46,9 @@
 			char **argv, const char *prefix);
 static json_t *fields_to_json(int argc, char **argv);
 static void usage(FILE *out);
+static int count_options(int argc, char **argv);
+static int dispatch(const cli_t *cli, int argc, char **argv);
+static const char *env_or(const char *name, const char *def);
 
 static const subcommand_t subcommands[] = {
 	{ "intent", "KIND FIELD=VALUE...", "state an intent and show its plan",
@@ -268,6 +271,41 @@
 			subcommands[i].usage, subcommands[i].text);
 }
 
+/* Options come before the subcommand; the rest is its own. */
+static int count_options(int argc, char **argv)
+{
+	int first = 1;
+
+	while (first < argc && argv[first][0] == '-') {
+		bool alone = strchr(argv[first], '=') ||
+			     strcmp(argv[first], "--json") == 0 ||
+			     strcmp(argv[first], "--help") == 0 ||
+			     strcmp(argv[first], "-h") == 0;
+
+		first += alone ? 1 : 2;
+	}
+	return first < argc ? first : argc;
+}
+
+static int dispatch(const cli_t *cli, int argc, char **argv)
+{
+	for (size_t i = 0; i < sizeof(subcommands) / sizeof(subcommands[0]);
+	     i++) {
+		if (strcmp(subcommands[i].name, argv[0]) == 0)
+			return subcommands[i].run(cli, argc, argv);
+	}
+	fprintf(stderr, "ffl: unknown command \"%s\"\n", argv[0]);
+	usage(stderr);
+	return CLI_USAGE;
+}
+
+static const char *env_or(const char *name, const char *def)
+{
+	const char *value = getenv(name);
+
+	return value ? value : def;
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
@@ -277,31 +315,20 @@
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { json, operators, callers, token, help, end };
-	const char *env_token = getenv("FFL_TOKEN");
-	const char *env_operators = getenv("FFL_OPERATORS");
-	const char *env_callers = getenv("FFL_CALLERS");
-	cli_t cli = { .operators = env_operators ? env_operators : OPERATORS,
-		      .callers = env_callers ? env_callers : CALLERS,
-		      .token = env_token ? env_token : "" };
-	int first = 1;
+	cli_t cli = { .operators = env_or("FFL_OPERATORS", OPERATORS),
+		      .callers = env_or("FFL_CALLERS", CALLERS),
+		      .token = env_or("FFL_TOKEN", "") };
+	int first = count_options(argc, argv);
+	int rc = CLI_USAGE;
 
-	/* Options come before the subcommand; the rest is its own. */
-	while (first < argc && argv[first][0] == '-')
-		first += strchr(argv[first], '=') ||
-					 strcmp(argv[first], "--json") == 0 ||
-					 strcmp(argv[first], "--help") == 0 ||
-					 strcmp(argv[first], "-h") == 0
-				 ? 1
-				 : 2;
-	if (first > argc)
-		first = argc;
 	if (arg_parse(first, argv, table)) {
 		arg_print_errors(stderr, end, "ffl");
-		return CLI_USAGE;
+		goto out;
 	}
 	if (help->count || first == argc) {
 		usage(help->count ? stdout : stderr);
-		return help->count ? CLI_OK : CLI_USAGE;
+		rc = help->count ? CLI_OK : CLI_USAGE;
+		goto out;
 	}
 	cli.json = json->count > 0;
 	if (operators->count)
@@ -311,15 +338,11 @@
 	if (token->count)
 		cli.token = token->sval[0];
 	if (sodium_init() < 0)
-		return CLI_UNREACHABLE;
+		goto out;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	for (size_t i = 0; i < sizeof(subcommands) / sizeof(subcommands[0]);
-	     i++) {
-		if (strcmp(subcommands[i].name, argv[first]) == 0)
-			return subcommands[i].run(&cli, argc - first,
-						  argv + first);
-	}
-	fprintf(stderr, "ffl: unknown command \"%s\"\n", argv[first]);
-	usage(stderr);
-	return CLI_USAGE;
+	rc = dispatch(&cli, argc - first, argv + first);
+	curl_global_cleanup();
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return rc;
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -19,6 +19,7 @@
 static void make_options(const ffl_settings_t *s, ffl_host_options_t *opt);
 static void *wait_signals(void *arg);
 static int run(ffld_t *d);
+static int serve(ffld_t *d);
 
 static int load_settings(const char *path, ffl_settings_t *out)
 {
@@ -117,6 +118,26 @@
 	return EXIT_OK;
 }
 
+static int serve(ffld_t *d)
+{
+	sigset_t set;
+	int rc;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	if (sodium_init() < 0 || ffld_log_open(d->settings.name) != 0)
+		return EXIT_STARTUP;
+	mg_init_library(0);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	rc = run(d);
+	ffld_log_close();
+	curl_global_cleanup();
+	mg_exit_library();
+	return rc;
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_file *config =
@@ -128,40 +149,25 @@
 	struct arg_end *end = arg_end(8);
 	void *table[] = { config, check, help, version, end };
 	static ffld_t daemon;
-	sigset_t set;
 	int errors;
 	int rc;
 
 	errors = arg_parse(argc, argv, table);
+	rc = EXIT_OK;
 	if (help->count) {
 		printf("Usage: fireflyledged");
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-22s %s\n");
-		return EXIT_OK;
-	}
-	if (version->count) {
+	} else if (version->count) {
 		puts("fireflyledged " FFL_VERSION);
-		return EXIT_OK;
-	}
-	if (errors) {
+	} else if (errors) {
 		arg_print_errors(stderr, end, "fireflyledged");
-		return EXIT_USAGE;
+		rc = EXIT_USAGE;
+	} else {
+		rc = load_settings(config->filename[0], &daemon.settings);
+		if (rc == EXIT_OK && !check->count)
+			rc = serve(&daemon);
 	}
-	rc = load_settings(config->filename[0], &daemon.settings);
-	if (rc != EXIT_OK || check->count)
-		return rc;
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	pthread_sigmask(SIG_BLOCK, &set, NULL);
-	if (sodium_init() < 0 || ffld_log_open(daemon.settings.name) != 0)
-		return EXIT_STARTUP;
-	mg_init_library(0);
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	rc = run(&daemon);
-	ffld_log_close();
-	curl_global_cleanup();
-	mg_exit_library();
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return rc;
 }
--- a/include/fireflyledge/fleet.h
+++ b/include/fireflyledge/fleet.h
@@ -37,6 +37,11 @@
 ffl_worker_t *ffl_fleet_at(const ffl_fleet_t *fleet, uint32_t i);
 ffl_worker_t *ffl_fleet_find(const ffl_fleet_t *fleet, const char *name);
 
+/** Marks slots of a worker as used. */
+void ffl_fleet_take(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots);
+/** Marks slots of a worker as free. */
+void ffl_fleet_release(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots);
+
 /** Tells whether a worker may be given new work. */
 bool ffl_worker_open(const ffl_worker_t *w);
 /** Returns the mask of all slots of a worker. */
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -10,6 +10,8 @@
 #include "fireflyledge/member.h"
 #include "fireflyledge/record.h"
 
+struct ffl_sched;
+
 /** State of a job. */
 typedef enum {
 	FFL_JOB_QUEUED,
@@ -90,10 +92,13 @@
 			const ffl_members_t *ms,
 			const ffl_ev_worker_reply_t *ev, uint64_t now_ms,
 			ffl_actions_t *out);
-/** Schedules the cells that this host leads. */
+/**
+ * Moves every job of the cell that this host leads on, and carries out the
+ * scheduler's decisions.
+ */
 void ffl_gangs_run(ffl_gangs_t *g, ffl_fleet_t *fleet, const ffl_members_t *ms,
-		   const ffl_config_t *cfg, ffl_logc_t *lc, uint64_t now_ms,
-		   ffl_actions_t *out);
+		   const ffl_config_t *cfg, struct ffl_sched *sched,
+		   ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out);
 
 const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id);
 const ffl_job_t *ffl_gangs_find_name(const ffl_gangs_t *g, const char *customer,
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -16,6 +16,7 @@
 #include "fireflyledge/logc.h"
 #include "fireflyledge/member.h"
 #include "fireflyledge/request.h"
+#include "fireflyledge/sched.h"
 
 /** Longest time between two calls of ffl_host_step(), in ms. */
 #define FFL_TICK_MS 50
@@ -57,6 +58,7 @@
 	ffl_members_t members;
 	ffl_fleet_t fleet;
 	ffl_gangs_t gangs;
+	ffl_sched_t sched;
 	ffl_requests_t requests;
 	GHashTable *writers; /**< last seq folded of each writer */
 	GArray *waiters;     /**< of ffl_waiter_t */
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -94,6 +94,16 @@
 	}
 }
 
+void ffl_fleet_take(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
+{
+	w->used |= slots;
+}
+
+void ffl_fleet_release(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
+{
+	w->used &= ~slots;
+}
+
 bool ffl_worker_open(const ffl_worker_t *w)
 {
 	return w->listed && !w->drained && !w->info.leaving && w->adopted;
--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fireflyledge/gang.h"
+#include "fireflyledge/sched.h"
 #include "lib/gang/gang_int.h"
 
 /** Time that a command may take before its member is asked again, in ms. */
@@ -16,6 +17,9 @@
 	ffl_actions_t *out;
 } run_t;
 
+/** Carries out one kind of decision. */
+typedef void (*decide_fn_t)(run_t *r, const ffl_decision_t *d, uint64_t epoch);
+
 /** Moves a job on from one state. */
 typedef void (*advance_fn_t)(run_t *r, ffl_job_t *job, uint64_t epoch);
 
@@ -30,15 +34,20 @@
 static void end_job(run_t *r, ffl_job_t *job, uint64_t epoch, ffl_end_t end,
 		    const char *result);
 static void advance_queued(run_t *r, ffl_job_t *job, uint64_t epoch);
+static void start_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
+static void preempt_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
+static void refuse_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
+static void schedule(run_t *r, ffl_sched_t *sched, const ffl_config_t *cfg,
+		     uint64_t epoch);
 static void advance_holding(run_t *r, ffl_job_t *job, uint64_t epoch);
 static void advance_starting(run_t *r, ffl_job_t *job, uint64_t epoch);
 static void advance_running(run_t *r, ffl_job_t *job, uint64_t epoch);
 static void advance_stopping(run_t *r, ffl_job_t *job, uint64_t epoch);
 static void stop_parts(run_t *r, ffl_job_t *job, uint64_t epoch);
 static void renew_workers(run_t *r);
-static void adopt(ffl_gangs_t *g, ffl_worker_t *w,
+static void adopt(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
 		  const ffl_task_report_t *task, uint64_t now_ms);
-static void take_report(ffl_gangs_t *g, ffl_worker_t *w,
+static void take_report(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
 			const ffl_task_report_t *task, uint64_t now_ms);
 static ffl_part_t *part_on(ffl_job_t *job, const char *worker);
 
@@ -50,6 +59,12 @@
 	[FFL_JOB_STOPPING] = advance_stopping,
 };
 
+static const decide_fn_t deciders[FFL_DECIDE__MAX] = {
+	[FFL_DECIDE_START] = start_job,
+	[FFL_DECIDE_PREEMPT] = preempt_job,
+	[FFL_DECIDE_REFUSE] = refuse_job,
+};
+
 static const ffl_part_state_t part_of_task[FFL_TASK__MAX] = {
 	[FFL_TASK_HELD] = FFL_PART_HELD,
 	[FFL_TASK_RUNNING] = FFL_PART_RUNNING,
@@ -129,7 +144,7 @@
 			ffl_fleet_find(r->fleet, job->parts[i].worker);
 
 		if (w)
-			w->used &= ~job->parts[i].slots;
+			ffl_fleet_release(r->fleet, w, job->parts[i].slots);
 	}
 	g_free(job->parts);
 	job->parts = NULL;
@@ -153,30 +168,51 @@
 
 static void advance_queued(run_t *r, ffl_job_t *job, uint64_t epoch)
 {
-	ffl_placement_t place;
-
-	if (job->cancelled) {
+	if (job->cancelled)
 		end_job(r, job, epoch, FFL_END_CANCELLED, "");
-		return;
-	}
-	if (ffl_place(r->fleet, r->ms->self.dc, &job->spec, &place) != FFL_OK)
-		return;
+}
+
+static void start_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+{
+	ffl_job_t *job = d->job;
+
 	job->incarnation++;
-	job->parts = g_new0(ffl_part_t, place.count);
-	job->part_count = place.count;
+	g_free(job->parts);
+	job->parts = g_new0(ffl_part_t, d->place.count);
+	job->part_count = d->place.count;
 	set_state(r, job, FFL_JOB_HOLDING);
-	for (uint32_t i = 0; i < place.count; i++) {
+	for (uint32_t i = 0; i < d->place.count; i++) {
+		const ffl_block_t *b = &d->place.blocks[i];
 		ffl_part_t *p = &job->parts[i];
 
-		ffl_copy(p->worker, sizeof(p->worker),
-			 place.blocks[i].worker->info.name);
-		p->slots = place.blocks[i].slots;
+		ffl_copy(p->worker, sizeof(p->worker), b->worker->info.name);
+		p->slots = b->slots;
 		p->state = FFL_PART_ASKED;
-		place.blocks[i].worker->used |= p->slots;
+		ffl_fleet_take(r->fleet, b->worker, b->slots);
 		send_part(r, job, i, FFL_WCMD_HOLD, epoch);
 	}
 }
 
+static void preempt_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+{
+	stop_parts(r, d->job, epoch);
+}
+
+static void refuse_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+{
+	end_job(r, d->job, epoch, FFL_END_IMPOSSIBLE, d->why);
+}
+
+static void schedule(run_t *r, ffl_sched_t *sched, const ffl_config_t *cfg,
+		     uint64_t epoch)
+{
+	ffl_decision_t d;
+
+	ffl_sched_begin(sched, r->now_ms);
+	while (ffl_sched_next(sched, r->g, r->fleet, cfg, r->now_ms, &d))
+		deciders[d.kind](r, &d, epoch);
+}
+
 static void advance_holding(run_t *r, ffl_job_t *job, uint64_t epoch)
 {
 	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
@@ -253,7 +289,7 @@
 }
 
 /* Builds the gang of a job that an earlier leader started. */
-static void adopt(ffl_gangs_t *g, ffl_worker_t *w,
+static void adopt(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
 		  const ffl_task_report_t *task, uint64_t now_ms)
 {
 	ffl_job_t *job = ffl_job_find(g, task->job);
@@ -274,7 +310,7 @@
 	ffl_copy(p->worker, sizeof(p->worker), w->info.name);
 	p->slots = task->slots;
 	p->state = part_of_task[task->state];
-	w->used |= task->slots;
+	ffl_fleet_take(fleet, w, task->slots);
 	for (uint32_t i = 0; i < job->part_count; i++) {
 		if (!job->parts[i].worker[0])
 			return;
@@ -283,7 +319,7 @@
 	job->since_ms = now_ms;
 }
 
-static void take_report(ffl_gangs_t *g, ffl_worker_t *w,
+static void take_report(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
 			const ffl_task_report_t *task, uint64_t now_ms)
 {
 	ffl_job_t *job = ffl_job_find(g, task->job);
@@ -291,7 +327,7 @@
 
 	if (job && job->state == FFL_JOB_QUEUED &&
 	    task->state <= FFL_TASK_DONE) {
-		adopt(g, w, task, now_ms);
+		adopt(g, fleet, w, task, now_ms);
 		return;
 	}
 	if (!p || task->incarnation != job->incarnation)
@@ -319,7 +355,7 @@
 	w->boot = ev->reply.boot;
 	w->adopted = true;
 	for (uint32_t i = 0; i < ev->reply.tasks.count; i++)
-		take_report(g, w, &tasks[i], now_ms);
+		take_report(g, fleet, w, &tasks[i], now_ms);
 }
 
 static void renew_workers(run_t *r)
@@ -341,8 +377,8 @@
 }
 
 void ffl_gangs_run(ffl_gangs_t *g, ffl_fleet_t *fleet, const ffl_members_t *ms,
-		   const ffl_config_t *cfg, ffl_logc_t *lc, uint64_t now_ms,
-		   ffl_actions_t *out)
+		   const ffl_config_t *cfg, ffl_sched_t *sched, ffl_logc_t *lc,
+		   uint64_t now_ms, ffl_actions_t *out)
 {
 	uint64_t epoch = ffl_members_epoch(ms, ms->self.dc);
 	run_t r = { .g = g,
@@ -362,4 +398,5 @@
 			continue;
 		advances[job->state](&r, job, epoch);
 	}
+	schedule(&r, sched, cfg, epoch);
 }
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -23,6 +23,8 @@
 			    uint64_t now_ms, ffl_actions_t *out);
 static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out);
+static void peer_heartbeat(ffl_host_t *h, const ffl_peer_msg_t *msg,
+			   uint64_t now_ms, ffl_actions_t *out);
 static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		       ffl_actions_t *out);
 static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -57,6 +59,14 @@
 	[FFL_EV_STOP] = on_stop,
 };
 
+/** Takes one kind of peer message. */
+typedef void (*peer_fn_t)(ffl_host_t *h, const ffl_peer_msg_t *msg,
+			  uint64_t now_ms, ffl_actions_t *out);
+
+static const peer_fn_t peer_takers[FFL_PEER__MAX] = {
+	[FFL_PEER_HEARTBEAT] = peer_heartbeat,
+};
+
 void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
 		   ffl_counters_t *counters)
 {
@@ -68,6 +78,7 @@
 	ffl_members_init(&h->members, &opt->self, &opt->times);
 	ffl_fleet_init(&h->fleet);
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
+	ffl_sched_init(&h->sched, opt->self.dc);
 	ffl_requests_init(&h->requests, &opt->limits, opt->self.region);
 	h->writers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
@@ -81,6 +92,7 @@
 	g_array_free(h->waiters, TRUE);
 	g_hash_table_destroy(h->writers);
 	ffl_requests_finish(&h->requests);
+	ffl_sched_finish(&h->sched);
 	ffl_gangs_finish(&h->gangs);
 	ffl_fleet_finish(&h->fleet);
 	ffl_members_finish(&h->members);
@@ -205,6 +217,12 @@
 			   now_ms, out);
 }
 
+static void peer_heartbeat(ffl_host_t *h, const ffl_peer_msg_t *msg,
+			   uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_members_on_peer(&h->members, msg, now_ms);
+}
+
 static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out)
 {
@@ -212,7 +230,8 @@
 		ffl_count(h->counters, FFL_CTR_FRAMES_DROPPED, 1);
 		return;
 	}
-	ffl_members_on_peer(&h->members, &ev->peer, now_ms);
+	if (peer_takers[ev->peer.head.kind])
+		peer_takers[ev->peer.head.kind](h, &ev->peer, now_ms, out);
 }
 
 static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -306,7 +325,7 @@
 		ffl_members_run(&h->members, &h->logc, h->config.revision,
 				h->opt.cluster, now_ms, out);
 		ffl_gangs_run(&h->gangs, &h->fleet, &h->members, &h->config,
-			      &h->logc, now_ms, out);
+			      &h->sched, &h->logc, now_ms, out);
 	}
 	h->requests.entry_hosts = live_members(h, now_ms);
 	ffl_requests_run(&h->requests, now_ms, out);
