--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 PROGRAMS = $(BUILD)/fireflyledged $(BUILD)/ffl $(BUILD)/ffl-platform
 
 .PHONY: all programs demo check check-tests setup tests fuzz fuzzers fuzz-all \
-	mutants mutant format format-check tidy cppcheck lint clean
+	mutants mutant benches bench bench-compare plots capacity coverage loc format format-check tidy cppcheck lint clean
 .SECONDARY:
 
 all: programs
@@ -75,6 +75,17 @@
 
 tests: $(TESTS)
 
+# The fuzz targets with seeded random input in place of libFuzzer: for
+# coverage, and where only gcc is at hand.
+DRIVERS := $(FUZZ_TARGETS:%=$(BUILD)/drive/%)
+
+$(BUILD)/drive/%: $(BUILD)/fuzz/%_fuzz.o $(BUILD)/fuzz/drive.o $(FAKE_OBJS) \
+		$(BUILD)/libfireflyledge.a
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
+
+drivers: $(DRIVERS)
+
 # make fuzz TARGET=config SEED=1 RUNS=2000
 fuzz: $(BUILD)/fuzz/$(TARGET)
 	@sh scripts/fuzz.sh $(BUILD)/fuzz/$(TARGET) $(SEED) $(RUNS)
@@ -89,6 +100,34 @@
 mutants:
 	@sh scripts/mutants.sh
 
+# Benchmarks print JSON lines; the table is for people.
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(sort $(wildcard bench/*_bench.c)))
+
+$(BUILD)/bench/%_bench: $(BUILD)/bench/%_bench.o $(BUILD)/bench/bench.o \
+		$(FAKE_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
+
+benches: $(BENCHES)
+
+bench: benches programs
+	@sh scripts/bench.sh
+
+# make bench-compare BASE=rev: the same benchmarks at an earlier revision.
+bench-compare:
+	@sh scripts/bench-compare.sh $(BASE)
+
+plots:
+	@sh scripts/plots.sh
+
+capacity:
+	@sh scripts/capacity.sh write
+
+coverage:
+	@sh scripts/coverage.sh
+
+loc:
+	@sh scripts/loc.sh
+
 # Builds one fuzzer with one file replaced; called by scripts/mutants.sh.
 mutant: $(BUILD)/fuzz/$(TARGET)
 	$(FUZZ_CC) $(CPPFLAGS) $(WARN) $(FUZZ_FLAGS) -iquote $(dir $(FILE)) \
