A request's event runs only the request path

Cause: every event walked members, jobs, workers and the queue, so a request paid for state that it does not touch. Change: a table says which parts run after which kind of event; a loopback benchmark measures an entry host beside the bare stand-in.

--- a/Makefile
+++ b/Makefile
@@ -107,7 +107,10 @@
 		$(FAKE_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
 
-benches: $(BENCHES)
+$(BUILD)/bench/loopback: $(BUILD)/bench/loopback.o $(BUILD)/bench/bench.o
+	$(CC) $(SAN) -o $@ $^ $(shell pkg-config --libs libcurl) $(LIBS)
+
+benches: $(BENCHES) $(BUILD)/bench/loopback
 
 bench: benches programs
 	@sh scripts/bench.sh
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -7,6 +7,14 @@
 #define STOP_DRAIN_MS 30000
 #define STOP_LEAVE_MS 3000
 
+/** Parts of a host that run after an event. */
+#define RUN_MEMBERS  (1U << 0)
+#define RUN_GANGS    (1U << 1)
+#define RUN_REQUESTS (1U << 2)
+#define RUN_STOP     (1U << 3)
+#define RUN_LOG	     (1U << 4)
+#define RUN_ALL	     UINT32_MAX
+
 /** Takes one kind of event. */
 typedef void (*take_fn_t)(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			  ffl_actions_t *out);
@@ -40,7 +48,8 @@
 		 ffl_actions_t *out);
 static void fold_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
 			uint64_t now_ms, ffl_actions_t *out);
-static void run(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
+static void run(ffl_host_t *h, uint32_t parts, uint64_t now_ms,
+		ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
 static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms);
@@ -59,6 +68,21 @@
 	[FFL_EV_STOP] = on_stop,
 };
 
+/* A request must not pay for a walk over jobs and members. */
+static const uint32_t runs_after[FFL_EV__MAX] = {
+	[FFL_EV_TICK] = RUN_ALL,
+	[FFL_EV_LOG_READ] = RUN_ALL,
+	[FFL_EV_LOG_APPENDED] = RUN_LOG,
+	[FFL_EV_HOST_LIST] = RUN_GANGS | RUN_REQUESTS,
+	[FFL_EV_WORKER_REPLY] = RUN_GANGS | RUN_LOG,
+	[FFL_EV_PEER] = RUN_MEMBERS | RUN_REQUESTS,
+	[FFL_EV_COMMAND] = RUN_LOG,
+	[FFL_EV_REQUEST] = RUN_REQUESTS,
+	[FFL_EV_REQUEST_GONE] = RUN_REQUESTS,
+	[FFL_EV_UPSTREAM_DONE] = RUN_REQUESTS,
+	[FFL_EV_STOP] = RUN_ALL,
+};
+
 /** Takes one kind of peer message. */
 typedef void (*peer_fn_t)(ffl_host_t *h, const ffl_peer_msg_t *msg,
 			  uint64_t now_ms, ffl_actions_t *out);
@@ -319,19 +343,25 @@
 	}
 }
 
-static void run(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
+static void run(ffl_host_t *h, uint32_t parts, uint64_t now_ms,
+		ffl_actions_t *out)
 {
-	if (h->caught_up) {
+	if ((parts & RUN_MEMBERS) && h->caught_up)
 		ffl_members_run(&h->members, &h->logc, h->config.revision,
 				h->opt.cluster, now_ms, out);
+	if ((parts & RUN_GANGS) && h->caught_up)
 		ffl_gangs_run(&h->gangs, &h->fleet, &h->members, &h->config,
 			      &h->sched, &h->logc, now_ms, out);
+	if (parts & RUN_MEMBERS)
+		h->requests.entry_hosts = live_members(h, now_ms);
+	if (parts & RUN_REQUESTS)
+		ffl_requests_run(&h->requests, now_ms, out);
+	if (parts & RUN_STOP) {
+		set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
+		run_stop(h, now_ms, out);
 	}
-	h->requests.entry_hosts = live_members(h, now_ms);
-	ffl_requests_run(&h->requests, now_ms, out);
-	set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
-	run_stop(h, now_ms, out);
-	ffl_logc_run(&h->logc, now_ms, out);
+	if (parts & RUN_LOG)
+		ffl_logc_run(&h->logc, now_ms, out);
 }
 
 void ffl_host_step(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -343,7 +373,7 @@
 		return;
 	ffl_count(h->counters, FFL_CTR_EVENTS, 1);
 	takers[ev->kind](h, ev, now_ms, out);
-	run(h, now_ms, out);
+	run(h, runs_after[ev->kind], now_ms, out);
 	ffl_count(h->counters, FFL_CTR_ACTIONS,
 		  ffl_actions_count(out) - before);
 }
