ThreadSanitizer over rings and the running daemon

Cause: threads were only looked at by ASan, which sees no race. Shown to fail: without the lock in ffl_ring_push() the demo gives 374 lines of races; a plain write of the ready flag beside its atomic reads was not seen (written once, before any reader), so the check has that limit.

--- a/Makefile
+++ b/Makefile
@@ -147,9 +147,12 @@
 check-tests: programs
 	@$(MAKE) -s -j BUILD=build/asan SAN="$(CHECK_SAN)" CFLAGS="-O1 -g" \
 		programs tests
-	@$(MAKE) -s fuzzers
+	@$(MAKE) -s -j BUILD=build/tsan SAN="-fsanitize=thread" \
+		CFLAGS="-O1 -g" build/tsan/tests/ring_test \
+		build/tsan/fireflyledged
+	@$(MAKE) -s -j fuzzers
 	@$(MAKE) -s fuzz-all
-	@prove build/asan/tests/*_test tests/*.sh
+	@prove build/asan/tests/*_test build/tsan/tests/*_test tests/*.sh
 
 setup:
 	@sh scripts/setup.sh
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,6 +1,7 @@
 # Functions that start the stand-in platform and three entry hosts on
 # loopback. Sourced by the demo and the tests with real processes.
 BUILD=${BUILD:-build}
+DAEMON=${DAEMON:-$BUILD/fireflyledged}
 PORT=${PORT:-7100}
 DIR=$(mktemp -d)
 PIDS=""
@@ -57,7 +58,7 @@
 [operators]
 bootstrap_token_hash = $hash
 EOF
-	"$BUILD/fireflyledged" --config="$DIR/host$1.ini" \
+	"$DAEMON" --config="$DIR/host$1.ini" \
 		2>>"$DIR/host$1.log" &
 	eval "HOST$1=$!"
 	PIDS="$PIDS $!"
