--- a/fakes/world.c
+++ b/fakes/world.c
@@ -330,6 +330,10 @@
 	ffl_actions_init(&actions);
 	ffl_host_step(&w->hosts[host].host, ev, w->now_ms, &actions);
 	w->actions += ffl_actions_count(&actions);
+	for (uint32_t i = 0; w->on_action && i < ffl_actions_count(&actions);
+	     i++)
+		w->on_action(w->on_action_user, host,
+			     ffl_actions_at(&actions, i));
 	ffl_port_dispatch(&port, &self, &actions);
 	ffl_actions_finish(&actions);
 }
@@ -578,6 +582,26 @@
 	return a && a->http_status == 200;
 }
 
+bool world_customer(world_t *w, uint32_t host, const char *name,
+		    const char *token)
+{
+	uint8_t hash[FFL_HASH_BYTES];
+	GString *json = g_string_new(NULL);
+	bool ok;
+
+	ffl_token_hash(token, hash);
+	g_string_append_printf(json,
+			       "{\"kind\":\"customer\",\"name\":\"%s\","
+			       "\"reason\":\"world\",\"token_hash\":\"",
+			       name);
+	for (size_t i = 0; i < sizeof(hash); i++)
+		g_string_append_printf(json, "%02x", hash[i]);
+	g_string_append(json, "\"}");
+	ok = world_change(w, host, json->str);
+	g_string_free(json, TRUE);
+	return ok;
+}
+
 int world_leader(const world_t *w)
 {
 	for (uint32_t i = 0; i < w->host_count; i++) {
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -77,6 +77,9 @@
 	GArray *runs;	    /**< of world_run_t */
 	GHashTable *keys;   /**< key of each open request by id */
 	uint64_t actions;   /**< carried out so far */
+	/** Sees every action before it is carried out; may be NULL. */
+	void (*on_action)(void *user, uint32_t host, const ffl_action_t *act);
+	void *on_action_user;
 } world_t;
 
 /** Starts hosts, all in one data centre, with workers and upstreams. */
@@ -107,6 +110,9 @@
 
 /** States an intent, confirms its plan at once; false where refused. */
 bool world_change(world_t *w, uint32_t host, const char *intent_json);
+/** Confirms a customer; false where refused. */
+bool world_customer(world_t *w, uint32_t host, const char *name,
+		    const char *token);
 /** Returns the host that leads the cell, or -1. */
 int world_leader(const world_t *w);
 
