--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -8,6 +8,11 @@
 /** Time for which an ended task is still reported. */
 #define KEEP_MS 60000
 #define RUN_KEY "run_ms="
+/** Payload of a job that always fails, and of one that hangs. */
+#define FAIL_KEY  "fail"
+#define STUCK_KEY "stuck"
+/** Progress that is worth a report, in milliseconds. */
+#define PROGRESS_STEP_MS 30000
 
 /** Carries out one command. */
 typedef ffl_status_t (*command_fn_t)(fake_worker_t *w,
@@ -27,7 +32,17 @@
 				  uint64_t now_ms);
 static ffl_status_t do_throttle(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 				uint64_t now_ms);
+static ffl_status_t do_keep(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms);
 static bool active(const fake_task_t *t);
+static void set_state(fake_worker_t *w, fake_task_t *t,
+		      ffl_task_state_t state);
+static void add_task(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+		     ffl_task_state_t state, uint64_t now_ms);
+static void renew(fake_task_t *t, uint64_t until_ms);
+static void progress(fake_worker_t *w, fake_task_t *t, uint64_t until_ms);
+static bool in_time(const fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+		    uint64_t now_ms);
 
 static const command_fn_t commands[FFL_WCMD__MAX] = {
 	[FFL_WCMD_RENEW] = do_renew,
@@ -36,6 +51,7 @@
 	[FFL_WCMD_STOP] = do_stop,
 	[FFL_WCMD_CHECKPOINT] = do_checkpoint,
 	[FFL_WCMD_THROTTLE] = do_throttle,
+	[FFL_WCMD_KEEP] = do_keep,
 };
 
 void fake_worker_init(fake_worker_t *w, const char *name)
@@ -77,6 +93,33 @@
 	       t->report.state == FFL_TASK_RUNNING;
 }
 
+static void set_state(fake_worker_t *w, fake_task_t *t, ffl_task_state_t state)
+{
+	t->report.state = state;
+	t->changed = ++w->version;
+}
+
+static void renew(fake_task_t *t, uint64_t until_ms)
+{
+	if (until_ms > t->lease_until_ms)
+		t->lease_until_ms = until_ms;
+}
+
+static void progress(fake_worker_t *w, fake_task_t *t, uint64_t until_ms)
+{
+	if (!t->stuck)
+		t->report.progress_ms = until_ms - t->run_from_ms;
+	if (t->report.progress_ms >= t->run_ms) {
+		ffl_copy(t->report.result, sizeof(t->report.result), "ok");
+		set_state(w, t, FFL_TASK_DONE);
+		return;
+	}
+	if (t->report.progress_ms - t->progress_told < PROGRESS_STEP_MS)
+		return;
+	t->progress_told = t->report.progress_ms;
+	t->changed = ++w->version;
+}
+
 void fake_worker_advance(fake_worker_t *w, uint64_t now_ms)
 {
 	for (guint i = w->tasks->len; i-- > 0;) {
@@ -84,18 +127,12 @@
 		uint64_t until =
 			now_ms < t->lease_until_ms ? now_ms : t->lease_until_ms;
 
-		if (t->report.state == FFL_TASK_RUNNING) {
-			t->report.progress_ms = until - t->run_from_ms;
-			if (t->report.progress_ms >= t->run_ms) {
-				t->report.state = FFL_TASK_DONE;
-				ffl_copy(t->report.result,
-					 sizeof(t->report.result), "ok");
-			}
-		}
+		if (t->report.state == FFL_TASK_RUNNING)
+			progress(w, t, until);
 		if (now_ms < t->lease_until_ms)
 			continue;
 		if (active(t))
-			t->report.state = FFL_TASK_STOPPED;
+			set_state(w, t, FFL_TASK_STOPPED);
 		else if (now_ms - t->lease_until_ms > KEEP_MS)
 			g_array_remove_index(w->tasks, i);
 	}
@@ -108,31 +145,50 @@
 		fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
 
 		if (t->report.state == FFL_TASK_RUNNING)
-			t->lease_until_ms = now_ms + cmd->lease_ms;
+			renew(t, now_ms + cmd->lease_ms);
 	}
 	return FFL_OK;
 }
 
-static ffl_status_t do_hold(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+static ffl_status_t do_keep(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 			    uint64_t now_ms)
 {
-	fake_task_t fresh = { .lease_until_ms = now_ms + cmd->lease_ms };
+	fake_task_t *t = find_task(w, cmd);
 
-	if (find_task(w, cmd))
-		return FFL_OK;
-	for (guint i = 0; i < w->tasks->len; i++) {
-		const fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+	if (t && t->report.state == FFL_TASK_RUNNING)
+		renew(t, now_ms + cmd->lease_ms);
+	return FFL_OK;
+}
+
+static void add_task(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+		     ffl_task_state_t state, uint64_t now_ms)
+{
+	fake_task_t fresh = { .lease_until_ms = now_ms + cmd->lease_ms };
 
-		if (active(t) && (t->report.slots & cmd->slots))
-			return FFL_CONFLICT;
-	}
 	fresh.report.job = cmd->job;
 	fresh.report.incarnation = cmd->incarnation;
 	fresh.report.rank = cmd->rank;
 	fresh.report.members = cmd->members;
 	fresh.report.slots = cmd->slots;
-	fresh.report.state = FFL_TASK_HELD;
+	fresh.report.state = state;
+	fresh.changed = ++w->version;
 	g_array_append_val(w->tasks, fresh);
+}
+
+static ffl_status_t do_hold(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+			    uint64_t now_ms)
+{
+	const fake_task_t *known = find_task(w, cmd);
+
+	if (known)
+		return active(known) ? FFL_OK : FFL_CONFLICT;
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+
+		if (active(t) && (t->report.slots & cmd->slots))
+			return FFL_CONFLICT;
+	}
+	add_task(w, cmd, FFL_TASK_HELD, now_ms);
 	return FFL_OK;
 }
 
@@ -146,22 +202,31 @@
 		return FFL_NOT_FOUND;
 	if (t->report.state != FFL_TASK_HELD)
 		return FFL_OK;
-	t->report.state = w->broken ? FFL_TASK_FAILED : FFL_TASK_RUNNING;
 	t->report.checkpoint_ms = cmd->progress_ms;
+	t->report.progress_ms = cmd->progress_ms;
+	t->progress_told = cmd->progress_ms;
+	t->stuck = strstr(cmd->payload, STUCK_KEY) != NULL;
 	t->run_from_ms = now_ms - cmd->progress_ms;
 	t->run_ms = run ? strtoull(run + strlen(RUN_KEY), NULL, 10) : RUN_MS;
 	t->lease_until_ms = now_ms + cmd->lease_ms;
 	w->starts++;
+	set_state(w, t,
+		  w->broken || strstr(cmd->payload, FAIL_KEY) ?
+			  FFL_TASK_FAILED :
+			  FFL_TASK_RUNNING);
 	return FFL_OK;
 }
 
+/* A stop that comes before its hold keeps the hold from taking effect. */
 static ffl_status_t do_stop(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 			    uint64_t now_ms)
 {
 	fake_task_t *t = find_task(w, cmd);
 
-	if (t && active(t))
-		t->report.state = FFL_TASK_STOPPED;
+	if (!t)
+		add_task(w, cmd, FFL_TASK_STOPPED, now_ms);
+	else if (active(t))
+		set_state(w, t, FFL_TASK_STOPPED);
 	return FFL_OK;
 }
 
@@ -181,23 +246,42 @@
 	return find_task(w, cmd) ? FFL_OK : FFL_NOT_FOUND;
 }
 
+static bool in_time(const fake_worker_t *w, const ffl_worker_cmd_t *cmd,
+		    uint64_t now_ms)
+{
+	return (!cmd->boot || cmd->boot == w->boot) &&
+	       (!cmd->not_after_ms || now_ms <= cmd->not_after_ms);
+}
+
 void fake_worker_command(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 			 uint64_t now_ms, ffl_worker_reply_t *reply)
 {
 	memset(reply, 0, sizeof(*reply));
-	reply->status = FFL_CONFLICT;
+	reply->status = FFL_DENIED;
 	fake_worker_advance(w, now_ms);
 	if (cmd->epoch >= w->epoch && cmd->cmd < FFL_WCMD__MAX) {
 		w->epoch = cmd->epoch;
-		reply->status = commands[cmd->cmd](w, cmd, now_ms);
+		if (cmd->cmd != FFL_WCMD_KEEP)
+			w->led_ms = now_ms;
+		reply->status = FFL_UNAVAILABLE;
+		if (in_time(w, cmd, now_ms)) {
+			w->command_epoch = cmd->epoch;
+			reply->status = commands[cmd->cmd](w, cmd, now_ms);
+		}
 	}
 	g_array_set_size(w->reports, 0);
-	for (guint i = 0; i < w->tasks->len; i++)
-		g_array_append_val(
-			w->reports,
-			g_array_index(w->tasks, fake_task_t, i).report);
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const fake_task_t *t = &g_array_index(w->tasks, fake_task_t, i);
+
+		if (t->changed > cmd->since)
+			g_array_append_val(w->reports, t->report);
+	}
 	reply->epoch = w->epoch;
 	reply->boot = w->boot;
+	reply->since = cmd->since;
+	reply->version = w->version;
+	reply->clock_ms = now_ms;
+	reply->silent_ms = now_ms - w->led_ms;
 	reply->tasks.items = w->reports->data;
 	reply->tasks.count = w->reports->len;
 }
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -19,6 +19,8 @@
 	FFL_JOB_STARTING, /**< every hold is confirmed */
 	FFL_JOB_RUNNING,
 	FFL_JOB_STOPPING, /**< members are being stopped */
+	FFL_JOB_RECOVERING, /**< may run since an earlier leader's time */
+	FFL_JOB_MOVING,	    /**< its move to another cell is on its way */
 	FFL_JOB_ENDED,
 	FFL_JOB__MAX
 } ffl_job_state_t;
@@ -34,28 +36,44 @@
 	FFL_PART__MAX
 } ffl_part_state_t;
 
+/** Longest time between two passes over the open jobs, in ms. */
+#define FFL_GANG_PASS_MS 50
+/** Distinct workers on which a job fails before the fault is its own. */
+#define FFL_JOB_FAULTS_MAX 3
+
 /** One member of a gang: a block of slots on a worker. */
 typedef struct {
-	ffl_name_t worker;
+	ffl_name_t worker; /**< empty where no report has named it yet */
 	uint64_t slots;
-	uint64_t call; /**< command without a reply */
+	bool taken;	   /**< its slots are marked as used */
+	uint64_t asked_ms; /**< last command */
+	uint64_t progress_ms;
+	uint64_t checkpoint_ms; /**< progress that is safe */
+	uint64_t moved_ms;	/**< local time of the last progress */
 	ffl_part_state_t state;
 } ffl_part_t;
 
 typedef struct {
 	uint64_t id; /**< offset of the job's record */
 	ffl_job_spec_t spec;
+	ffl_name_t cell;   /**< cell that may run it */
+	uint64_t assigned; /**< offset of the record that gave it the cell */
 	ffl_job_state_t state;
-	uint32_t incarnation;
-	uint64_t queued_ms; /**< local time */
-	uint64_t since_ms;  /**< of the current state */
-	uint64_t progress_ms;
+	uint64_t incarnation; /**< epoch and number of the start within it */
+	uint32_t starts;      /**< in the present epoch */
+	uint64_t queued_ms;   /**< local time */
+	uint64_t since_ms;    /**< of the current state */
+	uint64_t progress_ms; /**< checkpoint that a start resumes from */
 	ffl_part_t *parts;
 	uint32_t part_count;
 	bool cancelled;
+	bool save;     /**< its members are checkpointed as they stop */
 	bool end_sent; /**< its end record is queued */
 	ffl_end_t end;
 	char result[FFL_PAYLOAD_BYTES];
+	ffl_name_t faults[FFL_JOB_FAULTS_MAX]; /**< workers it failed on */
+	uint32_t fault_count;
+	uint32_t failures; /**< failed starts in all */
 } ffl_job_t;
 
 /** A member of a placement. */
@@ -70,13 +88,43 @@
 	uint32_t count;
 } ffl_placement_t;
 
+/** Times of gangs, all derived from the lease, in milliseconds. */
+typedef struct {
+	uint32_t lease_ms;
+	uint32_t renew_ms;     /**< between questions to a worker */
+	uint32_t authority_ms; /**< for which a proof of authority holds */
+	uint32_t valid_ms;     /**< for which a worker takes a command */
+	uint32_t lapse_ms;     /**< after a worker's last reply, by which all
+				    its leases have lapsed */
+	uint32_t settle_ms;    /**< after which no earlier leader's or keeper's
+				    lease is left on a silent worker */
+} ffl_gang_times_t;
+
+/** This host's authority over its cell's workers. */
+typedef struct {
+	uint64_t epoch; /**< of its leadership; 0 where it does not lead */
+	uint64_t fenced_epoch;	/**< latest epoch that a worker has shown */
+	uint64_t first_call;	/**< answers to earlier calls are void */
+	uint64_t since_ms;	/**< start, or last regain, of authority */
+	uint64_t quorum_ms;	/**< a quorum accepts it since then; 0 none */
+	uint64_t first_list_ms; /**< local time of the first list of hosts */
+	uint64_t keep_at_ms;	/**< next round for a silent leader */
+	bool held;    /**< effects are allowed */
+	bool settled; /**< no work of an earlier leader is unaccounted for */
+} ffl_authority_t;
+
 typedef struct {
 	GHashTable *by_id;   /**< ffl_job_t by id */
 	GHashTable *by_name; /**< ffl_job_t by customer and name */
 	GArray *open;	     /**< of ffl_job_t *, by id: not ended */
+	GPtrArray *ended;    /**< of ffl_job_t *: ended with members left */
+	GArray *kept;	     /**< of tasks seen for a silent leader */
 	uint64_t next_call;
-	uint32_t lease_ms;
-	uint32_t renew_ms;
+	uint64_t folded; /**< offset of the last record folded */
+	ffl_gang_times_t times;
+	ffl_authority_t authority;
+	uint64_t pass_at_ms; /**< next pass over the open jobs */
+	bool dirty;	     /**< something changed since the last pass */
 } ffl_gangs_t;
 
 void ffl_gangs_init(ffl_gangs_t *g, uint32_t lease_ms);
@@ -85,9 +133,11 @@
 /** Checks a job against the fleet; adds every fault. */
 ffl_status_t ffl_job_check(const ffl_job_spec_t *spec, const ffl_config_t *cfg,
 			   const ffl_fleet_t *fleet, ffl_findings_t *fs);
-/** Folds job records. */
-void ffl_gangs_fold(ffl_gangs_t *g, uint64_t offset, const ffl_record_t *rec,
-		    uint64_t now_ms);
+/** Folds job records; the members are as before the record. */
+void ffl_gangs_fold(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		    const ffl_record_t *rec, uint64_t now_ms);
+/** Notes that a list of hosts has come. */
+void ffl_gangs_on_list(ffl_gangs_t *g, uint64_t now_ms);
 void ffl_gangs_on_reply(ffl_gangs_t *g, ffl_fleet_t *fleet,
 			const ffl_members_t *ms,
 			const ffl_ev_worker_reply_t *ev, uint64_t now_ms,
@@ -106,6 +156,11 @@
 json_t *ffl_job_to_json(const ffl_job_t *job);
 const char *ffl_job_state_name(uint32_t state);
 
+/** Tells whether this host may have effects on its cell's workers now. */
+bool ffl_gangs_may_act(const ffl_gangs_t *g);
+/** Tells whether a cell is the one that may run a job. */
+bool ffl_job_in_cell(const ffl_job_t *job, const char *dc);
+
 /** Finds a place in a cell for a job; FFL_NOT_FOUND where there is none. */
 ffl_status_t ffl_place(const ffl_fleet_t *fleet, const char *dc,
 		       const ffl_job_spec_t *spec, ffl_placement_t *place);
--- a/include/fireflyledge/logc.h
+++ b/include/fireflyledge/logc.h
@@ -43,6 +43,8 @@
 	uint64_t uncertain_end; /**< end to read past; 0 not yet known */
 	bool reading;
 	uint64_t read_at_ms; /**< earliest time of the next read */
+	uint64_t read_sent_ms;
+	uint64_t proved_ms; /**< nothing unread was on the log at this time */
 	uint64_t append_at_ms;
 	uint32_t failures; /**< appends that failed in a row */
 	uint32_t read_failures;
--- a/include/fireflyledge/member.h
+++ b/include/fireflyledge/member.h
@@ -12,8 +12,11 @@
 /** An entry host as the log knows it and as it was last heard. */
 typedef struct {
 	ffl_join_t join;
-	uint64_t joined_offset;
-	uint64_t heard_ms; /**< local time of the last sign of life */
+	uint64_t joined_offset;	 /**< first registration */
+	uint64_t renewed_offset; /**< last registration */
+	uint64_t renewed_ms;	 /**< local time at which it was read */
+	uint64_t heard_ms;	 /**< local time of the last sign of life */
+	uint64_t expiring;	 /**< registration whose expiry is queued */
 	uint64_t revision; /**< that it reported */
 	bool leaving;
 } ffl_member_t;
@@ -23,6 +26,8 @@
 	ffl_name_t dc;
 	uint64_t member; /**< 0 where there is none */
 	uint64_t epoch;	 /**< offset of the claim's record */
+	uint64_t led_ms; /**< local time at which the claim was read */
+	uint32_t churn;	 /**< claims that followed each other closely */
 } ffl_cell_t;
 
 /** Times of membership, in milliseconds. */
@@ -65,6 +70,15 @@
 const ffl_cell_t *ffl_members_cell(const ffl_members_t *ms, const char *dc);
 /** Returns this host's epoch over the cell, or 0 where it does not lead. */
 uint64_t ffl_members_epoch(const ffl_members_t *ms, const char *dc);
+/**
+ * Tells whether this host stands first to act for its cell's leader, which
+ * is not alive as far as this host can tell.
+ */
+bool ffl_members_deputy(const ffl_members_t *ms, uint64_t now_ms);
+/**
+ * Tells whether a member is taken to be alive: one of this host's cell by
+ * its heartbeats, one of another cell by its registration.
+ */
 bool ffl_member_alive(const ffl_members_t *ms, const ffl_member_t *m,
 		      uint64_t now_ms);
 
--- a/include/fireflyledge/record.h
+++ b/include/fireflyledge/record.h
@@ -26,6 +26,7 @@
 	FFL_REC_JOB_CANCEL, /**< a caller or operator cancels a job */
 	FFL_REC_JOB_END,    /**< a cell's leader records a job's end */
 	FFL_REC_SNAPSHOT,   /**< part of a snapshot of the folded state */
+	FFL_REC_JOB_MOVE,   /**< a cell's leader gives a job to another cell */
 	FFL_REC__MAX
 } ffl_rec_kind_t;
 
@@ -86,8 +87,10 @@
 	uint32_t expiry_ms;
 } ffl_join_t;
 
+/** Leave of a host, by itself or on its behalf once it has expired. */
 typedef struct {
 	uint64_t member;
+	uint64_t joined; /**< registration meant; void if renewed since */
 } ffl_leave_t;
 
 /** Claim of a cell: holds only if the claim that it names is the last. */
@@ -114,6 +117,7 @@
 	uint32_t memory_mb; /**< for each accelerator */
 	bool checkpointable;
 	char payload[FFL_PAYLOAD_BYTES];
+	ffl_name_t cell; /**< first cell, where @p dc is empty */
 } ffl_job_spec_t;
 
 /** How a job ended. */
@@ -134,10 +138,18 @@
 	uint64_t job;
 	uint64_t epoch; /**< epoch of the leader that saw the end */
 	ffl_end_t end;
-	uint32_t incarnation;
+	uint64_t incarnation;
 	char result[FFL_PAYLOAD_BYTES];
 } ffl_job_end_t;
 
+/** Move of a queued job; holds only if its cell and epoch are still so. */
+typedef struct {
+	uint64_t job;
+	ffl_name_t from;
+	ffl_name_t to;
+	uint64_t epoch; /**< of the leader of @p from */
+} ffl_job_move_t;
+
 /** One part of a snapshot. */
 typedef struct {
 	uint64_t offset; /**< state after every record below this offset */
@@ -165,6 +177,7 @@
 		ffl_job_cancel_t job_cancel;
 		ffl_job_end_t job_end;
 		ffl_snapshot_part_t snapshot;
+		ffl_job_move_t job_move;
 	};
 } ffl_record_t;
 
--- a/include/fireflyledge/worker.h
+++ b/include/fireflyledge/worker.h
@@ -10,12 +10,13 @@
 
 /** What a cell's leader asks of a worker. */
 typedef enum {
-	FFL_WCMD_RENEW,	     /**< renews the leases of every task; reports */
+	FFL_WCMD_RENEW,	     /**< renews running tasks' leases; reports */
 	FFL_WCMD_HOLD,	     /**< reserves slots; lapses by itself */
 	FFL_WCMD_START,	     /**< starts the task in the slots held for it */
 	FFL_WCMD_STOP,	     /**< stops a task or gives up its hold */
 	FFL_WCMD_CHECKPOINT, /**< saves a task's progress, then stops it */
 	FFL_WCMD_THROTTLE,   /**< slows a task down */
+	FFL_WCMD_KEEP,	     /**< renews one task for a leader that is silent */
 	FFL_WCMD__MAX
 } ffl_wcmd_t;
 
@@ -29,24 +30,30 @@
 	FFL_TASK__MAX
 } ffl_task_state_t;
 
-/** A command; a worker that has seen a later epoch refuses it. */
+/**
+ * A command; a worker that has seen a later epoch refuses it, and one that
+ * is past the command's time or in another life does nothing.
+ */
 typedef struct {
 	ffl_wcmd_t cmd;
 	uint64_t epoch;
 	uint64_t job;
-	uint32_t incarnation;
+	uint64_t incarnation;
 	uint32_t rank;
 	uint32_t members;
 	uint64_t slots; /**< mask of accelerator slots */
 	uint32_t lease_ms;
 	uint64_t progress_ms; /**< checkpoint to resume from */
 	char payload[FFL_PAYLOAD_BYTES];
+	uint64_t since;	       /**< report version that the sender holds */
+	uint64_t boot;	       /**< life of the worker that is meant; 0 any */
+	uint64_t not_after_ms; /**< on the worker's own clock; 0 any time */
 } ffl_worker_cmd_t;
 
 /** One task in a report. */
 typedef struct {
 	uint64_t job;
-	uint32_t incarnation;
+	uint64_t incarnation;
 	uint32_t rank;
 	uint32_t members;
 	uint64_t slots;
@@ -56,12 +63,16 @@
 	char result[FFL_PAYLOAD_BYTES];
 } ffl_task_report_t;
 
-/** Reply to a command; always holds the worker's report. */
+/** Reply to a command, with the tasks that changed since its version. */
 typedef struct {
 	ffl_status_t status;
 	uint64_t epoch;	  /**< highest epoch that the worker has seen */
 	uint64_t boot;	  /**< number of this life of the worker */
 	ffl_list_t tasks; /**< of ffl_task_report_t */
+	uint64_t since;	    /**< report version that the tasks start from */
+	uint64_t version;   /**< of the report; grows with each change */
+	uint64_t clock_ms;  /**< worker's monotonic clock */
+	uint64_t silent_ms; /**< since the leader's last command */
 } ffl_worker_reply_t;
 
 /** Kind of a host in the platform's list. */
--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -114,6 +114,8 @@
 	lc->read_at_ms = now_ms;
 	if (ev->end > lc->end)
 		lc->end = ev->end;
+	if (lc->next_offset >= lc->end)
+		lc->proved_ms = lc->read_sent_ms;
 	settle(lc);
 }
 
@@ -180,8 +182,10 @@
 
 void ffl_logc_run(ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out)
 {
-	if (!lc->reading && now_ms >= lc->read_at_ms)
+	if (!lc->reading && now_ms >= lc->read_at_ms) {
+		lc->read_sent_ms = now_ms;
 		send_read(lc, out);
+	}
 	if (lc->append_state == FFL_APPEND_BACKOFF &&
 	    now_ms >= lc->append_at_ms)
 		lc->append_state = FFL_APPEND_IDLE;
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -2,23 +2,41 @@
 
 #include "fireflyledge/fleet.h"
 
+/** Time for which a worker without work outlives its place in the list. */
+#define LINGER_MS 30000
+
+static void worker_free(gpointer p);
 static gint compare_workers(gconstpointer a, gconstpointer b);
-static void drop_unlisted(ffl_fleet_t *fleet);
+static void take_info(ffl_fleet_t *fleet, const ffl_host_info_t *info,
+		      uint64_t now_ms);
+static void drop_unlisted(ffl_fleet_t *fleet, uint64_t now_ms);
+static void build_racks(ffl_fleet_t *fleet);
+static uint32_t free_slots(const ffl_worker_t *w);
+static void recount(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t used);
+
+static void worker_free(gpointer p)
+{
+	g_free(p);
+}
 
 void ffl_fleet_init(ffl_fleet_t *fleet)
 {
-	fleet->workers = g_array_new(FALSE, TRUE, sizeof(ffl_worker_t));
+	fleet->workers = g_ptr_array_new_with_free_func(worker_free);
+	fleet->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->racks = g_array_new(FALSE, TRUE, sizeof(ffl_rack_t));
 }
 
 void ffl_fleet_finish(ffl_fleet_t *fleet)
 {
-	g_array_free(fleet->workers, TRUE);
+	g_hash_table_destroy(fleet->by_name);
+	g_array_free(fleet->racks, TRUE);
+	g_ptr_array_free(fleet->workers, TRUE);
 }
 
 static gint compare_workers(gconstpointer pa, gconstpointer pb)
 {
-	const ffl_host_info_t *a = &((const ffl_worker_t *)pa)->info;
-	const ffl_host_info_t *b = &((const ffl_worker_t *)pb)->info;
+	const ffl_host_info_t *a = &(*(ffl_worker_t *const *)pa)->info;
+	const ffl_host_info_t *b = &(*(ffl_worker_t *const *)pb)->info;
 	int d = strcmp(a->dc, b->dc);
 
 	if (!d)
@@ -35,54 +53,90 @@
 
 ffl_worker_t *ffl_fleet_at(const ffl_fleet_t *fleet, uint32_t i)
 {
-	return &g_array_index(fleet->workers, ffl_worker_t, i);
+	return g_ptr_array_index(fleet->workers, i);
 }
 
 ffl_worker_t *ffl_fleet_find(const ffl_fleet_t *fleet, const char *name)
 {
-	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
-		ffl_worker_t *w = ffl_fleet_at(fleet, i);
+	return g_hash_table_lookup(fleet->by_name, name);
+}
 
-		if (strcmp(w->info.name, name) == 0)
-			return w;
+uint32_t ffl_fleet_rack_count(const ffl_fleet_t *fleet)
+{
+	return fleet->racks->len;
+}
+
+const ffl_rack_t *ffl_fleet_rack_at(const ffl_fleet_t *fleet, uint32_t i)
+{
+	return &g_array_index(fleet->racks, ffl_rack_t, i);
+}
+
+static void take_info(ffl_fleet_t *fleet, const ffl_host_info_t *info,
+		      uint64_t now_ms)
+{
+	ffl_worker_t *w = ffl_fleet_find(fleet, info->name);
+
+	if (!w) {
+		w = g_new0(ffl_worker_t, 1);
+		w->info = *info;
+		g_ptr_array_add(fleet->workers, w);
+		g_hash_table_insert(fleet->by_name, w->info.name, w);
 	}
-	return NULL;
+	w->info = *info;
+	w->listed = true;
+	w->listed_ms = now_ms;
 }
 
-static void drop_unlisted(ffl_fleet_t *fleet)
+/* The list lags: a worker may hold work for a while after it has vanished. */
+static void drop_unlisted(ffl_fleet_t *fleet, uint64_t now_ms)
 {
 	for (uint32_t i = ffl_fleet_count(fleet); i-- > 0;) {
 		const ffl_worker_t *w = ffl_fleet_at(fleet, i);
 
-		if (!w->listed && !w->used)
-			g_array_remove_index(fleet->workers, i);
+		if (w->listed || w->used || now_ms - w->listed_ms < LINGER_MS)
+			continue;
+		g_hash_table_remove(fleet->by_name, w->info.name);
+		g_ptr_array_remove_index(fleet->workers, i);
 	}
 }
 
-void ffl_fleet_on_list(ffl_fleet_t *fleet, const ffl_host_list_t *list)
+static void build_racks(ffl_fleet_t *fleet)
+{
+	ffl_rack_t *rack = NULL;
+
+	g_array_set_size(fleet->racks, 0);
+	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
+		ffl_worker_t *w = ffl_fleet_at(fleet, i);
+
+		if (!rack || rack->rack != w->info.rack ||
+		    strcmp(rack->dc, w->info.dc) != 0) {
+			ffl_rack_t fresh = { .rack = w->info.rack, .first = i };
+
+			ffl_copy(fresh.dc, sizeof(fresh.dc), w->info.dc);
+			g_array_append_val(fleet->racks, fresh);
+			rack = &g_array_index(fleet->racks, ffl_rack_t,
+					      fleet->racks->len - 1);
+		}
+		w->rack = fleet->racks->len - 1;
+		rack->count++;
+		rack->free_slots += free_slots(w);
+	}
+}
+
+void ffl_fleet_on_list(ffl_fleet_t *fleet, const ffl_host_list_t *list,
+		       uint64_t now_ms)
 {
 	const ffl_host_info_t *infos = list->hosts.items;
 
 	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++)
 		ffl_fleet_at(fleet, i)->listed = false;
 	for (uint32_t i = 0; i < list->hosts.count; i++) {
-		ffl_worker_t *w;
-
-		if (infos[i].kind != FFL_HOST_WORKER)
-			continue;
-		w = ffl_fleet_find(fleet, infos[i].name);
-		if (!w) {
-			ffl_worker_t fresh = { .listed = true };
-
-			fresh.info = infos[i];
-			g_array_append_val(fleet->workers, fresh);
-			continue;
-		}
-		w->info = infos[i];
-		w->listed = true;
+		if (infos[i].kind == FFL_HOST_WORKER)
+			take_info(fleet, &infos[i], now_ms);
 	}
-	drop_unlisted(fleet);
-	g_array_sort(fleet->workers, compare_workers);
+	drop_unlisted(fleet, now_ms);
+	g_ptr_array_sort(fleet->workers, compare_workers);
+	build_racks(fleet);
 }
 
 void ffl_fleet_on_config(ffl_fleet_t *fleet, const ffl_config_t *cfg)
@@ -94,19 +148,38 @@
 	}
 }
 
+static uint32_t free_slots(const ffl_worker_t *w)
+{
+	return (uint32_t)__builtin_popcountll(ffl_worker_slots(w) & ~w->used);
+}
+
+static void recount(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t used)
+{
+	uint32_t before = free_slots(w);
+
+	w->used = used;
+	if (w->rack < fleet->racks->len)
+		g_array_index(fleet->racks, ffl_rack_t, w->rack).free_slots +=
+			free_slots(w) - before;
+}
+
 void ffl_fleet_take(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
 {
-	w->used |= slots;
+	recount(fleet, w, w->used | slots);
 }
 
 void ffl_fleet_release(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
 {
-	w->used &= ~slots;
+	recount(fleet, w, w->used & ~slots);
 }
 
 bool ffl_worker_open(const ffl_worker_t *w)
 {
-	return w->listed && !w->drained && !w->info.leaving && w->adopted;
+	if (!w->listed || w->drained || w->info.leaving || !w->adopted)
+		return false;
+	if (w->health == FFL_HEALTH_PROBING)
+		return w->used == 0;
+	return w->health == FFL_HEALTH_GOOD;
 }
 
 uint64_t ffl_worker_slots(const ffl_worker_t *w)
--- a/lib/gang/job.c
+++ b/lib/gang/job.c
@@ -6,7 +6,8 @@
 static const char *const state_names[FFL_JOB__MAX] = {
 	[FFL_JOB_QUEUED] = "queued",	 [FFL_JOB_HOLDING] = "holding",
 	[FFL_JOB_STARTING] = "starting", [FFL_JOB_RUNNING] = "running",
-	[FFL_JOB_STOPPING] = "stopping", [FFL_JOB_ENDED] = "ended",
+	[FFL_JOB_STOPPING] = "stopping", [FFL_JOB_RECOVERING] = "recovering",
+	[FFL_JOB_MOVING] = "moving",	 [FFL_JOB_ENDED] = "ended",
 };
 
 static void job_free(gpointer p);
@@ -17,6 +18,8 @@
 static void fold_submit(ffl_gangs_t *g, uint64_t offset,
 			const ffl_job_spec_t *spec, uint64_t now_ms);
 static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end);
+static void fold_move(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		      const ffl_job_move_t *move, uint64_t now_ms);
 
 const char *ffl_job_state_name(uint32_t state)
 {
@@ -59,15 +62,21 @@
 	       strcmp(a->spec.customer, b->spec.customer) == 0;
 }
 
+bool ffl_job_in_cell(const ffl_job_t *job, const char *dc)
+{
+	return strcmp(job->cell, dc) == 0;
+}
+
 void ffl_gangs_init(ffl_gangs_t *g, uint32_t lease_ms)
 {
 	memset(g, 0, sizeof(*g));
+	ffl_gang_times_init(&g->times, lease_ms);
 	g->by_id = g_hash_table_new_full(job_hash, job_equal, job_free, NULL);
 	g->by_name = g_hash_table_new(name_hash, name_equal);
 	g->open = g_array_new(FALSE, TRUE, sizeof(ffl_job_t *));
 	g->next_call = 1;
-	g->lease_ms = lease_ms;
-	g->renew_ms = lease_ms / 3;
+	g->ended = g_ptr_array_new();
+	g->kept = g_array_new(FALSE, TRUE, sizeof(ffl_kept_t));
 }
 
 void ffl_gangs_finish(ffl_gangs_t *g)
@@ -75,6 +84,8 @@
 	g_hash_table_destroy(g->by_name);
 	g_hash_table_destroy(g->by_id);
 	g_array_free(g->open, TRUE);
+	g_ptr_array_free(g->ended, TRUE);
+	g_array_free(g->kept, TRUE);
 }
 
 const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id)
@@ -109,6 +120,9 @@
 	job = g_new0(ffl_job_t, 1);
 	job->id = offset;
 	job->spec = *spec;
+	ffl_copy(job->cell, sizeof(job->cell),
+		 spec->dc[0] ? spec->dc : spec->cell);
+	job->assigned = offset;
 	job->queued_ms = now_ms;
 	job->since_ms = now_ms;
 	g_hash_table_add(g->by_id, job);
@@ -125,6 +139,8 @@
 	job->state = FFL_JOB_ENDED;
 	job->end = end->end;
 	ffl_copy(job->result, sizeof(job->result), end->result);
+	if (job->part_count)
+		g_ptr_array_add(g->ended, job);
 	for (guint i = 0; i < g->open->len; i++) {
 		if (g_array_index(g->open, ffl_job_t *, i) != job)
 			continue;
@@ -133,11 +149,35 @@
 	}
 }
 
-void ffl_gangs_fold(ffl_gangs_t *g, uint64_t offset, const ffl_record_t *rec,
-		    uint64_t now_ms)
+/* Only the present leader of the job's cell may give it away, so that no
+ * other leader of that cell can have started it meanwhile. */
+static void fold_move(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		      const ffl_job_move_t *move, uint64_t now_ms)
+{
+	ffl_job_t *job = ffl_job_find(g, move->job);
+	const ffl_cell_t *from = ffl_members_cell(ms, move->from);
+	const ffl_cell_t *to = ffl_members_cell(ms, move->to);
+
+	if (!job || job->state == FFL_JOB_ENDED)
+		return;
+	if (job->state == FFL_JOB_MOVING) {
+		job->state = FFL_JOB_QUEUED;
+		job->since_ms = now_ms;
+	}
+	if (!from || !to || from->epoch != move->epoch || job->spec.dc[0] ||
+	    !ffl_job_in_cell(job, move->from))
+		return;
+	ffl_copy(job->cell, sizeof(job->cell), move->to);
+	job->assigned = offset;
+}
+
+void ffl_gangs_fold(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		    const ffl_record_t *rec, uint64_t now_ms)
 {
 	ffl_job_t *job;
 
+	g->folded = offset;
+	g->dirty = true;
 	switch (rec->kind) {
 	case FFL_REC_JOB:
 		fold_submit(g, offset, &rec->job, now_ms);
@@ -150,6 +190,9 @@
 	case FFL_REC_JOB_END:
 		fold_end(g, &rec->job_end);
 		break;
+	case FFL_REC_JOB_MOVE:
+		fold_move(g, ms, offset, &rec->job_move, now_ms);
+		break;
 	default:
 		break;
 	}
@@ -201,12 +244,12 @@
 			json_pack("{s:s,s:I}", "worker", job->parts[i].worker,
 				  "slots", (json_int_t)job->parts[i].slots));
 	return json_pack(
-		"{s:I,s:s,s:s,s:i,s:s,s:s,s:i,s:b,s:s,s:s,s:o}", "id",
-		(json_int_t)job->id, "customer", job->spec.customer, "name",
+		"{s:I,s:s,s:s,s:s,s:i,s:s,s:s,s:I,s:b,s:s,s:s,s:o}", "id",
+		(json_int_t)job->id, "cell", job->cell, "customer", job->spec.customer, "name",
 		job->spec.name, "accelerators", (int)job->spec.accelerators,
 		"urgency", ffl_urgency_name(job->spec.urgency), "state",
 		ffl_job_state_name(job->state), "incarnation",
-		(int)job->incarnation, "cancelled", job->cancelled, "end",
+		(json_int_t)job->incarnation, "cancelled", job->cancelled, "end",
 		job->state == FFL_JOB_ENDED ? ffl_end_name(job->end) : "",
 		"result", job->result, "parts", parts);
 }
--- /dev/null
+++ b/lib/gang/renew.c
@@ -0,0 +1,82 @@
+#include <string.h>
+
+#include "lib/gang/gang_int.h"
+
+static bool bounded(ffl_wcmd_t cmd);
+
+/* What can start or prolong work is void once it is late; a stop never is. */
+static bool bounded(ffl_wcmd_t cmd)
+{
+	return cmd != FFL_WCMD_STOP && cmd != FFL_WCMD_CHECKPOINT;
+}
+
+bool ffl_worker_command(ffl_gang_run_t *r, ffl_worker_t *w,
+			ffl_worker_cmd_t *cmd)
+{
+	ffl_action_t *act;
+
+	if (!w->clock_ms && cmd->lease_ms)
+		return false;
+	cmd->epoch = r->g->authority.epoch;
+	if (cmd->cmd == FFL_WCMD_KEEP)
+		cmd->epoch = ffl_members_cell(r->ms, r->ms->self.dc)->epoch;
+	cmd->since = w->foreign ? 0 : w->version;
+	if (cmd->lease_ms) {
+		cmd->boot = w->boot;
+		if (bounded(cmd->cmd))
+			cmd->not_after_ms = w->clock_ms + r->g->times.valid_ms;
+	}
+	act = ffl_actions_add(r->out, FFL_ACT_WORKER_SEND);
+	act->worker_send.call = r->g->next_call++;
+	act->worker_send.cmd = *cmd;
+	ffl_copy(act->worker_send.worker, sizeof(act->worker_send.worker),
+		 w->info.name);
+	ffl_copy(act->worker_send.addr, sizeof(act->worker_send.addr),
+		 w->info.addr);
+	w->calls++;
+	return true;
+}
+
+bool ffl_part_command(ffl_gang_run_t *r, ffl_job_t *job, uint32_t rank,
+		      ffl_wcmd_t kind)
+{
+	ffl_part_t *p = &job->parts[rank];
+	ffl_worker_t *w = ffl_fleet_find(r->fleet, p->worker);
+	ffl_worker_cmd_t cmd = { .cmd = kind,
+				 .job = job->id,
+				 .incarnation = job->incarnation,
+				 .rank = rank,
+				 .members = job->part_count,
+				 .slots = p->slots,
+				 .lease_ms = r->g->times.lease_ms,
+				 .progress_ms = job->progress_ms };
+
+	p->asked_ms = r->now_ms;
+	if (!w)
+		return false;
+	if (kind == FFL_WCMD_START)
+		ffl_copy(cmd.payload, sizeof(cmd.payload), job->spec.payload);
+	return ffl_worker_command(r, w, &cmd);
+}
+
+/* Without authority a question is still allowed: it renews nothing. */
+void ffl_gang_renew(ffl_gang_run_t *r, bool may_act)
+{
+	const ffl_gang_times_t *t = &r->g->times;
+
+	for (uint32_t i = 0; i < ffl_fleet_count(r->fleet); i++) {
+		ffl_worker_t *w = ffl_fleet_at(r->fleet, i);
+		ffl_worker_cmd_t cmd = { .cmd = FFL_WCMD_RENEW };
+
+		if (!ffl_worker_ours(r, w))
+			continue;
+		if (w->asked_ms && r->now_ms - w->asked_ms < t->renew_ms)
+			continue;
+		if (may_act && w->replied_ms >= r->g->authority.since_ms &&
+		    r->now_ms - w->replied_ms < t->valid_ms)
+			cmd.lease_ms = t->lease_ms;
+		w->asked_ms = r->now_ms;
+		w->ask_call = r->g->next_call;
+		ffl_worker_command(r, w, &cmd);
+	}
+}
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -17,7 +17,7 @@
 
 static bool ours(const ffl_sched_t *s, const ffl_job_t *job)
 {
-	return !job->spec.dc[0] || strcmp(job->spec.dc, s->dc) == 0;
+	return ffl_job_in_cell(job, s->dc);
 }
 
 void ffl_sched_begin(ffl_sched_t *s, uint64_t now_ms)
--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -1,55 +1,45 @@
 #include <string.h>
 
-#include "fireflyledge/gang.h"
-#include "fireflyledge/sched.h"
 #include "lib/gang/gang_int.h"
 
-/** Time that a command may take before its member is asked again, in ms. */
-#define CALL_TIMEOUT_MS 2000
-
-/** What a schedule step needs at hand. */
-typedef struct {
-	ffl_gangs_t *g;
-	ffl_fleet_t *fleet;
-	const ffl_members_t *ms;
-	ffl_logc_t *lc;
-	uint64_t now_ms;
-	ffl_actions_t *out;
-} run_t;
+/** Time after which a command without effect is repeated, in ms. */
+#define RETRY_MS 1000
+/** Time without progress after which a task counts as failed. */
+#define STUCK_MS 600000
+/** Number of starts in one epoch that an incarnation can tell apart. */
+#define STARTS_BITS 16
+/** Failed starts after which a job is at fault wherever it ran. */
+#define FAILURES_MAX 8
 
 /** Carries out one kind of decision. */
-typedef void (*decide_fn_t)(run_t *r, const ffl_decision_t *d, uint64_t epoch);
+typedef void (*decide_fn_t)(ffl_gang_run_t *r, const ffl_decision_t *d);
 
 /** Moves a job on from one state. */
-typedef void (*advance_fn_t)(run_t *r, ffl_job_t *job, uint64_t epoch);
-
-static void send(run_t *r, ffl_worker_t *w, const ffl_worker_cmd_t *cmd,
-		 uint64_t *call);
-static void send_part(run_t *r, ffl_job_t *job, uint32_t rank, ffl_wcmd_t kind,
-		      uint64_t epoch);
+typedef void (*advance_fn_t)(ffl_gang_run_t *r, ffl_job_t *job);
+
+static void start_job(ffl_gang_run_t *r, const ffl_decision_t *d);
+static void preempt_job(ffl_gang_run_t *r, const ffl_decision_t *d);
+static void refuse_job(ffl_gang_run_t *r, const ffl_decision_t *d);
+static void advance_queued(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_holding(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_starting(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_running(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_stopping(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_recovering(ffl_gang_run_t *r, ffl_job_t *job);
+static void advance_none(ffl_gang_run_t *r, ffl_job_t *job);
+static bool lose_silent(ffl_gang_run_t *r, ffl_job_t *job);
 static bool all_parts(const ffl_job_t *job, ffl_part_state_t state);
 static bool any_part(const ffl_job_t *job, ffl_part_state_t state);
-static void set_state(run_t *r, ffl_job_t *job, ffl_job_state_t state);
-static void release(run_t *r, ffl_job_t *job);
-static void end_job(run_t *r, ffl_job_t *job, uint64_t epoch, ffl_end_t end,
-		    const char *result);
-static void advance_queued(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void start_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
-static void preempt_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
-static void refuse_job(run_t *r, const ffl_decision_t *d, uint64_t epoch);
-static void schedule(run_t *r, ffl_sched_t *sched, const ffl_config_t *cfg,
-		     uint64_t epoch);
-static void advance_holding(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void advance_starting(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void advance_running(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void advance_stopping(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void stop_parts(run_t *r, ffl_job_t *job, uint64_t epoch);
-static void renew_workers(run_t *r);
-static void adopt(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
-		  const ffl_task_report_t *task, uint64_t now_ms);
-static void take_report(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
-			const ffl_task_report_t *task, uint64_t now_ms);
-static ffl_part_t *part_on(ffl_job_t *job, const char *worker);
+static void repeat(ffl_gang_run_t *r, ffl_job_t *job, ffl_wcmd_t kind,
+		   ffl_part_state_t below);
+static bool must_yield(const ffl_gang_run_t *r, const ffl_job_t *job);
+static void fail_stuck(ffl_gang_run_t *r, ffl_job_t *job);
+static void save_progress(ffl_job_t *job);
+static void clear_ended(ffl_gang_run_t *r);
+static void schedule(ffl_gang_run_t *r, ffl_sched_t *sched,
+		     const ffl_config_t *cfg);
+static void pass(ffl_gang_run_t *r, ffl_sched_t *sched,
+		 const ffl_config_t *cfg);
 
 static const advance_fn_t advances[FFL_JOB__MAX] = {
 	[FFL_JOB_QUEUED] = advance_queued,
@@ -57,6 +47,9 @@
 	[FFL_JOB_STARTING] = advance_starting,
 	[FFL_JOB_RUNNING] = advance_running,
 	[FFL_JOB_STOPPING] = advance_stopping,
+	[FFL_JOB_RECOVERING] = advance_recovering,
+	[FFL_JOB_MOVING] = advance_none,
+	[FFL_JOB_ENDED] = advance_none,
 };
 
 static const decide_fn_t deciders[FFL_DECIDE__MAX] = {
@@ -65,54 +58,6 @@
 	[FFL_DECIDE_REFUSE] = refuse_job,
 };
 
-static const ffl_part_state_t part_of_task[FFL_TASK__MAX] = {
-	[FFL_TASK_HELD] = FFL_PART_HELD,
-	[FFL_TASK_RUNNING] = FFL_PART_RUNNING,
-	[FFL_TASK_DONE] = FFL_PART_DONE,
-	[FFL_TASK_FAILED] = FFL_PART_GONE,
-	[FFL_TASK_STOPPED] = FFL_PART_GONE,
-};
-
-static void send(run_t *r, ffl_worker_t *w, const ffl_worker_cmd_t *cmd,
-		 uint64_t *call)
-{
-	ffl_action_t *act = ffl_actions_add(r->out, FFL_ACT_WORKER_SEND);
-
-	act->worker_send.call = r->g->next_call++;
-	act->worker_send.cmd = *cmd;
-	ffl_copy(act->worker_send.worker, sizeof(act->worker_send.worker),
-		 w->info.name);
-	ffl_copy(act->worker_send.addr, sizeof(act->worker_send.addr),
-		 w->info.addr);
-	w->asked_ms = r->now_ms;
-	w->calls++;
-	if (call)
-		*call = act->worker_send.call;
-}
-
-static void send_part(run_t *r, ffl_job_t *job, uint32_t rank, ffl_wcmd_t kind,
-		      uint64_t epoch)
-{
-	ffl_part_t *p = &job->parts[rank];
-	ffl_worker_t *w = ffl_fleet_find(r->fleet, p->worker);
-	ffl_worker_cmd_t cmd = { .cmd = kind,
-				 .epoch = epoch,
-				 .job = job->id,
-				 .incarnation = job->incarnation,
-				 .rank = rank,
-				 .members = job->part_count,
-				 .slots = p->slots,
-				 .lease_ms = r->g->lease_ms,
-				 .progress_ms = job->progress_ms };
-
-	if (!w) {
-		p->state = FFL_PART_GONE;
-		return;
-	}
-	ffl_copy(cmd.payload, sizeof(cmd.payload), job->spec.payload);
-	send(r, w, &cmd, &p->call);
-}
-
 static bool all_parts(const ffl_job_t *job, ffl_part_state_t state)
 {
 	for (uint32_t i = 0; i < job->part_count; i++) {
@@ -131,56 +76,93 @@
 	return false;
 }
 
-static void set_state(run_t *r, ffl_job_t *job, ffl_job_state_t state)
+bool ffl_job_whole(const ffl_job_t *job)
+{
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		if (job->parts[i].state != FFL_PART_RUNNING &&
+		    job->parts[i].state != FFL_PART_DONE)
+			return false;
+	}
+	return job->part_count > 0;
+}
+
+void ffl_job_set_state(ffl_gang_run_t *r, ffl_job_t *job, ffl_job_state_t state)
 {
 	job->state = state;
 	job->since_ms = r->now_ms;
 }
 
-static void release(run_t *r, ffl_job_t *job)
+void ffl_job_release(ffl_gang_run_t *r, ffl_job_t *job)
 {
 	for (uint32_t i = 0; i < job->part_count; i++) {
-		ffl_worker_t *w =
-			ffl_fleet_find(r->fleet, job->parts[i].worker);
+		const ffl_part_t *p = &job->parts[i];
+		ffl_worker_t *w = ffl_fleet_find(r->fleet, p->worker);
 
-		if (w)
-			ffl_fleet_release(r->fleet, w, job->parts[i].slots);
+		if (w && p->taken)
+			ffl_fleet_release(r->fleet, w, p->slots);
 	}
 	g_free(job->parts);
 	job->parts = NULL;
 	job->part_count = 0;
+	job->save = false;
 }
 
-static void end_job(run_t *r, ffl_job_t *job, uint64_t epoch, ffl_end_t end,
-		    const char *result)
+void ffl_job_abandon(ffl_gang_run_t *r, ffl_job_t *job)
+{
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		ffl_worker_t *w =
+			ffl_fleet_find(r->fleet, job->parts[i].worker);
+
+		if (!w || job->parts[i].state >= FFL_PART_DONE)
+			continue;
+		w->version = 0;
+		w->adopted = false;
+	}
+	ffl_job_release(r, job);
+}
+
+void ffl_job_end(ffl_gang_run_t *r, ffl_job_t *job, ffl_end_t end,
+		 const char *result)
 {
 	ffl_record_t rec = { .kind = FFL_REC_JOB_END };
 
 	if (job->end_sent)
 		return;
 	rec.job_end.job = job->id;
-	rec.job_end.epoch = epoch;
+	rec.job_end.epoch = r->g->authority.epoch;
 	rec.job_end.end = end;
 	rec.job_end.incarnation = job->incarnation;
 	ffl_copy(rec.job_end.result, sizeof(rec.job_end.result), result);
 	job->end_sent = ffl_logc_append(r->lc, &rec) == FFL_OK;
 }
 
-static void advance_queued(run_t *r, ffl_job_t *job, uint64_t epoch)
+void ffl_job_failed(ffl_gang_run_t *r, ffl_job_t *job, ffl_worker_t *w)
 {
-	if (job->cancelled)
-		end_job(r, job, epoch, FFL_END_CANCELLED, "");
+	job->failures++;
+	ffl_fleet_failed(r->fleet, w, job->id, r->now_ms);
+	if (w->health == FFL_HEALTH_QUARANTINED)
+		return;
+	for (uint32_t i = 0; i < job->fault_count; i++) {
+		if (strcmp(job->faults[i], w->info.name) == 0)
+			return;
+	}
+	if (job->fault_count < FFL_JOB_FAULTS_MAX)
+		ffl_copy(job->faults[job->fault_count++], FFL_NAME_BYTES,
+			 w->info.name);
 }
 
-static void start_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+static void start_job(ffl_gang_run_t *r, const ffl_decision_t *d)
 {
 	ffl_job_t *job = d->job;
 
-	job->incarnation++;
-	g_free(job->parts);
+	if (job->state != FFL_JOB_QUEUED || job->end_sent)
+		return;
+	ffl_job_release(r, job);
+	job->incarnation =
+		(r->g->authority.epoch << STARTS_BITS) + ++job->starts;
 	job->parts = g_new0(ffl_part_t, d->place.count);
 	job->part_count = d->place.count;
-	set_state(r, job, FFL_JOB_HOLDING);
+	ffl_job_set_state(r, job, FFL_JOB_HOLDING);
 	for (uint32_t i = 0; i < d->place.count; i++) {
 		const ffl_block_t *b = &d->place.blocks[i];
 		ffl_part_t *p = &job->parts[i];
@@ -188,215 +170,281 @@
 		ffl_copy(p->worker, sizeof(p->worker), b->worker->info.name);
 		p->slots = b->slots;
 		p->state = FFL_PART_ASKED;
+		p->checkpoint_ms = job->progress_ms;
+		p->progress_ms = job->progress_ms;
+		p->taken = true;
 		ffl_fleet_take(r->fleet, b->worker, b->slots);
-		send_part(r, job, i, FFL_WCMD_HOLD, epoch);
+		ffl_part_command(r, job, i, FFL_WCMD_HOLD);
 	}
 }
 
-static void preempt_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+static void preempt_job(ffl_gang_run_t *r, const ffl_decision_t *d)
 {
-	stop_parts(r, d->job, epoch);
+	if (d->job->state == FFL_JOB_RUNNING)
+		ffl_job_stop(r, d->job, d->job->spec.checkpointable);
 }
 
-static void refuse_job(run_t *r, const ffl_decision_t *d, uint64_t epoch)
+static void refuse_job(ffl_gang_run_t *r, const ffl_decision_t *d)
 {
-	end_job(r, d->job, epoch, FFL_END_IMPOSSIBLE, d->why);
+	if (d->job->state == FFL_JOB_QUEUED)
+		ffl_job_end(r, d->job, FFL_END_IMPOSSIBLE, d->why);
 }
 
-static void schedule(run_t *r, ffl_sched_t *sched, const ffl_config_t *cfg,
-		     uint64_t epoch)
+static void advance_none(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	ffl_decision_t d;
-
-	ffl_sched_begin(sched, r->now_ms);
-	while (ffl_sched_next(sched, r->g, r->fleet, cfg, r->now_ms, &d))
-		deciders[d.kind](r, &d, epoch);
 }
 
-static void advance_holding(run_t *r, ffl_job_t *job, uint64_t epoch)
+static void advance_queued(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
-	    r->now_ms - job->since_ms > CALL_TIMEOUT_MS) {
-		stop_parts(r, job, epoch);
+	if (job->cancelled) {
+		ffl_job_end(r, job, FFL_END_CANCELLED, "");
 		return;
 	}
-	if (!all_parts(job, FFL_PART_HELD))
+	if (job->fault_count < FFL_JOB_FAULTS_MAX &&
+	    job->failures < FAILURES_MAX)
 		return;
-	set_state(r, job, FFL_JOB_STARTING);
+	if (!job->end_sent)
+		ffl_fleet_acquit(r->fleet, job->id);
+	ffl_job_end(r, job, FFL_END_FAILED, "failed on distinct workers");
+}
+
+/* Repeats a command to the members that have not got beyond a state. */
+static void repeat(ffl_gang_run_t *r, ffl_job_t *job, ffl_wcmd_t kind,
+		   ffl_part_state_t below)
+{
 	for (uint32_t i = 0; i < job->part_count; i++) {
-		job->parts[i].state = FFL_PART_ASKED;
-		send_part(r, job, i, FFL_WCMD_START, epoch);
+		const ffl_part_t *p = &job->parts[i];
+
+		if (p->state < below && r->now_ms - p->asked_ms >= RETRY_MS)
+			ffl_part_command(r, job, i, kind);
 	}
 }
 
-static void advance_starting(run_t *r, ffl_job_t *job, uint64_t epoch)
+/* Marks the members on workers that have fallen silent. Returns true where
+ * the gang cannot go on; a member is gone only once its lease provably is. */
+static bool lose_silent(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
-	    r->now_ms - job->since_ms > CALL_TIMEOUT_MS) {
-		stop_parts(r, job, epoch);
-		return;
+	bool broken = false;
+
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		ffl_part_t *p = &job->parts[i];
+		const ffl_worker_t *w = ffl_fleet_find(r->fleet, p->worker);
+
+		if (p->state >= FFL_PART_DONE)
+			continue;
+		if (!w || !ffl_worker_silent(r, w))
+			continue;
+		broken = true;
+		if (ffl_worker_lapsed(r, w))
+			p->state = FFL_PART_GONE;
 	}
-	if (any_part(job, FFL_PART_ASKED) || any_part(job, FFL_PART_HELD))
-		return;
-	set_state(r, job, FFL_JOB_RUNNING);
-	ffl_actions_report(r->out, FFL_LEVEL_NOTE, "job-started",
-			   job->spec.name, "job %llu runs on %u workers",
-			   (unsigned long long)job->id, job->part_count);
+	return broken;
 }
 
-static void advance_running(run_t *r, ffl_job_t *job, uint64_t epoch)
+static void advance_holding(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	if (all_parts(job, FFL_PART_DONE)) {
-		end_job(r, job, epoch, FFL_END_DONE, job->result);
-		release(r, job);
+	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
+	    must_yield(r, job) ||
+	    r->now_ms - job->since_ms > r->g->times.valid_ms) {
+		ffl_job_stop(r, job, false);
 		return;
 	}
-	if (job->cancelled || any_part(job, FFL_PART_GONE))
-		stop_parts(r, job, epoch);
+	if (!all_parts(job, FFL_PART_HELD)) {
+		repeat(r, job, FFL_WCMD_HOLD, FFL_PART_HELD);
+		return;
+	}
+	ffl_job_set_state(r, job, FFL_JOB_STARTING);
+	for (uint32_t i = 0; i < job->part_count; i++)
+		ffl_part_command(r, job, i, FFL_WCMD_START);
 }
 
-static void advance_stopping(run_t *r, ffl_job_t *job, uint64_t epoch)
+static void advance_starting(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	if (!all_parts(job, FFL_PART_GONE)) {
-		if (r->now_ms - job->since_ms > CALL_TIMEOUT_MS)
-			stop_parts(r, job, epoch);
+	if (ffl_job_whole(job)) {
+		ffl_job_set_state(r, job, FFL_JOB_RUNNING);
+		ffl_actions_report(r->out, FFL_LEVEL_NOTE, "job-started",
+				   job->spec.name, "job %llu runs on %u workers",
+				   (unsigned long long)job->id,
+				   job->part_count);
 		return;
 	}
-	release(r, job);
-	if (job->cancelled) {
-		end_job(r, job, epoch, FFL_END_CANCELLED, "");
+	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
+	    r->now_ms - job->since_ms > r->g->times.valid_ms) {
+		ffl_job_stop(r, job, false);
 		return;
 	}
-	set_state(r, job, FFL_JOB_QUEUED);
+	repeat(r, job, FFL_WCMD_START, FFL_PART_RUNNING);
 }
 
-static void stop_parts(run_t *r, ffl_job_t *job, uint64_t epoch)
+/* Work that can be checkpointed leaves a worker that is to take nothing. A
+ * worker that has vanished from the list is left by all work. */
+static bool must_yield(const ffl_gang_run_t *r, const ffl_job_t *job)
 {
-	set_state(r, job, FFL_JOB_STOPPING);
 	for (uint32_t i = 0; i < job->part_count; i++) {
-		if (job->parts[i].state != FFL_PART_GONE)
-			send_part(r, job, i, FFL_WCMD_STOP, epoch);
+		const ffl_worker_t *w =
+			ffl_fleet_find(r->fleet, job->parts[i].worker);
+
+		if (!w || job->parts[i].state >= FFL_PART_DONE)
+			continue;
+		if (!w->listed &&
+		    r->now_ms - w->listed_ms > r->g->times.settle_ms)
+			return true;
+		if ((w->drained || w->info.leaving) &&
+		    (job->spec.checkpointable ||
+		     job->state == FFL_JOB_HOLDING))
+			return true;
 	}
+	return false;
 }
 
-static ffl_part_t *part_on(ffl_job_t *job, const char *worker)
+static void fail_stuck(ffl_gang_run_t *r, ffl_job_t *job)
 {
 	for (uint32_t i = 0; i < job->part_count; i++) {
-		if (strcmp(job->parts[i].worker, worker) == 0)
-			return &job->parts[i];
+		const ffl_part_t *p = &job->parts[i];
+		ffl_worker_t *w = ffl_fleet_find(r->fleet, p->worker);
+
+		if (!w || p->state != FFL_PART_RUNNING ||
+		    r->now_ms - p->moved_ms <= STUCK_MS)
+			continue;
+		ffl_actions_report(r->out, FFL_LEVEL_WARNING, "job-stuck",
+				   job->spec.name, "job %llu on %s",
+				   (unsigned long long)job->id, p->worker);
+		ffl_job_failed(r, job, w);
+		ffl_job_stop(r, job, false);
+		return;
 	}
-	return NULL;
 }
 
-/* Builds the gang of a job that an earlier leader started. */
-static void adopt(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
-		  const ffl_task_report_t *task, uint64_t now_ms)
+static void advance_running(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	ffl_job_t *job = ffl_job_find(g, task->job);
-	ffl_part_t *p;
-
-	if (!job || job->state != FFL_JOB_QUEUED || !task->members ||
-	    task->rank >= task->members)
+	if (all_parts(job, FFL_PART_DONE)) {
+		ffl_job_end(r, job, FFL_END_DONE, job->result);
+		if (job->end_sent)
+			ffl_job_release(r, job);
+		ffl_job_set_state(r, job, FFL_JOB_RUNNING);
 		return;
-	if (task->incarnation < job->incarnation)
+	}
+	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
+	    lose_silent(r, job)) {
+		ffl_job_stop(r, job, false);
+		return;
+	}
+	if (must_yield(r, job)) {
+		ffl_job_stop(r, job, job->spec.checkpointable);
 		return;
-	if (!job->parts || job->incarnation != task->incarnation) {
-		g_free(job->parts);
-		job->parts = g_new0(ffl_part_t, task->members);
-		job->part_count = task->members;
-		job->incarnation = task->incarnation;
 	}
-	p = &job->parts[task->rank];
-	ffl_copy(p->worker, sizeof(p->worker), w->info.name);
-	p->slots = task->slots;
-	p->state = part_of_task[task->state];
-	ffl_fleet_take(fleet, w, task->slots);
+	fail_stuck(r, job);
+}
+
+/* A gang resumes from what all of its members have saved. */
+static void save_progress(ffl_job_t *job)
+{
+	uint64_t saved = UINT64_MAX;
+
 	for (uint32_t i = 0; i < job->part_count; i++) {
-		if (!job->parts[i].worker[0])
-			return;
+		if (job->parts[i].checkpoint_ms < saved)
+			saved = job->parts[i].checkpoint_ms;
 	}
-	job->state = FFL_JOB_RUNNING;
-	job->since_ms = now_ms;
+	if (job->part_count && saved > job->progress_ms)
+		job->progress_ms = saved;
 }
 
-static void take_report(ffl_gangs_t *g, ffl_fleet_t *fleet, ffl_worker_t *w,
-			const ffl_task_report_t *task, uint64_t now_ms)
+static void advance_stopping(ffl_gang_run_t *r, ffl_job_t *job)
 {
-	ffl_job_t *job = ffl_job_find(g, task->job);
-	ffl_part_t *p = job ? part_on(job, w->info.name) : NULL;
+	lose_silent(r, job);
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		ffl_part_t *p = &job->parts[i];
 
-	if (job && job->state == FFL_JOB_QUEUED &&
-	    task->state <= FFL_TASK_DONE) {
-		adopt(g, fleet, w, task, now_ms);
-		return;
+		if (!p->worker[0] && r->g->authority.settled)
+			p->state = FFL_PART_GONE;
+		if (p->state < FFL_PART_DONE) {
+			repeat(r, job,
+			       job->save ? FFL_WCMD_CHECKPOINT : FFL_WCMD_STOP,
+			       FFL_PART_DONE);
+			return;
+		}
 	}
-	if (!p || task->incarnation != job->incarnation)
+	save_progress(job);
+	ffl_job_release(r, job);
+	ffl_job_set_state(r, job, FFL_JOB_QUEUED);
+	advance_queued(r, job);
+}
+
+/* What is not whole once every earlier lease is accounted for is stopped. A
+ * part must not outlast its bound even where that proof is missing. */
+static void advance_recovering(ffl_gang_run_t *r, ffl_job_t *job)
+{
+	if (!r->g->authority.settled &&
+	    r->now_ms - job->since_ms < r->g->times.settle_ms)
 		return;
-	p->state = part_of_task[task->state];
-	if (task->result[0])
-		ffl_copy(job->result, sizeof(job->result), task->result);
+	if (job->part_count)
+		ffl_job_stop(r, job, false);
+	else if (r->g->authority.settled)
+		ffl_job_set_state(r, job, FFL_JOB_QUEUED);
 }
 
-void ffl_gangs_on_reply(ffl_gangs_t *g, ffl_fleet_t *fleet,
-			const ffl_members_t *ms,
-			const ffl_ev_worker_reply_t *ev, uint64_t now_ms,
-			ffl_actions_t *out)
+void ffl_job_stop(ffl_gang_run_t *r, ffl_job_t *job, bool save)
 {
-	ffl_worker_t *w = ffl_fleet_find(fleet, ev->worker);
-	const ffl_task_report_t *tasks = ev->reply.tasks.items;
+	job->save = save;
+	ffl_job_set_state(r, job, FFL_JOB_STOPPING);
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		if (job->parts[i].state < FFL_PART_DONE)
+			ffl_part_command(r, job, i,
+					 save ? FFL_WCMD_CHECKPOINT :
+						FFL_WCMD_STOP);
+	}
+}
 
-	if (!w)
-		return;
-	if (w->calls)
-		w->calls--;
-	if (ev->status != FFL_OK || ev->reply.status != FFL_OK)
-		return;
-	w->replied_ms = now_ms;
-	w->boot = ev->reply.boot;
-	w->adopted = true;
-	for (uint32_t i = 0; i < ev->reply.tasks.count; i++)
-		take_report(g, fleet, w, &tasks[i], now_ms);
+/* Another record ended the job: its tasks are left to the full reports. */
+static void clear_ended(ffl_gang_run_t *r)
+{
+	for (guint i = 0; i < r->g->ended->len; i++)
+		ffl_job_abandon(r, g_ptr_array_index(r->g->ended, i));
+	g_ptr_array_set_size(r->g->ended, 0);
 }
 
-static void renew_workers(run_t *r)
+static void schedule(ffl_gang_run_t *r, ffl_sched_t *sched,
+		     const ffl_config_t *cfg)
 {
-	uint64_t epoch = ffl_members_epoch(r->ms, r->ms->self.dc);
+	ffl_decision_t d;
 
-	for (uint32_t i = 0; i < ffl_fleet_count(r->fleet); i++) {
-		ffl_worker_t *w = ffl_fleet_at(r->fleet, i);
-		ffl_worker_cmd_t cmd = { .cmd = FFL_WCMD_RENEW,
-					 .epoch = epoch,
-					 .lease_ms = r->g->lease_ms };
+	ffl_sched_begin(sched, r->now_ms);
+	while (ffl_sched_next(sched, r->g, r->fleet, cfg, r->now_ms, &d))
+		deciders[d.kind](r, &d);
+}
 
-		if (strcmp(w->info.dc, r->ms->self.dc) != 0)
-			continue;
-		if (w->asked_ms && r->now_ms - w->asked_ms < r->g->renew_ms)
-			continue;
-		send(r, w, &cmd, NULL);
+static void pass(ffl_gang_run_t *r, ffl_sched_t *sched, const ffl_config_t *cfg)
+{
+	r->g->dirty = false;
+	r->g->pass_at_ms = r->now_ms + FFL_GANG_PASS_MS;
+	clear_ended(r);
+	ffl_fleet_run_health(r->fleet, r->now_ms);
+	for (guint i = 0; i < r->g->open->len; i++) {
+		ffl_job_t *job = g_array_index(r->g->open, ffl_job_t *, i);
+
+		if (ffl_job_in_cell(job, r->ms->self.dc))
+			advances[job->state](r, job);
 	}
+	schedule(r, sched, cfg);
 }
 
 void ffl_gangs_run(ffl_gangs_t *g, ffl_fleet_t *fleet, const ffl_members_t *ms,
 		   const ffl_config_t *cfg, ffl_sched_t *sched, ffl_logc_t *lc,
 		   uint64_t now_ms, ffl_actions_t *out)
 {
-	uint64_t epoch = ffl_members_epoch(ms, ms->self.dc);
-	run_t r = { .g = g,
-		    .fleet = fleet,
-		    .ms = ms,
-		    .lc = lc,
-		    .now_ms = now_ms,
-		    .out = out };
-
-	if (!epoch)
+	ffl_gang_run_t r = { .g = g,
+			     .fleet = fleet,
+			     .ms = ms,
+			     .lc = lc,
+			     .now_ms = now_ms,
+			     .out = out };
+	bool may_act = ffl_authority_run(&r);
+
+	if (!g->authority.epoch) {
+		ffl_keep_run(&r);
 		return;
-	renew_workers(&r);
-	for (guint i = 0; i < g->open->len; i++) {
-		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
-
-		if (job->spec.dc[0] && strcmp(job->spec.dc, ms->self.dc) != 0)
-			continue;
-		advances[job->state](&r, job, epoch);
 	}
-	schedule(&r, sched, cfg, epoch);
+	ffl_gang_renew(&r, may_act);
+	if (may_act && (g->dirty || now_ms >= g->pass_at_ms))
+		pass(&r, sched, cfg);
 }
--- a/lib/host/command.c
+++ b/lib/host/command.c
@@ -364,7 +364,7 @@
 		ffl_copy(rec.job.customer, sizeof(rec.job.customer),
 			 c->customer->name);
 	if (!rec.job.dc[0])
-		ffl_copy(rec.job.dc, sizeof(rec.job.dc), h->opt.self.dc);
+		ffl_copy(rec.job.cell, sizeof(rec.job.cell), h->opt.self.dc);
 	ffl_job_check(&rec.job, &h->config, &h->fleet, &fs);
 	known = ffl_gangs_find_name(&h->gangs, rec.job.customer, rec.job.name);
 	if (fs.errors)
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -165,8 +165,8 @@
 		ffl_host_on_verdict(h, rec, &verdict, out);
 		break;
 	default:
+		ffl_gangs_fold(&h->gangs, &h->members, offset, rec, now_ms);
 		ffl_members_fold(&h->members, offset, rec, now_ms);
-		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
 		ffl_host_on_record(h, offset, rec, out);
 		break;
 	}
@@ -228,7 +228,8 @@
 static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			 ffl_actions_t *out)
 {
-	ffl_fleet_on_list(&h->fleet, &ev->host_list);
+	ffl_fleet_on_list(&h->fleet, &ev->host_list, now_ms);
+	ffl_gangs_on_list(&h->gangs, now_ms);
 	ffl_fleet_on_config(&h->fleet, &h->config);
 	ffl_requests_on_list(&h->requests, &ev->host_list);
 	ffl_requests_on_config(&h->requests, &h->config);
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -2,13 +2,22 @@
 
 #include "fireflyledge/member.h"
 
+/** Claims closer than this follow each other, each after a longer pause. */
+#define CHURN_MS	  60000
+#define CHURN_DOUBLES_MAX 4
+
 static ffl_member_t *find(ffl_members_t *ms, uint64_t member);
 static ffl_cell_t *find_cell(ffl_members_t *ms, const char *dc);
 static void fold_join(ffl_members_t *ms, uint64_t offset,
 		      const ffl_join_t *join, uint64_t now_ms);
-static void fold_leave(ffl_members_t *ms, uint64_t member);
+static void fold_leave(ffl_members_t *ms, const ffl_leave_t *leave);
+static uint64_t expiry_ms(const ffl_member_t *m);
+static bool expires_for(const ffl_members_t *ms, const ffl_member_t *m);
+static void expire_members(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms);
 static void fold_lead(ffl_members_t *ms, uint64_t offset,
-		      const ffl_lead_t *lead);
+		      const ffl_lead_t *lead, uint64_t now_ms);
+static bool settling(const ffl_members_t *ms, const ffl_cell_t *c,
+		     uint64_t now_ms);
 static void register_self(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms);
 static void send_heartbeats(ffl_members_t *ms, uint64_t revision,
 			    const ffl_logc_t *lc, ffl_actions_t *out);
@@ -91,9 +100,16 @@
 {
 	if (m->join.member == ms->self.member)
 		return true;
+	if (strcmp(m->join.dc, ms->self.dc) != 0)
+		return !m->leaving && now_ms - m->renewed_ms <= expiry_ms(m);
 	return now_ms - m->heard_ms <= ms->times.suspect_ms;
 }
 
+static uint64_t expiry_ms(const ffl_member_t *m)
+{
+	return m->join.expiry_ms;
+}
+
 static void fold_join(ffl_members_t *ms, uint64_t offset,
 		      const ffl_join_t *join, uint64_t now_ms)
 {
@@ -103,10 +119,14 @@
 	if (m) {
 		m->join = *join;
 		m->heard_ms = now_ms;
+		m->renewed_ms = now_ms;
+		m->renewed_offset = offset;
 		return;
 	}
 	fresh.join = *join;
 	fresh.heard_ms = now_ms;
+	fresh.renewed_ms = now_ms;
+	fresh.renewed_offset = offset;
 	g_array_append_val(ms->members, fresh);
 	g_array_sort(ms->members, compare_members);
 	if (!find_cell(ms, join->dc)) {
@@ -118,30 +138,38 @@
 	}
 }
 
-static void fold_leave(ffl_members_t *ms, uint64_t member)
+/* A leave on behalf of another is void if that one has renewed since: every
+ * host sees the same order of records and decides alike. */
+static void fold_leave(ffl_members_t *ms, const ffl_leave_t *leave)
 {
+	const ffl_member_t *m = find(ms, leave->member);
+
+	if (!m || (leave->joined && leave->joined != m->renewed_offset))
+		return;
 	for (guint i = 0; i < ms->cells->len; i++) {
 		ffl_cell_t *c = &g_array_index(ms->cells, ffl_cell_t, i);
 
-		if (c->member == member)
+		if (c->member == leave->member)
 			c->member = 0;
 	}
-	for (guint i = 0; i < ms->members->len; i++) {
-		if (g_array_index(ms->members, ffl_member_t, i).join.member !=
-		    member)
-			continue;
-		g_array_remove_index(ms->members, i);
-		return;
-	}
+	g_array_remove_index(ms->members,
+			     (guint)(m - (ffl_member_t *)ms->members->data));
+	if (leave->member == ms->self.member)
+		ms->renew_at_ms = 0;
 }
 
 static void fold_lead(ffl_members_t *ms, uint64_t offset,
-		      const ffl_lead_t *lead)
+		      const ffl_lead_t *lead, uint64_t now_ms)
 {
 	ffl_cell_t *c = find_cell(ms, lead->dc);
 
-	if (!c || c->epoch != lead->previous_epoch)
+	const ffl_member_t *m = find(ms, lead->member);
+
+	if (!c || !m || c->epoch != lead->previous_epoch ||
+	    strcmp(m->join.dc, lead->dc) != 0)
 		return;
+	c->churn = now_ms - c->led_ms < CHURN_MS ? c->churn + 1 : 0;
+	c->led_ms = now_ms;
 	c->member = lead->member;
 	c->epoch = offset;
 }
@@ -156,10 +184,10 @@
 		fold_join(ms, offset, &rec->join, now_ms);
 		break;
 	case FFL_REC_LEAVE:
-		fold_leave(ms, rec->leave.member);
+		fold_leave(ms, &rec->leave);
 		break;
 	case FFL_REC_LEAD:
-		fold_lead(ms, offset, &rec->lead);
+		fold_lead(ms, offset, &rec->lead, now_ms);
 		break;
 	default:
 		break;
@@ -204,7 +232,8 @@
 						 .seq = ++ms->peer_seq } };
 		ffl_action_t *act;
 
-		if (m->join.member == ms->self.member)
+		if (m->join.member == ms->self.member ||
+		    strcmp(m->join.dc, ms->self.dc) != 0)
 			continue;
 		msg.heartbeat.revision = revision;
 		msg.heartbeat.next_offset = lc->next_offset;
@@ -238,26 +267,85 @@
 	return false;
 }
 
-static void claim_cell(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms)
+bool ffl_members_deputy(const ffl_members_t *ms, uint64_t now_ms)
 {
-	ffl_cell_t *c = find_cell(ms, ms->self.dc);
+	const ffl_cell_t *c = ffl_members_cell(ms, ms->self.dc);
 	const ffl_member_t *leader;
-	ffl_record_t rec = { .kind = FFL_REC_LEAD };
 
-	if (!c || ms->claim_seq || ms->stopping || !ffl_logc_reachable(lc))
-		return;
-	leader = c->member ? find(ms, c->member) : NULL;
+	if (!c || ms->stopping || c->member == ms->self.member)
+		return false;
+	leader = c->member ? ffl_members_find(ms, c->member) : NULL;
 	if (leader && ffl_member_alive(ms, leader, now_ms))
-		return;
-	if (!is_candidate(ms, now_ms))
+		return false;
+	return is_candidate(ms, now_ms);
+}
+
+/* Members that cannot hear each other must not take the cell from one
+ * another all the time. A new leader is given time to be heard. */
+static bool settling(const ffl_members_t *ms, const ffl_cell_t *c,
+		     uint64_t now_ms)
+{
+	uint32_t shift = c->churn < CHURN_DOUBLES_MAX ? c->churn :
+							CHURN_DOUBLES_MAX;
+
+	return c->member &&
+	       now_ms - c->led_ms < (uint64_t)ms->times.suspect_ms << shift;
+}
+
+static void claim_cell(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms)
+{
+	ffl_record_t rec = { .kind = FFL_REC_LEAD };
+
+	if (ms->claim_seq || !ffl_logc_reachable(lc) ||
+	    !ffl_members_deputy(ms, now_ms) ||
+	    !find(ms, ms->self.member) ||
+	    settling(ms, find_cell(ms, ms->self.dc), now_ms))
 		return;
 	rec.lead.member = ms->self.member;
-	rec.lead.previous_epoch = c->epoch;
+	rec.lead.previous_epoch = find_cell(ms, ms->self.dc)->epoch;
 	ffl_copy(rec.lead.dc, sizeof(rec.lead.dc), ms->self.dc);
 	if (ffl_logc_append(lc, &rec) == FFL_OK)
 		ms->claim_seq = rec.seq;
 }
 
+/* Members are expired by their own cell; where it has none left, by all. */
+static bool expires_for(const ffl_members_t *ms, const ffl_member_t *m)
+{
+	if (strcmp(m->join.dc, ms->self.dc) == 0)
+		return true;
+	for (guint i = 0; i < ms->members->len; i++) {
+		const ffl_member_t *other =
+			&g_array_index(ms->members, ffl_member_t, i);
+
+		if (strcmp(other->join.dc, m->join.dc) == 0 &&
+		    other->renewed_ms > m->renewed_ms)
+			return false;
+	}
+	return true;
+}
+
+/* A member that has not renewed in time is removed by a record, so that all
+ * hosts judge alike; the local clock only prompts it. */
+static void expire_members(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms)
+{
+	if (!ffl_logc_reachable(lc) || !is_candidate(ms, now_ms))
+		return;
+	for (guint i = 0; i < ms->members->len; i++) {
+		ffl_member_t *m = &g_array_index(ms->members, ffl_member_t, i);
+		ffl_record_t rec = { .kind = FFL_REC_LEAVE };
+
+		if (now_ms - m->renewed_ms <= expiry_ms(m) ||
+		    m->expiring == m->renewed_offset ||
+		    m->join.member == ms->self.member ||
+		    !expires_for(ms, m))
+			continue;
+		rec.leave.member = m->join.member;
+		rec.leave.joined = m->renewed_offset;
+		if (ffl_logc_append(lc, &rec) == FFL_OK)
+			m->expiring = m->renewed_offset;
+	}
+}
+
 void ffl_members_run(ffl_members_t *ms, ffl_logc_t *lc, uint64_t revision,
 		     uint64_t cluster, uint64_t now_ms, ffl_actions_t *out)
 {
@@ -268,6 +356,7 @@
 		send_heartbeats(ms, revision, lc, out);
 	}
 	claim_cell(ms, lc, now_ms);
+	expire_members(ms, lc, now_ms);
 }
 
 void ffl_members_leave(ffl_members_t *ms, ffl_logc_t *lc)
--- a/lib/wire/record.c
+++ b/lib/wire/record.c
@@ -13,6 +13,7 @@
 	[FFL_REC_JOB_CANCEL] = "job-cancel",
 	[FFL_REC_JOB_END] = "job-end",
 	[FFL_REC_SNAPSHOT] = "snapshot",
+	[FFL_REC_JOB_MOVE] = "job-move",
 };
 
 static const char *const intent_kind_names[FFL_INTENT__MAX] = {
@@ -74,6 +75,7 @@
 
 static const ffl_field_t leave_fields[] = {
 	FIELD_U64(ffl_leave_t, member),
+	FIELD_U64(ffl_leave_t, joined),
 };
 
 static const ffl_field_t lead_fields[] = {
@@ -98,6 +100,7 @@
 	FIELD_U32(ffl_job_spec_t, memory_mb, 0),
 	FIELD_BOOL(ffl_job_spec_t, checkpointable),
 	FIELD_TEXT(ffl_job_spec_t, payload),
+	FIELD_TEXT(ffl_job_spec_t, cell),
 };
 
 static const ffl_field_t job_cancel_fields[] = {
@@ -109,10 +112,17 @@
 	FIELD_U64(ffl_job_end_t, job),
 	FIELD_U64(ffl_job_end_t, epoch),
 	FIELD_ENUM(ffl_job_end_t, end, FFL_END__MAX, ffl_end_name),
-	FIELD_U32(ffl_job_end_t, incarnation, 0),
+	FIELD_U64(ffl_job_end_t, incarnation),
 	FIELD_TEXT(ffl_job_end_t, result),
 };
 
+static const ffl_field_t job_move_fields[] = {
+	FIELD_U64(ffl_job_move_t, job),
+	FIELD_TEXT(ffl_job_move_t, from),
+	FIELD_TEXT(ffl_job_move_t, to),
+	FIELD_U64(ffl_job_move_t, epoch),
+};
+
 static const ffl_field_t snapshot_fields[] = {
 	FIELD_U64(ffl_snapshot_part_t, offset),
 	FIELD_U32(ffl_snapshot_part_t, part, 0),
@@ -132,6 +142,8 @@
 	SCHEMA(ffl_job_cancel_t, job_cancel_fields);
 static const ffl_schema_t job_end_schema =
 	SCHEMA(ffl_job_end_t, job_end_fields);
+static const ffl_schema_t job_move_schema =
+	SCHEMA(ffl_job_move_t, job_move_fields);
 static const ffl_schema_t snapshot_schema =
 	SCHEMA(ffl_snapshot_part_t, snapshot_fields);
 
@@ -145,6 +157,7 @@
 	[FFL_REC_JOB_CANCEL] = &job_cancel_schema,
 	[FFL_REC_JOB_END] = &job_end_schema,
 	[FFL_REC_SNAPSHOT] = &snapshot_schema,
+	[FFL_REC_JOB_MOVE] = &job_move_schema,
 };
 
 const ffl_schema_t *ffl_record_schema(ffl_rec_kind_t kind)
--- a/lib/wire/worker.c
+++ b/lib/wire/worker.c
@@ -9,6 +9,7 @@
 	[FFL_WCMD_RENEW] = "renew",	      [FFL_WCMD_HOLD] = "hold",
 	[FFL_WCMD_START] = "start",	      [FFL_WCMD_STOP] = "stop",
 	[FFL_WCMD_CHECKPOINT] = "checkpoint", [FFL_WCMD_THROTTLE] = "throttle",
+	[FFL_WCMD_KEEP] = "keep",
 };
 
 static const char *const task_state_names[FFL_TASK__MAX] = {
@@ -27,18 +28,21 @@
 	FIELD_ENUM(ffl_worker_cmd_t, cmd, FFL_WCMD__MAX, ffl_wcmd_name),
 	FIELD_U64(ffl_worker_cmd_t, epoch),
 	FIELD_U64(ffl_worker_cmd_t, job),
-	FIELD_U32(ffl_worker_cmd_t, incarnation, 0),
+	FIELD_U64(ffl_worker_cmd_t, incarnation),
 	FIELD_U32(ffl_worker_cmd_t, rank, 0),
 	FIELD_U32(ffl_worker_cmd_t, members, FFL_GANG_MAX),
 	FIELD_U64(ffl_worker_cmd_t, slots),
 	FIELD_U32(ffl_worker_cmd_t, lease_ms, 0),
 	FIELD_U64(ffl_worker_cmd_t, progress_ms),
 	FIELD_TEXT(ffl_worker_cmd_t, payload),
+	FIELD_U64(ffl_worker_cmd_t, since),
+	FIELD_U64(ffl_worker_cmd_t, boot),
+	FIELD_U64(ffl_worker_cmd_t, not_after_ms),
 };
 
 static const ffl_field_t task_fields[] = {
 	FIELD_U64(ffl_task_report_t, job),
-	FIELD_U32(ffl_task_report_t, incarnation, 0),
+	FIELD_U64(ffl_task_report_t, incarnation),
 	FIELD_U32(ffl_task_report_t, rank, 0),
 	FIELD_U32(ffl_task_report_t, members, FFL_GANG_MAX),
 	FIELD_U64(ffl_task_report_t, slots),
@@ -59,6 +63,10 @@
 	FIELD_U64(ffl_worker_reply_t, boot),
 	FIELD_LIST(ffl_worker_reply_t, tasks, TASKS_MAX,
 		   &ffl_task_report_schema),
+	FIELD_U64(ffl_worker_reply_t, since),
+	FIELD_U64(ffl_worker_reply_t, version),
+	FIELD_U64(ffl_worker_reply_t, clock_ms),
+	FIELD_U64(ffl_worker_reply_t, silent_ms),
 };
 
 static const ffl_field_t host_fields[] = {
