--- a/fakes/fake_worker.c
+++ b/fakes/fake_worker.c
@@ -35,8 +35,7 @@
 static ffl_status_t do_keep(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 			    uint64_t now_ms);
 static bool active(const fake_task_t *t);
-static void set_state(fake_worker_t *w, fake_task_t *t,
-		      ffl_task_state_t state);
+static void set_state(fake_worker_t *w, fake_task_t *t, ffl_task_state_t state);
 static void add_task(fake_worker_t *w, const ffl_worker_cmd_t *cmd,
 		     ffl_task_state_t state, uint64_t now_ms);
 static void renew(fake_task_t *t, uint64_t until_ms);
@@ -211,9 +210,9 @@
 	t->lease_until_ms = now_ms + cmd->lease_ms;
 	w->starts++;
 	set_state(w, t,
-		  w->broken || strstr(cmd->payload, FAIL_KEY) ?
-			  FFL_TASK_FAILED :
-			  FFL_TASK_RUNNING);
+		  w->broken || strstr(cmd->payload, FAIL_KEY)
+			  ? FFL_TASK_FAILED
+			  : FFL_TASK_RUNNING);
 	return FFL_OK;
 }
 
--- a/fakes/fake_worker.h
+++ b/fakes/fake_worker.h
@@ -25,10 +25,10 @@
 	uint32_t starts; /**< tasks ever started */
 	bool broken;	 /**< every task fails as soon as it starts */
 	uint64_t version;
-	uint64_t led_ms; /**< last command of the leader */
+	uint64_t led_ms;	/**< last command of the leader */
 	uint64_t command_epoch; /**< epoch of the last command carried out */
-	GArray *tasks;	 /**< of fake_task_t */
-	GArray *reports; /**< of ffl_task_report_t, of the last reply */
+	GArray *tasks;		/**< of fake_task_t */
+	GArray *reports;	/**< of ffl_task_report_t, of the last reply */
 } fake_worker_t;
 
 void fake_worker_init(fake_worker_t *w, const char *name);
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -18,7 +18,7 @@
 	FFL_JOB_HOLDING,  /**< slots are being held on every worker */
 	FFL_JOB_STARTING, /**< every hold is confirmed */
 	FFL_JOB_RUNNING,
-	FFL_JOB_STOPPING, /**< members are being stopped */
+	FFL_JOB_STOPPING,   /**< members are being stopped */
 	FFL_JOB_RECOVERING, /**< may run since an earlier leader's time */
 	FFL_JOB_MOVING,	    /**< its move to another cell is on its way */
 	FFL_JOB_ENDED,
@@ -109,7 +109,7 @@
 	uint64_t quorum_ms;	/**< a quorum accepts it since then; 0 none */
 	uint64_t first_list_ms; /**< local time of the first list of hosts */
 	uint64_t keep_at_ms;	/**< next round for a silent leader */
-	bool held;    /**< effects are allowed */
+	bool held;		/**< effects are allowed */
 	bool settled; /**< no work of an earlier leader is unaccounted for */
 } ffl_authority_t;
 
--- a/include/fireflyledge/member.h
+++ b/include/fireflyledge/member.h
@@ -17,7 +17,7 @@
 	uint64_t renewed_ms;	 /**< local time at which it was read */
 	uint64_t heard_ms;	 /**< local time of the last sign of life */
 	uint64_t expiring;	 /**< registration whose expiry is queued */
-	uint64_t revision; /**< that it reported */
+	uint64_t revision;	 /**< that it reported */
 	bool leaving;
 } ffl_member_t;
 
--- a/include/fireflyledge/worker.h
+++ b/include/fireflyledge/worker.h
@@ -66,9 +66,9 @@
 /** Reply to a command, with the tasks that changed since its version. */
 typedef struct {
 	ffl_status_t status;
-	uint64_t epoch;	  /**< highest epoch that the worker has seen */
-	uint64_t boot;	  /**< number of this life of the worker */
-	ffl_list_t tasks; /**< of ffl_task_report_t */
+	uint64_t epoch;	    /**< highest epoch that the worker has seen */
+	uint64_t boot;	    /**< number of this life of the worker */
+	ffl_list_t tasks;   /**< of ffl_task_report_t */
 	uint64_t since;	    /**< report version that the tasks start from */
 	uint64_t version;   /**< of the report; grows with each change */
 	uint64_t clock_ms;  /**< worker's monotonic clock */
--- a/lib/fleet/health.c
+++ b/lib/fleet/health.c
@@ -67,8 +67,8 @@
 
 static void quarantine(ffl_worker_t *w, uint64_t now_ms)
 {
-	uint32_t shift = w->rounds < QUARANTINE_DOUBLES ? w->rounds :
-							  QUARANTINE_DOUBLES;
+	uint32_t shift =
+		w->rounds < QUARANTINE_DOUBLES ? w->rounds : QUARANTINE_DOUBLES;
 	uint64_t ms = (uint64_t)QUARANTINE_MS << shift;
 
 	w->health = FFL_HEALTH_QUARANTINED;
@@ -127,8 +127,8 @@
 
 		if (!out(w) || now_ms < w->closed_until_ms)
 			continue;
-		w->health = w->health == FFL_HEALTH_QUARANTINED ?
-				    FFL_HEALTH_PROBING :
-				    FFL_HEALTH_GOOD;
+		w->health = w->health == FFL_HEALTH_QUARANTINED
+				    ? FFL_HEALTH_PROBING
+				    : FFL_HEALTH_GOOD;
 	}
 }
--- a/lib/gang/authority.c
+++ b/lib/gang/authority.c
@@ -150,8 +150,8 @@
 
 static void end(ffl_gang_run_t *r)
 {
-	ffl_actions_report(r->out, FFL_LEVEL_NOTE, "superseded",
-			   r->ms->self.dc, "epoch %llu",
+	ffl_actions_report(r->out, FFL_LEVEL_NOTE, "superseded", r->ms->self.dc,
+			   "epoch %llu",
 			   (unsigned long long)r->g->authority.epoch);
 	r->g->authority.epoch = 0;
 	r->g->authority.held = false;
@@ -227,15 +227,13 @@
 	}
 	watch_workers(r);
 	if (!a->settled &&
-	    (all_heard(r) ||
-	     (a->quorum_ms &&
-	      r->now_ms - a->quorum_ms >= r->g->times.settle_ms))) {
+	    (all_heard(r) || (a->quorum_ms && r->now_ms - a->quorum_ms >=
+						      r->g->times.settle_ms))) {
 		a->settled = true;
-		ffl_actions_report(r->out, FFL_LEVEL_NOTE, "settled",
-				   r->ms->self.dc,
-				   "after %llu ms",
-				   (unsigned long long)(r->now_ms -
-							a->since_ms));
+		ffl_actions_report(
+			r->out, FFL_LEVEL_NOTE, "settled", r->ms->self.dc,
+			"after %llu ms",
+			(unsigned long long)(r->now_ms - a->since_ms));
 	}
 	return true;
 }
--- a/lib/gang/job.c
+++ b/lib/gang/job.c
@@ -243,13 +243,15 @@
 			parts,
 			json_pack("{s:s,s:I}", "worker", job->parts[i].worker,
 				  "slots", (json_int_t)job->parts[i].slots));
-	return json_pack(
-		"{s:I,s:s,s:s,s:s,s:i,s:s,s:s,s:I,s:b,s:s,s:s,s:o}", "id",
-		(json_int_t)job->id, "cell", job->cell, "customer", job->spec.customer, "name",
-		job->spec.name, "accelerators", (int)job->spec.accelerators,
-		"urgency", ffl_urgency_name(job->spec.urgency), "state",
-		ffl_job_state_name(job->state), "incarnation",
-		(json_int_t)job->incarnation, "cancelled", job->cancelled, "end",
-		job->state == FFL_JOB_ENDED ? ffl_end_name(job->end) : "",
-		"result", job->result, "parts", parts);
+	return json_pack("{s:I,s:s,s:s,s:s,s:i,s:s,s:s,s:I,s:b,s:s,s:s,s:o}",
+			 "id", (json_int_t)job->id, "cell", job->cell,
+			 "customer", job->spec.customer, "name", job->spec.name,
+			 "accelerators", (int)job->spec.accelerators, "urgency",
+			 ffl_urgency_name(job->spec.urgency), "state",
+			 ffl_job_state_name(job->state), "incarnation",
+			 (json_int_t)job->incarnation, "cancelled",
+			 job->cancelled, "end",
+			 job->state == FFL_JOB_ENDED ? ffl_end_name(job->end)
+						     : "",
+			 "result", job->result, "parts", parts);
 }
--- a/lib/gang/report.c
+++ b/lib/gang/report.c
@@ -264,11 +264,9 @@
 			const ffl_ev_worker_reply_t *ev, uint64_t now_ms,
 			ffl_actions_t *out)
 {
-	ffl_gang_run_t r = { .g = g,
-			     .fleet = fleet,
-			     .ms = ms,
-			     .now_ms = now_ms,
-			     .out = out };
+	ffl_gang_run_t r = {
+		.g = g, .fleet = fleet, .ms = ms, .now_ms = now_ms, .out = out
+	};
 	ffl_worker_t *w = ffl_fleet_find(fleet, ev->worker);
 
 	if (!w)
--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -262,10 +262,10 @@
 {
 	if (ffl_job_whole(job)) {
 		ffl_job_set_state(r, job, FFL_JOB_RUNNING);
-		ffl_actions_report(r->out, FFL_LEVEL_NOTE, "job-started",
-				   job->spec.name, "job %llu runs on %u workers",
-				   (unsigned long long)job->id,
-				   job->part_count);
+		ffl_actions_report(
+			r->out, FFL_LEVEL_NOTE, "job-started", job->spec.name,
+			"job %llu runs on %u workers",
+			(unsigned long long)job->id, job->part_count);
 		return;
 	}
 	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
@@ -290,8 +290,7 @@
 		    r->now_ms - w->listed_ms > r->g->times.settle_ms)
 			return true;
 		if ((w->drained || w->info.leaving) &&
-		    (job->spec.checkpointable ||
-		     job->state == FFL_JOB_HOLDING))
+		    (job->spec.checkpointable || job->state == FFL_JOB_HOLDING))
 			return true;
 	}
 	return false;
@@ -390,8 +389,8 @@
 	for (uint32_t i = 0; i < job->part_count; i++) {
 		if (job->parts[i].state < FFL_PART_DONE)
 			ffl_part_command(r, job, i,
-					 save ? FFL_WCMD_CHECKPOINT :
-						FFL_WCMD_STOP);
+					 save ? FFL_WCMD_CHECKPOINT
+					      : FFL_WCMD_STOP);
 	}
 }
 
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -285,11 +285,11 @@
 static bool settling(const ffl_members_t *ms, const ffl_cell_t *c,
 		     uint64_t now_ms)
 {
-	uint32_t shift = c->churn < CHURN_DOUBLES_MAX ? c->churn :
-							CHURN_DOUBLES_MAX;
+	uint32_t shift =
+		c->churn < CHURN_DOUBLES_MAX ? c->churn : CHURN_DOUBLES_MAX;
 
-	return c->member &&
-	       now_ms - c->led_ms < (uint64_t)ms->times.suspect_ms << shift;
+	return c->member && now_ms - c->led_ms < (uint64_t)ms->times.suspect_ms
+							 << shift;
 }
 
 static void claim_cell(ffl_members_t *ms, ffl_logc_t *lc, uint64_t now_ms)
@@ -297,8 +297,7 @@
 	ffl_record_t rec = { .kind = FFL_REC_LEAD };
 
 	if (ms->claim_seq || !ffl_logc_reachable(lc) ||
-	    !ffl_members_deputy(ms, now_ms) ||
-	    !find(ms, ms->self.member) ||
+	    !ffl_members_deputy(ms, now_ms) || !find(ms, ms->self.member) ||
 	    settling(ms, find_cell(ms, ms->self.dc), now_ms))
 		return;
 	rec.lead.member = ms->self.member;
@@ -336,8 +335,7 @@
 
 		if (now_ms - m->renewed_ms <= expiry_ms(m) ||
 		    m->expiring == m->renewed_offset ||
-		    m->join.member == ms->self.member ||
-		    !expires_for(ms, m))
+		    m->join.member == ms->self.member || !expires_for(ms, m))
 			continue;
 		rec.leave.member = m->join.member;
 		rec.leave.joined = m->renewed_offset;
--- a/lib/wire/worker.c
+++ b/lib/wire/worker.c
@@ -6,9 +6,12 @@
 #define HOSTS_MAX 8192
 
 static const char *const wcmd_names[FFL_WCMD__MAX] = {
-	[FFL_WCMD_RENEW] = "renew",	      [FFL_WCMD_HOLD] = "hold",
-	[FFL_WCMD_START] = "start",	      [FFL_WCMD_STOP] = "stop",
-	[FFL_WCMD_CHECKPOINT] = "checkpoint", [FFL_WCMD_THROTTLE] = "throttle",
+	[FFL_WCMD_RENEW] = "renew",
+	[FFL_WCMD_HOLD] = "hold",
+	[FFL_WCMD_START] = "start",
+	[FFL_WCMD_STOP] = "stop",
+	[FFL_WCMD_CHECKPOINT] = "checkpoint",
+	[FFL_WCMD_THROTTLE] = "throttle",
 	[FFL_WCMD_KEEP] = "keep",
 };
 
