Delta reads of the list of hosts

Cause: each entry host read the whole list every 500 ms: 11,780 bytes/s at 100 hosts, 305,340 at 2,500, against a limit of 5 KB/s for all control. Ruled out: rarer polls (a leaving host is seen too late), one polling member a cell (the notice would hang on that member).

--- a/bench/base_bench.c
+++ b/bench/base_bench.c
@@ -15,6 +15,7 @@
 static void bench_record(ffl_rec_kind_t kind);
 static void bench_report(uint32_t tasks);
 static void bench_heartbeat(void);
+static void bench_host_list(uint32_t hosts, bool delta);
 static void bench_ring(void);
 
 static void bench_record(ffl_rec_kind_t kind)
@@ -107,6 +108,36 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
+/* Bytes of one read: the whole list, or a delta with nothing new. */
+static void bench_host_list(uint32_t hosts, bool delta)
+{
+	ffl_host_info_t *infos = g_new0(ffl_host_info_t, hosts);
+	ffl_host_list_t list = { .seed = UINT64_MAX / 2,
+				 .version = 100000,
+				 .delta = delta };
+	GByteArray *bytes = g_byte_array_new();
+
+	for (uint32_t i = 0; i < hosts; i++) {
+		g_snprintf(infos[i].name, FFL_NAME_BYTES, "dc-%u-worker-%u",
+			   i % 19, i);
+		g_snprintf(infos[i].dc, FFL_NAME_BYTES, "dc-%u", i % 19);
+		g_snprintf(infos[i].region, FFL_NAME_BYTES, "region-%u", i % 7);
+		g_snprintf(infos[i].addr, FFL_ADDR_BYTES, "10.0.%u.%u:7000",
+			   i / 250, i % 250);
+		infos[i].cores = 64;
+		infos[i].memory_mb = 262144;
+		infos[i].accelerators = 8;
+	}
+	list.hosts.items = infos;
+	list.hosts.count = delta ? 0 : hosts;
+	ffl_schema_encode(&ffl_host_list_schema, &list, bytes);
+	bench_print("host_list.size", bytes->len, "bytes",
+		    json_pack("{s:i,s:s}", "hosts", (int)hosts, "policy",
+			      delta ? "delta" : "whole"));
+	g_byte_array_free(bytes, TRUE);
+	g_free(infos);
+}
+
 static void bench_ring(void)
 {
 	int item = 0;
@@ -127,11 +158,16 @@
 int main(void)
 {
 	static const uint32_t tasks[] = { 1, 4, 8, 32, 64 };
+	static const uint32_t hosts[] = { 100, 500, 1000, 2500, 5000 };
 
 	for (int i = 0; i < FFL_REC_SNAPSHOT; i++)
 		bench_record((ffl_rec_kind_t)i);
 	for (size_t i = 0; i < G_N_ELEMENTS(tasks); i++)
 		bench_report(tasks[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		bench_host_list(hosts[i], false);
+		bench_host_list(hosts[i], true);
+	}
 	bench_heartbeat();
 	bench_ring();
 	return 0;
--- a/daemon/client.c
+++ b/daemon/client.c
@@ -40,8 +40,6 @@
 	GPtrArray *idle; /**< of CURL *, kept for their connections */
 	pthread_t thread;
 	struct curl_slist *headers;
-	uint64_t poll_at_ms;
-	bool polling;
 	_Atomic bool stop;
 };
 
@@ -60,7 +58,6 @@
 static ffl_box_t *finish_log_append(call_t *call, ffl_status_t status);
 static ffl_box_t *finish_host_list(call_t *call, ffl_status_t status);
 static ffl_box_t *finish_worker(call_t *call, ffl_status_t status);
-static void poll_hosts(ffld_client_t *c);
 static void *run(void *arg);
 
 static const finish_fn_t finishers[CALL__MAX] = {
@@ -201,8 +198,6 @@
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_add(c->idle, easy);
-	if (call->kind == CALL_HOST_LIST)
-		c->polling = false;
 	box = finishers[call->kind](call, outcome(code, http_status));
 	if (box)
 		ffld_post_sure(c->d, box);
@@ -233,21 +228,6 @@
 	curl_multi_add_handle(c->multi, easy);
 }
 
-static void poll_hosts(ffld_client_t *c)
-{
-	uint64_t now = ffld_now_ms();
-	call_t *call;
-
-	if (c->polling || now < c->poll_at_ms)
-		return;
-	c->polling = true;
-	c->poll_at_ms = now + c->d->settings.poll_hosts_ms;
-	call = call_new(CALL_HOST_LIST);
-	g_snprintf(call->url, sizeof(call->url), "%s/v1/hosts",
-		   c->d->settings.platform_hosts);
-	start_call(c, call);
-}
-
 static void *run(void *arg)
 {
 	ffld_client_t *c = arg;
@@ -260,7 +240,6 @@
 
 		while ((call = ffl_ring_pop(&c->calls, 0)))
 			start_call(c, call);
-		poll_hosts(c);
 		curl_multi_perform(c->multi, &running);
 		while ((msg = curl_multi_info_read(c->multi, &left))) {
 			if (msg->msg == CURLMSG_DONE)
@@ -353,6 +332,18 @@
 	submit(d->client, call);
 }
 
+void ffld_client_hosts_read(void *self, const ffl_act_hosts_read_t *act)
+{
+	ffld_t *d = self;
+	call_t *call = call_new(CALL_HOST_LIST);
+
+	g_snprintf(call->url, sizeof(call->url),
+		   "%s/v1/hosts?seed=%" G_GUINT64_FORMAT
+		   "&since=%" G_GUINT64_FORMAT,
+		   d->settings.platform_hosts, act->seed, act->since);
+	submit(d->client, call);
+}
+
 void ffld_client_worker_send(void *self, const ffl_act_worker_send_t *act)
 {
 	ffld_t *d = self;
--- a/daemon/core.c
+++ b/daemon/core.c
@@ -7,6 +7,7 @@
 static const ffl_port_t port = {
 	.log_read = ffld_client_log_read,
 	.log_append = ffld_client_log_append,
+	.hosts_read = ffld_client_hosts_read,
 	.worker_send = ffld_client_worker_send,
 	.peer_send = ffld_peers_send,
 	.answer = ffld_web_answer,
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -54,6 +54,7 @@
 void ffld_client_stop(ffld_client_t *c);
 void ffld_client_log_read(void *d, const ffl_act_log_read_t *act);
 void ffld_client_log_append(void *d, const ffl_act_log_append_t *act);
+void ffld_client_hosts_read(void *d, const ffl_act_hosts_read_t *act);
 void ffld_client_worker_send(void *d, const ffl_act_worker_send_t *act);
 
 /** TCP to other entry hosts. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -52,6 +52,7 @@
 	ffl_copy(opt->self.region, sizeof(opt->self.region), s->region);
 	ffl_copy(opt->self.peer_addr, sizeof(opt->self.peer_addr), s->peers);
 	opt->self.expiry_ms = s->expiry_ms;
+	opt->poll_hosts_ms = s->poll_hosts_ms;
 	opt->times.heartbeat_ms = s->heartbeat_ms;
 	opt->times.suspect_ms = s->suspect_ms;
 	opt->times.renew_ms = s->renew_ms;
--- a/fakes/world.c
+++ b/fakes/world.c
@@ -40,6 +40,7 @@
 static due_t *schedule_due(world_t *w, uint32_t host, uint32_t delay_ms);
 static void act_log_read(void *self, const ffl_act_log_read_t *act);
 static void act_log_append(void *self, const ffl_act_log_append_t *act);
+static void act_hosts_read(void *self, const ffl_act_hosts_read_t *act);
 static void act_worker_send(void *self, const ffl_act_worker_send_t *act);
 static void act_peer_send(void *self, const ffl_act_peer_send_t *act);
 static void act_answer(void *self, const ffl_act_answer_t *act);
@@ -59,6 +60,7 @@
 static const ffl_port_t port = {
 	.log_read = act_log_read,
 	.log_append = act_log_append,
+	.hosts_read = act_hosts_read,
 	.worker_send = act_worker_send,
 	.peer_send = act_peer_send,
 	.answer = act_answer,
@@ -184,6 +186,12 @@
 		 box);
 }
 
+/* The world sends lists by itself; its hosts are told not to ask. */
+static void act_hosts_read(void *self, const ffl_act_hosts_read_t *act)
+{
+	g_assert_not_reached();
+}
+
 static int find_worker(const world_t *w, const char *name)
 {
 	for (uint32_t i = 0; i < w->worker_count; i++) {
--- a/include/fireflyledge/action.h
+++ b/include/fireflyledge/action.h
@@ -12,6 +12,7 @@
 typedef enum {
 	FFL_ACT_LOG_READ,
 	FFL_ACT_LOG_APPEND,
+	FFL_ACT_HOSTS_READ,
 	FFL_ACT_WORKER_SEND,
 	FFL_ACT_PEER_SEND,
 	FFL_ACT_ANSWER,	 /**< answers a command or refuses a request */
@@ -35,6 +36,12 @@
 	uint32_t count;
 } ffl_act_log_append_t;
 
+/** Reads the list of hosts; what changed since a version where it can. */
+typedef struct {
+	uint64_t seed;	/**< 0 asks for the whole list */
+	uint64_t since; /**< version that is known */
+} ffl_act_hosts_read_t;
+
 typedef struct {
 	ffl_name_t worker;
 	char addr[FFL_ADDR_BYTES];
@@ -76,6 +83,7 @@
 	union {
 		ffl_act_log_read_t log_read;
 		ffl_act_log_append_t log_append;
+		ffl_act_hosts_read_t hosts_read;
 		ffl_act_worker_send_t worker_send;
 		ffl_act_peer_send_t peer_send;
 		ffl_act_answer_t answer;
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -13,6 +13,7 @@
 #include "fireflyledge/counters.h"
 #include "fireflyledge/fleet.h"
 #include "fireflyledge/gang.h"
+#include "fireflyledge/hostlist.h"
 #include "fireflyledge/logc.h"
 #include "fireflyledge/member.h"
 #include "fireflyledge/request.h"
@@ -28,6 +29,7 @@
 	ffl_join_t self;
 	ffl_member_times_t times;
 	ffl_request_limits_t limits;
+	uint32_t poll_hosts_ms; /**< 0 where the list comes by itself */
 	/** Operator token that holds while no operator is configured. */
 	uint8_t bootstrap_hash[FFL_HASH_BYTES];
 } ffl_host_options_t;
@@ -56,6 +58,7 @@
 	ffl_logc_t logc;
 	ffl_config_t config;
 	ffl_members_t members;
+	ffl_hostlist_t hostlist;
 	ffl_fleet_t fleet;
 	ffl_gangs_t gangs;
 	ffl_sched_t sched;
--- a/include/fireflyledge/port.h
+++ b/include/fireflyledge/port.h
@@ -11,6 +11,7 @@
 typedef struct {
 	void (*log_read)(void *self, const ffl_act_log_read_t *act);
 	void (*log_append)(void *self, const ffl_act_log_append_t *act);
+	void (*hosts_read)(void *self, const ffl_act_hosts_read_t *act);
 	void (*worker_send)(void *self, const ffl_act_worker_send_t *act);
 	void (*peer_send)(void *self, const ffl_act_peer_send_t *act);
 	void (*answer)(void *self, const ffl_act_answer_t *act);
--- a/include/fireflyledge/worker.h
+++ b/include/fireflyledge/worker.h
@@ -100,9 +100,18 @@
 	char addr[FFL_ADDR_BYTES];
 } ffl_host_info_t;
 
-/** The platform's list of hosts. */
+/** A host that left the list. */
+typedef struct {
+	ffl_name_t name;
+} ffl_host_gone_t;
+
+/** The platform's list of hosts, or what changed in it since a version. */
 typedef struct {
 	ffl_list_t hosts; /**< of ffl_host_info_t, by name */
+	uint64_t seed;	  /**< of the list's life; versions belong to it */
+	uint64_t version; /**< grows with each change */
+	bool delta;	 /**< holds only what changed since the version asked */
+	ffl_list_t gone; /**< of ffl_host_gone_t; only in a delta */
 } ffl_host_list_t;
 
 extern const ffl_schema_t ffl_worker_cmd_schema;
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -100,6 +100,7 @@
 	ffl_logc_init(&h->logc, opt->cluster, opt->self.member, opt->seed);
 	ffl_config_init(&h->config);
 	ffl_members_init(&h->members, &opt->self, &opt->times);
+	ffl_hostlist_init(&h->hostlist, opt->poll_hosts_ms);
 	ffl_fleet_init(&h->fleet);
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
 	ffl_sched_init(&h->sched, opt->self.dc);
@@ -119,6 +120,7 @@
 	ffl_sched_finish(&h->sched);
 	ffl_gangs_finish(&h->gangs);
 	ffl_fleet_finish(&h->fleet);
+	ffl_hostlist_finish(&h->hostlist);
 	ffl_members_finish(&h->members);
 	ffl_config_finish(&h->config);
 	ffl_logc_finish(&h->logc);
@@ -228,10 +230,15 @@
 static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			 ffl_actions_t *out)
 {
-	ffl_fleet_on_list(&h->fleet, &ev->host_list, now_ms);
+	ffl_host_list_t whole;
+
+	if (ffl_hostlist_take(&h->hostlist, &ev->host_list, now_ms, &whole) !=
+	    FFL_OK)
+		return;
+	ffl_fleet_on_list(&h->fleet, &whole, now_ms);
 	ffl_gangs_on_list(&h->gangs, now_ms);
 	ffl_fleet_on_config(&h->fleet, &h->config);
-	ffl_requests_on_list(&h->requests, &ev->host_list);
+	ffl_requests_on_list(&h->requests, &whole);
 	ffl_requests_on_config(&h->requests, &h->config);
 }
 
@@ -357,6 +364,8 @@
 		h->requests.entry_hosts = live_members(h, now_ms);
 	if (parts & RUN_REQUESTS)
 		ffl_requests_run(&h->requests, now_ms, out);
+	if (parts & RUN_LOG)
+		ffl_hostlist_run(&h->hostlist, now_ms, out);
 	if (parts & RUN_STOP) {
 		set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
 		run_stop(h, now_ms, out);
--- a/lib/port/action.c
+++ b/lib/port/action.c
@@ -13,6 +13,7 @@
 static const char *const kind_names[FFL_ACT__MAX] = {
 	[FFL_ACT_LOG_READ] = "log-read",
 	[FFL_ACT_LOG_APPEND] = "log-append",
+	[FFL_ACT_HOSTS_READ] = "hosts-read",
 	[FFL_ACT_WORKER_SEND] = "worker-send",
 	[FFL_ACT_PEER_SEND] = "peer-send",
 	[FFL_ACT_ANSWER] = "answer",
--- a/lib/port/port.c
+++ b/lib/port/port.c
@@ -7,6 +7,8 @@
 			const ffl_action_t *act);
 static void do_log_append(const ffl_port_t *port, void *self,
 			  const ffl_action_t *act);
+static void do_hosts_read(const ffl_port_t *port, void *self,
+			  const ffl_action_t *act);
 static void do_worker_send(const ffl_port_t *port, void *self,
 			   const ffl_action_t *act);
 static void do_peer_send(const ffl_port_t *port, void *self,
@@ -27,6 +29,7 @@
 static const dispatch_fn_t dispatchers[FFL_ACT__MAX] = {
 	[FFL_ACT_LOG_READ] = do_log_read,
 	[FFL_ACT_LOG_APPEND] = do_log_append,
+	[FFL_ACT_HOSTS_READ] = do_hosts_read,
 	[FFL_ACT_WORKER_SEND] = do_worker_send,
 	[FFL_ACT_PEER_SEND] = do_peer_send,
 	[FFL_ACT_ANSWER] = do_answer,
@@ -49,6 +52,12 @@
 	port->log_append(self, &act->log_append);
 }
 
+static void do_hosts_read(const ffl_port_t *port, void *self,
+			  const ffl_action_t *act)
+{
+	port->hosts_read(self, &act->hosts_read);
+}
+
 static void do_worker_send(const ffl_port_t *port, void *self,
 			   const ffl_action_t *act)
 {
--- a/lib/wire/worker.c
+++ b/lib/wire/worker.c
@@ -93,8 +93,18 @@
 	SCHEMA(ffl_worker_reply_t, reply_fields);
 const ffl_schema_t ffl_host_info_schema = SCHEMA(ffl_host_info_t, host_fields);
 
+static const ffl_field_t gone_fields[] = {
+	FIELD_TEXT(ffl_host_gone_t, name),
+};
+
+static const ffl_schema_t gone_schema = SCHEMA(ffl_host_gone_t, gone_fields);
+
 static const ffl_field_t host_list_fields[] = {
 	FIELD_LIST(ffl_host_list_t, hosts, HOSTS_MAX, &ffl_host_info_schema),
+	FIELD_U64(ffl_host_list_t, seed),
+	FIELD_U64(ffl_host_list_t, version),
+	FIELD_BOOL(ffl_host_list_t, delta),
+	FIELD_LIST(ffl_host_list_t, gone, HOSTS_MAX, &gone_schema),
 };
 
 const ffl_schema_t ffl_host_list_schema =
--- a/standin/main.c
+++ b/standin/main.c
@@ -28,6 +28,7 @@
 			 uint32_t n, uint32_t port);
 static bool add_dc(platform_t *p, const char *text, const char *addr,
 		   uint32_t *port);
+static uint64_t query_number(const char *query, const char *name);
 static int serve_hosts(struct mg_connection *conn, void *platform);
 static int serve_faults(struct mg_connection *conn, void *platform);
 static int serve_state(struct mg_connection *conn, void *platform);
@@ -67,6 +68,8 @@
 static void add_host(platform_t *p, const ffl_host_info_t *info)
 {
 	g_array_append_val(p->hosts, *info);
+	p->list_version++;
+	g_array_append_val(p->changed, p->list_version);
 }
 
 static void add_worker(platform_t *p, const char *dc, const char *region,
@@ -129,18 +132,43 @@
 	return ok;
 }
 
+static uint64_t query_number(const char *query, const char *name)
+{
+	char value[32];
+
+	if (!query ||
+	    mg_get_var(query, strlen(query), name, value, sizeof(value)) < 0)
+		return 0;
+	return strtoull(value, NULL, 10);
+}
+
+/* Gives the whole list, or what changed since a version of this life. */
 static int serve_hosts(struct mg_connection *conn, void *platform)
 {
+	const char *query = mg_get_request_info(conn)->query_string;
 	platform_t *p = platform;
 	GByteArray *body = g_byte_array_new();
-	ffl_host_list_t list;
+	GArray *infos = g_array_new(FALSE, TRUE, sizeof(ffl_host_info_t));
+	ffl_host_list_t list = { 0 };
+	uint64_t since = query_number(query, "since");
 
 	pthread_mutex_lock(&p->lock);
-	list.hosts.items = p->hosts->data;
-	list.hosts.count = p->hosts->len;
-	ffl_schema_encode(&ffl_host_list_schema, &list, body);
+	list.seed = p->list_seed;
+	list.version = p->list_version;
+	list.delta = query_number(query, "seed") == p->list_seed;
+	for (guint i = 0; i < p->hosts->len; i++) {
+		if (!list.delta ||
+		    g_array_index(p->changed, uint64_t, i) > since)
+			g_array_append_val(
+				infos,
+				g_array_index(p->hosts, ffl_host_info_t, i));
+	}
 	pthread_mutex_unlock(&p->lock);
+	list.hosts.items = infos->data;
+	list.hosts.count = infos->len;
+	ffl_schema_encode(&ffl_host_list_schema, &list, body);
 	standin_send(conn, 200, "application/msgpack", body->data, body->len);
+	g_array_free(infos, TRUE);
 	g_byte_array_free(body, TRUE);
 	return 1;
 }
@@ -168,8 +196,11 @@
 			ffl_host_info_t *h =
 				&g_array_index(p->hosts, ffl_host_info_t, i);
 
-			if (strcmp(h->name, v) == 0)
-				h->leaving = true;
+			if (strcmp(h->name, v) != 0)
+				continue;
+			h->leaving = true;
+			g_array_index(p->changed, uint64_t, i) =
+				++p->list_version;
 		}
 	}
 	if (mg_get_var(q, len, "frozen", v, sizeof(v)) > 0) {
@@ -261,6 +292,8 @@
 	pthread_cond_init(&p.appended, NULL);
 	fake_log_init(&p.log);
 	p.hosts = g_array_new(FALSE, TRUE, sizeof(ffl_host_info_t));
+	p.changed = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	p.list_seed = standin_now_ms() | 1;
 	p.workers = g_ptr_array_new();
 	p.upstreams = g_ptr_array_new();
 	addr = listen->count ? listen->sval[0] : "127.0.0.1:7100";
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -41,6 +41,9 @@
 	fake_log_t log;
 	uint32_t delay_ms; /**< of every answer of the log */
 	GArray *hosts;	   /**< of ffl_host_info_t */
+	GArray *changed;   /**< version of each host's last change */
+	uint64_t list_seed;
+	uint64_t list_version;
 	GPtrArray *workers;
 	GPtrArray *upstreams;
 } platform_t;
