Request path in one job a file: fair queue, shares of slots, keys at most once

Cause: one FIFO for all callers, a guess of slots / entry hosts that two hosts with different views could both use, no retry budget and no idempotency keys. Change: lib/request split into fair queue (class, customer, caller, on learned cost), cost, budget, link, upstream, authority (views), policy table (fcfs and fair), once (home of a key), handover, keyed, load; peer messages ONCE_*, HANDOVER, LOAD.

--- /dev/null
+++ b/include/fireflyledge/authority.h
@@ -0,0 +1,107 @@
+/**
+ * @file authority.h
+ * @brief Which entry hosts share slots and keys, and whether this one may
+ * still act for its part.
+ *
+ * The view is the set of members folded from the log. A host acts for its
+ * part only while it has recent proof that the view is current: its own
+ * read of the log, or the word of peers. What it gains by a new view it
+ * takes over only when each other member has left the view before, or when
+ * the time is over in which a member without proof may still act. All times
+ * are of this host's own clock: a peer's word counts from the moment at
+ * which this host sent what the peer echoes.
+ */
+#ifndef FFL_AUTHORITY_H
+#define FFL_AUTHORITY_H
+
+#include <glib.h>
+
+#include "fireflyledge/types.h"
+
+/** Most entry hosts in a view. */
+#define FFL_VIEW_MAX 128
+
+/** The entry hosts that the log names, in ascending order. */
+typedef struct {
+	uint64_t members[FFL_VIEW_MAX];
+	uint32_t count;
+	uint64_t hash;
+} ffl_view_t;
+
+/** Sets the members, sorted, and the hash. */
+void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count);
+bool ffl_view_has(const ffl_view_t *view, uint64_t member);
+/** Returns the member that owns a part (rendezvous hashing), or 0. */
+uint64_t ffl_view_home(const ffl_view_t *view, uint64_t a, uint64_t b);
+
+/** What is known of another member. */
+typedef struct {
+	uint64_t member;
+	uint64_t proof_ms; /**< own time that its latest word proves */
+	uint64_t stamp_ms; /**< its latest time stamp, echoed to it */
+	uint64_t view;	   /**< hash of its view */
+	bool log_fresh;
+	bool settled; /**< it uses no more than its part of that view */
+	bool rooted;  /**< it has taken over its part at least once */
+	bool final;   /**< it has ended its part for good */
+} ffl_auth_peer_t;
+
+/** A host's word about its own state; see the fields of ffl_auth_peer_t. */
+typedef struct {
+	uint64_t stamp_ms;
+	uint64_t echo_ms;
+	uint64_t view;
+	uint32_t taint_ms; /**< time for which parts may be in unknown use */
+	bool log_fresh;
+	bool settled;
+	bool rooted;
+	bool final;
+} ffl_auth_word_t;
+
+/** Times of authority, in milliseconds. */
+typedef struct {
+	uint32_t fresh_ms;    /**< age up to which proof counts */
+	uint32_t grace_ms;    /**< after which a silent member's work is over */
+	uint32_t outage_ms;   /**< bound of a log outage that is ridden out */
+	uint32_t minority_ms; /**< added grace where a majority is missing */
+} ffl_auth_times_t;
+
+typedef struct {
+	uint64_t self;
+	ffl_auth_times_t times;
+	ffl_view_t view;
+	GArray *peers;	     /**< of ffl_auth_peer_t, by member */
+	uint64_t log_ms;     /**< own time that the latest read proves */
+	uint64_t contact_ms; /**< latest proof that rests on the log */
+	uint64_t adopted_ms; /**< when the view was adopted */
+	uint64_t taint_until_ms;
+	bool open;   /**< gained parts are taken over */
+	bool rooted; /**< it was open once, or no member was before */
+} ffl_authority_t;
+
+void ffl_authority_init(ffl_authority_t *a, uint64_t self,
+			const ffl_auth_times_t *times);
+void ffl_authority_finish(ffl_authority_t *a);
+
+/**
+ * Takes the view that the log now gives.
+ *
+ * @param first no other member can ever have been
+ * @return whether it differs from the one before
+ */
+bool ffl_authority_adopt(ffl_authority_t *a, const ffl_view_t *view, bool first,
+			 uint64_t now_ms);
+/** Notes a read of the log that reached its end and was sent at @p sent_ms. */
+void ffl_authority_read(ffl_authority_t *a, uint64_t sent_ms);
+/** Takes a member's word. */
+void ffl_authority_hear(ffl_authority_t *a, uint64_t member,
+			const ffl_auth_word_t *word, uint64_t now_ms);
+/** Returns this host's word for a member. */
+ffl_auth_word_t ffl_authority_word(const ffl_authority_t *a, uint64_t member,
+				   bool settled, bool final, uint64_t now_ms);
+/** Tells whether this host may start work on its part. */
+bool ffl_authority_live(const ffl_authority_t *a, uint64_t now_ms);
+/** Opens the gate to gained parts when it may; true on the change. */
+bool ffl_authority_open(ffl_authority_t *a, uint64_t now_ms);
+
+#endif
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -65,7 +65,10 @@
 	ffl_arena_t scratch;
 	ffl_stop_state_t stop;
 	uint64_t stop_ms;
-	bool caught_up; /**< the log was read to its end once */
+	uint64_t read_sent_ms; /**< when the latest read of the log was sent */
+	uint64_t first_member; /**< first that ever joined; 0: not known */
+	bool log_trimmed;      /**< the log's start was not seen */
+	bool caught_up;	       /**< the log was read to its end once */
 	bool ready;
 } ffl_host_t;
 
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -3,6 +3,8 @@
 #include "fireflyledge/host.h"
 #include "lib/host/host_int.h"
 
+/** First offset of a log that was never trimmed. */
+#define LOG_START 1
 /** Longest wait of a planned stop, in milliseconds. */
 #define STOP_DRAIN_MS 30000
 #define STOP_LEAVE_MS 3000
@@ -33,6 +35,10 @@
 		    ffl_actions_t *out);
 static void peer_heartbeat(ffl_host_t *h, const ffl_peer_msg_t *msg,
 			   uint64_t now_ms, ffl_actions_t *out);
+static void peer_request(ffl_host_t *h, const ffl_peer_msg_t *msg,
+			 uint64_t now_ms, ffl_actions_t *out);
+static void note_members(ffl_host_t *h, uint64_t now_ms);
+static void run_log(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		       ffl_actions_t *out);
 static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -52,7 +58,6 @@
 		ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
-static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms);
 
 static const take_fn_t takers[FFL_EV__MAX] = {
 	[FFL_EV_TICK] = on_tick,
@@ -89,11 +94,19 @@
 
 static const peer_fn_t peer_takers[FFL_PEER__MAX] = {
 	[FFL_PEER_HEARTBEAT] = peer_heartbeat,
+	[FFL_PEER_ONCE_ASK] = peer_request,
+	[FFL_PEER_ONCE_TELL] = peer_request,
+	[FFL_PEER_ONCE_DONE] = peer_request,
+	[FFL_PEER_HANDOVER] = peer_request,
+	[FFL_PEER_LOAD] = peer_request,
 };
 
 void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
 		   ffl_counters_t *counters)
 {
+	const ffl_request_self_t self = { opt->self.member, opt->cluster,
+					  opt->seed, opt->self.region };
+
 	memset(h, 0, sizeof(*h));
 	h->opt = *opt;
 	h->counters = counters;
@@ -103,7 +116,7 @@
 	ffl_fleet_init(&h->fleet);
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
 	ffl_sched_init(&h->sched, opt->self.dc);
-	ffl_requests_init(&h->requests, &opt->limits, opt->self.region);
+	ffl_requests_init(&h->requests, &opt->limits, &self, &h->members);
 	h->writers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 	h->waiters = g_array_new(FALSE, TRUE, sizeof(ffl_waiter_t));
@@ -165,6 +178,9 @@
 		ffl_host_on_verdict(h, rec, &verdict, out);
 		break;
 	default:
+		if (rec->kind == FFL_REC_JOIN && !h->first_member &&
+		    !h->log_trimmed)
+			h->first_member = rec->join.member;
 		ffl_members_fold(&h->members, offset, rec, now_ms);
 		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
 		ffl_host_on_record(h, offset, rec, out);
@@ -201,16 +217,29 @@
 	ffl_host_expire_waiters(h, now_ms, out);
 }
 
+/* Shares and homes follow the members once the log was read to its end. */
+static void note_members(ffl_host_t *h, uint64_t now_ms)
+{
+	if (h->caught_up)
+		ffl_requests_on_members(&h->requests,
+					h->first_member == h->opt.self.member,
+					now_ms);
+}
+
 static void on_log_read(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			ffl_actions_t *out)
 {
 	const ffl_ev_log_read_t *r = &ev->log_read;
 
 	if (r->status == FFL_OK) {
+		h->log_trimmed |= r->first > LOG_START;
 		for (uint32_t i = 0; i < r->count; i++)
 			fold(h, &r->entries[i], now_ms, out);
-		if (h->logc.next_offset >= r->end)
+		if (h->logc.next_offset >= r->end) {
 			h->caught_up = true;
+			ffl_requests_on_read(&h->requests, h->read_sent_ms);
+		}
+		note_members(h, now_ms);
 	}
 	ffl_logc_on_read(&h->logc, r, now_ms);
 	ffl_gauge(h->counters, FFL_CTR_LOG_OFFSET, h->logc.next_offset);
@@ -247,6 +276,12 @@
 	ffl_members_on_peer(&h->members, msg, now_ms);
 }
 
+static void peer_request(ffl_host_t *h, const ffl_peer_msg_t *msg,
+			 uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_requests_on_peer(&h->requests, msg, now_ms, out);
+}
+
 static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out)
 {
@@ -311,18 +346,14 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
-static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms)
+/* A read proves what the log held when it was sent, not when it came back. */
+static void run_log(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
-	uint32_t n = 0;
-
-	for (guint i = 0; i < h->members.members->len; i++) {
-		if (ffl_member_alive(
-			    &h->members,
-			    &g_array_index(h->members.members, ffl_member_t, i),
-			    now_ms))
-			n++;
-	}
-	return n ? n : 1;
+	bool reading = h->logc.reading;
+
+	ffl_logc_run(&h->logc, now_ms, out);
+	if (!reading && h->logc.reading)
+		h->read_sent_ms = now_ms;
 }
 
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
@@ -352,8 +383,6 @@
 	if ((parts & RUN_GANGS) && h->caught_up)
 		ffl_gangs_run(&h->gangs, &h->fleet, &h->members, &h->config,
 			      &h->sched, &h->logc, now_ms, out);
-	if (parts & RUN_MEMBERS)
-		h->requests.entry_hosts = live_members(h, now_ms);
 	if (parts & RUN_REQUESTS)
 		ffl_requests_run(&h->requests, now_ms, out);
 	if (parts & RUN_STOP) {
@@ -361,7 +390,7 @@
 		run_stop(h, now_ms, out);
 	}
 	if (parts & RUN_LOG)
-		ffl_logc_run(&h->logc, now_ms, out);
+		run_log(h, now_ms, out);
 }
 
 void ffl_host_step(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
--- /dev/null
+++ b/lib/request/authority.c
@@ -0,0 +1,276 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fireflyledge/authority.h"
+
+static int compare_ids(const void *a, const void *b);
+static ffl_auth_peer_t *find(const ffl_authority_t *a, uint64_t member);
+static ffl_auth_peer_t *find_or_add(ffl_authority_t *a, uint64_t member);
+static bool recent(const ffl_authority_t *a, uint64_t at_ms, uint64_t now_ms);
+static bool log_fresh(const ffl_authority_t *a, uint64_t now_ms);
+static uint32_t agreeing(const ffl_authority_t *a, uint64_t now_ms);
+static bool majority(const ffl_authority_t *a, uint64_t now_ms);
+static void taint(ffl_authority_t *a, uint64_t until_ms);
+static void forget_gone(ffl_authority_t *a);
+static bool all_settled(const ffl_authority_t *a, uint64_t now_ms);
+
+static int compare_ids(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count)
+{
+	memset(view, 0, sizeof(*view));
+	view->count = MIN(count, FFL_VIEW_MAX);
+	if (!view->count)
+		return;
+	memcpy(view->members, members, view->count * sizeof(*members));
+	qsort(view->members, view->count, sizeof(*members), compare_ids);
+	view->hash = ffl_hash(view->members, view->count * sizeof(*members), 0);
+}
+
+bool ffl_view_has(const ffl_view_t *view, uint64_t member)
+{
+	for (uint32_t i = 0; i < view->count; i++) {
+		if (view->members[i] == member)
+			return true;
+	}
+	return false;
+}
+
+uint64_t ffl_view_home(const ffl_view_t *view, uint64_t a, uint64_t b)
+{
+	uint64_t part = ffl_mix(a, b);
+	uint64_t best = 0;
+	uint64_t home = 0;
+
+	for (uint32_t i = 0; i < view->count; i++) {
+		uint64_t score = ffl_mix(part, view->members[i]);
+
+		if (!home || score > best) {
+			best = score;
+			home = view->members[i];
+		}
+	}
+	return home;
+}
+
+void ffl_authority_init(ffl_authority_t *a, uint64_t self,
+			const ffl_auth_times_t *times)
+{
+	memset(a, 0, sizeof(*a));
+	a->self = self;
+	a->times = *times;
+	a->peers = g_array_new(FALSE, TRUE, sizeof(ffl_auth_peer_t));
+}
+
+void ffl_authority_finish(ffl_authority_t *a)
+{
+	g_array_free(a->peers, TRUE);
+}
+
+static ffl_auth_peer_t *find(const ffl_authority_t *a, uint64_t member)
+{
+	for (guint i = 0; i < a->peers->len; i++) {
+		ffl_auth_peer_t *p =
+			&g_array_index(a->peers, ffl_auth_peer_t, i);
+
+		if (p->member == member)
+			return p;
+	}
+	return NULL;
+}
+
+static ffl_auth_peer_t *find_or_add(ffl_authority_t *a, uint64_t member)
+{
+	ffl_auth_peer_t *p = find(a, member);
+	ffl_auth_peer_t fresh = { .member = member };
+
+	if (p)
+		return p;
+	g_array_append_val(a->peers, fresh);
+	return &g_array_index(a->peers, ffl_auth_peer_t, a->peers->len - 1);
+}
+
+static bool recent(const ffl_authority_t *a, uint64_t at_ms, uint64_t now_ms)
+{
+	return at_ms && now_ms - at_ms <= a->times.fresh_ms;
+}
+
+static bool log_fresh(const ffl_authority_t *a, uint64_t now_ms)
+{
+	return recent(a, a->log_ms, now_ms);
+}
+
+void ffl_authority_read(ffl_authority_t *a, uint64_t sent_ms)
+{
+	a->log_ms = MAX(a->log_ms, sent_ms);
+	a->contact_ms = MAX(a->contact_ms, sent_ms);
+}
+
+static void taint(ffl_authority_t *a, uint64_t until_ms)
+{
+	a->taint_until_ms = MAX(a->taint_until_ms, until_ms);
+}
+
+static void forget_gone(ffl_authority_t *a)
+{
+	for (guint i = a->peers->len; i-- > 0;) {
+		const ffl_auth_peer_t *p =
+			&g_array_index(a->peers, ffl_auth_peer_t, i);
+
+		if (!ffl_view_has(&a->view, p->member))
+			g_array_remove_index(a->peers, i);
+	}
+}
+
+bool ffl_authority_adopt(ffl_authority_t *a, const ffl_view_t *view, bool first,
+			 uint64_t now_ms)
+{
+	bool started = a->view.count > 0;
+	bool stale = started && !recent(a, a->contact_ms, now_ms);
+	bool unclean = false;
+
+	if (started && view->hash == a->view.hash)
+		return false;
+	for (uint32_t i = 0; i < a->view.count; i++) {
+		uint64_t member = a->view.members[i];
+		const ffl_auth_peer_t *p = find(a, member);
+
+		if (member != a->self && !ffl_view_has(view, member) &&
+		    !(p && p->final))
+			unclean = true;
+	}
+	if (first)
+		a->rooted = true;
+	if (unclean && !majority(a, now_ms))
+		taint(a, now_ms + a->times.grace_ms + a->times.minority_ms);
+	else if (unclean || stale)
+		taint(a, now_ms + a->times.grace_ms);
+	a->view = *view;
+	a->adopted_ms = now_ms;
+	a->open = false;
+	forget_gone(a);
+	return true;
+}
+
+void ffl_authority_hear(ffl_authority_t *a, uint64_t member,
+			const ffl_auth_word_t *word, uint64_t now_ms)
+{
+	ffl_auth_peer_t *p = find_or_add(a, member);
+
+	if (word->stamp_ms < p->stamp_ms)
+		return;
+	p->stamp_ms = word->stamp_ms;
+	p->proof_ms = MAX(p->proof_ms, word->echo_ms);
+	p->view = word->view;
+	p->log_fresh = word->log_fresh;
+	p->settled = word->settled;
+	p->rooted = word->rooted;
+	p->final |= word->final;
+	if (word->view != a->view.hash)
+		return;
+	if (word->log_fresh)
+		a->contact_ms = MAX(a->contact_ms, word->echo_ms);
+	if (!a->open && word->taint_ms)
+		taint(a, now_ms + word->taint_ms);
+}
+
+ffl_auth_word_t ffl_authority_word(const ffl_authority_t *a, uint64_t member,
+				   bool settled, bool final, uint64_t now_ms)
+{
+	const ffl_auth_peer_t *p = find(a, member);
+	ffl_auth_word_t word = { .stamp_ms = now_ms,
+				 .view = a->view.hash,
+				 .settled = settled,
+				 .final = final };
+
+	word.echo_ms = p ? p->stamp_ms : 0;
+	word.rooted = a->rooted;
+	word.log_fresh = log_fresh(a, now_ms);
+	if (now_ms < a->taint_until_ms)
+		word.taint_ms = (uint32_t)(a->taint_until_ms - now_ms);
+	return word;
+}
+
+/* Counts the members, this host with them, that recently held this view. */
+static uint32_t agreeing(const ffl_authority_t *a, uint64_t now_ms)
+{
+	uint32_t n = 1;
+
+	for (guint i = 0; i < a->peers->len; i++) {
+		const ffl_auth_peer_t *p =
+			&g_array_index(a->peers, ffl_auth_peer_t, i);
+
+		if (p->view == a->view.hash && recent(a, p->proof_ms, now_ms))
+			n++;
+	}
+	return n;
+}
+
+static bool majority(const ffl_authority_t *a, uint64_t now_ms)
+{
+	return 2 * agreeing(a, now_ms) > a->view.count;
+}
+
+/*
+ * During a log outage nobody's view changes, but a host cannot tell an
+ * outage from its own cut. A majority that holds the same view rules out
+ * that another majority has moved on; the bound on the outage covers the
+ * rest, because a minority waits that long before it takes anything over.
+ */
+bool ffl_authority_live(const ffl_authority_t *a, uint64_t now_ms)
+{
+	if (!ffl_view_has(&a->view, a->self))
+		return false;
+	if (recent(a, a->contact_ms, now_ms))
+		return true;
+	for (guint i = 0; i < a->peers->len; i++) {
+		const ffl_auth_peer_t *p =
+			&g_array_index(a->peers, ffl_auth_peer_t, i);
+
+		if (p->log_fresh && p->view != a->view.hash)
+			return false;
+	}
+	return majority(a, now_ms) &&
+	       now_ms - a->contact_ms <= a->times.outage_ms;
+}
+
+/* Members that have all just started know nothing of those before them. */
+static bool all_settled(const ffl_authority_t *a, uint64_t now_ms)
+{
+	bool rooted = a->rooted;
+
+	for (uint32_t i = 0; i < a->view.count; i++) {
+		uint64_t member = a->view.members[i];
+		const ffl_auth_peer_t *p = find(a, member);
+
+		if (member == a->self)
+			continue;
+		if (!p || p->view != a->view.hash || !(p->settled || p->final))
+			return false;
+		rooted |= p->rooted;
+	}
+	return rooted;
+}
+
+bool ffl_authority_open(ffl_authority_t *a, uint64_t now_ms)
+{
+	uint64_t wait_ms = a->times.grace_ms;
+
+	if (a->open || !ffl_view_has(&a->view, a->self))
+		return false;
+	if (!majority(a, now_ms))
+		wait_ms += a->times.minority_ms;
+	if (!all_settled(a, now_ms) && now_ms < a->adopted_ms + wait_ms)
+		return false;
+	if (now_ms < a->taint_until_ms)
+		return false;
+	a->open = true;
+	a->rooted = true;
+	return true;
+}
--- /dev/null
+++ b/lib/request/once.c
@@ -0,0 +1,268 @@
+#include <string.h>
+#include <sodium.h>
+
+#include "lib/request/once_int.h"
+
+/** Kept beyond the retention, so that no clock's drift cuts it short. */
+#define RETENTION_MARGIN_MS (FFL_ONCE_RETENTION_MS / 10)
+#define RUN_MARGIN_MS	    1000
+#define FRESH_MS	    5000
+/** Longest log outage in which keys are still granted. */
+#define OUTAGE_MS	 3600000
+#define KEYS_MAX	 200000
+#define ANSWER_BYTES_MAX (32U << 20)
+
+static guint entry_hash(gconstpointer p);
+static gboolean entry_equal(gconstpointer a, gconstpointer b);
+static void entry_free(gpointer p);
+static void drop_answer(ffl_once_t *o, ffl_once_entry_t *e);
+static void keep_answer(ffl_once_t *o, ffl_once_entry_t *e,
+			const ffl_once_row_t *row);
+static void remove_entry(ffl_once_t *o, ffl_once_entry_t *e);
+static ffl_once_entry_t *add_entry(ffl_once_t *o, ffl_key_id_t id,
+				   uint64_t payload_hash);
+static ffl_once_verdict_t say(const ffl_once_entry_t *e, uint64_t origin,
+			      const ffl_once_ask_t *ask, uint64_t now_ms);
+
+static const ffl_once_verdict_t verdicts[FFL_ONCE_STATE__MAX] = {
+	[FFL_ONCE_FREE] = FFL_ONCE_SAY_UNKNOWN,
+	[FFL_ONCE_RUNNING] = FFL_ONCE_SAY_RUNNING,
+	[FFL_ONCE_UNKNOWN] = FFL_ONCE_SAY_UNKNOWN,
+	[FFL_ONCE_DONE] = FFL_ONCE_SAY_DONE,
+	[FFL_ONCE_ANSWERED] = FFL_ONCE_SAY_ANSWER,
+};
+
+void ffl_once_init(ffl_once_t *o, uint64_t self)
+{
+	static const ffl_auth_times_t times = {
+		.fresh_ms = FRESH_MS,
+		.grace_ms = FFL_ONCE_RETENTION_MS + RETENTION_MARGIN_MS,
+		.outage_ms = OUTAGE_MS,
+		.minority_ms = OUTAGE_MS,
+	};
+
+	memset(o, 0, sizeof(*o));
+	ffl_authority_init(&o->auth, self, &times);
+	o->bounds.keys = KEYS_MAX;
+	o->bounds.answer_bytes = ANSWER_BYTES_MAX;
+	o->entries = g_hash_table_new_full(entry_hash, entry_equal, entry_free,
+					   NULL);
+	g_queue_init(&o->by_cursor);
+	o->peers = g_array_new(FALSE, TRUE, sizeof(ffl_once_peer_t));
+}
+
+void ffl_once_finish(ffl_once_t *o)
+{
+	g_array_free(o->peers, TRUE);
+	g_hash_table_destroy(o->entries);
+	ffl_authority_finish(&o->auth);
+}
+
+static guint entry_hash(gconstpointer p)
+{
+	return (guint)((const ffl_once_entry_t *)p)->id.a;
+}
+
+static gboolean entry_equal(gconstpointer pa, gconstpointer pb)
+{
+	const ffl_once_entry_t *a = pa;
+	const ffl_once_entry_t *b = pb;
+
+	return a->id.a == b->id.a && a->id.b == b->id.b;
+}
+
+static void entry_free(gpointer p)
+{
+	ffl_once_entry_t *e = p;
+
+	g_free(e->content_type);
+	g_free(e->answer);
+	g_free(e);
+}
+
+ffl_key_id_t ffl_once_key(const char *customer, const char *key)
+{
+	unsigned char hash[sizeof(ffl_key_id_t)];
+	crypto_generichash_state state;
+	ffl_key_id_t id;
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(hash));
+	crypto_generichash_update(&state, (const unsigned char *)customer,
+				  strlen(customer) + 1);
+	crypto_generichash_update(&state, (const unsigned char *)key,
+				  strlen(key));
+	crypto_generichash_final(&state, hash, sizeof(hash));
+	memcpy(&id, hash, sizeof(id));
+	return id;
+}
+
+uint64_t ffl_once_home(const ffl_once_t *o, ffl_key_id_t id)
+{
+	return ffl_view_home(&o->auth.view, id.a, id.b);
+}
+
+ffl_once_entry_t *ffl_once_find(const ffl_once_t *o, ffl_key_id_t id)
+{
+	ffl_once_entry_t probe = { .id = id };
+
+	return g_hash_table_lookup(o->entries, &probe);
+}
+
+ffl_once_state_t ffl_once_state(const ffl_once_entry_t *e, uint64_t now_ms)
+{
+	if (e->state == FFL_ONCE_RUNNING && now_ms >= e->run_until_ms)
+		return FFL_ONCE_UNKNOWN;
+	return e->state;
+}
+
+static void drop_answer(ffl_once_t *o, ffl_once_entry_t *e)
+{
+	o->answer_bytes -= e->answer_bytes;
+	g_free(e->answer);
+	g_free(e->content_type);
+	e->answer = NULL;
+	e->content_type = NULL;
+	e->answer_bytes = 0;
+	if (e->state == FFL_ONCE_ANSWERED)
+		e->state = FFL_ONCE_DONE;
+}
+
+static void remove_entry(ffl_once_t *o, ffl_once_entry_t *e)
+{
+	drop_answer(o, e);
+	g_queue_unlink(&o->by_cursor, &e->link);
+	g_hash_table_remove(o->entries, e);
+}
+
+static ffl_once_entry_t *add_entry(ffl_once_t *o, ffl_key_id_t id,
+				   uint64_t payload_hash)
+{
+	ffl_once_entry_t *e = g_new0(ffl_once_entry_t, 1);
+
+	e->id = id;
+	e->payload_hash = payload_hash;
+	e->cursor = ++o->next_cursor;
+	e->link.data = e;
+	g_queue_push_tail_link(&o->by_cursor, &e->link);
+	g_hash_table_add(o->entries, e);
+	return e;
+}
+
+/* Oldest answers give way; their keys stay. */
+static void keep_answer(ffl_once_t *o, ffl_once_entry_t *e,
+			const ffl_once_row_t *row)
+{
+	uint64_t size = row->answer.size_bytes;
+
+	for (GList *l = o->by_cursor.head;
+	     l && o->answer_bytes + size > o->bounds.answer_bytes; l = l->next)
+		drop_answer(o, l->data);
+	if (o->answer_bytes + size > o->bounds.answer_bytes) {
+		e->state = FFL_ONCE_DONE;
+		return;
+	}
+	e->http_status = row->http_status;
+	e->content_type = g_strdup(row->content_type);
+	e->answer = g_memdup2(row->answer.data, size);
+	e->answer_bytes = (uint32_t)size;
+	o->answer_bytes += size;
+}
+
+void ffl_once_merge(ffl_once_t *o, const ffl_once_row_t *row, uint64_t now_ms)
+{
+	ffl_key_id_t id = { row->key_a, row->key_b };
+	ffl_once_entry_t *e = ffl_once_find(o, id);
+	ffl_once_state_t state = (ffl_once_state_t)row->state;
+	uint64_t age_ms = MIN(row->age_ms, now_ms);
+
+	if (state <= FFL_ONCE_FREE || state >= FFL_ONCE_STATE__MAX)
+		return;
+	if (!e) {
+		e = add_entry(o, id, row->payload_hash);
+		e->state = FFL_ONCE_RUNNING;
+		e->origin = row->origin;
+		e->request = row->request;
+		e->seen_ms = now_ms - age_ms;
+		e->run_until_ms = now_ms + row->run_left_ms;
+	}
+	if (state <= e->state)
+		return;
+	e->state = state;
+	if (state == FFL_ONCE_ANSWERED)
+		keep_answer(o, e, row);
+}
+
+static ffl_once_verdict_t say(const ffl_once_entry_t *e, uint64_t origin,
+			      const ffl_once_ask_t *ask, uint64_t now_ms)
+{
+	ffl_once_state_t state = ffl_once_state(e, now_ms);
+
+	if (e->payload_hash != ask->payload_hash)
+		return FFL_ONCE_SAY_MISMATCH;
+	if (state == FFL_ONCE_RUNNING && e->origin == origin &&
+	    e->request == ask->request)
+		return FFL_ONCE_SAY_RUN;
+	return verdicts[state];
+}
+
+ffl_once_verdict_t ffl_once_ask(ffl_once_t *o, uint64_t origin,
+				const ffl_once_ask_t *ask, uint64_t now_ms,
+				const ffl_once_entry_t **entry)
+{
+	ffl_key_id_t id = { ask->key_a, ask->key_b };
+	ffl_once_entry_t *e = ffl_once_find(o, id);
+
+	if (e) {
+		*entry = e;
+		return say(e, origin, ask, now_ms);
+	}
+	if (o->final || ask->view != o->auth.view.hash ||
+	    ffl_once_home(o, id) != o->auth.self ||
+	    !ffl_authority_live(&o->auth, now_ms))
+		return FFL_ONCE_SAY_WAIT;
+	if (!o->auth.open)
+		return now_ms - o->auth.adopted_ms < FRESH_MS
+			       ? FFL_ONCE_SAY_WAIT
+			       : FFL_ONCE_SAY_UNKNOWN;
+	if (g_hash_table_size(o->entries) >= o->bounds.keys)
+		return FFL_ONCE_SAY_FULL;
+	e = add_entry(o, id, ask->payload_hash);
+	e->state = FFL_ONCE_RUNNING;
+	e->origin = origin;
+	e->request = ask->request;
+	e->seen_ms = now_ms;
+	e->run_until_ms = now_ms + ask->timeout_ms + RUN_MARGIN_MS;
+	return FFL_ONCE_SAY_RUN;
+}
+
+void ffl_once_done(ffl_once_t *o, const ffl_once_row_t *row, uint64_t now_ms)
+{
+	ffl_key_id_t id = { row->key_a, row->key_b };
+	ffl_once_entry_t *e = ffl_once_find(o, id);
+
+	if (row->state != FFL_ONCE_FREE) {
+		ffl_once_merge(o, row, now_ms);
+		return;
+	}
+	if (e && e->state == FFL_ONCE_RUNNING && e->origin == row->origin &&
+	    e->request == row->request)
+		remove_entry(o, e);
+}
+
+void ffl_once_expire(ffl_once_t *o, uint64_t now_ms)
+{
+	uint64_t keep_ms = FFL_ONCE_RETENTION_MS + RETENTION_MARGIN_MS;
+
+	while (o->by_cursor.head) {
+		ffl_once_entry_t *e = o->by_cursor.head->data;
+
+		if (now_ms - e->seen_ms <= keep_ms || now_ms < e->run_until_ms)
+			return;
+		remove_entry(o, e);
+	}
+}
+
+uint32_t ffl_once_count(const ffl_once_t *o)
+{
+	return g_hash_table_size(o->entries);
+}
--- /dev/null
+++ b/lib/request/policy.c
@@ -0,0 +1,128 @@
+#include "lib/request/request_int.h"
+
+static ffl_fq_node_t *place_fcfs(ffl_requests_t *rs, const ffl_req_t *req,
+				 const ffl_customer_t *customer);
+static bool never_hopeless(ffl_requests_t *rs, const ffl_req_t *req,
+			   uint64_t now_ms);
+static ffl_upstream_t *choose_fcfs(ffl_requests_t *rs, const ffl_req_t *req,
+				   uint64_t now_ms);
+static bool always_retry(ffl_requests_t *rs, ffl_up_outcome_t outcome);
+static ffl_fq_node_t *place_fair(ffl_requests_t *rs, const ffl_req_t *req,
+				 const ffl_customer_t *customer);
+static bool hopeless_fair(ffl_requests_t *rs, const ffl_req_t *req,
+			  uint64_t now_ms);
+static ffl_upstream_t *choose_fair(ffl_requests_t *rs, const ffl_req_t *req,
+				   uint64_t now_ms);
+static bool retry_fair(ffl_requests_t *rs, ffl_up_outcome_t outcome);
+static uint32_t share_of(const ffl_requests_t *rs, uint32_t whole);
+
+const ffl_route_policy_t ffl_policy_fcfs = {
+	.name = "fcfs",
+	.bounded = false,
+	.place = place_fcfs,
+	.hopeless = never_hopeless,
+	.choose = choose_fcfs,
+	.may_retry = always_retry,
+};
+
+const ffl_route_policy_t ffl_policy_fair = {
+	.name = "fair",
+	.bounded = true,
+	.place = place_fair,
+	.hopeless = hopeless_fair,
+	.choose = choose_fair,
+	.may_retry = retry_fair,
+};
+
+static ffl_fq_node_t *place_fcfs(ffl_requests_t *rs, const ffl_req_t *req,
+				 const ffl_customer_t *customer)
+{
+	return ffl_fairq_caller(&rs->queue, FFL_NORMAL, "", 1, 0, "");
+}
+
+static bool never_hopeless(ffl_requests_t *rs, const ffl_req_t *req,
+			   uint64_t now_ms)
+{
+	return false;
+}
+
+static ffl_upstream_t *choose_fcfs(ffl_requests_t *rs, const ffl_req_t *req,
+				   uint64_t now_ms)
+{
+	ffl_upstream_t *u = ffl_upstreams_round_robin(
+		&rs->upstreams, req->upstream, false, now_ms);
+
+	if (u)
+		return u;
+	return ffl_upstreams_round_robin(&rs->upstreams, req->upstream, true,
+					 now_ms);
+}
+
+static bool always_retry(ffl_requests_t *rs, ffl_up_outcome_t outcome)
+{
+	return true;
+}
+
+/* The part of a limit that this host applies; at least 1. */
+static uint32_t share_of(const ffl_requests_t *rs, uint32_t whole)
+{
+	const ffl_view_t *view = &rs->slots.view;
+	uint32_t rank = 0;
+	uint32_t share;
+
+	if (!whole || !view->count)
+		return whole;
+	while (rank < view->count && view->members[rank] < rs->slots.self)
+		rank++;
+	share = whole / view->count + (rank < whole % view->count);
+	return MAX(share, 1);
+}
+
+static ffl_fq_node_t *place_fair(ffl_requests_t *rs, const ffl_req_t *req,
+				 const ffl_customer_t *customer)
+{
+	return ffl_fairq_caller(
+		&rs->queue, req->urgency, req->customer, customer->weight,
+		share_of(rs, customer->concurrent), req->caller);
+}
+
+static bool hopeless_fair(ffl_requests_t *rs, const ffl_req_t *req,
+			  uint64_t now_ms)
+{
+	uint32_t slots = ffl_upstreams_slots(&rs->upstreams, now_ms);
+	uint64_t wait_ms;
+
+	if (!slots || !rs->queue.root.queued)
+		return false;
+	wait_ms = ffl_fairq_wait_ms(&rs->queue, req->place.caller, slots);
+	return wait_ms > 0 &&
+	       now_ms + wait_ms + req->place.cost_ms > req->deadline_ms;
+}
+
+/* Local first; over the link only what is worth its bytes. */
+static ffl_upstream_t *choose_fair(ffl_requests_t *rs, const ffl_req_t *req,
+				   uint64_t now_ms)
+{
+	ffl_upstream_t *u = ffl_upstreams_two_choices(
+		&rs->upstreams, req->upstream, false, &rs->rng, now_ms);
+
+	if (u)
+		return u;
+	u = ffl_upstreams_two_choices(&rs->upstreams, req->upstream, true,
+				      &rs->rng, now_ms);
+	if (u && ffl_link_may(&rs->link, req->customer, req->urgency,
+			      req->body_bytes, req->place.cost_ms,
+			      rs->slots.view.count, now_ms))
+		return u;
+	/* The same instance again, where there is no other at all. */
+	return req->upstream[0]
+		       ? ffl_upstreams_two_choices(&rs->upstreams, "", false,
+						   &rs->rng, now_ms)
+		       : NULL;
+}
+
+/* What was not sent loads nobody, so that trying again costs no budget. */
+static bool retry_fair(ffl_requests_t *rs, ffl_up_outcome_t outcome)
+{
+	return outcome == FFL_UP_NOT_SENT || ffl_retries_spend(&rs->retries);
+}
