--- a/include/fireflyledge/once.h
+++ b/include/fireflyledge/once.h
@@ -12,7 +12,7 @@
 
 #include <glib.h>
 
-#include "fireflyledge/authority.h"
+#include "fireflyledge/tenure.h"
 #include "fireflyledge/peer.h"
 
 /** Time for which a key is kept: a caller repeats within it, or never. */
@@ -79,7 +79,7 @@
 } ffl_once_bounds_t;
 
 typedef struct {
-	ffl_authority_t auth;
+	ffl_tenure_t tenure;
 	ffl_once_bounds_t bounds;
 	GHashTable *entries; /**< ffl_once_entry_t by id */
 	GQueue by_cursor;    /**< oldest first */
--- a/include/fireflyledge/peer.h
+++ b/include/fireflyledge/peer.h
@@ -102,7 +102,7 @@
 	ffl_list_t rows; /**< of ffl_once_row_t */
 } ffl_handover_t;
 
-/** A host's word on its view; see authority.h. */
+/** A host's word on its view; see tenure.h. */
 typedef struct {
 	uint64_t stamp_ms;
 	uint64_t echo_ms;
--- a/include/fireflyledge/request.h
+++ b/include/fireflyledge/request.h
@@ -6,7 +6,7 @@
 #define FFL_REQUEST_H
 
 #include "fireflyledge/action.h"
-#include "fireflyledge/authority.h"
+#include "fireflyledge/tenure.h"
 #include "fireflyledge/budget.h"
 #include "fireflyledge/config.h"
 #include "fireflyledge/cost.h"
@@ -101,7 +101,7 @@
 	GHashTable *by_id;   /**< ffl_req_t by id */
 	GHashTable *buckets; /**< ffl_bucket_t by customer */
 	ffl_rng_t rng;
-	ffl_authority_t slots; /**< authority over shares of slots */
+	ffl_tenure_t slots; /**< tenure of shares of slots */
 	ffl_once_t once;
 	uint64_t cluster;
 	uint64_t peer_seq;
--- a/include/fireflyledge/upstream.h
+++ b/include/fireflyledge/upstream.h
@@ -7,7 +7,7 @@
 
 #include <glib.h>
 
-#include "fireflyledge/authority.h"
+#include "fireflyledge/tenure.h"
 #include "fireflyledge/event.h"
 #include "fireflyledge/rng.h"
 #include "fireflyledge/worker.h"
@@ -52,10 +52,10 @@
  * and is kept while attempts are open.
  */
 void ffl_upstreams_on_list(ffl_upstreams_t *us, const ffl_host_list_t *list,
-			   const ffl_authority_t *auth);
+			   const ffl_tenure_t *tenure);
 ffl_upstream_t *ffl_upstreams_find(const ffl_upstreams_t *us, const char *name);
 /** Applies the view: drops lost slots and, where open, takes gained ones. */
-void ffl_upstreams_share(ffl_upstreams_t *us, const ffl_authority_t *auth);
+void ffl_upstreams_share(ffl_upstreams_t *us, const ffl_tenure_t *tenure);
 /** Tells whether no instance has more attempts than usable slots. */
 bool ffl_upstreams_settled(const ffl_upstreams_t *us);
 /** Tells whether one more attempt may start. */
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -38,7 +38,6 @@
 static void peer_request(ffl_host_t *h, const ffl_peer_msg_t *msg,
 			 uint64_t now_ms, ffl_actions_t *out);
 static void note_members(ffl_host_t *h, uint64_t now_ms);
-static void run_log(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		       ffl_actions_t *out);
 static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -181,8 +180,8 @@
 		if (rec->kind == FFL_REC_JOIN && !h->first_member &&
 		    !h->log_trimmed)
 			h->first_member = rec->join.member;
+		ffl_gangs_fold(&h->gangs, &h->members, offset, rec, now_ms);
 		ffl_members_fold(&h->members, offset, rec, now_ms);
-		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
 		ffl_host_on_record(h, offset, rec, out);
 		break;
 	}
@@ -235,13 +234,12 @@
 		h->log_trimmed |= r->first > LOG_START;
 		for (uint32_t i = 0; i < r->count; i++)
 			fold(h, &r->entries[i], now_ms, out);
-		if (h->logc.next_offset >= r->end) {
+		if (h->logc.next_offset >= r->end)
 			h->caught_up = true;
-			ffl_requests_on_read(&h->requests, h->read_sent_ms);
-		}
 		note_members(h, now_ms);
 	}
 	ffl_logc_on_read(&h->logc, r, now_ms);
+	ffl_requests_on_read(&h->requests, h->logc.proved_ms);
 	ffl_gauge(h->counters, FFL_CTR_LOG_OFFSET, h->logc.next_offset);
 	ffl_gauge(h->counters, FFL_CTR_REVISION, h->config.revision);
 }
@@ -257,7 +255,8 @@
 static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			 ffl_actions_t *out)
 {
-	ffl_fleet_on_list(&h->fleet, &ev->host_list);
+	ffl_fleet_on_list(&h->fleet, &ev->host_list, now_ms);
+	ffl_gangs_on_list(&h->gangs, now_ms);
 	ffl_fleet_on_config(&h->fleet, &h->config);
 	ffl_requests_on_list(&h->requests, &ev->host_list);
 	ffl_requests_on_config(&h->requests, &h->config);
@@ -346,16 +345,6 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
-/* A read proves what the log held when it was sent, not when it came back. */
-static void run_log(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
-{
-	bool reading = h->logc.reading;
-
-	ffl_logc_run(&h->logc, now_ms, out);
-	if (!reading && h->logc.reading)
-		h->read_sent_ms = now_ms;
-}
-
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
 	uint64_t spent = now_ms - h->stop_ms;
@@ -390,7 +379,7 @@
 		run_stop(h, now_ms, out);
 	}
 	if (parts & RUN_LOG)
-		run_log(h, now_ms, out);
+		ffl_logc_run(&h->logc, now_ms, out);
 }
 
 void ffl_host_step(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
--- a/lib/request/handover.c
+++ b/lib/request/handover.c
@@ -39,7 +39,7 @@
 		ffl_once_peer_t *p =
 			&g_array_index(o->peers, ffl_once_peer_t, i);
 
-		if (!ffl_view_has(&o->auth.view, p->member)) {
+		if (!ffl_view_has(&o->tenure.view, p->member)) {
 			g_array_remove_index(o->peers, i);
 			continue;
 		}
@@ -66,10 +66,10 @@
 
 bool ffl_once_handed_all(const ffl_once_t *o)
 {
-	for (uint32_t i = 0; i < o->auth.view.count; i++) {
-		uint64_t member = o->auth.view.members[i];
+	for (uint32_t i = 0; i < o->tenure.view.count; i++) {
+		uint64_t member = o->tenure.view.members[i];
 
-		if (member != o->auth.self && !ffl_once_handed(o, member))
+		if (member != o->tenure.self && !ffl_once_handed(o, member))
 			return false;
 	}
 	return true;
@@ -82,10 +82,10 @@
 
 	if (!o->final)
 		return ffl_once_home(o, id);
-	for (uint32_t i = 0; i < o->auth.view.count; i++) {
-		uint64_t member = o->auth.view.members[i];
+	for (uint32_t i = 0; i < o->tenure.view.count; i++) {
+		uint64_t member = o->tenure.view.members[i];
 
-		if (member != o->auth.self)
+		if (member != o->tenure.self)
 			rest.members[rest.count++] = member;
 	}
 	return ffl_view_home(&rest, id.a, id.b);
@@ -121,7 +121,7 @@
 	if (p->complete || (p->sent_ms && now_ms - p->sent_ms < RESEND_MS))
 		return false;
 	p->sent_ms = now_ms;
-	msg->view = o->auth.view.hash;
+	msg->view = o->tenure.view.hash;
 	msg->from_cursor = p->cursor;
 	msg->to_cursor = p->cursor;
 	msg->final = o->final;
@@ -165,7 +165,7 @@
 {
 	ffl_once_peer_t *p = find_peer(o, member);
 
-	if (!p || ack->view != o->auth.view.hash || ack->final != o->final ||
+	if (!p || ack->view != o->tenure.view.hash || ack->final != o->final ||
 	    ack->from_cursor != p->cursor)
 		return;
 	p->cursor = ack->to_cursor;
--- a/lib/request/keyed.c
+++ b/lib/request/keyed.c
@@ -119,7 +119,7 @@
 	ask->key_a = req->key.a;
 	ask->key_b = req->key.b;
 	ask->payload_hash = req->payload_hash;
-	ask->view = rs->once.auth.view.hash;
+	ask->view = rs->once.tenure.view.hash;
 	ask->timeout_ms = (uint32_t)(req->deadline_ms - now_ms);
 	if (home != rs->slots.self) {
 		ffl_requests_post(rs, &msg, FFL_PEER_ONCE_ASK, home, out);
--- a/lib/request/load.c
+++ b/lib/request/load.c
@@ -1,7 +1,9 @@
 #include "lib/request/request_int.h"
 
-#define LOAD_MS 250
-#define ROWS_MS 10
+/** Interval of this host's word, longer where there are many members. */
+#define LOAD_MEMBER_MS 20
+#define LOAD_MS	       250
+#define ROWS_MS	       10
 
 static bool final(const ffl_requests_t *rs);
 static void send_load(ffl_requests_t *rs, uint64_t member, uint64_t now_ms,
@@ -46,10 +48,10 @@
 {
 	bool slots_settled = ffl_upstreams_settled(&rs->upstreams);
 	bool keys_settled = ffl_once_handed(&rs->once, member);
-	ffl_auth_word_t slots = ffl_authority_word(
+	ffl_tenure_word_t slots = ffl_tenure_word(
 		&rs->slots, member, slots_settled, final(rs), now_ms);
-	ffl_auth_word_t keys = ffl_authority_word(
-		&rs->once.auth, member, keys_settled, final(rs), now_ms);
+	ffl_tenure_word_t keys = ffl_tenure_word(
+		&rs->once.tenure, member, keys_settled, final(rs), now_ms);
 	ffl_peer_msg_t msg = { .load = { .stamp_ms = now_ms } };
 
 	msg.load.echo_ms = slots.echo_ms;
@@ -96,7 +98,8 @@
 			send_load(rs, view->members[i], now_ms, out);
 	}
 	if (due)
-		rs->load_at_ms = now_ms + LOAD_MS;
+		rs->load_at_ms =
+			now_ms + MAX(LOAD_MS, view->count * LOAD_MEMBER_MS);
 	g_array_free(rows, TRUE);
 }
 
@@ -104,18 +107,18 @@
 		      uint64_t now_ms)
 {
 	const ffl_load_t *load = &msg->load;
-	ffl_auth_word_t word = { .stamp_ms = load->stamp_ms,
-				 .echo_ms = load->echo_ms,
-				 .view = load->view,
-				 .log_fresh = load->log_fresh,
-				 .final = load->final };
+	ffl_tenure_word_t word = { .stamp_ms = load->stamp_ms,
+				   .echo_ms = load->echo_ms,
+				   .view = load->view,
+				   .log_fresh = load->log_fresh,
+				   .final = load->final };
 
 	word.taint_ms = load->slots_taint_ms;
 	word.settled = load->slots_settled;
 	word.rooted = load->slots_rooted;
-	ffl_authority_hear(&rs->slots, msg->head.from, &word, now_ms);
+	ffl_tenure_hear(&rs->slots, msg->head.from, &word, now_ms);
 	word.taint_ms = load->keys_taint_ms;
 	word.settled = load->keys_settled;
 	word.rooted = load->keys_rooted;
-	ffl_authority_hear(&rs->once.auth, msg->head.from, &word, now_ms);
+	ffl_tenure_hear(&rs->once.tenure, msg->head.from, &word, now_ms);
 }
--- a/lib/request/once.c
+++ b/lib/request/once.c
@@ -34,7 +34,7 @@
 
 void ffl_once_init(ffl_once_t *o, uint64_t self)
 {
-	static const ffl_auth_times_t times = {
+	static const ffl_tenure_times_t times = {
 		.fresh_ms = FRESH_MS,
 		.grace_ms = FFL_ONCE_RETENTION_MS + RETENTION_MARGIN_MS,
 		.outage_ms = OUTAGE_MS,
@@ -42,7 +42,7 @@
 	};
 
 	memset(o, 0, sizeof(*o));
-	ffl_authority_init(&o->auth, self, &times);
+	ffl_tenure_init(&o->tenure, self, &times);
 	o->bounds.keys = KEYS_MAX;
 	o->bounds.answer_bytes = ANSWER_BYTES_MAX;
 	o->entries = g_hash_table_new_full(entry_hash, entry_equal, entry_free,
@@ -55,7 +55,7 @@
 {
 	g_array_free(o->peers, TRUE);
 	g_hash_table_destroy(o->entries);
-	ffl_authority_finish(&o->auth);
+	ffl_tenure_finish(&o->tenure);
 }
 
 static guint entry_hash(gconstpointer p)
@@ -98,7 +98,7 @@
 
 uint64_t ffl_once_home(const ffl_once_t *o, ffl_key_id_t id)
 {
-	return ffl_view_home(&o->auth.view, id.a, id.b);
+	return ffl_view_home(&o->tenure.view, id.a, id.b);
 }
 
 ffl_once_entry_t *ffl_once_find(const ffl_once_t *o, ffl_key_id_t id)
@@ -216,12 +216,12 @@
 		*entry = e;
 		return say(e, origin, ask, now_ms);
 	}
-	if (o->final || ask->view != o->auth.view.hash ||
-	    ffl_once_home(o, id) != o->auth.self ||
-	    !ffl_authority_live(&o->auth, now_ms))
+	if (o->final || ask->view != o->tenure.view.hash ||
+	    ffl_once_home(o, id) != o->tenure.self ||
+	    !ffl_tenure_live(&o->tenure, now_ms))
 		return FFL_ONCE_SAY_WAIT;
-	if (!o->auth.open)
-		return now_ms - o->auth.adopted_ms < FRESH_MS
+	if (!o->tenure.open)
+		return now_ms - o->tenure.adopted_ms < FRESH_MS
 			       ? FFL_ONCE_SAY_WAIT
 			       : FFL_ONCE_SAY_UNKNOWN;
 	if (g_hash_table_size(o->entries) >= o->bounds.keys)
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -39,7 +39,7 @@
 		       const ffl_members_t *members)
 {
 	const ffl_eject_t eject = { limits->eject_failures, limits->eject_ms };
-	const ffl_auth_times_t times = {
+	const ffl_tenure_times_t times = {
 		.fresh_ms = SLOTS_FRESH_MS,
 		.grace_ms = SLOTS_FRESH_MS + limits->max_timeout_ms +
 			    SLOTS_MARGIN_MS,
@@ -64,7 +64,7 @@
 	ffl_costs_init(&rs->costs);
 	ffl_retries_init(&rs->retries);
 	ffl_link_init(&rs->link, limits->link_bytes_per_s);
-	ffl_authority_init(&rs->slots, self->member, &times);
+	ffl_tenure_init(&rs->slots, self->member, &times);
 	ffl_once_init(&rs->once, self->member);
 	rs->by_id = g_hash_table_new_full(req_hash, req_equal, g_free, NULL);
 	rs->buckets =
@@ -78,7 +78,7 @@
 	g_hash_table_destroy(rs->buckets);
 	g_hash_table_destroy(rs->by_id);
 	ffl_once_finish(&rs->once);
-	ffl_authority_finish(&rs->slots);
+	ffl_tenure_finish(&rs->slots);
 	ffl_link_finish(&rs->link);
 	ffl_costs_finish(&rs->costs);
 	ffl_heap_finish(&rs->deadlines);
@@ -120,8 +120,8 @@
 
 void ffl_requests_on_read(ffl_requests_t *rs, uint64_t sent_ms)
 {
-	ffl_authority_read(&rs->slots, sent_ms);
-	ffl_authority_read(&rs->once.auth, sent_ms);
+	ffl_tenure_read(&rs->slots, sent_ms);
+	ffl_tenure_read(&rs->once.tenure, sent_ms);
 }
 
 void ffl_requests_on_members(ffl_requests_t *rs, bool first, uint64_t now_ms)
@@ -133,10 +133,10 @@
 	for (uint32_t i = 0; i < n; i++)
 		ids[i] = g_array_index(rs->members->members, ffl_member_t, i)
 				 .join.member;
-	ffl_view_set(&view, ids, n);
-	if (!ffl_authority_adopt(&rs->slots, &view, first, now_ms))
+	ffl_view_set(&view, ids, n, rs->members->changed_offset);
+	if (!ffl_tenure_adopt(&rs->slots, &view, first, now_ms))
 		return;
-	ffl_authority_adopt(&rs->once.auth, &view, first, now_ms);
+	ffl_tenure_adopt(&rs->once.tenure, &view, first, now_ms);
 	ffl_upstreams_share(&rs->upstreams, &rs->slots);
 	ffl_once_adopted(&rs->once);
 	rs->load_at_ms = 0;
@@ -453,9 +453,9 @@
 
 static void run_gates(ffl_requests_t *rs, uint64_t now_ms)
 {
-	if (ffl_authority_open(&rs->slots, now_ms))
+	if (ffl_tenure_open(&rs->slots, now_ms))
 		ffl_upstreams_share(&rs->upstreams, &rs->slots);
-	ffl_authority_open(&rs->once.auth, now_ms);
+	ffl_tenure_open(&rs->once.tenure, now_ms);
 	ffl_once_expire(&rs->once, now_ms);
 	if (rs->stopping && !g_hash_table_size(rs->by_id))
 		ffl_once_leave(&rs->once);
@@ -471,7 +471,7 @@
 	ffl_load_run(rs, now_ms, out);
 	ffl_keyed_run(rs, now_ms, out);
 	expire(rs, now_ms, out);
-	if (!ffl_authority_live(&rs->slots, now_ms))
+	if (!ffl_tenure_live(&rs->slots, now_ms))
 		return;
 	while ((req = ffl_fairq_peek(&rs->queue))) {
 		u = rs->limits.policy->choose(rs, req, now_ms);
--- a/lib/request/authority.c
+++ b/lib/request/tenure.c
@@ -1,18 +1,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fireflyledge/authority.h"
+#include "fireflyledge/tenure.h"
 
 static int compare_ids(const void *a, const void *b);
-static ffl_auth_peer_t *find(const ffl_authority_t *a, uint64_t member);
-static ffl_auth_peer_t *find_or_add(ffl_authority_t *a, uint64_t member);
-static bool recent(const ffl_authority_t *a, uint64_t at_ms, uint64_t now_ms);
-static bool log_fresh(const ffl_authority_t *a, uint64_t now_ms);
-static uint32_t agreeing(const ffl_authority_t *a, uint64_t now_ms);
-static bool majority(const ffl_authority_t *a, uint64_t now_ms);
-static void taint(ffl_authority_t *a, uint64_t until_ms);
-static void forget_gone(ffl_authority_t *a);
-static bool all_settled(const ffl_authority_t *a, uint64_t now_ms);
+static ffl_tenure_peer_t *find(const ffl_tenure_t *a, uint64_t member);
+static ffl_tenure_peer_t *find_or_add(ffl_tenure_t *a, uint64_t member);
+static bool recent(const ffl_tenure_t *a, uint64_t at_ms, uint64_t now_ms);
+static bool log_fresh(const ffl_tenure_t *a, uint64_t now_ms);
+static uint32_t agreeing(const ffl_tenure_t *a, uint64_t now_ms);
+static bool majority(const ffl_tenure_t *a, uint64_t now_ms);
+static void taint(ffl_tenure_t *a, uint64_t until_ms);
+static void forget_gone(ffl_tenure_t *a);
+static bool all_settled(const ffl_tenure_t *a, uint64_t now_ms);
 
 static int compare_ids(const void *a, const void *b)
 {
@@ -22,7 +22,8 @@
 	return (x > y) - (x < y);
 }
 
-void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count)
+void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count,
+		  uint64_t changed_offset)
 {
 	memset(view, 0, sizeof(*view));
 	view->count = MIN(count, FFL_VIEW_MAX);
@@ -30,7 +31,9 @@
 		return;
 	memcpy(view->members, members, view->count * sizeof(*members));
 	qsort(view->members, view->count, sizeof(*members), compare_ids);
-	view->hash = ffl_hash(view->members, view->count * sizeof(*members), 0);
+	view->changed_offset = changed_offset;
+	view->hash = ffl_hash(view->members, view->count * sizeof(*members),
+			      changed_offset);
 }
 
 bool ffl_view_has(const ffl_view_t *view, uint64_t member)
@@ -59,25 +62,25 @@
 	return home;
 }
 
-void ffl_authority_init(ffl_authority_t *a, uint64_t self,
-			const ffl_auth_times_t *times)
+void ffl_tenure_init(ffl_tenure_t *a, uint64_t self,
+		     const ffl_tenure_times_t *times)
 {
 	memset(a, 0, sizeof(*a));
 	a->self = self;
 	a->times = *times;
-	a->peers = g_array_new(FALSE, TRUE, sizeof(ffl_auth_peer_t));
+	a->peers = g_array_new(FALSE, TRUE, sizeof(ffl_tenure_peer_t));
 }
 
-void ffl_authority_finish(ffl_authority_t *a)
+void ffl_tenure_finish(ffl_tenure_t *a)
 {
 	g_array_free(a->peers, TRUE);
 }
 
-static ffl_auth_peer_t *find(const ffl_authority_t *a, uint64_t member)
+static ffl_tenure_peer_t *find(const ffl_tenure_t *a, uint64_t member)
 {
 	for (guint i = 0; i < a->peers->len; i++) {
-		ffl_auth_peer_t *p =
-			&g_array_index(a->peers, ffl_auth_peer_t, i);
+		ffl_tenure_peer_t *p =
+			&g_array_index(a->peers, ffl_tenure_peer_t, i);
 
 		if (p->member == member)
 			return p;
@@ -85,51 +88,51 @@
 	return NULL;
 }
 
-static ffl_auth_peer_t *find_or_add(ffl_authority_t *a, uint64_t member)
+static ffl_tenure_peer_t *find_or_add(ffl_tenure_t *a, uint64_t member)
 {
-	ffl_auth_peer_t *p = find(a, member);
-	ffl_auth_peer_t fresh = { .member = member };
+	ffl_tenure_peer_t *p = find(a, member);
+	ffl_tenure_peer_t fresh = { .member = member };
 
 	if (p)
 		return p;
 	g_array_append_val(a->peers, fresh);
-	return &g_array_index(a->peers, ffl_auth_peer_t, a->peers->len - 1);
+	return &g_array_index(a->peers, ffl_tenure_peer_t, a->peers->len - 1);
 }
 
-static bool recent(const ffl_authority_t *a, uint64_t at_ms, uint64_t now_ms)
+static bool recent(const ffl_tenure_t *a, uint64_t at_ms, uint64_t now_ms)
 {
 	return at_ms && now_ms - at_ms <= a->times.fresh_ms;
 }
 
-static bool log_fresh(const ffl_authority_t *a, uint64_t now_ms)
+static bool log_fresh(const ffl_tenure_t *a, uint64_t now_ms)
 {
 	return recent(a, a->log_ms, now_ms);
 }
 
-void ffl_authority_read(ffl_authority_t *a, uint64_t sent_ms)
+void ffl_tenure_read(ffl_tenure_t *a, uint64_t sent_ms)
 {
 	a->log_ms = MAX(a->log_ms, sent_ms);
 	a->contact_ms = MAX(a->contact_ms, sent_ms);
 }
 
-static void taint(ffl_authority_t *a, uint64_t until_ms)
+static void taint(ffl_tenure_t *a, uint64_t until_ms)
 {
 	a->taint_until_ms = MAX(a->taint_until_ms, until_ms);
 }
 
-static void forget_gone(ffl_authority_t *a)
+static void forget_gone(ffl_tenure_t *a)
 {
 	for (guint i = a->peers->len; i-- > 0;) {
-		const ffl_auth_peer_t *p =
-			&g_array_index(a->peers, ffl_auth_peer_t, i);
+		const ffl_tenure_peer_t *p =
+			&g_array_index(a->peers, ffl_tenure_peer_t, i);
 
 		if (!ffl_view_has(&a->view, p->member))
 			g_array_remove_index(a->peers, i);
 	}
 }
 
-bool ffl_authority_adopt(ffl_authority_t *a, const ffl_view_t *view, bool first,
-			 uint64_t now_ms)
+bool ffl_tenure_adopt(ffl_tenure_t *a, const ffl_view_t *view, bool first,
+		      uint64_t now_ms)
 {
 	bool started = a->view.count > 0;
 	bool stale = started && !recent(a, a->contact_ms, now_ms);
@@ -139,7 +142,7 @@
 		return false;
 	for (uint32_t i = 0; i < a->view.count; i++) {
 		uint64_t member = a->view.members[i];
-		const ffl_auth_peer_t *p = find(a, member);
+		const ffl_tenure_peer_t *p = find(a, member);
 
 		if (member != a->self && !ffl_view_has(view, member) &&
 		    !(p && p->final))
@@ -151,6 +154,7 @@
 		taint(a, now_ms + a->times.grace_ms + a->times.minority_ms);
 	else if (unclean || stale)
 		taint(a, now_ms + a->times.grace_ms);
+	a->lapsed = stale;
 	a->view = *view;
 	a->adopted_ms = now_ms;
 	a->open = false;
@@ -158,10 +162,10 @@
 	return true;
 }
 
-void ffl_authority_hear(ffl_authority_t *a, uint64_t member,
-			const ffl_auth_word_t *word, uint64_t now_ms)
+void ffl_tenure_hear(ffl_tenure_t *a, uint64_t member,
+		     const ffl_tenure_word_t *word, uint64_t now_ms)
 {
-	ffl_auth_peer_t *p = find_or_add(a, member);
+	ffl_tenure_peer_t *p = find_or_add(a, member);
 
 	if (word->stamp_ms < p->stamp_ms)
 		return;
@@ -180,14 +184,14 @@
 		taint(a, now_ms + word->taint_ms);
 }
 
-ffl_auth_word_t ffl_authority_word(const ffl_authority_t *a, uint64_t member,
-				   bool settled, bool final, uint64_t now_ms)
+ffl_tenure_word_t ffl_tenure_word(const ffl_tenure_t *a, uint64_t member,
+				  bool settled, bool final, uint64_t now_ms)
 {
-	const ffl_auth_peer_t *p = find(a, member);
-	ffl_auth_word_t word = { .stamp_ms = now_ms,
-				 .view = a->view.hash,
-				 .settled = settled,
-				 .final = final };
+	const ffl_tenure_peer_t *p = find(a, member);
+	ffl_tenure_word_t word = { .stamp_ms = now_ms,
+				   .view = a->view.hash,
+				   .settled = settled,
+				   .final = final };
 
 	word.echo_ms = p ? p->stamp_ms : 0;
 	word.rooted = a->rooted;
@@ -198,13 +202,13 @@
 }
 
 /* Counts the members, this host with them, that recently held this view. */
-static uint32_t agreeing(const ffl_authority_t *a, uint64_t now_ms)
+static uint32_t agreeing(const ffl_tenure_t *a, uint64_t now_ms)
 {
 	uint32_t n = 1;
 
 	for (guint i = 0; i < a->peers->len; i++) {
-		const ffl_auth_peer_t *p =
-			&g_array_index(a->peers, ffl_auth_peer_t, i);
+		const ffl_tenure_peer_t *p =
+			&g_array_index(a->peers, ffl_tenure_peer_t, i);
 
 		if (p->view == a->view.hash && recent(a, p->proof_ms, now_ms))
 			n++;
@@ -212,7 +216,7 @@
 	return n;
 }
 
-static bool majority(const ffl_authority_t *a, uint64_t now_ms)
+static bool majority(const ffl_tenure_t *a, uint64_t now_ms)
 {
 	return 2 * agreeing(a, now_ms) > a->view.count;
 }
@@ -223,15 +227,15 @@
  * that another majority has moved on; the bound on the outage covers the
  * rest, because a minority waits that long before it takes anything over.
  */
-bool ffl_authority_live(const ffl_authority_t *a, uint64_t now_ms)
+bool ffl_tenure_live(const ffl_tenure_t *a, uint64_t now_ms)
 {
 	if (!ffl_view_has(&a->view, a->self))
 		return false;
 	if (recent(a, a->contact_ms, now_ms))
 		return true;
 	for (guint i = 0; i < a->peers->len; i++) {
-		const ffl_auth_peer_t *p =
-			&g_array_index(a->peers, ffl_auth_peer_t, i);
+		const ffl_tenure_peer_t *p =
+			&g_array_index(a->peers, ffl_tenure_peer_t, i);
 
 		if (p->log_fresh && p->view != a->view.hash)
 			return false;
@@ -241,13 +245,13 @@
 }
 
 /* Members that have all just started know nothing of those before them. */
-static bool all_settled(const ffl_authority_t *a, uint64_t now_ms)
+static bool all_settled(const ffl_tenure_t *a, uint64_t now_ms)
 {
 	bool rooted = a->rooted;
 
 	for (uint32_t i = 0; i < a->view.count; i++) {
 		uint64_t member = a->view.members[i];
-		const ffl_auth_peer_t *p = find(a, member);
+		const ffl_tenure_peer_t *p = find(a, member);
 
 		if (member == a->self)
 			continue;
@@ -258,7 +262,7 @@
 	return rooted;
 }
 
-bool ffl_authority_open(ffl_authority_t *a, uint64_t now_ms)
+bool ffl_tenure_open(ffl_tenure_t *a, uint64_t now_ms)
 {
 	uint64_t wait_ms = a->times.grace_ms;
 
--- a/lib/request/upstream.c
+++ b/lib/request/upstream.c
@@ -22,8 +22,7 @@
 } sign_t;
 
 static gint compare_upstreams(gconstpointer a, gconstpointer b);
-static uint64_t owned_mask(const ffl_upstream_t *u,
-			   const ffl_authority_t *auth);
+static uint64_t owned_mask(const ffl_upstream_t *u, const ffl_tenure_t *tenure);
 static bool gone(const ffl_upstream_t *u);
 static uint32_t allowed(const ffl_upstream_t *u);
 static uint32_t score(const ffl_upstream_t *u);
@@ -73,27 +72,32 @@
 }
 
 /* A slot takes one connection, so the lesser of both bounds the attempts. */
-static uint64_t owned_mask(const ffl_upstream_t *u, const ffl_authority_t *auth)
+static uint64_t owned_mask(const ffl_upstream_t *u, const ffl_tenure_t *tenure)
 {
 	uint64_t name = ffl_hash(u->info.name, strlen(u->info.name), 0);
 	uint32_t slots = MIN(u->info.slots, u->info.connections);
 	uint64_t mask = 0;
 
 	for (uint32_t i = 0; i < MIN(slots, FFL_UPSTREAM_SLOTS_MAX); i++) {
-		if (ffl_view_home(&auth->view, name, i) == auth->self)
+		if (ffl_view_home(&tenure->view, name, i) == tenure->self)
 			mask |= UINT64_C(1) << i;
 	}
 	return mask;
 }
 
-void ffl_upstreams_share(ffl_upstreams_t *us, const ffl_authority_t *auth)
+void ffl_upstreams_share(ffl_upstreams_t *us, const ffl_tenure_t *tenure)
 {
 	for (guint i = 0; i < us->items->len; i++) {
 		ffl_upstream_t *u =
 			&g_array_index(us->items, ffl_upstream_t, i);
-		uint64_t mask = owned_mask(u, auth);
+		uint64_t mask = owned_mask(u, tenure);
 
-		u->slots_mask = auth->open ? mask : u->slots_mask & mask;
+		if (tenure->open)
+			u->slots_mask = mask;
+		else if (tenure->lapsed)
+			u->slots_mask = 0;
+		else
+			u->slots_mask &= mask;
 	}
 }
 
@@ -103,7 +107,7 @@
 }
 
 void ffl_upstreams_on_list(ffl_upstreams_t *us, const ffl_host_list_t *list,
-			   const ffl_authority_t *auth)
+			   const ffl_tenure_t *tenure)
 {
 	const ffl_host_info_t *infos = list->hosts.items;
 
@@ -132,7 +136,7 @@
 		if (gone(&g_array_index(us->items, ffl_upstream_t, i)))
 			g_array_remove_index(us->items, i);
 	}
-	ffl_upstreams_share(us, auth);
+	ffl_upstreams_share(us, tenure);
 }
 
 bool ffl_upstreams_settled(const ffl_upstreams_t *us)
