--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -35,6 +35,7 @@
 	ffld_peers_t *peers;
 	ffld_web_t *web;
 	_Atomic bool ready;
+	_Atomic bool stopping; /**< a planned stop has begun */
 	_Atomic bool exiting;
 } ffld_t;
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -57,12 +57,14 @@
 	opt->times.renew_ms = s->renew_ms;
 	opt->times.expiry_ms = s->expiry_ms;
 	opt->times.lease_ms = s->lease_ms;
-	opt->limits.queue_max = s->queue_max;
+	opt->limits.queue_max = MIN(s->queue_max, s->threads - s->threads / 8);
 	opt->limits.default_timeout_ms = s->timeout_ms;
 	opt->limits.max_timeout_ms = s->max_timeout_ms;
 	opt->limits.attempts_max = s->attempts_max;
 	opt->limits.eject_failures = s->eject_failures;
 	opt->limits.eject_ms = s->eject_ms;
+	opt->stop_delay_ms = s->stop_delay_ms;
+	opt->stop_drain_ms = s->stop_drain_ms;
 	if (s->bootstrap_hash[0])
 		sodium_hex2bin(opt->bootstrap_hash, FFL_HASH_BYTES,
 			       s->bootstrap_hash, strlen(s->bootstrap_hash),
@@ -79,8 +81,10 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	while (!atomic_load(&d->exiting)) {
-		if (sigwait(&set, &sig) == 0)
-			ffld_post_sure(d, ffl_box_new(FFL_EV_STOP));
+		if (sigwait(&set, &sig) != 0)
+			continue;
+		atomic_store(&d->stopping, true);
+		ffld_post_sure(d, ffl_box_new(FFL_EV_STOP));
 	}
 	return NULL;
 }
--- a/daemon/web.c
+++ b/daemon/web.c
@@ -1,9 +1,8 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 #include <time.h>
-#include <curl/curl.h>
 
+#include "daemon/head.h"
 #include "daemon/web.h"
 
 /** Bounds of commands. */
@@ -11,137 +10,78 @@
 #define COMMAND_WAIT_MS	  10000
 #define CHUNK_BYTES	  16384
 #define MS_PER_S	  1000
-#define NS_PER_MS	  1000000
-#define NS_PER_S	  1000000000
+#define ALLOW_BYTES	  64
+#define ERROR_BYTES	  256
+#define KEEP_ALIVE_MS	  10000
+#define OPERATOR_THREADS  32
 #define TEXT_TYPE	  "text/plain; charset=utf-8"
 
+static void send_text(struct mg_connection *conn, int http_status,
+		      const char *text);
+static ffl_box_t *command_event(struct mg_connection *conn, uint64_t id,
+				ffl_command_t command, const char *arg,
+				const GByteArray *body);
+static void serve_command(ffld_web_t *w, struct mg_connection *conn,
+			  ffl_command_t command, const char *arg);
+static bool serve_common(ffld_web_t *w, struct mg_connection *conn);
+static void allowed_methods(const char *path, bool operators, char *out,
+			    size_t out_bytes);
+static void serve_route(ffld_web_t *w, struct mg_connection *conn,
+			bool operators);
+static bool enter(ffld_web_t *w, struct mg_connection *conn);
+static void leave(ffld_web_t *w, struct mg_connection *conn);
 static int serve_callers(struct mg_connection *conn, void *user);
 static int serve_operators(struct mg_connection *conn, void *user);
-static bool serve_common(ffld_web_t *w, struct mg_connection *conn);
-static int serve_command(ffld_web_t *w, struct mg_connection *conn,
-			 ffl_command_t command, const char *arg);
+static int on_open(const struct mg_connection *conn, void **data);
+static void on_close(const struct mg_connection *conn);
+static int on_error(struct mg_connection *conn, int http_status,
+		    const char *message);
 static struct mg_context *listen_on(ffld_web_t *w, const char *addr,
 				    uint32_t threads,
 				    mg_request_handler handler);
-static void wake(ffld_web_t *w, uint64_t id, ffld_step_t step,
-		 const ffl_act_answer_t *answer,
-		 const ffl_act_forward_t *forward);
 
-void ffld_call_open(ffld_web_t *w, ffld_call_t *call)
-{
-	pthread_condattr_t attr;
-
-	memset(call, 0, sizeof(*call));
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&call->changed, &attr);
-	pthread_condattr_destroy(&attr);
-	call->body = g_byte_array_new();
-	pthread_mutex_lock(&w->lock);
-	call->id = ++w->next_id;
-	g_hash_table_insert(w->calls, &call->id, call);
-	pthread_mutex_unlock(&w->lock);
-}
+static const char *const methods[] = { "GET", "POST", "PUT", "DELETE" };
 
-void ffld_call_close(ffld_web_t *w, ffld_call_t *call)
+bool ffld_web_should_close(const ffld_web_t *w)
 {
-	pthread_mutex_lock(&w->lock);
-	g_hash_table_remove(w->calls, &call->id);
-	pthread_mutex_unlock(&w->lock);
-	pthread_cond_destroy(&call->changed);
-	g_byte_array_free(call->body, TRUE);
-}
+	uint32_t busy = w->d->settings.threads / 4 * 3;
 
-ffld_step_t ffld_call_wait(ffld_web_t *w, ffld_call_t *call,
-			   uint32_t timeout_ms)
-{
-	struct timespec ts;
-	ffld_step_t step;
-	int rc = 0;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += timeout_ms / MS_PER_S;
-	ts.tv_nsec += (long)(timeout_ms % MS_PER_S) * NS_PER_MS;
-	if (ts.tv_nsec >= NS_PER_S) {
-		ts.tv_sec++;
-		ts.tv_nsec -= NS_PER_S;
-	}
-	pthread_mutex_lock(&w->lock);
-	while (call->step == FFLD_STEP_NONE && rc != ETIMEDOUT)
-		rc = pthread_cond_timedwait(&call->changed, &w->lock, &ts);
-	step = call->step;
-	call->step = FFLD_STEP_NONE;
-	pthread_mutex_unlock(&w->lock);
-	return step;
-}
-
-static void wake(ffld_web_t *w, uint64_t id, ffld_step_t step,
-		 const ffl_act_answer_t *answer,
-		 const ffl_act_forward_t *forward)
-{
-	ffld_call_t *call;
-
-	pthread_mutex_lock(&w->lock);
-	call = g_hash_table_lookup(w->calls, &id);
-	if (call) {
-		call->step = step;
-		if (answer) {
-			call->answer = *answer;
-			g_byte_array_set_size(call->body, 0);
-			g_byte_array_append(call->body, answer->body.data,
-					    (guint)answer->body.size_bytes);
-		}
-		if (forward)
-			call->forward = *forward;
-		pthread_cond_signal(&call->changed);
-	}
-	pthread_mutex_unlock(&w->lock);
+	return atomic_load(&w->closing) || atomic_load(&w->d->stopping) ||
+	       atomic_load(&w->conns.count) > busy;
 }
 
-void ffld_web_answer(void *self, const ffl_act_answer_t *act)
+void ffld_send(ffld_web_t *w, struct mg_connection *conn,
+	       const ffl_act_answer_t *answer, const GByteArray *body,
+	       const char *id)
 {
-	wake(((ffld_t *)self)->web, act->id, FFLD_STEP_ANSWER, act, NULL);
-}
-
-void ffld_web_forward(void *self, const ffl_act_forward_t *act)
-{
-	wake(((ffld_t *)self)->web, act->id, FFLD_STEP_FORWARD, NULL, act);
-}
-
-void ffld_web_finish(void *self, uint64_t id)
-{
-	wake(((ffld_t *)self)->web, id, FFLD_STEP_FINISH, NULL, NULL);
-}
-
-void ffld_send(struct mg_connection *conn, uint32_t http_status,
-	       const char *content_type, const void *body, size_t size_bytes,
-	       uint32_t retry_after_ms)
-{
-	mg_printf(conn, "HTTP/1.1 %u %s\r\n", http_status,
-		  mg_get_response_code_text(conn, (int)http_status));
-	mg_printf(conn, "Content-Type: %s\r\nContent-Length: %zu\r\n",
-		  content_type, size_bytes);
-	if (retry_after_ms)
+	bool close = ffld_web_should_close(w);
+
+	if (close)
+		mg_disable_connection_keep_alive(conn);
+	mg_printf(conn,
+		  "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n"
+		  "Content-Length: %u\r\n%s",
+		  answer->http_status,
+		  mg_get_response_code_text(conn, (int)answer->http_status),
+		  answer->content_type, body->len,
+		  close ? "Connection: close\r\n" : "");
+	if (answer->retry_after_ms)
 		mg_printf(conn, "Retry-After: %u\r\n",
-			  (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
-	mg_printf(conn, "\r\n");
-	if (size_bytes)
-		mg_write(conn, body, size_bytes);
+			  (answer->retry_after_ms + MS_PER_S - 1) / MS_PER_S);
+	mg_printf(conn, "Fireflyledge-Request-Id: %s\r\n\r\n", id);
+	if (body->len &&
+	    strcmp(mg_get_request_info(conn)->request_method, "HEAD") != 0)
+		mg_write(conn, body->data, body->len);
 }
 
-void ffld_send_problem(struct mg_connection *conn, uint32_t http_status,
-		       const char *type, const char *detail, ffl_ran_t ran)
+static void send_text(struct mg_connection *conn, int http_status,
+		      const char *text)
 {
-	json_t *json = json_pack("{s:s+,s:s,s:i,s:s,s:s}", "type",
-				 "urn:fireflyledge:problem:", type, "title",
-				 type, "status", (int)http_status, "detail",
-				 detail, "ran", ffl_ran_name(ran));
-	char *text = json_dumps(json, JSON_COMPACT | JSON_PRESERVE_ORDER);
-
-	json_decref(json);
-	ffld_send(conn, http_status, "application/problem+json", text,
-		  strlen(text), 0);
-	free(text);
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: " TEXT_TYPE "\r\n"
+		  "Content-Length: %zu\r\n\r\n%s",
+		  http_status, mg_get_response_code_text(conn, http_status),
+		  strlen(text), text);
 }
 
 const char *ffld_bearer(const struct mg_connection *conn)
@@ -174,45 +114,49 @@
 	return FFL_OK;
 }
 
-static int serve_command(ffld_web_t *w, struct mg_connection *conn,
-			 ffl_command_t command, const char *arg)
+static ffl_box_t *command_event(struct mg_connection *conn, uint64_t id,
+				ffl_command_t command, const char *arg,
+				const GByteArray *body)
 {
 	ffl_box_t *box = ffl_box_new(FFL_EV_COMMAND);
+
+	box->ev.command.id = id;
+	box->ev.command.command = command;
+	box->ev.command.arg = ffl_box_text(box, arg);
+	box->ev.command.token = ffl_box_text(box, ffld_bearer(conn));
+	box->ev.command.body =
+		ffl_box_bytes(box, (ffl_bytes_t){ body->data, body->len });
+	return box;
+}
+
+static void serve_command(ffld_web_t *w, struct mg_connection *conn,
+			  ffl_command_t command, const char *arg)
+{
 	GByteArray *body = g_byte_array_new();
-	ffld_call_t call;
 	ffl_status_t status = ffld_read_body(conn, body, COMMAND_BYTES_MAX);
-	const char *token = ffld_bearer(conn);
+	char id[FFLD_ID_BYTES];
+	ffld_call_t call;
 
 	if (status != FFL_OK) {
-		ffl_box_free(box);
 		g_byte_array_free(body, TRUE);
-		ffld_send_problem(conn, status == FFL_FULL ? 413 : 400,
-				  status == FFL_FULL ? "body-too-large"
-						     : "body-truncated",
-				  "the body was not taken", FFL_RAN_NO);
-		return 1;
+		ffld_send_problem(conn,
+				  status == FFL_FULL ? FFLD_BODY_TOO_LARGE
+						     : FFLD_BODY_TRUNCATED,
+				  NULL, FFL_RAN_NO);
+		return;
 	}
 	ffld_call_open(w, &call);
-	box->ev.command.id = call.id;
-	box->ev.command.command = command;
-	box->ev.command.arg = ffl_box_text(box, arg);
-	box->ev.command.token = ffl_box_text(box, token);
-	box->ev.command.body.data =
-		ffl_arena_copy(&box->arena, body->data, body->len);
-	box->ev.command.body.size_bytes = body->len;
-	g_byte_array_free(body, TRUE);
-	if (!ffld_post(w->d, box))
-		ffld_send_problem(conn, 503, "overloaded",
-				  "this host is too busy", FFL_RAN_NO);
+	g_snprintf(id, sizeof(id), "%.40s-c%llu", w->boot_id,
+		   (unsigned long long)call.id);
+	if (!ffld_post(w->d, command_event(conn, call.id, command, arg, body)))
+		ffld_send_problem(conn, FFLD_OVERLOADED, NULL, FFL_RAN_NO);
 	else if (ffld_call_wait(w, &call, COMMAND_WAIT_MS) == FFLD_STEP_ANSWER)
-		ffld_send(conn, call.answer.http_status,
-			  call.answer.content_type, call.body->data,
-			  call.body->len, call.answer.retry_after_ms);
+		ffld_send(w, conn, &call.answer, call.body, id);
 	else
-		ffld_send_problem(conn, 504, "outcome-unknown",
-				  "no answer in time", FFL_RAN_UNKNOWN);
+		ffld_send_problem(conn, FFLD_OUTCOME_UNKNOWN, NULL,
+				  FFL_RAN_UNKNOWN);
+	g_byte_array_free(body, TRUE);
 	ffld_call_close(w, &call);
-	return 1;
 }
 
 /* Health, readiness and counters need no decision and no token. */
@@ -223,69 +167,174 @@
 	GString *text;
 
 	if (strcmp(path, "/health") == 0) {
-		ffld_send(conn, 200, TEXT_TYPE, "ok\n", 3, 0);
+		send_text(conn, 200, "ok\n");
 		return true;
 	}
 	if (strcmp(path, "/ready") == 0) {
-		ffld_send(conn, ready ? 200 : 503, TEXT_TYPE,
-			  ready ? "ready\n" : "unready\n", ready ? 6 : 8, 0);
+		send_text(conn, ready ? 200 : 503,
+			  ready ? "ready\n" : "unready\n");
 		return true;
 	}
 	if (strcmp(path, "/metrics") != 0)
 		return false;
 	text = g_string_new(NULL);
 	ffl_counters_format(&w->d->counters, text);
-	ffld_send(conn, 200, TEXT_TYPE, text->str, text->len, 0);
+	send_text(conn, 200, text->str);
 	g_string_free(text, TRUE);
 	return true;
 }
 
-static int serve_operators(struct mg_connection *conn, void *user)
+/* Lists the methods that a path has for one port. */
+static void allowed_methods(const char *path, bool operators, char *out,
+			    size_t out_bytes)
+{
+	char arg[FFL_NAME_BYTES];
+
+	out[0] = '\0';
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+		ffl_command_t c =
+			ffl_command_match(methods[i], path, arg, sizeof(arg));
+
+		if (c == FFL_CMD__MAX ||
+		    (!operators &&
+		     ffl_command_route(c)->role != FFL_ROLE_CALLER))
+			continue;
+		if (out[0])
+			g_strlcat(out, ", ", out_bytes);
+		g_strlcat(out, methods[i], out_bytes);
+	}
+}
+
+static void serve_route(ffld_web_t *w, struct mg_connection *conn,
+			bool operators)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
-	ffld_web_t *w = user;
 	char arg[FFL_NAME_BYTES];
+	char allow[ALLOW_BYTES];
 	ffl_command_t command;
 
-	if (serve_common(w, conn))
-		return 1;
 	command = ffl_command_match(info->request_method, info->local_uri, arg,
 				    sizeof(arg));
-	if (command == FFL_CMD__MAX) {
-		ffld_send_problem(conn, 404, "unknown-route", info->local_uri,
+	if (command != FFL_CMD__MAX &&
+	    (operators ||
+	     ffl_command_route(command)->role == FFL_ROLE_CALLER)) {
+		serve_command(w, conn, command, arg);
+		return;
+	}
+	allowed_methods(info->local_uri, operators, allow, sizeof(allow));
+	if (allow[0])
+		ffld_send_not_allowed(conn, allow);
+	else
+		ffld_send_problem(conn, FFLD_UNKNOWN_ROUTE, NULL, FFL_RAN_NO);
+}
+
+/* Returns false where the request was refused before anything was read. */
+static bool enter(ffld_web_t *w, struct mg_connection *conn)
+{
+	ffld_conn_t *peer = mg_get_user_connection_data(conn);
+	ffld_problem_t problem;
+	const char *field;
+
+	ffld_conn_enter(&w->conns, peer, mg_get_request_info(conn));
+	if (peer->refused) {
+		ffl_count(&w->d->counters, FFL_CTR_CONNECTIONS_REFUSED, 1);
+		ffld_send_problem(conn, FFLD_TOO_MANY_CONNECTIONS, NULL,
 				  FFL_RAN_NO);
-		return 1;
+		return false;
 	}
-	return serve_command(w, conn, command, arg);
+	problem = ffld_head_check(mg_get_request_info(conn), &field);
+	if (problem != FFLD_PROBLEM__MAX) {
+		ffl_count(&w->d->counters, FFL_CTR_HEADS_REFUSED, 1);
+		ffld_send_problem(conn, problem, field, FFL_RAN_NO);
+		return false;
+	}
+	ffld_conn_deadline(&w->conns, peer, w->d->settings.body_timeout_ms);
+	return true;
+}
+
+/* The next request has its own deadline. */
+static void leave(ffld_web_t *w, struct mg_connection *conn)
+{
+	ffld_conn_deadline(&w->conns, mg_get_user_connection_data(conn),
+			   KEEP_ALIVE_MS + w->d->settings.body_timeout_ms);
+}
+
+static int serve_operators(struct mg_connection *conn, void *user)
+{
+	ffld_web_t *w = user;
+
+	if (!enter(w, conn))
+		return 1;
+	if (!serve_common(w, conn))
+		serve_route(w, conn, true);
+	leave(w, conn);
+	return 1;
 }
 
 static int serve_callers(struct mg_connection *conn, void *user)
 {
-	const struct mg_request_info *info = mg_get_request_info(conn);
 	ffld_web_t *w = user;
-	char arg[FFL_NAME_BYTES];
-	ffl_command_t command;
 
-	if (serve_common(w, conn))
+	if (!enter(w, conn))
 		return 1;
-	if (strncmp(info->local_uri, "/v1/", 4) != 0)
-		return ffld_relay(w, conn);
-	command = ffl_command_match(info->request_method, info->local_uri, arg,
-				    sizeof(arg));
-	if (command == FFL_CMD__MAX ||
-	    ffl_command_route(command)->role != FFL_ROLE_CALLER) {
-		ffld_send_problem(conn, 404, "unknown-route", info->local_uri,
-				  FFL_RAN_NO);
+	if (serve_common(w, conn)) {
+		leave(w, conn);
 		return 1;
 	}
-	return serve_command(w, conn, command, arg);
+	if (strncmp(mg_get_request_info(conn)->local_uri, "/v1/", 4) == 0)
+		serve_route(w, conn, false);
+	else
+		ffld_relay(w, conn);
+	leave(w, conn);
+	return 1;
+}
+
+static int on_open(const struct mg_connection *conn, void **data)
+{
+	ffld_web_t *w = mg_get_user_data(mg_get_context(conn));
+
+	*data = ffld_conn_open(&w->conns);
+	return 0;
+}
+
+static void on_close(const struct mg_connection *conn)
+{
+	ffld_web_t *w = mg_get_user_data(mg_get_context(conn));
+	ffld_conn_t *peer = mg_get_user_connection_data(conn);
+
+	if (peer)
+		ffld_conn_close(&w->conns, peer);
+}
+
+/* What the server itself cannot parse is refused in the same form. */
+static int on_error(struct mg_connection *conn, int http_status,
+		    const char *message)
+{
+	ffld_web_t *w = mg_get_user_data(mg_get_context(conn));
+	char text[ERROR_BYTES];
+
+	ffl_count(&w->d->counters, FFL_CTR_HEADS_REFUSED, 1);
+	g_snprintf(text, sizeof(text),
+		   "{\"type\":\"urn:fireflyledge:problem:bad-request\","
+		   "\"title\":\"the request cannot be read\",\"status\":%d,"
+		   "\"ran\":\"no\"}",
+		   http_status);
+	mg_disable_connection_keep_alive(conn);
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: application/problem+json\r\n"
+		  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		  http_status, mg_get_response_code_text(conn, http_status),
+		  strlen(text), text);
+	return 0;
 }
 
 static struct mg_context *listen_on(ffld_web_t *w, const char *addr,
 				    uint32_t threads,
 				    mg_request_handler handler)
 {
-	struct mg_callbacks callbacks = { 0 };
+	struct mg_callbacks callbacks = { .init_connection = on_open,
+					  .connection_close = on_close,
+					  .http_error = on_error };
 	char count[16];
 	const char *options[] = { "listening_ports",
 				  addr,
@@ -298,14 +347,20 @@
 				  "request_timeout_ms",
 				  "30000",
 				  "keep_alive_timeout_ms",
-				  "10000",
+				  G_STRINGIFY(KEEP_ALIVE_MS),
+				  "decode_url",
+				  "no",
+				  "connection_queue",
+				  "256",
+				  "listen_backlog",
+				  "1024",
 				  NULL };
 	struct mg_context *ctx;
 
 	g_snprintf(count, sizeof(count), "%u", threads);
 	ctx = mg_start(&callbacks, w, options);
 	if (ctx)
-		mg_set_request_handler(ctx, "/", handler, w);
+		mg_set_request_handler(ctx, "**", handler, w);
 	return ctx;
 }
 
@@ -314,13 +369,16 @@
 	ffld_web_t *w = g_new0(ffld_web_t, 1);
 
 	w->d = d;
-	pthread_mutex_init(&w->lock, NULL);
-	w->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
-	w->idle = g_ptr_array_new();
+	ffld_calls_init(w);
+	g_snprintf(w->boot_id, sizeof(w->boot_id), "%.24s-%08x",
+		   d->settings.name, (uint32_t)d->host.opt.self.member);
+	ffld_conns_init(&w->conns, d);
+	ffld_pool_init(&w->pool);
 	d->web = w;
 	w->callers = listen_on(w, d->settings.callers, d->settings.threads,
 			       serve_callers);
-	w->operators = listen_on(w, d->settings.operators, 8, serve_operators);
+	w->operators = listen_on(w, d->settings.operators, OPERATOR_THREADS,
+				 serve_operators);
 	if (w->callers && w->operators)
 		return w;
 	ffld_web_stop(w);
@@ -329,14 +387,13 @@
 
 void ffld_web_stop(ffld_web_t *w)
 {
+	ffld_calls_drain(w);
 	if (w->callers)
 		mg_stop(w->callers);
 	if (w->operators)
 		mg_stop(w->operators);
-	for (guint i = 0; i < w->idle->len; i++)
-		curl_easy_cleanup(g_ptr_array_index(w->idle, i));
-	g_ptr_array_free(w->idle, TRUE);
-	g_hash_table_destroy(w->calls);
-	pthread_mutex_destroy(&w->lock);
+	ffld_conns_finish(&w->conns);
+	ffld_pool_finish(&w->pool);
+	ffld_calls_finish(w);
 	g_free(w);
 }
--- a/include/fireflyledge/event.h
+++ b/include/fireflyledge/event.h
@@ -73,6 +73,7 @@
 	const char *caller; /**< caller within the customer */
 	ffl_urgency_t urgency;
 	bool repeatable;       /**< the method may be repeated */
+	bool replayable;       /**< the body is kept and can be sent again */
 	const char *key;       /**< idempotency key, or "" */
 	uint64_t payload_hash; /**< of method, target and body, for a key */
 	uint32_t timeout_ms;   /**< from now; 0 takes the default */
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -30,11 +30,14 @@
 	ffl_request_limits_t limits;
 	/** Operator token that holds while no operator is configured. */
 	uint8_t bootstrap_hash[FFL_HASH_BYTES];
+	uint32_t stop_delay_ms; /**< an unready host still takes requests */
+	uint32_t stop_drain_ms; /**< longest drain; 0 takes the default */
 } ffl_host_options_t;
 
 /** State of a planned stop. */
 typedef enum {
 	FFL_STOP_NONE,
+	FFL_STOP_UNREADY,  /**< the balancer is told; requests are taken */
 	FFL_STOP_DRAINING, /**< open requests finish */
 	FFL_STOP_LEAVING,  /**< the leave record is on its way */
 	FFL_STOP_DONE,
@@ -65,9 +68,7 @@
 	ffl_arena_t scratch;
 	ffl_stop_state_t stop;
 	uint64_t stop_ms;
-	uint64_t first_member; /**< first that ever joined; 0: not known */
-	bool log_trimmed;      /**< the log's start was not seen */
-	bool caught_up;	       /**< the log was read to its end once */
+	bool caught_up; /**< the log was read to its end once */
 	bool ready;
 } ffl_host_t;
 
--- a/include/fireflyledge/member.h
+++ b/include/fireflyledge/member.h
@@ -42,9 +42,8 @@
 typedef struct {
 	ffl_join_t self;
 	ffl_member_times_t times;
-	GArray *members;	 /**< of ffl_member_t, by member */
-	GArray *cells;		 /**< of ffl_cell_t, by dc */
-	uint64_t changed_offset; /**< last record that changed the members */
+	GArray *members; /**< of ffl_member_t, by member */
+	GArray *cells;	 /**< of ffl_cell_t, by dc */
 	uint64_t heartbeat_at_ms;
 	uint64_t renew_at_ms;
 	uint64_t claim_seq; /**< outstanding claim, or 0 */
--- a/include/fireflyledge/request.h
+++ b/include/fireflyledge/request.h
@@ -6,70 +6,40 @@
 #define FFL_REQUEST_H
 
 #include "fireflyledge/action.h"
-#include "fireflyledge/tenure.h"
-#include "fireflyledge/budget.h"
 #include "fireflyledge/config.h"
-#include "fireflyledge/cost.h"
-#include "fireflyledge/fairq.h"
 #include "fireflyledge/member.h"
-#include "fireflyledge/once.h"
-#include "fireflyledge/upstream.h"
+
+/** An instance of a service. */
+typedef struct {
+	ffl_host_info_t info;
+	bool listed;
+	bool drained;
+	uint32_t in_flight; /**< attempts of this host */
+	uint32_t failures;  /**< in a row */
+	uint64_t ejected_until_ms;
+} ffl_upstream_t;
 
 /** State of a request. */
 typedef enum {
-	FFL_REQ_ASKING, /**< the home of its key is asked */
 	FFL_REQ_QUEUED,
 	FFL_REQ_FORWARDED,
 	FFL_REQ__MAX
 } ffl_req_state_t;
 
 typedef struct {
-	ffl_fq_item_t place; /**< in the fair queue */
-	ffl_heap_item_t due; /**< among the deadlines */
 	uint64_t id;
 	ffl_name_t customer;
 	ffl_name_t caller;
 	ffl_urgency_t urgency;
 	ffl_req_state_t state;
 	bool repeatable;
-	bool keyed;	/**< granted by the home of its key, once */
-	bool remote;	/**< the attempt went over the link */
-	bool uncertain; /**< an attempt may have run */
-	ffl_key_id_t key;
-	uint64_t key_home; /**< member that granted the run */
-	uint64_t payload_hash;
-	uint64_t cost_key;
-	uint64_t body_bytes;
+	char key[FFL_KEY_BYTES];
 	uint32_t attempt;
-	ffl_name_t upstream; /**< of the latest attempt */
+	ffl_name_t upstream; /**< of the current attempt */
 	uint64_t deadline_ms;
 	uint64_t queued_ms;
-	uint64_t asked_ms; /**< when the home was last asked */
 } ffl_req_t;
 
-typedef struct ffl_requests ffl_requests_t;
-
-/** A policy of admission, order, routing and retries. */
-typedef struct {
-	const char *name;
-	bool bounded; /**< classes, customers and callers have own bounds */
-	/** Returns the queue of a request, or NULL where none is left. */
-	ffl_fq_node_t *(*place)(ffl_requests_t *rs, const ffl_req_t *req,
-				const ffl_customer_t *customer);
-	/** Tells whether the request would miss its deadline. */
-	bool (*hopeless)(ffl_requests_t *rs, const ffl_req_t *req,
-			 uint64_t now_ms);
-	ffl_upstream_t *(*choose)(ffl_requests_t *rs, const ffl_req_t *req,
-				  uint64_t now_ms);
-	/** Tells whether the budget allows one more attempt. */
-	bool (*may_retry)(ffl_requests_t *rs, ffl_up_outcome_t outcome);
-} ffl_route_policy_t;
-
-/** First come first served, round robin; the baseline. */
-extern const ffl_route_policy_t ffl_policy_fcfs;
-/** Fair queue on learned cost, two choices by load, retry budget. */
-extern const ffl_route_policy_t ffl_policy_fair;
-
 /** Limits of the request path. */
 typedef struct {
 	uint32_t queue_max;
@@ -78,57 +48,25 @@
 	uint32_t attempts_max;
 	uint32_t eject_failures; /**< failures in a row that eject */
 	uint32_t eject_ms;
-	uint64_t link_bytes_per_s;	  /**< 0: the default */
-	const ffl_route_policy_t *policy; /**< NULL: fair */
 } ffl_request_limits_t;
 
-/** Who this host is among the entry hosts. */
 typedef struct {
-	uint64_t member;
-	uint64_t cluster;
-	uint64_t seed;
-	const char *region;
-} ffl_request_self_t;
-
-struct ffl_requests {
 	ffl_request_limits_t limits;
-	ffl_upstreams_t upstreams;
-	ffl_fairq_t queue;
-	ffl_heap_t deadlines; /**< of every request that is not forwarded */
-	ffl_costs_t costs;
-	ffl_retries_t retries;
-	ffl_link_t link;
-	GHashTable *by_id;   /**< ffl_req_t by id */
-	GHashTable *buckets; /**< ffl_bucket_t by customer */
-	ffl_rng_t rng;
-	ffl_tenure_t slots; /**< tenure of shares of slots */
-	ffl_once_t once;
-	uint64_t cluster;
-	uint64_t peer_seq;
-	uint64_t load_at_ms;
-	uint64_t rows_at_ms;
-	uint64_t ask_at_ms;
-	uint64_t order;
-	uint64_t now_ms;   /**< of the current step */
-	GPtrArray *asking; /**< scratch: requests whose home is asked */
-	const ffl_members_t *members;
+	ffl_name_t region; /**< of this host */
+	GArray *upstreams; /**< of ffl_upstream_t, by name */
+	GQueue queue;	   /**< of ffl_req_t *, oldest first */
+	GHashTable *by_id; /**< ffl_req_t by id */
+	uint32_t next_upstream;
+	uint32_t entry_hosts; /**< live entry hosts that share the upstreams */
 	bool stopping;
-	bool told_final; /**< the others know that this host has ended */
-};
+} ffl_requests_t;
 
 void ffl_requests_init(ffl_requests_t *rs, const ffl_request_limits_t *limits,
-		       const ffl_request_self_t *self,
-		       const ffl_members_t *members);
+		       const char *region);
 void ffl_requests_finish(ffl_requests_t *rs);
 
 void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list);
 void ffl_requests_on_config(ffl_requests_t *rs, const ffl_config_t *cfg);
-/** Notes a read of the log that reached its end and was sent at a time. */
-void ffl_requests_on_read(ffl_requests_t *rs, uint64_t sent_ms);
-/** Takes the members that the log now gives. */
-void ffl_requests_on_members(ffl_requests_t *rs, bool first, uint64_t now_ms);
-void ffl_requests_on_peer(ffl_requests_t *rs, const ffl_peer_msg_t *msg,
-			  uint64_t now_ms, ffl_actions_t *out);
 void ffl_requests_on_request(ffl_requests_t *rs, const ffl_ev_request_t *ev,
 			     const ffl_config_t *cfg, uint64_t now_ms,
 			     ffl_actions_t *out);
@@ -139,7 +77,7 @@
 void ffl_requests_run(ffl_requests_t *rs, uint64_t now_ms, ffl_actions_t *out);
 /** Starts a planned stop: no new requests. */
 void ffl_requests_stop(ffl_requests_t *rs);
-/** Tells whether no request is open and every key is handed over. */
+/** Tells whether no request is open. */
 bool ffl_requests_idle(const ffl_requests_t *rs);
 
 #endif
--- a/include/fireflyledge/settings.h
+++ b/include/fireflyledge/settings.h
@@ -51,6 +51,11 @@
 	uint32_t eject_ms;
 	uint32_t threads;
 	uint32_t body_bytes;
+	uint32_t buffer_bytes;
+	uint32_t body_timeout_ms;
+	uint32_t per_address;
+	uint32_t stop_delay_ms;
+	uint32_t stop_drain_ms;
 	char bootstrap_hash[FFL_HEX_BYTES];
 } ffl_settings_t;
 
--- a/lib/base/counters.c
+++ b/lib/base/counters.c
@@ -45,6 +45,19 @@
 				"events refused by a full ring" },
 	[FFL_CTR_FRAMES_DROPPED] = { "frames_dropped_total",
 				     "peer frames dropped as invalid" },
+	[FFL_CTR_CONNECTIONS_REFUSED] = { "connections_refused_total",
+					  "requests over the bound of an "
+					  "address" },
+	[FFL_CTR_CONNECTIONS_CUT] = { "connections_cut_total",
+				      "connections whose deadline passed" },
+	[FFL_CTR_CONNECTIONS_UNUSED] = { "connections_unused_total",
+					 "connections that ended without a "
+					 "request that could be read" },
+	[FFL_CTR_HEADS_REFUSED] = { "heads_refused_total",
+				    "malformed requests refused" },
+	[FFL_CTR_ANSWERS_BROKEN] = { "answers_broken_total",
+				     "answers cut because they were not "
+				     "whole" },
 	[FFL_CTR_REVISION] = { "config_revision",
 			       "revision of the configuration" },
 	[FFL_CTR_LOG_OFFSET] = { "log_offset", "next log offset to read" },
--- a/lib/host/command.c
+++ b/lib/host/command.c
@@ -312,9 +312,9 @@
 				  "drained", (int)w->drained, "leaving",
 				  (int)w->info.leaving));
 	}
-	for (guint i = 0; i < h->requests.upstreams.items->len; i++) {
-		const ffl_upstream_t *u = &g_array_index(
-			h->requests.upstreams.items, ffl_upstream_t, i);
+	for (guint i = 0; i < h->requests.upstreams->len; i++) {
+		const ffl_upstream_t *u = &g_array_index(h->requests.upstreams,
+							 ffl_upstream_t, i);
 
 		json_array_append_new(
 			array,
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -3,8 +3,6 @@
 #include "fireflyledge/host.h"
 #include "lib/host/host_int.h"
 
-/** First offset of a log that was never trimmed. */
-#define LOG_START 1
 /** Longest wait of a planned stop, in milliseconds. */
 #define STOP_DRAIN_MS 30000
 #define STOP_LEAVE_MS 3000
@@ -35,9 +33,6 @@
 		    ffl_actions_t *out);
 static void peer_heartbeat(ffl_host_t *h, const ffl_peer_msg_t *msg,
 			   uint64_t now_ms, ffl_actions_t *out);
-static void peer_request(ffl_host_t *h, const ffl_peer_msg_t *msg,
-			 uint64_t now_ms, ffl_actions_t *out);
-static void note_members(ffl_host_t *h, uint64_t now_ms);
 static void on_command(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		       ffl_actions_t *out);
 static void on_request(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -55,8 +50,10 @@
 			uint64_t now_ms, ffl_actions_t *out);
 static void run(ffl_host_t *h, uint32_t parts, uint64_t now_ms,
 		ffl_actions_t *out);
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
+static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms);
 
 static const take_fn_t takers[FFL_EV__MAX] = {
 	[FFL_EV_TICK] = on_tick,
@@ -93,19 +90,11 @@
 
 static const peer_fn_t peer_takers[FFL_PEER__MAX] = {
 	[FFL_PEER_HEARTBEAT] = peer_heartbeat,
-	[FFL_PEER_ONCE_ASK] = peer_request,
-	[FFL_PEER_ONCE_TELL] = peer_request,
-	[FFL_PEER_ONCE_DONE] = peer_request,
-	[FFL_PEER_HANDOVER] = peer_request,
-	[FFL_PEER_LOAD] = peer_request,
 };
 
 void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
 		   ffl_counters_t *counters)
 {
-	const ffl_request_self_t self = { opt->self.member, opt->cluster,
-					  opt->seed, opt->self.region };
-
 	memset(h, 0, sizeof(*h));
 	h->opt = *opt;
 	h->counters = counters;
@@ -115,7 +104,7 @@
 	ffl_fleet_init(&h->fleet);
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
 	ffl_sched_init(&h->sched, opt->self.dc);
-	ffl_requests_init(&h->requests, &opt->limits, &self, &h->members);
+	ffl_requests_init(&h->requests, &opt->limits, opt->self.region);
 	h->writers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 	h->waiters = g_array_new(FALSE, TRUE, sizeof(ffl_waiter_t));
@@ -177,9 +166,6 @@
 		ffl_host_on_verdict(h, rec, &verdict, out);
 		break;
 	default:
-		if (rec->kind == FFL_REC_JOIN && !h->first_member &&
-		    !h->log_trimmed)
-			h->first_member = rec->join.member;
 		ffl_gangs_fold(&h->gangs, &h->members, offset, rec, now_ms);
 		ffl_members_fold(&h->members, offset, rec, now_ms);
 		ffl_host_on_record(h, offset, rec, out);
@@ -216,30 +202,18 @@
 	ffl_host_expire_waiters(h, now_ms, out);
 }
 
-/* Shares and homes follow the members once the log was read to its end. */
-static void note_members(ffl_host_t *h, uint64_t now_ms)
-{
-	if (h->caught_up)
-		ffl_requests_on_members(&h->requests,
-					h->first_member == h->opt.self.member,
-					now_ms);
-}
-
 static void on_log_read(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			ffl_actions_t *out)
 {
 	const ffl_ev_log_read_t *r = &ev->log_read;
 
 	if (r->status == FFL_OK) {
-		h->log_trimmed |= r->first > LOG_START;
 		for (uint32_t i = 0; i < r->count; i++)
 			fold(h, &r->entries[i], now_ms, out);
 		if (h->logc.next_offset >= r->end)
 			h->caught_up = true;
-		note_members(h, now_ms);
 	}
 	ffl_logc_on_read(&h->logc, r, now_ms);
-	ffl_requests_on_read(&h->requests, h->logc.proved_ms);
 	ffl_gauge(h->counters, FFL_CTR_LOG_OFFSET, h->logc.next_offset);
 	ffl_gauge(h->counters, FFL_CTR_REVISION, h->config.revision);
 }
@@ -275,12 +249,6 @@
 	ffl_members_on_peer(&h->members, msg, now_ms);
 }
 
-static void peer_request(ffl_host_t *h, const ffl_peer_msg_t *msg,
-			 uint64_t now_ms, ffl_actions_t *out)
-{
-	ffl_requests_on_peer(&h->requests, msg, now_ms, out);
-}
-
 static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out)
 {
@@ -322,9 +290,8 @@
 		    ffl_actions_t *out)
 {
 	if (h->stop == FFL_STOP_NONE) {
-		h->stop = FFL_STOP_DRAINING;
+		h->stop = FFL_STOP_UNREADY;
 		h->stop_ms = now_ms;
-		ffl_requests_stop(&h->requests);
 		set_ready(h, false, out);
 		return;
 	}
@@ -345,12 +312,47 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
+static uint32_t live_members(const ffl_host_t *h, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < h->members.members->len; i++) {
+		if (ffl_member_alive(
+			    &h->members,
+			    &g_array_index(h->members.members, ffl_member_t, i),
+			    now_ms))
+			n++;
+	}
+	return n ? n : 1;
+}
+
+/* Open requests finish before the host leaves; the longest wait is bounded. */
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out)
+{
+	uint32_t longest_ms =
+		h->opt.stop_drain_ms ? h->opt.stop_drain_ms : STOP_DRAIN_MS;
+
+	if (ffl_requests_idle(&h->requests))
+		return true;
+	if (spent_ms <= longest_ms)
+		return false;
+	ffl_actions_report(out, FFL_LEVEL_WARNING, "stop-drain-ended",
+			   h->opt.self.name, "%u requests were cut",
+			   g_hash_table_size(h->requests.by_id));
+	return true;
+}
+
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
 	uint64_t spent = now_ms - h->stop_ms;
 
-	if (h->stop == FFL_STOP_DRAINING &&
-	    (ffl_requests_idle(&h->requests) || spent > STOP_DRAIN_MS)) {
+	if (h->stop == FFL_STOP_UNREADY && spent >= h->opt.stop_delay_ms) {
+		h->stop = FFL_STOP_DRAINING;
+		h->stop_ms = now_ms;
+		spent = 0;
+		ffl_requests_stop(&h->requests);
+	}
+	if (h->stop == FFL_STOP_DRAINING && drained(h, spent, out)) {
 		h->stop = FFL_STOP_LEAVING;
 		h->stop_ms = now_ms;
 		ffl_members_leave(&h->members, &h->logc);
@@ -372,6 +374,8 @@
 	if ((parts & RUN_GANGS) && h->caught_up)
 		ffl_gangs_run(&h->gangs, &h->fleet, &h->members, &h->config,
 			      &h->sched, &h->logc, now_ms, out);
+	if (parts & RUN_MEMBERS)
+		h->requests.entry_hosts = live_members(h, now_ms);
 	if (parts & RUN_REQUESTS)
 		ffl_requests_run(&h->requests, now_ms, out);
 	if (parts & RUN_STOP) {
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -177,8 +177,6 @@
 void ffl_members_fold(ffl_members_t *ms, uint64_t offset,
 		      const ffl_record_t *rec, uint64_t now_ms)
 {
-	guint before = ms->members->len;
-
 	if (rec->writer == ms->self.member && rec->seq == ms->claim_seq)
 		ms->claim_seq = 0;
 	switch (rec->kind) {
@@ -194,8 +192,6 @@
 	default:
 		break;
 	}
-	if (ms->members->len != before)
-		ms->changed_offset = offset;
 }
 
 void ffl_members_on_peer(ffl_members_t *ms, const ffl_peer_msg_t *msg,
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -1,89 +1,40 @@
 #include <string.h>
 
-#include "lib/request/heap.h"
-#include "lib/request/request_int.h"
-
-/** Grace of shares: a silent host's longest attempt, with a margin. */
-#define SLOTS_FRESH_MS	5000
-#define SLOTS_MARGIN_MS 1000
-#define SLOTS_OUTAGE_MS 3600000
-/** Retry-After: least, greatest, and the spread in percent. */
-#define RETRY_MS_MIN  500
-#define RETRY_MS_MAX  60000
-#define RETRY_SPREAD  100
-#define UNKNOWN_BYTES 1048576
+#include "fireflyledge/request.h"
 
+static gint compare_upstreams(gconstpointer a, gconstpointer b);
+static ffl_upstream_t *find_upstream(ffl_requests_t *rs, const char *name);
 static guint req_hash(gconstpointer p);
 static gboolean req_equal(gconstpointer a, gconstpointer b);
-static ffl_req_t *new_req(ffl_requests_t *rs, const ffl_ev_request_t *ev,
-			  const ffl_customer_t *customer, uint64_t now_ms);
-static bool within_rate(ffl_requests_t *rs, const ffl_customer_t *customer,
-			uint64_t now_ms, uint32_t *wait_ms);
-static void admit(ffl_requests_t *rs, ffl_req_t *req,
-		  const ffl_customer_t *customer, uint64_t now_ms,
-		  ffl_actions_t *out);
+static ffl_req_t *find_req(ffl_requests_t *rs, uint64_t id);
+static void refuse(ffl_actions_t *out, uint64_t id, uint32_t http_status,
+		   const char *type, const char *detail, ffl_ran_t ran);
+static uint32_t share_of(const ffl_requests_t *rs, const ffl_upstream_t *u);
+static ffl_upstream_t *choose(ffl_requests_t *rs, const ffl_req_t *req,
+			      uint64_t now_ms);
 static void forward(ffl_requests_t *rs, ffl_req_t *req, ffl_upstream_t *u,
 		    uint64_t now_ms, ffl_actions_t *out);
-static void account(ffl_requests_t *rs, ffl_req_t *req,
-		    const ffl_ev_upstream_done_t *ev, uint64_t now_ms);
-static void finish(ffl_requests_t *rs, ffl_req_t *req,
-		   const ffl_ev_upstream_done_t *ev, uint64_t now_ms,
-		   ffl_actions_t *out);
-static void refuse_event(ffl_actions_t *out, uint64_t id,
-			 const ffl_refusal_t *r);
-static void expire(ffl_requests_t *rs, uint64_t now_ms, ffl_actions_t *out);
-static void run_gates(ffl_requests_t *rs, uint64_t now_ms);
+static void drop(ffl_requests_t *rs, ffl_req_t *req);
+static void note_outcome(ffl_requests_t *rs, ffl_upstream_t *u,
+			 ffl_up_outcome_t outcome, uint64_t now_ms);
 
 void ffl_requests_init(ffl_requests_t *rs, const ffl_request_limits_t *limits,
-		       const ffl_request_self_t *self,
-		       const ffl_members_t *members)
+		       const char *region)
 {
-	const ffl_eject_t eject = { limits->eject_failures, limits->eject_ms };
-	const ffl_tenure_times_t times = {
-		.fresh_ms = SLOTS_FRESH_MS,
-		.grace_ms = SLOTS_FRESH_MS + limits->max_timeout_ms +
-			    SLOTS_MARGIN_MS,
-		.outage_ms = SLOTS_OUTAGE_MS,
-	};
-
 	memset(rs, 0, sizeof(*rs));
 	rs->limits = *limits;
-	if (!rs->limits.policy)
-		rs->limits.policy = &ffl_policy_fair;
-	rs->cluster = self->cluster;
-	rs->members = members;
-	ffl_rng_init(&rs->rng, self->seed);
-	ffl_upstreams_init(&rs->upstreams, self->region, &eject);
-	ffl_fairq_init(&rs->queue, limits->queue_max);
-	if (!rs->limits.policy->bounded) {
-		rs->queue.bounds.a_class = limits->queue_max;
-		rs->queue.bounds.a_customer = limits->queue_max;
-		rs->queue.bounds.a_caller = limits->queue_max;
-	}
-	ffl_heap_init(&rs->deadlines);
-	ffl_costs_init(&rs->costs);
-	ffl_retries_init(&rs->retries);
-	ffl_link_init(&rs->link, limits->link_bytes_per_s);
-	ffl_tenure_init(&rs->slots, self->member, &times);
-	ffl_once_init(&rs->once, self->member);
+	ffl_copy(rs->region, sizeof(rs->region), region);
+	rs->upstreams = g_array_new(FALSE, TRUE, sizeof(ffl_upstream_t));
+	g_queue_init(&rs->queue);
 	rs->by_id = g_hash_table_new_full(req_hash, req_equal, g_free, NULL);
-	rs->buckets =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	rs->asking = g_ptr_array_new();
+	rs->entry_hosts = 1;
 }
 
 void ffl_requests_finish(ffl_requests_t *rs)
 {
-	g_ptr_array_free(rs->asking, TRUE);
-	g_hash_table_destroy(rs->buckets);
+	g_queue_clear(&rs->queue);
 	g_hash_table_destroy(rs->by_id);
-	ffl_once_finish(&rs->once);
-	ffl_tenure_finish(&rs->slots);
-	ffl_link_finish(&rs->link);
-	ffl_costs_finish(&rs->costs);
-	ffl_heap_finish(&rs->deadlines);
-	ffl_fairq_finish(&rs->queue);
-	ffl_upstreams_finish(&rs->upstreams);
+	g_array_free(rs->upstreams, TRUE);
 }
 
 static guint req_hash(gconstpointer p)
@@ -96,232 +47,144 @@
 	return ((const ffl_req_t *)a)->id == ((const ffl_req_t *)b)->id;
 }
 
-ffl_req_t *ffl_requests_find(const ffl_requests_t *rs, uint64_t id)
+static ffl_req_t *find_req(ffl_requests_t *rs, uint64_t id)
 {
 	ffl_req_t probe = { .id = id };
 
 	return g_hash_table_lookup(rs->by_id, &probe);
 }
 
-void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list)
+static gint compare_upstreams(gconstpointer a, gconstpointer b)
 {
-	ffl_upstreams_on_list(&rs->upstreams, list, &rs->slots);
+	return strcmp(((const ffl_upstream_t *)a)->info.name,
+		      ((const ffl_upstream_t *)b)->info.name);
 }
 
-void ffl_requests_on_config(ffl_requests_t *rs, const ffl_config_t *cfg)
+static ffl_upstream_t *find_upstream(ffl_requests_t *rs, const char *name)
 {
-	for (guint i = 0; i < rs->upstreams.items->len; i++) {
+	for (guint i = 0; i < rs->upstreams->len; i++) {
 		ffl_upstream_t *u =
-			&g_array_index(rs->upstreams.items, ffl_upstream_t, i);
+			&g_array_index(rs->upstreams, ffl_upstream_t, i);
 
-		u->drained = ffl_config_drained(cfg, u->info.name);
+		if (strcmp(u->info.name, name) == 0)
+			return u;
 	}
+	return NULL;
 }
 
-void ffl_requests_on_read(ffl_requests_t *rs, uint64_t sent_ms)
-{
-	ffl_tenure_read(&rs->slots, sent_ms);
-	ffl_tenure_read(&rs->once.tenure, sent_ms);
-}
-
-void ffl_requests_on_members(ffl_requests_t *rs, bool first, uint64_t now_ms)
-{
-	uint64_t ids[FFL_VIEW_MAX];
-	uint32_t n = MIN(rs->members->members->len, FFL_VIEW_MAX);
-	ffl_view_t view;
-
-	for (uint32_t i = 0; i < n; i++)
-		ids[i] = g_array_index(rs->members->members, ffl_member_t, i)
-				 .join.member;
-	ffl_view_set(&view, ids, n, rs->members->changed_offset);
-	if (!ffl_tenure_adopt(&rs->slots, &view, first, now_ms))
-		return;
-	ffl_tenure_adopt(&rs->once.tenure, &view, first, now_ms);
-	ffl_upstreams_share(&rs->upstreams, &rs->slots);
-	ffl_once_adopted(&rs->once);
-	rs->load_at_ms = 0;
-}
-
-void ffl_requests_on_peer(ffl_requests_t *rs, const ffl_peer_msg_t *msg,
-			  uint64_t now_ms, ffl_actions_t *out)
+void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list)
 {
-	rs->now_ms = now_ms;
-	if (msg->head.to != rs->slots.self)
-		return;
-	if (msg->head.kind == FFL_PEER_LOAD)
-		ffl_load_on_peer(rs, msg, now_ms);
-	else
-		ffl_keyed_on_peer(rs, msg, now_ms, out);
+	const ffl_host_info_t *infos = list->hosts.items;
+
+	for (guint i = 0; i < rs->upstreams->len; i++)
+		g_array_index(rs->upstreams, ffl_upstream_t, i).listed = false;
+	for (uint32_t i = 0; i < list->hosts.count; i++) {
+		ffl_upstream_t *u;
+
+		if (infos[i].kind != FFL_HOST_UPSTREAM)
+			continue;
+		u = find_upstream(rs, infos[i].name);
+		if (u) {
+			u->info = infos[i];
+			u->listed = true;
+		} else {
+			ffl_upstream_t fresh = { .listed = true };
+
+			fresh.info = infos[i];
+			g_array_append_val(rs->upstreams, fresh);
+		}
+	}
+	g_array_sort(rs->upstreams, compare_upstreams);
 }
 
-uint32_t ffl_requests_retry_after(ffl_requests_t *rs, uint64_t wait_ms)
+void ffl_requests_on_config(ffl_requests_t *rs, const ffl_config_t *cfg)
 {
-	uint64_t base = MIN(MAX(wait_ms, RETRY_MS_MIN), RETRY_MS_MAX);
-	uint64_t spread = ffl_rng_below(&rs->rng, base * RETRY_SPREAD / 100);
+	for (guint i = 0; i < rs->upstreams->len; i++) {
+		ffl_upstream_t *u =
+			&g_array_index(rs->upstreams, ffl_upstream_t, i);
 
-	return (uint32_t)MIN(base + spread, RETRY_MS_MAX);
+		u->drained = ffl_config_drained(cfg, u->info.name);
+	}
 }
 
-static void refuse_event(ffl_actions_t *out, uint64_t id,
-			 const ffl_refusal_t *r)
+static void refuse(ffl_actions_t *out, uint64_t id, uint32_t http_status,
+		   const char *type, const char *detail, ffl_ran_t ran)
 {
-	ffl_problem_t p = { .http_status = r->http_status,
-			    .type = r->type,
+	ffl_problem_t p = { .http_status = http_status,
+			    .type = type,
 			    .title = "request refused",
-			    .detail = r->detail,
-			    .ran = r->ran,
-			    .retry_after_ms = r->retry_after_ms };
+			    .detail = detail,
+			    .ran = ran,
+			    .retry_after_ms = http_status == 503 ? 1000 : 0 };
 
 	ffl_actions_problem(out, id, &p);
 }
 
-void ffl_requests_drop(ffl_requests_t *rs, ffl_req_t *req)
-{
-	if (req->place.queued)
-		ffl_fairq_drop(&rs->queue, &req->place);
-	if (req->due.position)
-		ffl_heap_remove(&rs->deadlines, &req->due);
-	g_hash_table_remove(rs->by_id, req);
-}
-
-void ffl_requests_refuse(ffl_requests_t *rs, ffl_req_t *req,
-			 const ffl_refusal_t *refusal, ffl_actions_t *out)
-{
-	refuse_event(out, req->id, refusal);
-	if (req->keyed)
-		ffl_keyed_end(rs, req,
-			      req->uncertain ? FFL_ONCE_UNKNOWN : FFL_ONCE_FREE,
-			      NULL, rs->now_ms, out);
-	ffl_requests_drop(rs, req);
-}
-
-static bool within_rate(ffl_requests_t *rs, const ffl_customer_t *customer,
-			uint64_t now_ms, uint32_t *wait_ms)
-{
-	uint32_t parts = MAX(rs->slots.view.count, 1);
-	ffl_bucket_t *b;
-
-	if (!customer->rate_per_s)
-		return true;
-	b = g_hash_table_lookup(rs->buckets, customer->name);
-	if (!b) {
-		b = g_new0(ffl_bucket_t, 1);
-		g_hash_table_insert(rs->buckets, g_strdup(customer->name), b);
-	}
-	ffl_bucket_refill(b, customer->rate_per_s,
-			  MAX(customer->burst, customer->rate_per_s), parts,
-			  now_ms);
-	if (ffl_bucket_take(b, 1))
-		return true;
-	*wait_ms = ffl_bucket_wait_ms(b, customer->rate_per_s, parts);
-	return false;
-}
-
-static ffl_req_t *new_req(ffl_requests_t *rs, const ffl_ev_request_t *ev,
-			  const ffl_customer_t *customer, uint64_t now_ms)
+void ffl_requests_on_request(ffl_requests_t *rs, const ffl_ev_request_t *ev,
+			     const ffl_config_t *cfg, uint64_t now_ms,
+			     ffl_actions_t *out)
 {
-	uint32_t timeout_ms =
+	const ffl_customer_t *customer = ffl_config_customer_of(cfg, ev->token);
+	uint32_t timeout =
 		ev->timeout_ms ? ev->timeout_ms : rs->limits.default_timeout_ms;
-	ffl_req_t *req = g_new0(ffl_req_t, 1);
+	ffl_req_t *req;
 
+	if (!customer) {
+		refuse(out, ev->id, 401, "unknown-token",
+		       "the token belongs to no customer", FFL_RAN_NO);
+		return;
+	}
+	if (rs->stopping || rs->queue.length >= rs->limits.queue_max) {
+		refuse(out, ev->id, 503, "overloaded",
+		       "the queue of this host is full", FFL_RAN_NO);
+		return;
+	}
+	if (timeout > rs->limits.max_timeout_ms)
+		timeout = rs->limits.max_timeout_ms;
+	req = g_new0(ffl_req_t, 1);
 	req->id = ev->id;
 	req->urgency = ev->urgency;
 	req->repeatable = ev->repeatable;
-	req->payload_hash = ev->payload_hash;
-	req->body_bytes = ev->body_bytes == FFL_BODY_UNKNOWN ? UNKNOWN_BYTES
-							     : ev->body_bytes;
 	req->queued_ms = now_ms;
-	req->deadline_ms = now_ms + MIN(timeout_ms, rs->limits.max_timeout_ms);
+	req->deadline_ms = now_ms + timeout;
 	ffl_copy(req->customer, sizeof(req->customer), customer->name);
 	ffl_copy(req->caller, sizeof(req->caller), ev->caller);
-	req->cost_key = ffl_cost_key(customer->name, ev->kind);
-	req->due.key = req->deadline_ms;
-	req->due.order = ++rs->order;
-	req->due.owner = req;
+	ffl_copy(req->key, sizeof(req->key), ev->key);
 	g_hash_table_add(rs->by_id, req);
-	return req;
+	g_queue_push_tail(&rs->queue, req);
 }
 
-void ffl_requests_queue(ffl_requests_t *rs, ffl_req_t *req, bool again)
+static uint32_t share_of(const ffl_requests_t *rs, const ffl_upstream_t *u)
 {
-	req->state = FFL_REQ_QUEUED;
-	if (!req->due.position)
-		ffl_heap_push(&rs->deadlines, &req->due);
-	ffl_fairq_push(&rs->queue, &req->place, req, again);
-}
+	uint32_t share = u->info.slots / rs->entry_hosts;
 
-/* Bounds and the prediction come before the home of a key is asked. */
-static void admit(ffl_requests_t *rs, ffl_req_t *req,
-		  const ffl_customer_t *customer, uint64_t now_ms,
-		  ffl_actions_t *out)
-{
-	ffl_refusal_t r = { 503, "overloaded", "the queue is full", FFL_RAN_NO,
-			    0 };
-	uint64_t wait_ms = 0;
-
-	req->place.cost_ms = ffl_costs_get(&rs->costs, req->cost_key);
-	req->place.caller = rs->limits.policy->place(rs, req, customer);
-	if (req->place.caller)
-		wait_ms = ffl_fairq_wait_ms(
-			&rs->queue, req->place.caller,
-			ffl_upstreams_slots(&rs->upstreams, now_ms));
-	r.retry_after_ms = ffl_requests_retry_after(rs, wait_ms);
-	if (!req->place.caller ||
-	    !ffl_fairq_room(&rs->queue, req->place.caller)) {
-		ffl_requests_refuse(rs, req, &r, out);
-		return;
-	}
-	if (rs->limits.policy->hopeless(rs, req, now_ms)) {
-		r.type = "too-late";
-		r.detail = "the deadline would pass in the queue";
-		ffl_requests_refuse(rs, req, &r, out);
-		return;
-	}
-	if (!req->key.a && !req->key.b) {
-		ffl_requests_queue(rs, req, false);
-		return;
-	}
-	req->state = FFL_REQ_ASKING;
-	ffl_heap_push(&rs->deadlines, &req->due);
-	ffl_keyed_ask(rs, req, now_ms, out);
+	return share ? share : 1;
 }
 
-void ffl_requests_on_request(ffl_requests_t *rs, const ffl_ev_request_t *ev,
-			     const ffl_config_t *cfg, uint64_t now_ms,
-			     ffl_actions_t *out)
+/* Round robin, the own region first, never the instance that just failed. */
+static ffl_upstream_t *choose(ffl_requests_t *rs, const ffl_req_t *req,
+			      uint64_t now_ms)
 {
-	const ffl_customer_t *customer = ffl_config_customer_of(cfg, ev->token);
-	static const ffl_refusal_t unknown = {
-		401, "unknown-token", "the token belongs to no customer",
-		FFL_RAN_NO, 0
-	};
-	ffl_refusal_t r = { 503, "stopping", "this host is stopping",
-			    FFL_RAN_NO, 0 };
-	uint32_t wait_ms = 0;
-	ffl_req_t *req;
+	ffl_upstream_t *remote = NULL;
 
-	rs->now_ms = now_ms;
-	if (!customer) {
-		refuse_event(out, ev->id, &unknown);
-		return;
-	}
-	if (rs->stopping) {
-		r.retry_after_ms = ffl_requests_retry_after(rs, 0);
-		refuse_event(out, ev->id, &r);
-		return;
-	}
-	if (!within_rate(rs, customer, now_ms, &wait_ms)) {
-		r.http_status = 429;
-		r.type = "over-rate";
-		r.detail = "the customer is over its rate";
-		r.retry_after_ms = ffl_requests_retry_after(rs, wait_ms);
-		refuse_event(out, ev->id, &r);
-		return;
+	for (guint n = 0; n < rs->upstreams->len; n++) {
+		guint i = (rs->next_upstream + n) % rs->upstreams->len;
+		ffl_upstream_t *u =
+			&g_array_index(rs->upstreams, ffl_upstream_t, i);
+
+		if (!u->listed || u->drained || u->info.leaving ||
+		    now_ms < u->ejected_until_ms ||
+		    u->in_flight >= share_of(rs, u) ||
+		    strcmp(u->info.name, req->upstream) == 0)
+			continue;
+		if (strcmp(u->info.region, rs->region) == 0) {
+			rs->next_upstream = i + 1;
+			return u;
+		}
+		if (!remote)
+			remote = u;
 	}
-	req = new_req(rs, ev, customer, now_ms);
-	if (ev->key[0] && !ev->repeatable)
-		req->key = ffl_once_key(customer->name, ev->key);
-	admit(rs, req, customer, now_ms, out);
+	return remote;
 }
 
 static void forward(ffl_requests_t *rs, ffl_req_t *req, ffl_upstream_t *u,
@@ -329,154 +192,103 @@
 {
 	ffl_action_t *act = ffl_actions_add(out, FFL_ACT_FORWARD);
 
-	ffl_fairq_take(&rs->queue, &req->place);
-	ffl_heap_remove(&rs->deadlines, &req->due);
-	ffl_upstream_started(u);
 	req->state = FFL_REQ_FORWARDED;
 	req->attempt++;
-	req->remote = !u->local;
-	if (req->remote)
-		ffl_link_spend(&rs->link, req->customer, req->body_bytes, 0);
+	u->in_flight++;
 	ffl_copy(req->upstream, sizeof(req->upstream), u->info.name);
 	act->forward.id = req->id;
 	act->forward.attempt = req->attempt;
 	act->forward.timeout_ms = (uint32_t)(req->deadline_ms - now_ms);
-	act->forward.keep_answer = req->keyed;
+	act->forward.keep_answer = req->key[0] != '\0';
 	ffl_copy(act->forward.upstream, sizeof(act->forward.upstream),
 		 u->info.name);
 	ffl_copy(act->forward.addr, sizeof(act->forward.addr), u->info.addr);
 }
 
+static void drop(ffl_requests_t *rs, ffl_req_t *req)
+{
+	g_hash_table_remove(rs->by_id, req);
+}
+
 void ffl_requests_on_gone(ffl_requests_t *rs, uint64_t id, ffl_actions_t *out)
 {
-	ffl_req_t *req = ffl_requests_find(rs, id);
+	ffl_req_t *req = find_req(rs, id);
 
-	if (!req || req->state == FFL_REQ_FORWARDED)
+	if (!req || req->state != FFL_REQ_QUEUED)
 		return;
-	if (req->keyed)
-		ffl_keyed_end(rs, req,
-			      req->uncertain ? FFL_ONCE_UNKNOWN : FFL_ONCE_FREE,
-			      NULL, rs->now_ms, out);
-	ffl_requests_drop(rs, req);
+	g_queue_remove(&rs->queue, req);
+	drop(rs, req);
 	ffl_actions_add(out, FFL_ACT_FINISH)->finish = id;
 }
 
-/* Ends an attempt: its slot, its cost and its bytes. */
-static void account(ffl_requests_t *rs, ffl_req_t *req,
-		    const ffl_ev_upstream_done_t *ev, uint64_t now_ms)
+static void note_outcome(ffl_requests_t *rs, ffl_upstream_t *u,
+			 ffl_up_outcome_t outcome, uint64_t now_ms)
 {
-	ffl_upstream_t *u = ffl_upstreams_find(&rs->upstreams, req->upstream);
-
-	if (u)
-		ffl_upstreams_ended(&rs->upstreams, u, ev, now_ms);
-	ffl_fairq_served(&rs->queue, &req->place, ev->elapsed_ms);
-	if (req->remote)
-		ffl_link_spend(&rs->link, req->customer, 0, ev->received_bytes);
-	if (ev->outcome == FFL_UP_OK) {
-		ffl_retries_earn(&rs->retries);
-		ffl_costs_learn(&rs->costs, req->cost_key, ev->elapsed_ms);
+	if (!u)
+		return;
+	if (u->in_flight)
+		u->in_flight--;
+	if (outcome == FFL_UP_OK) {
+		u->failures = 0;
+		return;
 	}
-	if (ev->outcome != FFL_UP_NOT_SENT && ev->outcome != FFL_UP_REFUSED)
-		req->uncertain = true;
-}
-
-static void finish(ffl_requests_t *rs, ffl_req_t *req,
-		   const ffl_ev_upstream_done_t *ev, uint64_t now_ms,
-		   ffl_actions_t *out)
-{
-	ffl_once_state_t state =
-		ev->outcome == FFL_UP_OK ? FFL_ONCE_ANSWERED : FFL_ONCE_UNKNOWN;
-
-	if (req->keyed)
-		ffl_keyed_end(rs, req, state, ev, now_ms, out);
-	ffl_actions_add(out, FFL_ACT_FINISH)->finish = req->id;
-	ffl_requests_drop(rs, req);
+	if (outcome == FFL_UP_CANCELLED)
+		return;
+	u->failures++;
+	if (u->failures >= rs->limits.eject_failures)
+		u->ejected_until_ms = now_ms + rs->limits.eject_ms;
 }
 
 void ffl_requests_on_done(ffl_requests_t *rs, const ffl_ev_upstream_done_t *ev,
 			  uint64_t now_ms, ffl_actions_t *out)
 {
-	ffl_req_t *req = ffl_requests_find(rs, ev->id);
+	ffl_req_t *req = find_req(rs, ev->id);
 	bool certain =
 		ev->outcome == FFL_UP_NOT_SENT || ev->outcome == FFL_UP_REFUSED;
-	ffl_refusal_t r = { 502, "upstream-failed",
-			    ffl_up_outcome_name(ev->outcome), FFL_RAN_UNKNOWN,
-			    0 };
 
-	rs->now_ms = now_ms;
-	if (!req || req->state != FFL_REQ_FORWARDED ||
-	    ev->attempt != req->attempt)
+	if (!req || ev->attempt != req->attempt)
 		return;
-	account(rs, req, ev, now_ms);
+	note_outcome(rs, find_upstream(rs, req->upstream), ev->outcome, now_ms);
 	if (ev->outcome == FFL_UP_OK || ev->outcome == FFL_UP_CANCELLED ||
 	    ev->relayed) {
-		finish(rs, req, ev, now_ms, out);
+		ffl_actions_add(out, FFL_ACT_FINISH)->finish = req->id;
+		drop(rs, req);
 		return;
 	}
 	if ((certain || req->repeatable) &&
 	    req->attempt < rs->limits.attempts_max &&
-	    now_ms < req->deadline_ms &&
-	    rs->limits.policy->may_retry(rs, ev->outcome)) {
-		ffl_requests_queue(rs, req, true);
+	    now_ms < req->deadline_ms) {
+		req->state = FFL_REQ_QUEUED;
+		g_queue_push_head(&rs->queue, req);
 		return;
 	}
-	if (!req->uncertain) {
-		r.http_status = 503;
-		r.ran = FFL_RAN_NO;
-		r.retry_after_ms = ffl_requests_retry_after(rs, 0);
-	}
-	ffl_requests_refuse(rs, req, &r, out);
-}
-
-static void expire(ffl_requests_t *rs, uint64_t now_ms, ffl_actions_t *out)
-{
-	ffl_req_t *req;
-
-	while ((req = ffl_heap_top(&rs->deadlines)) &&
-	       now_ms >= req->deadline_ms) {
-		ffl_refusal_t r = { 503, "too-late",
-				    "the deadline passed in the queue",
-				    FFL_RAN_NO, 0 };
-
-		if (req->state == FFL_REQ_ASKING) {
-			r.type = "outcome-unknown";
-			r.detail = "the home of the key did not answer";
-			r.ran = FFL_RAN_UNKNOWN;
-			req->keyed = true;
-		}
-		if (req->uncertain)
-			r.ran = FFL_RAN_UNKNOWN;
-		r.retry_after_ms = ffl_requests_retry_after(rs, 0);
-		ffl_requests_refuse(rs, req, &r, out);
-	}
-}
-
-static void run_gates(ffl_requests_t *rs, uint64_t now_ms)
-{
-	if (ffl_tenure_open(&rs->slots, now_ms))
-		ffl_upstreams_share(&rs->upstreams, &rs->slots);
-	ffl_tenure_open(&rs->once.tenure, now_ms);
-	ffl_once_expire(&rs->once, now_ms);
-	if (rs->stopping && !g_hash_table_size(rs->by_id))
-		ffl_once_leave(&rs->once);
+	refuse(out, req->id, certain ? 503 : 502, "upstream-failed",
+	       ffl_up_outcome_name(ev->outcome),
+	       certain ? FFL_RAN_NO : FFL_RAN_UNKNOWN);
+	drop(rs, req);
 }
 
 void ffl_requests_run(ffl_requests_t *rs, uint64_t now_ms, ffl_actions_t *out)
 {
-	ffl_upstream_t *u;
-	ffl_req_t *req;
-
-	rs->now_ms = now_ms;
-	run_gates(rs, now_ms);
-	ffl_load_run(rs, now_ms, out);
-	ffl_keyed_run(rs, now_ms, out);
-	expire(rs, now_ms, out);
-	if (!ffl_tenure_live(&rs->slots, now_ms))
-		return;
-	while ((req = ffl_fairq_peek(&rs->queue))) {
-		u = rs->limits.policy->choose(rs, req, now_ms);
+	GList *l = rs->queue.head;
+	GList *next;
+
+	for (; l; l = next) {
+		ffl_req_t *req = l->data;
+		ffl_upstream_t *u;
+
+		next = l->next;
+		if (now_ms >= req->deadline_ms) {
+			g_queue_delete_link(&rs->queue, l);
+			refuse(out, req->id, 503, "too-late",
+			       "the deadline passed in the queue", FFL_RAN_NO);
+			drop(rs, req);
+			continue;
+		}
+		u = choose(rs, req, now_ms);
 		if (!u)
-			return;
+			continue;
+		g_queue_delete_link(&rs->queue, l);
 		forward(rs, req, u, now_ms, out);
 	}
 }
@@ -488,8 +300,5 @@
 
 bool ffl_requests_idle(const ffl_requests_t *rs)
 {
-	if (g_hash_table_size(rs->by_id))
-		return false;
-	return !rs->stopping || !rs->once.final ||
-	       ffl_once_handed_all(&rs->once);
+	return g_hash_table_size(rs->by_id) == 0;
 }
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -25,100 +25,12 @@
 	FIELD_BOOL(ffl_heartbeat_t, leaving),
 };
 
-static const ffl_field_t once_ask_fields[] = {
-	FIELD_U64(ffl_once_ask_t, request),
-	FIELD_U64(ffl_once_ask_t, key_a),
-	FIELD_U64(ffl_once_ask_t, key_b),
-	FIELD_U64(ffl_once_ask_t, payload_hash),
-	FIELD_U64(ffl_once_ask_t, view),
-	FIELD_U32(ffl_once_ask_t, timeout_ms, 0),
-};
-
-static const ffl_field_t once_tell_fields[] = {
-	FIELD_U64(ffl_once_tell_t, request),
-	FIELD_U32(ffl_once_tell_t, verdict, 0),
-	FIELD_U32(ffl_once_tell_t, http_status, 0),
-	FIELD_TEXT(ffl_once_tell_t, content_type),
-	FIELD_BLOB(ffl_once_tell_t, answer, FFL_ANSWER_BYTES_MAX),
-};
-
-static const ffl_field_t once_row_fields[] = {
-	FIELD_U64(ffl_once_row_t, key_a),
-	FIELD_U64(ffl_once_row_t, key_b),
-	FIELD_U64(ffl_once_row_t, payload_hash),
-	FIELD_U64(ffl_once_row_t, origin),
-	FIELD_U64(ffl_once_row_t, request),
-	FIELD_U32(ffl_once_row_t, state, 0),
-	FIELD_U32(ffl_once_row_t, age_ms, 0),
-	FIELD_U32(ffl_once_row_t, run_left_ms, 0),
-	FIELD_U32(ffl_once_row_t, http_status, 0),
-	FIELD_TEXT(ffl_once_row_t, content_type),
-	FIELD_BLOB(ffl_once_row_t, answer, FFL_ANSWER_BYTES_MAX),
-};
-
-static const ffl_field_t once_done_fields[] = {
-	FIELD_U64(ffl_once_done_t, row.key_a),
-	FIELD_U64(ffl_once_done_t, row.key_b),
-	FIELD_U64(ffl_once_done_t, row.payload_hash),
-	FIELD_U64(ffl_once_done_t, row.origin),
-	FIELD_U64(ffl_once_done_t, row.request),
-	FIELD_U32(ffl_once_done_t, row.state, 0),
-	FIELD_U32(ffl_once_done_t, row.age_ms, 0),
-	FIELD_U32(ffl_once_done_t, row.run_left_ms, 0),
-	FIELD_U32(ffl_once_done_t, row.http_status, 0),
-	FIELD_TEXT(ffl_once_done_t, row.content_type),
-	FIELD_BLOB(ffl_once_done_t, row.answer, FFL_ANSWER_BYTES_MAX),
-	FIELD_U32(ffl_once_done_t, hops, 0),
-};
-
-static const ffl_schema_t once_row_schema =
-	SCHEMA(ffl_once_row_t, once_row_fields);
-
-static const ffl_field_t handover_fields[] = {
-	FIELD_U64(ffl_handover_t, view),
-	FIELD_U64(ffl_handover_t, from_cursor),
-	FIELD_U64(ffl_handover_t, to_cursor),
-	FIELD_BOOL(ffl_handover_t, ack),
-	FIELD_BOOL(ffl_handover_t, complete),
-	FIELD_BOOL(ffl_handover_t, final),
-	FIELD_LIST(ffl_handover_t, rows, FFL_HANDOVER_ROWS_MAX,
-		   &once_row_schema),
-};
-
-static const ffl_field_t load_fields[] = {
-	FIELD_U64(ffl_load_t, stamp_ms),
-	FIELD_U64(ffl_load_t, echo_ms),
-	FIELD_U64(ffl_load_t, view),
-	FIELD_U32(ffl_load_t, slots_taint_ms, 0),
-	FIELD_U32(ffl_load_t, keys_taint_ms, 0),
-	FIELD_BOOL(ffl_load_t, log_fresh),
-	FIELD_BOOL(ffl_load_t, slots_settled),
-	FIELD_BOOL(ffl_load_t, slots_rooted),
-	FIELD_BOOL(ffl_load_t, keys_settled),
-	FIELD_BOOL(ffl_load_t, keys_rooted),
-	FIELD_BOOL(ffl_load_t, final),
-};
-
-static const ffl_schema_t once_ask_schema =
-	SCHEMA(ffl_once_ask_t, once_ask_fields);
-static const ffl_schema_t once_tell_schema =
-	SCHEMA(ffl_once_tell_t, once_tell_fields);
-static const ffl_schema_t once_done_schema =
-	SCHEMA(ffl_once_done_t, once_done_fields);
-static const ffl_schema_t handover_schema =
-	SCHEMA(ffl_handover_t, handover_fields);
-static const ffl_schema_t load_schema = SCHEMA(ffl_load_t, load_fields);
 static const ffl_schema_t head_schema = SCHEMA(ffl_peer_head_t, head_fields);
 static const ffl_schema_t heartbeat_schema =
 	SCHEMA(ffl_heartbeat_t, heartbeat_fields);
 
 static const ffl_schema_t *const peer_schemas[FFL_PEER__MAX] = {
 	[FFL_PEER_HEARTBEAT] = &heartbeat_schema,
-	[FFL_PEER_ONCE_ASK] = &once_ask_schema,
-	[FFL_PEER_ONCE_TELL] = &once_tell_schema,
-	[FFL_PEER_ONCE_DONE] = &once_done_schema,
-	[FFL_PEER_HANDOVER] = &handover_schema,
-	[FFL_PEER_LOAD] = &load_schema,
 };
 
 const char *ffl_peer_kind_name(uint32_t kind)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -49,10 +49,14 @@
 callers = 127.0.0.1:$((PORT + $1 * 10 + 1))
 operators = 127.0.0.1:$((PORT + $1 * 10 + 2))
 peers = 127.0.0.1:$((PORT + $1 * 10 + 3))
+body_timeout = 2s
+threads = 256
 [platform]
 log = $PLATFORM
 hosts = $PLATFORM
 poll_hosts = 200ms
+[stop]
+delay = 200ms
 [membership]
 suspect = 1s
 [operators]
--- a/standin/main.c
+++ b/standin/main.c
@@ -105,7 +105,7 @@
 	u->ctx = listen_on(info.addr, UPSTREAM_THREADS);
 	if (!u->ctx)
 		return false;
-	mg_set_request_handler(u->ctx, "/", standin_upstream, u);
+	mg_set_request_handler(u->ctx, "**", standin_upstream, u);
 	g_ptr_array_add(p->upstreams, u);
 	ffl_copy(info.name, sizeof(info.name), u->name);
 	ffl_copy(info.dc, sizeof(info.dc), dc);
@@ -203,8 +203,10 @@
 		const upstream_t *u = g_ptr_array_index(p->upstreams, i);
 
 		json_object_set_new(hosts, u->name,
-				    json_pack("{s:I,s:i,s:i}", "served",
-					      (json_int_t)u->served, "busy",
+				    json_pack("{s:I,s:I,s:I,s:i,s:i}", "served",
+					      (json_int_t)u->served, "runs",
+					      (json_int_t)u->runs, "truncated",
+					      (json_int_t)u->truncated, "busy",
 					      (int)u->busy, "peak",
 					      (int)u->peak));
 	}
@@ -220,11 +222,19 @@
 
 static struct mg_context *listen_on(const char *addr, const char *threads)
 {
-	const char *options[] = {
-		"listening_ports",	 addr,	  "num_threads", threads,
-		"enable_keep_alive",	 "yes",	  "tcp_nodelay", "1",
-		"keep_alive_timeout_ms", "30000", NULL
-	};
+	const char *options[] = { "listening_ports",
+				  addr,
+				  "num_threads",
+				  threads,
+				  "enable_keep_alive",
+				  "yes",
+				  "tcp_nodelay",
+				  "1",
+				  "keep_alive_timeout_ms",
+				  "30000",
+				  "decode_url",
+				  "no",
+				  NULL };
 	struct mg_callbacks callbacks = { 0 };
 
 	return mg_start(&callbacks, NULL, options);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -31,6 +31,8 @@
 	uint32_t busy;
 	uint32_t peak;
 	uint64_t served;
+	uint64_t runs;	    /**< whole requests taken in */
+	uint64_t truncated; /**< requests whose body ended early */
 	struct mg_context *ctx;
 } upstream_t;
 
