--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -32,11 +32,14 @@
 	uint32_t poll_hosts_ms; /**< 0 where the list comes by itself */
 	/** Operator token that holds while no operator is configured. */
 	uint8_t bootstrap_hash[FFL_HASH_BYTES];
+	uint32_t stop_delay_ms; /**< an unready host still takes requests */
+	uint32_t stop_drain_ms; /**< longest drain; 0 takes the default */
 } ffl_host_options_t;
 
 /** State of a planned stop. */
 typedef enum {
 	FFL_STOP_NONE,
+	FFL_STOP_UNREADY,  /**< the balancer is told; requests are taken */
 	FFL_STOP_DRAINING, /**< open requests finish */
 	FFL_STOP_LEAVING,  /**< the leave record is on its way */
 	FFL_STOP_DONE,
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -55,6 +55,7 @@
 			uint64_t now_ms, ffl_actions_t *out);
 static void run(ffl_host_t *h, uint32_t parts, uint64_t now_ms,
 		ffl_actions_t *out);
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
 
@@ -329,9 +330,8 @@
 		    ffl_actions_t *out)
 {
 	if (h->stop == FFL_STOP_NONE) {
-		h->stop = FFL_STOP_DRAINING;
+		h->stop = FFL_STOP_UNREADY;
 		h->stop_ms = now_ms;
-		ffl_requests_stop(&h->requests);
 		set_ready(h, false, out);
 		return;
 	}
@@ -352,12 +352,33 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
+/* Open requests finish before the host leaves; the longest wait is bounded. */
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out)
+{
+	uint32_t longest_ms =
+		h->opt.stop_drain_ms ? h->opt.stop_drain_ms : STOP_DRAIN_MS;
+
+	if (ffl_requests_idle(&h->requests))
+		return true;
+	if (spent_ms <= longest_ms)
+		return false;
+	ffl_actions_report(out, FFL_LEVEL_WARNING, "stop-drain-ended",
+			   h->opt.self.name, "%u requests were cut",
+			   g_hash_table_size(h->requests.by_id));
+	return true;
+}
+
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
 	uint64_t spent = now_ms - h->stop_ms;
 
-	if (h->stop == FFL_STOP_DRAINING &&
-	    (ffl_requests_idle(&h->requests) || spent > STOP_DRAIN_MS)) {
+	if (h->stop == FFL_STOP_UNREADY && spent >= h->opt.stop_delay_ms) {
+		h->stop = FFL_STOP_DRAINING;
+		h->stop_ms = now_ms;
+		spent = 0;
+		ffl_requests_stop(&h->requests);
+	}
+	if (h->stop == FFL_STOP_DRAINING && drained(h, spent, out)) {
 		h->stop = FFL_STOP_LEAVING;
 		h->stop_ms = now_ms;
 		ffl_members_leave(&h->members, &h->logc);
