An answer's head and body go out in one write, without a second hand-over

Cause: perf shows system calls and thread wake-ups; each answer was sent in seven writes, and after a whole answer the thread still waited for the core.

--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -4,6 +4,7 @@
 #include "daemon/relay.h"
 
 /** Bounds of one relayed request. */
+#define HEAD_BYTES     1024
 #define KIND_BYTES     96
 #define CHUNK_BYTES    16384
 #define WAIT_MARGIN_MS 5000
@@ -141,31 +142,39 @@
 	return box;
 }
 
+/* The head, and a whole body with it, go out in one write. */
 void ffld_relay_begin(ffld_relay_t *r, bool whole)
 {
 	ffld_reply_t *reply = &r->reply;
 	bool no_body = ffld_reply_has_no_body(r);
+	bool close = ffld_web_should_close(r->w);
+	GString *out = g_string_sized_new(HEAD_BYTES);
 
 	reply->relayed = true;
-	if (ffld_web_should_close(r->w))
+	if (close)
 		mg_disable_connection_keep_alive(r->conn);
-	mg_printf(r->conn, "HTTP/1.1 %ld %s\r\n", reply->http_status,
-		  mg_get_response_code_text(r->conn, (int)reply->http_status));
-	mg_write(r->conn, reply->headers->str, reply->headers->len);
-	mg_printf(r->conn, "Fireflyledge-Request-Id: %s\r\n", r->id);
-	if (ffld_web_should_close(r->w))
-		mg_printf(r->conn, "Connection: close\r\n");
-	if (no_body && reply->lengths)
-		mg_printf(r->conn, "Content-Length: %llu\r\n",
-			  (unsigned long long)reply->length);
-	else if (!no_body && whole)
-		mg_printf(r->conn, "Content-Length: %u\r\n", reply->body->len);
+	g_string_append_printf(
+		out, "HTTP/1.1 %ld %s\r\n", reply->http_status,
+		mg_get_response_code_text(r->conn, (int)reply->http_status));
+	g_string_append_len(out, reply->headers->str,
+			    (gssize)reply->headers->len);
+	g_string_append_printf(out, "Fireflyledge-Request-Id: %s\r\n", r->id);
+	if (close)
+		g_string_append(out, "Connection: close\r\n");
+	if (!no_body && whole)
+		g_string_append_printf(out, "Content-Length: %u\r\n",
+				       reply->body->len);
 	else if (!no_body && reply->chunked)
-		mg_printf(r->conn, "Transfer-Encoding: chunked\r\n");
-	else if (!no_body)
-		mg_printf(r->conn, "Content-Length: %llu\r\n",
-			  (unsigned long long)reply->length);
-	mg_printf(r->conn, "\r\n");
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	else if (!no_body || reply->lengths)
+		g_string_append_printf(out, "Content-Length: %llu\r\n",
+				       (unsigned long long)reply->length);
+	g_string_append(out, "\r\n");
+	if (!no_body && whole)
+		g_string_append_len(out, (const gchar *)reply->body->data,
+				    (gssize)reply->body->len);
+	mg_write(r->conn, out->str, out->len);
+	g_string_free(out, TRUE);
 }
 
 /* An answer that was begun and is not whole never gets its proper end. */
@@ -175,8 +184,6 @@
 
 	if (!reply->relayed && r->outcome == FFL_UP_OK) {
 		ffld_relay_begin(r, true);
-		if (reply->body->len)
-			mg_write(r->conn, reply->body->data, reply->body->len);
 		return;
 	}
 	if (reply->relayed && r->outcome == FFL_UP_OK) {
@@ -214,10 +221,10 @@
 		step = ffld_call_wait(r->w, &r->call, wait_ms);
 		if (step == FFLD_STEP_FORWARD)
 			ffld_attempt(r);
-	} while (step == FFLD_STEP_FORWARD);
+	} while (step == FFLD_STEP_FORWARD && r->outcome != FFL_UP_OK);
 	if (step == FFLD_STEP_ANSWER)
 		send_refusal(r);
-	else if (step == FFLD_STEP_FINISH)
+	else if (step == FFLD_STEP_FINISH || r->outcome == FFL_UP_OK)
 		finish_answer(r);
 	else if (r->reply.relayed)
 		mg_disable_connection_keep_alive(r->conn);
