Idle connections match the slots that a host may use

Cause: 13,900 of 34,100 relayed requests opened a connection: two were kept idle for an upstream whose eight slots one host may use alone. Change: seven idle connections for an upstream (seven hosts keep 49 idle and have at most 8 in flight, below the 64 that an upstream takes); the loopback benchmark offers as many requests as there are slots, straight and relayed.

--- a/daemon/pool.h
+++ b/daemon/pool.h
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 /** Connections kept idle for one upstream, and for all of them. */
-#define FFLD_POOL_IDLE_MAX 2
+#define FFLD_POOL_IDLE_MAX 7
 #define FFLD_POOL_ALL_MAX  128
 /** Longest time that a connection stays idle, in ms. */
 #define FFLD_POOL_IDLE_MS 5000
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -29,7 +29,7 @@
 
 start_platform() {
 	"$BUILD/ffl-platform" --listen=127.0.0.1:$PORT \
-		--upstreams=$((PORT + 100)) \
+		--upstreams=$((PORT + 100)) --slots="${SLOTS:-8}" \
 		--dc=altiplano-1:altiplano:4:2 --dc=oriente-1:oriente:2:1 \
 		>"$DIR/platform.log" 2>&1 &
 	PIDS="$PIDS $!"
--- a/scripts/loopback.sh
+++ b/scripts/loopback.sh
@@ -7,12 +7,21 @@
 . "$(dirname "$0")/cluster.sh"
 FFL="$BUILD/ffl"
 start_platform
-for i in 1 2 3; do start_host $i; done
-wait_for 100 "ready 1 && ready 2 && ready 3"
+start_host 1
+wait_for 100 "ready 1"
 hash=$("$FFL" token-hash bench-token)
 change customer name=bench token_hash="$hash" reason=bench >/dev/null
+sleep 2
+"$BUILD/bench/loopback" "http://127.0.0.1:$((PORT + 100))/readings" \
+	"http://127.0.0.1:$((PORT + 101))/readings" \
+	"$(callers_url 1)/readings" bench-token
+rss=$(awk '/VmRSS/ { print $2 }' "/proc/$HOST1/status")
+echo "{\"name\":\"loopback.rss\",\"value\":$rss,\"unit\":\"KB\",\"hosts\":1}"
 
-# In force: from the confirmation's answer until the last host shows it.
+# In force: from the confirmation's call until the last host shows it.
+start_host 2
+start_host 3
+wait_for 100 "ready 2 && ready 3"
 status_of() { curl -s -H "Authorization: Bearer $FFL_TOKEN" \
 	"$(operators_url "$1")/v1/status" | jq .revision; }
 start=$(date +%s%N)
@@ -22,16 +31,3 @@
 done
 end=$(date +%s%N)
 echo "{\"name\":\"loopback.in_force\",\"value\":$(((end - start) / 1000000)),\"unit\":\"ms\",\"hosts\":3,\"includes\":\"two ffl calls\"}"
-
-for p in $(pgrep -f "$DIR/host" || true); do
-	rss=$(awk '/VmRSS/ { print $2 }' "/proc/$p/status")
-	echo "{\"name\":\"loopback.rss\",\"value\":$rss,\"unit\":\"KB\",\"pid\":$p}" |
-		sed 's/,"pid":[0-9]*//'
-	break
-done
-# One host alone: its share is every slot.
-kill -TERM "$HOST2" "$HOST3"
-wait "$HOST2" "$HOST3" || true
-sleep 2
-"$BUILD/bench/loopback" "http://127.0.0.1:$((PORT + 100))/readings" \
-	"$(callers_url 1)/readings" bench-token
--- a/standin/main.c
+++ b/standin/main.c
@@ -8,18 +8,18 @@
 
 #include "standin/standin.h"
 
-#define MS_PER_S	 1000
-#define NS_PER_MS	 1000000
-#define CHUNK_BYTES	 16384
-#define ACCELERATORS	 8
-#define WORKERS_A_RACK	 8
-#define CORES		 32
-#define MEMORY_MB	 65536
-#define SLOTS		 8
-#define CONNECTIONS	 64
-#define DCS_MAX		 32
-#define THREADS		 "64"
-#define UPSTREAM_THREADS "16"
+#define MS_PER_S       1000
+#define NS_PER_MS      1000000
+#define CHUNK_BYTES    16384
+#define ACCELERATORS   8
+#define WORKERS_A_RACK 8
+#define CORES	       32
+#define MEMORY_MB      65536
+#define SLOTS	       8
+#define SLOTS_MAX      256
+#define CONNECTIONS    64
+#define DCS_MAX	       32
+#define THREADS	       "64"
 
 static void add_host(platform_t *p, const ffl_host_info_t *info);
 static void add_worker(platform_t *p, const char *dc, const char *region,
@@ -97,15 +97,17 @@
 			 uint32_t n, uint32_t port)
 {
 	upstream_t *u = g_new0(upstream_t, 1);
+	char threads[16];
 	ffl_host_info_t info = { .kind = FFL_HOST_UPSTREAM,
-				 .slots = SLOTS,
+				 .slots = p->slots,
 				 .connections = CONNECTIONS };
 
 	g_snprintf(u->name, sizeof(u->name), "%.32s-u%u", dc, n);
 	g_snprintf(info.addr, sizeof(info.addr), "127.0.0.1:%u", port);
 	pthread_mutex_init(&u->lock, NULL);
-	u->slots = SLOTS;
-	u->ctx = listen_on(info.addr, UPSTREAM_THREADS);
+	u->slots = p->slots;
+	g_snprintf(threads, sizeof(threads), "%u", 2 * p->slots);
+	u->ctx = listen_on(info.addr, threads);
 	if (!u->ctx)
 		return false;
 	mg_set_request_handler(u->ctx, "**", standin_upstream, u);
@@ -277,11 +279,13 @@
 		arg_str0("l", "listen", "IP:PORT", "address (127.0.0.1:7100)");
 	struct arg_int *port = arg_int0("u", "upstreams", "PORT",
 					"first port of upstreams (7200)");
+	struct arg_int *slots =
+		arg_int0("s", "slots", "N", "slots of each upstream (8)");
 	struct arg_str *dcs =
 		arg_strn("d", "dc", "NAME:REGION:WORKERS:UPSTREAMS", 1, DCS_MAX,
 			 "a data centre");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { listen, port, dcs, end };
+	void *table[] = { listen, port, slots, dcs, end };
 	platform_t p = { 0 };
 	struct mg_context *ctx;
 	uint32_t next_port;
@@ -306,6 +310,11 @@
 	p.list_seed = standin_now_ms() | 1;
 	p.workers = g_ptr_array_new();
 	p.upstreams = g_ptr_array_new();
+	p.slots = slots->count ? (uint32_t)slots->ival[0] : SLOTS;
+	if (p.slots < 1 || p.slots > SLOTS_MAX) {
+		fprintf(stderr, "ffl-platform: 1 to %d slots\n", SLOTS_MAX);
+		return 2;
+	}
 	addr = listen->count ? listen->sval[0] : "127.0.0.1:7100";
 	next_port = port->count ? (uint32_t)port->ival[0] : 7200;
 	for (int i = 0; i < dcs->count; i++) {
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -44,6 +44,7 @@
 	uint32_t delay_ms; /**< of every answer of the log */
 	GArray *hosts;	   /**< of ffl_host_info_t */
 	GArray *changed;   /**< version of each host's last change */
+	uint32_t slots;	   /**< of each upstream */
 	uint64_t list_seed;
 	uint64_t list_version;
 	GPtrArray *workers;
