The demo waits for events, not for time

Cause: under a load of 14 the demo failed once in make check; its waits were a second for a revision and a fixed second for a leaving host. Change: it waits until every host shows the revision, and until every host lists both as leaving; then it looks.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,8 +38,8 @@
 start_platform
 for i in 1 2 3; do start_host $i; done
 check "three entry hosts are ready" \
-	'wait_for 100 "ready 1 && ready 2 && ready 3"'
-check "the cell altiplano-1 has a leader" 'wait_for 100 leader'
+	'wait_for 300 "ready 1 && ready 2 && ready 3"'
+check "the cell altiplano-1 has a leader" 'wait_for 300 leader'
 
 echo "An operator states intents, sees plans and confirms them."
 hash=$("$FFL" token-hash rocio-token)
@@ -49,8 +49,8 @@
 	'change guarantee name=rocio dc=altiplano-1 count=2 accelerators=8 \
 	adjacency=worker reason="survey models, contract 7"'
 rev=$("$FFL" --json config | jq .revision)
-check "every entry host has revision $rev within a second" \
-	'wait_for 10 "everywhere \"1 2 3\" $rev"'
+check "every entry host has revision $rev" \
+	'wait_for 300 "everywhere \"1 2 3\" $rev"'
 check "a stale plan is rejected" '! "$FFL" confirm 999999 0'
 
 echo "A caller submits a gang of 8 accelerators."
@@ -58,7 +58,7 @@
 job=$("$FFL" --json submit name=liner-1 accelerators=8 adjacency=worker \
 	payload=run_ms=700 | jq .id)
 check "job $job runs whole and completes" \
-	'wait_for 150 "job_state $job ended"'
+	'wait_for 300 "job_state $job ended"'
 check "its accelerators are one aligned block of one worker" \
 	'"$FFL" --json job $job | jq -e ".end == \"done\""'
 check "the same submission again is the same job" \
@@ -75,7 +75,17 @@
 FFL_TOKEN=$OPERATOR_TOKEN
 check "draining a worker is confirmed" 'change drain \
 	name=altiplano-1-w0 reason="power supply"'
-sleep 1
+seen_leaving() {
+	for i in 1 2 3; do
+		curl -sf -H "Authorization: Bearer $OPERATOR_TOKEN" \
+			"$(operators_url $i)/v1/hosts" | jq -e 'map(select(
+			(.name == "altiplano-1-u0" and .leaving) or
+			(.name == "altiplano-1-w0" and .drained))) |
+			length == 2' || return 1
+	done
+}
+check "every entry host knows that both are leaving" \
+	'wait_for 300 seen_leaving'
 u0=$(served altiplano-1-u0)
 w0=$(starts altiplano-1-w0)
 FFL_TOKEN=rocio-token
@@ -86,7 +96,7 @@
 		payload=run_ms=100 >/dev/null || true
 done
 idle() { [ "$("$FFL" --json jobs | jq length)" = 0 ]; }
-check "later jobs complete elsewhere" 'wait_for 200 idle'
+check "later jobs complete elsewhere" 'wait_for 300 idle'
 check "the leaving upstream served nothing new" \
 	'[ "$(served altiplano-1-u0)" = "$u0" ]'
 check "the drained worker started nothing new" \
@@ -97,15 +107,15 @@
 kill -9 "$HOST1"
 wait "$HOST1" 2>/dev/null || true
 start_host 1
-check "the new host is ready" 'wait_for 100 "ready 1"'
+check "the new host is ready" 'wait_for 300 "ready 1"'
 rev=$(revision_of 2)
-check "it has all that was confirmed" 'wait_for 50 "everywhere 1 $rev"'
-check "the cell has a leader again" 'wait_for 100 leader'
+check "it has all that was confirmed" 'wait_for 300 "everywhere 1 $rev"'
+check "the cell has a leader again" 'wait_for 300 leader'
 FFL_TOKEN=rocio-token
 job=$("$FFL" --json submit name=liner-2 accelerators=16 adjacency=rack \
 	payload=run_ms=300 | jq .id)
 check "job $job over two neighbouring workers completes" \
-	'wait_for 200 "job_state $job ended"'
+	'wait_for 300 "job_state $job ended"'
 
 echo "Entry host 2 is stopped in good order."
 kill -TERM "$HOST2"
