--- a/bench/base_bench.c
+++ b/bench/base_bench.c
@@ -12,12 +12,59 @@
 #define ROUNDS	      200000
 #define REPORT_ROUNDS 20000
 
+static void fill_record(ffl_record_t *rec);
 static void bench_record(ffl_rec_kind_t kind);
 static void bench_report(uint32_t tasks);
 static void bench_heartbeat(void);
 static void bench_host_list(uint32_t hosts, bool delta);
 static void bench_ring(void);
 
+/* Texts of the length that people write. */
+static void fill_record(ffl_record_t *rec)
+{
+	switch (rec->kind) {
+	case FFL_REC_INTENT:
+		rec->intent.kind = FFL_INTENT_GUARANTEE;
+		ffl_copy(rec->intent.name, FFL_NAME_BYTES, "customer-17");
+		ffl_copy(rec->intent.dc, FFL_NAME_BYTES, "altiplano-1");
+		ffl_copy(rec->intent.who, FFL_NAME_BYTES, "maria.lopez");
+		ffl_copy(rec->intent.reason, FFL_REASON_BYTES,
+			 "contract 7, survey models of the rainy season; "
+			 "see the minutes of 12 October");
+		break;
+	case FFL_REC_CONFIRM:
+		ffl_copy(rec->confirm.who, FFL_NAME_BYTES, "maria.lopez");
+		rec->confirm.plan = 10000000;
+		rec->confirm.revision = 10000000;
+		break;
+	case FFL_REC_JOIN:
+		rec->join.member = UINT64_MAX / 2;
+		ffl_copy(rec->join.name, FFL_NAME_BYTES, "entry-altiplano-3");
+		ffl_copy(rec->join.dc, FFL_NAME_BYTES, "altiplano-1");
+		ffl_copy(rec->join.region, FFL_NAME_BYTES, "altiplano");
+		ffl_copy(rec->join.peer_addr, FFL_ADDR_BYTES,
+			 "10.20.30.40:7303");
+		break;
+	case FFL_REC_JOB:
+		ffl_copy(rec->job.customer, FFL_NAME_BYTES, "customer-17");
+		ffl_copy(rec->job.name, FFL_NAME_BYTES, "liner-2026-12-04-1");
+		ffl_copy(rec->job.kind, FFL_NAME_BYTES, "survey");
+		ffl_copy(rec->job.dc, FFL_NAME_BYTES, "altiplano-1");
+		ffl_copy(rec->job.payload, FFL_PAYLOAD_BYTES,
+			 "image=liner:12 input=pond-114 output=wear-114");
+		rec->job.accelerators = 64;
+		break;
+	case FFL_REC_JOB_END:
+		rec->job_end.job = 10000000;
+		rec->job_end.epoch = 10000000;
+		ffl_copy(rec->job_end.result, FFL_PAYLOAD_BYTES,
+			 "output=wear-114 exit=0");
+		break;
+	default:
+		break;
+	}
+}
+
 static void bench_record(ffl_rec_kind_t kind)
 {
 	GByteArray *bytes = g_byte_array_new();
@@ -33,12 +80,7 @@
 	uint64_t spent;
 
 	ffl_arena_init(&arena);
-	if (kind == FFL_REC_JOB) {
-		ffl_copy(rec.job.customer, FFL_NAME_BYTES, "customer-17");
-		ffl_copy(rec.job.name, FFL_NAME_BYTES, "liner-2026-12-04-1");
-		ffl_copy(rec.job.kind, FFL_NAME_BYTES, "survey");
-		rec.job.accelerators = 64;
-	}
+	fill_record(&rec);
 	ffl_record_encode(&rec, bytes);
 	start = bench_now_ns();
 	for (uint32_t i = 0; i < ROUNDS; i++) {
--- a/bench/host_bench.c
+++ b/bench/host_bench.c
@@ -45,6 +45,7 @@
 {
 	ffl_host_options_t opt = { .cluster = 42, .seed = 1 };
 	ffl_event_t ev = { .kind = FFL_EV_LOG_READ };
+	ffl_record_t join = { .kind = FFL_REC_JOIN };
 
 	memset(b, 0, sizeof(*b));
 	opt.times.heartbeat_ms = 250;
@@ -71,6 +72,8 @@
 	ev.log_read.first = 1;
 	ev.log_read.end = 1;
 	step(b, &ev);
+	join.join = opt.self;
+	fold(b, &join);
 }
 
 static void bed_finish(bed_t *b)
@@ -146,7 +149,7 @@
 
 static void bench_list(uint32_t workers)
 {
-	uint64_t heap = bench_heap_bytes();
+	uint64_t heap;
 	uint64_t start;
 	bed_t b;
 
