--- a/include/fireflyledge/record.h
+++ b/include/fireflyledge/record.h
@@ -67,6 +67,7 @@
 	uint64_t revision; /**< revision that a withdrawal undoes */
 	char reason[FFL_REASON_BYTES];
 	ffl_name_t who;
+	bool remove; /**< removes the customer or operator */
 } ffl_intent_t;
 
 /** Confirmation of the plan of the intent at a log offset. */
@@ -74,6 +75,8 @@
 	uint64_t plan;	   /**< offset of the intent's record */
 	uint64_t revision; /**< revision that the plan was shown at */
 	ffl_name_t who;
+	uint32_t blast_radius; /**< accelerators taken away, as shown */
+	uint64_t unreadable;   /**< unreadable record that is accepted */
 } ffl_confirm_t;
 
 /** Registration of an entry host; repeated to renew. */
@@ -155,6 +158,7 @@
 	uint64_t writer; /**< member that appended it */
 	uint64_t seq;	 /**< grows with each record of a writer */
 	uint64_t at_ms;	 /**< writer's wall clock, for people only */
+	uint64_t base;	 /**< last offset that the writer had read */
 	union {
 		ffl_intent_t intent;
 		ffl_confirm_t confirm;
@@ -174,6 +178,9 @@
 
 /** Appends the encoded record to @p out. */
 void ffl_record_encode(const ffl_record_t *rec, GByteArray *out);
+/** Appends the header only, and the body only. */
+void ffl_record_encode_head(const ffl_record_t *rec, GByteArray *out);
+void ffl_record_encode_body(const ffl_record_t *rec, GByteArray *out);
 
 /**
  * Decodes a record.
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -4,6 +4,15 @@
 #include "fireflyledge/config.h"
 #include "lib/config/config_int.h"
 
+static gint compare_plan(gconstpointer key, gconstpointer item);
+static bool pending_at(const ffl_config_t *cfg, uint64_t plan, guint *at);
+static void verdict_repeated(const ffl_config_t *cfg, const ffl_audit_t *a,
+			     ffl_verdict_t *v);
+static void check_confirm(const ffl_config_t *cfg, const ffl_confirm_t *c,
+			  const ffl_intent_t *intent, ffl_verdict_t *v);
+static void apply(ffl_config_t *cfg, uint64_t offset, const ffl_record_t *rec,
+		  const ffl_pending_t *p, ffl_verdict_t *v);
+
 void ffl_config_init(ffl_config_t *cfg)
 {
 	memset(cfg, 0, sizeof(*cfg));
@@ -11,93 +20,177 @@
 	cfg->guarantees = g_array_new(FALSE, TRUE, sizeof(ffl_guarantee_t));
 	cfg->drains = g_array_new(FALSE, TRUE, sizeof(ffl_drain_t));
 	cfg->operators = g_array_new(FALSE, TRUE, sizeof(ffl_operator_t));
-	cfg->pending = g_array_new(FALSE, TRUE, sizeof(ffl_pending_t));
-	cfg->audit = g_array_new(FALSE, TRUE, sizeof(ffl_audit_t));
+	cfg->scopes = g_array_new(FALSE, TRUE, sizeof(ffl_scope_t));
+	cfg->pending = g_ptr_array_new_with_free_func(g_free);
+	cfg->audit = g_ptr_array_new_with_free_func(g_free);
+	cfg->by_plan = g_hash_table_new(g_int64_hash, g_int64_equal);
 }
 
 void ffl_config_finish(ffl_config_t *cfg)
 {
+	g_hash_table_destroy(cfg->by_plan);
 	g_array_free(cfg->customers, TRUE);
 	g_array_free(cfg->guarantees, TRUE);
 	g_array_free(cfg->drains, TRUE);
 	g_array_free(cfg->operators, TRUE);
-	g_array_free(cfg->pending, TRUE);
-	g_array_free(cfg->audit, TRUE);
+	g_array_free(cfg->scopes, TRUE);
+	g_ptr_array_free(cfg->pending, TRUE);
+	g_ptr_array_free(cfg->audit, TRUE);
 }
 
 void ffl_config_intent(ffl_config_t *cfg, uint64_t offset,
 		       const ffl_record_t *rec)
 {
-	ffl_pending_t p = { .plan = offset,
-			    .at_ms = rec->at_ms,
-			    .writer = rec->writer,
-			    .seq = rec->seq,
-			    .intent = rec->intent };
+	ffl_pending_t *p = g_new0(ffl_pending_t, 1);
 
+	p->plan = offset;
+	p->at_ms = rec->at_ms;
+	p->writer = rec->writer;
+	p->seq = rec->seq;
+	p->intent = rec->intent;
 	if (cfg->pending->len >= FFL_PLANS_MAX)
-		g_array_remove_index(cfg->pending, 0);
-	g_array_append_val(cfg->pending, p);
+		g_ptr_array_remove_index(cfg->pending, 0);
+	g_ptr_array_add(cfg->pending, p);
+}
+
+static gint compare_plan(gconstpointer key, gconstpointer item)
+{
+	uint64_t plan = *(const uint64_t *)key;
+	const ffl_pending_t *p = item;
+
+	return plan < p->plan ? -1 : plan > p->plan;
+}
+
+static bool pending_at(const ffl_config_t *cfg, uint64_t plan, guint *at)
+{
+	guint low = 0;
+	guint high = cfg->pending->len;
+
+	while (low < high) {
+		guint mid = low + (high - low) / 2;
+		gint d = compare_plan(&plan,
+				      g_ptr_array_index(cfg->pending, mid));
+
+		if (d == 0) {
+			*at = mid;
+			return true;
+		}
+		if (d < 0)
+			high = mid;
+		else
+			low = mid + 1;
+	}
+	return false;
 }
 
 const ffl_pending_t *ffl_config_pending(const ffl_config_t *cfg, uint64_t plan)
 {
-	for (guint i = 0; i < cfg->pending->len; i++) {
-		ffl_pending_t *p =
-			&g_array_index(cfg->pending, ffl_pending_t, i);
+	guint at;
 
-		if (p->plan == plan)
-			return p;
+	if (!pending_at(cfg, plan, &at))
+		return NULL;
+	return g_ptr_array_index(cfg->pending, at);
+}
+
+static void verdict_repeated(const ffl_config_t *cfg, const ffl_audit_t *a,
+			     ffl_verdict_t *v)
+{
+	const ffl_audit_t *later = ffl_config_superseded(cfg, a);
+
+	v->repeated = true;
+	v->revision = a->revision;
+	v->status = later ? FFL_CONFLICT : FFL_OK;
+	v->between = later ? later->revision : 0;
+	v->why = later ? "the plan took effect and was superseded since" :
+			 "the plan is in force already";
+}
+
+static void check_confirm(const ffl_config_t *cfg, const ffl_confirm_t *c,
+			  const ffl_intent_t *intent, ffl_verdict_t *v)
+{
+	ffl_intent_t before;
+	ffl_intent_t after;
+
+	if (c->revision > cfg->revision) {
+		v->status = FFL_INVALID;
+		v->why = "the plan was not shown at this revision";
+		return;
 	}
-	return NULL;
+	if (c->unreadable < cfg->unreadable) {
+		v->status = FFL_CONFLICT;
+		v->unreadable = cfg->unreadable;
+		v->why = "a record of a later version came before";
+		return;
+	}
+	v->between = ffl_config_between(cfg, intent, c->revision);
+	if (v->between) {
+		v->status = FFL_CONFLICT;
+		v->why = "a change that the plan rests on came between";
+		return;
+	}
+	v->status = ffl_config_preview(cfg, intent, &before, &after, &v->why,
+				       &v->between);
+}
+
+static void apply(ffl_config_t *cfg, uint64_t offset, const ffl_record_t *rec,
+		  const ffl_pending_t *p, ffl_verdict_t *v)
+{
+	ffl_scope_t scopes[FFL_INTENT_SCOPES_MAX];
+	uint32_t n = ffl_intent_scopes(cfg, &p->intent, scopes);
+	ffl_audit_t entry = { .revision = offset,
+			      .plan = p->plan,
+			      .at_ms = rec->at_ms };
+	ffl_intent_t after;
+
+	entry.intent = p->intent;
+	ffl_copy(entry.confirmed_by, sizeof(entry.confirmed_by),
+		 rec->confirm.who);
+	ffl_config_preview(cfg, &p->intent, &entry.before, &after, &v->why,
+			   &v->between);
+	entry.supersedes = ffl_image_get(cfg, &after, &entry.before);
+	ffl_image_set(cfg, offset, &after);
+	ffl_scopes_touch(cfg, scopes, n, offset);
+	ffl_audit_add(cfg, &entry);
+	cfg->revision = offset;
+	v->revision = offset;
 }
 
 ffl_verdict_t ffl_config_confirm(ffl_config_t *cfg, uint64_t offset,
 				 const ffl_record_t *rec)
 {
 	const ffl_confirm_t *c = &rec->confirm;
-	const ffl_pending_t *p = ffl_config_pending(cfg, c->plan);
+	const ffl_audit_t *done = ffl_config_audit_of_plan(cfg, c->plan);
+	const ffl_pending_t *p;
 	ffl_verdict_t v = { .plan = c->plan,
 			    .offset = offset,
-			    .status = FFL_NOT_FOUND };
-	ffl_audit_t entry = { 0 };
+			    .status = FFL_NOT_FOUND,
+			    .why = "the plan does not exist" };
+	guint at;
 
-	if (!p)
-		return v;
-	if (c->revision != cfg->revision) {
-		v.status = FFL_CONFLICT;
-		v.between = cfg->revision;
+	if (done) {
+		verdict_repeated(cfg, done, &v);
 		return v;
 	}
-	entry.revision = offset;
-	entry.plan = p->plan;
-	entry.at_ms = rec->at_ms;
-	entry.intent = p->intent;
-	ffl_copy(entry.confirmed_by, sizeof(entry.confirmed_by), c->who);
-	entry.supersedes = ffl_config_change(cfg, offset, &p->intent);
-	entry.chain = ffl_audit_chain(cfg->chain, &entry);
-	cfg->chain = entry.chain;
-	cfg->revision = offset;
-	g_array_remove_index(
-		cfg->pending,
-		(guint)(p - &g_array_index(cfg->pending, ffl_pending_t, 0)));
-	if (cfg->audit->len >= FFL_AUDIT_MAX)
-		g_array_remove_index(cfg->audit, 0);
-	g_array_append_val(cfg->audit, entry);
-	v.status = FFL_OK;
+	if (!pending_at(cfg, c->plan, &at))
+		return v;
+	p = g_ptr_array_index(cfg->pending, at);
+	check_confirm(cfg, c, &p->intent, &v);
+	if (v.status != FFL_OK)
+		return v;
+	apply(cfg, offset, rec, p, &v);
+	g_ptr_array_remove_index(cfg->pending, at);
 	return v;
 }
 
+void ffl_config_unreadable(ffl_config_t *cfg, uint64_t offset)
+{
+	cfg->unreadable = offset;
+}
+
 const ffl_customer_t *ffl_config_customer(const ffl_config_t *cfg,
 					  const char *name)
 {
-	for (guint i = 0; i < cfg->customers->len; i++) {
-		ffl_customer_t *c =
-			&g_array_index(cfg->customers, ffl_customer_t, i);
-
-		if (strcmp(c->name, name) == 0)
-			return c;
-	}
-	return NULL;
+	return ffl_sorted_find(cfg->customers, name, ffl_compare_names);
 }
 
 const ffl_customer_t *ffl_config_customer_of(const ffl_config_t *cfg,
@@ -136,12 +229,39 @@
 
 bool ffl_config_drained(const ffl_config_t *cfg, const char *host)
 {
-	for (guint i = 0; i < cfg->drains->len; i++) {
-		if (strcmp(g_array_index(cfg->drains, ffl_drain_t, i).host,
-			   host) == 0)
-			return true;
+	return ffl_sorted_find(cfg->drains, host, ffl_compare_names) != NULL;
+}
+
+const ffl_guarantee_t *ffl_config_guarantee(const ffl_config_t *cfg,
+					    const ffl_intent_t *shape)
+{
+	ffl_guarantee_t key = { .accelerators = shape->accelerators,
+				.adjacency = shape->adjacency };
+
+	ffl_copy(key.customer, sizeof(key.customer), shape->name);
+	ffl_copy(key.dc, sizeof(key.dc), shape->dc);
+	return ffl_sorted_find(cfg->guarantees, &key, ffl_compare_guarantees);
+}
+
+uint32_t ffl_config_order_rank(const ffl_config_t *cfg, const char *kind)
+{
+	size_t len = strlen(kind);
+	const char *p = cfg->order;
+	uint32_t rank = 0;
+
+	while (*p) {
+		size_t word;
+
+		p += strspn(p, ", ");
+		word = strcspn(p, ", ");
+		if (!word)
+			break;
+		if (word == len && memcmp(p, kind, len) == 0)
+			return rank;
+		p += word;
+		rank++;
 	}
-	return false;
+	return UINT32_MAX;
 }
 
 void ffl_token_hash(const char *token, uint8_t hash[FFL_HASH_BYTES])
@@ -152,14 +272,11 @@
 
 uint64_t ffl_config_hash(const ffl_config_t *cfg)
 {
-	GArray *const parts[] = { cfg->customers, cfg->guarantees, cfg->drains,
-				  cfg->operators, cfg->pending,	   cfg->audit };
-	uint64_t h = ffl_hash(cfg->order, sizeof(cfg->order), cfg->revision);
+	GByteArray *bytes = g_byte_array_new();
+	uint64_t h;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++)
-		h = ffl_hash(parts[i]->data,
-			     (size_t)parts[i]->len *
-				     g_array_get_element_size(parts[i]),
-			     h);
+	ffl_config_save(cfg, bytes);
+	h = ffl_hash(bytes->data, bytes->len, 0);
+	g_byte_array_free(bytes, TRUE);
 	return h;
 }
--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -3,29 +3,63 @@
 #include "fireflyledge/logc.h"
 
 /** Pauses between tries, in milliseconds. */
-#define BACKOFF_MIN_MS 50
-#define BACKOFF_MAX_MS 2000
+#define BACKOFF_MIN_MS	  50
+#define BACKOFF_MAX_MS	  2000
+#define BACKOFF_SHIFT_MAX 6
 /** Most records of one read, and how long the log may wait for them. */
 #define READ_MAX     512
 #define READ_WAIT_MS 1000
+/** Least time between two appends, and between two of bulk, in ms. */
+#define APPEND_MIN_MS 50
+#define BULK_MIN_MS   250
+#define MS_PER_S      1000
 
 /** A record that waits or is in flight. */
 typedef struct {
-	uint64_t seq;
-	GByteArray *data;
+	ffl_record_t head;
+	GByteArray *body;
+	bool sent; /**< it may have reached the log */
 } queued_t;
 
+/** Bounds of a lane. */
+typedef struct {
+	uint32_t queue_max;
+	uint32_t batch_max;
+} lane_limits_t;
+
 static void queued_free(gpointer p);
 static uint64_t backoff_ms(ffl_logc_t *lc, uint32_t failures);
+static uint64_t pace_ms(const ffl_logc_t *lc);
 static void settle(ffl_logc_t *lc);
-static void send_append(ffl_logc_t *lc, ffl_actions_t *out);
+static bool lane_due(const ffl_logc_t *lc, uint32_t lane, uint64_t now_ms);
+static bool anything_due(const ffl_logc_t *lc, uint64_t now_ms);
+static uint32_t take_lane(ffl_logc_t *lc, uint32_t lane, GArray *records,
+			  size_t *size_bytes, ffl_arena_t *arena);
+static void send_append(ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out);
 static void send_read(ffl_logc_t *lc, ffl_actions_t *out);
 
+static const lane_limits_t limits[FFL_LANE__MAX] = {
+	[FFL_LANE_URGENT] = { 1024, FFL_LOGC_BATCH_MAX },
+	[FFL_LANE_JOBS] = { FFL_LOGC_QUEUE_MAX, FFL_LOGC_BATCH_MAX },
+	[FFL_LANE_BULK] = { 1024, 2 },
+};
+
+static const char *const result_names[FFL_READ__MAX] = {
+	[FFL_READ_TAKEN] = "taken",	[FFL_READ_FAILED] = "failed",
+	[FFL_READ_STALE] = "stale",	[FFL_READ_GAP] = "gap",
+	[FFL_READ_TRIMMED] = "trimmed",
+};
+
+const char *ffl_read_result_name(uint32_t result)
+{
+	return result < FFL_READ__MAX ? result_names[result] : "?";
+}
+
 static void queued_free(gpointer p)
 {
 	queued_t *q = p;
 
-	g_byte_array_free(q->data, TRUE);
+	g_byte_array_free(q->body, TRUE);
 	g_free(q);
 }
 
@@ -37,49 +71,74 @@
 	lc->writer = writer;
 	lc->next_seq = 1;
 	lc->next_offset = FFL_OFFSET_FIRST;
+	lc->first = FFL_OFFSET_FIRST;
 	lc->next_append = 1;
-	g_queue_init(&lc->queue);
+	for (uint32_t i = 0; i < FFL_LANE__MAX; i++)
+		g_queue_init(&lc->lanes[i]);
 	ffl_rng_init(&lc->rng, seed);
 }
 
 void ffl_logc_finish(ffl_logc_t *lc)
 {
-	g_queue_clear_full(&lc->queue, queued_free);
+	for (uint32_t i = 0; i < FFL_LANE__MAX; i++)
+		g_queue_clear_full(&lc->lanes[i], queued_free);
 }
 
 ffl_status_t ffl_logc_append(ffl_logc_t *lc, ffl_record_t *rec)
 {
+	ffl_lane_t lane = ffl_rec_lane(rec->kind);
 	queued_t *q;
 
-	if (lc->queue.length >= FFL_LOGC_QUEUE_MAX)
+	if (lc->lanes[lane].length >= limits[lane].queue_max)
 		return FFL_FULL;
 	rec->version = FFL_RECORD_VERSION;
 	rec->cluster = lc->cluster;
 	rec->writer = lc->writer;
 	rec->seq = lc->next_seq++;
+	rec->at_ms = lc->now_ms + lc->wall_offset_ms;
 	q = g_new0(queued_t, 1);
-	q->seq = rec->seq;
-	q->data = g_byte_array_new();
-	ffl_record_encode(rec, q->data);
-	g_queue_push_tail(&lc->queue, q);
+	q->head = *rec;
+	q->body = g_byte_array_new();
+	ffl_record_encode_body(rec, q->body);
+	g_queue_push_tail(&lc->lanes[lane], q);
 	return FFL_OK;
 }
 
-void ffl_logc_seen(ffl_logc_t *lc, uint64_t seq)
+bool ffl_logc_cancel(ffl_logc_t *lc, ffl_rec_kind_t kind, uint64_t seq)
 {
-	queued_t *q = g_queue_peek_head(&lc->queue);
+	GQueue *lane = &lc->lanes[ffl_rec_lane(kind)];
+
+	for (GList *l = lane->head; l; l = l->next) {
+		queued_t *q = l->data;
 
-	while (q && q->seq <= seq) {
-		queued_free(g_queue_pop_head(&lc->queue));
-		if (lc->in_flight)
-			lc->in_flight--;
-		q = g_queue_peek_head(&lc->queue);
+		if (q->head.seq != seq)
+			continue;
+		if (q->sent)
+			return false;
+		queued_free(q);
+		g_queue_delete_link(lane, l);
+		return true;
+	}
+	return false;
+}
+
+void ffl_logc_seen(ffl_logc_t *lc, ffl_rec_kind_t kind, uint64_t seq)
+{
+	ffl_lane_t lane = ffl_rec_lane(kind);
+	queued_t *q = g_queue_peek_head(&lc->lanes[lane]);
+
+	while (q && q->head.seq <= seq) {
+		queued_free(g_queue_pop_head(&lc->lanes[lane]));
+		if (lc->in_flight[lane])
+			lc->in_flight[lane]--;
+		q = g_queue_peek_head(&lc->lanes[lane]);
 	}
 }
 
 static uint64_t backoff_ms(ffl_logc_t *lc, uint32_t failures)
 {
-	uint32_t shift = failures < 6 ? failures : 6;
+	uint32_t shift = failures < BACKOFF_SHIFT_MAX ? failures :
+							BACKOFF_SHIFT_MAX;
 	uint64_t cap = (uint64_t)BACKOFF_MIN_MS << shift;
 
 	if (cap > BACKOFF_MAX_MS)
@@ -87,48 +146,82 @@
 	return cap / 2 + ffl_rng_below(&lc->rng, cap / 2);
 }
 
-/* An uncertain append is settled once reading has passed the log's end as it
- * was first seen after the loss: what did not turn up never took effect. */
+/* All hosts together stay below the appends that the log takes. */
+static uint64_t pace_ms(const ffl_logc_t *lc)
+{
+	uint64_t share = (uint64_t)lc->sharers * MS_PER_S /
+			 FFL_LOGC_APPENDS_PER_S;
+
+	return share > APPEND_MIN_MS ? share : APPEND_MIN_MS;
+}
+
+/* Only a read that began after the loss tells what the log held then. */
 static void settle(ffl_logc_t *lc)
 {
-	if (lc->append_state != FFL_APPEND_UNCERTAIN)
-		return;
-	if (!lc->uncertain_end)
-		lc->uncertain_end = lc->end + 1;
-	if (lc->next_offset + 1 < lc->uncertain_end)
+	if (lc->append_state != FFL_APPEND_UNCERTAIN ||
+	    lc->reads <= lc->lost_read || lc->next_offset < lc->end)
 		return;
 	lc->append_state = FFL_APPEND_BACKOFF;
-	lc->in_flight = 0;
+	memset(lc->in_flight, 0, sizeof(lc->in_flight));
+}
+
+ffl_read_result_t ffl_logc_judge(const ffl_logc_t *lc,
+				 const ffl_ev_log_read_t *ev)
+{
+	uint64_t next = lc->next_offset;
+
+	if (ev->status != FFL_OK)
+		return FFL_READ_FAILED;
+	if (!lc->reading || ev->end < lc->end || ev->first < lc->first)
+		return FFL_READ_STALE;
+	if (ev->first > next)
+		return FFL_READ_TRIMMED;
+	for (uint32_t i = 0; i < ev->count; i++) {
+		if (ev->entries[i].offset > next)
+			return FFL_READ_GAP;
+		if (ev->entries[i].offset == next)
+			next++;
+	}
+	if (!ev->count && next < ev->end)
+		return FFL_READ_GAP;
+	return FFL_READ_TAKEN;
 }
 
 void ffl_logc_on_read(ffl_logc_t *lc, const ffl_ev_log_read_t *ev,
-		      uint64_t now_ms)
+		      ffl_read_result_t result, uint64_t now_ms)
 {
+	lc->now_ms = now_ms;
+	lc->read_counts[result]++;
+	if (!lc->reading)
+		return;
 	lc->reading = false;
-	if (ev->status != FFL_OK) {
+	if (result != FFL_READ_TAKEN && result != FFL_READ_TRIMMED) {
 		lc->read_failures++;
 		lc->read_at_ms = now_ms + backoff_ms(lc, lc->read_failures);
 		return;
 	}
 	lc->read_failures = 0;
 	lc->read_at_ms = now_ms;
-	if (ev->end > lc->end)
-		lc->end = ev->end;
+	lc->first = ev->first;
+	lc->end = ev->end;
 	settle(lc);
 }
 
 void ffl_logc_on_appended(ffl_logc_t *lc, const ffl_ev_log_appended_t *ev,
 			  uint64_t now_ms)
 {
+	lc->now_ms = now_ms;
 	if (ev->append + 1 != lc->next_append ||
 	    lc->append_state != FFL_APPEND_SENT)
 		return;
 	if (ev->status == FFL_OK) {
 		lc->failures = 0;
 		lc->append_state = FFL_APPEND_IDLE;
-		while (lc->in_flight) {
-			queued_free(g_queue_pop_head(&lc->queue));
-			lc->in_flight--;
+		for (uint32_t i = 0; i < FFL_LANE__MAX; i++) {
+			while (lc->in_flight[i]) {
+				queued_free(g_queue_pop_head(&lc->lanes[i]));
+				lc->in_flight[i]--;
+			}
 		}
 		return;
 	}
@@ -136,35 +229,81 @@
 	lc->append_at_ms = now_ms + backoff_ms(lc, lc->failures);
 	if (ev->status == FFL_UNAVAILABLE) {
 		lc->append_state = FFL_APPEND_BACKOFF;
-		lc->in_flight = 0;
+		memset(lc->in_flight, 0, sizeof(lc->in_flight));
 		return;
 	}
 	lc->append_state = FFL_APPEND_UNCERTAIN;
-	lc->uncertain_end = 0;
+	lc->lost_read = lc->reads;
 }
 
-static void send_append(ffl_logc_t *lc, ffl_actions_t *out)
+/* Encodes the head of a lane; returns how many records fit. */
+static uint32_t take_lane(ffl_logc_t *lc, uint32_t lane, GArray *records,
+			  size_t *size_bytes, ffl_arena_t *arena)
 {
-	uint32_t n = lc->queue.length;
-	ffl_action_t *act = ffl_actions_add(out, FFL_ACT_LOG_APPEND);
-	ffl_bytes_t *records;
-	GList *l = lc->queue.head;
+	GByteArray *buf = g_byte_array_new();
+	uint32_t n = 0;
 
-	if (n > FFL_LOGC_BATCH_MAX)
-		n = FFL_LOGC_BATCH_MAX;
-	records = ffl_arena_alloc(&out->arena, n * sizeof(*records));
-	for (uint32_t i = 0; i < n; i++, l = l->next) {
+	for (GList *l = lc->lanes[lane].head; l; l = l->next, n++) {
 		queued_t *q = l->data;
+		ffl_bytes_t bytes;
 
-		records[i].size_bytes = q->data->len;
-		records[i].data = ffl_arena_copy(&out->arena, q->data->data,
-						 q->data->len);
+		if (n >= limits[lane].batch_max ||
+		    records->len >= FFL_LOGC_BATCH_MAX ||
+		    (records->len &&
+		     *size_bytes + q->body->len > FFL_LOGC_BATCH_BYTES))
+			break;
+		q->head.base = lc->next_offset - 1;
+		q->sent = true;
+		g_byte_array_set_size(buf, 0);
+		ffl_record_encode_head(&q->head, buf);
+		g_byte_array_append(buf, q->body->data, q->body->len);
+		bytes.size_bytes = buf->len;
+		bytes.data = ffl_arena_copy(arena, buf->data, buf->len);
+		*size_bytes += buf->len;
+		g_array_append_val(records, bytes);
 	}
+	g_byte_array_free(buf, TRUE);
+	return n;
+}
+
+static bool lane_due(const ffl_logc_t *lc, uint32_t lane, uint64_t now_ms)
+{
+	return lc->lanes[lane].length &&
+	       (lane != FFL_LANE_BULK || now_ms >= lc->bulk_at_ms);
+}
+
+static bool anything_due(const ffl_logc_t *lc, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < FFL_LANE__MAX; i++) {
+		if (lane_due(lc, i, now_ms))
+			return true;
+	}
+	return false;
+}
+
+static void send_append(ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out)
+{
+	ffl_action_t *act = ffl_actions_add(out, FFL_ACT_LOG_APPEND);
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(ffl_bytes_t));
+	size_t size_bytes = 0;
+
+	for (uint32_t i = 0; i < FFL_LANE__MAX; i++)
+		lc->in_flight[i] = lane_due(lc, i, now_ms) ?
+					   take_lane(lc, i, records,
+						     &size_bytes,
+						     &out->arena) :
+					   0;
+	if (lc->in_flight[FFL_LANE_BULK])
+		lc->bulk_at_ms = now_ms + BULK_MIN_MS;
 	act->log_append.append = lc->next_append++;
-	act->log_append.records = records;
-	act->log_append.count = n;
-	lc->in_flight = n;
+	act->log_append.count = records->len;
+	act->log_append.records =
+		ffl_arena_copy(&out->arena, (const uint8_t *)records->data,
+			       records->len * sizeof(ffl_bytes_t));
+	g_array_free(records, TRUE);
+	lc->appends++;
 	lc->append_state = FFL_APPEND_SENT;
+	lc->append_at_ms = now_ms + pace_ms(lc);
 }
 
 static void send_read(ffl_logc_t *lc, ffl_actions_t *out)
@@ -176,17 +315,20 @@
 	act->log_read.wait_ms =
 		lc->append_state == FFL_APPEND_UNCERTAIN ? 0 : READ_WAIT_MS;
 	lc->reading = true;
+	lc->reads++;
 }
 
 void ffl_logc_run(ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out)
 {
+	lc->now_ms = now_ms;
 	if (!lc->reading && now_ms >= lc->read_at_ms)
 		send_read(lc, out);
-	if (lc->append_state == FFL_APPEND_BACKOFF &&
-	    now_ms >= lc->append_at_ms)
+	if (now_ms < lc->append_at_ms)
+		return;
+	if (lc->append_state == FFL_APPEND_BACKOFF)
 		lc->append_state = FFL_APPEND_IDLE;
-	if (lc->append_state == FFL_APPEND_IDLE && lc->queue.length)
-		send_append(lc, out);
+	if (lc->append_state == FFL_APPEND_IDLE && anything_due(lc, now_ms))
+		send_append(lc, now_ms, out);
 }
 
 bool ffl_logc_reachable(const ffl_logc_t *lc)
@@ -194,7 +336,13 @@
 	return lc->read_failures == 0;
 }
 
+bool ffl_logc_lane_idle(const ffl_logc_t *lc, ffl_lane_t lane)
+{
+	return lc->lanes[lane].length == 0;
+}
+
 bool ffl_logc_idle(const ffl_logc_t *lc)
 {
-	return lc->queue.length == 0;
+	return ffl_logc_lane_idle(lc, FFL_LANE_URGENT) &&
+	       ffl_logc_lane_idle(lc, FFL_LANE_JOBS);
 }
--- /dev/null
+++ b/lib/config/scope.c
@@ -0,0 +1,107 @@
+/*
+ * Scopes: the parts of the configuration that a plan rests on. A plan stays
+ * valid while none of its scopes has changed since it was shown.
+ */
+#include <string.h>
+
+#include "lib/config/config_int.h"
+
+static void add_scope(ffl_scope_t *scopes, uint32_t *count,
+		      ffl_scope_kind_t kind, const char *name);
+static void forget_oldest(ffl_config_t *cfg);
+
+static void add_scope(ffl_scope_t *scopes, uint32_t *count,
+		      ffl_scope_kind_t kind, const char *name)
+{
+	ffl_scope_t *s = &scopes[(*count)++];
+
+	memset(s, 0, sizeof(*s));
+	s->kind = kind;
+	ffl_copy(s->name, sizeof(s->name), name);
+}
+
+uint32_t ffl_intent_scopes(const ffl_config_t *cfg, const ffl_intent_t *intent,
+			   ffl_scope_t scopes[FFL_INTENT_SCOPES_MAX])
+{
+	const ffl_audit_t *undone;
+	uint32_t n = 0;
+
+	switch (intent->kind) {
+	case FFL_INTENT_GUARANTEE:
+		add_scope(scopes, &n, FFL_SCOPE_CELL, intent->dc);
+		add_scope(scopes, &n, FFL_SCOPE_CUSTOMER, intent->name);
+		break;
+	case FFL_INTENT_DRAIN:
+	case FFL_INTENT_UNDRAIN:
+		add_scope(scopes, &n, FFL_SCOPE_CELL, intent->dc);
+		break;
+	case FFL_INTENT_CUSTOMER:
+	case FFL_INTENT_LIMIT:
+		add_scope(scopes, &n, FFL_SCOPE_CUSTOMER, intent->name);
+		break;
+	case FFL_INTENT_OPERATOR:
+		add_scope(scopes, &n, FFL_SCOPE_OPERATOR, intent->name);
+		break;
+	case FFL_INTENT_ORDER:
+		add_scope(scopes, &n, FFL_SCOPE_ORDER, "");
+		break;
+	default:
+		undone = ffl_config_audit(cfg, intent->revision);
+		if (undone)
+			return ffl_intent_scopes(cfg, &undone->before, scopes);
+		break;
+	}
+	return n;
+}
+
+/* Forgetting the oldest scope makes plans older than it conflict. */
+static void forget_oldest(ffl_config_t *cfg)
+{
+	guint oldest = 0;
+	uint64_t revision = UINT64_MAX;
+
+	for (guint i = 0; i < cfg->scopes->len; i++) {
+		const ffl_scope_t *s =
+			&g_array_index(cfg->scopes, ffl_scope_t, i);
+
+		if (s->revision >= revision)
+			continue;
+		revision = s->revision;
+		oldest = i;
+	}
+	if (revision > cfg->scope_floor)
+		cfg->scope_floor = revision;
+	g_array_remove_index(cfg->scopes, oldest);
+}
+
+void ffl_scopes_touch(ffl_config_t *cfg, const ffl_scope_t *scopes,
+		      uint32_t count, uint64_t revision)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		ffl_scope_t *s = ffl_sorted_ensure(cfg->scopes, &scopes[i],
+						   ffl_compare_scopes);
+
+		s->revision = revision;
+		if (cfg->scopes->len > FFL_SCOPES_MAX)
+			forget_oldest(cfg);
+	}
+}
+
+uint64_t ffl_config_between(const ffl_config_t *cfg, const ffl_intent_t *intent,
+			    uint64_t revision)
+{
+	ffl_scope_t scopes[FFL_INTENT_SCOPES_MAX];
+	uint32_t n = ffl_intent_scopes(cfg, intent, scopes);
+	uint64_t between = 0;
+
+	if (revision < cfg->scope_floor)
+		between = cfg->scope_floor;
+	for (uint32_t i = 0; i < n; i++) {
+		const ffl_scope_t *s = ffl_sorted_find(cfg->scopes, &scopes[i],
+						       ffl_compare_scopes);
+
+		if (s && s->revision > revision && s->revision > between)
+			between = s->revision;
+	}
+	return between;
+}
--- a/lib/wire/record.c
+++ b/lib/wire/record.c
@@ -37,6 +37,7 @@
 	FIELD_U32(ffl_record_t, version, 0), FIELD_U64(ffl_record_t, cluster),
 	FIELD_U32(ffl_record_t, kind, 0),    FIELD_U64(ffl_record_t, writer),
 	FIELD_U64(ffl_record_t, seq),	     FIELD_U64(ffl_record_t, at_ms),
+	FIELD_U64(ffl_record_t, base),
 };
 
 static const ffl_field_t intent_fields[] = {
@@ -58,12 +59,15 @@
 	FIELD_U64(ffl_intent_t, revision),
 	FIELD_TEXT(ffl_intent_t, reason),
 	FIELD_TEXT(ffl_intent_t, who),
+	FIELD_BOOL(ffl_intent_t, remove),
 };
 
 static const ffl_field_t confirm_fields[] = {
 	FIELD_U64(ffl_confirm_t, plan),
 	FIELD_U64(ffl_confirm_t, revision),
 	FIELD_TEXT(ffl_confirm_t, who),
+	FIELD_U32(ffl_confirm_t, blast_radius, 0),
+	FIELD_U64(ffl_confirm_t, unreadable),
 };
 
 static const ffl_field_t join_fields[] = {
@@ -167,15 +171,25 @@
 	return end < FFL_END__MAX ? end_names[end] : "?";
 }
 
-void ffl_record_encode(const ffl_record_t *rec, GByteArray *out)
+void ffl_record_encode_head(const ffl_record_t *rec, GByteArray *out)
+{
+	ffl_schema_encode(&head_schema, rec, out);
+}
+
+void ffl_record_encode_body(const ffl_record_t *rec, GByteArray *out)
 {
 	const ffl_schema_t *body = ffl_record_schema(rec->kind);
 
-	ffl_schema_encode(&head_schema, rec, out);
 	if (body)
 		ffl_schema_encode(body, &rec->intent, out);
 }
 
+void ffl_record_encode(const ffl_record_t *rec, GByteArray *out)
+{
+	ffl_record_encode_head(rec, out);
+	ffl_record_encode_body(rec, out);
+}
+
 ffl_status_t ffl_record_decode(ffl_bytes_t in, ffl_record_t *rec,
 			       ffl_arena_t *arena)
 {
