--- a/daemon/main.c
+++ b/daemon/main.c
@@ -15,6 +15,9 @@
 #define EXIT_CONFIG  3
 #define EXIT_STARTUP 4
 
+/** Microseconds of a millisecond. */
+#define US_PER_MS 1000
+
 static int load_settings(const char *path, ffl_settings_t *out);
 static void make_options(const ffl_settings_t *s, ffl_host_options_t *opt);
 static void *wait_signals(void *arg);
@@ -52,6 +55,8 @@
 	ffl_copy(opt->self.region, sizeof(opt->self.region), s->region);
 	ffl_copy(opt->self.peer_addr, sizeof(opt->self.peer_addr), s->peers);
 	opt->self.expiry_ms = s->expiry_ms;
+	opt->wall_offset_ms =
+		(uint64_t)(g_get_real_time() / US_PER_MS) - ffld_now_ms();
 	opt->times.heartbeat_ms = s->heartbeat_ms;
 	opt->times.suspect_ms = s->suspect_ms;
 	opt->times.renew_ms = s->renew_ms;
--- a/fakes/fake_log.c
+++ b/fakes/fake_log.c
@@ -7,6 +7,8 @@
 	log->first = 1;
 	log->down = false;
 	log->lose_answers = 0;
+	log->late_appends = 0;
+	log->spoil_reads = 0;
 }
 
 void fake_log_finish(fake_log_t *log)
@@ -33,6 +35,31 @@
 	return FFL_UNKNOWN;
 }
 
+void fake_log_spoil(fake_log_t *log, ffl_ev_log_read_t *r,
+		    ffl_log_entry_t *entries)
+{
+	if (!log->spoil_reads || !r->count)
+		return;
+	log->spoil_reads--;
+	switch (log->spoil) {
+	case FAKE_SPOIL_STALE:
+		r->end = r->first + (r->end - r->first) / 2;
+		r->count = 0;
+		break;
+	case FAKE_SPOIL_SHORT:
+		r->count = 0;
+		break;
+	case FAKE_SPOIL_GAP:
+		r->entries = entries + 1;
+		r->count--;
+		break;
+	default:
+		if (r->count > 1)
+			entries[1] = entries[0];
+		break;
+	}
+}
+
 uint64_t fake_log_end(const fake_log_t *log)
 {
 	return log->first + log->records->len;
--- a/fakes/world.c
+++ b/fakes/world.c
@@ -5,6 +5,7 @@
 /** Delays in virtual milliseconds. */
 #define PEER_MS	       1
 #define LOG_MS	       3
+#define LATE_MS	       4500
 #define WORKER_MS      2
 #define LIST_MS	       500
 #define TIMEOUT_MS     2000
@@ -14,6 +15,7 @@
 #define REGION	       "altiplano"
 #define ACCELERATORS   8
 #define WORKERS_A_RACK 8
+#define PEER_ADDR      "10.0.0.%u:7000"
 
 /** A scheduled event. */
 typedef struct {
@@ -24,6 +26,7 @@
 	bool peer; /**< a peer's message */
 	ffl_box_t *box;
 	ffl_act_log_read_t *read; /**< a read that waits for a record */
+	GPtrArray *late;	  /**< records that reach the log late */
 } due_t;
 
 /** A host as the self of its port. */
@@ -40,6 +43,9 @@
 static due_t *schedule_due(world_t *w, uint32_t host, uint32_t delay_ms);
 static void act_log_read(void *self, const ffl_act_log_read_t *act);
 static void act_log_append(void *self, const ffl_act_log_append_t *act);
+static void append_late(world_t *w, uint32_t host,
+			const ffl_act_log_append_t *act);
+static void land_late(world_t *w, const due_t *d);
 static void act_worker_send(void *self, const ffl_act_worker_send_t *act);
 static void act_peer_send(void *self, const ffl_act_peer_send_t *act);
 static void act_answer(void *self, const ffl_act_answer_t *act);
@@ -98,6 +104,8 @@
 	if (d->box)
 		ffl_box_free(d->box);
 	g_free(d->read);
+	if (d->late)
+		g_ptr_array_free(d->late, TRUE);
 	g_free(d);
 }
 
@@ -168,9 +176,35 @@
 		r->count++;
 	}
 	r->entries = entries;
+	fake_log_spoil(&w->log, r, entries);
 	schedule(w, d->host, LOG_MS, box);
 }
 
+static void append_late(world_t *w, uint32_t host,
+			const ffl_act_log_append_t *act)
+{
+	due_t *d = schedule_due(w, host, LATE_MS);
+
+	d->late = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	for (uint32_t i = 0; i < act->count; i++)
+		g_ptr_array_add(d->late,
+				g_bytes_new(act->records[i].data,
+					    act->records[i].size_bytes));
+}
+
+static void land_late(world_t *w, const due_t *d)
+{
+	uint64_t offset;
+
+	for (guint i = 0; i < d->late->len; i++) {
+		ffl_bytes_t rec;
+
+		rec.data = g_bytes_get_data(g_ptr_array_index(d->late, i),
+					    &rec.size_bytes);
+		fake_log_append(&w->log, &rec, 1, &offset);
+	}
+}
+
 static void act_log_append(void *self, const ffl_act_log_append_t *act)
 {
 	self_t *s = self;
@@ -178,6 +212,13 @@
 	ffl_ev_log_appended_t *ev = &box->ev.log_appended;
 
 	ev->append = act->append;
+	if (s->w->log.late_appends) {
+		s->w->log.late_appends--;
+		append_late(s->w, s->host, act);
+		ev->status = FFL_UNKNOWN;
+		schedule(s->w, s->host, TIMEOUT_MS, box);
+		return;
+	}
 	ev->status = fake_log_append(&s->w->log, act->records, act->count,
 				     &ev->offset);
 	schedule(s->w, s->host, ev->status == FFL_UNKNOWN ? TIMEOUT_MS : LOG_MS,
@@ -344,8 +385,10 @@
 
 		if (d->at_ms > w->now_ms)
 			return;
-		if (h->alive && h->life == d->life &&
-		    h->paused_until_ms > w->now_ms) {
+		if (d->late) {
+			land_late(w, d);
+		} else if (h->alive && h->life == d->life &&
+			   h->paused_until_ms > w->now_ms) {
 			due_t *later = schedule_due(
 				w, d->host,
 				(uint32_t)(h->paused_until_ms - w->now_ms));
@@ -402,6 +445,11 @@
 	info->kind = kind;
 	ffl_copy(info->dc, sizeof(info->dc), DC);
 	ffl_copy(info->region, sizeof(info->region), REGION);
+	if (kind == FFL_HOST_ENTRY) {
+		g_snprintf(info->name, sizeof(info->name), "entry-%u", n);
+		g_snprintf(info->addr, sizeof(info->addr), PEER_ADDR, n + 1);
+		return;
+	}
 	if (kind == FFL_HOST_WORKER) {
 		g_snprintf(info->name, sizeof(info->name), "w%u", n);
 		info->rack = n / WORKERS_A_RACK;
@@ -436,6 +484,8 @@
 		add_info(w, FFL_HOST_WORKER, i);
 	for (uint32_t i = 0; i < upstreams; i++)
 		add_info(w, FFL_HOST_UPSTREAM, i);
+	for (uint32_t i = 0; i < hosts; i++)
+		add_info(w, FFL_HOST_ENTRY, i);
 	w->host_count = hosts;
 	for (uint32_t i = 0; i < hosts; i++)
 		world_start(w, i);
@@ -478,12 +528,13 @@
 	h->opt.seed = ffl_rng_next(&w->rng);
 	h->opt.times = times;
 	h->opt.limits = limits;
+	h->opt.snapshots = w->snapshots;
 	h->opt.self.member = (ffl_rng_next(&w->rng) >> 1) | 1;
 	h->opt.self.expiry_ms = times.expiry_ms;
 	g_snprintf(h->opt.self.name, sizeof(h->opt.self.name), "entry-%u",
 		   host);
 	g_snprintf(h->opt.self.peer_addr, sizeof(h->opt.self.peer_addr),
-		   "10.0.0.%u:7000", host + 1);
+		   PEER_ADDR, host + 1);
 	ffl_copy(h->opt.self.dc, sizeof(h->opt.self.dc), DC);
 	ffl_copy(h->opt.self.region, sizeof(h->opt.self.region), REGION);
 	ffl_token_hash(WORLD_OPERATOR, h->opt.bootstrap_hash);
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -62,8 +62,10 @@
 	fake_worker_t workers[WORLD_WORKERS_MAX];
 	bool worker_frozen[WORLD_WORKERS_MAX];
 	uint32_t worker_count;
-	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX];
+	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX +
+			      WORLD_HOSTS_MAX];
 	uint32_t info_count;
+	ffl_snapshot_limits_t snapshots; /**< of hosts that start */
 	uint32_t upstream_count;
 	uint32_t upstream_ms;		 /**< service time of a request */
 	ffl_up_outcome_t upstream_fault; /**< outcome of every attempt */
--- a/include/fireflyledge/config.h
+++ b/include/fireflyledge/config.h
@@ -67,7 +67,7 @@
 	uint64_t revision; /**< offset of the confirmation */
 	uint64_t plan;
 	uint64_t at_ms;
-	uint64_t supersedes; /**< revision that it replaced, or 0 */
+	uint64_t supersedes;	       /**< revision that it replaced, or 0 */
 	uint8_t chain[FFL_HASH_BYTES]; /**< over this entry and the last one */
 	ffl_name_t confirmed_by;
 	ffl_intent_t intent;
@@ -104,14 +104,14 @@
 } ffl_verdict_t;
 
 typedef struct {
-	uint64_t revision;  /**< offset of the last effective confirmation */
-	GArray *customers;  /**< of ffl_customer_t, by name */
-	GArray *guarantees; /**< of ffl_guarantee_t, by customer, dc, shape */
-	GArray *drains;	    /**< of ffl_drain_t, by host */
-	GArray *operators;  /**< of ffl_operator_t, by name */
-	GArray *scopes;	    /**< of ffl_scope_t, by kind and name */
-	GPtrArray *pending; /**< of ffl_pending_t, by plan */
-	GPtrArray *audit;   /**< of ffl_audit_t, by revision */
+	uint64_t revision;   /**< offset of the last effective confirmation */
+	GArray *customers;   /**< of ffl_customer_t, by name */
+	GArray *guarantees;  /**< of ffl_guarantee_t, by customer, dc, shape */
+	GArray *drains;	     /**< of ffl_drain_t, by host */
+	GArray *operators;   /**< of ffl_operator_t, by name */
+	GArray *scopes;	     /**< of ffl_scope_t, by kind and name */
+	GPtrArray *pending;  /**< of ffl_pending_t, by plan */
+	GPtrArray *audit;    /**< of ffl_audit_t, by revision */
 	GHashTable *by_plan; /**< revision of each plan in the trail */
 	char order[FFL_ORDER_BYTES];
 	uint64_t order_revision;
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -103,6 +103,11 @@
 const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id);
 const ffl_job_t *ffl_gangs_find_name(const ffl_gangs_t *g, const char *customer,
 				     const char *name);
+/** Appends what the log says of jobs to @p out. */
+void ffl_gangs_save(const ffl_gangs_t *g, GByteArray *out);
+/** Loads jobs into an object that holds none. */
+ffl_status_t ffl_gangs_load(ffl_gangs_t *g, ffl_bytes_t in, size_t *used_bytes,
+			    uint64_t now_ms);
 json_t *ffl_job_to_json(const ffl_job_t *job);
 const char *ffl_job_state_name(uint32_t state);
 
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -12,11 +12,13 @@
 #include "fireflyledge/config.h"
 #include "fireflyledge/counters.h"
 #include "fireflyledge/fleet.h"
+#include "fireflyledge/fold.h"
 #include "fireflyledge/gang.h"
 #include "fireflyledge/logc.h"
 #include "fireflyledge/member.h"
 #include "fireflyledge/request.h"
 #include "fireflyledge/sched.h"
+#include "fireflyledge/snapshot.h"
 
 /** Longest time between two calls of ffl_host_step(), in ms. */
 #define FFL_TICK_MS 50
@@ -28,6 +30,8 @@
 	ffl_join_t self;
 	ffl_member_times_t times;
 	ffl_request_limits_t limits;
+	ffl_snapshot_limits_t snapshots;
+	uint64_t wall_offset_ms; /**< wall clock less the time of events */
 	/** Operator token that holds while no operator is configured. */
 	uint8_t bootstrap_hash[FFL_HASH_BYTES];
 } ffl_host_options_t;
@@ -44,12 +48,38 @@
 /** A command that waits for its record. */
 typedef struct {
 	uint64_t seq;
-	uint64_t id; /**< of the command */
+	ffl_rec_kind_t kind; /**< of the record */
+	uint64_t id;	     /**< of the command */
 	ffl_command_t command;
 	uint64_t plan;
 	uint64_t deadline_ms;
 } ffl_waiter_t;
 
+/** How a host gets state that the log no longer tells from its start. */
+typedef enum {
+	FFL_RESTORE_NONE,
+	FFL_RESTORE_TAIL, /**< looks for a snapshot near the log's end */
+	FFL_RESTORE_ALL,  /**< looks through all that the log retains */
+	FFL_RESTORE__MAX
+} ffl_restore_mode_t;
+
+/** State under way from a peer, and where it is asked for. */
+typedef struct {
+	ffl_restore_mode_t mode;
+	uint64_t folded; /**< next record to fold of the state held */
+	bool missing;	 /**< no snapshot was found */
+	bool whole;	 /**< the log reaches back, without a snapshot */
+	uint64_t ask_at_ms;
+	uint32_t ask_next;
+	GPtrArray *addrs; /**< of entry hosts in the platform's list */
+	uint64_t from;	  /**< member whose parts are coming */
+	uint64_t hash;
+	uint32_t next;
+	GByteArray *data;
+	uint64_t serve_at_ms; /**< earliest time to serve a peer */
+	uint64_t ahead;	      /**< highest offset that a peer has shown */
+} ffl_restore_t;
+
 typedef struct {
 	ffl_host_options_t opt;
 	ffl_counters_t *counters;
@@ -60,8 +90,14 @@
 	ffl_gangs_t gangs;
 	ffl_sched_t sched;
 	ffl_requests_t requests;
-	GHashTable *writers; /**< last seq folded of each writer */
-	GArray *waiters;     /**< of ffl_waiter_t */
+	ffl_fold_t fold;
+	ffl_snapshots_t snapshots;
+	uint64_t snapshot_offset; /**< of the last one of this host */
+	uint64_t snapshot_at_ms;  /**< time of the last one of any host */
+	ffl_restore_t restore;
+	uint64_t shown_revision; /**< highest that a peer has shown */
+	bool config_changed;	 /**< and not yet told to the others */
+	GArray *waiters;	 /**< of ffl_waiter_t */
 	ffl_arena_t scratch;
 	ffl_stop_state_t stop;
 	uint64_t stop_ms;
@@ -77,6 +113,14 @@
 void ffl_host_step(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		   ffl_actions_t *out);
 
+/** Tells whether the host holds no state to act on yet. */
+bool ffl_host_restoring(const ffl_host_t *h);
+
+/** Appends the folded state to @p out. */
+void ffl_host_save(const ffl_host_t *h, GByteArray *out);
+/** Replaces the folded state; what is wrong leaves the old one. */
+ffl_status_t ffl_host_load(ffl_host_t *h, ffl_bytes_t in, uint64_t now_ms);
+
 /** Returns a hash over the folded state, to compare hosts. */
 uint64_t ffl_host_state_hash(const ffl_host_t *h);
 
--- a/include/fireflyledge/logc.h
+++ b/include/fireflyledge/logc.h
@@ -63,9 +63,9 @@
 	uint64_t bulk_at_ms;   /**< earliest time of the next bulk append */
 	uint32_t failures;     /**< appends that failed in a row */
 	uint32_t read_failures;
-	uint32_t sharers;	/**< hosts that share the appends */
+	uint32_t sharers;	 /**< hosts that share the appends */
 	uint64_t wall_offset_ms; /**< wall clock less monotonic clock */
-	uint64_t now_ms;	/**< time of the last call */
+	uint64_t now_ms;	 /**< time of the last call */
 	uint64_t read_counts[FFL_READ__MAX];
 	uint64_t appends; /**< appends begun */
 	ffl_rng_t rng;
--- a/include/fireflyledge/member.h
+++ b/include/fireflyledge/member.h
@@ -65,6 +65,10 @@
 const ffl_cell_t *ffl_members_cell(const ffl_members_t *ms, const char *dc);
 /** Returns this host's epoch over the cell, or 0 where it does not lead. */
 uint64_t ffl_members_epoch(const ffl_members_t *ms, const char *dc);
+/** Appends what the log says of members and cells to @p out. */
+void ffl_members_save(const ffl_members_t *ms, GByteArray *out);
+ffl_status_t ffl_members_load(ffl_members_t *ms, ffl_bytes_t in,
+			      size_t *used_bytes, uint64_t now_ms);
 bool ffl_member_alive(const ffl_members_t *ms, const ffl_member_t *m,
 		      uint64_t now_ms);
 
--- a/include/fireflyledge/peer.h
+++ b/include/fireflyledge/peer.h
@@ -44,11 +44,31 @@
 	bool leaving;
 } ffl_heartbeat_t;
 
+/** Bytes of state in one message. */
+#define FFL_STATE_PART_BYTES (256U << 10)
+
+/** Asks a peer for its state, where that is newer. */
+typedef struct {
+	uint64_t offset; /**< next record that the asking host would fold */
+	char addr[FFL_ADDR_BYTES]; /**< where to send it */
+} ffl_state_ask_t;
+
+/** A part of the folded state. */
+typedef struct {
+	uint64_t offset; /**< state after every record below this offset */
+	uint32_t part;
+	uint32_t parts;
+	uint64_t hash; /**< of all parts */
+	ffl_bytes_t data;
+} ffl_state_part_t;
+
 /** A peer message: header and a body of its kind. */
 typedef struct {
 	ffl_peer_head_t head;
 	union {
 		ffl_heartbeat_t heartbeat;
+		ffl_state_ask_t state_ask;
+		ffl_state_part_t state;
 	};
 } ffl_peer_msg_t;
 
--- a/lib/config/audit.c
+++ b/lib/config/audit.c
@@ -12,8 +12,10 @@
 static void drop_oldest(ffl_config_t *cfg);
 
 static const ffl_field_t audit_fields[] = {
-	FIELD_U64(ffl_audit_t, revision),   FIELD_U64(ffl_audit_t, plan),
-	FIELD_U64(ffl_audit_t, at_ms),	    FIELD_U64(ffl_audit_t, supersedes),
+	FIELD_U64(ffl_audit_t, revision),
+	FIELD_U64(ffl_audit_t, plan),
+	FIELD_U64(ffl_audit_t, at_ms),
+	FIELD_U64(ffl_audit_t, supersedes),
 	FIELD_TEXT(ffl_audit_t, confirmed_by),
 };
 
--- a/lib/config/change.c
+++ b/lib/config/change.c
@@ -101,10 +101,9 @@
 	return check_objects(cfg, after, why);
 }
 
-ffl_status_t ffl_config_preview(const ffl_config_t *cfg,
-				const ffl_intent_t *in, ffl_intent_t *before,
-				ffl_intent_t *after, const char **why,
-				uint64_t *between)
+ffl_status_t ffl_config_preview(const ffl_config_t *cfg, const ffl_intent_t *in,
+				ffl_intent_t *before, ffl_intent_t *after,
+				const char **why, uint64_t *between)
 {
 	*why = "";
 	*between = 0;
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -101,8 +101,8 @@
 	v->revision = a->revision;
 	v->status = later ? FFL_CONFLICT : FFL_OK;
 	v->between = later ? later->revision : 0;
-	v->why = later ? "the plan took effect and was superseded since" :
-			 "the plan is in force already";
+	v->why = later ? "the plan took effect and was superseded since"
+		       : "the plan is in force already";
 }
 
 static void check_confirm(const ffl_config_t *cfg, const ffl_confirm_t *c,
--- a/lib/config/fold.c
+++ b/lib/config/fold.c
@@ -142,8 +142,8 @@
 	if (status == FFL_OK)
 		result = judge(f, offset, rec);
 	else if (status == FFL_NOT_FOUND)
-		result = rec->cluster == f->cluster ? FFL_FOLD_UNKNOWN :
-						      FFL_FOLD_FOREIGN;
+		result = rec->cluster == f->cluster ? FFL_FOLD_UNKNOWN
+						    : FFL_FOLD_FOREIGN;
 	f->counts[result]++;
 	return result;
 }
--- a/lib/config/image.c
+++ b/lib/config/image.c
@@ -64,8 +64,8 @@
 static uint64_t get_guarantee(const ffl_config_t *cfg, ffl_intent_t *image)
 {
 	ffl_guarantee_t key = guarantee_key(image);
-	const ffl_guarantee_t *g = ffl_sorted_find(cfg->guarantees, &key,
-						   ffl_compare_guarantees);
+	const ffl_guarantee_t *g =
+		ffl_sorted_find(cfg->guarantees, &key, ffl_compare_guarantees);
 
 	image->count = g ? g->count : 0;
 	image->remove = !g;
--- a/lib/config/intent.c
+++ b/lib/config/intent.c
@@ -2,6 +2,11 @@
 
 #include "fireflyledge/config.h"
 
+/** Characters of the name of a kind of work. */
+#define KIND_CHARS                          \
+	"abcdefghijklmnopqrstuvwxyz0123456" \
+	"789ABCDEFGHIJKLMNOPQRSTUVWXYZ_-."
+
 /** Checks the fields of one kind of intent. */
 typedef void (*check_fn_t)(const ffl_intent_t *in, ffl_findings_t *fs);
 
@@ -39,13 +44,37 @@
 	if (!in->accelerators)
 		ffl_findings_add(fs, FFL_MSG_OUT_OF_RANGE, "accelerators", 0, 0,
 				 "a shape has at least one accelerator");
+	if (in->adjacency == FFL_ADJ_WORKER &&
+	    in->accelerators > FFL_WORKER_SLOTS_MAX)
+		ffl_findings_add(fs, FFL_MSG_OUT_OF_RANGE, "accelerators", 0, 0,
+				 "a worker has at most %u",
+				 FFL_WORKER_SLOTS_MAX);
 }
 
+/* Names of kinds, each once, separated by commas. */
 static void check_order(const ffl_intent_t *in, ffl_findings_t *fs)
 {
+	char **kinds = g_strsplit(in->order, ",", -1);
+
 	if (!in->order[0])
 		ffl_findings_add(fs, FFL_MSG_MISSING, "order", 0, 0,
 				 "kinds of work, the first yields first");
+	for (uint32_t i = 0; kinds[i]; i++) {
+		size_t len = strlen(g_strstrip(kinds[i]));
+
+		if (!len || len != strspn(kinds[i], KIND_CHARS) ||
+		    len >= FFL_NAME_BYTES)
+			ffl_findings_add(fs, FFL_MSG_BAD_VALUE, "order", 0, 0,
+					 "\"%s\" is no name of a kind",
+					 kinds[i]);
+		for (uint32_t j = 0; j < i; j++) {
+			if (strcmp(kinds[i], kinds[j]) == 0)
+				ffl_findings_add(fs, FFL_MSG_BAD_VALUE, "order",
+						 0, 0, "\"%s\" is named twice",
+						 kinds[i]);
+		}
+	}
+	g_strfreev(kinds);
 }
 
 static void check_token(const ffl_intent_t *in, ffl_findings_t *fs)
@@ -53,7 +82,7 @@
 	static const uint8_t none[FFL_HASH_BYTES];
 
 	check_name(in, fs);
-	if (memcmp(in->token_hash, none, sizeof(none)) == 0)
+	if (!in->remove && memcmp(in->token_hash, none, sizeof(none)) == 0)
 		ffl_findings_add(fs, FFL_MSG_MISSING, "token_hash", 0, 0,
 				 "%s needs the hash of a token",
 				 ffl_intent_kind_name(in->kind));
--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -137,8 +137,8 @@
 
 static uint64_t backoff_ms(ffl_logc_t *lc, uint32_t failures)
 {
-	uint32_t shift = failures < BACKOFF_SHIFT_MAX ? failures :
-							BACKOFF_SHIFT_MAX;
+	uint32_t shift =
+		failures < BACKOFF_SHIFT_MAX ? failures : BACKOFF_SHIFT_MAX;
 	uint64_t cap = (uint64_t)BACKOFF_MIN_MS << shift;
 
 	if (cap > BACKOFF_MAX_MS)
@@ -149,8 +149,8 @@
 /* All hosts together stay below the appends that the log takes. */
 static uint64_t pace_ms(const ffl_logc_t *lc)
 {
-	uint64_t share = (uint64_t)lc->sharers * MS_PER_S /
-			 FFL_LOGC_APPENDS_PER_S;
+	uint64_t share =
+		(uint64_t)lc->sharers * MS_PER_S / FFL_LOGC_APPENDS_PER_S;
 
 	return share > APPEND_MIN_MS ? share : APPEND_MIN_MS;
 }
@@ -288,11 +288,10 @@
 	size_t size_bytes = 0;
 
 	for (uint32_t i = 0; i < FFL_LANE__MAX; i++)
-		lc->in_flight[i] = lane_due(lc, i, now_ms) ?
-					   take_lane(lc, i, records,
-						     &size_bytes,
-						     &out->arena) :
-					   0;
+		lc->in_flight[i] = lane_due(lc, i, now_ms)
+					   ? take_lane(lc, i, records,
+						       &size_bytes, &out->arena)
+					   : 0;
 	if (lc->in_flight[FFL_LANE_BULK])
 		lc->bulk_at_ms = now_ms + BULK_MIN_MS;
 	act->log_append.append = lc->next_append++;
--- a/lib/config/sorted.c
+++ b/lib/config/sorted.c
@@ -53,9 +53,12 @@
 {
 	guint at = ffl_sorted_at(array, key, compare);
 	guint size = g_array_get_element_size((GArray *)array);
-	gchar *item = array->data + (gsize)at * size;
+	gchar *item;
 
-	return at < array->len && compare(item, key) == 0 ? item : NULL;
+	if (at >= array->len)
+		return NULL;
+	item = array->data + (gsize)at * size;
+	return compare(item, key) == 0 ? item : NULL;
 }
 
 gpointer ffl_sorted_ensure(GArray *array, gconstpointer key,
@@ -63,10 +66,13 @@
 {
 	guint at = ffl_sorted_at(array, key, compare);
 	guint size = g_array_get_element_size(array);
-	gchar *item = array->data + (gsize)at * size;
+	gchar *item;
 
-	if (at < array->len && compare(item, key) == 0)
-		return item;
+	if (at < array->len) {
+		item = array->data + (gsize)at * size;
+		if (compare(item, key) == 0)
+			return item;
+	}
 	g_array_insert_vals(array, at, key, 1);
 	return array->data + (gsize)at * size;
 }
--- a/lib/host/command.c
+++ b/lib/host/command.c
@@ -4,62 +4,44 @@
 #include <sodium.h>
 
 #include "fireflyledge/host.h"
-#include "lib/host/host_int.h"
+#include "lib/host/command_int.h"
 
 /** Time that a command waits for its record, in milliseconds. */
 #define WAIT_MS 5000
 /** Commands that wait for a record at most. */
 #define WAITERS_MAX 1024
 
-/** A command with its sender, checked. */
-typedef struct {
-	const ffl_ev_command_t *ev;
-	const char *operator_name;	/**< NULL for a caller */
-	const ffl_customer_t *customer; /**< NULL for an operator */
-	uint64_t now_ms;
-	ffl_actions_t *out;
-} call_t;
-
-typedef void (*command_fn_t)(ffl_host_t *h, call_t *c);
-
-static void cmd_intent(ffl_host_t *h, call_t *c);
-static void cmd_plan(ffl_host_t *h, call_t *c);
-static void cmd_confirm(ffl_host_t *h, call_t *c);
-static void cmd_config(ffl_host_t *h, call_t *c);
-static void cmd_history(ffl_host_t *h, call_t *c);
-static void cmd_why(ffl_host_t *h, call_t *c);
-static void cmd_status(ffl_host_t *h, call_t *c);
-static void cmd_hosts(ffl_host_t *h, call_t *c);
-static void cmd_jobs(ffl_host_t *h, call_t *c);
-static void cmd_submit(ffl_host_t *h, call_t *c);
-static void cmd_job(ffl_host_t *h, call_t *c);
-static void cmd_job_why(ffl_host_t *h, call_t *c);
-static void cmd_cancel(ffl_host_t *h, call_t *c);
-static bool authenticate(ffl_host_t *h, call_t *c);
-static void problem(call_t *c, uint32_t http_status, const char *type,
-		    const char *title, const char *detail);
-static void findings_problem(call_t *c, const ffl_findings_t *fs);
-static json_t *parse_body(call_t *c);
-static bool parse_id(const char *text, uint64_t *id);
-static void append_and_wait(ffl_host_t *h, call_t *c, ffl_record_t *rec,
-			    uint64_t plan);
-static bool visible(const call_t *c, const ffl_job_t *job);
-static const ffl_job_t *find_job(ffl_host_t *h, call_t *c);
-static bool take_waiter(ffl_host_t *h, uint64_t writer, uint64_t seq,
-			ffl_waiter_t *w);
+typedef void (*command_fn_t)(ffl_host_t *h, ffl_call_t *c);
+
+static void cmd_status(ffl_host_t *h, ffl_call_t *c);
+static void cmd_hosts(ffl_host_t *h, ffl_call_t *c);
+static void cmd_jobs(ffl_host_t *h, ffl_call_t *c);
+static void cmd_submit(ffl_host_t *h, ffl_call_t *c);
+static void cmd_job(ffl_host_t *h, ffl_call_t *c);
+static void cmd_job_why(ffl_host_t *h, ffl_call_t *c);
+static void cmd_cancel(ffl_host_t *h, ffl_call_t *c);
+static bool authenticate(ffl_host_t *h, ffl_call_t *c);
+static bool visible(const ffl_call_t *c, const ffl_job_t *job);
+static const ffl_job_t *find_job(ffl_host_t *h, ffl_call_t *c);
 
 static const command_fn_t commands[FFL_CMD__MAX] = {
-	[FFL_CMD_INTENT] = cmd_intent,	 [FFL_CMD_PLAN] = cmd_plan,
-	[FFL_CMD_CONFIRM] = cmd_confirm, [FFL_CMD_CONFIG] = cmd_config,
-	[FFL_CMD_HISTORY] = cmd_history, [FFL_CMD_WHY] = cmd_why,
-	[FFL_CMD_STATUS] = cmd_status,	 [FFL_CMD_HOSTS] = cmd_hosts,
-	[FFL_CMD_JOBS] = cmd_jobs,	 [FFL_CMD_SUBMIT] = cmd_submit,
-	[FFL_CMD_JOB] = cmd_job,	 [FFL_CMD_JOB_WHY] = cmd_job_why,
+	[FFL_CMD_INTENT] = ffl_cmd_intent,
+	[FFL_CMD_PLAN] = ffl_cmd_plan,
+	[FFL_CMD_CONFIRM] = ffl_cmd_confirm,
+	[FFL_CMD_CONFIG] = ffl_cmd_config,
+	[FFL_CMD_HISTORY] = ffl_cmd_history,
+	[FFL_CMD_WHY] = ffl_cmd_why,
+	[FFL_CMD_STATUS] = cmd_status,
+	[FFL_CMD_HOSTS] = cmd_hosts,
+	[FFL_CMD_JOBS] = cmd_jobs,
+	[FFL_CMD_SUBMIT] = cmd_submit,
+	[FFL_CMD_JOB] = cmd_job,
+	[FFL_CMD_JOB_WHY] = cmd_job_why,
 	[FFL_CMD_CANCEL] = cmd_cancel,
 };
 
-static void problem(call_t *c, uint32_t http_status, const char *type,
-		    const char *title, const char *detail)
+void ffl_call_problem(ffl_call_t *c, uint32_t http_status, const char *type,
+		      const char *title, const char *detail)
 {
 	ffl_problem_t p = { .http_status = http_status,
 			    .type = type,
@@ -70,7 +52,7 @@
 	ffl_actions_problem(c->out, c->ev->id, &p);
 }
 
-static void findings_problem(call_t *c, const ffl_findings_t *fs)
+void ffl_call_findings(ffl_call_t *c, const ffl_findings_t *fs)
 {
 	const ffl_finding_t *first = ffl_findings_at(fs, 0);
 	ffl_problem_t p = { .http_status = 422,
@@ -84,7 +66,7 @@
 	ffl_actions_problem(c->out, c->ev->id, &p);
 }
 
-static bool authenticate(ffl_host_t *h, call_t *c)
+static bool authenticate(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_operator_t *op;
 	uint8_t hash[FFL_HASH_BYTES];
@@ -105,7 +87,7 @@
 	       ffl_command_route(c->ev->command)->role == FFL_ROLE_CALLER;
 }
 
-static json_t *parse_body(call_t *c)
+json_t *ffl_call_body(ffl_call_t *c)
 {
 	json_error_t err;
 	ffl_findings_t fs;
@@ -120,12 +102,12 @@
 			 err.line > 0 ? (uint32_t)err.line : 0,
 			 err.column > 0 ? (uint32_t)err.column : 0, "%s",
 			 err.text);
-	findings_problem(c, &fs);
+	ffl_call_findings(c, &fs);
 	ffl_findings_finish(&fs);
 	return NULL;
 }
 
-static bool parse_id(const char *text, uint64_t *id)
+bool ffl_parse_id(const char *text, uint64_t *id)
 {
 	char *end;
 
@@ -134,129 +116,29 @@
 	return text[0] >= '0' && text[0] <= '9' && *end == '\0' && errno == 0;
 }
 
-static void append_and_wait(ffl_host_t *h, call_t *c, ffl_record_t *rec,
-			    uint64_t plan)
+void ffl_call_append(ffl_host_t *h, ffl_call_t *c, ffl_record_t *rec,
+		     uint64_t plan)
 {
 	ffl_waiter_t w = { .id = c->ev->id,
 			   .command = c->ev->command,
 			   .plan = plan,
 			   .deadline_ms = c->now_ms + WAIT_MS };
 
-	if (!ffl_logc_reachable(&h->logc) || h->waiters->len >= WAITERS_MAX ||
+	if (!h->caught_up || !ffl_logc_reachable(&h->logc) ||
+	    h->waiters->len >= WAITERS_MAX ||
 	    ffl_logc_append(&h->logc, rec) != FFL_OK) {
-		problem(c, 503, "log-unavailable",
-			"the log does not take records now",
-			"nothing was changed; try again later");
+		ffl_call_problem(c, 503, "log-unavailable",
+				 "the log does not take records now",
+				 "nothing was changed; try again later");
 		return;
 	}
 	ffl_count(h->counters, FFL_CTR_APPENDS, 1);
 	w.seq = rec->seq;
+	w.kind = rec->kind;
 	g_array_append_val(h->waiters, w);
 }
 
-static void cmd_intent(ffl_host_t *h, call_t *c)
-{
-	ffl_record_t rec = { .kind = FFL_REC_INTENT };
-	ffl_findings_t fs;
-	json_t *body = parse_body(c);
-
-	if (!body)
-		return;
-	ffl_findings_init(&fs, "body");
-	ffl_schema_from_json(&ffl_intent_schema, body, &rec.intent, &fs);
-	json_decref(body);
-	if (!fs.errors)
-		ffl_intent_check(&rec.intent, &fs);
-	ffl_copy(rec.intent.who, sizeof(rec.intent.who), c->operator_name);
-	if (fs.errors)
-		findings_problem(c, &fs);
-	else
-		append_and_wait(h, c, &rec, 0);
-	ffl_findings_finish(&fs);
-}
-
-static void cmd_plan(ffl_host_t *h, call_t *c)
-{
-	const ffl_pending_t *plan = NULL;
-	uint64_t id;
-
-	if (parse_id(c->ev->arg, &id))
-		plan = ffl_config_pending(&h->config, id);
-	if (!plan) {
-		problem(c, 404, "unknown-plan", "plan does not exist",
-			c->ev->arg);
-		return;
-	}
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   ffl_host_plan_to_json(h, plan));
-}
-
-static void cmd_confirm(ffl_host_t *h, call_t *c)
-{
-	ffl_record_t rec = { .kind = FFL_REC_CONFIRM };
-	ffl_findings_t fs;
-	json_t *body;
-	uint64_t id;
-
-	if (!parse_id(c->ev->arg, &id)) {
-		problem(c, 404, "unknown-plan", "plan does not exist",
-			c->ev->arg);
-		return;
-	}
-	body = parse_body(c);
-	if (!body)
-		return;
-	ffl_findings_init(&fs, "body");
-	ffl_schema_from_json(&ffl_confirm_schema, body, &rec.confirm, &fs);
-	json_decref(body);
-	rec.confirm.plan = id;
-	ffl_copy(rec.confirm.who, sizeof(rec.confirm.who), c->operator_name);
-	if (fs.errors)
-		findings_problem(c, &fs);
-	else
-		append_and_wait(h, c, &rec, id);
-	ffl_findings_finish(&fs);
-}
-
-static void cmd_config(ffl_host_t *h, call_t *c)
-{
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   ffl_config_to_json(&h->config));
-}
-
-static void cmd_history(ffl_host_t *h, call_t *c)
-{
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   ffl_config_history_to_json(&h->config));
-}
-
-/* Lists the changes whose intent names the subject, newest first. */
-static void cmd_why(ffl_host_t *h, call_t *c)
-{
-	json_t *array = json_array();
-
-	for (guint i = h->config.audit->len; i-- > 0;) {
-		const ffl_audit_t *a =
-			&g_array_index(h->config.audit, ffl_audit_t, i);
-
-		if (strcmp(a->intent.name, c->ev->arg) != 0)
-			continue;
-		json_array_append_new(
-			array,
-			json_pack("{s:I,s:s,s:s,s:s,s:s,s:I}", "revision",
-				  (json_int_t)a->revision, "intent",
-				  ffl_intent_kind_name(a->intent.kind),
-				  "reason", a->intent.reason, "who",
-				  a->intent.who, "confirmed_by",
-				  a->confirmed_by, "at_ms",
-				  (json_int_t)a->at_ms));
-	}
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   json_pack("{s:s,s:o}", "subject", c->ev->arg,
-				     "because", array));
-}
-
-static void cmd_status(ffl_host_t *h, call_t *c)
+static void cmd_status(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *cells = json_array();
 	json_t *members = json_array();
@@ -295,7 +177,7 @@
 			  members));
 }
 
-static void cmd_hosts(ffl_host_t *h, call_t *c)
+static void cmd_hosts(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *array = json_array();
 
@@ -328,13 +210,13 @@
 	ffl_actions_answer(c->out, c->ev->id, 200, array);
 }
 
-static bool visible(const call_t *c, const ffl_job_t *job)
+static bool visible(const ffl_call_t *c, const ffl_job_t *job)
 {
 	return c->operator_name ||
 	       strcmp(c->customer->name, job->spec.customer) == 0;
 }
 
-static void cmd_jobs(ffl_host_t *h, call_t *c)
+static void cmd_jobs(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *array = json_array();
 
@@ -348,12 +230,12 @@
 	ffl_actions_answer(c->out, c->ev->id, 200, array);
 }
 
-static void cmd_submit(ffl_host_t *h, call_t *c)
+static void cmd_submit(ffl_host_t *h, ffl_call_t *c)
 {
 	ffl_record_t rec = { .kind = FFL_REC_JOB };
 	const ffl_job_t *known;
 	ffl_findings_t fs;
-	json_t *body = parse_body(c);
+	json_t *body = ffl_call_body(c);
 
 	if (!body)
 		return;
@@ -368,29 +250,30 @@
 	ffl_job_check(&rec.job, &h->config, &h->fleet, &fs);
 	known = ffl_gangs_find_name(&h->gangs, rec.job.customer, rec.job.name);
 	if (fs.errors)
-		findings_problem(c, &fs);
+		ffl_call_findings(c, &fs);
 	else if (known)
 		ffl_actions_answer(c->out, c->ev->id, 200,
 				   ffl_job_to_json(known));
 	else
-		append_and_wait(h, c, &rec, 0);
+		ffl_call_append(h, c, &rec, 0);
 	ffl_findings_finish(&fs);
 }
 
-static const ffl_job_t *find_job(ffl_host_t *h, call_t *c)
+static const ffl_job_t *find_job(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_job_t *job = NULL;
 	uint64_t id;
 
-	if (parse_id(c->ev->arg, &id))
+	if (ffl_parse_id(c->ev->arg, &id))
 		job = ffl_gangs_find(&h->gangs, id);
 	if (job && visible(c, job))
 		return job;
-	problem(c, 404, "unknown-job", "job does not exist", c->ev->arg);
+	ffl_call_problem(c, 404, "unknown-job", "job does not exist",
+			 c->ev->arg);
 	return NULL;
 }
 
-static void cmd_job(ffl_host_t *h, call_t *c)
+static void cmd_job(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_job_t *job = find_job(h, c);
 
@@ -399,7 +282,7 @@
 				   ffl_job_to_json(job));
 }
 
-static void cmd_job_why(ffl_host_t *h, call_t *c)
+static void cmd_job_why(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_job_t *job = find_job(h, c);
 
@@ -414,7 +297,7 @@
 					     : ""));
 }
 
-static void cmd_cancel(ffl_host_t *h, call_t *c)
+static void cmd_cancel(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_job_t *job = find_job(h, c);
 	ffl_record_t rec = { .kind = FFL_REC_JOB_CANCEL };
@@ -424,28 +307,28 @@
 	rec.job_cancel.job = job->id;
 	ffl_copy(rec.job_cancel.who, sizeof(rec.job_cancel.who),
 		 c->operator_name ? c->operator_name : c->customer->name);
-	append_and_wait(h, c, &rec, job->id);
+	ffl_call_append(h, c, &rec, job->id);
 }
 
 void ffl_host_command(ffl_host_t *h, const ffl_ev_command_t *ev,
 		      uint64_t now_ms, ffl_actions_t *out)
 {
-	call_t c = { .ev = ev, .now_ms = now_ms, .out = out };
+	ffl_call_t c = { .ev = ev, .now_ms = now_ms, .out = out };
 
 	if (ev->command >= FFL_CMD__MAX) {
-		problem(&c, 404, "unknown-route", "no such route", "");
+		ffl_call_problem(&c, 404, "unknown-route", "no such route", "");
 		return;
 	}
 	if (!authenticate(h, &c)) {
-		problem(&c, 401, "unknown-token",
-			"the token does not allow this", "");
+		ffl_call_problem(&c, 401, "unknown-token",
+				 "the token does not allow this", "");
 		return;
 	}
 	commands[ev->command](h, &c);
 }
 
-static bool take_waiter(ffl_host_t *h, uint64_t writer, uint64_t seq,
-			ffl_waiter_t *w)
+bool ffl_host_take_waiter(ffl_host_t *h, uint64_t writer, uint64_t seq,
+			  ffl_waiter_t *w)
 {
 	if (writer != h->opt.self.member)
 		return false;
@@ -459,61 +342,13 @@
 	return false;
 }
 
-void ffl_host_on_intent(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
-			ffl_actions_t *out)
-{
-	const ffl_pending_t *plan = ffl_config_pending(&h->config, offset);
-	ffl_waiter_t w;
-
-	ffl_count(h->counters, FFL_CTR_PLANS, 1);
-	if (plan && take_waiter(h, rec->writer, rec->seq, &w))
-		ffl_actions_answer(out, w.id, 201,
-				   ffl_host_plan_to_json(h, plan));
-}
-
-void ffl_host_on_verdict(ffl_host_t *h, const ffl_record_t *rec,
-			 const ffl_verdict_t *v, ffl_actions_t *out)
-{
-	ffl_waiter_t w;
-	ffl_problem_t p = { .http_status = 409,
-			    .type = "stale-plan",
-			    .title = "configuration changed since the plan",
-			    .detail = "another change came first",
-			    .ran = FFL_RAN_NO };
-
-	ffl_count(h->counters,
-		  v->status == FFL_OK ? FFL_CTR_CONFIRMED : FFL_CTR_CONFLICTS,
-		  1);
-	ffl_actions_report(
-		out, FFL_LEVEL_NOTE,
-		v->status == FFL_OK ? "plan-confirmed" : "plan-rejected",
-		rec->confirm.who, "plan %llu: %s", (unsigned long long)v->plan,
-		ffl_status_name(v->status));
-	if (!take_waiter(h, rec->writer, rec->seq, &w))
-		return;
-	if (v->status == FFL_OK) {
-		ffl_actions_answer(out, w.id, 200,
-				   json_pack("{s:I,s:I}", "plan",
-					     (json_int_t)v->plan, "revision",
-					     (json_int_t)v->offset));
-		return;
-	}
-	if (v->status == FFL_NOT_FOUND) {
-		p.http_status = 404;
-		p.type = "unknown-plan";
-		p.title = "plan does not exist";
-		p.detail = "it was confirmed before or never stated";
-	}
-	ffl_actions_problem(out, w.id, &p);
-}
-
 void ffl_host_on_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
 			ffl_actions_t *out)
 {
 	const ffl_job_t *job;
 	ffl_waiter_t w;
 
-	if (!take_waiter(h, rec->writer, rec->seq, &w))
+	if (!ffl_host_take_waiter(h, rec->writer, rec->seq, &w))
 		return;
 	if (rec->kind == FFL_REC_JOB)
 		job = ffl_gangs_find_name(&h->gangs, rec->job.customer,
@@ -526,18 +361,30 @@
 
 void ffl_host_expire_waiters(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
-	ffl_problem_t p = { .http_status = 504,
-			    .type = "outcome-unknown",
-			    .title = "the log has not shown the record yet",
-			    .detail = "it may still take effect; look again",
-			    .ran = FFL_RAN_UNKNOWN };
+	static const ffl_problem_t unknown = {
+		.http_status = 504,
+		.type = "outcome-unknown",
+		.title = "the log has not shown the record yet",
+		.detail = "it may still take effect; look again",
+		.ran = FFL_RAN_UNKNOWN
+	};
+	static const ffl_problem_t refused = {
+		.http_status = 503,
+		.type = "log-unavailable",
+		.title = "the log does not take records now",
+		.detail = "nothing was changed; try again later",
+		.ran = FFL_RAN_NO
+	};
 
 	for (guint i = h->waiters->len; i-- > 0;) {
 		ffl_waiter_t *w = &g_array_index(h->waiters, ffl_waiter_t, i);
 
 		if (now_ms < w->deadline_ms)
 			continue;
-		ffl_actions_problem(out, w->id, &p);
+		ffl_actions_problem(out, w->id,
+				    ffl_logc_cancel(&h->logc, w->kind, w->seq)
+					    ? &refused
+					    : &unknown);
 		g_array_remove_index(h->waiters, i);
 	}
 }
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -43,7 +43,9 @@
 			     uint64_t now_ms, ffl_actions_t *out);
 static void on_stop(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out);
-static bool accept(ffl_host_t *h, const ffl_record_t *rec);
+static void refuse(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
+		   ffl_fold_result_t result, ffl_actions_t *out);
+static void tell_config(ffl_host_t *h);
 static void fold(ffl_host_t *h, const ffl_log_entry_t *e, uint64_t now_ms,
 		 ffl_actions_t *out);
 static void fold_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
@@ -89,6 +91,8 @@
 
 static const peer_fn_t peer_takers[FFL_PEER__MAX] = {
 	[FFL_PEER_HEARTBEAT] = peer_heartbeat,
+	[FFL_PEER_STATE_ASK] = ffl_restore_on_ask,
+	[FFL_PEER_STATE] = ffl_restore_on_state,
 };
 
 void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
@@ -104,8 +108,10 @@
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
 	ffl_sched_init(&h->sched, opt->self.dc);
 	ffl_requests_init(&h->requests, &opt->limits, opt->self.region);
-	h->writers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					   g_free);
+	h->logc.wall_offset_ms = opt->wall_offset_ms;
+	ffl_fold_init(&h->fold, opt->cluster);
+	ffl_snapshots_init(&h->snapshots);
+	ffl_restore_init(&h->restore);
 	h->waiters = g_array_new(FALSE, TRUE, sizeof(ffl_waiter_t));
 	ffl_arena_init(&h->scratch);
 }
@@ -114,7 +120,9 @@
 {
 	ffl_arena_finish(&h->scratch);
 	g_array_free(h->waiters, TRUE);
-	g_hash_table_destroy(h->writers);
+	ffl_restore_finish(&h->restore);
+	ffl_snapshots_finish(&h->snapshots);
+	ffl_fold_finish(&h->fold);
 	ffl_requests_finish(&h->requests);
 	ffl_sched_finish(&h->sched);
 	ffl_gangs_finish(&h->gangs);
@@ -124,28 +132,25 @@
 	ffl_logc_finish(&h->logc);
 }
 
-/* Each writer numbers its records: one that was seen before is dropped. */
-static bool accept(ffl_host_t *h, const ffl_record_t *rec)
+/* Reports the first, second, fourth ... record that is not taken. */
+static void refuse(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
+		   ffl_fold_result_t result, ffl_actions_t *out)
 {
-	uint64_t *last = g_hash_table_lookup(h->writers, &rec->writer);
-	gint64 *key;
+	uint64_t n = h->fold.counts[result];
 
-	if (rec->cluster != h->opt.cluster) {
-		ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
-		return false;
-	}
-	if (last && rec->seq <= *last) {
+	if (result == FFL_FOLD_DUPLICATE) {
 		ffl_count(h->counters, FFL_CTR_RECORDS_DUPLICATE, 1);
-		return false;
-	}
-	if (!last) {
-		key = g_new(gint64, 1);
-		*key = (gint64)rec->writer;
-		last = g_new(uint64_t, 1);
-		g_hash_table_insert(h->writers, key, last);
+		return;
 	}
-	*last = rec->seq;
-	return true;
+	ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
+	if (result == FFL_FOLD_UNKNOWN && rec->kind <= FFL_REC_CONFIRM)
+		ffl_config_unreadable(&h->config, offset);
+	if ((n & (n - 1)) == 0)
+		ffl_actions_report(out, FFL_LEVEL_WARNING, "record-skipped",
+				   ffl_fold_result_name(result),
+				   "record %llu; %llu of this sort",
+				   (unsigned long long)offset,
+				   (unsigned long long)n);
 }
 
 static void fold_record(ffl_host_t *h, uint64_t offset, const ffl_record_t *rec,
@@ -160,10 +165,12 @@
 		break;
 	case FFL_REC_CONFIRM:
 		verdict = ffl_config_confirm(&h->config, offset, rec);
-		ffl_fleet_on_config(&h->fleet, &h->config);
-		ffl_requests_on_config(&h->requests, &h->config);
+		h->config_changed = true;
 		ffl_host_on_verdict(h, rec, &verdict, out);
 		break;
+	case FFL_REC_SNAPSHOT:
+		ffl_host_on_part(h, offset, rec, now_ms, out);
+		break;
 	default:
 		ffl_members_fold(&h->members, offset, rec, now_ms);
 		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
@@ -175,26 +182,35 @@
 static void fold(ffl_host_t *h, const ffl_log_entry_t *e, uint64_t now_ms,
 		 ffl_actions_t *out)
 {
+	ffl_fold_result_t result;
 	ffl_record_t rec;
-	ffl_status_t status;
 
-	if (e->offset < h->logc.next_offset)
+	if (e->offset != h->logc.next_offset)
 		return;
 	h->logc.next_offset = e->offset + 1;
 	ffl_arena_reset(&h->scratch);
-	status = ffl_record_decode(e->data, &rec, &h->scratch);
-	if (status != FFL_OK) {
-		ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
+	result = ffl_fold_record(&h->fold, e->offset, e->data, &rec,
+				 &h->scratch);
+	if (result <= FFL_FOLD_DUPLICATE && rec.writer == h->logc.writer)
+		ffl_logc_seen(&h->logc, rec.kind, rec.seq);
+	if (result != FFL_FOLD_TAKEN) {
+		refuse(h, e->offset, &rec, result, out);
 		return;
 	}
-	if (!accept(h, &rec))
-		return;
 	ffl_count(h->counters, FFL_CTR_RECORDS_FOLDED, 1);
-	if (rec.writer == h->logc.writer)
-		ffl_logc_seen(&h->logc, rec.seq);
 	fold_record(h, e->offset, &rec, now_ms, out);
 }
 
+/* Once for all records of an answer: it costs a walk over the fleet. */
+static void tell_config(ffl_host_t *h)
+{
+	if (!h->config_changed)
+		return;
+	h->config_changed = false;
+	ffl_fleet_on_config(&h->fleet, &h->config);
+	ffl_requests_on_config(&h->requests, &h->config);
+}
+
 static void on_tick(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out)
 {
@@ -205,14 +221,21 @@
 			ffl_actions_t *out)
 {
 	const ffl_ev_log_read_t *r = &ev->log_read;
+	ffl_read_result_t result = ffl_logc_judge(&h->logc, r);
+
+	bool usable = result == FFL_READ_TAKEN || result == FFL_READ_GAP;
 
-	if (r->status == FFL_OK) {
+	if (usable && ffl_host_restoring(h)) {
+		ffl_restore_read(h, r, now_ms, out);
+	} else if (usable) {
 		for (uint32_t i = 0; i < r->count; i++)
 			fold(h, &r->entries[i], now_ms, out);
-		if (h->logc.next_offset >= r->end)
-			h->caught_up = true;
+		h->caught_up |= result == FFL_READ_TAKEN &&
+				h->logc.next_offset >= r->end;
 	}
-	ffl_logc_on_read(&h->logc, r, now_ms);
+	tell_config(h);
+	ffl_logc_on_read(&h->logc, r, result, now_ms);
+	ffl_restore_check(h, r, result, out);
 	ffl_gauge(h->counters, FFL_CTR_LOG_OFFSET, h->logc.next_offset);
 	ffl_gauge(h->counters, FFL_CTR_REVISION, h->config.revision);
 }
@@ -228,6 +251,7 @@
 static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			 ffl_actions_t *out)
 {
+	ffl_restore_on_list(h, &ev->host_list);
 	ffl_fleet_on_list(&h->fleet, &ev->host_list);
 	ffl_fleet_on_config(&h->fleet, &h->config);
 	ffl_requests_on_list(&h->requests, &ev->host_list);
@@ -245,6 +269,10 @@
 			   uint64_t now_ms, ffl_actions_t *out)
 {
 	ffl_members_on_peer(&h->members, msg, now_ms);
+	if (msg->heartbeat.next_offset > h->restore.ahead)
+		h->restore.ahead = msg->heartbeat.next_offset;
+	if (msg->heartbeat.revision > h->shown_revision)
+		h->shown_revision = msg->heartbeat.revision;
 }
 
 static void on_peer(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
@@ -354,12 +382,17 @@
 			      &h->sched, &h->logc, now_ms, out);
 	if (parts & RUN_MEMBERS)
 		h->requests.entry_hosts = live_members(h, now_ms);
+	h->logc.sharers = h->members.members->len;
 	if (parts & RUN_REQUESTS)
 		ffl_requests_run(&h->requests, now_ms, out);
 	if (parts & RUN_STOP) {
 		set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
 		run_stop(h, now_ms, out);
 	}
+	if ((parts & RUN_MEMBERS) && (parts & RUN_LOG)) {
+		ffl_restore_run(h, now_ms, out);
+		ffl_host_run_snapshot(h, now_ms, out);
+	}
 	if (parts & RUN_LOG)
 		ffl_logc_run(&h->logc, now_ms, out);
 }
@@ -377,8 +410,3 @@
 	ffl_count(h->counters, FFL_CTR_ACTIONS,
 		  ffl_actions_count(out) - before);
 }
-
-uint64_t ffl_host_state_hash(const ffl_host_t *h)
-{
-	return ffl_config_hash(&h->config);
-}
--- a/lib/wire/peer.c
+++ b/lib/wire/peer.c
@@ -25,12 +25,30 @@
 	FIELD_BOOL(ffl_heartbeat_t, leaving),
 };
 
+static const ffl_field_t state_ask_fields[] = {
+	FIELD_U64(ffl_state_ask_t, offset),
+	FIELD_TEXT(ffl_state_ask_t, addr),
+};
+
+static const ffl_field_t state_fields[] = {
+	FIELD_U64(ffl_state_part_t, offset),
+	FIELD_U32(ffl_state_part_t, part, 0),
+	FIELD_U32(ffl_state_part_t, parts, 0),
+	FIELD_U64(ffl_state_part_t, hash),
+	FIELD_BLOB(ffl_state_part_t, data, FFL_STATE_PART_BYTES),
+};
+
+static const ffl_schema_t state_ask_schema =
+	SCHEMA(ffl_state_ask_t, state_ask_fields);
+static const ffl_schema_t state_schema = SCHEMA(ffl_state_part_t, state_fields);
 static const ffl_schema_t head_schema = SCHEMA(ffl_peer_head_t, head_fields);
 static const ffl_schema_t heartbeat_schema =
 	SCHEMA(ffl_heartbeat_t, heartbeat_fields);
 
 static const ffl_schema_t *const peer_schemas[FFL_PEER__MAX] = {
 	[FFL_PEER_HEARTBEAT] = &heartbeat_schema,
+	[FFL_PEER_STATE_ASK] = &state_ask_schema,
+	[FFL_PEER_STATE] = &state_schema,
 };
 
 const char *ffl_peer_kind_name(uint32_t kind)
