--- a/include/fireflyledge/logc.h
+++ b/include/fireflyledge/logc.h
@@ -58,7 +58,9 @@
 	uint64_t lost_read; /**< reads begun when the answer was lost */
 	uint64_t reads;	    /**< reads begun */
 	bool reading;
-	uint64_t read_at_ms;   /**< earliest time of the next read */
+	uint64_t read_at_ms; /**< earliest time of the next read */
+	uint64_t read_sent_ms;
+	uint64_t proved_ms;    /**< nothing unread was on the log then */
 	uint64_t append_at_ms; /**< earliest time of the next try */
 	uint64_t bulk_at_ms;   /**< earliest time of the next bulk append */
 	uint32_t failures;     /**< appends that failed in a row */
--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -204,6 +204,8 @@
 	lc->read_at_ms = now_ms;
 	lc->first = ev->first;
 	lc->end = ev->end;
+	if (lc->next_offset >= lc->end)
+		lc->proved_ms = lc->read_sent_ms;
 	settle(lc);
 }
 
@@ -320,8 +322,10 @@
 void ffl_logc_run(ffl_logc_t *lc, uint64_t now_ms, ffl_actions_t *out)
 {
 	lc->now_ms = now_ms;
-	if (!lc->reading && now_ms >= lc->read_at_ms)
+	if (!lc->reading && now_ms >= lc->read_at_ms) {
+		lc->read_sent_ms = now_ms;
 		send_read(lc, out);
+	}
 	if (now_ms < lc->append_at_ms)
 		return;
 	if (lc->append_state == FFL_APPEND_BACKOFF)
--- a/lib/gang/job_save.c
+++ b/lib/gang/job_save.c
@@ -1,6 +1,6 @@
 /*
- * Jobs are saved as what the log said about them and loaded by folding that
- * again: what runs where is learned from the workers.
+ * Jobs are saved as what the log said about them: what runs where is learned
+ * from the workers.
  */
 #include <string.h>
 
@@ -15,6 +15,8 @@
 /** A job as the log tells it. */
 typedef struct {
 	uint64_t id;
+	uint64_t assigned;
+	ffl_name_t cell;
 	bool cancelled;
 	bool ended;
 	ffl_end_t end;
@@ -28,6 +30,8 @@
 
 static const ffl_field_t saved_fields[] = {
 	FIELD_U64(saved_t, id),
+	FIELD_U64(saved_t, assigned),
+	FIELD_TEXT(saved_t, cell),
 	FIELD_BOOL(saved_t, cancelled),
 	FIELD_BOOL(saved_t, ended),
 	FIELD_ENUM(saved_t, end, FFL_END__MAX, ffl_end_name),
@@ -47,9 +51,11 @@
 static void save_job(const ffl_job_t *job, GByteArray *out)
 {
 	saved_t s = { .id = job->id,
+		      .assigned = job->assigned,
 		      .cancelled = job->cancelled,
 		      .ended = job->state == FFL_JOB_ENDED };
 
+	ffl_copy(s.cell, sizeof(s.cell), job->cell);
 	if (s.ended) {
 		s.end = job->end;
 		ffl_copy(s.result, sizeof(s.result), job->result);
@@ -78,24 +84,24 @@
 		       const ffl_job_spec_t *spec, uint64_t now_ms)
 {
 	ffl_record_t rec = { .kind = FFL_REC_JOB };
+	ffl_job_t *job;
 
 	rec.job = *spec;
-	ffl_gangs_fold(g, s->id, &rec, now_ms);
-	if (s->cancelled) {
-		memset(&rec, 0, sizeof(rec));
-		rec.kind = FFL_REC_JOB_CANCEL;
-		rec.job_cancel.job = s->id;
-		ffl_gangs_fold(g, s->id, &rec, now_ms);
-	}
-	if (s->ended) {
-		memset(&rec, 0, sizeof(rec));
-		rec.kind = FFL_REC_JOB_END;
-		rec.job_end.job = s->id;
-		rec.job_end.end = s->end;
-		ffl_copy(rec.job_end.result, sizeof(rec.job_end.result),
-			 s->result);
-		ffl_gangs_fold(g, s->id, &rec, now_ms);
-	}
+	ffl_gangs_fold(g, NULL, s->id, &rec, now_ms);
+	job = ffl_job_find(g, s->id);
+	if (!job)
+		return;
+	ffl_copy(job->cell, sizeof(job->cell), s->cell);
+	job->assigned = s->assigned;
+	job->cancelled = s->cancelled;
+	if (!s->ended)
+		return;
+	memset(&rec, 0, sizeof(rec));
+	rec.kind = FFL_REC_JOB_END;
+	rec.job_end.job = s->id;
+	rec.job_end.end = s->end;
+	ffl_copy(rec.job_end.result, sizeof(rec.job_end.result), s->result);
+	ffl_gangs_fold(g, NULL, s->id, &rec, now_ms);
 }
 
 ffl_status_t ffl_gangs_load(ffl_gangs_t *g, ffl_bytes_t in, size_t *used_bytes,
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -172,8 +172,8 @@
 		ffl_host_on_part(h, offset, rec, now_ms, out);
 		break;
 	default:
+		ffl_gangs_fold(&h->gangs, &h->members, offset, rec, now_ms);
 		ffl_members_fold(&h->members, offset, rec, now_ms);
-		ffl_gangs_fold(&h->gangs, offset, rec, now_ms);
 		ffl_host_on_record(h, offset, rec, out);
 		break;
 	}
@@ -252,7 +252,8 @@
 			 ffl_actions_t *out)
 {
 	ffl_restore_on_list(h, &ev->host_list);
-	ffl_fleet_on_list(&h->fleet, &ev->host_list);
+	ffl_fleet_on_list(&h->fleet, &ev->host_list, now_ms);
+	ffl_gangs_on_list(&h->gangs, now_ms);
 	ffl_fleet_on_config(&h->fleet, &h->config);
 	ffl_requests_on_list(&h->requests, &ev->host_list);
 	ffl_requests_on_config(&h->requests, &h->config);
--- a/lib/member/member_save.c
+++ b/lib/member/member_save.c
@@ -10,6 +10,7 @@
 
 static const ffl_field_t member_fields[] = {
 	FIELD_U64(ffl_member_t, joined_offset),
+	FIELD_U64(ffl_member_t, renewed_offset),
 	FIELD_U64(ffl_member_t, join.member),
 	FIELD_TEXT(ffl_member_t, join.name),
 	FIELD_TEXT(ffl_member_t, join.dc),
@@ -42,8 +43,12 @@
 	ffl_loader_init(&l, in);
 	ffl_load_array(&l, &member_schema, ms->members, MEMBERS_MAX);
 	ffl_load_array(&l, &cell_schema, ms->cells, CELLS_MAX);
-	for (guint i = 0; i < ms->members->len; i++)
-		g_array_index(ms->members, ffl_member_t, i).heard_ms = now_ms;
+	for (guint i = 0; i < ms->members->len; i++) {
+		ffl_member_t *m = &g_array_index(ms->members, ffl_member_t, i);
+
+		m->heard_ms = now_ms;
+		m->renewed_ms = now_ms;
+	}
 	*used_bytes = l.used_bytes;
 	ffl_loader_finish(&l);
 	return l.status;
