--- a/include/fireflyledge/config.h
+++ b/include/fireflyledge/config.h
@@ -18,6 +18,8 @@
 #define FFL_AUDIT_STEP 256
 /** Scopes whose last revision is remembered; more share one bound. */
 #define FFL_SCOPES_MAX 4096
+/** Scopes forgotten together once there are more. */
+#define FFL_SCOPES_STEP 512
 
 /** A customer with its limits. */
 typedef struct {
@@ -77,6 +79,7 @@
 /** Part of the configuration that plans are checked against. */
 typedef enum {
 	FFL_SCOPE_CELL,
+	FFL_SCOPE_HOST,
 	FFL_SCOPE_CUSTOMER,
 	FFL_SCOPE_OPERATOR,
 	FFL_SCOPE_ORDER,
--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -313,8 +313,8 @@
 
 	act->log_read.from = lc->next_offset;
 	act->log_read.max = READ_MAX;
-	act->log_read.wait_ms =
-		lc->append_state == FFL_APPEND_UNCERTAIN ? 0 : READ_WAIT_MS;
+	if (lc->end && lc->append_state != FFL_APPEND_UNCERTAIN)
+		act->log_read.wait_ms = READ_WAIT_MS;
 	lc->reading = true;
 	lc->reads++;
 }
--- a/lib/config/save.c
+++ b/lib/config/save.c
@@ -14,9 +14,8 @@
 static void load_audit(ffl_config_t *cfg, ffl_loader_t *l);
 
 static const char *const scope_names[FFL_SCOPE__MAX] = {
-	[FFL_SCOPE_CELL] = "cell",
-	[FFL_SCOPE_CUSTOMER] = "customer",
-	[FFL_SCOPE_OPERATOR] = "operator",
+	[FFL_SCOPE_CELL] = "cell",	   [FFL_SCOPE_HOST] = "host",
+	[FFL_SCOPE_CUSTOMER] = "customer", [FFL_SCOPE_OPERATOR] = "operator",
 	[FFL_SCOPE_ORDER] = "order",
 };
 
--- a/lib/config/scope.c
+++ b/lib/config/scope.c
@@ -8,6 +8,7 @@
 
 static void add_scope(ffl_scope_t *scopes, uint32_t *count,
 		      ffl_scope_kind_t kind, const char *name);
+static gint compare_revisions(gconstpointer a, gconstpointer b);
 static void forget_oldest(ffl_config_t *cfg);
 
 static void add_scope(ffl_scope_t *scopes, uint32_t *count,
@@ -34,6 +35,7 @@
 	case FFL_INTENT_DRAIN:
 	case FFL_INTENT_UNDRAIN:
 		add_scope(scopes, &n, FFL_SCOPE_CELL, intent->dc);
+		add_scope(scopes, &n, FFL_SCOPE_HOST, intent->name);
 		break;
 	case FFL_INTENT_CUSTOMER:
 	case FFL_INTENT_LIMIT:
@@ -54,24 +56,33 @@
 	return n;
 }
 
-/* Forgetting the oldest scope makes plans older than it conflict. */
-static void forget_oldest(ffl_config_t *cfg)
+static gint compare_revisions(gconstpointer pa, gconstpointer pb)
 {
-	guint oldest = 0;
-	uint64_t revision = UINT64_MAX;
+	uint64_t a = *(const uint64_t *)pa;
+	uint64_t b = *(const uint64_t *)pb;
+
+	return (a > b) - (a < b);
+}
 
-	for (guint i = 0; i < cfg->scopes->len; i++) {
-		const ffl_scope_t *s =
-			&g_array_index(cfg->scopes, ffl_scope_t, i);
+/* Forgetting the oldest scopes makes plans older than them conflict. */
+static void forget_oldest(ffl_config_t *cfg)
+{
+	GArray *revisions = g_array_sized_new(FALSE, FALSE, sizeof(uint64_t),
+					      cfg->scopes->len);
 
-		if (s->revision >= revision)
-			continue;
-		revision = s->revision;
-		oldest = i;
+	for (guint i = 0; i < cfg->scopes->len; i++)
+		g_array_append_val(
+			revisions,
+			g_array_index(cfg->scopes, ffl_scope_t, i).revision);
+	g_array_sort(revisions, compare_revisions);
+	cfg->scope_floor =
+		g_array_index(revisions, uint64_t, FFL_SCOPES_STEP - 1);
+	for (guint i = cfg->scopes->len; i-- > 0;) {
+		if (g_array_index(cfg->scopes, ffl_scope_t, i).revision <=
+		    cfg->scope_floor)
+			g_array_remove_index(cfg->scopes, i);
 	}
-	if (revision > cfg->scope_floor)
-		cfg->scope_floor = revision;
-	g_array_remove_index(cfg->scopes, oldest);
+	g_array_free(revisions, TRUE);
 }
 
 void ffl_scopes_touch(ffl_config_t *cfg, const ffl_scope_t *scopes,
--- a/lib/config/snapshot.c
+++ b/lib/config/snapshot.c
@@ -134,7 +134,7 @@
 		       uint32_t records_max)
 {
 	uint64_t retained = lc->end - lc->first;
-	uint64_t from = s->last.start ? s->last.start : FFL_OFFSET_FIRST;
+	uint64_t from = s->last.offset ? s->last.offset : FFL_OFFSET_FIRST;
 
 	if (lc->next_offset - from >= records_max)
 		return true;
