--- a/lib/host/consequence.c
+++ b/lib/host/consequence.c
@@ -146,15 +146,9 @@
 static void find_drain(ffl_plan_t *p, const ffl_host_t *h)
 {
 	const ffl_worker_t *w = ffl_fleet_find(&h->fleet, p->after.name);
-	bool upstream = false;
 
-	for (guint i = 0; i < h->requests.upstreams->len; i++)
-		upstream |= strcmp(g_array_index(h->requests.upstreams,
-						 ffl_upstream_t, i)
-					   .info.name,
-				   p->after.name) == 0;
 	if (!w) {
-		if (!upstream)
+		if (!ffl_upstreams_find(&h->requests.upstreams, p->after.name))
 			ffl_findings_add(&p->findings, FFL_MSG_UNKNOWN_HOST,
 					 "name", 0, 0,
 					 "\"%s\" is not in the list of hosts",
--- a/lib/host/state.c
+++ b/lib/host/state.c
@@ -180,6 +180,7 @@
 	if (last.offset > h->snapshots.last.offset)
 		h->snapshots.last = last;
 	h->config_changed = true;
+	h->log_trimmed = true;
 	return FFL_OK;
 }
 
