--- a/daemon/main.c
+++ b/daemon/main.c
@@ -57,6 +57,7 @@
 	opt->self.expiry_ms = s->expiry_ms;
 	opt->wall_offset_ms =
 		(uint64_t)(g_get_real_time() / US_PER_MS) - ffld_now_ms();
+	opt->poll_hosts_ms = s->poll_hosts_ms;
 	opt->times.heartbeat_ms = s->heartbeat_ms;
 	opt->times.suspect_ms = s->suspect_ms;
 	opt->times.renew_ms = s->renew_ms;
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -14,6 +14,7 @@
 #include "fireflyledge/fleet.h"
 #include "fireflyledge/fold.h"
 #include "fireflyledge/gang.h"
+#include "fireflyledge/hostlist.h"
 #include "fireflyledge/logc.h"
 #include "fireflyledge/member.h"
 #include "fireflyledge/request.h"
@@ -32,6 +33,7 @@
 	ffl_request_limits_t limits;
 	ffl_snapshot_limits_t snapshots;
 	uint64_t wall_offset_ms; /**< wall clock less the time of events */
+	uint32_t poll_hosts_ms;	 /**< 0 where the list comes by itself */
 	/** Operator token that holds while no operator is configured. */
 	uint8_t bootstrap_hash[FFL_HASH_BYTES];
 	uint32_t stop_delay_ms; /**< an unready host still takes requests */
@@ -89,6 +91,7 @@
 	ffl_logc_t logc;
 	ffl_config_t config;
 	ffl_members_t members;
+	ffl_hostlist_t hostlist;
 	ffl_fleet_t fleet;
 	ffl_gangs_t gangs;
 	ffl_sched_t sched;
