--- a/lib/config/tokens.c
+++ b/lib/config/tokens.c
@@ -39,7 +39,7 @@
 const char *ffl_tokens_customer_of(const ffl_tokens_t *set, const char *token)
 {
 	const ffl_token_t *found;
-	ffl_token_t probe;
+	ffl_token_t probe = { .customer = "" };
 
 	ffl_token_hash(token, probe.token_hash);
 	found = bsearch(&probe, set->tokens, set->count, sizeof(*set->tokens),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,6 +22,9 @@
 "
 		echo "FAILED: $text"
 		sed 's/^/    /' "$DIR/out"
+		for log in "$DIR"/host*.log; do
+			tail -n 15 "$log" | sed 's/^/    /'
+		done
 	fi
 }
 
