--- a/bench/config_bench.c
+++ b/bench/config_bench.c
@@ -303,10 +303,11 @@
 			i < TEAMS ? 0
 				  : g_array_index(times, uint64_t, i - TEAMS);
 		uint64_t shown_s = at_s > think_s ? at_s - think_s : 0;
-		uint64_t before = cfg.revision;
 		ffl_record_t rec;
 		ffl_verdict_t v;
 
+		for (; next_s <= at_s; next_s++)
+			revision_at[next_s] = cfg.revision;
 		make_change(&rec, i < TEAMS ? i
 					    : TEAMS + (uint32_t)ffl_rng_below(
 							      &rng, 1000000));
@@ -327,8 +328,6 @@
 			rec.confirm.revision = cfg.revision;
 			ffl_config_confirm(&cfg, ++offset, &rec);
 		}
-		for (; next_s <= at_s; next_s++)
-			revision_at[next_s] = before;
 		revision_at[at_s] = cfg.revision;
 	}
 	g_array_free(times, TRUE);
--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -9,9 +9,10 @@
 static void verdict_repeated(const ffl_config_t *cfg, const ffl_audit_t *a,
 			     ffl_verdict_t *v);
 static void check_confirm(const ffl_config_t *cfg, const ffl_confirm_t *c,
-			  const ffl_intent_t *intent, ffl_verdict_t *v);
+			  const ffl_intent_t *intent, ffl_intent_t *before,
+			  ffl_intent_t *after, ffl_verdict_t *v);
 static void apply(ffl_config_t *cfg, uint64_t offset, const ffl_record_t *rec,
-		  const ffl_pending_t *p, ffl_verdict_t *v);
+		  const ffl_pending_t *p, const ffl_intent_t *after);
 
 void ffl_config_init(ffl_config_t *cfg)
 {
@@ -106,11 +107,9 @@
 }
 
 static void check_confirm(const ffl_config_t *cfg, const ffl_confirm_t *c,
-			  const ffl_intent_t *intent, ffl_verdict_t *v)
+			  const ffl_intent_t *intent, ffl_intent_t *before,
+			  ffl_intent_t *after, ffl_verdict_t *v)
 {
-	ffl_intent_t before;
-	ffl_intent_t after;
-
 	if (c->revision > cfg->revision) {
 		v->status = FFL_INVALID;
 		v->why = "the plan was not shown at this revision";
@@ -128,31 +127,27 @@
 		v->why = "a change that the plan rests on came between";
 		return;
 	}
-	v->status = ffl_config_preview(cfg, intent, &before, &after, &v->why,
+	v->status = ffl_config_preview(cfg, intent, before, after, &v->why,
 				       &v->between);
 }
 
 static void apply(ffl_config_t *cfg, uint64_t offset, const ffl_record_t *rec,
-		  const ffl_pending_t *p, ffl_verdict_t *v)
+		  const ffl_pending_t *p, const ffl_intent_t *after)
 {
 	ffl_scope_t scopes[FFL_INTENT_SCOPES_MAX];
 	uint32_t n = ffl_intent_scopes(cfg, &p->intent, scopes);
 	ffl_audit_t entry = { .revision = offset,
 			      .plan = p->plan,
 			      .at_ms = rec->at_ms };
-	ffl_intent_t after;
 
 	entry.intent = p->intent;
 	ffl_copy(entry.confirmed_by, sizeof(entry.confirmed_by),
 		 rec->confirm.who);
-	ffl_config_preview(cfg, &p->intent, &entry.before, &after, &v->why,
-			   &v->between);
-	entry.supersedes = ffl_image_get(cfg, &after, &entry.before);
-	ffl_image_set(cfg, offset, &after);
+	entry.supersedes = ffl_image_get(cfg, after, &entry.before);
+	ffl_image_set(cfg, offset, after);
 	ffl_scopes_touch(cfg, scopes, n, offset);
 	ffl_audit_add(cfg, &entry);
 	cfg->revision = offset;
-	v->revision = offset;
 }
 
 ffl_verdict_t ffl_config_confirm(ffl_config_t *cfg, uint64_t offset,
@@ -165,6 +160,8 @@
 			    .offset = offset,
 			    .status = FFL_NOT_FOUND,
 			    .why = "the plan does not exist" };
+	ffl_intent_t before;
+	ffl_intent_t after;
 	guint at;
 
 	if (done) {
@@ -174,10 +171,11 @@
 	if (!pending_at(cfg, c->plan, &at))
 		return v;
 	p = g_ptr_array_index(cfg->pending, at);
-	check_confirm(cfg, c, &p->intent, &v);
+	check_confirm(cfg, c, &p->intent, &before, &after, &v);
 	if (v.status != FFL_OK)
 		return v;
-	apply(cfg, offset, rec, p, &v);
+	apply(cfg, offset, rec, p, &after);
+	v.revision = offset;
 	g_ptr_array_remove_index(cfg->pending, at);
 	return v;
 }
--- a/lib/host/command_config.c
+++ b/lib/host/command_config.c
@@ -263,11 +263,13 @@
 
 	ffl_count(h->counters, in_force ? FFL_CTR_CONFIRMED : FFL_CTR_CONFLICTS,
 		  1);
-	ffl_actions_report(out, FFL_LEVEL_NOTE,
-			   in_force ? "plan-confirmed" : "plan-rejected",
-			   rec->confirm.who, "plan %llu: %s %s",
-			   (unsigned long long)v->plan,
-			   ffl_status_name(v->status), v->why);
+	if (h->caught_up)
+		ffl_actions_report(out, FFL_LEVEL_NOTE,
+				   in_force ? "plan-confirmed"
+					    : "plan-rejected",
+				   rec->confirm.who, "plan %llu: %s %s",
+				   (unsigned long long)v->plan,
+				   ffl_status_name(v->status), v->why);
 	if (ffl_host_take_waiter(h, rec->writer, rec->seq, &w))
 		answer_verdict(h, v, w.id, out);
 }
