--- a/include/fireflyledge/request.h
+++ b/include/fireflyledge/request.h
@@ -112,6 +112,8 @@
 	uint64_t now_ms;   /**< of the current step */
 	GPtrArray *asking; /**< scratch: requests whose home is asked */
 	const ffl_members_t *members;
+	uint64_t resumed_ms; /**< end of the latest pause of this host */
+	bool list_stale;     /**< the list is from before that pause */
 	bool stopping;
 	bool told_final; /**< the others know that this host has ended */
 };
@@ -121,7 +123,8 @@
 		       const ffl_members_t *members);
 void ffl_requests_finish(ffl_requests_t *rs);
 
-void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list);
+void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list,
+			  uint64_t now_ms);
 void ffl_requests_on_config(ffl_requests_t *rs, const ffl_config_t *cfg);
 /** Notes a read of the log that reached its end and was sent at a time. */
 void ffl_requests_on_read(ffl_requests_t *rs, uint64_t sent_ms);
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -12,7 +12,14 @@
 #define RETRY_MS_MAX  60000
 #define RETRY_SPREAD  100
 #define UNKNOWN_BYTES 1048576
-
+/** Gap between two steps that only a pause explains. */
+#define PAUSE_MS 500
+/** After a pause: age below which a list may have been queued before it. */
+#define LIST_QUEUED_MS 20
+/** After a pause: longest wait for a list, then the old one must do. */
+#define LIST_WAIT_MS 3000
+
+static void note_time(ffl_requests_t *rs, uint64_t now_ms);
 static guint req_hash(gconstpointer p);
 static gboolean req_equal(gconstpointer a, gconstpointer b);
 static ffl_req_t *new_req(ffl_requests_t *rs, const ffl_ev_request_t *ev,
@@ -103,8 +110,24 @@
 	return g_hash_table_lookup(rs->by_id, &probe);
 }
 
-void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list)
+/* A host that was paused knows nothing of what began to leave meanwhile. */
+static void note_time(ffl_requests_t *rs, uint64_t now_ms)
+{
+	if (rs->now_ms && now_ms - rs->now_ms > PAUSE_MS) {
+		rs->list_stale = true;
+		rs->resumed_ms = now_ms;
+	}
+	rs->now_ms = now_ms;
+	if (now_ms - rs->resumed_ms > LIST_WAIT_MS)
+		rs->list_stale = false;
+}
+
+void ffl_requests_on_list(ffl_requests_t *rs, const ffl_host_list_t *list,
+			  uint64_t now_ms)
 {
+	note_time(rs, now_ms);
+	if (now_ms - rs->resumed_ms >= LIST_QUEUED_MS)
+		rs->list_stale = false;
 	ffl_upstreams_on_list(&rs->upstreams, list, &rs->slots);
 }
 
@@ -145,7 +168,7 @@
 void ffl_requests_on_peer(ffl_requests_t *rs, const ffl_peer_msg_t *msg,
 			  uint64_t now_ms, ffl_actions_t *out)
 {
-	rs->now_ms = now_ms;
+	note_time(rs, now_ms);
 	if (msg->head.to != rs->slots.self)
 		return;
 	if (msg->head.kind == FFL_PEER_LOAD)
@@ -300,7 +323,7 @@
 	uint32_t wait_ms = 0;
 	ffl_req_t *req;
 
-	rs->now_ms = now_ms;
+	note_time(rs, now_ms);
 	if (!customer) {
 		refuse_event(out, ev->id, &unknown);
 		return;
@@ -403,7 +426,7 @@
 			    ffl_up_outcome_name(ev->outcome), FFL_RAN_UNKNOWN,
 			    0 };
 
-	rs->now_ms = now_ms;
+	note_time(rs, now_ms);
 	if (!req || req->state != FFL_REQ_FORWARDED ||
 	    ev->attempt != req->attempt)
 		return;
@@ -466,12 +489,12 @@
 	ffl_upstream_t *u;
 	ffl_req_t *req;
 
-	rs->now_ms = now_ms;
+	note_time(rs, now_ms);
 	run_gates(rs, now_ms);
 	ffl_load_run(rs, now_ms, out);
 	ffl_keyed_run(rs, now_ms, out);
 	expire(rs, now_ms, out);
-	if (!ffl_tenure_live(&rs->slots, now_ms))
+	if (rs->list_stale || !ffl_tenure_live(&rs->slots, now_ms))
 		return;
 	while ((req = ffl_fairq_peek(&rs->queue))) {
 		u = rs->limits.policy->choose(rs, req, now_ms);
