--- a/include/fireflyledge/fairq.h
+++ b/include/fireflyledge/fairq.h
@@ -69,6 +69,7 @@
 	ffl_fq_bounds_t bounds;
 	ffl_fq_node_t root;
 	ffl_fq_node_t classes[FFL_URGENCY__MAX];
+	uint32_t class_weight; /**< sum over the classes */
 	GHashTable *customers; /**< ffl_fq_node_t by class and name */
 	GHashTable *callers;   /**< ffl_fq_node_t by class and names */
 	uint64_t order;
@@ -77,17 +78,29 @@
 void ffl_fairq_init(ffl_fairq_t *q, uint32_t queue_max);
 void ffl_fairq_finish(ffl_fairq_t *q);
 
-/** Returns the caller's node, made where missing; NULL where full. */
+/**
+ * Returns the caller's node, made where missing; NULL where full.
+ *
+ * @param slots services that may run at the same time; where there are
+ *        other callers, one caller takes a part of them at most; 0: all
+ */
 ffl_fq_node_t *ffl_fairq_caller(ffl_fairq_t *q, ffl_urgency_t urgency,
 				const char *customer, uint32_t weight,
-				uint32_t running_max, const char *caller);
+				uint32_t running_max, const char *caller,
+				uint32_t slots);
 /** Tells whether the bounds leave room for one more of this caller. */
 bool ffl_fairq_room(const ffl_fairq_t *q, const ffl_fq_node_t *caller);
 /** Queues; @p again puts a retried request before its caller's others. */
 void ffl_fairq_push(ffl_fairq_t *q, ffl_fq_item_t *item, void *owner,
 		    bool again);
-/** Returns the owner of the request to serve next, or NULL. */
-void *ffl_fairq_peek(const ffl_fairq_t *q);
+/**
+ * Returns the owner of the request to serve next, or NULL. A class that is
+ * above its floor leaves some slots free, so that one below its floor does
+ * not wait for the end of another's service.
+ *
+ * @param slots services that may run at the same time
+ */
+void *ffl_fairq_peek(const ffl_fairq_t *q, uint32_t slots);
 /** Takes a request to be served and charges its cost. */
 void ffl_fairq_take(ffl_fairq_t *q, ffl_fq_item_t *item);
 /** Takes a request out that is not served. */
--- a/include/fireflyledge/tenure.h
+++ b/include/fireflyledge/tenure.h
@@ -24,18 +24,36 @@
 /** The entry hosts that the log names, in ascending order. */
 typedef struct {
 	uint64_t members[FFL_VIEW_MAX];
+	uint64_t regions[FFL_VIEW_MAX]; /**< hash of each member's region */
 	uint32_t count;
 	uint64_t changed_offset; /**< of the record that made it */
 	uint64_t hash;
 } ffl_view_t;
 
-/** Sets the members, sorted, and the hash. */
-void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count,
+/** A member of a view. */
+typedef struct {
+	uint64_t member;
+	uint64_t region; /**< hash of its name */
+} ffl_seat_t;
+
+/** Sets the members, which it sorts, and the hash. */
+void ffl_view_set(ffl_view_t *view, ffl_seat_t *seats, uint32_t count,
 		  uint64_t changed_offset);
 bool ffl_view_has(const ffl_view_t *view, uint64_t member);
 /** Returns the member that owns a part (rendezvous hashing), or 0. */
 uint64_t ffl_view_home(const ffl_view_t *view, uint64_t a, uint64_t b);
 
+/**
+ * Shares numbered slots out: each to the member that rendezvous hashing
+ * gives, but no member gets more than its even part, rounded up. The last
+ * slot in eight is for members of any region, the others are for those of
+ * one region where it has any.
+ *
+ * @return the slots of @p self as a mask
+ */
+uint64_t ffl_view_slots(const ffl_view_t *view, uint64_t name, uint64_t region,
+			uint32_t slots, uint64_t self);
+
 /** What is known of another member. */
 typedef struct {
 	uint64_t member;
--- a/lib/request/fairq.c
+++ b/lib/request/fairq.c
@@ -10,6 +10,10 @@
 #define CUSTOMER_DIVISOR 2
 #define CALLER_DIVISOR	 8
 #define CALLERS_MAX	 65536
+/** Slots that one caller takes at most where there are others. */
+#define CALLER_PERCENT 50
+/** One slot in so many is left to classes below their floor. */
+#define RESERVE_DIVISOR 12
 
 static void node_init(ffl_fq_node_t *n, ffl_fq_node_t *parent, uint32_t weight);
 static void node_free(gpointer p);
@@ -24,6 +28,8 @@
 static void count_running(ffl_fq_node_t *n, int32_t step);
 static void sweep(ffl_fairq_t *q);
 static bool may_run(const ffl_fq_node_t *n);
+static bool may_start(const ffl_fairq_t *q, const ffl_fq_node_t *n,
+		      uint32_t slots);
 static void activate(ffl_fairq_t *q, ffl_fq_node_t *n);
 static void deactivate(ffl_fq_node_t *n);
 static void charge(ffl_fq_node_t *n, int64_t cost_ms);
@@ -32,9 +38,9 @@
 
 /** Floors of the classes, in parts of their sum. */
 static const uint32_t class_weights[FFL_URGENCY__MAX] = {
-	[FFL_URGENT] = 6,
-	[FFL_NORMAL] = 3,
-	[FFL_BATCH] = 1,
+	[FFL_URGENT] = 50,
+	[FFL_NORMAL] = 35,
+	[FFL_BATCH] = 15,
 };
 
 static void node_init(ffl_fq_node_t *n, ffl_fq_node_t *parent, uint32_t weight)
@@ -86,6 +92,7 @@
 		node_init(&q->classes[i], &q->root, class_weights[i]);
 		q->classes[i].urgency = (ffl_urgency_t)i;
 		q->classes[i].item.order = (uint64_t)i;
+		q->class_weight += class_weights[i];
 	}
 	q->customers =
 		g_hash_table_new_full(node_hash, node_equal, node_free, NULL);
@@ -174,9 +181,11 @@
 
 ffl_fq_node_t *ffl_fairq_caller(ffl_fairq_t *q, ffl_urgency_t urgency,
 				const char *customer, uint32_t weight,
-				uint32_t running_max, const char *caller)
+				uint32_t running_max, const char *caller,
+				uint32_t slots)
 {
 	ffl_fq_node_t probe = { .urgency = urgency };
+	uint32_t part = slots * CALLER_PERCENT / 100;
 	ffl_fq_node_t *n;
 
 	ffl_copy(probe.customer, sizeof(probe.customer), customer);
@@ -188,7 +197,9 @@
 		if (g_hash_table_size(q->callers) >= q->bounds.callers)
 			return NULL;
 	}
-	return node_get(q, q->callers, &probe, n, 1);
+	n = node_get(q, q->callers, &probe, n, 1);
+	n->running_max = g_hash_table_size(q->callers) > 1 ? part : 0;
+	return n;
 }
 
 bool ffl_fairq_room(const ffl_fairq_t *q, const ffl_fq_node_t *caller)
@@ -255,13 +266,37 @@
 	activate(q, item->caller);
 }
 
-void *ffl_fairq_peek(const ffl_fairq_t *q)
+/* Tells whether a class may start a service on one of the free slots. */
+static bool may_start(const ffl_fairq_t *q, const ffl_fq_node_t *n,
+		      uint32_t slots)
+{
+	uint32_t running = 0;
+	uint32_t free;
+
+	if (!n->item.position)
+		return false;
+	if (n->running * q->class_weight < slots * n->weight)
+		return true;
+	for (int i = 0; i < FFL_URGENCY__MAX; i++)
+		running += q->classes[i].running;
+	free = slots > running ? slots - running : 0;
+	return free > slots / RESERVE_DIVISOR;
+}
+
+void *ffl_fairq_peek(const ffl_fairq_t *q, uint32_t slots)
 {
-	const ffl_fq_node_t *n = &q->root;
+	const ffl_fq_node_t *n = NULL;
 
-	while (n->active.items->len)
+	for (int i = 0; i < FFL_URGENCY__MAX; i++) {
+		const ffl_fq_node_t *class = &q->classes[i];
+
+		if (may_start(q, class, slots) &&
+		    (!n || class->item.key < n->item.key))
+			n = class;
+	}
+	while (n && n->active.items->len)
 		n = ffl_heap_top(&n->active);
-	return n->waiting.head ? n->waiting.head->data : NULL;
+	return n && n->waiting.head ? n->waiting.head->data : NULL;
 }
 
 static void unlink_item(ffl_fq_item_t *item)
--- a/lib/request/policy.c
+++ b/lib/request/policy.c
@@ -37,7 +37,7 @@
 static ffl_fq_node_t *place_fcfs(ffl_requests_t *rs, const ffl_req_t *req,
 				 const ffl_customer_t *customer)
 {
-	return ffl_fairq_caller(&rs->queue, FFL_NORMAL, "", 1, 0, "");
+	return ffl_fairq_caller(&rs->queue, FFL_NORMAL, "", 1, 0, "", 0);
 }
 
 static bool never_hopeless(ffl_requests_t *rs, const ffl_req_t *req,
@@ -83,7 +83,8 @@
 {
 	return ffl_fairq_caller(
 		&rs->queue, req->urgency, req->customer, customer->weight,
-		share_of(rs, customer->concurrent), req->caller);
+		share_of(rs, customer->concurrent), req->caller,
+		ffl_upstreams_slots(&rs->upstreams, rs->now_ms));
 }
 
 static bool hopeless_fair(ffl_requests_t *rs, const ffl_req_t *req,
--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -149,14 +149,20 @@
 
 void ffl_requests_on_members(ffl_requests_t *rs, bool first, uint64_t now_ms)
 {
-	uint64_t ids[FFL_VIEW_MAX];
+	ffl_seat_t seats[FFL_VIEW_MAX];
 	uint32_t n = MIN(rs->members->members->len, FFL_VIEW_MAX);
 	ffl_view_t view;
 
-	for (uint32_t i = 0; i < n; i++)
-		ids[i] = g_array_index(rs->members->members, ffl_member_t, i)
-				 .join.member;
-	ffl_view_set(&view, ids, n, rs->members->changed_offset);
+	for (uint32_t i = 0; i < n; i++) {
+		const ffl_join_t *join =
+			&g_array_index(rs->members->members, ffl_member_t, i)
+				 .join;
+
+		seats[i].member = join->member;
+		seats[i].region =
+			ffl_hash(join->region, strlen(join->region), 0);
+	}
+	ffl_view_set(&view, seats, n, rs->members->changed_offset);
 	if (!ffl_tenure_adopt(&rs->slots, &view, first, now_ms))
 		return;
 	ffl_tenure_adopt(&rs->once.tenure, &view, first, now_ms);
@@ -488,6 +494,7 @@
 {
 	ffl_upstream_t *u;
 	ffl_req_t *req;
+	uint32_t slots;
 
 	note_time(rs, now_ms);
 	run_gates(rs, now_ms);
@@ -496,7 +503,10 @@
 	expire(rs, now_ms, out);
 	if (rs->list_stale || !ffl_tenure_live(&rs->slots, now_ms))
 		return;
-	while ((req = ffl_fairq_peek(&rs->queue))) {
+	slots = rs->limits.policy->bounded
+			? ffl_upstreams_slots(&rs->upstreams, now_ms)
+			: UINT32_MAX / 128;
+	while ((req = ffl_fairq_peek(&rs->queue, slots))) {
 		u = rs->limits.policy->choose(rs, req, now_ms);
 		if (!u)
 			return;
--- a/lib/request/tenure.c
+++ b/lib/request/tenure.c
@@ -3,7 +3,11 @@
 
 #include "fireflyledge/tenure.h"
 
-static int compare_ids(const void *a, const void *b);
+/** One slot in so many is for members of any region. */
+#define ANY_REGION_SLOTS 8
+
+static int compare_seats(const void *pa, const void *pb);
+static uint32_t seats_in(const ffl_view_t *view, uint64_t region);
 static ffl_tenure_peer_t *find(const ffl_tenure_t *a, uint64_t member);
 static ffl_tenure_peer_t *find_or_add(ffl_tenure_t *a, uint64_t member);
 static bool recent(const ffl_tenure_t *a, uint64_t at_ms, uint64_t now_ms);
@@ -14,26 +18,30 @@
 static void forget_gone(ffl_tenure_t *a);
 static bool all_settled(const ffl_tenure_t *a, uint64_t now_ms);
 
-static int compare_ids(const void *a, const void *b)
+static int compare_seats(const void *pa, const void *pb)
 {
-	uint64_t x = *(const uint64_t *)a;
-	uint64_t y = *(const uint64_t *)b;
+	const ffl_seat_t *a = pa;
+	const ffl_seat_t *b = pb;
 
-	return (x > y) - (x < y);
+	return (a->member > b->member) - (a->member < b->member);
 }
 
-void ffl_view_set(ffl_view_t *view, const uint64_t *members, uint32_t count,
+void ffl_view_set(ffl_view_t *view, ffl_seat_t *seats, uint32_t count,
 		  uint64_t changed_offset)
 {
 	memset(view, 0, sizeof(*view));
 	view->count = MIN(count, FFL_VIEW_MAX);
 	if (!view->count)
 		return;
-	memcpy(view->members, members, view->count * sizeof(*members));
-	qsort(view->members, view->count, sizeof(*members), compare_ids);
+	qsort(seats, view->count, sizeof(*seats), compare_seats);
+	for (uint32_t i = 0; i < view->count; i++) {
+		view->members[i] = seats[i].member;
+		view->regions[i] = seats[i].region;
+	}
 	view->changed_offset = changed_offset;
-	view->hash = ffl_hash(view->members, view->count * sizeof(*members),
-			      changed_offset);
+	view->hash =
+		ffl_hash(view->members, view->count * sizeof(*view->members),
+			 changed_offset);
 }
 
 bool ffl_view_has(const ffl_view_t *view, uint64_t member)
@@ -62,6 +70,50 @@
 	return home;
 }
 
+/* Returns the number of members in a region; 0 as a region is any. */
+static uint32_t seats_in(const ffl_view_t *view, uint64_t region)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < view->count; i++)
+		n += !region || view->regions[i] == region;
+	return n;
+}
+
+uint64_t ffl_view_slots(const ffl_view_t *view, uint64_t name, uint64_t region,
+			uint32_t slots, uint64_t self)
+{
+	uint32_t taken[FFL_VIEW_MAX] = { 0 };
+	uint32_t local = seats_in(view, region);
+	uint32_t most = (slots + MAX(local, 1) - 1) / MAX(local, 1);
+	uint64_t mask = 0;
+
+	for (uint32_t slot = 0; slot < slots; slot++) {
+		bool any = !local ||
+			   slot % ANY_REGION_SLOTS == ANY_REGION_SLOTS - 1;
+		uint64_t part = ffl_mix(name, slot);
+		uint32_t home = FFL_VIEW_MAX;
+		uint64_t best = 0;
+
+		for (uint32_t i = 0; i < view->count; i++) {
+			uint64_t score = ffl_mix(part, view->members[i]);
+
+			if ((!any && (view->regions[i] != region ||
+				      taken[i] >= most)) ||
+			    (home < FFL_VIEW_MAX && score <= best))
+				continue;
+			best = score;
+			home = i;
+		}
+		if (home == FFL_VIEW_MAX)
+			continue;
+		taken[home]++;
+		if (view->members[home] == self)
+			mask |= UINT64_C(1) << slot;
+	}
+	return mask;
+}
+
 void ffl_tenure_init(ffl_tenure_t *a, uint64_t self,
 		     const ffl_tenure_times_t *times)
 {
--- a/lib/request/upstream.c
+++ b/lib/request/upstream.c
@@ -75,14 +75,11 @@
 static uint64_t owned_mask(const ffl_upstream_t *u, const ffl_tenure_t *tenure)
 {
 	uint64_t name = ffl_hash(u->info.name, strlen(u->info.name), 0);
+	uint64_t region = ffl_hash(u->info.region, strlen(u->info.region), 0);
 	uint32_t slots = MIN(u->info.slots, u->info.connections);
-	uint64_t mask = 0;
 
-	for (uint32_t i = 0; i < MIN(slots, FFL_UPSTREAM_SLOTS_MAX); i++) {
-		if (ffl_view_home(&tenure->view, name, i) == tenure->self)
-			mask |= UINT64_C(1) << i;
-	}
-	return mask;
+	return ffl_view_slots(&tenure->view, name, region,
+			      MIN(slots, FFL_UPSTREAM_SLOTS_MAX), tenure->self);
 }
 
 void ffl_upstreams_share(ffl_upstreams_t *us, const ffl_tenure_t *tenure)
--- /dev/null
+++ b/tests/once_test.c
@@ -0,0 +1,189 @@
+#include <string.h>
+
+#include "fireflyledge/once.h"
+
+#define SELF	1
+#define OTHER	2
+#define PAYLOAD 5
+
+/** A row: what was reported of a granted run, and the word after it. */
+typedef struct {
+	const char *name;
+	uint32_t state;	  /**< FFL_ONCE_STATE__MAX: nothing was reported */
+	uint64_t request; /**< that asks next; 1 was granted */
+	uint64_t payload;
+	uint32_t after_ms;
+	ffl_once_verdict_t verdict;
+} repeat_t;
+
+static void start(ffl_once_t *o, uint32_t members);
+static ffl_once_verdict_t ask(ffl_once_t *o, uint64_t key, uint64_t request,
+			      uint64_t payload, uint64_t now_ms);
+static void test_repeat(gconstpointer data);
+static void test_new_home(void);
+static void test_full(void);
+static void test_answers_bounded(void);
+static void test_handover(void);
+
+static const repeat_t repeats[] = {
+	{ "running", FFL_ONCE_STATE__MAX, 2, PAYLOAD, 10,
+	  FFL_ONCE_SAY_RUNNING },
+	{ "asked-again", FFL_ONCE_STATE__MAX, 1, PAYLOAD, 10,
+	  FFL_ONCE_SAY_RUN },
+	{ "no-outcome", FFL_ONCE_STATE__MAX, 2, PAYLOAD, 90000,
+	  FFL_ONCE_SAY_UNKNOWN },
+	{ "answered", FFL_ONCE_ANSWERED, 2, PAYLOAD, 10, FFL_ONCE_SAY_ANSWER },
+	{ "done", FFL_ONCE_DONE, 2, PAYLOAD, 10, FFL_ONCE_SAY_DONE },
+	{ "unknown", FFL_ONCE_UNKNOWN, 2, PAYLOAD, 10, FFL_ONCE_SAY_UNKNOWN },
+	{ "freed", FFL_ONCE_FREE, 2, PAYLOAD, 10, FFL_ONCE_SAY_RUN },
+	{ "other-payload", FFL_ONCE_ANSWERED, 2, PAYLOAD + 1, 10,
+	  FFL_ONCE_SAY_MISMATCH },
+};
+
+static void start(ffl_once_t *o, uint32_t members)
+{
+	ffl_seat_t seats[2] = { { SELF, 0 }, { OTHER, 0 } };
+	ffl_view_t view;
+
+	ffl_once_init(o, SELF);
+	ffl_view_set(&view, seats, members, 1);
+	ffl_tenure_adopt(&o->tenure, &view, true, 1);
+	ffl_tenure_read(&o->tenure, 1000);
+	o->tenure.open = members == 1;
+}
+
+static ffl_once_verdict_t ask(ffl_once_t *o, uint64_t key, uint64_t request,
+			      uint64_t payload, uint64_t now_ms)
+{
+	const ffl_once_entry_t *e = NULL;
+	ffl_once_ask_t a = { .request = request,
+			     .key_a = key,
+			     .key_b = 1,
+			     .payload_hash = payload,
+			     .view = o->tenure.view.hash,
+			     .timeout_ms = 10000 };
+
+	ffl_tenure_read(&o->tenure, now_ms);
+	return ffl_once_ask(o, OTHER, &a, now_ms, &e);
+}
+
+static void test_repeat(gconstpointer data)
+{
+	const repeat_t *row = data;
+	ffl_once_row_t done = { .key_a = 7,
+				.key_b = 1,
+				.payload_hash = PAYLOAD,
+				.origin = OTHER,
+				.request = 1,
+				.state = row->state };
+	ffl_once_t o;
+
+	start(&o, 1);
+	g_assert_cmpuint(ask(&o, 7, 1, PAYLOAD, 1000), ==, FFL_ONCE_SAY_RUN);
+	if (row->state < FFL_ONCE_STATE__MAX)
+		ffl_once_done(&o, &done, 1005);
+	g_assert_cmpuint(
+		ask(&o, 7, row->request, row->payload, 1000 + row->after_ms),
+		==, row->verdict);
+	ffl_once_finish(&o);
+}
+
+/* A home that cannot know what ran before it grants nothing. */
+static void test_new_home(void)
+{
+	uint64_t key = 1;
+	ffl_once_t o;
+
+	start(&o, 2);
+	while (ffl_once_home(&o, (ffl_key_id_t){ key, 1 }) != SELF)
+		key++;
+	g_assert_cmpuint(ask(&o, key, 1, PAYLOAD, 1000), ==, FFL_ONCE_SAY_WAIT);
+	g_assert_cmpuint(ask(&o, key, 1, PAYLOAD, 9000), ==,
+			 FFL_ONCE_SAY_UNKNOWN);
+	o.tenure.open = true;
+	g_assert_cmpuint(ask(&o, key, 1, PAYLOAD, 9000), ==, FFL_ONCE_SAY_RUN);
+	ffl_once_finish(&o);
+}
+
+static void test_full(void)
+{
+	ffl_once_t o;
+
+	start(&o, 1);
+	o.bounds.keys = 1;
+	g_assert_cmpuint(ask(&o, 1, 1, PAYLOAD, 1000), ==, FFL_ONCE_SAY_RUN);
+	g_assert_cmpuint(ask(&o, 2, 2, PAYLOAD, 1000), ==, FFL_ONCE_SAY_FULL);
+	ffl_once_expire(&o, 1000 + 2 * FFL_ONCE_RETENTION_MS);
+	g_assert_cmpuint(ffl_once_count(&o), ==, 0);
+	ffl_once_finish(&o);
+}
+
+/* The oldest answers give way; their keys stay and never run again. */
+static void test_answers_bounded(void)
+{
+	uint8_t answer[100] = { 0 };
+	ffl_once_row_t row = { .key_b = 1,
+			       .payload_hash = PAYLOAD,
+			       .state = FFL_ONCE_ANSWERED,
+			       .answer = { answer, sizeof(answer) } };
+	ffl_once_t o;
+
+	start(&o, 1);
+	o.bounds.answer_bytes = 250;
+	for (uint64_t key = 1; key <= 3; key++) {
+		row.key_a = key;
+		ffl_once_done(&o, &row, 1000);
+	}
+	g_assert_cmpuint(o.answer_bytes, <=, o.bounds.answer_bytes);
+	g_assert_cmpuint(ask(&o, 1, 9, PAYLOAD, 1000), ==, FFL_ONCE_SAY_DONE);
+	g_assert_cmpuint(ask(&o, 3, 9, PAYLOAD, 1000), ==, FFL_ONCE_SAY_ANSWER);
+	ffl_once_finish(&o);
+}
+
+/* A leaving home's keys all arrive, in as many messages as it takes. */
+static void test_handover(void)
+{
+	enum {
+		KEYS = 3000
+	};
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(ffl_once_row_t));
+	ffl_once_row_t row = { .key_b = 1,
+			       .payload_hash = PAYLOAD,
+			       .state = FFL_ONCE_DONE };
+	ffl_handover_t msg = { .view = 0 };
+	ffl_handover_t ack = { .view = 0 };
+	ffl_once_t from;
+	ffl_once_t to;
+
+	start(&from, 2);
+	start(&to, 2);
+	for (row.key_a = 1; row.key_a <= KEYS; row.key_a++)
+		ffl_once_done(&from, &row, 1000);
+	ffl_once_leave(&from);
+	while (ffl_once_next_rows(&from, OTHER, 1000, &msg, rows)) {
+		ffl_once_take_rows(&to, &msg, 1000, &ack);
+		ffl_once_acked(&from, OTHER, &ack);
+	}
+	g_assert_true(ffl_once_handed_all(&from));
+	g_assert_cmpuint(ffl_once_count(&to), ==, KEYS);
+	ffl_once_finish(&to);
+	ffl_once_finish(&from);
+	g_array_free(rows, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	char path[64];
+
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(repeats); i++) {
+		g_snprintf(path, sizeof(path), "/once/repeat/%s",
+			   repeats[i].name);
+		g_test_add_data_func(path, &repeats[i], test_repeat);
+	}
+	g_test_add_func("/once/new-home", test_new_home);
+	g_test_add_func("/once/full", test_full);
+	g_test_add_func("/once/answers-bounded", test_answers_bounded);
+	g_test_add_func("/once/handover", test_handover);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/request_test.c
@@ -0,0 +1,263 @@
+#include <string.h>
+
+#include "fireflyledge/request.h"
+
+#define SLOTS 8
+
+/** A row: members before, members after, whether the one gone said so. */
+typedef struct {
+	const char *name;
+	uint32_t before;
+	uint32_t after;
+	bool final;
+	bool told;	/**< the others have settled in the new view */
+	bool open;	/**< expected at once */
+	bool open_late; /**< expected after the grace */
+} takeover_t;
+
+/** A row: requests of each class that wait, and the order of service. */
+typedef struct {
+	const char *name;
+	const char
+		*queued; /**< a letter a request: caller, upper case costly */
+	const char *served;
+} order_t;
+
+static void view_of(ffl_view_t *view, uint32_t count, uint64_t offset);
+static void tell(ffl_tenure_t *t, uint64_t member, bool final, uint64_t now_ms);
+static void test_takeover(gconstpointer data);
+static void test_slots_partition(void);
+static void test_lapsed(void);
+static void test_order(gconstpointer data);
+static void test_class_floor(void);
+static void test_retry_budget(void);
+static void test_link_budget(void);
+
+static const ffl_tenure_times_t times = { .fresh_ms = 5000,
+					  .grace_ms = 20000,
+					  .outage_ms = 60000 };
+
+static const takeover_t takeovers[] = {
+	{ "join-settled", 2, 3, false, true, true, true },
+	{ "join-unsettled", 2, 3, false, false, false, true },
+	{ "left-clean", 3, 2, true, true, true, true },
+	{ "died", 3, 2, false, true, false, true },
+};
+
+static const order_t orders[] = {
+	{ "callers-in-turn", "aaab", "abaa" },
+	{ "costly-caller-waits", "AAbbb",
+	  "Abbb"
+	  "A" },
+	{ "one-caller-in-order", "aaa", "aaa" },
+};
+
+static void view_of(ffl_view_t *view, uint32_t count, uint64_t offset)
+{
+	ffl_seat_t seats[FFL_VIEW_MAX] = { { 0, 0 } };
+
+	for (uint32_t i = 0; i < count; i++)
+		seats[i].member = i + 1;
+	ffl_view_set(view, seats, count, offset);
+}
+
+static void tell(ffl_tenure_t *t, uint64_t member, bool final, uint64_t now_ms)
+{
+	ffl_tenure_word_t word = { .stamp_ms = now_ms,
+				   .echo_ms = now_ms,
+				   .view = t->view.hash,
+				   .log_fresh = true,
+				   .settled = true,
+				   .rooted = true,
+				   .final = final };
+
+	ffl_tenure_hear(t, member, &word, now_ms);
+}
+
+static void test_takeover(gconstpointer data)
+{
+	const takeover_t *row = data;
+	ffl_tenure_t t;
+	ffl_view_t view;
+
+	ffl_tenure_init(&t, 1, &times);
+	view_of(&view, row->before, 1);
+	ffl_tenure_adopt(&t, &view, true, 1000);
+	for (uint64_t m = 2; m <= row->before; m++)
+		tell(&t, m, false, 1000);
+	ffl_tenure_read(&t, 1000);
+	g_assert_true(ffl_tenure_open(&t, 1000));
+	if (row->final)
+		tell(&t, row->before, true, 1100);
+	view_of(&view, row->after, 2);
+	g_assert_true(ffl_tenure_adopt(&t, &view, false, 1200));
+	for (uint64_t m = 2; row->told && m <= row->after; m++)
+		tell(&t, m, false, 1200);
+	ffl_tenure_read(&t, 1200);
+	g_assert_cmpint(ffl_tenure_open(&t, 1200), ==, row->open);
+	if (!row->open)
+		g_assert_cmpint(ffl_tenure_open(&t, 1200 + times.grace_ms), ==,
+				row->open_late);
+	ffl_tenure_finish(&t);
+}
+
+/* Every slot belongs to exactly one member, whatever the view. */
+static void test_slots_partition(void)
+{
+	ffl_view_t view;
+
+	for (uint32_t members = 1; members <= 9; members++) {
+		uint64_t all = 0;
+		uint32_t sum = 0;
+
+		view_of(&view, members, 1);
+		for (uint64_t self = 1; self <= members; self++) {
+			uint64_t mask =
+				ffl_view_slots(&view, 77, 0, SLOTS, self);
+
+			g_assert_cmpuint(all & mask, ==, 0);
+			all |= mask;
+			sum += (uint32_t)__builtin_popcountll(mask);
+		}
+		g_assert_cmpuint(sum, ==, SLOTS);
+	}
+}
+
+/* A host that was away loses its slots: others may have taken them. */
+static void test_lapsed(void)
+{
+	ffl_tenure_t t;
+	ffl_view_t view;
+
+	ffl_tenure_init(&t, 1, &times);
+	view_of(&view, 2, 1);
+	ffl_tenure_adopt(&t, &view, true, 1000);
+	ffl_tenure_read(&t, 1000);
+	g_assert_true(ffl_tenure_live(&t, 1000 + times.fresh_ms));
+	g_assert_false(ffl_tenure_live(&t, 1001 + times.fresh_ms));
+	view_of(&view, 2, 9);
+	g_assert_true(ffl_tenure_adopt(&t, &view, false, 90000));
+	g_assert_true(t.lapsed);
+	g_assert_cmpuint(t.taint_until_ms, ==, 90000 + times.grace_ms);
+	ffl_tenure_finish(&t);
+}
+
+static void test_order(gconstpointer data)
+{
+	const order_t *row = data;
+	size_t n = strlen(row->queued);
+	ffl_fq_item_t items[16] = { { .cost_ms = 0 } };
+	GString *served = g_string_new("");
+	ffl_fairq_t q;
+
+	ffl_fairq_init(&q, 1000);
+	for (size_t i = 0; i < n; i++) {
+		char name[2] = { (char)g_ascii_tolower(row->queued[i]), 0 };
+
+		items[i].caller =
+			ffl_fairq_caller(&q, FFL_NORMAL, "c", 1, 0, name, 0);
+		items[i].cost_ms = g_ascii_isupper(row->queued[i]) ? 100 : 10;
+		ffl_fairq_push(&q, &items[i], &items[i], false);
+	}
+	for (size_t i = 0; i < n; i++) {
+		ffl_fq_item_t *item = ffl_fairq_peek(&q, 1000);
+
+		g_string_append_c(served, row->queued[item - items]);
+		ffl_fairq_take(&q, item);
+		ffl_fairq_served(&q, item, item->cost_ms);
+	}
+	g_assert_cmpstr(served->str, ==, row->served);
+	g_assert_null(ffl_fairq_peek(&q, 1000));
+	g_string_free(served, TRUE);
+	ffl_fairq_finish(&q);
+}
+
+/* A class above its floor leaves slots to one that is below its own. */
+static void test_class_floor(void)
+{
+	enum {
+		FLOOD = 48,
+		ALL_SLOTS = 48
+	};
+	ffl_fq_item_t flood[FLOOD] = { { .cost_ms = 0 } };
+	ffl_fq_item_t one = { .cost_ms = 10 };
+	ffl_fq_item_t *item;
+	uint32_t taken = 0;
+	ffl_fairq_t q;
+
+	ffl_fairq_init(&q, 10000);
+	for (uint32_t i = 0; i < FLOOD; i++) {
+		flood[i].caller =
+			ffl_fairq_caller(&q, FFL_BATCH, "c", 1, 0, "a", 0);
+		flood[i].cost_ms = 10;
+		ffl_fairq_push(&q, &flood[i], &flood[i], false);
+	}
+	while ((item = ffl_fairq_peek(&q, ALL_SLOTS))) {
+		ffl_fairq_take(&q, item);
+		taken++;
+	}
+	g_assert_cmpuint(taken, <, ALL_SLOTS);
+	one.caller = ffl_fairq_caller(&q, FFL_URGENT, "c", 1, 0, "b", 0);
+	ffl_fairq_push(&q, &one, &one, false);
+	g_assert_true(ffl_fairq_peek(&q, ALL_SLOTS) == &one);
+	ffl_fairq_finish(&q);
+}
+
+static void test_retry_budget(void)
+{
+	ffl_retries_t r;
+	uint32_t retried = 0;
+
+	ffl_retries_init(&r);
+	for (uint32_t i = 0; i < 1000; i++) {
+		ffl_retries_earn(&r);
+		retried += ffl_retries_spend(&r);
+	}
+	g_assert_cmpuint(retried, <=, 101);
+	g_assert_cmpuint(retried, >=, 90);
+}
+
+static void test_link_budget(void)
+{
+	enum {
+		PARTS = 7,
+		SECONDS = 20,
+		BYTES = 10000
+	};
+	uint64_t sent = 0;
+	ffl_link_t link;
+
+	ffl_link_init(&link, 0);
+	for (uint64_t t = 1; t < SECONDS * 1000; t++) {
+		if (!ffl_link_may(&link, "c", FFL_URGENT, BYTES, 100, PARTS, t))
+			continue;
+		ffl_link_spend(&link, "c", BYTES, BYTES);
+		sent += BYTES;
+	}
+	g_assert_cmpuint(sent, <=, link.bytes_per_s / PARTS * (SECONDS + 1));
+	g_assert_cmpuint(sent, >, 0);
+	ffl_link_finish(&link);
+}
+
+int main(int argc, char **argv)
+{
+	char path[64];
+
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(takeovers); i++) {
+		g_snprintf(path, sizeof(path), "/request/takeover/%s",
+			   takeovers[i].name);
+		g_test_add_data_func(path, &takeovers[i], test_takeover);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+		g_snprintf(path, sizeof(path), "/request/order/%s",
+			   orders[i].name);
+		g_test_add_data_func(path, &orders[i], test_order);
+	}
+	g_test_add_func("/request/slots-partition", test_slots_partition);
+	g_test_add_func("/request/lapsed", test_lapsed);
+	g_test_add_func("/request/class-floor", test_class_floor);
+	g_test_add_func("/request/retry-budget", test_retry_budget);
+	g_test_add_func("/request/link-budget", test_link_budget);
+	return g_test_run();
+}
