--- a/daemon/core.c
+++ b/daemon/core.c
@@ -60,7 +60,7 @@
 			ffl_box_free(box);
 		}
 		/* A caller that reads of a change finds it in force. */
-		ffld_tokens_publish(&d->host.config);
+		ffld_tokens_publish(&d->host.config, d->host.opt.seed);
 		ffl_port_dispatch(&port, d, &actions);
 	}
 	ffl_actions_finish(&actions);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -51,7 +51,7 @@
 void ffld_core_run(ffld_t *d);
 
 /** Publishes what the request path reads of a configuration. */
-void ffld_tokens_publish(const ffl_config_t *cfg);
+void ffld_tokens_publish(const ffl_config_t *cfg, uint64_t key);
 /** Tells whether a token belongs to a customer, without a lock. */
 bool ffld_tokens_knows(const char *token);
 void ffld_tokens_finish(void);
--- a/daemon/tokens.c
+++ b/daemon/tokens.c
@@ -25,7 +25,7 @@
 	g_free(old);
 }
 
-void ffld_tokens_publish(const ffl_config_t *cfg)
+void ffld_tokens_publish(const ffl_config_t *cfg, uint64_t key)
 {
 	published_t *old = current;
 	published_t *fresh;
@@ -33,7 +33,7 @@
 	if (old && old->set.revision == cfg->revision)
 		return;
 	fresh = g_new0(published_t, 1);
-	ffl_tokens_init(&fresh->set, cfg);
+	ffl_tokens_init(&fresh->set, cfg, key);
 	replace(fresh);
 }
 
--- a/lib/config/tokens.c
+++ b/lib/config/tokens.c
@@ -1,30 +1,41 @@
 #include <stdlib.h>
 #include <string.h>
+#include <sodium.h>
 
 #include "fireflyledge/tokens.h"
 
-static int compare_tokens(const void *a, const void *b);
+static int compare_tags(const void *a, const void *b);
+static uint64_t tag_of(const ffl_tokens_t *set, const uint8_t *token_hash);
 
-static int compare_tokens(const void *a, const void *b)
+static int compare_tags(const void *pa, const void *pb)
 {
-	return memcmp(((const ffl_token_t *)a)->token_hash,
-		      ((const ffl_token_t *)b)->token_hash, FFL_HASH_BYTES);
+	uint64_t a = ((const ffl_token_t *)pa)->tag;
+	uint64_t b = ((const ffl_token_t *)pb)->tag;
+
+	return (a > b) - (a < b);
+}
+
+static uint64_t tag_of(const ffl_tokens_t *set, const uint8_t *token_hash)
+{
+	return ffl_hash(token_hash, FFL_HASH_BYTES, set->key);
 }
 
-void ffl_tokens_init(ffl_tokens_t *set, const ffl_config_t *cfg)
+void ffl_tokens_init(ffl_tokens_t *set, const ffl_config_t *cfg, uint64_t key)
 {
 	set->revision = cfg->revision;
+	set->key = key;
 	set->count = cfg->customers->len;
 	set->tokens = g_new0(ffl_token_t, set->count + 1);
 	for (uint32_t i = 0; i < set->count; i++) {
 		const ffl_customer_t *c =
 			&g_array_index(cfg->customers, ffl_customer_t, i);
+		ffl_token_t *t = &set->tokens[i];
 
-		memcpy(set->tokens[i].token_hash, c->token_hash,
-		       FFL_HASH_BYTES);
-		ffl_copy(set->tokens[i].customer, FFL_NAME_BYTES, c->name);
+		t->tag = tag_of(set, c->token_hash);
+		memcpy(t->token_hash, c->token_hash, FFL_HASH_BYTES);
+		ffl_copy(t->customer, FFL_NAME_BYTES, c->name);
 	}
-	qsort(set->tokens, set->count, sizeof(*set->tokens), compare_tokens);
+	qsort(set->tokens, set->count, sizeof(*set->tokens), compare_tags);
 }
 
 void ffl_tokens_finish(ffl_tokens_t *set)
@@ -34,15 +45,17 @@
 	set->count = 0;
 }
 
-/* The search compares hashes of tokens: how long it takes tells nothing of
- * a token that hashes to them. */
 const char *ffl_tokens_customer_of(const ffl_tokens_t *set, const char *token)
 {
 	const ffl_token_t *found;
 	ffl_token_t probe = { .customer = "" };
 
 	ffl_token_hash(token, probe.token_hash);
+	probe.tag = tag_of(set, probe.token_hash);
 	found = bsearch(&probe, set->tokens, set->count, sizeof(*set->tokens),
-			compare_tokens);
-	return found ? found->customer : NULL;
+			compare_tags);
+	if (!found || sodium_memcmp(found->token_hash, probe.token_hash,
+				    FFL_HASH_BYTES) != 0)
+		return NULL;
+	return found->customer;
 }
