--- a/bench/host_bench.c
+++ b/bench/host_bench.c
@@ -1,9 +1,11 @@
 /*
  * Cost of one entry host's events at growing sizes, and its memory.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "bench/bench.h"
+#include "fakes/fake_worker.h"
 #include "fireflyledge/host.h"
 
 #define DCS	       19
@@ -12,6 +14,8 @@
 #define ROUNDS	       200
 #define REQUESTS       20000
 #define TICK_MS	       50
+#define SETTLE_MS      30000
+#define QUIET_MS       20000
 #define TOKEN	       "token"
 
 /** A host with what it needs to be driven. */
@@ -23,6 +27,13 @@
 	uint64_t offset;
 } bed_t;
 
+/** What a leader spent. */
+typedef struct {
+	uint64_t step_ns;
+	uint64_t bytes; /**< of commands and replies */
+	uint64_t calls;
+} spent_t;
+
 static void bed_init(bed_t *b);
 static void bed_finish(bed_t *b);
 static void step(bed_t *b, const ffl_event_t *ev);
@@ -34,6 +45,13 @@
 static void bench_members(uint32_t members);
 static void bench_requests(uint32_t customers);
 static void bench_fold(uint32_t customers);
+static void give_cell(bed_t *b, fake_worker_t *fakes, uint32_t workers);
+static void pass_time(bed_t *b, fake_worker_t *fakes, uint32_t workers,
+		      uint32_t ms, spent_t *spent);
+static void answer(bed_t *b, fake_worker_t *fakes, uint32_t workers,
+		   spent_t *spent);
+static void timed_step(bed_t *b, const ffl_event_t *ev, spent_t *spent);
+static void bench_leader(uint32_t workers);
 
 static void step(bed_t *b, const ffl_event_t *ev)
 {
@@ -298,8 +316,144 @@
 	bed_finish(&b);
 }
 
+static void timed_step(bed_t *b, const ffl_event_t *ev, spent_t *spent)
+{
+	uint64_t start = bench_now_ns();
+
+	step(b, ev);
+	spent->step_ns += bench_now_ns() - start;
+}
+
+static void give_cell(bed_t *b, fake_worker_t *fakes, uint32_t workers)
+{
+	ffl_event_t ev = { .kind = FFL_EV_HOST_LIST };
+	ffl_host_info_t *infos = g_new0(ffl_host_info_t, workers);
+
+	for (uint32_t i = 0; i < workers; i++) {
+		infos[i].kind = FFL_HOST_WORKER;
+		g_snprintf(infos[i].name, FFL_NAME_BYTES, "w-%u", i);
+		ffl_copy(infos[i].dc, FFL_NAME_BYTES, "dc-0");
+		ffl_copy(infos[i].region, FFL_NAME_BYTES, "region-0");
+		infos[i].rack = i / WORKERS_A_RACK;
+		infos[i].position = i % WORKERS_A_RACK;
+		infos[i].accelerators = ACCELERATORS;
+		infos[i].cores = 64;
+		infos[i].memory_mb = 262144;
+		if (!fakes[i].tasks)
+			fake_worker_init(&fakes[i], infos[i].name);
+	}
+	ev.host_list.hosts.items = infos;
+	ev.host_list.hosts.count = workers;
+	step(b, &ev);
+	g_free(infos);
+}
+
+/* Answers every command of the last step, and those of the answers. */
+static void answer(bed_t *b, fake_worker_t *fakes, uint32_t workers,
+		   spent_t *spent)
+{
+	GArray *sends = g_array_new(FALSE, TRUE, sizeof(ffl_act_worker_send_t));
+	GByteArray *bytes = g_byte_array_new();
+
+	for (uint32_t i = 0; i < ffl_actions_count(&b->actions); i++) {
+		const ffl_action_t *act = ffl_actions_at(&b->actions, i);
+
+		if (act->kind == FFL_ACT_WORKER_SEND)
+			g_array_append_val(sends, act->worker_send);
+	}
+	for (guint i = 0; i < sends->len; i++) {
+		const ffl_act_worker_send_t *send =
+			&g_array_index(sends, ffl_act_worker_send_t, i);
+		uint32_t n = (uint32_t)atoi(send->worker + 2);
+		ffl_event_t ev = { .kind = FFL_EV_WORKER_REPLY };
+
+		g_byte_array_set_size(bytes, 0);
+		ffl_schema_encode(&ffl_worker_cmd_schema, &send->cmd, bytes);
+		fake_worker_command(&fakes[n % workers], &send->cmd, b->now_ms,
+				    &ev.worker_reply.reply);
+		ffl_schema_encode(&ffl_worker_reply_schema,
+				  &ev.worker_reply.reply, bytes);
+		spent->bytes += bytes->len;
+		spent->calls++;
+		ffl_copy(ev.worker_reply.worker, FFL_NAME_BYTES, send->worker);
+		ev.worker_reply.call = send->call;
+		timed_step(b, &ev, spent);
+		answer(b, fakes, workers, spent);
+	}
+	g_byte_array_free(bytes, TRUE);
+	g_array_free(sends, TRUE);
+}
+
+static void pass_time(bed_t *b, fake_worker_t *fakes, uint32_t workers,
+		      uint32_t ms, spent_t *spent)
+{
+	ffl_event_t tick = { .kind = FFL_EV_TICK };
+	ffl_event_t read = { .kind = FFL_EV_LOG_READ };
+
+	for (uint32_t t = 0; t < ms; t += TICK_MS) {
+		b->now_ms += TICK_MS;
+		if (t % 1000 == 0) {
+			give_cell(b, fakes, workers);
+			answer(b, fakes, workers, spent);
+			read.log_read.first = 1;
+			read.log_read.end = b->offset;
+			timed_step(b, &read, spent);
+			answer(b, fakes, workers, spent);
+		}
+		timed_step(b, &tick, spent);
+		answer(b, fakes, workers, spent);
+	}
+}
+
+/* A leader whose cell is full of running gangs, in quiet operation. */
+static void bench_leader(uint32_t workers)
+{
+	fake_worker_t *fakes = g_new0(fake_worker_t, workers);
+	ffl_record_t lead = { .kind = FFL_REC_LEAD };
+	spent_t spent = { 0 };
+	uint32_t starts = 0;
+	bed_t b;
+
+	bed_init(&b);
+	add_customer(&b, 0, TOKEN);
+	lead.lead.member = 7;
+	ffl_copy(lead.lead.dc, FFL_NAME_BYTES, "dc-0");
+	fold(&b, &lead);
+	pass_time(&b, fakes, workers, SETTLE_MS, &spent);
+	for (uint32_t i = 0; i < workers; i++) {
+		ffl_record_t rec = { .kind = FFL_REC_JOB };
+
+		ffl_copy(rec.job.customer, FFL_NAME_BYTES, "customer-0");
+		g_snprintf(rec.job.name, FFL_NAME_BYTES, "job-%u", i);
+		ffl_copy(rec.job.dc, FFL_NAME_BYTES, "dc-0");
+		ffl_copy(rec.job.payload, FFL_PAYLOAD_BYTES,
+			 "run_ms=100000000");
+		rec.job.accelerators = ACCELERATORS;
+		fold(&b, &rec);
+		answer(&b, fakes, workers, &spent);
+	}
+	pass_time(&b, fakes, workers, SETTLE_MS, &spent);
+	for (uint32_t i = 0; i < workers; i++)
+		starts += fakes[i].starts;
+	memset(&spent, 0, sizeof(spent));
+	pass_time(&b, fakes, workers, QUIET_MS, &spent);
+	bench_print("host.leader_cpu", (double)spent.step_ns / QUIET_MS, "us/s",
+		    json_pack("{s:i,s:i}", "workers", (int)workers, "running",
+			      (int)starts));
+	bench_print("host.leader_bytes", (double)spent.bytes * 1000 / QUIET_MS,
+		    "bytes/s",
+		    json_pack("{s:i,s:f}", "workers", (int)workers, "calls_s",
+			      (double)spent.calls * 1000 / QUIET_MS));
+	for (uint32_t i = 0; i < workers; i++)
+		fake_worker_finish(&fakes[i]);
+	g_free(fakes);
+	bed_finish(&b);
+}
+
 int main(void)
 {
+	static const uint32_t cell[] = { 8, 32, 64, 132, 264 };
+
 	static const uint32_t workers[] = { 50, 132, 500, 1000, 2500 };
 	static const uint32_t jobs[] = { 10, 100, 500, 1000, 2500 };
 	static const uint32_t members[] = { 7, 19, 38, 76, 133 };
@@ -308,6 +462,8 @@
 
 	for (size_t i = 0; i < 5; i++)
 		bench_list(workers[i]);
+	for (size_t i = 0; i < 5; i++)
+		bench_leader(cell[i]);
 	for (size_t i = 0; i < 5; i++)
 		bench_tick(jobs[i], 2500);
 	for (size_t i = 0; i < 5; i++)
--- a/scripts/capacity.jq
+++ b/scripts/capacity.jq
@@ -62,6 +62,8 @@
 	["host.tick_members", "members", "us"],
 	["host.member_memory", "members", "bytes"],
 	["host.request", "customers", "us"],
+	["host.leader_cpu", "workers", "us/s"],
+	["host.leader_bytes", "workers", "bytes/s"],
 	["worker_reply.decode", "tasks", "ns"],
 	["worker_reply.size", "tasks", "bytes"]
 ] | map(. as $s | fit($s[0]; $s[1]) as $f
@@ -121,7 +123,21 @@
 	+ [["**all**", "limit 256 MB",
 	    (host_memory | map(.[2]) | add / 1048576 | r(100) | tostring)]];
 
-if $table == "slopes" then
+# A cell's leader: what it exchanges with its workers besides the above. The
+# head of a request and of its answer are those that the client and the
+# stand-in send; see docs/CAPACITY.md.
+def http_heads: 210;
+def leader_rows:
+	rows("host.leader_bytes") | map(. as $x
+	| at("host.leader_cpu"; "workers"; $x.workers) as $cpu
+	| [($x.workers | tostring), ($x.calls_s | r(10) | tostring),
+	   ($x.value | num), ($x.value + $x.calls_s * http_heads | num),
+	   ($cpu | num), ($cpu / 10000 | r(1000) | tostring)]);
+
+if $table == "leader" then
+	table(["workers in the cell", "calls/s", "bytes/s, bodies",
+	       "bytes/s with HTTP heads", "us/s", "% of a core"]; leader_rows)
+elif $table == "slopes" then
 	table(["figure", "grows with", "sizes", "at nothing", "for each",
 	       "unit"]; slopes)
 elif $table == "log" then
