Fuzzers for members and gang starts

Cause: leadership and gang starts had no fuzzer.

Change: the world has several data centres, a lagging list, late commands and cuts of single links; an oracle over the workers checks that no two incarnations run, no part runs alone beyond three leases, leaving workers get nothing new and running gangs are not cut. A hold or start is void 1.5 s after the worker's last report, so that a leaving worker gets nothing late.

--- a/fakes/world.c
+++ b/fakes/world.c
@@ -10,8 +10,6 @@
 #define TIMEOUT_MS     2000
 #define WAIT_MS	       6000
 #define LEASE_MS       6000
-#define DC	       "altiplano-1"
-#define REGION	       "altiplano"
 #define ACCELERATORS   8
 #define WORKERS_A_RACK 8
 
@@ -21,9 +19,9 @@
 	uint64_t seq;
 	uint32_t host;
 	uint64_t life;
-	bool peer; /**< a peer's message */
 	ffl_box_t *box;
-	ffl_act_log_read_t *read; /**< a read that waits for a record */
+	ffl_act_log_read_t *read;    /**< a read that waits for a record */
+	ffl_act_worker_send_t *send; /**< a command on its way to a worker */
 } due_t;
 
 /** A host as the self of its port. */
@@ -50,8 +48,13 @@
 static void act_exit(void *self);
 static void deliver(world_t *w, uint32_t host, const ffl_event_t *ev);
 static void answer_read(world_t *w, due_t *d);
+static void reach_worker(world_t *w, const due_t *d);
+static void refresh_list(world_t *w);
+static uint64_t next_ms(const world_t *w, uint64_t end_ms);
+static uint32_t cell_of_host(const world_t *w, uint32_t host);
 static void run_due(world_t *w);
 static void send_list(world_t *w, uint32_t host);
+static const char *region(uint32_t cell);
 static void add_info(world_t *w, ffl_host_kind_t kind, uint32_t n);
 static int find_worker(const world_t *w, const char *name);
 static world_answer_t *new_answer(world_t *w, uint32_t host, uint64_t id);
@@ -98,6 +101,7 @@
 	if (d->box)
 		ffl_box_free(d->box);
 	g_free(d->read);
+	g_free(d->send);
 	g_free(d);
 }
 
@@ -139,13 +143,14 @@
 /* A read waits at the log until a record comes or its time is over. */
 static void answer_read(world_t *w, due_t *d)
 {
+	bool down = w->log.down || w->hosts[d->host].log_cut;
 	ffl_box_t *box = ffl_box_new(FFL_EV_LOG_READ);
 	ffl_ev_log_read_t *r = &box->ev.log_read;
 	uint64_t end = fake_log_end(&w->log);
 	uint64_t from = d->read->from;
 	ffl_log_entry_t *entries;
 
-	if (!w->log.down && from >= end && d->read->wait_ms > LOG_MS) {
+	if (!down && from >= end && d->read->wait_ms > LOG_MS) {
 		due_t *again = schedule_due(w, d->host, LOG_MS);
 
 		again->read = g_new0(ffl_act_log_read_t, 1);
@@ -154,14 +159,14 @@
 		ffl_box_free(box);
 		return;
 	}
-	r->status = w->log.down ? FFL_UNAVAILABLE : FFL_OK;
+	r->status = down ? FFL_UNAVAILABLE : FFL_OK;
 	r->first = w->log.first;
 	r->end = end;
 	if (from < w->log.first)
 		from = w->log.first;
 	entries = ffl_arena_alloc(&box->arena,
 				  (d->read->max + 1) * sizeof(*entries));
-	for (; !w->log.down && from < end && r->count < d->read->max; from++) {
+	for (; !down && from < end && r->count < d->read->max; from++) {
 		entries[r->count].offset = from;
 		entries[r->count].data =
 			ffl_box_bytes(box, fake_log_at(&w->log, from));
@@ -178,8 +183,10 @@
 	ffl_ev_log_appended_t *ev = &box->ev.log_appended;
 
 	ev->append = act->append;
-	ev->status = fake_log_append(&s->w->log, act->records, act->count,
-				     &ev->offset);
+	ev->status = FFL_UNAVAILABLE;
+	if (!s->w->hosts[s->host].log_cut)
+		ev->status = fake_log_append(&s->w->log, act->records,
+					     act->count, &ev->offset);
 	schedule(s->w, s->host, ev->status == FFL_UNKNOWN ? TIMEOUT_MS : LOG_MS,
 		 box);
 }
@@ -196,29 +203,50 @@
 static void act_worker_send(void *self, const ffl_act_worker_send_t *act)
 {
 	self_t *s = self;
+	world_t *w = s->w;
+	uint32_t delay_ms = WORKER_MS;
+	due_t *d;
+
+	if (w->slow_commands) {
+		w->slow_commands--;
+		delay_ms += (uint32_t)ffl_rng_below(&w->rng, w->slow_ms + 1);
+	}
+	d = schedule_due(w, s->host, delay_ms);
+	d->send = g_new(ffl_act_worker_send_t, 1);
+	*d->send = *act;
+}
+
+/* A command reaches its worker even where its sender has stopped since. */
+static void reach_worker(world_t *w, const due_t *d)
+{
 	ffl_box_t *box = ffl_box_new(FFL_EV_WORKER_REPLY);
 	ffl_ev_worker_reply_t *ev = &box->ev.worker_reply;
-	int i = find_worker(s->w, act->worker);
-	bool lost = i < 0 || s->w->worker_frozen[i];
+	int i = find_worker(w, d->send->worker);
+	bool lost =
+		i < 0 || w->worker_frozen[i] || w->hosts[d->host].worker_cut[i];
 	ffl_worker_reply_t reply;
-	uint32_t size;
+	due_t *answer;
 
-	ffl_copy(ev->worker, sizeof(ev->worker), act->worker);
-	ev->call = act->call;
+	ffl_copy(ev->worker, sizeof(ev->worker), d->send->worker);
+	ev->call = d->send->call;
 	if (!lost) {
-		fake_worker_command(&s->w->workers[i], &act->cmd, s->w->now_ms,
+		fake_worker_command(&w->workers[i], &d->send->cmd, w->now_ms,
 				    &reply);
+		if (w->watch)
+			w->watch(w, (uint32_t)i, &d->send->cmd, reply.status);
 		ev->reply = reply;
-		size = reply.tasks.count * (uint32_t)sizeof(ffl_task_report_t);
-		ev->reply.tasks.items =
-			ffl_arena_copy(&box->arena, reply.tasks.items, size);
-		if (s->w->lose_replies) {
-			s->w->lose_replies--;
+		ev->reply.tasks.items = ffl_arena_copy(
+			&box->arena, reply.tasks.items,
+			reply.tasks.count * sizeof(ffl_task_report_t));
+		if (w->lose_replies) {
+			w->lose_replies--;
 			lost = true;
 		}
 	}
 	ev->status = lost ? FFL_UNKNOWN : FFL_OK;
-	schedule(s->w, s->host, lost ? TIMEOUT_MS : WORKER_MS, box);
+	answer = schedule_due(w, d->host, lost ? TIMEOUT_MS : WORKER_MS);
+	answer->life = d->life;
+	answer->box = box;
 }
 
 static void act_peer_send(void *self, const ffl_act_peer_send_t *act)
@@ -233,7 +261,7 @@
 		world_host_t *h = &w->hosts[i];
 		ffl_box_t *box;
 
-		if (!h->alive || h->cut ||
+		if (!h->alive || h->cut || h->peer_cut[s->host] ||
 		    strcmp(h->opt.self.peer_addr, act->addr) != 0)
 			continue;
 		box = ffl_box_new(FFL_EV_PEER);
@@ -344,8 +372,10 @@
 
 		if (d->at_ms > w->now_ms)
 			return;
-		if (h->alive && h->life == d->life &&
-		    h->paused_until_ms > w->now_ms) {
+		if (d->send) {
+			reach_worker(w, d);
+		} else if (h->alive && h->life == d->life &&
+			   h->paused_until_ms > w->now_ms) {
 			due_t *later = schedule_due(
 				w, d->host,
 				(uint32_t)(h->paused_until_ms - w->now_ms));
@@ -365,22 +395,57 @@
 	}
 }
 
+static void refresh_list(world_t *w)
+{
+	if (w->lagged_count && w->now_ms - w->lagged_ms < w->list_lag_ms)
+		return;
+	w->lagged_ms = w->now_ms;
+	w->lagged_count = 0;
+	for (uint32_t i = 0; i < w->info_count; i++) {
+		if (i < w->worker_count && w->worker_unlisted[i])
+			continue;
+		w->lagged[w->lagged_count++] = w->infos[i];
+	}
+}
+
 static void send_list(world_t *w, uint32_t host)
 {
 	ffl_event_t ev = { .kind = FFL_EV_HOST_LIST };
 
-	ev.host_list.hosts.items = w->infos;
-	ev.host_list.hosts.count = w->info_count;
+	refresh_list(w);
+	ev.host_list.hosts.items = w->lagged;
+	ev.host_list.hosts.count = w->lagged_count;
 	deliver(w, host, &ev);
 }
 
+/* Time of the next event or tick. */
+static uint64_t next_ms(const world_t *w, uint64_t end_ms)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(w->due);
+	uint64_t next = end_ms;
+
+	if (!g_sequence_iter_is_end(it)) {
+		const due_t *d = g_sequence_get(it);
+
+		next = d->at_ms < next ? d->at_ms : next;
+	}
+	for (uint32_t i = 0; i < w->host_count; i++) {
+		uint64_t tick = w->now_ms + i + FFL_TICK_MS;
+
+		tick = tick / FFL_TICK_MS * FFL_TICK_MS - i;
+		if (w->hosts[i].alive && tick < next)
+			next = tick;
+	}
+	return next > w->now_ms ? next : w->now_ms + 1;
+}
+
 void world_run(world_t *w, uint32_t ms)
 {
 	const ffl_event_t tick = { .kind = FFL_EV_TICK };
 	uint64_t end_ms = w->now_ms + ms;
 
 	while (w->now_ms < end_ms) {
-		w->now_ms++;
+		w->now_ms = next_ms(w, end_ms);
 		run_due(w);
 		for (uint32_t i = 0; i < w->host_count; i++) {
 			world_host_t *h = &w->hosts[i];
@@ -395,13 +460,35 @@
 	}
 }
 
+const char *world_dc(uint32_t cell)
+{
+	static const char *const names[WORLD_CELLS_MAX] = {
+		"altiplano-1", "altiplano-2", "oriente-1", "oriente-2"
+	};
+
+	return names[cell % WORLD_CELLS_MAX];
+}
+
+static const char *region(uint32_t cell)
+{
+	return cell < 2 ? "altiplano" : "oriente";
+}
+
+static uint32_t cell_of_host(const world_t *w, uint32_t host)
+{
+	return host * w->cells / w->host_count;
+}
+
 static void add_info(world_t *w, ffl_host_kind_t kind, uint32_t n)
 {
 	ffl_host_info_t *info = &w->infos[w->info_count++];
+	uint32_t count =
+		kind == FFL_HOST_WORKER ? w->worker_count : w->upstream_count;
+	uint32_t cell = n * w->cells / count;
 
 	info->kind = kind;
-	ffl_copy(info->dc, sizeof(info->dc), DC);
-	ffl_copy(info->region, sizeof(info->region), REGION);
+	ffl_copy(info->dc, sizeof(info->dc), world_dc(cell));
+	ffl_copy(info->region, sizeof(info->region), region(cell));
 	if (kind == FFL_HOST_WORKER) {
 		g_snprintf(info->name, sizeof(info->name), "w%u", n);
 		info->rack = n / WORKERS_A_RACK;
@@ -419,6 +506,12 @@
 
 void world_init(world_t *w, uint64_t seed, uint32_t hosts, uint32_t workers,
 		uint32_t upstreams)
+{
+	world_init_cells(w, seed, 1, hosts, workers, upstreams);
+}
+
+void world_init_cells(world_t *w, uint64_t seed, uint32_t cells, uint32_t hosts,
+		      uint32_t workers, uint32_t upstreams)
 {
 	memset(w, 0, sizeof(*w));
 	w->now_ms = 1000;
@@ -430,6 +523,7 @@
 	w->keys = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					g_free);
 	w->upstream_ms = 5;
+	w->cells = cells;
 	w->worker_count = workers;
 	w->upstream_count = upstreams;
 	for (uint32_t i = 0; i < workers; i++)
@@ -484,8 +578,10 @@
 		   host);
 	g_snprintf(h->opt.self.peer_addr, sizeof(h->opt.self.peer_addr),
 		   "10.0.0.%u:7000", host + 1);
-	ffl_copy(h->opt.self.dc, sizeof(h->opt.self.dc), DC);
-	ffl_copy(h->opt.self.region, sizeof(h->opt.self.region), REGION);
+	ffl_copy(h->opt.self.dc, sizeof(h->opt.self.dc),
+		 world_dc(cell_of_host(w, host)));
+	ffl_copy(h->opt.self.region, sizeof(h->opt.self.region),
+		 region(cell_of_host(w, host)));
 	ffl_token_hash(WORLD_OPERATOR, h->opt.bootstrap_hash);
 	ffl_counters_init(&h->counters);
 	ffl_host_init(&h->host, &h->opt, &h->counters);
@@ -578,13 +674,44 @@
 	return a && a->http_status == 200;
 }
 
-int world_leader(const world_t *w)
+int world_cell_leader(const world_t *w, uint32_t cell)
 {
 	for (uint32_t i = 0; i < w->host_count; i++) {
 		const world_host_t *h = &w->hosts[i];
 
-		if (h->alive && ffl_members_epoch(&h->host.members, DC))
+		if (h->alive &&
+		    ffl_members_epoch(&h->host.members, world_dc(cell)))
 			return (int)i;
 	}
 	return -1;
 }
+
+int world_leader(const world_t *w)
+{
+	return world_cell_leader(w, 0);
+}
+
+void world_worker_leaves(world_t *w, uint32_t worker, bool leaving)
+{
+	w->infos[worker].leaving = leaving;
+}
+
+bool world_add_customer(world_t *w, const char *name, const char *token)
+{
+	uint8_t hash[FFL_HASH_BYTES];
+	GString *json = g_string_new(NULL);
+	bool ok;
+
+	ffl_token_hash(token, hash);
+	g_string_printf(json,
+			"{\"kind\":\"customer\",\"name\":\"%s\","
+			"\"reason\":\"test\",\"token_hash\":\"",
+			name);
+	for (size_t i = 0; i < sizeof(hash); i++)
+		g_string_append_printf(json, "%02x", hash[i]);
+	g_string_append(json, "\"}");
+	world_run(w, 1000);
+	ok = world_change(w, 0, json->str);
+	g_string_free(json, TRUE);
+	return ok;
+}
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -17,6 +17,7 @@
 
 /** Bounds of a world. */
 #define WORLD_HOSTS_MAX	    8
+#define WORLD_CELLS_MAX	    4
 #define WORLD_WORKERS_MAX   64
 #define WORLD_UPSTREAMS_MAX 16
 #define WORLD_CLUSTER	    42
@@ -32,7 +33,10 @@
 	bool ready;
 	uint64_t life; /**< number of this life; older answers are void */
 	uint64_t paused_until_ms;
-	bool cut; /**< no message passes to or from other entry hosts */
+	bool cut;     /**< no message passes to or from other entry hosts */
+	bool log_cut; /**< does not reach the log */
+	bool peer_cut[WORLD_HOSTS_MAX];	    /**< link to one other entry host */
+	bool worker_cut[WORLD_WORKERS_MAX]; /**< link to one worker */
 } world_host_t;
 
 /** An answer that a host gave to a command or request. */
@@ -53,7 +57,13 @@
 	char key[FFL_KEY_BYTES];
 } world_run_t;
 
-typedef struct {
+struct world;
+
+/** Told of each command that a worker has carried out or refused. */
+typedef void (*world_watch_t)(struct world *w, uint32_t worker,
+			      const ffl_worker_cmd_t *cmd, ffl_status_t status);
+
+typedef struct world {
 	uint64_t now_ms;
 	ffl_rng_t rng;
 	world_host_t hosts[WORLD_HOSTS_MAX];
@@ -64,6 +74,16 @@
 	uint32_t worker_count;
 	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX];
 	uint32_t info_count;
+	ffl_host_info_t lagged[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX];
+	uint32_t lagged_count;
+	uint64_t lagged_ms;   /**< time of which the hosts see the list */
+	uint32_t list_lag_ms; /**< between two states that they see */
+	bool worker_unlisted[WORLD_WORKERS_MAX];
+	uint32_t slow_commands; /**< commands that reach a worker late */
+	uint32_t slow_ms;	/**< how late at most */
+	uint32_t cells;
+	world_watch_t watch; /**< or NULL */
+	void *watcher;	     /**< state of the watch */
 	uint32_t upstream_count;
 	uint32_t upstream_ms;		 /**< service time of a request */
 	ffl_up_outcome_t upstream_fault; /**< outcome of every attempt */
@@ -82,6 +102,9 @@
 /** Starts hosts, all in one data centre, with workers and upstreams. */
 void world_init(world_t *w, uint64_t seed, uint32_t hosts, uint32_t workers,
 		uint32_t upstreams);
+/** Starts hosts and workers in each of several data centres. */
+void world_init_cells(world_t *w, uint64_t seed, uint32_t cells, uint32_t hosts,
+		      uint32_t workers, uint32_t upstreams);
 void world_finish(world_t *w);
 
 /** Lets virtual time pass, carrying out what falls due. */
@@ -107,7 +130,15 @@
 
 /** States an intent, confirms its plan at once; false where refused. */
 bool world_change(world_t *w, uint32_t host, const char *intent_json);
-/** Returns the host that leads the cell, or -1. */
+/** Confirms a customer with a caller's token; false where refused. */
+bool world_add_customer(world_t *w, const char *name, const char *token);
+/** Returns the name of a cell's data centre. */
+const char *world_dc(uint32_t cell);
+/** Returns the host that leads the first cell, or -1. */
 int world_leader(const world_t *w);
+/** Returns the host that leads a cell, or -1. */
+int world_cell_leader(const world_t *w, uint32_t cell);
+/** Sets the leaving flag of a worker in the platform's list. */
+void world_worker_leaves(world_t *w, uint32_t worker, bool leaving);
 
 #endif
--- a/lib/gang/renew.c
+++ b/lib/gang/renew.c
@@ -2,7 +2,12 @@
 
 #include "lib/gang/gang_int.h"
 
+/** Longest time for which a worker takes a command to begin something new,
+ * so that a leaving worker gets nothing late. */
+#define NEW_VALID_MS 1500
+
 static bool bounded(ffl_wcmd_t cmd);
+static uint64_t valid_ms(const ffl_gangs_t *g, ffl_wcmd_t cmd);
 
 /* What can start or prolong work is void once it is late; a stop never is. */
 static bool bounded(ffl_wcmd_t cmd)
@@ -10,6 +15,14 @@
 	return cmd != FFL_WCMD_STOP && cmd != FFL_WCMD_CHECKPOINT;
 }
 
+static uint64_t valid_ms(const ffl_gangs_t *g, ffl_wcmd_t cmd)
+{
+	if ((cmd == FFL_WCMD_HOLD || cmd == FFL_WCMD_START) &&
+	    g->times.valid_ms > NEW_VALID_MS)
+		return NEW_VALID_MS;
+	return g->times.valid_ms;
+}
+
 bool ffl_worker_command(ffl_gang_run_t *r, ffl_worker_t *w,
 			ffl_worker_cmd_t *cmd)
 {
@@ -24,7 +37,8 @@
 	if (cmd->lease_ms) {
 		cmd->boot = w->boot;
 		if (bounded(cmd->cmd))
-			cmd->not_after_ms = w->clock_ms + r->g->times.valid_ms;
+			cmd->not_after_ms =
+				w->clock_ms + valid_ms(r->g, cmd->cmd);
 	}
 	act = ffl_actions_add(r->out, FFL_ACT_WORKER_SEND);
 	act->worker_send.call = r->g->next_call++;
--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -269,6 +269,7 @@
 		return;
 	}
 	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
+	    must_yield(r, job) ||
 	    r->now_ms - job->since_ms > r->g->times.valid_ms) {
 		ffl_job_stop(r, job, false);
 		return;
@@ -290,7 +291,7 @@
 		    r->now_ms - w->listed_ms > r->g->times.settle_ms)
 			return true;
 		if ((w->drained || w->info.leaving) &&
-		    (job->spec.checkpointable || job->state == FFL_JOB_HOLDING))
+		    (job->spec.checkpointable || job->state != FFL_JOB_RUNNING))
 			return true;
 	}
 	return false;
--- a/lib/member/member.c
+++ b/lib/member/member.c
@@ -168,7 +168,7 @@
 	if (!c || !m || c->epoch != lead->previous_epoch ||
 	    strcmp(m->join.dc, lead->dc) != 0)
 		return;
-	c->churn = now_ms - c->led_ms < CHURN_MS ? c->churn + 1 : 0;
+	c->churn = c->epoch && now_ms - c->led_ms < CHURN_MS ? c->churn + 1 : 0;
 	c->led_ms = now_ms;
 	c->member = lead->member;
 	c->epoch = offset;
@@ -251,20 +251,23 @@
 	g_byte_array_free(bytes, TRUE);
 }
 
-/* Only the first live member of the cell claims it, so that claims rarely
- * race; the log decides where they do. */
+/* The live member that has been registered longest stands first: it knows
+ * the cell best, and claims rarely race; the log decides where they do. */
 static bool is_candidate(const ffl_members_t *ms, uint64_t now_ms)
 {
+	const ffl_member_t *first = NULL;
+
 	for (guint i = 0; i < ms->members->len; i++) {
 		const ffl_member_t *m =
 			&g_array_index(ms->members, ffl_member_t, i);
 
-		if (strcmp(m->join.dc, ms->self.dc) != 0 || m->leaving)
+		if (strcmp(m->join.dc, ms->self.dc) != 0 || m->leaving ||
+		    !ffl_member_alive(ms, m, now_ms))
 			continue;
-		if (ffl_member_alive(ms, m, now_ms))
-			return m->join.member == ms->self.member;
+		if (!first || m->joined_offset < first->joined_offset)
+			first = m;
 	}
-	return false;
+	return first && first->join.member == ms->self.member;
 }
 
 bool ffl_members_deputy(const ffl_members_t *ms, uint64_t now_ms)
