--- a/fakes/world.c
+++ b/fakes/world.c
@@ -38,6 +38,7 @@
 static due_t *schedule_due(world_t *w, uint32_t host, uint32_t delay_ms);
 static void act_log_read(void *self, const ffl_act_log_read_t *act);
 static void act_log_append(void *self, const ffl_act_log_append_t *act);
+static void act_hosts_read(void *self, const ffl_act_hosts_read_t *act);
 static void act_worker_send(void *self, const ffl_act_worker_send_t *act);
 static void act_peer_send(void *self, const ffl_act_peer_send_t *act);
 static void act_answer(void *self, const ffl_act_answer_t *act);
@@ -62,6 +63,7 @@
 static const ffl_port_t port = {
 	.log_read = act_log_read,
 	.log_append = act_log_append,
+	.hosts_read = act_hosts_read,
 	.worker_send = act_worker_send,
 	.peer_send = act_peer_send,
 	.answer = act_answer,
@@ -191,6 +193,12 @@
 		 box);
 }
 
+/* The world sends lists by itself; its hosts are told not to ask. */
+static void act_hosts_read(void *self, const ffl_act_hosts_read_t *act)
+{
+	g_assert_not_reached();
+}
+
 static int find_worker(const world_t *w, const char *name)
 {
 	for (uint32_t i = 0; i < w->worker_count; i++) {
@@ -358,6 +366,10 @@
 	ffl_actions_init(&actions);
 	ffl_host_step(&w->hosts[host].host, ev, w->now_ms, &actions);
 	w->actions += ffl_actions_count(&actions);
+	for (uint32_t i = 0; w->on_action && i < ffl_actions_count(&actions);
+	     i++)
+		w->on_action(w->on_action_user, host,
+			     ffl_actions_at(&actions, i));
 	ffl_port_dispatch(&port, &self, &actions);
 	ffl_actions_finish(&actions);
 }
@@ -674,6 +686,26 @@
 	return a && a->http_status == 200;
 }
 
+bool world_customer(world_t *w, uint32_t host, const char *name,
+		    const char *token)
+{
+	uint8_t hash[FFL_HASH_BYTES];
+	GString *json = g_string_new(NULL);
+	bool ok;
+
+	ffl_token_hash(token, hash);
+	g_string_append_printf(json,
+			       "{\"kind\":\"customer\",\"name\":\"%s\","
+			       "\"reason\":\"world\",\"token_hash\":\"",
+			       name);
+	for (size_t i = 0; i < sizeof(hash); i++)
+		g_string_append_printf(json, "%02x", hash[i]);
+	g_string_append(json, "\"}");
+	ok = world_change(w, host, json->str);
+	g_string_free(json, TRUE);
+	return ok;
+}
+
 int world_cell_leader(const world_t *w, uint32_t cell)
 {
 	for (uint32_t i = 0; i < w->host_count; i++) {
@@ -695,23 +727,3 @@
 {
 	w->infos[worker].leaving = leaving;
 }
-
-bool world_add_customer(world_t *w, const char *name, const char *token)
-{
-	uint8_t hash[FFL_HASH_BYTES];
-	GString *json = g_string_new(NULL);
-	bool ok;
-
-	ffl_token_hash(token, hash);
-	g_string_printf(json,
-			"{\"kind\":\"customer\",\"name\":\"%s\","
-			"\"reason\":\"test\",\"token_hash\":\"",
-			name);
-	for (size_t i = 0; i < sizeof(hash); i++)
-		g_string_append_printf(json, "%02x", hash[i]);
-	g_string_append(json, "\"}");
-	world_run(w, 1000);
-	ok = world_change(w, 0, json->str);
-	g_string_free(json, TRUE);
-	return ok;
-}
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -97,6 +97,9 @@
 	GArray *runs;	    /**< of world_run_t */
 	GHashTable *keys;   /**< key of each open request by id */
 	uint64_t actions;   /**< carried out so far */
+	/** Sees every action before it is carried out; may be NULL. */
+	void (*on_action)(void *user, uint32_t host, const ffl_action_t *act);
+	void *on_action_user;
 } world_t;
 
 /** Starts hosts, all in one data centre, with workers and upstreams. */
@@ -130,8 +133,9 @@
 
 /** States an intent, confirms its plan at once; false where refused. */
 bool world_change(world_t *w, uint32_t host, const char *intent_json);
-/** Confirms a customer with a caller's token; false where refused. */
-bool world_add_customer(world_t *w, const char *name, const char *token);
+/** Confirms a customer; false where refused. */
+bool world_customer(world_t *w, uint32_t host, const char *name,
+		    const char *token);
 /** Returns the name of a cell's data centre. */
 const char *world_dc(uint32_t cell);
 /** Returns the host that leads the first cell, or -1. */
--- a/fuzz/member_fuzz.c
+++ b/fuzz/member_fuzz.c
@@ -111,7 +111,8 @@
 	gang_watch_init(&r.watch, &r.w);
 	r.watch.no_cuts = true;
 	faults_init(&r.faults, &r.w, &r.watch);
-	world_add_customer(&r.w, "rocio", "token");
+	world_run(&r.w, 1000);
+	world_customer(&r.w, 0, "rocio", "token");
 	faults_run(&r.faults, START_MS);
 	for (size_t i = 0; i < op_count && i < OPS_MAX; i++) {
 		const uint8_t *b = &ops[3 * i];
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -29,7 +29,7 @@
 
 start_platform() {
 	"$BUILD/ffl-platform" --listen=127.0.0.1:$PORT \
-		--upstreams=$((PORT + 100)) \
+		--upstreams=$((PORT + 100)) --slots="${SLOTS:-8}" \
 		--dc=altiplano-1:altiplano:4:2 --dc=oriente-1:oriente:2:1 \
 		>"$DIR/platform.log" 2>&1 &
 	PIDS="$PIDS $!"
@@ -49,10 +49,14 @@
 callers = 127.0.0.1:$((PORT + $1 * 10 + 1))
 operators = 127.0.0.1:$((PORT + $1 * 10 + 2))
 peers = 127.0.0.1:$((PORT + $1 * 10 + 3))
+body_timeout = 2s
+threads = 256
 [platform]
 log = $PLATFORM
 hosts = $PLATFORM
 poll_hosts = 200ms
+[stop]
+delay = 200ms
 [membership]
 suspect = 1s
 [operators]
--- a/standin/main.c
+++ b/standin/main.c
@@ -8,18 +8,18 @@
 
 #include "standin/standin.h"
 
-#define MS_PER_S	 1000
-#define NS_PER_MS	 1000000
-#define CHUNK_BYTES	 16384
-#define ACCELERATORS	 8
-#define WORKERS_A_RACK	 8
-#define CORES		 32
-#define MEMORY_MB	 65536
-#define SLOTS		 8
-#define CONNECTIONS	 64
-#define DCS_MAX		 32
-#define THREADS		 "64"
-#define UPSTREAM_THREADS "16"
+#define MS_PER_S       1000
+#define NS_PER_MS      1000000
+#define CHUNK_BYTES    16384
+#define ACCELERATORS   8
+#define WORKERS_A_RACK 8
+#define CORES	       32
+#define MEMORY_MB      65536
+#define SLOTS	       8
+#define SLOTS_MAX      256
+#define CONNECTIONS    64
+#define DCS_MAX	       32
+#define THREADS	       "64"
 
 static void add_host(platform_t *p, const ffl_host_info_t *info);
 static void add_worker(platform_t *p, const char *dc, const char *region,
@@ -28,6 +28,7 @@
 			 uint32_t n, uint32_t port);
 static bool add_dc(platform_t *p, const char *text, const char *addr,
 		   uint32_t *port);
+static uint64_t query_number(const char *query, const char *name);
 static int serve_hosts(struct mg_connection *conn, void *platform);
 static int serve_faults(struct mg_connection *conn, void *platform);
 static int serve_state(struct mg_connection *conn, void *platform);
@@ -67,6 +68,8 @@
 static void add_host(platform_t *p, const ffl_host_info_t *info)
 {
 	g_array_append_val(p->hosts, *info);
+	p->list_version++;
+	g_array_append_val(p->changed, p->list_version);
 }
 
 static void add_worker(platform_t *p, const char *dc, const char *region,
@@ -94,18 +97,20 @@
 			 uint32_t n, uint32_t port)
 {
 	upstream_t *u = g_new0(upstream_t, 1);
+	char threads[16];
 	ffl_host_info_t info = { .kind = FFL_HOST_UPSTREAM,
-				 .slots = SLOTS,
+				 .slots = p->slots,
 				 .connections = CONNECTIONS };
 
 	g_snprintf(u->name, sizeof(u->name), "%.32s-u%u", dc, n);
 	g_snprintf(info.addr, sizeof(info.addr), "127.0.0.1:%u", port);
 	pthread_mutex_init(&u->lock, NULL);
-	u->slots = SLOTS;
-	u->ctx = listen_on(info.addr, UPSTREAM_THREADS);
+	u->slots = p->slots;
+	g_snprintf(threads, sizeof(threads), "%u", 2 * p->slots);
+	u->ctx = listen_on(info.addr, threads);
 	if (!u->ctx)
 		return false;
-	mg_set_request_handler(u->ctx, "/", standin_upstream, u);
+	mg_set_request_handler(u->ctx, "**", standin_upstream, u);
 	g_ptr_array_add(p->upstreams, u);
 	ffl_copy(info.name, sizeof(info.name), u->name);
 	ffl_copy(info.dc, sizeof(info.dc), dc);
@@ -129,18 +134,43 @@
 	return ok;
 }
 
+static uint64_t query_number(const char *query, const char *name)
+{
+	char value[32];
+
+	if (!query ||
+	    mg_get_var(query, strlen(query), name, value, sizeof(value)) < 0)
+		return 0;
+	return strtoull(value, NULL, 10);
+}
+
+/* Gives the whole list, or what changed since a version of this life. */
 static int serve_hosts(struct mg_connection *conn, void *platform)
 {
+	const char *query = mg_get_request_info(conn)->query_string;
 	platform_t *p = platform;
 	GByteArray *body = g_byte_array_new();
-	ffl_host_list_t list;
+	GArray *infos = g_array_new(FALSE, TRUE, sizeof(ffl_host_info_t));
+	ffl_host_list_t list = { 0 };
+	uint64_t since = query_number(query, "since");
 
 	pthread_mutex_lock(&p->lock);
-	list.hosts.items = p->hosts->data;
-	list.hosts.count = p->hosts->len;
-	ffl_schema_encode(&ffl_host_list_schema, &list, body);
+	list.seed = p->list_seed;
+	list.version = p->list_version;
+	list.delta = query_number(query, "seed") == p->list_seed;
+	for (guint i = 0; i < p->hosts->len; i++) {
+		if (!list.delta ||
+		    g_array_index(p->changed, uint64_t, i) > since)
+			g_array_append_val(
+				infos,
+				g_array_index(p->hosts, ffl_host_info_t, i));
+	}
 	pthread_mutex_unlock(&p->lock);
+	list.hosts.items = infos->data;
+	list.hosts.count = infos->len;
+	ffl_schema_encode(&ffl_host_list_schema, &list, body);
 	standin_send(conn, 200, "application/msgpack", body->data, body->len);
+	g_array_free(infos, TRUE);
 	g_byte_array_free(body, TRUE);
 	return 1;
 }
@@ -168,8 +198,11 @@
 			ffl_host_info_t *h =
 				&g_array_index(p->hosts, ffl_host_info_t, i);
 
-			if (strcmp(h->name, v) == 0)
-				h->leaving = true;
+			if (strcmp(h->name, v) != 0)
+				continue;
+			h->leaving = true;
+			g_array_index(p->changed, uint64_t, i) =
+				++p->list_version;
 		}
 	}
 	if (mg_get_var(q, len, "frozen", v, sizeof(v)) > 0) {
@@ -203,8 +236,10 @@
 		const upstream_t *u = g_ptr_array_index(p->upstreams, i);
 
 		json_object_set_new(hosts, u->name,
-				    json_pack("{s:I,s:i,s:i}", "served",
-					      (json_int_t)u->served, "busy",
+				    json_pack("{s:I,s:I,s:I,s:i,s:i}", "served",
+					      (json_int_t)u->served, "runs",
+					      (json_int_t)u->runs, "truncated",
+					      (json_int_t)u->truncated, "busy",
 					      (int)u->busy, "peak",
 					      (int)u->peak));
 	}
@@ -220,11 +255,19 @@
 
 static struct mg_context *listen_on(const char *addr, const char *threads)
 {
-	const char *options[] = {
-		"listening_ports",	 addr,	  "num_threads", threads,
-		"enable_keep_alive",	 "yes",	  "tcp_nodelay", "1",
-		"keep_alive_timeout_ms", "30000", NULL
-	};
+	const char *options[] = { "listening_ports",
+				  addr,
+				  "num_threads",
+				  threads,
+				  "enable_keep_alive",
+				  "yes",
+				  "tcp_nodelay",
+				  "1",
+				  "keep_alive_timeout_ms",
+				  "30000",
+				  "decode_url",
+				  "no",
+				  NULL };
 	struct mg_callbacks callbacks = { 0 };
 
 	return mg_start(&callbacks, NULL, options);
@@ -236,11 +279,13 @@
 		arg_str0("l", "listen", "IP:PORT", "address (127.0.0.1:7100)");
 	struct arg_int *port = arg_int0("u", "upstreams", "PORT",
 					"first port of upstreams (7200)");
+	struct arg_int *slots =
+		arg_int0("s", "slots", "N", "slots of each upstream (8)");
 	struct arg_str *dcs =
 		arg_strn("d", "dc", "NAME:REGION:WORKERS:UPSTREAMS", 1, DCS_MAX,
 			 "a data centre");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { listen, port, dcs, end };
+	void *table[] = { listen, port, slots, dcs, end };
 	platform_t p = { 0 };
 	struct mg_context *ctx;
 	uint32_t next_port;
@@ -261,8 +306,15 @@
 	pthread_cond_init(&p.appended, NULL);
 	fake_log_init(&p.log);
 	p.hosts = g_array_new(FALSE, TRUE, sizeof(ffl_host_info_t));
+	p.changed = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	p.list_seed = standin_now_ms() | 1;
 	p.workers = g_ptr_array_new();
 	p.upstreams = g_ptr_array_new();
+	p.slots = slots->count ? (uint32_t)slots->ival[0] : SLOTS;
+	if (p.slots < 1 || p.slots > SLOTS_MAX) {
+		fprintf(stderr, "ffl-platform: 1 to %d slots\n", SLOTS_MAX);
+		return 2;
+	}
 	addr = listen->count ? listen->sval[0] : "127.0.0.1:7100";
 	next_port = port->count ? (uint32_t)port->ival[0] : 7200;
 	for (int i = 0; i < dcs->count; i++) {
