--- a/fuzz/member_fuzz.c
+++ b/fuzz/member_fuzz.c
@@ -17,7 +17,7 @@
 #define CALM_MS	 20000
 #define HEAL_MS	 240000
 #define START_MS 40000
-#define OPS_MAX	 24
+#define OPS_MAX 16
 
 /** Operations: the first byte of each chooses one. */
 typedef enum {
--- a/fuzz/start_fuzz.c
+++ b/fuzz/start_fuzz.c
@@ -15,7 +15,7 @@
 /** Time by which every job has ended once all faults are over. */
 #define HEAL_MS 240000
 /** Longest sequence: more operations only repeat the same faults. */
-#define OPS_MAX 32
+#define OPS_MAX 16
 
 /** Operations: the first byte of each chooses one. */
 typedef enum {
