--- a/fakes/gang_watch.c
+++ b/fakes/gang_watch.c
@@ -217,7 +217,7 @@
 
 		if (w->hosts[i].alive &&
 		    (h->gangs.open->len || h->logc.next_offset < end ||
-		     !h->caught_up || h->logc.queue.length))
+		     !h->caught_up || !ffl_logc_idle(&h->logc)))
 			return false;
 	}
 	return true;
--- a/fakes/world.h
+++ b/fakes/world.h
@@ -72,9 +72,11 @@
 	fake_worker_t workers[WORLD_WORKERS_MAX];
 	bool worker_frozen[WORLD_WORKERS_MAX];
 	uint32_t worker_count;
-	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX];
+	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX +
+			      WORLD_HOSTS_MAX];
 	uint32_t info_count;
-	ffl_host_info_t lagged[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX];
+	ffl_host_info_t lagged[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX +
+			       WORLD_HOSTS_MAX];
 	uint32_t lagged_count;
 	uint64_t lagged_ms;   /**< time of which the hosts see the list */
 	uint32_t list_lag_ms; /**< between two states that they see */
@@ -82,8 +84,9 @@
 	uint32_t slow_commands; /**< commands that reach a worker late */
 	uint32_t slow_ms;	/**< how late at most */
 	uint32_t cells;
-	world_watch_t watch; /**< or NULL */
-	void *watcher;	     /**< state of the watch */
+	world_watch_t watch;		 /**< or NULL */
+	void *watcher;			 /**< state of the watch */
+	ffl_snapshot_limits_t snapshots; /**< of hosts that start */
 	uint32_t upstream_count;
 	uint32_t upstream_ms;		 /**< service time of a request */
 	ffl_up_outcome_t upstream_fault; /**< outcome of every attempt */
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -60,7 +60,6 @@
 	uint64_t assigned; /**< offset of the record that gave it the cell */
 	ffl_job_state_t state;
 	uint64_t incarnation; /**< epoch and number of the start within it */
-	uint32_t starts;      /**< in the present epoch */
 	uint64_t queued_ms;   /**< local time */
 	uint64_t since_ms;    /**< of the current state */
 	uint64_t progress_ms; /**< checkpoint that a start resumes from */
@@ -103,6 +102,7 @@
 /** This host's authority over its cell's workers. */
 typedef struct {
 	uint64_t epoch; /**< of its leadership; 0 where it does not lead */
+	uint64_t begun_epoch;	/**< last one that this process has led in */
 	uint64_t fenced_epoch;	/**< latest epoch that a worker has shown */
 	uint64_t first_call;	/**< answers to earlier calls are void */
 	uint64_t since_ms;	/**< start, or last regain, of authority */
@@ -120,6 +120,7 @@
 	GPtrArray *ended;    /**< of ffl_job_t *: ended with members left */
 	GArray *kept;	     /**< of tasks seen for a silent leader */
 	uint64_t next_call;
+	uint64_t starts; /**< gangs that this process has begun to start */
 	uint64_t folded; /**< offset of the last record folded */
 	ffl_gang_times_t times;
 	ffl_authority_t authority;
@@ -136,6 +137,11 @@
 /** Folds job records; the members are as before the record. */
 void ffl_gangs_fold(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
 		    const ffl_record_t *rec, uint64_t now_ms);
+/**
+ * Takes over into state that was loaded anew what belongs to this process
+ * and not to the log.
+ */
+void ffl_gangs_carry(ffl_gangs_t *fresh, const ffl_gangs_t *old);
 /** Notes that a list of hosts has come. */
 void ffl_gangs_on_list(ffl_gangs_t *g, uint64_t now_ms);
 void ffl_gangs_on_reply(ffl_gangs_t *g, ffl_fleet_t *fleet,
@@ -153,6 +159,11 @@
 const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id);
 const ffl_job_t *ffl_gangs_find_name(const ffl_gangs_t *g, const char *customer,
 				     const char *name);
+/** Appends what the log says of jobs to @p out. */
+void ffl_gangs_save(const ffl_gangs_t *g, GByteArray *out);
+/** Loads jobs into an object that holds none. */
+ffl_status_t ffl_gangs_load(ffl_gangs_t *g, ffl_bytes_t in, size_t *used_bytes,
+			    uint64_t now_ms);
 json_t *ffl_job_to_json(const ffl_job_t *job);
 const char *ffl_job_state_name(uint32_t state);
 
