--- a/lib/host/state.c
+++ b/lib/host/state.c
@@ -119,8 +119,7 @@
 			.members = h->members,
 			.gangs = h->gangs };
 
-	p->gangs.next_call = old.gangs.next_call;
-	p->gangs.authority.first_call = old.gangs.next_call;
+	ffl_gangs_carry(&p->gangs, &old.gangs);
 	h->config = p->config;
 	h->fold = p->fold;
 	h->gangs = p->gangs;
