Config fuzzer kills all hosts at once and withdraws older changes

Change: one kill in eight replaces every host; withdrawals name one of the last four changes; the oracle checks that what is withdrawn was not superseded.

--- a/fuzz/config_fuzz.c
+++ b/fuzz/config_fuzz.c
@@ -60,6 +60,7 @@
 
 static const char *run(const uint8_t *ops, size_t op_count, GString *trace);
 static op_t choose(uint8_t byte);
+static uint32_t withdrawn(const world_t *w, uint32_t pick);
 static void intent_body(const world_t *w, uint8_t arg, char *body, size_t max);
 static void inject(world_t *w, oracle_t *o, uint8_t arg);
 static void trim(world_t *w);
@@ -93,6 +94,18 @@
 	return n < OP__MAX ? (op_t)n : often[n - OP__MAX];
 }
 
+/* One of the last changes, so that some were superseded. */
+static uint32_t withdrawn(const world_t *w, uint32_t pick)
+{
+	const GPtrArray *audit = w->hosts[0].host.config.audit;
+	const ffl_audit_t *a;
+
+	if (!audit->len)
+		return 1;
+	a = g_ptr_array_index(audit, audit->len - 1 - pick % 4 % audit->len);
+	return (uint32_t)a->revision;
+}
+
 static void intent_body(const world_t *w, uint8_t arg, char *body, size_t max)
 {
 	static const char *const forms[] = {
@@ -113,17 +126,10 @@
 	};
 	uint32_t form = arg % G_N_ELEMENTS(forms);
 	uint32_t pick = arg / G_N_ELEMENTS(forms) % CUSTOMERS;
-	const GPtrArray *audit = w->hosts[0].host.config.audit;
 	GString *s = g_string_new("{\"reason\":\"fuzz\",");
 
 	if (form == 7 || form == 8)
-		pick = audit->len
-			       ? (uint32_t)((const ffl_audit_t *)g_ptr_array_index(
-						    audit,
-						    audit->len - 1 -
-							    pick % audit->len))
-					 ->revision
-			       : 1;
+		pick = withdrawn(w, arg / G_N_ELEMENTS(forms));
 	g_string_append_printf(s, forms[form], pick);
 	g_string_append_c(s, '}');
 	g_strlcpy(body, s->str, max);
@@ -209,7 +215,10 @@
 		w->log.down = arg % 4 == 0;
 		break;
 	case OP_KILL:
-		world_start(w, host);
+		for (uint32_t i = 0; i < HOSTS; i++) {
+			if (i == host || arg % 8 == 7)
+				world_start(w, i);
+		}
 		break;
 	case OP_PAUSE:
 		world_pause(w, host, arg * 20U);
--- a/fuzz/config_oracle.c
+++ b/fuzz/config_oracle.c
@@ -250,6 +250,14 @@
 		caused = fresh && (s->unreadable >= o->unreadable ||
 				   a->revision < o->unreadable);
 	}
+	for (guint j = 0; a->intent.kind == FFL_INTENT_WITHDRAW && j < at;
+	     j++) {
+		const ffl_audit_t *b = g_ptr_array_index(o->log, j);
+
+		if (b->revision > a->intent.revision &&
+		    ffl_image_same(&a->before, &b->before))
+			o->fault = "a superseded change was withdrawn";
+	}
 	if (!caused)
 		o->fault = "a change that nobody confirmed on this state";
 }
