--- a/fuzz/config_fuzz.c
+++ b/fuzz/config_fuzz.c
@@ -15,8 +15,8 @@
 #define OPS_MORE	 50
 #define HOSTS		 3
 #define RUN_MS		 60
-#define LONG_MS		 2000
-#define SETTLE_MS	 12000
+#define LONG_MS 1500
+#define SETTLE_MS 8000
 #define CUSTOMERS	 2
 #define SNAPSHOT_RECORDS 24
 
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -105,6 +105,14 @@
 	[FFL_PEER_LOAD] = peer_request,
 };
 
+static const ffl_counter_t refusals[FFL_FOLD__MAX] = {
+	[FFL_FOLD_DUPLICATE] = FFL_CTR_RECORDS_DUPLICATE,
+	[FFL_FOLD_LATE] = FFL_CTR_RECORDS_LATE,
+	[FFL_FOLD_FOREIGN] = FFL_CTR_RECORDS_FOREIGN,
+	[FFL_FOLD_UNDECODABLE] = FFL_CTR_RECORDS_UNDECODABLE,
+	[FFL_FOLD_UNKNOWN] = FFL_CTR_RECORDS_UNKNOWN,
+};
+
 void ffl_host_init(ffl_host_t *h, const ffl_host_options_t *opt,
 		   ffl_counters_t *counters)
 {
@@ -153,10 +161,9 @@
 {
 	uint64_t n = h->fold.counts[result];
 
-	if (result == FFL_FOLD_DUPLICATE) {
-		ffl_count(h->counters, FFL_CTR_RECORDS_DUPLICATE, 1);
+	ffl_count(h->counters, refusals[result], 1);
+	if (result == FFL_FOLD_DUPLICATE)
 		return;
-	}
 	ffl_count(h->counters, FFL_CTR_RECORDS_SKIPPED, 1);
 	if (result == FFL_FOLD_UNKNOWN && rec->kind <= FFL_REC_CONFIRM)
 		ffl_config_unreadable(&h->config, offset);
@@ -252,6 +259,8 @@
 
 	bool usable = result == FFL_READ_TAKEN || result == FFL_READ_GAP;
 
+	if (result == FFL_READ_STALE || result == FFL_READ_GAP)
+		ffl_count(h->counters, FFL_CTR_READS_REFUSED, 1);
 	h->log_trimmed |= usable && r->first > LOG_START;
 	if (usable && ffl_host_restoring(h)) {
 		ffl_restore_read(h, r, now_ms, out);
