--- a/fakes/world.h
+++ b/fakes/world.h
@@ -17,6 +17,7 @@
 
 /** Bounds of a world. */
 #define WORLD_HOSTS_MAX	    8
+#define WORLD_CELLS_MAX	    4
 #define WORLD_WORKERS_MAX   64
 #define WORLD_UPSTREAMS_MAX 16
 #define WORLD_CLUSTER	    42
@@ -32,7 +33,10 @@
 	bool ready;
 	uint64_t life; /**< number of this life; older answers are void */
 	uint64_t paused_until_ms;
-	bool cut; /**< no message passes to or from other entry hosts */
+	bool cut;     /**< no message passes to or from other entry hosts */
+	bool log_cut; /**< does not reach the log */
+	bool peer_cut[WORLD_HOSTS_MAX];	    /**< link to one other entry host */
+	bool worker_cut[WORLD_WORKERS_MAX]; /**< link to one worker */
 } world_host_t;
 
 /** An answer that a host gave to a command or request. */
@@ -53,7 +57,13 @@
 	char key[FFL_KEY_BYTES];
 } world_run_t;
 
-typedef struct {
+struct world;
+
+/** Told of each command that a worker has carried out or refused. */
+typedef void (*world_watch_t)(struct world *w, uint32_t worker,
+			      const ffl_worker_cmd_t *cmd, ffl_status_t status);
+
+typedef struct world {
 	uint64_t now_ms;
 	ffl_rng_t rng;
 	world_host_t hosts[WORLD_HOSTS_MAX];
@@ -65,6 +75,17 @@
 	ffl_host_info_t infos[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX +
 			      WORLD_HOSTS_MAX];
 	uint32_t info_count;
+	ffl_host_info_t lagged[WORLD_WORKERS_MAX + WORLD_UPSTREAMS_MAX +
+			       WORLD_HOSTS_MAX];
+	uint32_t lagged_count;
+	uint64_t lagged_ms;   /**< time of which the hosts see the list */
+	uint32_t list_lag_ms; /**< between two states that they see */
+	bool worker_unlisted[WORLD_WORKERS_MAX];
+	uint32_t slow_commands; /**< commands that reach a worker late */
+	uint32_t slow_ms;	/**< how late at most */
+	uint32_t cells;
+	world_watch_t watch;		 /**< or NULL */
+	void *watcher;			 /**< state of the watch */
 	ffl_snapshot_limits_t snapshots; /**< of hosts that start */
 	uint32_t upstream_count;
 	uint32_t upstream_ms;		 /**< service time of a request */
@@ -87,6 +108,9 @@
 /** Starts hosts, all in one data centre, with workers and upstreams. */
 void world_init(world_t *w, uint64_t seed, uint32_t hosts, uint32_t workers,
 		uint32_t upstreams);
+/** Starts hosts and workers in each of several data centres. */
+void world_init_cells(world_t *w, uint64_t seed, uint32_t cells, uint32_t hosts,
+		      uint32_t workers, uint32_t upstreams);
 void world_finish(world_t *w);
 
 /** Lets virtual time pass, carrying out what falls due. */
@@ -115,7 +139,13 @@
 /** Confirms a customer; false where refused. */
 bool world_customer(world_t *w, uint32_t host, const char *name,
 		    const char *token);
-/** Returns the host that leads the cell, or -1. */
+/** Returns the name of a cell's data centre. */
+const char *world_dc(uint32_t cell);
+/** Returns the host that leads the first cell, or -1. */
 int world_leader(const world_t *w);
+/** Returns the host that leads a cell, or -1. */
+int world_cell_leader(const world_t *w, uint32_t cell);
+/** Sets the leaving flag of a worker in the platform's list. */
+void world_worker_leaves(world_t *w, uint32_t worker, bool leaving);
 
 #endif
