Config oracle waits a bounded moment for records that have just landed

A record that lands in the last milliseconds before the look takes 6 ms of virtual time to reach a host, so the look was wrong then. Change: up to 50 looks 20 ms apart; a host that is still behind is a fault as before.

--- a/fuzz/config_fuzz.c
+++ b/fuzz/config_fuzz.c
@@ -12,11 +12,13 @@
 #include "fuzz/fuzz.h"
 
 #define OPS_MIN		 16
+#define READ_TRIES	 50
+#define READ_MS		 20
 #define OPS_MORE	 50
 #define HOSTS		 3
 #define RUN_MS		 60
-#define LONG_MS 1500
-#define SETTLE_MS 8000
+#define LONG_MS		 1500
+#define SETTLE_MS	 8000
 #define CUSTOMERS	 2
 #define SNAPSHOT_RECORDS 24
 
@@ -247,6 +249,8 @@
 	for (uint32_t i = 0; i < HOSTS; i++)
 		w->hosts[i].cut = false;
 	world_run(w, SETTLE_MS);
+	for (uint32_t i = 0; i < READ_TRIES && !oracle_read_all(w); i++)
+		world_run(w, READ_MS);
 	oracle_watch(o, w);
 	oracle_end(o, w);
 }
--- a/fuzz/config_oracle.c
+++ b/fuzz/config_oracle.c
@@ -406,6 +406,18 @@
 	g_hash_table_destroy(map);
 }
 
+bool oracle_read_all(const world_t *w)
+{
+	for (uint32_t i = 0; i < w->host_count; i++) {
+		const ffl_host_t *h = &w->hosts[i].host;
+
+		if (h->logc.next_offset != fake_log_end(&w->log) ||
+		    ffl_host_restoring(h))
+			return false;
+	}
+	return true;
+}
+
 void oracle_end(oracle_t *o, world_t *w)
 {
 	for (uint32_t i = 0; i < w->host_count; i++) {
--- a/fuzz/config_oracle.h
+++ b/fuzz/config_oracle.h
@@ -45,6 +45,9 @@
 void oracle_read(oracle_t *o, world_t *w, uint32_t host);
 /** Looks at every host after an operation. */
 void oracle_watch(oracle_t *o, world_t *w);
+/** Tells whether every host has read what is on the log now: a record that
+ * has just landed takes a moment to be read. */
+bool oracle_read_all(const world_t *w);
 /** Looks at everything once the faults are over. */
 void oracle_end(oracle_t *o, world_t *w);
 
