--- a/lib/gang/authority.c
+++ b/lib/gang/authority.c
@@ -19,7 +19,7 @@
 static bool accepts(const ffl_gang_run_t *r, const ffl_worker_t *w);
 static bool all_heard(const ffl_gang_run_t *r);
 static void begin(ffl_gang_run_t *r, uint64_t epoch);
-static void begin_job(ffl_gang_run_t *r, ffl_job_t *job);
+static void begin_job(ffl_gang_run_t *r, ffl_job_t *job, bool again);
 static void end(ffl_gang_run_t *r);
 static void forget_worker(ffl_gang_run_t *r, ffl_worker_t *w);
 static void watch_workers(ffl_gang_run_t *r);
@@ -115,12 +115,12 @@
 	w->proved_ms = 0;
 }
 
-/* A job that an earlier leader may have started must be accounted for. */
-static void begin_job(ffl_gang_run_t *r, ffl_job_t *job)
+/* A job that an earlier leader may have started must be accounted for; so
+ * must every job where this host has lost sight of what it started itself. */
+static void begin_job(ffl_gang_run_t *r, ffl_job_t *job, bool again)
 {
-	job->starts = 0;
 	if (!ffl_job_in_cell(job, r->ms->self.dc) ||
-	    job->assigned > r->g->authority.epoch)
+	    (!again && job->assigned > r->g->authority.epoch))
 		return;
 	ffl_job_set_state(r, job, FFL_JOB_RECOVERING);
 }
@@ -128,8 +128,10 @@
 static void begin(ffl_gang_run_t *r, uint64_t epoch)
 {
 	ffl_authority_t *a = &r->g->authority;
+	bool again = a->begun_epoch == epoch;
 
 	a->epoch = epoch;
+	a->begun_epoch = epoch;
 	a->first_call = r->g->next_call;
 	a->since_ms = r->now_ms;
 	a->quorum_ms = 0;
@@ -143,7 +145,7 @@
 		w->asked_ms = 0;
 	}
 	for (guint i = 0; i < r->g->open->len; i++)
-		begin_job(r, g_array_index(r->g->open, ffl_job_t *, i));
+		begin_job(r, g_array_index(r->g->open, ffl_job_t *, i), again);
 	ffl_actions_report(r->out, FFL_LEVEL_NOTE, "leading", r->ms->self.dc,
 			   "epoch %llu", (unsigned long long)epoch);
 }
@@ -243,6 +245,15 @@
 	return g->authority.epoch && g->authority.held;
 }
 
+void ffl_gangs_carry(ffl_gangs_t *fresh, const ffl_gangs_t *old)
+{
+	fresh->next_call = old->next_call;
+	fresh->starts = old->starts;
+	fresh->authority.first_call = old->next_call;
+	fresh->authority.begun_epoch = old->authority.begun_epoch;
+	fresh->authority.fenced_epoch = old->authority.fenced_epoch;
+}
+
 void ffl_gangs_on_list(ffl_gangs_t *g, uint64_t now_ms)
 {
 	if (!g->authority.first_list_ms)
