--- a/lib/wire/schema.c
+++ b/lib/wire/schema.c
@@ -2,6 +2,7 @@
 #include <msgpack.h>
 
 #include "fireflyledge/schema.h"
+#include "lib/wire/measure.h"
 
 /** Packs one field's value. */
 typedef void (*pack_fn_t)(const ffl_field_t *f, const void *p,
@@ -247,20 +248,20 @@
 			       size_t *used_bytes)
 {
 	msgpack_unpacked result;
-	msgpack_unpack_return rc;
-	ffl_status_t status = FFL_OK;
+	ffl_status_t status;
 	size_t used = 0;
+	size_t off = 0;
 
 	memset(obj, 0, schema->size_bytes);
+	if (used_bytes)
+		*used_bytes = 0;
+	status = ffl_wire_measure(in, &used);
+	if (status != FFL_OK)
+		return status;
 	msgpack_unpacked_init(&result);
-	rc = msgpack_unpack_next(&result, (const char *)in.data, in.size_bytes,
-				 &used);
-	if (rc == MSGPACK_UNPACK_CONTINUE)
-		status = FFL_TRUNCATED;
-	else if (rc != MSGPACK_UNPACK_SUCCESS &&
-		 rc != MSGPACK_UNPACK_EXTRA_BYTES)
-		status = FFL_INVALID;
-	else if (!unpack_struct(schema, &result.data, obj, arena))
+	if (msgpack_unpack_next(&result, (const char *)in.data, used, &off) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    !unpack_struct(schema, &result.data, obj, arena))
 		status = FFL_INVALID;
 	msgpack_unpacked_destroy(&result);
 	if (used_bytes)
