--- a/daemon/client.c
+++ b/daemon/client.c
@@ -37,7 +37,8 @@
 	ffld_t *d;
 	ffl_ring_t calls; /**< of call_t */
 	CURLM *multi;
-	GPtrArray *idle; /**< of CURL *, kept for their connections */
+	GPtrArray *idle;   /**< of CURL *, kept for their connections */
+	GPtrArray *active; /**< of CURL *, with a call on its way */
 	pthread_t thread;
 	struct curl_slist *headers;
 	_Atomic bool stop;
@@ -197,6 +198,7 @@
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
 	curl_multi_remove_handle(c->multi, easy);
+	g_ptr_array_remove_fast(c->active, easy);
 	g_ptr_array_add(c->idle, easy);
 	box = finishers[call->kind](call, outcome(code, http_status));
 	if (box)
@@ -226,6 +228,7 @@
 				 (long)call->body->len);
 	}
 	curl_multi_add_handle(c->multi, easy);
+	g_ptr_array_add(c->active, easy);
 }
 
 static void *run(void *arg)
@@ -261,6 +264,7 @@
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
 			  (long)CONNECTIONS_MAX);
 	c->idle = g_ptr_array_new();
+	c->active = g_ptr_array_new();
 	c->headers =
 		curl_slist_append(NULL, "Content-Type: application/msgpack");
 	c->headers = curl_slist_append(c->headers, "Expect:");
@@ -268,6 +272,16 @@
 	return c;
 }
 
+static void drop_active(ffld_client_t *c, CURL *easy)
+{
+	call_t *call;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	curl_multi_remove_handle(c->multi, easy);
+	curl_easy_cleanup(easy);
+	call_free(call);
+}
+
 void ffld_client_stop(ffld_client_t *c)
 {
 	call_t *call;
@@ -278,6 +292,9 @@
 	ffl_ring_close(&c->calls);
 	while ((call = ffl_ring_pop(&c->calls, 0)))
 		call_free(call);
+	for (guint i = 0; i < c->active->len; i++)
+		drop_active(c, g_ptr_array_index(c->active, i));
+	g_ptr_array_free(c->active, TRUE);
 	for (guint i = 0; i < c->idle->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(c->idle, i));
 	g_ptr_array_free(c->idle, TRUE);
--- a/daemon/core.c
+++ b/daemon/core.c
@@ -41,7 +41,7 @@
 
 void ffld_core_run(ffld_t *d)
 {
-	const ffl_event_t tick = { .kind = FFL_EV_TICK };
+	ffl_event_t tick = { .kind = FFL_EV_TICK };
 	ffl_actions_t actions;
 	uint64_t ticked_ms = 0;
 
@@ -52,11 +52,14 @@
 
 		ffl_actions_reset(&actions);
 		if (now - ticked_ms >= FFL_TICK_MS) {
+			tick.tick.reading = atomic_load(&d->reading);
 			ffl_host_step(&d->host, &tick, now, &actions);
 			ticked_ms = now;
 		}
 		if (box) {
 			ffl_host_step(&d->host, &box->ev, now, &actions);
+			if (box->ev.kind == FFL_EV_REQUEST)
+				atomic_fetch_sub(&d->reading, 1);
 			ffl_box_free(box);
 		}
 		ffl_port_dispatch(&port, d, &actions);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -9,6 +9,7 @@
 #define FFLD_DAEMON_H
 
 #include <pthread.h>
+#include <stdio.h>
 #include <stdatomic.h>
 
 #include "fireflyledge/box.h"
@@ -28,6 +29,7 @@
 /** The daemon. */
 typedef struct {
 	ffl_settings_t settings;
+	const char *settings_path;
 	ffl_counters_t counters;
 	ffl_host_t host;
 	ffl_ring_t events; /**< of ffl_box_t, read by the core thread */
@@ -35,7 +37,8 @@
 	ffld_peers_t *peers;
 	ffld_web_t *web;
 	_Atomic bool ready;
-	_Atomic bool stopping; /**< a planned stop has begun */
+	_Atomic uint32_t reading; /**< requests that the core has not taken */
+	_Atomic bool stopping;	  /**< a planned stop has begun */
 	_Atomic bool exiting;
 } ffld_t;
 
@@ -47,6 +50,16 @@
 /** Returns monotonic time in milliseconds. */
 uint64_t ffld_now_ms(void);
 
+/** Reads a settings file; appends what is wrong with it to @p findings. */
+ffl_status_t ffld_settings_read(const char *path, ffl_settings_t *out,
+				GString *findings);
+/** Reads the file anew and puts in force what may change live. */
+void ffld_reload(ffld_t *d);
+/** Returns the bound of the queue: threads are left for refusals. */
+uint32_t ffld_queue_max(const ffl_settings_t *s);
+/** Lists every key with type, unit, range, default and text. */
+void ffld_settings_help(FILE *out);
+
 /** Runs the core until the host exits. */
 void ffld_core_run(ffld_t *d);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -21,24 +21,6 @@
 static int run(ffld_t *d);
 static int serve(ffld_t *d);
 
-static int load_settings(const char *path, ffl_settings_t *out)
-{
-	ffl_findings_t fs;
-	ffl_status_t status;
-	GString *text = g_string_new(NULL);
-
-	ffl_findings_init(&fs, path);
-	status = ffl_settings_load(path, out, &fs);
-	for (uint32_t i = 0; i < ffl_findings_count(&fs); i++) {
-		ffl_finding_format(ffl_findings_at(&fs, i), text);
-		g_string_append_c(text, '\n');
-	}
-	fputs(text->str, stderr);
-	g_string_free(text, TRUE);
-	ffl_findings_finish(&fs);
-	return status == FFL_OK ? EXIT_OK : EXIT_CONFIG;
-}
-
 static void make_options(const ffl_settings_t *s, ffl_host_options_t *opt)
 {
 	memset(opt, 0, sizeof(*opt));
@@ -58,7 +40,7 @@
 	opt->times.renew_ms = s->renew_ms;
 	opt->times.expiry_ms = s->expiry_ms;
 	opt->times.lease_ms = s->lease_ms;
-	opt->limits.queue_max = MIN(s->queue_max, s->threads - s->threads / 8);
+	opt->limits.queue_max = ffld_queue_max(s);
 	opt->limits.default_timeout_ms = s->timeout_ms;
 	opt->limits.max_timeout_ms = s->max_timeout_ms;
 	opt->limits.attempts_max = s->attempts_max;
@@ -81,15 +63,30 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	while (!atomic_load(&d->exiting)) {
 		if (sigwait(&set, &sig) != 0)
 			continue;
+		if (sig == SIGHUP) {
+			ffld_reload(d);
+			continue;
+		}
 		atomic_store(&d->stopping, true);
 		ffld_post_sure(d, ffl_box_new(FFL_EV_STOP));
 	}
 	return NULL;
 }
 
+static int load_settings(const char *path, ffl_settings_t *out)
+{
+	GString *findings = g_string_new(NULL);
+	ffl_status_t status = ffld_settings_read(path, out, findings);
+
+	fputs(findings->str, stderr);
+	g_string_free(findings, TRUE);
+	return status == FFL_OK ? EXIT_OK : EXIT_CONFIG;
+}
+
 static int run(ffld_t *d)
 {
 	ffl_host_options_t opt;
@@ -131,6 +128,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	if (sodium_init() < 0 || ffld_log_open(d->settings.name) != 0)
 		return EXIT_STARTUP;
@@ -149,10 +147,12 @@
 		arg_file1("c", "config", "FILE", "settings file");
 	struct arg_lit *check =
 		arg_lit0(NULL, "check", "check the settings and exit");
+	struct arg_lit *keys =
+		arg_lit0(NULL, "help-settings", "list every setting");
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
 	struct arg_lit *version = arg_lit0("V", "version", "show the version");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { config, check, help, version, end };
+	void *table[] = { config, check, keys, help, version, end };
 	static ffld_t daemon;
 	int errors;
 	int rc;
@@ -165,11 +165,14 @@
 		arg_print_glossary(stdout, table, "  %-22s %s\n");
 	} else if (version->count) {
 		puts("fireflyledged " FFL_VERSION);
+	} else if (keys->count) {
+		ffld_settings_help(stdout);
 	} else if (errors) {
 		arg_print_errors(stderr, end, "fireflyledged");
 		rc = EXIT_USAGE;
 	} else {
-		rc = load_settings(config->filename[0], &daemon.settings);
+		daemon.settings_path = config->filename[0];
+		rc = load_settings(daemon.settings_path, &daemon.settings);
 		if (rc == EXIT_OK && !check->count)
 			rc = serve(&daemon);
 	}
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -246,18 +246,23 @@
 	r.body = g_byte_array_new();
 	r.reply.body = g_byte_array_new();
 	r.reply.headers = g_string_new(NULL);
-	if (take_body(&r)) {
+	atomic_fetch_add(&w->d->reading, 1);
+	if (!take_body(&r)) {
+		atomic_fetch_sub(&w->d->reading, 1);
+	} else {
 		if (!r.body_whole)
 			mg_disable_connection_keep_alive(conn);
 		ffld_call_open(w, &r.call);
 		r.call.peer = r.peer;
 		r.call.repeatable = is_repeatable(r.info->request_method);
 		make_id(&r);
-		if (ffld_post(w->d, request_event(&r)))
+		if (ffld_post(w->d, request_event(&r))) {
 			serve(&r);
-		else
+		} else {
+			atomic_fetch_sub(&w->d->reading, 1);
 			ffld_send_problem(conn, FFLD_OVERLOADED, NULL,
 					  FFL_RAN_NO);
+		}
 		ffld_call_close(w, &r.call);
 	}
 	g_string_free(r.reply.headers, TRUE);
--- a/include/fireflyledge/event.h
+++ b/include/fireflyledge/event.h
@@ -26,9 +26,26 @@
 	FFL_EV_REQUEST_GONE,  /**< the caller has left */
 	FFL_EV_UPSTREAM_DONE, /**< an attempt at an upstream has ended */
 	FFL_EV_STOP,	      /**< a planned stop; the second one hurries */
+	FFL_EV_SETTINGS,      /**< limits were read anew */
 	FFL_EV__MAX
 } ffl_event_kind_t;
 
+typedef struct {
+	uint32_t reading; /**< requests whose body is being read */
+} ffl_ev_tick_t;
+
+/** Limits that change while the host runs; see the settings of that name. */
+typedef struct {
+	uint32_t queue_max;
+	uint32_t timeout_ms;
+	uint32_t max_timeout_ms;
+	uint32_t attempts_max;
+	uint32_t eject_failures;
+	uint32_t eject_ms;
+	uint32_t stop_delay_ms;
+	uint32_t stop_drain_ms;
+} ffl_ev_settings_t;
+
 /** One entry read from the log. */
 typedef struct {
 	uint64_t offset;
@@ -108,6 +125,8 @@
 typedef struct {
 	ffl_event_kind_t kind;
 	union {
+		ffl_ev_tick_t tick;
+		ffl_ev_settings_t settings;
 		ffl_ev_log_read_t log_read;
 		ffl_ev_log_appended_t log_appended;
 		ffl_host_list_t host_list;
--- a/include/fireflyledge/host.h
+++ b/include/fireflyledge/host.h
@@ -71,6 +71,7 @@
 	ffl_arena_t scratch;
 	ffl_stop_state_t stop;
 	uint64_t stop_ms;
+	uint32_t reading;      /**< requests whose body is being read */
 	uint64_t first_member; /**< first that ever joined; 0: not known */
 	bool log_trimmed;      /**< the log's start was not seen */
 	bool caught_up;	       /**< the log was read to its end once */
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -47,6 +47,7 @@
 static void store_number(reader_t *r, const ffl_setting_t *s, const char *value,
 			 const unit_t *units, void *dst);
 static bool valid_address(const char *text);
+static bool check_syntax(reader_t *r, const char *line, size_t size_bytes);
 static char *read_line(char *buf, int size, void *stream);
 static int take_pair(void *user, const char *section, const char *key,
 		     const char *value);
@@ -320,28 +321,57 @@
 		g_free(name);
 }
 
+/* The parser only tells the first bad line, so each is checked here. */
+static bool check_syntax(reader_t *r, const char *line, size_t size_bytes)
+{
+	const char *what = NULL;
+
+	if (memchr(line, '\0', size_bytes))
+		what = "a line has no NUL byte";
+	else if (*line == '[' && !strchr(line, ']'))
+		what = "a section has a closing bracket";
+	else if (*line && !strchr(";#[", *line) && !strpbrk(line, "=:"))
+		what = "neither a section nor key = value";
+	if (what)
+		ffl_findings_add(r->fs, FFL_MSG_BAD_SYNTAX, "", r->line, 0,
+				 "%s", what);
+	return !what;
+}
+
+/* Leading blanks are left out: the parser would take the line for more of
+ * the value before it. */
 static char *read_line(char *buf, int size, void *stream)
 {
 	reader_t *r = stream;
 	size_t left = (size_t)(r->end - r->next);
 	const char *nl = left ? memchr(r->next, '\n', left) : NULL;
-	size_t n = nl ? (size_t)(nl - r->next) + 1 : left;
+	size_t n = nl ? (size_t)(nl - r->next) : left;
+	const char *line = r->next;
+	size_t blank;
 
 	if (!left)
 		return NULL;
 	r->line++;
-	if (n >= (size_t)size) {
+	r->next += nl ? n + 1 : n;
+	g_strlcpy(buf, "\n", (gsize)size);
+	for (blank = 0; blank < n && g_ascii_isspace(line[blank]); blank++)
+		;
+	line += blank;
+	n -= blank;
+	if (n + 1 >= (size_t)size) {
 		ffl_findings_add(r->fs, FFL_MSG_TOO_LONG, "", r->line, 0,
-				 "a line has at most %d bytes", size - 1);
-		r->next += n;
-		buf[0] = '\n';
-		buf[1] = '\0';
+				 "a line has at most %d bytes", size - 2);
 		return buf;
 	}
-	memcpy(buf, r->next, n);
+	memcpy(buf, line, n);
 	buf[n] = '\0';
-	r->next += n;
+	if (!check_syntax(r, buf, n)) {
+		g_strlcpy(buf, "\n", (gsize)size);
+		return buf;
+	}
 	check_section(r, buf);
+	buf[n] = '\n';
+	buf[n + 1] = '\0';
 	return buf;
 }
 
@@ -352,6 +382,9 @@
 	const ffl_setting_t *s;
 	uint32_t i = 0;
 
+	if (!section[0])
+		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_SECTION, key, r->line,
+				 0, "the key stands before any section");
 	if (!known_section(section))
 		return 1;
 	s = find_key(section, key, &i);
@@ -398,15 +431,11 @@
 		       .out = out,
 		       .fs = fs,
 		       .seen_line = seen_line };
-	int bad_line;
 
 	memset(out, 0, sizeof(*out));
 	r.sections =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	bad_line = ini_parse_stream(read_line, &r, take_pair, &r);
-	if (bad_line > 0)
-		ffl_findings_add(fs, FFL_MSG_BAD_SYNTAX, "", (uint32_t)bad_line,
-				 0, "neither a section nor key = value");
+	ini_parse_stream(read_line, &r, take_pair, &r);
 	apply_defaults(&r);
 	g_hash_table_destroy(r.sections);
 	return fs->errors > before ? FFL_INVALID : FFL_OK;
--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -57,6 +57,10 @@
 		ffl_actions_t *out);
 static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
+static void on_settings(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			ffl_actions_t *out);
+static bool all_read(const ffl_host_t *h, uint64_t spent_ms);
+static uint32_t longest_drain_ms(const ffl_host_t *h);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
 
 static const take_fn_t takers[FFL_EV__MAX] = {
@@ -71,11 +75,13 @@
 	[FFL_EV_REQUEST_GONE] = on_request_gone,
 	[FFL_EV_UPSTREAM_DONE] = on_upstream_done,
 	[FFL_EV_STOP] = on_stop,
+	[FFL_EV_SETTINGS] = on_settings,
 };
 
 /* A request must not pay for a walk over jobs and members. */
 static const uint32_t runs_after[FFL_EV__MAX] = {
 	[FFL_EV_TICK] = RUN_ALL,
+	[FFL_EV_SETTINGS] = RUN_ALL,
 	[FFL_EV_LOG_READ] = RUN_ALL,
 	[FFL_EV_LOG_APPENDED] = RUN_LOG,
 	[FFL_EV_HOST_LIST] = RUN_GANGS | RUN_REQUESTS,
@@ -216,6 +222,7 @@
 static void on_tick(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 		    ffl_actions_t *out)
 {
+	h->reading = ev->tick.reading;
 	ffl_host_expire_waiters(h, now_ms, out);
 }
 
@@ -344,6 +351,23 @@
 	ffl_actions_add(out, FFL_ACT_EXIT);
 }
 
+static void on_settings(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
+			ffl_actions_t *out)
+{
+	const ffl_ev_settings_t *s = &ev->settings;
+
+	h->opt.stop_delay_ms = s->stop_delay_ms;
+	h->opt.stop_drain_ms = s->stop_drain_ms;
+	h->requests.limits.queue_max = s->queue_max;
+	h->requests.limits.default_timeout_ms = s->timeout_ms;
+	h->requests.limits.max_timeout_ms = s->max_timeout_ms;
+	h->requests.limits.attempts_max = s->attempts_max;
+	h->requests.limits.eject_failures = s->eject_failures;
+	h->requests.limits.eject_ms = s->eject_ms;
+	ffl_actions_report(out, FFL_LEVEL_NOTE, "settings-read",
+			   h->opt.self.name, "%s", "live limits are in force");
+}
+
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out)
 {
 	if (h->ready == ready)
@@ -352,15 +376,26 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
+static uint32_t longest_drain_ms(const ffl_host_t *h)
+{
+	return h->opt.stop_drain_ms ? h->opt.stop_drain_ms : STOP_DRAIN_MS;
+}
+
+/* A request whose body is on its way is not refused half-way. */
+static bool all_read(const ffl_host_t *h, uint64_t spent_ms)
+{
+	if (spent_ms < h->opt.stop_delay_ms)
+		return false;
+	return !h->reading ||
+	       spent_ms - h->opt.stop_delay_ms > longest_drain_ms(h);
+}
+
 /* Open requests finish before the host leaves; the longest wait is bounded. */
 static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out)
 {
-	uint32_t longest_ms =
-		h->opt.stop_drain_ms ? h->opt.stop_drain_ms : STOP_DRAIN_MS;
-
 	if (ffl_requests_idle(&h->requests))
 		return true;
-	if (spent_ms <= longest_ms)
+	if (spent_ms <= longest_drain_ms(h))
 		return false;
 	ffl_actions_report(out, FFL_LEVEL_WARNING, "stop-drain-ended",
 			   h->opt.self.name, "%u requests were cut",
@@ -372,7 +407,7 @@
 {
 	uint64_t spent = now_ms - h->stop_ms;
 
-	if (h->stop == FFL_STOP_UNREADY && spent >= h->opt.stop_delay_ms) {
+	if (h->stop == FFL_STOP_UNREADY && all_read(h, spent)) {
 		h->stop = FFL_STOP_DRAINING;
 		h->stop_ms = now_ms;
 		spent = 0;
--- a/lib/port/event.c
+++ b/lib/port/event.c
@@ -12,6 +12,7 @@
 	[FFL_EV_REQUEST_GONE] = "request-gone",
 	[FFL_EV_UPSTREAM_DONE] = "upstream-done",
 	[FFL_EV_STOP] = "stop",
+	[FFL_EV_SETTINGS] = "settings",
 };
 
 static const char *const outcome_names[FFL_UP__MAX] = {
--- a/lib/wire/measure.c
+++ b/lib/wire/measure.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <msgpack.h>
 #include <msgpack/unpack_define.h>
 
 #include "lib/wire/measure.h"
@@ -9,7 +10,10 @@
 } budget_t;
 
 /** Result of a callback of the library's template. */
-enum { TAKE = 0, REJECT = -1 };
+enum {
+	TAKE = 0,
+	REJECT = -1
+};
 
 static int claim(budget_t *budget, size_t n);
 
@@ -22,21 +26,21 @@
 }
 
 /* The library's unpacking template asks for one function for each type. */
-#define SCALAR(name, type)                                            \
+#define SCALAR(name, type)                                              \
 	static inline int measure_on##name(budget_t *b, type v, int *o) \
-	{                                                             \
-		return TAKE;                                          \
+	{                                                               \
+		return TAKE;                                            \
 	}
 #define EMPTY(name)                                             \
 	static inline int measure_on##name(budget_t *b, int *o) \
 	{                                                       \
 		return TAKE;                                    \
 	}
-#define BYTES(name)                                                          \
-	static inline int measure_on##name(budget_t *b, const char *base,    \
+#define BYTES(name)                                                           \
+	static inline int measure_on##name(budget_t *b, const char *base,     \
 					   const char *p, unsigned n, int *o) \
-	{                                                                    \
-		return TAKE;                                                 \
+	{                                                                     \
+		return TAKE;                                                  \
 	}
 
 SCALAR(_uint8, uint8_t)
@@ -81,11 +85,13 @@
 	return TAKE;
 }
 
-#define msgpack_unpack_struct(name)	struct measure##name
-#define msgpack_unpack_func(ret, name)	static inline ret measure##name
-#define msgpack_unpack_callback(name)	measure_on##name
-#define msgpack_unpack_object		int
-#define msgpack_unpack_user		budget_t
+/* NOLINTBEGIN(readability-identifier-naming): names of the template */
+#define msgpack_unpack_struct(name)    struct measure##name
+#define msgpack_unpack_func(ret, name) static inline ret measure##name
+#define msgpack_unpack_callback(name)  measure_on##name
+#define msgpack_unpack_object	       int
+#define msgpack_unpack_user	       budget_t
+/* NOLINTEND(readability-identifier-naming) */
 #include <msgpack/unpack_template.h>
 
 ffl_status_t ffl_wire_measure(ffl_bytes_t in, size_t *used_bytes)
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -59,6 +59,7 @@
 delay = 200ms
 [membership]
 suspect = 1s
+${MEMBERSHIP:-}
 [operators]
 bootstrap_token_hash = $hash
 EOF
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -35,6 +35,11 @@
 	{ "twice", VALID "[host]\nname = b\n", FFL_MSG_DUPLICATE_SECTION, 13,
 	  "host" },
 	{ "section", VALID "[hosts]\n", FFL_MSG_UNKNOWN_SECTION, 13, "hosts" },
+	{ "syntax", VALID "[requests]\nqueue 3\n", FFL_MSG_BAD_SYNTAX, 14, "" },
+	{ "open-section", VALID "[requests\n", FFL_MSG_BAD_SYNTAX, 13, "" },
+	{ "no-section", "a = 1\n" VALID, FFL_MSG_UNKNOWN_SECTION, 1, "a" },
+	{ "key-twice", VALID "[requests]\n\nqueue = 3\n  queue = 4\n",
+	  FFL_MSG_DUPLICATE_KEY, 16, "queue" },
 	{ "address", VALID "[requests]\nqueue = x\n", FFL_MSG_BAD_NUMBER, 14,
 	  "queue" },
 };
