--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,41 @@
 $(BUILD)/ffl-platform: $(STANDIN_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
 
+# The shared library exports what the public headers declare, nothing else.
+$(BUILD)/libfireflyledge.so.$(VERSION): $(LIB_OBJS) lib/libfireflyledge.map
+	$(CC) -shared -Wl,-soname,libfireflyledge.so.$(SOMAJOR) \
+		-Wl,--version-script=lib/libfireflyledge.map \
+		-o $@ $(LIB_OBJS) -linih $(LIBS)
+
+$(BUILD)/fireflyledge.pc: lib/fireflyledge.pc.in Makefile
+	@mkdir -p $(@D)
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' $< >$@
+
+INSTALL ?= install
+DESTDIR ?=
+
+install: programs $(BUILD)/libfireflyledge.so.$(VERSION) $(BUILD)/fireflyledge.pc
+	$(INSTALL) -d $(addprefix $(DESTDIR)$(PREFIX)/,bin sbin \
+		lib/pkgconfig include/fireflyledge share/man/man1 \
+		share/man/man5 share/man/man8)
+	$(INSTALL) -m 755 $(BUILD)/ffl $(DESTDIR)$(PREFIX)/bin/
+	$(INSTALL) -m 755 $(BUILD)/fireflyledged $(DESTDIR)$(PREFIX)/sbin/
+	$(INSTALL) -m 644 include/fireflyledge/*.h \
+		$(DESTDIR)$(PREFIX)/include/fireflyledge/
+	$(INSTALL) -m 644 $(BUILD)/libfireflyledge.a $(DESTDIR)$(PREFIX)/lib/
+	$(INSTALL) -m 755 $(BUILD)/libfireflyledge.so.$(VERSION) \
+		$(DESTDIR)$(PREFIX)/lib/
+	ln -sf libfireflyledge.so.$(VERSION) \
+		$(DESTDIR)$(PREFIX)/lib/libfireflyledge.so.$(SOMAJOR)
+	ln -sf libfireflyledge.so.$(SOMAJOR) \
+		$(DESTDIR)$(PREFIX)/lib/libfireflyledge.so
+	$(INSTALL) -m 644 $(BUILD)/fireflyledge.pc \
+		$(DESTDIR)$(PREFIX)/lib/pkgconfig/
+	$(INSTALL) -m 644 man/ffl.1 $(DESTDIR)$(PREFIX)/share/man/man1/
+	$(INSTALL) -m 644 man/fireflyledged.ini.5 \
+		$(DESTDIR)$(PREFIX)/share/man/man5/
+	$(INSTALL) -m 644 man/fireflyledged.8 $(DESTDIR)$(PREFIX)/share/man/man8/
+
 # Tests run under ASan and UBSan, threads under TSan, fuzzers under libFuzzer.
 CHECK_SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined
 FUZZ_CC ?= clang
--- a/cli/print.c
+++ b/cli/print.c
@@ -1,48 +1,131 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "cli/cli.h"
 
-static void print_value(const json_t *value);
-static void print_object(const json_t *object, const char *indent);
-static void print_rows(const json_t *array);
+/** Most columns of a table, and the width of a list's keys. */
+#define COLUMNS_MAX 24
+#define KEY_WIDTH   20
 
-static void print_value(const json_t *value)
+static char *text_of(const json_t *value);
+static bool is_table(const json_t *value);
+static int width_of(const json_t *rows, const char *key);
+static void print_table(const json_t *rows, const char *indent);
+static void print_findings(const json_t *findings);
+static void print_object(const json_t *object);
+
+static char *text_of(const json_t *value)
 {
-	char *text;
+	if (!value)
+		return strdup("");
+	if (json_is_string(value))
+		return strdup(json_string_value(value));
+	return json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+}
 
-	if (json_is_string(value)) {
-		fputs(json_string_value(value), stdout);
-		return;
+static bool is_table(const json_t *value)
+{
+	return json_array_size(value) &&
+	       json_is_object(json_array_get(value, 0));
+}
+
+static int width_of(const json_t *rows, const char *key)
+{
+	size_t width = strlen(key);
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(rows, i, row)
+	{
+		char *text = text_of(json_object_get(row, key));
+
+		if (strlen(text) > width)
+			width = strlen(text);
+		free(text);
 	}
-	text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-	fputs(text, stdout);
-	free(text);
+	return (int)width;
 }
 
-static void print_object(const json_t *object, const char *indent)
+/* Columns are the keys of the first row. */
+static void print_table(const json_t *rows, const char *indent)
 {
+	json_t *first = json_array_get(rows, 0);
+	const char *keys[COLUMNS_MAX];
+	int widths[COLUMNS_MAX];
 	const char *key;
 	json_t *value;
+	json_t *row;
+	int n = 0;
+	size_t i;
 
-	json_object_foreach((json_t *)object, key, value)
+	json_object_foreach(first, key, value)
+	{
+		if (n == COLUMNS_MAX)
+			break;
+		keys[n] = key;
+		widths[n] = width_of(rows, key);
+		printf("%s%-*s", n ? "  " : indent, widths[n], key);
+		n++;
+	}
+	putchar('\n');
+	json_array_foreach(rows, i, row)
 	{
-		printf("%s%-20s ", indent, key);
-		print_value(value);
+		for (int c = 0; c < n; c++) {
+			char *text = text_of(json_object_get(row, keys[c]));
+
+			printf("%s%-*s", c ? "  " : indent, widths[c], text);
+			free(text);
+		}
 		putchar('\n');
 	}
 }
 
-static void print_rows(const json_t *array)
+/* What an operator must see before all else comes first. */
+static void print_findings(const json_t *findings)
 {
 	size_t i;
-	json_t *row;
+	json_t *f;
 
-	json_array_foreach(array, i, row)
+	json_array_foreach(findings, i, f)
+	{
+		const char *field =
+			json_string_value(json_object_get(f, "field"));
+		const char *detail =
+			json_string_value(json_object_get(f, "detail"));
+
+		printf("%s: %s%s%s%s%s\n",
+		       json_string_value(json_object_get(f, "level")),
+		       field ? field : "", field && field[0] ? ": " : "",
+		       json_string_value(json_object_get(f, "text")),
+		       detail && detail[0] ? ": " : "", detail ? detail : "");
+	}
+	if (json_array_size(findings))
+		putchar('\n');
+}
+
+static void print_object(const json_t *object)
+{
+	const char *key;
+	json_t *value;
+
+	print_findings(json_object_get(object, "findings"));
+	json_object_foreach((json_t *)object, key, value)
+	{
+		char *text;
+
+		if (strcmp(key, "findings") == 0 || is_table(value))
+			continue;
+		text = text_of(value);
+		printf("%-*s %s\n", KEY_WIDTH, key, text);
+		free(text);
+	}
+	json_object_foreach((json_t *)object, key, value)
 	{
-		if (i)
-			putchar('\n');
-		print_object(row, "");
+		if (strcmp(key, "findings") == 0 || !is_table(value))
+			continue;
+		printf("\n%s\n", key);
+		print_table(value, "  ");
 	}
 }
 
@@ -54,9 +137,9 @@
 		return;
 	json = cli->json ? NULL : json_loads(reply->body, 0, NULL);
 	if (json_is_object(json))
-		print_object(json, "");
-	else if (json_is_array(json))
-		print_rows(json);
+		print_object(json);
+	else if (is_table(json))
+		print_table(json, "");
 	else
 		puts(reply->body);
 	json_decref(json);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -59,6 +59,8 @@
 uint32_t ffld_queue_max(const ffl_settings_t *s);
 /** Lists every key with type, unit, range, default and text. */
 void ffld_settings_help(FILE *out);
+/** The same as a list for the manual page. */
+void ffld_settings_mdoc(FILE *out);
 
 /** Runs the core until the host exits. */
 void ffld_core_run(ffld_t *d);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -154,10 +154,12 @@
 		arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *keys =
 		arg_lit0(NULL, "help-settings", "list every setting");
+	struct arg_lit *mdoc = arg_lit0(NULL, "mdoc-settings",
+					"list them for the manual page");
 	struct arg_lit *help = arg_lit0("h", "help", "show this help");
 	struct arg_lit *version = arg_lit0("V", "version", "show the version");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { config, check, keys, help, version, end };
+	void *table[] = { config, check, keys, mdoc, help, version, end };
 	static ffld_t daemon;
 	int errors;
 	int rc;
@@ -172,6 +174,8 @@
 		puts("fireflyledged " FFL_VERSION);
 	} else if (keys->count) {
 		ffld_settings_help(stdout);
+	} else if (mdoc->count) {
+		ffld_settings_mdoc(stdout);
 	} else if (errors) {
 		arg_print_errors(stderr, end, "fireflyledged");
 		rc = EXIT_USAGE;
--- a/daemon/reload.c
+++ b/daemon/reload.c
@@ -1,4 +1,3 @@
-#include <inttypes.h>
 #include <string.h>
 
 #include "daemon/daemon.h"
@@ -99,27 +98,3 @@
 {
 	return MIN(s->queue_max, s->threads - s->threads / 8);
 }
-
-void ffld_settings_help(FILE *out)
-{
-	const char *section = "";
-
-	for (uint32_t i = 0; i < ffl_settings_count(); i++) {
-		const ffl_setting_t *s = ffl_settings_at(i);
-
-		if (strcmp(section, s->section) != 0)
-			fprintf(out, "%s[%s]\n", i ? "\n" : "", s->section);
-		section = s->section;
-		fprintf(out, "%-20s %-8s ", s->key,
-			ffl_setting_type_name(s->type));
-		if (s->max)
-			fprintf(out, "%" PRIu32 "..%" PRIu32 "%s", s->min,
-				s->max,
-				s->type == FFL_SET_DURATION ? " ms"
-				: s->type == FFL_SET_SIZE   ? " B"
-							    : "");
-		fprintf(out, "\n    default %s%s; %s\n",
-			s->def ? s->def[0] ? s->def : "none" : "none, required",
-			s->live ? ", live" : "", s->text);
-	}
-}
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -86,9 +86,7 @@
 	ROW("listen", "body", FFL_SET_SIZE, body_bytes, 1024, 1U << 30, "64MB",
 	    true, "largest body of a request"),
 	ROW("listen", "buffer", FFL_SET_SIZE, buffer_bytes, 32768, 1U << 24,
-	    "64KB", false,
-	    "bodies and answers up to this size are held whole, larger ones "
-	    "are passed on as they come"),
+	    "64KB", false, "bodies and answers up to this size are held whole"),
 	ROW("listen", "body_timeout", FFL_SET_DURATION, body_timeout_ms, 100,
 	    600000, "10s", true, "time for the head and the start of a body"),
 	ROW("stop", "delay", FFL_SET_DURATION, stop_delay_ms, 0, 600000, "2s",
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -62,6 +62,7 @@
 ${MEMBERSHIP:-}
 [operators]
 bootstrap_token_hash = $hash
+${EXTRA:-}
 EOF
 	"$DAEMON" --config="$DIR/host$1.ini" \
 		2>>"$DIR/host$1.log" &
--- /dev/null
+++ b/tests/product.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Installation, manual pages, settings and the command line; prints TAP.
+set -u
+BUILD=${BUILD:-build/asan}
+DIR=$(mktemp -d)
+trap 'rm -rf "$DIR"' EXIT
+N=0
+check() {
+	local name=$1 out
+	shift
+	N=$((N + 1))
+	if out=$("$@" 2>&1); then
+		echo "ok $N - $name"
+	else
+		echo "$out" | head -c 2000 | sed 's/^/# /'
+		echo "not ok $N - $name"
+	fi
+}
+exits() { "${@:2}"; [ $? = "$1" ]; }
+root=$DIR/root
+check "make install" make -s install BUILD=build DESTDIR="$root" PREFIX=/opt/ffl
+check "programs run from there" "$root/opt/ffl/sbin/fireflyledged" --version
+check "pkg-config knows the library" bash -c \
+	"[ \"\$(PKG_CONFIG_PATH=$root/opt/ffl/lib/pkgconfig pkg-config --modversion fireflyledge)\" = 0.1.0 ]"
+check "the shared library has a versioned name" bash -c \
+	"readelf -d $root/opt/ffl/lib/libfireflyledge.so | grep -q 'SONAME.*libfireflyledge.so.0\]'"
+check "and exports only ffl_ symbols" bash -c \
+	"nm -D --defined-only $root/opt/ffl/lib/libfireflyledge.so | awk '\$2 != \"A\" {print \$3}' | grep -v '^ffl_' | wc -l | grep -qx 0"
+cat >"$DIR/use.c" <<'END'
+#include <fireflyledge/settings.h>
+int main(void) { return ffl_settings_count() > 20 ? 0 : 1; }
+END
+check "a program links with it by pkg-config" bash -c \
+	"export PKG_CONFIG_PATH=$root/opt/ffl/lib/pkgconfig
+	 gcc $DIR/use.c -o $DIR/use -I$root/opt/ffl/include \
+	 \$(pkg-config --cflags glib-2.0 jansson) -L$root/opt/ffl/lib -lfireflyledge &&
+	 LD_LIBRARY_PATH=$root/opt/ffl/lib $DIR/use"
+# The pages name each other and are not installed yet.
+check "manual pages are clean" bash -c \
+	"! mandoc -T lint man/*.[158] | grep -v 'referenced manual not found: Xr \(ffl\|fireflyledged\)'"
+check "the settings page has what the table has" bash -c \
+	"diff <(cat man/settings.head; $BUILD/fireflyledged --mdoc-settings; cat man/settings.tail) man/fireflyledged.ini.5"
+FFL=$BUILD/ffl
+for c in $("$FFL" --help | awk '/^  [a-z]/ { print $1 }'); do
+	check "$c --help" exits 0 "$FFL" "$c" --help
+done
+check "unknown command" exits 2 "$FFL" nothing
+check "missing argument" exits 2 "$FFL" drain
+check "no server" exits 4 "$FFL" --operators http://127.0.0.1:9 status
+printf '[ffl]\nopertors = x\n' >"$DIR/bad.ini"
+check "unknown key of its own file" exits 3 "$FFL" --config "$DIR/bad.ini" status
+printf '[host]\nname\n[host]\nname = a\nname = b\n[requests]\ntimeout = 3\n' >"$DIR/d.ini"
+check "check-config tells all at once, with file, line and key" bash -c \
+	"$FFL check-config $DIR/d.ini >$DIR/found; [ \$? = 3 ] &&
+	 grep -q 'd.ini:2.*cannot be parsed' $DIR/found && grep -q 'd.ini:3.*section appears twice' $DIR/found &&
+	 grep -q 'd.ini:5.*twice' $DIR/found && grep -q 'd.ini:7.*unit' $DIR/found && grep -q 'required' $DIR/found"
+check "and as JSON" bash -c \
+	"$FFL --json check-config $DIR/d.ini | jq -e 'map(select(.line == 7 and .key == \"timeout\")) | length == 1'"
+echo "1..$N"
