--- a/daemon/core.c
+++ b/daemon/core.c
@@ -62,6 +62,8 @@
 				atomic_fetch_sub(&d->reading, 1);
 			ffl_box_free(box);
 		}
+		/* A caller that reads of a change finds it in force. */
+		ffld_tokens_publish(&d->host.config);
 		ffl_port_dispatch(&port, d, &actions);
 	}
 	ffl_actions_finish(&actions);
