A test whose ports are taken says so

Cause: tests/relay.sh failed 47 of 59 in one run of make check-tests and in none of ten others alone or six at a time; where another cluster holds the ports, its platform answers in place of the test's own. That this was the cause in that run is not proved. Change: scripts/cluster.sh waits for its own platform's word and bails out.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -33,7 +33,11 @@
 		--dc=altiplano-1:altiplano:4:2 --dc=oriente-1:oriente:2:1 \
 		>"$DIR/platform.log" 2>&1 &
 	PIDS="$PIDS $!"
-	wait_for 50 "curl -sf $PLATFORM/v1/state"
+	# Another cluster on these ports would answer in its place.
+	wait_for 50 "grep -q ready $DIR/platform.log" || {
+		echo "Bail out! no platform: $(cat "$DIR/platform.log")"
+		exit 1
+	}
 }
 
 # start_host N: writes the settings of entry host N and starts it.
