--- a/fuzz/wire_fuzz.c
+++ b/fuzz/wire_fuzz.c
@@ -351,7 +351,7 @@
 
 static const char *run(const uint8_t *ops, size_t op_count, GString *trace)
 {
-	source_t src = { ops, op_count };
+	source_t src = { .ops = ops, .left = op_count };
 	const char *fault = NULL;
 	size_t steps = 0;
 
