--- a/fuzz/config_oracle.c
+++ b/fuzz/config_oracle.c
@@ -250,6 +250,14 @@
 		caused = fresh && (s->unreadable >= o->unreadable ||
 				   a->revision < o->unreadable);
 	}
+	for (guint j = 0; a->intent.kind == FFL_INTENT_WITHDRAW && j < at;
+	     j++) {
+		const ffl_audit_t *b = g_ptr_array_index(o->log, j);
+
+		if (b->revision > a->intent.revision &&
+		    ffl_image_same(&a->before, &b->before))
+			o->fault = "a superseded change was withdrawn";
+	}
 	if (!caused)
 		o->fault = "a change that nobody confirmed on this state";
 }
@@ -398,6 +406,18 @@
 	g_hash_table_destroy(map);
 }
 
+bool oracle_read_all(const world_t *w)
+{
+	for (uint32_t i = 0; i < w->host_count; i++) {
+		const ffl_host_t *h = &w->hosts[i].host;
+
+		if (h->logc.next_offset != fake_log_end(&w->log) ||
+		    ffl_host_restoring(h))
+			return false;
+	}
+	return true;
+}
+
 void oracle_end(oracle_t *o, world_t *w)
 {
 	for (uint32_t i = 0; i < w->host_count; i++) {
