--- a/include/fireflyledge/fleet.h
+++ b/include/fireflyledge/fleet.h
@@ -22,7 +22,9 @@
 } ffl_worker_t;
 
 typedef struct {
-	GArray *workers; /**< of ffl_worker_t, by dc, rack, position */
+	GArray *workers;       /**< of ffl_worker_t, by dc, rack, position */
+	uint64_t version;      /**< grows with every change of a worker */
+	uint64_t list_version; /**< grows where workers come, go or move */
 } ffl_fleet_t;
 
 void ffl_fleet_init(ffl_fleet_t *fleet);
@@ -44,6 +46,9 @@
 
 /** Tells whether a worker may be given new work. */
 bool ffl_worker_open(const ffl_worker_t *w);
+/** Tells whether b is the next neighbour of a. */
+bool ffl_workers_near(const ffl_worker_t *a, const ffl_worker_t *b,
+		      ffl_adjacency_t adjacency);
 /** Returns the mask of all slots of a worker. */
 uint64_t ffl_worker_slots(const ffl_worker_t *w);
 
--- a/include/fireflyledge/gang.h
+++ b/include/fireflyledge/gang.h
@@ -6,6 +6,7 @@
 #define FFL_GANG_H
 
 #include "fireflyledge/fleet.h"
+#include "fireflyledge/learn.h"
 #include "fireflyledge/logc.h"
 #include "fireflyledge/member.h"
 #include "fireflyledge/record.h"
@@ -42,6 +43,25 @@
 	ffl_part_state_t state;
 } ffl_part_t;
 
+/** What a queued job waits for, as its last decision found it. */
+typedef enum {
+	FFL_WAIT_NONE,	     /**< no decision yet */
+	FFL_WAIT_QUOTA,	     /**< quota of its customer */
+	FFL_WAIT_BLOCK,	     /**< no free block of its shape */
+	FFL_WAIT_RESERVED,   /**< a block is kept until its last holder ends */
+	FFL_WAIT_BEHIND,     /**< what is free is kept for another job */
+	FFL_WAIT_PREEMPTION, /**< work that yields is being stopped for it */
+	FFL_WAIT_SHAPE,	     /**< the cell has no such shape at present */
+	FFL_WAIT__MAX
+} ffl_wait_kind_t;
+
+typedef struct {
+	ffl_wait_kind_t kind;
+	uint32_t ahead;	    /**< jobs before it in the queue's order */
+	uint64_t job;	    /**< that it waits behind, or 0 */
+	uint64_t expect_ms; /**< expected start, or 0 where unknown */
+} ffl_wait_t;
+
 typedef struct {
 	uint64_t id; /**< offset of the job's record */
 	ffl_job_spec_t spec;
@@ -52,6 +72,11 @@
 	uint64_t progress_ms;
 	ffl_part_t *parts;
 	uint32_t part_count;
+	uint32_t open_index;	/**< place among the open jobs */
+	uint32_t unit;		/**< guaranteed shape it is inside, + 1 */
+	uint64_t customer_hash; /**< of its customer's name */
+	uint64_t mark;		/**< last search that counted it */
+	ffl_wait_t wait;
 	bool cancelled;
 	bool end_sent; /**< its end record is queued */
 	ffl_end_t end;
@@ -70,10 +95,16 @@
 	uint32_t count;
 } ffl_placement_t;
 
+/** Ended jobs kept, for answers about them and against duplicates. */
+#define FFL_JOBS_ENDED_MAX 16384
+
 typedef struct {
 	GHashTable *by_id;   /**< ffl_job_t by id */
 	GHashTable *by_name; /**< ffl_job_t by customer and name */
-	GArray *open;	     /**< of ffl_job_t *, by id: not ended */
+	GArray *open;	     /**< of ffl_job_t *, unordered: not ended */
+	GQueue ended;	     /**< of ffl_job_t *, oldest first */
+	ffl_learn_t learn;   /**< run times seen by this host */
+	uint64_t version;    /**< grows with every folded record of a job */
 	uint64_t next_call;
 	uint32_t lease_ms;
 	uint32_t renew_ms;
@@ -106,8 +137,4 @@
 json_t *ffl_job_to_json(const ffl_job_t *job);
 const char *ffl_job_state_name(uint32_t state);
 
-/** Finds a place in a cell for a job; FFL_NOT_FOUND where there is none. */
-ffl_status_t ffl_place(const ffl_fleet_t *fleet, const char *dc,
-		       const ffl_job_spec_t *spec, ffl_placement_t *place);
-
 #endif
--- /dev/null
+++ b/include/fireflyledge/learn.h
@@ -0,0 +1,58 @@
+/**
+ * @file learn.h
+ * @brief Run times learned for each customer and kind of work.
+ *
+ * Two predictors are kept for each key, both in logarithms: the run time
+ * itself and its ratio to the declared one. The one that has erred less
+ * answers. All arithmetic is in integers, so that hosts agree to the bit.
+ */
+#ifndef FFL_LEARN_H
+#define FFL_LEARN_H
+
+#include <glib.h>
+
+#include "fireflyledge/record.h"
+
+/** Keys kept at most; further ones use what is learned of the customer. */
+#define FFL_LEARN_KEYS_MAX 4096
+
+/** Binary logarithms with 16 fractional bits. */
+typedef struct {
+	int64_t mean;
+	int64_t deviation; /**< mean absolute one */
+} ffl_predictor_t;
+
+/** What is known of one customer and kind. */
+typedef struct {
+	uint64_t key;
+	uint32_t count;
+	ffl_predictor_t time;
+	ffl_predictor_t ratio;
+} ffl_learned_t;
+
+typedef struct {
+	GHashTable *by_key; /**< ffl_learned_t by key */
+} ffl_learn_t;
+
+/** How sure an estimate is to be. */
+typedef enum {
+	FFL_LEARN_MEDIAN,
+	FFL_LEARN_HIGH, /**< about nine runs in ten are shorter */
+	FFL_LEARN__MAX
+} ffl_learn_quantile_t;
+
+void ffl_learn_init(ffl_learn_t *l);
+void ffl_learn_finish(ffl_learn_t *l);
+
+/** Takes the run time of a job that completed. */
+void ffl_learn_observe(ffl_learn_t *l, const ffl_job_spec_t *spec,
+		       uint64_t run_ms);
+
+/** Returns the expected run time of a job, in milliseconds; at least 1. */
+uint64_t ffl_learn_expect(const ffl_learn_t *l, const ffl_job_spec_t *spec,
+			  ffl_learn_quantile_t quantile);
+
+/** Binary logarithm of a positive number with 16 fractional bits. */
+int64_t ffl_log2(uint64_t n);
+
+#endif
--- a/include/fireflyledge/sched.h
+++ b/include/fireflyledge/sched.h
@@ -10,6 +10,8 @@
 
 #include "fireflyledge/fleet.h"
 #include "fireflyledge/gang.h"
+#include "fireflyledge/policy.h"
+#include "fireflyledge/witness.h"
 
 /** Kind of a decision. */
 typedef enum {
@@ -28,14 +30,43 @@
 	const char *why;       /**< in words, for the audit and the log */
 } ffl_decision_t;
 
+/** A block kept for a blocked job until those who hold it end. */
+typedef struct {
+	uint64_t job; /**< 0 where there is none */
+	ffl_region_t at;
+	uint64_t expect_ms;
+} ffl_reservation_t;
+
 /** State of a cell's scheduler. */
 typedef struct ffl_sched {
 	ffl_name_t dc;
-	guint next; /**< index of the next open job of this pass */
+	const ffl_policy_t *policy;
+	ffl_witness_t witness;
+	struct ffl_space *space;
+	GArray *claims;	    /**< slots kept while work in them is stopped */
+	GArray *queue;	    /**< queued jobs of this pass, in order */
+	GHashTable *shares; /**< ffl_share_t by customer's hash */
+	GHashTable *failed; /**< shapes that found no block in this pass */
+	GPtrArray *yields;  /**< kinds of work, the first yields first */
+	ffl_reservation_t reserved;
+	uint64_t order_revision; /**< of yields */
+	uint64_t mean_used_ms;
+	uint64_t mark; /**< number of the last search over victims */
+	uint64_t pass_ms;
+	uint64_t fleet_version;
+	uint64_t gangs_version;
+	uint64_t config_revision;
+	guint next_claim;
+	guint next_job;
+	bool begun;	  /**< a pass is due, nothing is read yet */
+	bool passing;	  /**< the pass has been read in */
+	bool reserve_due; /**< the reservation is decided next */
+	bool ever;	  /**< a pass has taken place */
 } ffl_sched_t;
 
 void ffl_sched_init(ffl_sched_t *s, const char *dc);
 void ffl_sched_finish(ffl_sched_t *s);
+void ffl_sched_use(ffl_sched_t *s, ffl_policy_id_t policy);
 
 /** Starts a pass over the queue. */
 void ffl_sched_begin(ffl_sched_t *s, uint64_t now_ms);
@@ -44,4 +75,12 @@
 		    const ffl_config_t *cfg, uint64_t now_ms,
 		    ffl_decision_t *out);
 
+/** Tells as JSON what a job waits for and what would free it. */
+json_t *ffl_sched_explain(ffl_sched_t *s, ffl_gangs_t *g, ffl_fleet_t *fleet,
+			  const ffl_config_t *cfg, const ffl_job_t *job,
+			  uint64_t now_ms);
+/** Adds to a queued job's JSON what it waits for and its expected start. */
+void ffl_sched_expect(const ffl_job_t *job, uint64_t now_ms, json_t *json);
+const char *ffl_wait_name(uint32_t kind);
+
 #endif
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -7,6 +7,8 @@
 
 void ffl_fleet_init(ffl_fleet_t *fleet)
 {
+	fleet->version = 0;
+	fleet->list_version = 0;
 	fleet->workers = g_array_new(FALSE, TRUE, sizeof(ffl_worker_t));
 }
 
@@ -82,6 +84,8 @@
 		w->listed = true;
 	}
 	drop_unlisted(fleet);
+	fleet->version++;
+	fleet->list_version++;
 	g_array_sort(fleet->workers, compare_workers);
 }
 
@@ -92,16 +96,19 @@
 
 		w->drained = ffl_config_drained(cfg, w->info.name);
 	}
+	fleet->version++;
 }
 
 void ffl_fleet_take(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
 {
 	w->used |= slots;
+	fleet->version++;
 }
 
 void ffl_fleet_release(ffl_fleet_t *fleet, ffl_worker_t *w, uint64_t slots)
 {
 	w->used &= ~slots;
+	fleet->version++;
 }
 
 bool ffl_worker_open(const ffl_worker_t *w)
--- a/lib/gang/job.c
+++ b/lib/gang/job.c
@@ -16,7 +16,9 @@
 static gboolean name_equal(gconstpointer a, gconstpointer b);
 static void fold_submit(ffl_gangs_t *g, uint64_t offset,
 			const ffl_job_spec_t *spec, uint64_t now_ms);
-static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end);
+static void leave_open(ffl_gangs_t *g, ffl_job_t *job);
+static void keep_ended(ffl_gangs_t *g, ffl_job_t *job);
+static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end, uint64_t now_ms);
 
 const char *ffl_job_state_name(uint32_t state)
 {
@@ -65,6 +67,8 @@
 	g->by_id = g_hash_table_new_full(job_hash, job_equal, job_free, NULL);
 	g->by_name = g_hash_table_new(name_hash, name_equal);
 	g->open = g_array_new(FALSE, TRUE, sizeof(ffl_job_t *));
+	g_queue_init(&g->ended);
+	ffl_learn_init(&g->learn);
 	g->next_call = 1;
 	g->lease_ms = lease_ms;
 	g->renew_ms = lease_ms / 3;
@@ -72,6 +76,8 @@
 
 void ffl_gangs_finish(ffl_gangs_t *g)
 {
+	ffl_learn_finish(&g->learn);
+	g_queue_clear(&g->ended);
 	g_hash_table_destroy(g->by_name);
 	g_hash_table_destroy(g->by_id);
 	g_array_free(g->open, TRUE);
@@ -111,26 +117,49 @@
 	job->spec = *spec;
 	job->queued_ms = now_ms;
 	job->since_ms = now_ms;
+	job->customer_hash =
+		ffl_hash(spec->customer, strlen(spec->customer), 0);
+	job->open_index = g->open->len;
 	g_hash_table_add(g->by_id, job);
 	g_hash_table_add(g->by_name, job);
 	g_array_append_val(g->open, job);
 }
 
-static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end)
+/* The last open job takes the place of the one that leaves. */
+static void leave_open(ffl_gangs_t *g, ffl_job_t *job)
+{
+	ffl_job_t *last = g_array_index(g->open, ffl_job_t *, g->open->len - 1);
+
+	g_array_index(g->open, ffl_job_t *, job->open_index) = last;
+	last->open_index = job->open_index;
+	g_array_set_size(g->open, g->open->len - 1);
+}
+
+static void keep_ended(ffl_gangs_t *g, ffl_job_t *job)
+{
+	g_queue_push_tail(&g->ended, job);
+	if (g->ended.length <= FFL_JOBS_ENDED_MAX)
+		return;
+	job = g_queue_pop_head(&g->ended);
+	g_hash_table_remove(g->by_name, job);
+	g_hash_table_remove(g->by_id, job);
+}
+
+static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end, uint64_t now_ms)
 {
 	ffl_job_t *job = ffl_job_find(g, end->job);
 
 	if (!job || job->state == FFL_JOB_ENDED)
 		return;
+	if (end->end == FFL_END_DONE && job->state == FFL_JOB_RUNNING)
+		ffl_learn_observe(&g->learn, &job->spec,
+				  job->progress_ms + now_ms - job->since_ms);
 	job->state = FFL_JOB_ENDED;
 	job->end = end->end;
+	job->unit = 0;
 	ffl_copy(job->result, sizeof(job->result), end->result);
-	for (guint i = 0; i < g->open->len; i++) {
-		if (g_array_index(g->open, ffl_job_t *, i) != job)
-			continue;
-		g_array_remove_index(g->open, i);
-		return;
-	}
+	leave_open(g, job);
+	keep_ended(g, job);
 }
 
 void ffl_gangs_fold(ffl_gangs_t *g, uint64_t offset, const ffl_record_t *rec,
@@ -138,6 +167,7 @@
 {
 	ffl_job_t *job;
 
+	g->version++;
 	switch (rec->kind) {
 	case FFL_REC_JOB:
 		fold_submit(g, offset, &rec->job, now_ms);
@@ -148,49 +178,13 @@
 			job->cancelled = true;
 		break;
 	case FFL_REC_JOB_END:
-		fold_end(g, &rec->job_end);
+		fold_end(g, &rec->job_end, now_ms);
 		break;
 	default:
 		break;
 	}
 }
 
-ffl_status_t ffl_job_check(const ffl_job_spec_t *spec, const ffl_config_t *cfg,
-			   const ffl_fleet_t *fleet, ffl_findings_t *fs)
-{
-	uint32_t before = fs->errors;
-	uint32_t largest = 0;
-	uint32_t total = 0;
-
-	if (!spec->name[0])
-		ffl_findings_add(fs, FFL_MSG_MISSING, "name", 0, 0,
-				 "a job has an id of its caller's");
-	if (!ffl_config_customer(cfg, spec->customer))
-		ffl_findings_add(fs, FFL_MSG_UNKNOWN_CUSTOMER, "customer", 0, 0,
-				 "\"%s\"", spec->customer);
-	if (!spec->accelerators)
-		ffl_findings_add(fs, FFL_MSG_OUT_OF_RANGE, "accelerators", 0, 0,
-				 "a job needs at least one accelerator");
-	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
-		const ffl_worker_t *w = ffl_fleet_at(fleet, i);
-
-		if (spec->dc[0] && strcmp(spec->dc, w->info.dc) != 0)
-			continue;
-		if (w->info.accelerators > largest)
-			largest = w->info.accelerators;
-		total += w->info.accelerators;
-	}
-	if (spec->adjacency == FFL_ADJ_WORKER && spec->accelerators > largest)
-		ffl_findings_add(fs, FFL_MSG_IMPOSSIBLE_JOB, "accelerators", 0,
-				 0, "%u in one worker; the largest has %u",
-				 spec->accelerators, largest);
-	else if (spec->accelerators > total)
-		ffl_findings_add(fs, FFL_MSG_IMPOSSIBLE_JOB, "accelerators", 0,
-				 0, "%u; the fleet has %u", spec->accelerators,
-				 total);
-	return fs->errors > before ? FFL_INVALID : FFL_OK;
-}
-
 json_t *ffl_job_to_json(const ffl_job_t *job)
 {
 	json_t *parts = json_array();
--- a/lib/gang/place.c
+++ b/lib/gang/place.c
@@ -1,109 +1,144 @@
 #include <string.h>
 
-#include "fireflyledge/gang.h"
-
-static uint64_t block_mask(uint32_t first, uint32_t size);
-static bool find_block(const ffl_worker_t *w, uint32_t size, uint64_t *mask);
-static bool place_in_worker(const ffl_fleet_t *fleet, const char *dc,
-			    uint32_t size, ffl_placement_t *place);
-static bool neighbours(const ffl_worker_t *a, const ffl_worker_t *b,
-		       ffl_adjacency_t adjacency);
-static bool place_across(const ffl_fleet_t *fleet, const char *dc,
-			 const ffl_job_spec_t *spec, ffl_placement_t *place);
-
-static uint64_t block_mask(uint32_t first, uint32_t size)
+#include "lib/gang/space.h"
+
+/** Best region so far of a search. */
+typedef struct {
+	const ffl_space_t *sp;
+	const ffl_shape_t *shape;
+	ffl_cost_fn_t cost;
+	void *arg;
+	ffl_region_t *best;
+	uint64_t best_cost;
+} search_t;
+
+static bool worker_suits(const ffl_worker_t *w, const ffl_shape_t *shape);
+static bool try_region(search_t *s, const ffl_region_t *r);
+static bool search_in_workers(search_t *s);
+static bool window_at(const search_t *s, uint32_t first, ffl_region_t *r);
+static void search_windows(search_t *s);
+
+ffl_shape_t ffl_job_shape(const ffl_job_spec_t *spec)
 {
-	uint64_t ones =
-		size >= FFL_WORKER_SLOTS_MAX ? UINT64_MAX : (1ULL << size) - 1;
+	ffl_shape_t shape = { .accelerators = spec->accelerators,
+			      .adjacency = spec->adjacency,
+			      .cores = spec->cores,
+			      .memory_mb = spec->memory_mb };
+
+	return shape;
+}
+
+bool ffl_workers_near(const ffl_worker_t *a, const ffl_worker_t *b,
+		      ffl_adjacency_t adjacency)
+{
+	if (a->info.rack == b->info.rack)
+		return a->info.position + 1 == b->info.position;
+	return adjacency == FFL_ADJ_DC && a->info.rack + 1 == b->info.rack;
+}
+
+/* An accelerator brings its share of the worker's cores and memory. */
+static bool worker_suits(const ffl_worker_t *w, const ffl_shape_t *shape)
+{
+	uint64_t n = w->info.accelerators;
+
+	return n && shape->cores * n <= w->info.cores &&
+	       shape->memory_mb * n <= w->info.memory_mb;
+}
+
+/* Returns true where the search may end. */
+static bool try_region(search_t *s, const ffl_region_t *r)
+{
+	uint64_t cost = s->cost(s->sp, r, s->arg);
 
-	return ones << first;
+	if (cost >= s->best_cost)
+		return false;
+	s->best_cost = cost;
+	*s->best = *r;
+	ffl_copy(s->best->worker, sizeof(s->best->worker),
+		 ffl_node(s->sp, r->first)->w->info.name);
+	return cost == 0;
 }
 
-/* Finds an aligned block: its start is a multiple of the next power of two. */
-static bool find_block(const ffl_worker_t *w, uint32_t size, uint64_t *mask)
+/* Tries aligned blocks: each begins at a multiple of the next power of two. */
+static bool search_in_workers(search_t *s)
 {
+	uint32_t size = s->shape->accelerators;
+	uint64_t ones =
+		size >= FFL_WORKER_SLOTS_MAX ? UINT64_MAX : (1ULL << size) - 1;
 	uint32_t step = 1;
+	ffl_region_t r = { .count = 1 };
 
 	while (step < size)
 		step <<= 1;
-	for (uint32_t i = 0; i + size <= w->info.accelerators; i += step) {
-		*mask = block_mask(i, size);
-		if (!(*mask & w->used))
-			return true;
+	for (uint32_t i = 0; i < s->sp->nodes->len; i++) {
+		const ffl_node_t *n = ffl_node(s->sp, i);
+
+		if (!worker_suits(n->w, s->shape))
+			continue;
+		r.first = i;
+		for (uint32_t at = 0; at + size <= n->w->info.accelerators;
+		     at += step) {
+			r.last = ones << at;
+			if (try_region(s, &r))
+				return true;
+		}
 	}
 	return false;
 }
 
-/* Best fit: the worker with the fewest free slots that still has a block. */
-static bool place_in_worker(const ffl_fleet_t *fleet, const char *dc,
-			    uint32_t size, ffl_placement_t *place)
+/* Collects neighbours until they have enough accelerators. */
+static bool window_at(const search_t *s, uint32_t first, ffl_region_t *r)
 {
-	int best_free = FFL_WORKER_SLOTS_MAX + 1;
-	uint64_t mask;
+	uint32_t need = s->shape->accelerators;
 
-	place->count = 0;
-	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
-		ffl_worker_t *w = ffl_fleet_at(fleet, i);
-		int n = __builtin_popcountll(ffl_worker_slots(w) & ~w->used);
+	r->first = first;
+	r->count = 0;
+	for (uint32_t i = first; i < s->sp->nodes->len; i++) {
+		const ffl_worker_t *w = ffl_node(s->sp, i)->w;
 
-		if (strcmp(w->info.dc, dc) != 0 || !ffl_worker_open(w) ||
-		    n >= best_free || !find_block(w, size, &mask))
-			continue;
-		best_free = n;
-		place->blocks[0].worker = w;
-		place->blocks[0].slots = mask;
-		place->count = 1;
+		if (r->count == FFL_GANG_MAX || !worker_suits(w, s->shape))
+			return false;
+		if (r->count && !ffl_workers_near(ffl_node(s->sp, i - 1)->w, w,
+						  s->shape->adjacency))
+			return false;
+		r->count++;
+		if (w->info.accelerators >= need) {
+			r->last = need >= FFL_WORKER_SLOTS_MAX
+					  ? UINT64_MAX
+					  : (1ULL << need) - 1;
+			return r->count > 1;
+		}
+		need -= w->info.accelerators;
 	}
-	return place->count == 1;
+	return false;
 }
 
-static bool neighbours(const ffl_worker_t *a, const ffl_worker_t *b,
-		       ffl_adjacency_t adjacency)
+static void search_windows(search_t *s)
 {
-	if (a->info.rack == b->info.rack)
-		return a->info.position + 1 == b->info.position;
-	return adjacency == FFL_ADJ_DC && a->info.rack + 1 == b->info.rack;
-}
+	ffl_region_t r = { .count = 0 };
 
-/* Takes the first run of whole free neighbouring workers. */
-static bool place_across(const ffl_fleet_t *fleet, const char *dc,
-			 const ffl_job_spec_t *spec, ffl_placement_t *place)
-{
-	uint32_t have = 0;
-
-	place->count = 0;
-	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
-		ffl_worker_t *w = ffl_fleet_at(fleet, i);
-		ffl_block_t *last =
-			place->count ? &place->blocks[place->count - 1] : NULL;
-
-		if (strcmp(w->info.dc, dc) != 0 || !ffl_worker_open(w) ||
-		    w->used || place->count == FFL_GANG_MAX) {
-			place->count = 0;
-			have = 0;
-			continue;
-		}
-		if (last && !neighbours(last->worker, w, spec->adjacency)) {
-			place->count = 0;
-			have = 0;
-		}
-		place->blocks[place->count].worker = w;
-		place->blocks[place->count].slots = ffl_worker_slots(w);
-		place->count++;
-		have += w->info.accelerators;
-		if (have >= spec->accelerators)
-			return true;
+	for (uint32_t i = 0; i < s->sp->nodes->len; i++) {
+		if (window_at(s, i, &r) && try_region(s, &r))
+			return;
 	}
-	return false;
 }
 
-ffl_status_t ffl_place(const ffl_fleet_t *fleet, const char *dc,
-		       const ffl_job_spec_t *spec, ffl_placement_t *place)
+uint64_t ffl_region_search(const ffl_space_t *sp, const ffl_shape_t *shape,
+			   ffl_cost_fn_t cost, void *arg, ffl_region_t *best)
 {
-	bool found = spec->accelerators <= FFL_WORKER_SLOTS_MAX &&
-		     place_in_worker(fleet, dc, spec->accelerators, place);
+	search_t s = { .sp = sp,
+		       .shape = shape,
+		       .cost = cost,
+		       .arg = arg,
+		       .best = best,
+		       .best_cost = FFL_COST_NONE };
 
-	if (!found && spec->adjacency != FFL_ADJ_WORKER)
-		found = place_across(fleet, dc, spec, place);
-	return found ? FFL_OK : FFL_NOT_FOUND;
+	if (!shape->accelerators)
+		return FFL_COST_NONE;
+	if (shape->accelerators <= FFL_WORKER_SLOTS_MAX &&
+	    search_in_workers(&s))
+		return s.best_cost;
+	if (s.best_cost == FFL_COST_NONE && shape->adjacency != FFL_ADJ_WORKER)
+		search_windows(&s);
+	return s.best_cost;
 }
--- /dev/null
+++ b/lib/gang/reserve.c
@@ -0,0 +1,187 @@
+#include <string.h>
+
+#include "lib/gang/sched_int.h"
+
+/** A job that runs longer than expected goes on for part of its time. */
+#define OVERRUN_PART 4
+
+/** A search for free regions, or for the one that is free first. */
+typedef struct {
+	ffl_pass_t *p;
+	const ffl_job_t *job;
+	bool short_enough; /**< ends before the reservation begins */
+} find_t;
+
+static uint64_t cost_free(const ffl_space_t *sp, const ffl_region_t *r,
+			  void *arg);
+static uint64_t cost_earliest(const ffl_space_t *sp, const ffl_region_t *r,
+			      void *arg);
+static uint64_t failed_key(const find_t *f);
+static uint64_t slots_end(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots);
+
+static uint64_t cost_free(const ffl_space_t *sp, const ffl_region_t *r,
+			  void *arg)
+{
+	const find_t *f = arg;
+	const ffl_sched_t *s = f->p->s;
+	bool owner = s->reserved.job == f->job->id;
+
+	for (uint32_t i = 0; i < r->count; i++) {
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
+		uint64_t slots = ffl_region_slots(sp, r, i);
+
+		if (!n->open || ((n->w->used | n->claimed) & slots))
+			return FFL_COST_NONE;
+		if ((n->reserved & slots) && !owner && !f->short_enough)
+			return FFL_COST_NONE;
+	}
+	return s->policy->fit(sp, r);
+}
+
+/* Shapes that found no block find none later in the same pass. */
+static uint64_t failed_key(const find_t *f)
+{
+	const ffl_job_spec_t *spec = &f->job->spec;
+	uint64_t h = ((uint64_t)spec->accelerators << 8) | spec->adjacency;
+
+	h = ffl_mix(h, ((uint64_t)spec->cores << 32) | spec->memory_mb);
+	return ffl_mix(h, f->short_enough);
+}
+
+bool ffl_free_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at)
+{
+	find_t f = { .p = p, .job = job };
+	ffl_shape_t shape = ffl_job_shape(&job->spec);
+	const ffl_reservation_t *res = &p->s->reserved;
+	bool owner = res->job == job->id;
+	uint64_t key;
+	uint64_t run_ms;
+
+	if (res->job && !owner) {
+		run_ms = p->s->policy->expect_ms(&p->g->learn, &job->spec,
+						 FFL_LEARN_HIGH);
+		f.short_enough = p->now_ms + run_ms <= res->expect_ms ||
+				 (p->s->policy->preempts &&
+				  job->spec.urgency == FFL_URGENT);
+	}
+	key = failed_key(&f);
+	if (!owner && g_hash_table_contains(p->s->failed, &key))
+		return false;
+	if (ffl_region_search(p->s->space, &shape, cost_free, &f, at) !=
+	    FFL_COST_NONE)
+		return true;
+	if (!owner)
+		g_hash_table_add(p->s->failed, g_memdup2(&key, sizeof(key)));
+	return false;
+}
+
+uint64_t ffl_expected_end(ffl_pass_t *p, const ffl_job_t *job)
+{
+	uint64_t run_ms = p->s->policy->expect_ms(&p->g->learn, &job->spec,
+						  FFL_LEARN_HIGH);
+	uint64_t spent_ms = p->now_ms - job->since_ms + job->progress_ms;
+	uint64_t rest_ms = spent_ms / OVERRUN_PART;
+
+	if (run_ms > spent_ms + rest_ms)
+		rest_ms = run_ms - spent_ms;
+	return p->now_ms + rest_ms + 1;
+}
+
+/* Returns when the last holder of slots is expected to end. */
+static uint64_t slots_end(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots)
+{
+	uint64_t end_ms = p->now_ms;
+
+	for (uint32_t link = n->owner; link;) {
+		ffl_owner_t *o = ffl_owner(p->s->space, link);
+
+		link = o->next;
+		if (!(o->slots & slots))
+			continue;
+		if (!o->end_ms)
+			o->end_ms = ffl_expected_end(p, o->job);
+		end_ms = MAX(end_ms, o->end_ms);
+	}
+	return end_ms;
+}
+
+static uint64_t cost_earliest(const ffl_space_t *sp, const ffl_region_t *r,
+			      void *arg)
+{
+	const find_t *f = arg;
+	uint64_t end_ms = f->p->now_ms;
+
+	for (uint32_t i = 0; i < r->count; i++) {
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
+		uint64_t slots = ffl_region_slots(sp, r, i);
+		uint64_t at_ms;
+
+		if (!n->open || (n->claimed & slots) ||
+		    (n->w->used & slots & ~n->owned))
+			return FFL_COST_NONE;
+		at_ms = slots_end(f->p, n, n->w->used & slots);
+		end_ms = MAX(end_ms, at_ms);
+	}
+	return end_ms;
+}
+
+bool ffl_earliest_search(ffl_pass_t *p, const ffl_job_t *job, ffl_region_t *at,
+			 uint64_t *at_ms)
+{
+	find_t f = { .p = p, .job = job };
+	ffl_shape_t shape = ffl_job_shape(&job->spec);
+
+	*at_ms = ffl_region_search(p->s->space, &shape, cost_earliest, &f, at);
+	return *at_ms != FFL_COST_NONE;
+}
+
+void ffl_reserve_clear(ffl_pass_t *p)
+{
+	for (guint i = 0; i < p->s->space->nodes->len; i++)
+		ffl_node(p->s->space, i)->reserved = 0;
+	memset(&p->s->reserved, 0, sizeof(p->s->reserved));
+}
+
+void ffl_reserve(ffl_pass_t *p, ffl_job_t *job)
+{
+	ffl_reservation_t *res = &p->s->reserved;
+
+	res->job = 0;
+	if (!ffl_earliest_search(p, job, &res->at, &res->expect_ms)) {
+		job->wait.kind = FFL_WAIT_SHAPE;
+		return;
+	}
+	res->job = job->id;
+	for (uint32_t i = 0; i < res->at.count; i++)
+		ffl_node(p->s->space, res->at.first + i)->reserved |=
+			ffl_region_slots(p->s->space, &res->at, i);
+	job->wait.kind = FFL_WAIT_RESERVED;
+	job->wait.expect_ms = res->expect_ms;
+}
+
+ffl_job_t *ffl_reserve_choose(ffl_pass_t *p)
+{
+	ffl_job_t *held = ffl_job_find(p->g, p->s->reserved.job);
+	ffl_job_t *best = NULL;
+	uint64_t most = 0;
+
+	if (p->s->policy->in_order)
+		return NULL;
+	if (held && ffl_sched_waiting(p->s, held) &&
+	    held->wait.kind != FFL_WAIT_PREEMPTION)
+		return held;
+	for (guint i = 0; i < p->s->queue->len; i++) {
+		ffl_job_t *job =
+			g_array_index(p->s->queue, ffl_candidate_t, i).job;
+		ffl_rank_t r = ffl_queue_rank(p, job);
+		uint64_t worth = p->s->policy->reserve(&r, job);
+
+		if (worth <= most || !ffl_sched_waiting(p->s, job) ||
+		    job->wait.kind == FFL_WAIT_PREEMPTION ||
+		    ffl_queue_over_quota(p, job))
+			continue;
+		most = worth;
+		best = job;
+	}
+	return best;
+}
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -1,47 +1,232 @@
 #include <string.h>
 
-#include "fireflyledge/sched.h"
+#include "lib/gang/gang_int.h"
+#include "lib/gang/sched_int.h"
 
-static bool ours(const ffl_sched_t *s, const ffl_job_t *job);
+/** Time after which a pass is made even if nothing changed, in ms. */
+#define PASS_MS 1000
+
+static bool due(const ffl_sched_t *s, const ffl_gangs_t *g,
+		const ffl_fleet_t *fleet, const ffl_config_t *cfg,
+		uint64_t now_ms);
+static void read_in(ffl_pass_t *p, ffl_fleet_t *fleet);
+static bool start(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at,
+		  const char *why, ffl_decision_t *out);
+static bool decide(ffl_pass_t *p, ffl_job_t *job, ffl_decision_t *out);
+static void explain_blocked(ffl_pass_t *p, ffl_job_t *job);
+static bool decide_reserved(ffl_pass_t *p, ffl_decision_t *out);
+static bool decide_queue(ffl_pass_t *p, ffl_decision_t *out);
 
 void ffl_sched_init(ffl_sched_t *s, const char *dc)
 {
 	memset(s, 0, sizeof(*s));
 	ffl_copy(s->dc, sizeof(s->dc), dc);
+	s->policy = ffl_policy(FFL_POLICY_FAIR);
+	ffl_witness_init(&s->witness);
+	s->space = g_new0(ffl_space_t, 1);
+	ffl_space_init(s->space);
+	s->claims = g_array_new(FALSE, TRUE, sizeof(ffl_claim_t));
+	s->queue = g_array_new(FALSE, TRUE, sizeof(ffl_candidate_t));
+	s->shares = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					  g_free);
+	s->failed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  NULL);
+	s->yields = g_ptr_array_new_with_free_func(g_free);
 }
 
 void ffl_sched_finish(ffl_sched_t *s)
 {
-	s->next = 0;
+	g_ptr_array_free(s->yields, TRUE);
+	g_hash_table_destroy(s->failed);
+	g_hash_table_destroy(s->shares);
+	g_array_free(s->queue, TRUE);
+	g_array_free(s->claims, TRUE);
+	ffl_space_finish(s->space);
+	g_free(s->space);
+	ffl_witness_finish(&s->witness);
 }
 
-static bool ours(const ffl_sched_t *s, const ffl_job_t *job)
+void ffl_sched_use(ffl_sched_t *s, ffl_policy_id_t policy)
 {
-	return !job->spec.dc[0] || strcmp(job->spec.dc, s->dc) == 0;
+	s->policy = ffl_policy(policy);
 }
 
 void ffl_sched_begin(ffl_sched_t *s, uint64_t now_ms)
 {
-	s->next = 0;
+	s->begun = true;
+	s->passing = false;
+}
+
+/* A pass without any change since the last would decide the same. */
+static bool due(const ffl_sched_t *s, const ffl_gangs_t *g,
+		const ffl_fleet_t *fleet, const ffl_config_t *cfg,
+		uint64_t now_ms)
+{
+	return !s->ever || s->fleet_version != fleet->version ||
+	       s->gangs_version != g->version ||
+	       s->config_revision != cfg->revision ||
+	       now_ms - s->pass_ms >= PASS_MS;
+}
+
+static void read_in(ffl_pass_t *p, ffl_fleet_t *fleet)
+{
+	ffl_sched_t *s = p->s;
+
+	ffl_space_build(s->space, fleet, s->dc, p->g);
+	ffl_yield_load(p);
+	ffl_claim_check(p);
+	ffl_witness_update(&s->witness, s->space, p->g, p->cfg, s->dc,
+			   s->claims);
+	ffl_queue_build(p);
+	g_hash_table_remove_all(s->failed);
+	s->next_claim = 0;
+	s->next_job = 0;
+	s->pass_ms = p->now_ms;
+	s->ever = true;
+	s->config_revision = p->cfg->revision;
+	s->passing = true;
+	s->reserve_due = true;
+}
+
+static bool start(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at,
+		  const char *why, ffl_decision_t *out)
+{
+	ffl_share_t *share = ffl_queue_share(p, job);
+
+	out->kind = FFL_DECIDE_START;
+	out->job = job;
+	out->for_job = 0;
+	out->why = why;
+	ffl_region_place(p->s->space, at, &out->place);
+	for (uint32_t i = 0; i < at->count; i++) {
+		ffl_node_t *n = ffl_node(p->s->space, at->first + i);
+
+		if (!n->w->used && ffl_node(p->s->space, n->rack)->fresh)
+			ffl_node(p->s->space, n->rack)->fresh--;
+		ffl_space_own(p->s->space, at->first + i, job,
+			      ffl_region_slots(p->s->space, at, i));
+	}
+	share->running += job->spec.accelerators;
+	if (!job->unit)
+		share->above += job->spec.accelerators;
+	job->wait.kind = FFL_WAIT_NONE;
+	return true;
+}
+
+/* Notes why a job cannot start, for those who ask. */
+static void explain_blocked(ffl_pass_t *p, ffl_job_t *job)
+{
+	const ffl_reservation_t *res = &p->s->reserved;
+
+	job->wait.kind = FFL_WAIT_BLOCK;
+	job->wait.job = 0;
+	job->wait.expect_ms = 0;
+	if (!res->job || res->job == job->id)
+		return;
+	job->wait.kind = FFL_WAIT_BEHIND;
+	job->wait.job = res->job;
+	job->wait.expect_ms = res->expect_ms;
+}
+
+/* Tries a job: inside its guarantee, on free slots, by stopping others. */
+static bool decide(ffl_pass_t *p, ffl_job_t *job, ffl_decision_t *out)
+{
+	ffl_share_t *share = ffl_queue_share(p, job);
+	ffl_region_t at = { .count = 0 };
+	bool inside;
+
+	if (ffl_queue_over_quota(p, job)) {
+		job->wait.kind = FFL_WAIT_QUOTA;
+		return false;
+	}
+	inside = ffl_reclaim_search(p, job, &at);
+	if (inside && ffl_region_free(p->s->space, &at))
+		return start(p, job, &at, "inside its guarantee", out);
+	if (!inside && ffl_free_search(p, job, &at))
+		return start(p, job, &at, "next in the queue that fits", out);
+	if (!inside && !ffl_urgent_search(p, job, &at)) {
+		explain_blocked(p, job);
+		return false;
+	}
+	ffl_claim_add(p, job, &at);
+	share->running += job->spec.accelerators;
+	if (!job->unit)
+		share->above += job->spec.accelerators;
+	return ffl_claim_next(p, out);
+}
+
+/* The job with the reservation goes before all that is not urgent. */
+static bool decide_reserved(ffl_pass_t *p, ffl_decision_t *out)
+{
+	ffl_job_t *job = ffl_reserve_choose(p);
+
+	ffl_reserve_clear(p);
+	if (!job)
+		return false;
+	p->s->reserved.job = job->id;
+	if (decide(p, job, out)) {
+		ffl_reserve_clear(p);
+		return true;
+	}
+	ffl_reserve_clear(p);
+	if (job->wait.kind != FFL_WAIT_QUOTA &&
+	    job->wait.kind != FFL_WAIT_PREEMPTION)
+		ffl_reserve(p, job);
+	return false;
+}
+
+static bool decide_queue(ffl_pass_t *p, ffl_decision_t *out)
+{
+	ffl_sched_t *s = p->s;
+
+	while (s->next_job < s->queue->len) {
+		ffl_candidate_t *c = &g_array_index(s->queue, ffl_candidate_t,
+						    s->next_job++);
+		ffl_job_t *job = c->job;
+		ffl_rank_t r;
+
+		if (!ffl_sched_waiting(s, job) || s->reserved.job == job->id ||
+		    job->wait.kind == FFL_WAIT_PREEMPTION)
+			continue;
+		job->wait.ahead = s->next_job - 1;
+		if (decide(p, job, out))
+			return true;
+		r = ffl_queue_rank(p, job);
+		if (s->policy->in_order && !s->reserved.job &&
+		    job->wait.kind == FFL_WAIT_BLOCK &&
+		    s->policy->reserve(&r, job))
+			ffl_reserve(p, job);
+	}
+	return false;
 }
 
 bool ffl_sched_next(ffl_sched_t *s, ffl_gangs_t *g, ffl_fleet_t *fleet,
 		    const ffl_config_t *cfg, uint64_t now_ms,
 		    ffl_decision_t *out)
 {
-	while (s->next < g->open->len) {
-		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, s->next++);
+	ffl_pass_t p = { .s = s, .g = g, .cfg = cfg, .now_ms = now_ms };
 
-		if (job->state != FFL_JOB_QUEUED || job->cancelled ||
-		    !ours(s, job))
-			continue;
-		if (ffl_place(fleet, s->dc, &job->spec, &out->place) != FFL_OK)
-			continue;
-		out->kind = FFL_DECIDE_START;
-		out->job = job;
-		out->for_job = 0;
-		out->why = "first in the queue that fits";
+	if (!s->begun)
+		return false;
+	if (!s->passing) {
+		s->begun = due(s, g, fleet, cfg, now_ms);
+		if (!s->begun)
+			return false;
+		read_in(&p, fleet);
+	}
+	if (ffl_claim_next(&p, out))
 		return true;
+	if (s->reserve_due) {
+		s->reserve_due = false;
+		if (decide_reserved(&p, out)) {
+			s->reserve_due = true;
+			return true;
+		}
 	}
+	if (decide_queue(&p, out))
+		return true;
+	s->begun = false;
+	s->fleet_version = fleet->version;
+	s->gangs_version = g->version;
 	return false;
 }
--- /dev/null
+++ b/lib/gang/solve.c
@@ -0,0 +1,236 @@
+#include <string.h>
+
+#include "lib/gang/witness_int.h"
+
+/** Regions tried at most before a solution is given up. */
+#define TRIES_MAX 2000
+/** Weight of a slot that work would have to leave. */
+#define USED_COST 16
+
+/** A search for regions of all units at once. */
+typedef struct {
+	ffl_witness_t *w;
+	ffl_space_t *sp;
+	uint32_t *order; /**< units without jobs, the largest first */
+	uint32_t count;
+	uint32_t tries;
+} solve_t;
+
+static uint64_t cost_region(const ffl_space_t *sp, const ffl_region_t *r,
+			    void *arg);
+static uint64_t collect_region(const ffl_space_t *sp, const ffl_region_t *r,
+			       void *arg);
+static bool place_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_unit_t *u);
+static gint compare_units(gconstpointer a, gconstpointer b, gpointer data);
+static bool place_rest(solve_t *s, uint32_t at);
+static bool solve_again(ffl_witness_t *w, ffl_space_t *sp);
+static uint32_t count_unmet(const ffl_witness_t *w);
+static uint64_t signature(const ffl_witness_t *w, const ffl_space_t *sp);
+static bool known_hopeless(const ffl_witness_t *w, const ffl_space_t *sp);
+
+/* Prefers free slots on workers that are in use already. */
+static uint64_t cost_region(const ffl_space_t *sp, const ffl_region_t *r,
+			    void *arg)
+{
+	uint64_t cost = 1;
+
+	for (uint32_t i = 0; i < r->count; i++) {
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
+		uint64_t slots = ffl_region_slots(sp, r, i);
+
+		if (!n->open || (n->promised & slots))
+			return FFL_COST_NONE;
+		cost += USED_COST *
+			(uint64_t)__builtin_popcountll(n->w->used & slots);
+		cost += !n->w->used;
+	}
+	return cost;
+}
+
+static uint64_t collect_region(const ffl_space_t *sp, const ffl_region_t *r,
+			       void *arg)
+{
+	ffl_region_t copy = *r;
+
+	if (cost_region(sp, r, NULL) == FFL_COST_NONE)
+		return FFL_COST_NONE;
+	ffl_copy(copy.worker, sizeof(copy.worker),
+		 ffl_node(sp, r->first)->w->info.name);
+	g_array_append_val((GArray *)arg, copy);
+	return 1;
+}
+
+static bool place_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_unit_t *u)
+{
+	ffl_shape_t shape = { .accelerators = u->accelerators,
+			      .adjacency = u->adjacency };
+
+	if (ffl_region_search(sp, &shape, cost_region, NULL, &u->at) ==
+	    FFL_COST_NONE) {
+		u->at.count = 0;
+		return false;
+	}
+	ffl_space_promise(sp, &u->at, true);
+	return true;
+}
+
+/* Larger shapes first, then the order of the configuration. */
+static gint compare_units(gconstpointer pa, gconstpointer pb, gpointer data)
+{
+	uint32_t a = *(const uint32_t *)pa;
+	uint32_t b = *(const uint32_t *)pb;
+	const ffl_unit_t *ua = ffl_unit(data, a);
+	const ffl_unit_t *ub = ffl_unit(data, b);
+
+	if (ua->accelerators != ub->accelerators)
+		return ua->accelerators < ub->accelerators ? 1 : -1;
+	if (ua->adjacency != ub->adjacency)
+		return ua->adjacency > ub->adjacency ? 1 : -1;
+	return (a > b) - (a < b);
+}
+
+static bool place_rest(solve_t *s, uint32_t at)
+{
+	GArray *regions;
+	ffl_shape_t shape;
+	ffl_region_t best;
+	ffl_unit_t *u;
+	bool done = false;
+
+	if (at == s->count)
+		return true;
+	u = ffl_unit(s->w, s->order[at]);
+	shape.accelerators = u->accelerators;
+	shape.adjacency = u->adjacency;
+	shape.cores = shape.memory_mb = 0;
+	regions = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
+	ffl_region_search(s->sp, &shape, collect_region, regions, &best);
+	for (guint i = 0; !done && i < regions->len; i++) {
+		if (s->tries++ >= TRIES_MAX)
+			break;
+		u->at = g_array_index(regions, ffl_region_t, i);
+		ffl_space_promise(s->sp, &u->at, true);
+		done = place_rest(s, at + 1);
+		if (!done)
+			ffl_space_promise(s->sp, &u->at, false);
+	}
+	if (!done)
+		u->at.count = 0;
+	g_array_free(regions, TRUE);
+	return done;
+}
+
+/* Places every unit that no job is inside anew. */
+static bool solve_again(ffl_witness_t *w, ffl_space_t *sp)
+{
+	GArray *before = g_array_copy(w->units);
+	solve_t s = { .w = w, .sp = sp };
+	bool done;
+
+	s.order = g_new(uint32_t, w->units->len);
+	for (guint i = 0; i < w->units->len; i++) {
+		ffl_unit_t *u = ffl_unit(w, i);
+
+		if (u->held)
+			continue;
+		s.order[s.count++] = i;
+		ffl_space_promise(sp, &u->at, false);
+		u->at.count = 0;
+	}
+	g_qsort_with_data(s.order, (gint)s.count, sizeof(*s.order),
+			  compare_units, w);
+	done = place_rest(&s, 0);
+	g_free(s.order);
+	if (!done) {
+		g_array_free(w->units, TRUE);
+		w->units = before;
+		for (guint i = 0; i < w->units->len; i++)
+			ffl_space_promise(sp, &ffl_unit(w, i)->at, true);
+		return false;
+	}
+	g_array_free(before, TRUE);
+	return true;
+}
+
+static uint32_t count_unmet(const ffl_witness_t *w)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < w->units->len; i++)
+		n += !ffl_unit(w, i)->at.count;
+	return n;
+}
+
+/* Hashes all that decides whether a solution exists. */
+static uint64_t signature(const ffl_witness_t *w, const ffl_space_t *sp)
+{
+	uint64_t h = ffl_mix(w->content, w->units->len);
+
+	for (guint i = 0; i < sp->nodes->len; i++) {
+		const ffl_node_t *n = ffl_node(sp, i);
+
+		h = ffl_mix(h, n->open ? n->pinned : UINT64_MAX);
+	}
+	for (guint i = 0; i < w->units->len; i++)
+		h = ffl_mix(h, ffl_unit(w, i)->held);
+	return h;
+}
+
+static bool known_hopeless(const ffl_witness_t *w, const ffl_space_t *sp)
+{
+	return w->hopeless && w->hopeless == signature(w, sp);
+}
+
+bool ffl_witness_solve(ffl_witness_t *w, ffl_space_t *sp)
+{
+	bool missing = false;
+
+	for (guint i = 0; i < w->units->len; i++) {
+		ffl_unit_t *u = ffl_unit(w, i);
+
+		if (!u->held && !u->at.count && !place_unit(w, sp, u))
+			missing = true;
+	}
+	if (missing && !known_hopeless(w, sp) && !solve_again(w, sp))
+		w->hopeless = signature(w, sp);
+	w->unmet = count_unmet(w);
+	return w->unmet == 0;
+}
+
+ffl_status_t ffl_witness_check(const ffl_fleet_t *fleet,
+			       const ffl_config_t *cfg, const char *dc,
+			       ffl_findings_t *fs)
+{
+	uint32_t before = fs->errors;
+	const ffl_unit_t *last = NULL;
+	ffl_gangs_t none = { .open = g_array_new(FALSE, FALSE,
+						 sizeof(ffl_job_t *)) };
+	ffl_witness_t w;
+	ffl_space_t sp;
+
+	ffl_space_init(&sp);
+	ffl_witness_init(&w);
+	ffl_space_build(&sp, fleet, dc, NULL);
+	for (guint i = 0; i < sp.nodes->len; i++) {
+		ffl_node_t *n = ffl_node(&sp, i);
+
+		n->open = n->w->listed && !n->w->info.leaving &&
+			  !ffl_config_drained(cfg, n->w->info.name);
+	}
+	ffl_witness_update(&w, &sp, &none, cfg, dc, NULL);
+	for (guint i = 0; i < w.units->len; i++) {
+		const ffl_unit_t *u = ffl_unit(&w, i);
+
+		if (u->at.count || (last && last->revision == u->revision))
+			continue;
+		last = u;
+		ffl_findings_add(fs, FFL_MSG_GUARANTEE_UNMET, "guarantee", 0, 0,
+				 "%s: shapes of %u in %s, confirmed at %llu",
+				 u->customer, u->accelerators, dc,
+				 (unsigned long long)u->revision);
+	}
+	ffl_witness_finish(&w);
+	ffl_space_finish(&sp);
+	g_array_free(none.open, TRUE);
+	return fs->errors > before ? FFL_INVALID : FFL_OK;
+}
--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -353,6 +353,8 @@
 		return;
 	w->replied_ms = now_ms;
 	w->boot = ev->reply.boot;
+	if (!w->adopted)
+		fleet->version++;
 	w->adopted = true;
 	for (uint32_t i = 0; i < ev->reply.tasks.count; i++)
 		take_report(g, fleet, w, &tasks[i], now_ms);
--- /dev/null
+++ b/lib/gang/witness.c
@@ -0,0 +1,485 @@
+#include <string.h>
+
+#include "lib/gang/witness_int.h"
+
+/** A search for a region around the jobs of one unit. */
+typedef struct {
+	const ffl_witness_t *w;
+	uint32_t unit;
+	GArray *own; /**< of ffl_region_t: the jobs' */
+	ffl_region_t at;
+} around_t;
+
+static uint64_t content_of(const ffl_config_t *cfg, const char *dc);
+static bool same_shape(const ffl_unit_t *a, const ffl_unit_t *b);
+static void load_units(ffl_witness_t *w, const ffl_config_t *cfg,
+		       const char *dc);
+static uint32_t nth_of_shape(const GArray *units, const ffl_unit_t *like,
+			     uint32_t n);
+static uint32_t rank_in_shape(const GArray *units, uint32_t at);
+static void carry_over(ffl_witness_t *w, GArray *old, ffl_gangs_t *g);
+static void pin_job(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job);
+static void pin_claims(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		       const GArray *claims);
+static uint64_t cost_around(const ffl_space_t *sp, const ffl_region_t *r,
+			    void *arg);
+static void add_region(GArray *own, const ffl_region_t *r);
+static void refit_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		       const GArray *claims, uint32_t unit);
+static void keep_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		      const GArray *claims);
+static void keep_empty(ffl_witness_t *w, ffl_space_t *sp);
+static void promise_all(ffl_witness_t *w, ffl_space_t *sp);
+static bool join_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job,
+		      const ffl_region_t *own);
+static bool tried_before(const ffl_witness_t *w, uint32_t i);
+static void promote(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job);
+static gint compare_ids(gconstpointer a, gconstpointer b);
+static void promote_all(ffl_witness_t *w, ffl_space_t *sp, ffl_gangs_t *g);
+static void reload(ffl_witness_t *w, ffl_gangs_t *g, const ffl_config_t *cfg,
+		   const char *dc);
+static bool takes_more(const ffl_witness_t *w, uint64_t customer_hash);
+
+void ffl_witness_init(ffl_witness_t *w)
+{
+	memset(w, 0, sizeof(*w));
+	w->units = g_array_new(FALSE, TRUE, sizeof(ffl_unit_t));
+}
+
+void ffl_witness_finish(ffl_witness_t *w)
+{
+	g_array_free(w->units, TRUE);
+}
+
+bool ffl_job_active(const ffl_job_t *job)
+{
+	return job->part_count && (job->state == FFL_JOB_HOLDING ||
+				   job->state == FFL_JOB_STARTING ||
+				   job->state == FFL_JOB_RUNNING);
+}
+
+bool ffl_unit_takes(const ffl_unit_t *u, const ffl_job_t *job)
+{
+	return u->customer_hash == job->customer_hash &&
+	       u->held + job->spec.accelerators <= u->accelerators;
+}
+
+static uint64_t content_of(const ffl_config_t *cfg, const char *dc)
+{
+	uint64_t h = 1;
+
+	for (guint i = 0; i < cfg->guarantees->len; i++) {
+		const ffl_guarantee_t *g =
+			&g_array_index(cfg->guarantees, ffl_guarantee_t, i);
+
+		if (strcmp(g->dc, dc) != 0)
+			continue;
+		h = ffl_hash(g->customer, strlen(g->customer), h);
+		h = ffl_mix(h, g->revision);
+		h = ffl_mix(h, ((uint64_t)g->count << 32) | g->accelerators);
+		h = ffl_mix(h, g->adjacency);
+	}
+	return h;
+}
+
+static bool same_shape(const ffl_unit_t *a, const ffl_unit_t *b)
+{
+	return a->accelerators == b->accelerators &&
+	       a->adjacency == b->adjacency &&
+	       strcmp(a->customer, b->customer) == 0;
+}
+
+static void load_units(ffl_witness_t *w, const ffl_config_t *cfg,
+		       const char *dc)
+{
+	for (guint i = 0; i < cfg->guarantees->len; i++) {
+		const ffl_guarantee_t *g =
+			&g_array_index(cfg->guarantees, ffl_guarantee_t, i);
+		ffl_unit_t u = { .revision = g->revision,
+				 .accelerators = g->accelerators,
+				 .adjacency = g->adjacency };
+
+		if (strcmp(g->dc, dc) != 0)
+			continue;
+		ffl_copy(u.customer, sizeof(u.customer), g->customer);
+		u.customer_hash = ffl_hash(g->customer, strlen(g->customer), 0);
+		for (uint32_t n = 0; n < g->count; n++)
+			g_array_append_val(w->units, u);
+	}
+}
+
+/* Returns the place + 1 of the n-th unit of a shape, or 0. */
+static uint32_t nth_of_shape(const GArray *units, const ffl_unit_t *like,
+			     uint32_t n)
+{
+	for (guint i = 0; i < units->len; i++) {
+		if (same_shape(&g_array_index(units, ffl_unit_t, i), like) &&
+		    n-- == 0)
+			return i + 1;
+	}
+	return 0;
+}
+
+static uint32_t rank_in_shape(const GArray *units, uint32_t at)
+{
+	const ffl_unit_t *u = &g_array_index(units, ffl_unit_t, at);
+	uint32_t rank = 0;
+
+	while (at-- > 0 && same_shape(&g_array_index(units, ffl_unit_t, at), u))
+		rank++;
+	return rank;
+}
+
+/* Units that stay keep their regions and the jobs inside. */
+static void carry_over(ffl_witness_t *w, GArray *old, ffl_gangs_t *g)
+{
+	uint32_t *moved = g_new0(uint32_t, old->len + 1);
+
+	for (guint i = 0; i < old->len; i++) {
+		const ffl_unit_t *u = &g_array_index(old, ffl_unit_t, i);
+
+		moved[i + 1] = nth_of_shape(w->units, u, rank_in_shape(old, i));
+		if (moved[i + 1])
+			ffl_unit(w, moved[i + 1] - 1)->at = u->at;
+	}
+	for (guint i = 0; g && i < g->open->len; i++) {
+		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
+
+		job->unit = job->unit <= old->len ? moved[job->unit] : 0;
+	}
+	g_free(moved);
+}
+
+void ffl_space_promise(ffl_space_t *sp, const ffl_region_t *at, bool promised)
+{
+	for (uint32_t i = 0; i < at->count; i++) {
+		ffl_node_t *n = ffl_node(sp, at->first + i);
+		uint64_t slots = ffl_region_slots(sp, at, i);
+
+		n->promised =
+			promised ? n->promised | slots : n->promised & ~slots;
+	}
+}
+
+void ffl_witness_pin(ffl_witness_t *w, ffl_space_t *sp, uint32_t unit,
+		     const ffl_region_t *at, uint32_t accelerators)
+{
+	for (uint32_t i = 0; i < at->count; i++) {
+		ffl_node_t *n = ffl_node(sp, at->first + i);
+
+		n->pinned |= ffl_region_slots(sp, at, i);
+		n->promised |= ffl_region_slots(sp, at, i);
+	}
+	ffl_unit(w, unit)->held += accelerators;
+}
+
+/* Pins what a job holds, also where its workers are no longer a run. */
+static void pin_job(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job)
+{
+	uint32_t node;
+
+	if (!job->unit)
+		return;
+	if (job->unit > w->units->len || !ffl_job_active(job)) {
+		job->unit = 0;
+		return;
+	}
+	for (uint32_t i = 0; i < job->part_count; i++) {
+		if (!ffl_space_find(sp, job->parts[i].worker, &node))
+			continue;
+		ffl_node(sp, node)->pinned |= job->parts[i].slots;
+		ffl_node(sp, node)->promised |= job->parts[i].slots;
+	}
+	ffl_unit(w, job->unit - 1)->held += job->spec.accelerators;
+}
+
+static void pin_claims(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		       const GArray *claims)
+{
+	for (guint i = 0; claims && i < claims->len; i++) {
+		const ffl_claim_t *c = &g_array_index(claims, ffl_claim_t, i);
+		const ffl_job_t *job = ffl_gangs_find(g, c->job);
+
+		for (uint32_t n = 0; n < c->at.count; n++)
+			ffl_node(sp, c->at.first + n)->claimed |=
+				ffl_region_slots(sp, &c->at, n);
+		if (job && job->unit)
+			ffl_witness_pin(w, sp, job->unit - 1, &c->at,
+					job->spec.accelerators);
+	}
+}
+
+/* Allows regions around the jobs that touch no other work in a guarantee. */
+static uint64_t cost_around(const ffl_space_t *sp, const ffl_region_t *r,
+			    void *arg)
+{
+	const around_t *a = arg;
+	uint64_t pinned = 0;
+
+	for (guint i = 0; i < a->own->len; i++) {
+		const ffl_region_t *own =
+			&g_array_index(a->own, ffl_region_t, i);
+
+		if (!ffl_region_inside(sp, own, r))
+			return FFL_COST_NONE;
+	}
+	for (uint32_t i = 0; i < r->count; i++) {
+		uint64_t slots = ffl_region_slots(sp, r, i);
+
+		pinned = ffl_node(sp, r->first + i)->pinned & slots;
+		for (guint k = 0; pinned && k < a->own->len; k++)
+			pinned &= ~ffl_region_on(
+				sp, &g_array_index(a->own, ffl_region_t, k),
+				r->first + i);
+		if (pinned)
+			return FFL_COST_NONE;
+	}
+	for (guint i = 0; i < a->w->units->len; i++) {
+		const ffl_unit_t *u = ffl_unit(a->w, i);
+
+		if (i != a->unit && u->held &&
+		    ffl_regions_overlap(sp, &u->at, r))
+			return FFL_COST_NONE;
+	}
+	return 0;
+}
+
+static void add_region(GArray *own, const ffl_region_t *r)
+{
+	g_array_append_vals(own, r, 1);
+}
+
+/* Finds a new region for a unit whose workers are no longer neighbours. */
+static void refit_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		       const GArray *claims, uint32_t unit)
+{
+	around_t a = { .w = w, .unit = unit };
+	ffl_unit_t *u = ffl_unit(w, unit);
+	ffl_shape_t shape = { .accelerators = u->accelerators,
+			      .adjacency = u->adjacency };
+	ffl_region_t own;
+
+	a.own = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
+	for (guint i = 0; i < g->open->len; i++) {
+		const ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
+
+		if (job->unit == unit + 1 && ffl_region_of_job(sp, job, &own))
+			add_region(a.own, &own);
+	}
+	for (guint i = 0; claims && i < claims->len; i++) {
+		const ffl_claim_t *c = &g_array_index(claims, ffl_claim_t, i);
+		const ffl_job_t *job = ffl_gangs_find(g, c->job);
+
+		if (job && job->unit == unit + 1)
+			add_region(a.own, &c->at);
+	}
+	if (ffl_region_search(sp, &shape, cost_around, &a, &a.at) !=
+	    FFL_COST_NONE)
+		u->at = a.at;
+	g_array_free(a.own, TRUE);
+}
+
+/* A unit with jobs inside keeps its region whatever becomes of workers. */
+static void keep_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
+		      const GArray *claims)
+{
+	for (guint i = 0; i < w->units->len; i++) {
+		ffl_unit_t *u = ffl_unit(w, i);
+
+		if (u->at.count &&
+		    (!ffl_region_of_names(sp, &u->at) ||
+		     !ffl_region_adjacent(sp, &u->at, u->adjacency)))
+			u->at.count = 0;
+	}
+	for (guint i = 0; i < w->units->len; i++) {
+		if (ffl_unit(w, i)->held && !ffl_unit(w, i)->at.count)
+			refit_held(w, sp, g, claims, i);
+		if (ffl_unit(w, i)->held)
+			ffl_space_promise(sp, &ffl_unit(w, i)->at, true);
+	}
+}
+
+static void keep_empty(ffl_witness_t *w, ffl_space_t *sp)
+{
+	for (guint i = 0; i < w->units->len; i++) {
+		ffl_unit_t *u = ffl_unit(w, i);
+		bool clash = !ffl_region_open(sp, &u->at);
+
+		if (u->held || !u->at.count)
+			continue;
+		for (uint32_t n = 0; n < u->at.count; n++)
+			clash = clash ||
+				(ffl_node(sp, u->at.first + n)->promised &
+				 ffl_region_slots(sp, &u->at, n));
+		if (clash)
+			u->at.count = 0;
+		else
+			ffl_space_promise(sp, &u->at, true);
+	}
+}
+
+static bool takes_more(const ffl_witness_t *w, uint64_t customer_hash)
+{
+	for (guint i = 0; i < w->units->len; i++) {
+		const ffl_unit_t *u = ffl_unit(w, i);
+
+		if (u->customer_hash == customer_hash &&
+		    u->held < u->accelerators)
+			return true;
+	}
+	return false;
+}
+
+/* Recomputes what is promised from what is pinned and the units' regions. */
+static void promise_all(ffl_witness_t *w, ffl_space_t *sp)
+{
+	for (guint i = 0; i < sp->nodes->len; i++)
+		ffl_node(sp, i)->promised = ffl_node(sp, i)->pinned;
+	for (guint i = 0; i < w->units->len; i++)
+		ffl_space_promise(sp, &ffl_unit(w, i)->at, true);
+}
+
+bool ffl_witness_take(ffl_witness_t *w, ffl_space_t *sp, uint32_t unit,
+		      const ffl_region_t *at, const ffl_region_t *own,
+		      uint32_t accelerators)
+{
+	GArray *before = g_array_copy(w->units);
+	uint32_t unmet = w->unmet;
+
+	for (guint i = 0; i < w->units->len; i++) {
+		ffl_unit_t *u = ffl_unit(w, i);
+
+		if (!u->held && ffl_regions_overlap(sp, &u->at, at))
+			u->at.count = 0;
+	}
+	ffl_unit(w, unit)->at = *at;
+	ffl_witness_pin(w, sp, unit, own, accelerators);
+	promise_all(w, sp);
+	if (ffl_witness_solve(w, sp) || w->unmet <= unmet) {
+		g_array_free(before, TRUE);
+		return true;
+	}
+	g_array_free(w->units, TRUE);
+	w->units = before;
+	w->unmet = unmet;
+	for (uint32_t i = 0; i < own->count; i++)
+		ffl_node(sp, own->first + i)->pinned &=
+			~ffl_region_slots(sp, own, i);
+	promise_all(w, sp);
+	return false;
+}
+
+/* A job that runs inside a unit's region belongs to the guarantee. */
+static bool join_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job,
+		      const ffl_region_t *own)
+{
+	for (guint i = 0; i < w->units->len; i++) {
+		const ffl_unit_t *u = ffl_unit(w, i);
+
+		if (!ffl_unit_takes(u, job) || !u->at.count ||
+		    !ffl_region_inside(sp, own, &u->at))
+			continue;
+		ffl_witness_pin(w, sp, i, own, job->spec.accelerators);
+		job->unit = i + 1;
+		return true;
+	}
+	return false;
+}
+
+/* Tells whether a unit is like the one before it, which was tried. */
+static bool tried_before(const ffl_witness_t *w, uint32_t i)
+{
+	return i && same_shape(ffl_unit(w, i), ffl_unit(w, i - 1)) &&
+	       !ffl_unit(w, i - 1)->held;
+}
+
+static void promote(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job)
+{
+	around_t a = { .w = w };
+	ffl_region_t own;
+
+	if (!ffl_region_of_job(sp, job, &own) || join_unit(w, sp, job, &own))
+		return;
+	a.own = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
+	add_region(a.own, &own);
+	for (guint i = 0; !job->unit && i < w->units->len; i++) {
+		const ffl_unit_t *u = ffl_unit(w, i);
+		ffl_shape_t shape = { .accelerators = u->accelerators,
+				      .adjacency = u->adjacency };
+
+		a.unit = i;
+		if (!u->held && ffl_unit_takes(u, job) && !tried_before(w, i) &&
+		    ffl_region_search(sp, &shape, cost_around, &a, &a.at) !=
+			    FFL_COST_NONE &&
+		    ffl_witness_take(w, sp, i, &a.at, &own,
+				     job->spec.accelerators))
+			job->unit = i + 1;
+	}
+	g_array_free(a.own, TRUE);
+}
+
+static gint compare_ids(gconstpointer pa, gconstpointer pb)
+{
+	const ffl_job_t *a = *(ffl_job_t *const *)pa;
+	const ffl_job_t *b = *(ffl_job_t *const *)pb;
+
+	return (a->id > b->id) - (a->id < b->id);
+}
+
+/* Takes running work into its customer's guarantee, the oldest first. */
+static void promote_all(ffl_witness_t *w, ffl_space_t *sp, ffl_gangs_t *g)
+{
+	GArray *jobs;
+
+	if (!w->units->len)
+		return;
+	jobs = g_array_new(FALSE, FALSE, sizeof(ffl_job_t *));
+	for (guint i = 0; i < g->open->len; i++) {
+		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
+
+		if (!job->unit && ffl_job_active(job) &&
+		    takes_more(w, job->customer_hash))
+			g_array_append_val(jobs, job);
+	}
+	g_array_sort(jobs, compare_ids);
+	for (guint i = 0; i < jobs->len; i++)
+		promote(w, sp, g_array_index(jobs, ffl_job_t *, i));
+	g_array_free(jobs, TRUE);
+}
+
+/* Loads the units anew where the guarantees of the cell changed. */
+static void reload(ffl_witness_t *w, ffl_gangs_t *g, const ffl_config_t *cfg,
+		   const char *dc)
+{
+	uint64_t content = content_of(cfg, dc);
+	GArray *old = w->units;
+
+	if (content == w->content)
+		return;
+	w->units = g_array_new(FALSE, TRUE, sizeof(ffl_unit_t));
+	load_units(w, cfg, dc);
+	carry_over(w, old, g);
+	g_array_free(old, TRUE);
+	w->content = content;
+}
+
+void ffl_witness_update(ffl_witness_t *w, ffl_space_t *sp, ffl_gangs_t *g,
+			const ffl_config_t *cfg, const char *dc,
+			const GArray *claims)
+{
+	reload(w, g, cfg, dc);
+	for (guint i = 0; i < w->units->len; i++)
+		ffl_unit(w, i)->held = 0;
+	pin_claims(w, sp, g, claims);
+	for (guint i = 0; i < g->open->len; i++) {
+		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
+
+		if (job->state != FFL_JOB_QUEUED || job->part_count ||
+		    job->wait.kind != FFL_WAIT_PREEMPTION)
+			pin_job(w, sp, job);
+	}
+	keep_held(w, sp, g, claims);
+	keep_empty(w, sp);
+	ffl_witness_solve(w, sp);
+	promote_all(w, sp, g);
+}
--- a/lib/host/command.c
+++ b/lib/host/command.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 
 #include "fireflyledge/host.h"
+#include "lib/host/command_int.h"
 #include "lib/host/host_int.h"
 
 /** Time that a command waits for its record, in milliseconds. */
@@ -11,55 +12,32 @@
 /** Commands that wait for a record at most. */
 #define WAITERS_MAX 1024
 
-/** A command with its sender, checked. */
-typedef struct {
-	const ffl_ev_command_t *ev;
-	const char *operator_name;	/**< NULL for a caller */
-	const ffl_customer_t *customer; /**< NULL for an operator */
-	uint64_t now_ms;
-	ffl_actions_t *out;
-} call_t;
-
-typedef void (*command_fn_t)(ffl_host_t *h, call_t *c);
-
-static void cmd_intent(ffl_host_t *h, call_t *c);
-static void cmd_plan(ffl_host_t *h, call_t *c);
-static void cmd_confirm(ffl_host_t *h, call_t *c);
-static void cmd_config(ffl_host_t *h, call_t *c);
-static void cmd_history(ffl_host_t *h, call_t *c);
-static void cmd_why(ffl_host_t *h, call_t *c);
-static void cmd_status(ffl_host_t *h, call_t *c);
-static void cmd_hosts(ffl_host_t *h, call_t *c);
-static void cmd_jobs(ffl_host_t *h, call_t *c);
-static void cmd_submit(ffl_host_t *h, call_t *c);
-static void cmd_job(ffl_host_t *h, call_t *c);
-static void cmd_job_why(ffl_host_t *h, call_t *c);
-static void cmd_cancel(ffl_host_t *h, call_t *c);
-static bool authenticate(ffl_host_t *h, call_t *c);
-static void problem(call_t *c, uint32_t http_status, const char *type,
-		    const char *title, const char *detail);
-static void findings_problem(call_t *c, const ffl_findings_t *fs);
-static json_t *parse_body(call_t *c);
-static bool parse_id(const char *text, uint64_t *id);
-static void append_and_wait(ffl_host_t *h, call_t *c, ffl_record_t *rec,
-			    uint64_t plan);
-static bool visible(const call_t *c, const ffl_job_t *job);
-static const ffl_job_t *find_job(ffl_host_t *h, call_t *c);
+typedef void (*command_fn_t)(ffl_host_t *h, ffl_call_t *c);
+
+static void cmd_intent(ffl_host_t *h, ffl_call_t *c);
+static void cmd_plan(ffl_host_t *h, ffl_call_t *c);
+static void cmd_confirm(ffl_host_t *h, ffl_call_t *c);
+static void cmd_config(ffl_host_t *h, ffl_call_t *c);
+static void cmd_history(ffl_host_t *h, ffl_call_t *c);
+static void cmd_why(ffl_host_t *h, ffl_call_t *c);
+static void cmd_status(ffl_host_t *h, ffl_call_t *c);
+static void cmd_hosts(ffl_host_t *h, ffl_call_t *c);
+static bool authenticate(ffl_host_t *h, ffl_call_t *c);
 static bool take_waiter(ffl_host_t *h, uint64_t writer, uint64_t seq,
 			ffl_waiter_t *w);
 
 static const command_fn_t commands[FFL_CMD__MAX] = {
-	[FFL_CMD_INTENT] = cmd_intent,	 [FFL_CMD_PLAN] = cmd_plan,
-	[FFL_CMD_CONFIRM] = cmd_confirm, [FFL_CMD_CONFIG] = cmd_config,
-	[FFL_CMD_HISTORY] = cmd_history, [FFL_CMD_WHY] = cmd_why,
-	[FFL_CMD_STATUS] = cmd_status,	 [FFL_CMD_HOSTS] = cmd_hosts,
-	[FFL_CMD_JOBS] = cmd_jobs,	 [FFL_CMD_SUBMIT] = cmd_submit,
-	[FFL_CMD_JOB] = cmd_job,	 [FFL_CMD_JOB_WHY] = cmd_job_why,
-	[FFL_CMD_CANCEL] = cmd_cancel,
+	[FFL_CMD_INTENT] = cmd_intent,	   [FFL_CMD_PLAN] = cmd_plan,
+	[FFL_CMD_CONFIRM] = cmd_confirm,   [FFL_CMD_CONFIG] = cmd_config,
+	[FFL_CMD_HISTORY] = cmd_history,   [FFL_CMD_WHY] = cmd_why,
+	[FFL_CMD_STATUS] = cmd_status,	   [FFL_CMD_HOSTS] = cmd_hosts,
+	[FFL_CMD_JOBS] = ffl_cmd_jobs,	   [FFL_CMD_SUBMIT] = ffl_cmd_submit,
+	[FFL_CMD_JOB] = ffl_cmd_job,	   [FFL_CMD_JOB_WHY] = ffl_cmd_job_why,
+	[FFL_CMD_CANCEL] = ffl_cmd_cancel,
 };
 
-static void problem(call_t *c, uint32_t http_status, const char *type,
-		    const char *title, const char *detail)
+void ffl_call_problem(ffl_call_t *c, uint32_t http_status, const char *type,
+		      const char *title, const char *detail)
 {
 	ffl_problem_t p = { .http_status = http_status,
 			    .type = type,
@@ -70,7 +48,7 @@
 	ffl_actions_problem(c->out, c->ev->id, &p);
 }
 
-static void findings_problem(call_t *c, const ffl_findings_t *fs)
+void ffl_call_findings_problem(ffl_call_t *c, const ffl_findings_t *fs)
 {
 	const ffl_finding_t *first = ffl_findings_at(fs, 0);
 	ffl_problem_t p = { .http_status = 422,
@@ -84,7 +62,7 @@
 	ffl_actions_problem(c->out, c->ev->id, &p);
 }
 
-static bool authenticate(ffl_host_t *h, call_t *c)
+static bool authenticate(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_operator_t *op;
 	uint8_t hash[FFL_HASH_BYTES];
@@ -105,7 +83,7 @@
 	       ffl_command_route(c->ev->command)->role == FFL_ROLE_CALLER;
 }
 
-static json_t *parse_body(call_t *c)
+json_t *ffl_call_parse_body(ffl_call_t *c)
 {
 	json_error_t err;
 	ffl_findings_t fs;
@@ -120,12 +98,12 @@
 			 err.line > 0 ? (uint32_t)err.line : 0,
 			 err.column > 0 ? (uint32_t)err.column : 0, "%s",
 			 err.text);
-	findings_problem(c, &fs);
+	ffl_call_findings_problem(c, &fs);
 	ffl_findings_finish(&fs);
 	return NULL;
 }
 
-static bool parse_id(const char *text, uint64_t *id)
+bool ffl_call_parse_id(const char *text, uint64_t *id)
 {
 	char *end;
 
@@ -134,8 +112,8 @@
 	return text[0] >= '0' && text[0] <= '9' && *end == '\0' && errno == 0;
 }
 
-static void append_and_wait(ffl_host_t *h, call_t *c, ffl_record_t *rec,
-			    uint64_t plan)
+void ffl_call_append_and_wait(ffl_host_t *h, ffl_call_t *c, ffl_record_t *rec,
+			      uint64_t plan)
 {
 	ffl_waiter_t w = { .id = c->ev->id,
 			   .command = c->ev->command,
@@ -144,9 +122,9 @@
 
 	if (!ffl_logc_reachable(&h->logc) || h->waiters->len >= WAITERS_MAX ||
 	    ffl_logc_append(&h->logc, rec) != FFL_OK) {
-		problem(c, 503, "log-unavailable",
-			"the log does not take records now",
-			"nothing was changed; try again later");
+		ffl_call_problem(c, 503, "log-unavailable",
+				 "the log does not take records now",
+				 "nothing was changed; try again later");
 		return;
 	}
 	ffl_count(h->counters, FFL_CTR_APPENDS, 1);
@@ -154,11 +132,11 @@
 	g_array_append_val(h->waiters, w);
 }
 
-static void cmd_intent(ffl_host_t *h, call_t *c)
+static void cmd_intent(ffl_host_t *h, ffl_call_t *c)
 {
 	ffl_record_t rec = { .kind = FFL_REC_INTENT };
 	ffl_findings_t fs;
-	json_t *body = parse_body(c);
+	json_t *body = ffl_call_parse_body(c);
 
 	if (!body)
 		return;
@@ -169,41 +147,41 @@
 		ffl_intent_check(&rec.intent, &fs);
 	ffl_copy(rec.intent.who, sizeof(rec.intent.who), c->operator_name);
 	if (fs.errors)
-		findings_problem(c, &fs);
+		ffl_call_findings_problem(c, &fs);
 	else
-		append_and_wait(h, c, &rec, 0);
+		ffl_call_append_and_wait(h, c, &rec, 0);
 	ffl_findings_finish(&fs);
 }
 
-static void cmd_plan(ffl_host_t *h, call_t *c)
+static void cmd_plan(ffl_host_t *h, ffl_call_t *c)
 {
 	const ffl_pending_t *plan = NULL;
 	uint64_t id;
 
-	if (parse_id(c->ev->arg, &id))
+	if (ffl_call_parse_id(c->ev->arg, &id))
 		plan = ffl_config_pending(&h->config, id);
 	if (!plan) {
-		problem(c, 404, "unknown-plan", "plan does not exist",
-			c->ev->arg);
+		ffl_call_problem(c, 404, "unknown-plan", "plan does not exist",
+				 c->ev->arg);
 		return;
 	}
 	ffl_actions_answer(c->out, c->ev->id, 200,
 			   ffl_host_plan_to_json(h, plan));
 }
 
-static void cmd_confirm(ffl_host_t *h, call_t *c)
+static void cmd_confirm(ffl_host_t *h, ffl_call_t *c)
 {
 	ffl_record_t rec = { .kind = FFL_REC_CONFIRM };
 	ffl_findings_t fs;
 	json_t *body;
 	uint64_t id;
 
-	if (!parse_id(c->ev->arg, &id)) {
-		problem(c, 404, "unknown-plan", "plan does not exist",
-			c->ev->arg);
+	if (!ffl_call_parse_id(c->ev->arg, &id)) {
+		ffl_call_problem(c, 404, "unknown-plan", "plan does not exist",
+				 c->ev->arg);
 		return;
 	}
-	body = parse_body(c);
+	body = ffl_call_parse_body(c);
 	if (!body)
 		return;
 	ffl_findings_init(&fs, "body");
@@ -212,26 +190,26 @@
 	rec.confirm.plan = id;
 	ffl_copy(rec.confirm.who, sizeof(rec.confirm.who), c->operator_name);
 	if (fs.errors)
-		findings_problem(c, &fs);
+		ffl_call_findings_problem(c, &fs);
 	else
-		append_and_wait(h, c, &rec, id);
+		ffl_call_append_and_wait(h, c, &rec, id);
 	ffl_findings_finish(&fs);
 }
 
-static void cmd_config(ffl_host_t *h, call_t *c)
+static void cmd_config(ffl_host_t *h, ffl_call_t *c)
 {
 	ffl_actions_answer(c->out, c->ev->id, 200,
 			   ffl_config_to_json(&h->config));
 }
 
-static void cmd_history(ffl_host_t *h, call_t *c)
+static void cmd_history(ffl_host_t *h, ffl_call_t *c)
 {
 	ffl_actions_answer(c->out, c->ev->id, 200,
 			   ffl_config_history_to_json(&h->config));
 }
 
 /* Lists the changes whose intent names the subject, newest first. */
-static void cmd_why(ffl_host_t *h, call_t *c)
+static void cmd_why(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *array = json_array();
 
@@ -256,7 +234,7 @@
 				     "because", array));
 }
 
-static void cmd_status(ffl_host_t *h, call_t *c)
+static void cmd_status(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *cells = json_array();
 	json_t *members = json_array();
@@ -295,7 +273,7 @@
 			  members));
 }
 
-static void cmd_hosts(ffl_host_t *h, call_t *c)
+static void cmd_hosts(ffl_host_t *h, ffl_call_t *c)
 {
 	json_t *array = json_array();
 
@@ -328,117 +306,18 @@
 	ffl_actions_answer(c->out, c->ev->id, 200, array);
 }
 
-static bool visible(const call_t *c, const ffl_job_t *job)
-{
-	return c->operator_name ||
-	       strcmp(c->customer->name, job->spec.customer) == 0;
-}
-
-static void cmd_jobs(ffl_host_t *h, call_t *c)
-{
-	json_t *array = json_array();
-
-	for (guint i = 0; i < h->gangs.open->len; i++) {
-		const ffl_job_t *job =
-			g_array_index(h->gangs.open, ffl_job_t *, i);
-
-		if (visible(c, job))
-			json_array_append_new(array, ffl_job_to_json(job));
-	}
-	ffl_actions_answer(c->out, c->ev->id, 200, array);
-}
-
-static void cmd_submit(ffl_host_t *h, call_t *c)
-{
-	ffl_record_t rec = { .kind = FFL_REC_JOB };
-	const ffl_job_t *known;
-	ffl_findings_t fs;
-	json_t *body = parse_body(c);
-
-	if (!body)
-		return;
-	ffl_findings_init(&fs, "body");
-	ffl_schema_from_json(&ffl_job_spec_schema, body, &rec.job, &fs);
-	json_decref(body);
-	if (c->customer)
-		ffl_copy(rec.job.customer, sizeof(rec.job.customer),
-			 c->customer->name);
-	if (!rec.job.dc[0])
-		ffl_copy(rec.job.dc, sizeof(rec.job.dc), h->opt.self.dc);
-	ffl_job_check(&rec.job, &h->config, &h->fleet, &fs);
-	known = ffl_gangs_find_name(&h->gangs, rec.job.customer, rec.job.name);
-	if (fs.errors)
-		findings_problem(c, &fs);
-	else if (known)
-		ffl_actions_answer(c->out, c->ev->id, 200,
-				   ffl_job_to_json(known));
-	else
-		append_and_wait(h, c, &rec, 0);
-	ffl_findings_finish(&fs);
-}
-
-static const ffl_job_t *find_job(ffl_host_t *h, call_t *c)
-{
-	const ffl_job_t *job = NULL;
-	uint64_t id;
-
-	if (parse_id(c->ev->arg, &id))
-		job = ffl_gangs_find(&h->gangs, id);
-	if (job && visible(c, job))
-		return job;
-	problem(c, 404, "unknown-job", "job does not exist", c->ev->arg);
-	return NULL;
-}
-
-static void cmd_job(ffl_host_t *h, call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-
-	if (job)
-		ffl_actions_answer(c->out, c->ev->id, 200,
-				   ffl_job_to_json(job));
-}
-
-static void cmd_job_why(ffl_host_t *h, call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-
-	if (!job)
-		return;
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   json_pack("{s:I,s:s,s:s}", "id", (json_int_t)job->id,
-				     "state", ffl_job_state_name(job->state),
-				     "waits_for",
-				     job->state == FFL_JOB_QUEUED
-					     ? "free adjacent accelerators"
-					     : ""));
-}
-
-static void cmd_cancel(ffl_host_t *h, call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-	ffl_record_t rec = { .kind = FFL_REC_JOB_CANCEL };
-
-	if (!job)
-		return;
-	rec.job_cancel.job = job->id;
-	ffl_copy(rec.job_cancel.who, sizeof(rec.job_cancel.who),
-		 c->operator_name ? c->operator_name : c->customer->name);
-	append_and_wait(h, c, &rec, job->id);
-}
-
 void ffl_host_command(ffl_host_t *h, const ffl_ev_command_t *ev,
 		      uint64_t now_ms, ffl_actions_t *out)
 {
-	call_t c = { .ev = ev, .now_ms = now_ms, .out = out };
+	ffl_call_t c = { .ev = ev, .now_ms = now_ms, .out = out };
 
 	if (ev->command >= FFL_CMD__MAX) {
-		problem(&c, 404, "unknown-route", "no such route", "");
+		ffl_call_problem(&c, 404, "unknown-route", "no such route", "");
 		return;
 	}
 	if (!authenticate(h, &c)) {
-		problem(&c, 401, "unknown-token",
-			"the token does not allow this", "");
+		ffl_call_problem(&c, 401, "unknown-token",
+				 "the token does not allow this", "");
 		return;
 	}
 	commands[ev->command](h, &c);
