--- a/lib/gang/reserve.c
+++ b/lib/gang/reserve.c
@@ -96,7 +96,7 @@
 		ffl_owner_t *o = ffl_owner(p->s->space, link);
 
 		link = o->next;
-		if (!(o->slots & slots))
+		if (!(o->slots & slots) || !o->job->part_count)
 			continue;
 		if (!o->end_ms)
 			o->end_ms = ffl_expected_end(p, o->job);
--- a/lib/gang/yield.c
+++ b/lib/gang/yield.c
@@ -76,7 +76,7 @@
 		ffl_owner_t *o = ffl_owner(p->s->space, link);
 
 		link = o->next;
-		if (!(o->slots & slots & n->w->used) ||
+		if (!(o->slots & slots & n->w->used) || !o->job->part_count ||
 		    o->job->mark == p->s->mark ||
 		    o->job->state == FFL_JOB_STOPPING)
 			continue;
