--- a/fakes/fake_cell.c
+++ b/fakes/fake_cell.c
@@ -112,7 +112,7 @@
 	}
 	list.hosts.items = (void *)here->data;
 	list.hosts.count = here->len;
-	ffl_fleet_on_list(&c->fleet, &list);
+	ffl_fleet_on_list(&c->fleet, &list, c->now_ms);
 	ffl_fleet_on_config(&c->fleet, &c->cfg);
 	for (uint32_t i = 0; i < ffl_fleet_count(&c->fleet); i++)
 		ffl_fleet_at(&c->fleet, i)->adopted = true;
@@ -128,7 +128,7 @@
 		g_snprintf(rec.job.name, sizeof(rec.job.name), "j%llu",
 			   (unsigned long long)id);
 	ffl_copy(rec.job.dc, sizeof(rec.job.dc), FAKE_CELL_DC);
-	ffl_gangs_fold(&c->gangs, id, &rec, c->now_ms);
+	ffl_gangs_fold(&c->gangs, NULL, id, &rec, c->now_ms);
 	return (ffl_job_t *)ffl_gangs_find(&c->gangs, id);
 }
 
@@ -152,7 +152,7 @@
 
 	rec.job_end.job = job;
 	rec.job_end.end = end;
-	ffl_gangs_fold(&c->gangs, c->offset++, &rec, c->now_ms);
+	ffl_gangs_fold(&c->gangs, NULL, c->offset++, &rec, c->now_ms);
 }
 
 void fake_cell_cancel(fake_cell_t *c, uint64_t id)
@@ -163,7 +163,7 @@
 	if (!job || job->state == FFL_JOB_ENDED)
 		return;
 	rec.job_cancel.job = id;
-	ffl_gangs_fold(&c->gangs, c->offset++, &rec, c->now_ms);
+	ffl_gangs_fold(&c->gangs, NULL, c->offset++, &rec, c->now_ms);
 	release(c, job);
 	fold_end(c, id, FFL_END_CANCELLED);
 }
--- a/include/fireflyledge/sched.h
+++ b/include/fireflyledge/sched.h
@@ -56,6 +56,7 @@
 	uint64_t fleet_version;
 	uint64_t gangs_version;
 	uint64_t config_revision;
+	uint64_t open_hash; /**< of the workers that were open */
 	guint next_claim;
 	guint next_job;
 	bool begun;	  /**< a pass is due, nothing is read yet */
--- a/lib/gang/job.c
+++ b/lib/gang/job.c
@@ -6,7 +6,8 @@
 static const char *const state_names[FFL_JOB__MAX] = {
 	[FFL_JOB_QUEUED] = "queued",	 [FFL_JOB_HOLDING] = "holding",
 	[FFL_JOB_STARTING] = "starting", [FFL_JOB_RUNNING] = "running",
-	[FFL_JOB_STOPPING] = "stopping", [FFL_JOB_ENDED] = "ended",
+	[FFL_JOB_STOPPING] = "stopping", [FFL_JOB_RECOVERING] = "recovering",
+	[FFL_JOB_MOVING] = "moving",	 [FFL_JOB_ENDED] = "ended",
 };
 
 static void job_free(gpointer p);
@@ -17,8 +18,10 @@
 static void fold_submit(ffl_gangs_t *g, uint64_t offset,
 			const ffl_job_spec_t *spec, uint64_t now_ms);
 static void leave_open(ffl_gangs_t *g, ffl_job_t *job);
-static void keep_ended(ffl_gangs_t *g, ffl_job_t *job);
+static void keep_history(ffl_gangs_t *g, ffl_job_t *job);
 static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end, uint64_t now_ms);
+static void fold_move(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		      const ffl_job_move_t *move, uint64_t now_ms);
 
 const char *ffl_job_state_name(uint32_t state)
 {
@@ -61,26 +64,34 @@
 	       strcmp(a->spec.customer, b->spec.customer) == 0;
 }
 
+bool ffl_job_in_cell(const ffl_job_t *job, const char *dc)
+{
+	return strcmp(job->cell, dc) == 0;
+}
+
 void ffl_gangs_init(ffl_gangs_t *g, uint32_t lease_ms)
 {
 	memset(g, 0, sizeof(*g));
+	ffl_gang_times_init(&g->times, lease_ms);
 	g->by_id = g_hash_table_new_full(job_hash, job_equal, job_free, NULL);
 	g->by_name = g_hash_table_new(name_hash, name_equal);
 	g->open = g_array_new(FALSE, TRUE, sizeof(ffl_job_t *));
-	g_queue_init(&g->ended);
+	g_queue_init(&g->history);
 	ffl_learn_init(&g->learn);
 	g->next_call = 1;
-	g->lease_ms = lease_ms;
-	g->renew_ms = lease_ms / 3;
+	g->ended = g_ptr_array_new();
+	g->kept = g_array_new(FALSE, TRUE, sizeof(ffl_kept_t));
 }
 
 void ffl_gangs_finish(ffl_gangs_t *g)
 {
 	ffl_learn_finish(&g->learn);
-	g_queue_clear(&g->ended);
+	g_queue_clear(&g->history);
 	g_hash_table_destroy(g->by_name);
 	g_hash_table_destroy(g->by_id);
 	g_array_free(g->open, TRUE);
+	g_ptr_array_free(g->ended, TRUE);
+	g_array_free(g->kept, TRUE);
 }
 
 const ffl_job_t *ffl_gangs_find(const ffl_gangs_t *g, uint64_t id)
@@ -115,6 +126,9 @@
 	job = g_new0(ffl_job_t, 1);
 	job->id = offset;
 	job->spec = *spec;
+	ffl_copy(job->cell, sizeof(job->cell),
+		 spec->dc[0] ? spec->dc : spec->cell);
+	job->assigned = offset;
 	job->queued_ms = now_ms;
 	job->since_ms = now_ms;
 	job->customer_hash =
@@ -135,12 +149,17 @@
 	g_array_set_size(g->open, g->open->len - 1);
 }
 
-static void keep_ended(ffl_gangs_t *g, ffl_job_t *job)
+/* Forgets the oldest ended job beyond the bound, unless slots are left. */
+static void keep_history(ffl_gangs_t *g, ffl_job_t *job)
 {
-	g_queue_push_tail(&g->ended, job);
-	if (g->ended.length <= FFL_JOBS_ENDED_MAX)
+	g_queue_push_tail(&g->history, job);
+	if (g->history.length <= FFL_JOBS_ENDED_MAX)
+		return;
+	job = g_queue_pop_head(&g->history);
+	if (job->part_count) {
+		g_queue_push_tail(&g->history, job);
 		return;
-	job = g_queue_pop_head(&g->ended);
+	}
 	g_hash_table_remove(g->by_name, job);
 	g_hash_table_remove(g->by_id, job);
 }
@@ -158,15 +177,41 @@
 	job->end = end->end;
 	job->unit = 0;
 	ffl_copy(job->result, sizeof(job->result), end->result);
+	if (job->part_count)
+		g_ptr_array_add(g->ended, job);
 	leave_open(g, job);
-	keep_ended(g, job);
+	keep_history(g, job);
+}
+
+/* Only the present leader of the job's cell may give it away, so that no
+ * other leader of that cell can have started it meanwhile. */
+static void fold_move(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		      const ffl_job_move_t *move, uint64_t now_ms)
+{
+	ffl_job_t *job = ffl_job_find(g, move->job);
+	const ffl_cell_t *from = ffl_members_cell(ms, move->from);
+	const ffl_cell_t *to = ffl_members_cell(ms, move->to);
+
+	if (!job || job->state == FFL_JOB_ENDED)
+		return;
+	if (job->state == FFL_JOB_MOVING) {
+		job->state = FFL_JOB_QUEUED;
+		job->since_ms = now_ms;
+	}
+	if (!from || !to || from->epoch != move->epoch || job->spec.dc[0] ||
+	    !ffl_job_in_cell(job, move->from))
+		return;
+	ffl_copy(job->cell, sizeof(job->cell), move->to);
+	job->assigned = offset;
 }
 
-void ffl_gangs_fold(ffl_gangs_t *g, uint64_t offset, const ffl_record_t *rec,
-		    uint64_t now_ms)
+void ffl_gangs_fold(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
+		    const ffl_record_t *rec, uint64_t now_ms)
 {
 	ffl_job_t *job;
 
+	g->folded = offset;
+	g->dirty = true;
 	g->version++;
 	switch (rec->kind) {
 	case FFL_REC_JOB:
@@ -180,6 +225,9 @@
 	case FFL_REC_JOB_END:
 		fold_end(g, &rec->job_end, now_ms);
 		break;
+	case FFL_REC_JOB_MOVE:
+		fold_move(g, ms, offset, &rec->job_move, now_ms);
+		break;
 	default:
 		break;
 	}
@@ -194,13 +242,15 @@
 			parts,
 			json_pack("{s:s,s:I}", "worker", job->parts[i].worker,
 				  "slots", (json_int_t)job->parts[i].slots));
-	return json_pack(
-		"{s:I,s:s,s:s,s:i,s:s,s:s,s:i,s:b,s:s,s:s,s:o}", "id",
-		(json_int_t)job->id, "customer", job->spec.customer, "name",
-		job->spec.name, "accelerators", (int)job->spec.accelerators,
-		"urgency", ffl_urgency_name(job->spec.urgency), "state",
-		ffl_job_state_name(job->state), "incarnation",
-		(int)job->incarnation, "cancelled", job->cancelled, "end",
-		job->state == FFL_JOB_ENDED ? ffl_end_name(job->end) : "",
-		"result", job->result, "parts", parts);
+	return json_pack("{s:I,s:s,s:s,s:s,s:i,s:s,s:s,s:I,s:b,s:s,s:s,s:o}",
+			 "id", (json_int_t)job->id, "cell", job->cell,
+			 "customer", job->spec.customer, "name", job->spec.name,
+			 "accelerators", (int)job->spec.accelerators, "urgency",
+			 ffl_urgency_name(job->spec.urgency), "state",
+			 ffl_job_state_name(job->state), "incarnation",
+			 (json_int_t)job->incarnation, "cancelled",
+			 job->cancelled, "end",
+			 job->state == FFL_JOB_ENDED ? ffl_end_name(job->end)
+						     : "",
+			 "result", job->result, "parts", parts);
 }
--- a/lib/gang/queue.c
+++ b/lib/gang/queue.c
@@ -13,7 +13,7 @@
 
 bool ffl_sched_ours(const ffl_sched_t *s, const ffl_job_t *job)
 {
-	return !job->spec.dc[0] || strcmp(job->spec.dc, s->dc) == 0;
+	return ffl_job_in_cell(job, s->dc);
 }
 
 bool ffl_sched_waiting(const ffl_sched_t *s, const ffl_job_t *job)
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -9,6 +9,7 @@
 static bool due(const ffl_sched_t *s, const ffl_gangs_t *g,
 		const ffl_fleet_t *fleet, const ffl_config_t *cfg,
 		uint64_t now_ms);
+static uint64_t open_hash(const ffl_fleet_t *fleet);
 static void read_in(ffl_pass_t *p, ffl_fleet_t *fleet);
 static bool start(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at,
 		  const char *why, ffl_decision_t *out);
@@ -57,12 +58,23 @@
 	s->passing = false;
 }
 
+/* Which workers are open depends on health and time besides the list. */
+static uint64_t open_hash(const ffl_fleet_t *fleet)
+{
+	uint64_t h = 0;
+
+	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++)
+		h = h * 31 + ffl_worker_open(ffl_fleet_at(fleet, i));
+	return h;
+}
+
 /* A pass without any change since the last would decide the same. */
 static bool due(const ffl_sched_t *s, const ffl_gangs_t *g,
 		const ffl_fleet_t *fleet, const ffl_config_t *cfg,
 		uint64_t now_ms)
 {
-	return !s->ever || s->fleet_version != fleet->version ||
+	return !s->ever || s->open_hash != open_hash(fleet) ||
+	       s->fleet_version != fleet->version ||
 	       s->gangs_version != g->version ||
 	       s->config_revision != cfg->revision ||
 	       now_ms - s->pass_ms >= PASS_MS;
@@ -82,6 +94,7 @@
 	s->next_claim = 0;
 	s->next_job = 0;
 	s->pass_ms = p->now_ms;
+	s->open_hash = open_hash(fleet);
 	s->ever = true;
 	s->config_revision = p->cfg->revision;
 	s->passing = true;
--- a/lib/gang/space.c
+++ b/lib/gang/space.c
@@ -42,7 +42,7 @@
 				    GUINT_TO_POINTER(sp->nodes->len));
 	}
 	sp->list_version = fleet->list_version;
-	sp->list = fleet->workers->data;
+	sp->list = fleet->workers->pdata;
 }
 
 static void add_owners(ffl_space_t *sp, ffl_job_t *job)
@@ -59,7 +59,7 @@
 		     const ffl_gangs_t *g)
 {
 	if (sp->list_version != fleet->list_version ||
-	    sp->list != fleet->workers->data)
+	    sp->list != fleet->workers->pdata)
 		index_workers(sp, fleet, dc);
 	g_array_set_size(sp->owners, 0);
 	sp->accelerators = 0;
