--- a/fuzz/gang_fuzz.c
+++ b/fuzz/gang_fuzz.c
@@ -198,7 +198,7 @@
 	for (uint32_t i = 0; i < n; i++) {
 		if ((regions[i] & *need) != *need ||
 		    (regions[i] & taken & ~*need) ||
-		    (!*need && (regions[i] & closed)))
+		    (regions[i] & closed & ~*need))
 			continue;
 		if (place_units(r, shapes + 1, count - 1, taken | regions[i],
 				closed, need + 1))
--- a/lib/gang/claim.c
+++ b/lib/gang/claim.c
@@ -26,6 +26,7 @@
 		      const ffl_region_t *window, const ffl_region_t *at);
 static uint64_t best_unit(reclaim_t *q, uint32_t *unit, ffl_region_t *window,
 			  ffl_region_t *at);
+static void mark_claim(ffl_space_t *sp, const ffl_region_t *at, bool claimed);
 static ffl_job_t *next_victim(ffl_pass_t *p, const ffl_claim_t *c);
 static bool claim_step(ffl_pass_t *p, ffl_claim_t *c, ffl_decision_t *out);
 
@@ -156,7 +157,7 @@
 
 bool ffl_reclaim_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at)
 {
-	reclaim_t q = { .p = p, .job = job, .limit = UINT32_MAX };
+	reclaim_t q = { .p = p, .job = job, .limit = FFL_RANK_ALL };
 	ffl_region_t window = { .count = 0 };
 	uint32_t unit = 0;
 	uint64_t cost = best_unit(&q, &unit, &window, at);
@@ -210,13 +211,41 @@
 	       FFL_COST_NONE;
 }
 
+/* Sets or clears the claim of a region's slots. */
+static void mark_claim(ffl_space_t *sp, const ffl_region_t *at, bool claimed)
+{
+	for (uint32_t i = 0; i < at->count; i++) {
+		ffl_node_t *n = ffl_node(sp, at->first + i);
+		uint64_t slots = ffl_region_slots(sp, at, i);
+
+		n->claimed = claimed ? n->claimed | slots : n->claimed & ~slots;
+	}
+}
+
+/* Work inside a guarantee goes before claims of other work. */
+void ffl_claim_drop(ffl_pass_t *p, const ffl_region_t *at)
+{
+	for (guint i = p->s->claims->len; i-- > 0;) {
+		ffl_claim_t *c = &g_array_index(p->s->claims, ffl_claim_t, i);
+		ffl_job_t *job = ffl_job_find(p->g, c->job);
+
+		if (!ffl_regions_overlap(p->s->space, &c->at, at))
+			continue;
+		mark_claim(p->s->space, &c->at, false);
+		if (job)
+			job->wait.kind = FFL_WAIT_NONE;
+		if (i < p->s->next_claim)
+			p->s->next_claim--;
+		g_array_remove_index(p->s->claims, i);
+	}
+}
+
 void ffl_claim_add(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at)
 {
 	ffl_claim_t c = { .job = job->id, .at = *at, .since_ms = p->now_ms };
 
-	for (uint32_t i = 0; i < at->count; i++)
-		ffl_node(p->s->space, at->first + i)->claimed |=
-			ffl_region_slots(p->s->space, at, i);
+	ffl_claim_drop(p, at);
+	mark_claim(p->s->space, at, true);
 	job->wait.kind = FFL_WAIT_PREEMPTION;
 	g_array_append_val(p->s->claims, c);
 }
@@ -298,6 +327,7 @@
 			continue;
 		}
 		if (out->kind == FFL_DECIDE_START) {
+			mark_claim(p->s->space, &c->at, false);
 			for (uint32_t i = 0; i < c->at.count; i++)
 				ffl_space_own(p->s->space, c->at.first + i,
 					      out->job,
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -106,6 +106,7 @@
 {
 	ffl_share_t *share = ffl_queue_share(p, job);
 
+	ffl_claim_drop(p, at);
 	out->kind = FFL_DECIDE_START;
 	out->job = job;
 	out->for_job = 0;
--- a/lib/gang/sched_int.h
+++ b/lib/gang/sched_int.h
@@ -37,6 +37,9 @@
 void ffl_yield_load(ffl_pass_t *p);
 /** Returns a job's rank from 1; the lowest yields first. */
 uint32_t ffl_yield_rank(const ffl_sched_t *s, const ffl_job_t *job);
+/** Limit under which all work outside the guarantees yields. */
+#define FFL_RANK_ALL UINT32_MAX
+
 /**
  * Returns the cost of stopping the work in a region: the highest rank that
  * has to yield, then the work lost. 1 where all is free.
@@ -51,6 +54,8 @@
 bool ffl_urgent_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at);
 /** Keeps a region for a job until the work in it has stopped. */
 void ffl_claim_add(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at);
+/** Gives up the claims of other jobs on a region. */
+void ffl_claim_drop(ffl_pass_t *p, const ffl_region_t *at);
 /** Gives the next preemption or start that follows from a claim. */
 bool ffl_claim_next(ffl_pass_t *p, ffl_decision_t *out);
 /** Drops the claims that cannot be kept. */
--- a/lib/gang/witness.c
+++ b/lib/gang/witness.c
@@ -24,6 +24,7 @@
 static uint64_t cost_around(const ffl_space_t *sp, const ffl_region_t *r,
 			    void *arg);
 static void add_region(GArray *own, const ffl_region_t *r);
+static bool reclaimable(const ffl_space_t *sp, const ffl_region_t *r);
 static void refit_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
 		       const GArray *claims, uint32_t unit);
 static void keep_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
@@ -214,7 +215,7 @@
 			    void *arg)
 {
 	const around_t *a = arg;
-	uint64_t pinned = 0;
+	uint64_t other;
 
 	for (guint i = 0; i < a->own->len; i++) {
 		const ffl_region_t *own =
@@ -224,14 +225,14 @@
 			return FFL_COST_NONE;
 	}
 	for (uint32_t i = 0; i < r->count; i++) {
-		uint64_t slots = ffl_region_slots(sp, r, i);
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
 
-		pinned = ffl_node(sp, r->first + i)->pinned & slots;
-		for (guint k = 0; pinned && k < a->own->len; k++)
-			pinned &= ~ffl_region_on(
+		other = ffl_region_slots(sp, r, i);
+		for (guint k = 0; k < a->own->len; k++)
+			other &= ~ffl_region_on(
 				sp, &g_array_index(a->own, ffl_region_t, k),
 				r->first + i);
-		if (pinned)
+		if (other && (!n->open || (n->pinned & other)))
 			return FFL_COST_NONE;
 	}
 	for (guint i = 0; i < a->w->units->len; i++) {
@@ -279,7 +280,19 @@
 	g_array_free(a.own, TRUE);
 }
 
-/* A unit with jobs inside keeps its region whatever becomes of workers. */
+/* Tells whether all that is not held inside a guarantee is on open workers. */
+static bool reclaimable(const ffl_space_t *sp, const ffl_region_t *r)
+{
+	for (uint32_t i = 0; i < r->count; i++) {
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
+
+		if (!n->open && (ffl_region_slots(sp, r, i) & ~n->pinned))
+			return false;
+	}
+	return true;
+}
+
+/* A unit with jobs inside keeps its region while it can. */
 static void keep_held(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
 		      const GArray *claims)
 {
@@ -288,7 +301,8 @@
 
 		if (u->at.count &&
 		    (!ffl_region_of_names(sp, &u->at) ||
-		     !ffl_region_adjacent(sp, &u->at, u->adjacency)))
+		     !ffl_region_adjacent(sp, &u->at, u->adjacency) ||
+		     !reclaimable(sp, &u->at)))
 			u->at.count = 0;
 	}
 	for (guint i = 0; i < w->units->len; i++) {
--- a/lib/gang/yield.c
+++ b/lib/gang/yield.c
@@ -101,7 +101,8 @@
 		uint64_t slots = ffl_region_slots(p->s->space, r, i);
 		uint64_t lost;
 
-		if (!n->open || ((n->claimed | n->pinned) & slots) ||
+		if (!n->open || (n->pinned & slots) ||
+		    (limit != FFL_RANK_ALL && (n->claimed & slots)) ||
 		    (n->w->used & slots & ~n->owned))
 			return FFL_COST_NONE;
 		if (!(n->w->used & slots))
