--- a/lib/host/host.c
+++ b/lib/host/host.c
@@ -55,6 +55,7 @@
 			uint64_t now_ms, ffl_actions_t *out);
 static void run(ffl_host_t *h, uint32_t parts, uint64_t now_ms,
 		ffl_actions_t *out);
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out);
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out);
 static void set_ready(ffl_host_t *h, bool ready, ffl_actions_t *out);
 
@@ -112,6 +113,7 @@
 	ffl_logc_init(&h->logc, opt->cluster, opt->self.member, opt->seed);
 	ffl_config_init(&h->config);
 	ffl_members_init(&h->members, &opt->self, &opt->times);
+	ffl_hostlist_init(&h->hostlist, opt->poll_hosts_ms);
 	ffl_fleet_init(&h->fleet);
 	ffl_gangs_init(&h->gangs, opt->times.lease_ms);
 	ffl_sched_init(&h->sched, opt->self.dc);
@@ -131,6 +133,7 @@
 	ffl_sched_finish(&h->sched);
 	ffl_gangs_finish(&h->gangs);
 	ffl_fleet_finish(&h->fleet);
+	ffl_hostlist_finish(&h->hostlist);
 	ffl_members_finish(&h->members);
 	ffl_config_finish(&h->config);
 	ffl_logc_finish(&h->logc);
@@ -255,10 +258,15 @@
 static void on_host_list(ffl_host_t *h, const ffl_event_t *ev, uint64_t now_ms,
 			 ffl_actions_t *out)
 {
-	ffl_fleet_on_list(&h->fleet, &ev->host_list, now_ms);
+	ffl_host_list_t whole;
+
+	if (ffl_hostlist_take(&h->hostlist, &ev->host_list, now_ms, &whole) !=
+	    FFL_OK)
+		return;
+	ffl_fleet_on_list(&h->fleet, &whole, now_ms);
 	ffl_gangs_on_list(&h->gangs, now_ms);
 	ffl_fleet_on_config(&h->fleet, &h->config);
-	ffl_requests_on_list(&h->requests, &ev->host_list);
+	ffl_requests_on_list(&h->requests, &whole);
 	ffl_requests_on_config(&h->requests, &h->config);
 }
 
@@ -322,9 +330,8 @@
 		    ffl_actions_t *out)
 {
 	if (h->stop == FFL_STOP_NONE) {
-		h->stop = FFL_STOP_DRAINING;
+		h->stop = FFL_STOP_UNREADY;
 		h->stop_ms = now_ms;
-		ffl_requests_stop(&h->requests);
 		set_ready(h, false, out);
 		return;
 	}
@@ -345,12 +352,33 @@
 	ffl_actions_add(out, FFL_ACT_READY)->ready = ready;
 }
 
+/* Open requests finish before the host leaves; the longest wait is bounded. */
+static bool drained(ffl_host_t *h, uint64_t spent_ms, ffl_actions_t *out)
+{
+	uint32_t longest_ms =
+		h->opt.stop_drain_ms ? h->opt.stop_drain_ms : STOP_DRAIN_MS;
+
+	if (ffl_requests_idle(&h->requests))
+		return true;
+	if (spent_ms <= longest_ms)
+		return false;
+	ffl_actions_report(out, FFL_LEVEL_WARNING, "stop-drain-ended",
+			   h->opt.self.name, "%u requests were cut",
+			   g_hash_table_size(h->requests.by_id));
+	return true;
+}
+
 static void run_stop(ffl_host_t *h, uint64_t now_ms, ffl_actions_t *out)
 {
 	uint64_t spent = now_ms - h->stop_ms;
 
-	if (h->stop == FFL_STOP_DRAINING &&
-	    (ffl_requests_idle(&h->requests) || spent > STOP_DRAIN_MS)) {
+	if (h->stop == FFL_STOP_UNREADY && spent >= h->opt.stop_delay_ms) {
+		h->stop = FFL_STOP_DRAINING;
+		h->stop_ms = now_ms;
+		spent = 0;
+		ffl_requests_stop(&h->requests);
+	}
+	if (h->stop == FFL_STOP_DRAINING && drained(h, spent, out)) {
 		h->stop = FFL_STOP_LEAVING;
 		h->stop_ms = now_ms;
 		ffl_members_leave(&h->members, &h->logc);
@@ -374,6 +402,8 @@
 			      &h->sched, &h->logc, now_ms, out);
 	if (parts & RUN_REQUESTS)
 		ffl_requests_run(&h->requests, now_ms, out);
+	if (parts & RUN_LOG)
+		ffl_hostlist_run(&h->hostlist, now_ms, out);
 	if (parts & RUN_STOP) {
 		set_ready(h, h->caught_up && h->stop == FFL_STOP_NONE, out);
 		run_stop(h, now_ms, out);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -31,6 +31,8 @@
 	uint32_t busy;
 	uint32_t peak;
 	uint64_t served;
+	uint64_t runs;	    /**< whole requests taken in */
+	uint64_t truncated; /**< requests whose body ended early */
 	struct mg_context *ctx;
 } upstream_t;
 
@@ -41,6 +43,9 @@
 	fake_log_t log;
 	uint32_t delay_ms; /**< of every answer of the log */
 	GArray *hosts;	   /**< of ffl_host_info_t */
+	GArray *changed;   /**< version of each host's last change */
+	uint64_t list_seed;
+	uint64_t list_version;
 	GPtrArray *workers;
 	GPtrArray *upstreams;
 } platform_t;
