--- /dev/null
+++ b/fakes/gang_mix.c
@@ -0,0 +1,564 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/gang_mix.h"
+#include "fireflyledge/rng.h"
+
+#define HOUR_MS	      3600000ULL
+#define TICK_MS	      60000
+#define STOP_MS	      500
+#define FAIL_MS	      10000
+#define OUTAGE_MS     1800000
+#define RECLAIM_BOUND 2300
+#define ACCELERATORS  128
+#define NEVER	      UINT64_MAX
+/** Offered load in parts of the cell. */
+#define LOAD 0.92
+
+/** A job of the mix. */
+typedef struct {
+	ffl_job_spec_t spec;
+	uint64_t at_ms;
+	uint64_t run_ms;
+	uint64_t cancel_ms; /**< NEVER where it is not cancelled */
+	uint64_t id;
+	uint64_t first_ms; /**< first start */
+	uint64_t end_ms;
+	uint64_t asked_ms; /**< first preemption for it */
+} item_t;
+
+/** State of one run. */
+typedef struct {
+	fake_cell_t cell;
+	ffl_rng_t rng;
+	GArray *items;	   /**< of item_t, by arrival */
+	GHashTable *by_id; /**< index + 1 */
+	mix_t mix;
+	guint next;
+	uint32_t open;
+	double free_time;
+	double frag_time;
+	double used_time;
+	uint64_t last_ms;
+	uint64_t arrivals_end_ms;
+	uint64_t reclaim_ms;
+	uint32_t refused;
+	uint32_t black_hole; /**< worker + 1, or 0 */
+} mix_run_t;
+
+static const char *const mix_names[MIX__MAX] = {
+	[MIX_STEADY] = "steady",
+	[MIX_SMALL_BURSTS] = "small-bursts",
+	[MIX_LARGE_BURSTS] = "large-bursts",
+	[MIX_WRONG_TIMES] = "wrong-times",
+	[MIX_FAILURES] = "failures",
+	[MIX_BLACK_HOLE] = "black-hole",
+	[MIX_CANCELS] = "cancellations",
+	[MIX_BATCH_FLOOD] = "batch-flood",
+	[MIX_URGENT_FLOOD] = "urgent-flood",
+};
+
+static const char *const figure_names[MIX_FIGURE__MAX] = {
+	"completion_mean",	 "completion_p95",
+	"completion_small_mean", "completion_worker_mean",
+	"completion_large_mean", "completion_large_p95",
+	"largest_tenth_wait",	 "fragmentation",
+	"utilisation",		 "urgent_start_p99",
+	"preempted_work_lost",	 "reclaim_max",
+	"reclaims_out_of_bound",
+};
+
+static const char *const figure_units[MIX_FIGURE__MAX] = {
+	"s", "s", "s", "s", "s", "s", "s", "", "", "s", "accelerator hours",
+	"s", "",
+};
+
+/** A kind of work: its run time and how much users overstate it. */
+typedef struct {
+	const char *name;
+	double mean_ms;
+	double overstated;
+} work_t;
+
+static const work_t works[] = {
+	{ "reading", 120e3, 3 },
+	{ "survey", 1200e3, 2 },
+	{ "plan", 600e3, 5 },
+	{ "model", 5400e3, 1.5 },
+};
+static const char *const customers[] = { "rocio", "busan", "valle", "puerto" };
+static const uint32_t sizes[] = { 1, 1, 1, 2, 2, 2,  4,	 4,  4,	 4,
+				  8, 8, 8, 8, 8, 16, 16, 16, 32, 64 };
+
+static double uniform(mix_run_t *r);
+static double normal(mix_run_t *r);
+static double exponential(double x);
+static uint64_t next_gap(mix_run_t *r, double mean_ms);
+
+const char *mix_name(mix_t mix)
+{
+	return mix_names[mix];
+}
+
+const char *mix_figure_name(uint32_t figure)
+{
+	return figure_names[figure];
+}
+
+const char *mix_figure_unit(uint32_t figure)
+{
+	return figure_units[figure];
+}
+
+static double uniform(mix_run_t *r)
+{
+	return ((double)(ffl_rng_next(&r->rng) >> 11) + 0.5) /
+	       9007199254740992.0;
+}
+
+/* The sum of twelve uniform numbers is nearly normal. */
+static double normal(mix_run_t *r)
+{
+	double sum = -6;
+
+	for (uint32_t i = 0; i < 12; i++)
+		sum += uniform(r);
+	return sum;
+}
+
+static double exponential(double x)
+{
+	double y = 1 + x / 1024;
+
+	for (uint32_t i = 0; i < 10; i++)
+		y *= y;
+	return y;
+}
+
+/* Time to the next arrival, exponentially distributed. */
+static uint64_t next_gap(mix_run_t *r, double mean_ms)
+{
+	uint64_t u = (ffl_rng_next(&r->rng) >> 32) + 1;
+	double log2 = 32 - (double)ffl_log2(u) / 65536;
+
+	return (uint64_t)(log2 * 0.693147 * mean_ms) + 1;
+}
+
+static void make_item(mix_run_t *r, uint64_t at_ms, uint32_t accelerators,
+		      ffl_urgency_t urgency)
+{
+	const work_t *work = &works[ffl_rng_below(&r->rng, 4)];
+	uint32_t c = (uint32_t)ffl_rng_below(&r->rng, 8);
+	item_t it = { .at_ms = at_ms, .cancel_ms = NEVER };
+	double run = work->mean_ms * exponential(0.8 * normal(r) - 0.32);
+	double declared = run * work->overstated * exponential(0.4 * normal(r));
+
+	if (r->mix == MIX_WRONG_TIMES)
+		declared = run * exponential(2.302585 * (2 * uniform(r) - 1));
+	it.run_ms = (uint64_t)run + 1000;
+	it.spec.accelerators = accelerators;
+	it.spec.adjacency = accelerators > 64  ? FFL_ADJ_DC
+			    : accelerators > 8 ? FFL_ADJ_RACK
+					       : FFL_ADJ_WORKER;
+	it.spec.urgency = urgency;
+	it.spec.declared_ms = (uint32_t)declared + 1;
+	it.spec.checkpointable = uniform(r) < 0.6;
+	ffl_copy(it.spec.customer, sizeof(it.spec.customer),
+		 customers[c < 4   ? 0
+			   : c < 6 ? 1
+				   : c - 4]);
+	ffl_copy(it.spec.kind, sizeof(it.spec.kind), work->name);
+	if (r->mix == MIX_CANCELS && (at_ms / HOUR_MS) % 3 == 2 &&
+	    uniform(r) < 0.5)
+		it.cancel_ms = (at_ms / HOUR_MS + 1) * HOUR_MS;
+	g_array_append_val(r->items, it);
+}
+
+static uint32_t any_size(mix_run_t *r)
+{
+	return sizes[ffl_rng_below(&r->rng, 20)];
+}
+
+static ffl_urgency_t any_urgency(mix_run_t *r)
+{
+	double u = uniform(r);
+
+	return u < 0.02 ? FFL_URGENT : u < 0.7 ? FFL_NORMAL : FFL_BATCH;
+}
+
+/* Every second hour of a burst or flood has extra work. */
+static void make_burst(mix_run_t *r, uint64_t hour)
+{
+	uint64_t at_ms = hour * HOUR_MS;
+
+	if (r->mix == MIX_SMALL_BURSTS && hour % 3 == 1) {
+		for (uint32_t i = 0; i < 120; i++)
+			make_item(r, at_ms + i * 500,
+				  1U << ffl_rng_below(&r->rng, 3), FFL_NORMAL);
+	}
+	if (r->mix == MIX_LARGE_BURSTS && hour % 4 == 1) {
+		for (uint32_t i = 0; i < 6; i++)
+			make_item(r, at_ms + i * 500,
+				  16U << ffl_rng_below(&r->rng, 3), FFL_NORMAL);
+	}
+	if (r->mix == MIX_BATCH_FLOOD && hour % 6 == 1) {
+		for (uint32_t i = 0; i < 250; i++)
+			make_item(r, at_ms + i * 200,
+				  1U << ffl_rng_below(&r->rng, 4), FFL_BATCH);
+	}
+	if (r->mix == MIX_URGENT_FLOOD && hour % 6 == 1) {
+		for (uint32_t i = 0; i < 120; i++)
+			make_item(r, at_ms + i * 200,
+				  1U << ffl_rng_below(&r->rng, 4), FFL_URGENT);
+	}
+}
+
+static gint compare_items(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = ((const item_t *)a)->at_ms;
+	uint64_t y = ((const item_t *)b)->at_ms;
+
+	return (x > y) - (x < y);
+}
+
+static void make_items(mix_run_t *r, uint32_t hours)
+{
+	double work = 0;
+	double gap;
+	uint64_t at_ms = 1000;
+
+	for (uint32_t i = 0; i < 20; i++)
+		work += sizes[i] / 20.0;
+	gap = work * (120e3 + 1200e3 + 600e3 + 5400e3) / 4 /
+	      (ACCELERATORS * LOAD);
+	if (r->mix == MIX_SMALL_BURSTS || r->mix == MIX_LARGE_BURSTS ||
+	    r->mix == MIX_BATCH_FLOOD || r->mix == MIX_URGENT_FLOOD)
+		gap *= 1.3;
+	while (at_ms < hours * HOUR_MS) {
+		make_item(r, at_ms, any_size(r), any_urgency(r));
+		at_ms += next_gap(r, gap);
+	}
+	for (uint32_t h = 0; h < hours; h++)
+		make_burst(r, h);
+	g_array_sort(r->items, compare_items);
+	r->arrivals_end_ms = hours * HOUR_MS;
+}
+
+static item_t *item_of(mix_run_t *r, uint64_t id)
+{
+	guint at = GPOINTER_TO_UINT(
+		g_hash_table_lookup(r->by_id, GUINT_TO_POINTER((guint)id)));
+
+	return at ? &g_array_index(r->items, item_t, at - 1) : NULL;
+}
+
+static void see(fake_cell_t *c, const ffl_decision_t *d, void *arg)
+{
+	mix_run_t *r = arg;
+	item_t *it = item_of(r, d->kind == FFL_DECIDE_PREEMPT ? d->for_job
+							      : d->job->id);
+	uint64_t took_ms;
+
+	if (d->kind == FFL_DECIDE_PREEMPT && !it->asked_ms)
+		it->asked_ms = c->now_ms;
+	if (d->kind != FFL_DECIDE_START)
+		return;
+	if (!it->first_ms)
+		it->first_ms = c->now_ms;
+	if (!it->asked_ms || !d->job->unit)
+		return;
+	took_ms = c->now_ms - it->asked_ms;
+	r->reclaim_ms = MAX(r->reclaim_ms, took_ms);
+	r->refused += took_ms > RECLAIM_BOUND;
+	it->asked_ms = 0;
+}
+
+/* Returns when a running job ends, or fails on the black hole. */
+static uint64_t end_of(mix_run_t *r, const ffl_job_t *job, bool *fails)
+{
+	const item_t *it = item_of(r, job->id);
+
+	*fails = false;
+	for (uint32_t i = 0; r->black_hole && i < job->part_count; i++)
+		*fails = *fails || (uint32_t)atoi(job->parts[i].worker + 1) ==
+					   r->black_hole - 1;
+	if (*fails)
+		return job->since_ms + FAIL_MS;
+	return job->since_ms + it->run_ms - MIN(job->progress_ms, it->run_ms);
+}
+
+static void fail_job(mix_run_t *r, ffl_job_t *job)
+{
+	char name[FFL_NAME_BYTES];
+	ffl_worker_t *w;
+
+	g_snprintf(name, sizeof(name), "w%05u", r->black_hole - 1);
+	w = ffl_fleet_find(&r->cell.fleet, name);
+	if (w)
+		ffl_fleet_failed(&r->cell.fleet, w, job->id, r->cell.now_ms);
+	fake_cell_stop(&r->cell, job);
+}
+
+/* Ends what is due; returns when the next running job ends. */
+static uint64_t settle(mix_run_t *r)
+{
+	GArray *open = r->cell.gangs.open;
+	uint64_t next_ms = NEVER;
+
+	for (guint i = open->len; i-- > 0;) {
+		ffl_job_t *job = g_array_index(open, ffl_job_t *, i);
+		item_t *it = item_of(r, job->id);
+		uint64_t end_ms;
+		bool fails;
+
+		if (it->cancel_ms <= r->cell.now_ms) {
+			fake_cell_cancel(&r->cell, job->id);
+			r->open--;
+			continue;
+		}
+		if (job->state == FFL_JOB_STOPPING)
+			next_ms = MIN(next_ms, job->since_ms + STOP_MS);
+		if (job->state != FFL_JOB_RUNNING)
+			continue;
+		end_ms = end_of(r, job, &fails);
+		if (end_ms > r->cell.now_ms) {
+			next_ms = MIN(next_ms, end_ms);
+		} else if (fails) {
+			fail_job(r, job);
+		} else {
+			it->end_ms = r->cell.now_ms;
+			fake_cell_complete(&r->cell, job->id);
+			r->open--;
+		}
+	}
+	return next_ms;
+}
+
+/* Largest run of neighbouring free slots. */
+static uint32_t largest_free(const ffl_fleet_t *fleet, uint32_t *total)
+{
+	uint32_t best = 0;
+	uint32_t run = 0;
+
+	*total = 0;
+	for (uint32_t i = 0; i < ffl_fleet_count(fleet); i++) {
+		const ffl_worker_t *w = ffl_fleet_at(fleet, i);
+		uint32_t n = ffl_worker_open(w)
+				     ? (uint32_t)__builtin_popcountll(
+					       ffl_worker_slots(w) & ~w->used)
+				     : 0;
+
+		*total += n;
+		run = n == w->info.accelerators ? run + n : 0;
+		best = MAX(best, run);
+		for (uint32_t size = 1; size < w->info.accelerators;
+		     size *= 2) {
+			for (uint32_t at = 0; at < w->info.accelerators;
+			     at += size) {
+				uint64_t m = ((1ULL << size) - 1) << at;
+
+				if (n >= size && !(m & w->used))
+					best = MAX(best, size);
+			}
+		}
+	}
+	return best;
+}
+
+static void measure(mix_run_t *r, uint64_t until_ms)
+{
+	uint32_t free;
+	uint32_t largest = largest_free(&r->cell.fleet, &free);
+	double span = (double)(until_ms - r->last_ms);
+
+	if (until_ms > r->arrivals_end_ms || !until_ms)
+		return;
+	r->last_ms = until_ms;
+	r->used_time += span * (ACCELERATORS - free) / ACCELERATORS;
+	if (!free)
+		return;
+	r->free_time += span;
+	r->frag_time += span * (1 - (double)largest / free);
+}
+
+/* Loses a worker, or brings it back, every so often. */
+static void faults(mix_run_t *r, uint64_t tick)
+{
+	bool *lost;
+
+	if (r->mix == MIX_BLACK_HOLE)
+		r->black_hole = 1 + (uint32_t)(tick / 240 * 5 % 16);
+	if (r->mix != MIX_FAILURES || tick % (OUTAGE_MS / TICK_MS))
+		return;
+	for (guint i = 0; i < r->cell.lost->len; i++)
+		g_array_index(r->cell.lost, bool, i) = false;
+	lost = &g_array_index(r->cell.lost, bool,
+			      ffl_rng_below(&r->rng, r->cell.lost->len));
+	*lost = tick / (OUTAGE_MS / TICK_MS) % 2;
+	fake_cell_list(&r->cell);
+}
+
+static void submit_due(mix_run_t *r)
+{
+	while (r->next < r->items->len) {
+		item_t *it = &g_array_index(r->items, item_t, r->next);
+
+		if (it->at_ms > r->cell.now_ms)
+			return;
+		it->id = fake_cell_submit(&r->cell, &it->spec)->id;
+		r->next++;
+		r->open++;
+		g_hash_table_insert(r->by_id, GUINT_TO_POINTER((guint)it->id),
+				    GUINT_TO_POINTER(r->next));
+	}
+}
+
+static void play(mix_run_t *r)
+{
+	uint64_t tick_ms = 0;
+
+	r->cell.now_ms = 1000;
+	while (r->next < r->items->len || r->open) {
+		uint64_t next_ms;
+		uint64_t end_ms;
+
+		if (r->cell.now_ms >= tick_ms) {
+			faults(r, tick_ms / TICK_MS);
+			tick_ms += TICK_MS;
+		}
+		submit_due(r);
+		settle(r);
+		ffl_fleet_run_health(&r->cell.fleet, r->cell.now_ms);
+		fake_cell_pass(&r->cell);
+		end_ms = settle(r);
+		next_ms = MIN(end_ms, tick_ms);
+		if (r->next < r->items->len)
+			next_ms = MIN(
+				next_ms,
+				g_array_index(r->items, item_t, r->next).at_ms);
+		next_ms = MAX(next_ms, r->cell.now_ms + 1);
+		measure(r, next_ms);
+		r->cell.now_ms = next_ms;
+	}
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Mean, or a quantile where one is asked for, of a set of samples. */
+static double figure(GArray *a, double quantile)
+{
+	double sum = 0;
+
+	if (!a->len)
+		return 0;
+	if (quantile > 0) {
+		qsort(a->data, a->len, sizeof(double), compare_doubles);
+		return g_array_index(a, double,
+				     (guint)(quantile * (a->len - 1)));
+	}
+	for (guint i = 0; i < a->len; i++)
+		sum += g_array_index(a, double, i);
+	return sum / a->len;
+}
+
+static void collect(mix_run_t *r, double *f)
+{
+	GArray *set[5];
+
+	for (uint32_t i = 0; i < 5; i++)
+		set[i] = g_array_new(FALSE, FALSE, sizeof(double));
+	for (guint i = 0; i < r->items->len; i++) {
+		const item_t *it = &g_array_index(r->items, item_t, i);
+		uint32_t n = it->spec.accelerators;
+		double took = ((double)it->end_ms - (double)it->at_ms) / 1000;
+		double wait = ((double)it->first_ms - (double)it->at_ms) / 1000;
+
+		if (it->spec.urgency == FFL_URGENT && it->first_ms)
+			g_array_append_val(set[4], wait);
+		if (!it->end_ms)
+			continue;
+		g_array_append_val(set[0], took);
+		g_array_append_val(set[n <= 4 ? 1 : n == 8 ? 2 : 3], took);
+	}
+	f[MIX_COMPLETION] = figure(set[0], 0);
+	f[MIX_COMPLETION_P95] = figure(set[0], 0.95);
+	f[MIX_COMPLETION_SMALL] = figure(set[1], 0);
+	f[MIX_COMPLETION_WORKER] = figure(set[2], 0);
+	f[MIX_COMPLETION_LARGE] = figure(set[3], 0);
+	f[MIX_COMPLETION_LARGE_P95] = figure(set[3], 0.95);
+	f[MIX_URGENT_START] = figure(set[4], 0.99);
+	for (uint32_t i = 0; i < 5; i++)
+		g_array_free(set[i], TRUE);
+}
+
+static gint compare_sizes(gconstpointer a, gconstpointer b)
+{
+	const item_t *x = a;
+	const item_t *y = b;
+
+	if (x->spec.accelerators != y->spec.accelerators)
+		return x->spec.accelerators < y->spec.accelerators ? 1 : -1;
+	return compare_items(a, b);
+}
+
+/* Waiting time, besides running, of the tenth of jobs that are largest. */
+static double large_wait(mix_run_t *r)
+{
+	guint n = r->items->len / 10;
+	double sum = 0;
+	guint count = 0;
+
+	g_array_sort(r->items, compare_sizes);
+	for (guint i = 0; i < n; i++) {
+		const item_t *it = &g_array_index(r->items, item_t, i);
+
+		if (!it->end_ms)
+			continue;
+		sum += ((double)it->end_ms - (double)it->at_ms -
+			(double)it->run_ms) /
+		       1000;
+		count++;
+	}
+	return count ? sum / count : 0;
+}
+
+void mix_run(mix_t mix, ffl_policy_id_t policy, uint64_t seed, uint32_t hours,
+	     double f[MIX_FIGURE__MAX])
+{
+	fake_cell_size_t size = { 2, 8, 8, 32, 65536 };
+	mix_run_t r = { .mix = mix };
+
+	memset(f, 0, sizeof(*f) * MIX_FIGURE__MAX);
+	ffl_rng_init(&r.rng, seed);
+	r.items = g_array_new(FALSE, TRUE, sizeof(item_t));
+	r.by_id = g_hash_table_new(NULL, NULL);
+	fake_cell_init(&r.cell, &size);
+	r.cell.see = see;
+	r.cell.arg = &r;
+	r.cell.stop_ms = STOP_MS;
+	ffl_sched_use(&r.cell.sched, policy);
+	for (uint32_t i = 0; i < 4; i++)
+		fake_cell_customer(&r.cell, customers[i], 4U >> (i / 2), 0);
+	fake_cell_guarantee(&r.cell, "rocio", 2, 8, FFL_ADJ_WORKER);
+	fake_cell_guarantee(&r.cell, "busan", 1, 16, FFL_ADJ_RACK);
+	fake_cell_guarantee(&r.cell, "valle", 1, 8, FFL_ADJ_WORKER);
+	fake_cell_guarantee(&r.cell, "puerto", 2, 4, FFL_ADJ_WORKER);
+	make_items(&r, hours);
+	play(&r);
+	collect(&r, f);
+	f[MIX_LARGE_WAIT] = large_wait(&r);
+	f[MIX_FRAGMENTATION] = r.free_time > 0 ? r.frag_time / r.free_time : 0;
+	f[MIX_UTILISATION] = r.used_time / (double)r.arrivals_end_ms;
+	f[MIX_LOST] = (double)r.cell.lost_ms / HOUR_MS;
+	f[MIX_RECLAIM] = (double)r.reclaim_ms / 1000;
+	f[MIX_REFUSED] = r.refused;
+	fake_cell_finish(&r.cell);
+	g_hash_table_destroy(r.by_id);
+	g_array_free(r.items, TRUE);
+}
--- a/include/fireflyledge/policy.h
+++ b/include/fireflyledge/policy.h
@@ -53,6 +53,7 @@
 	/** Returns how much a blocked job deserves a reservation; 0 none. */
 	uint64_t (*reserve)(const ffl_rank_t *r, const ffl_job_t *job);
 	bool in_order; /**< the first blocked job has the reservation */
+	bool moves;    /**< checkpoints work to make room for a reservation */
 	bool preempts; /**< urgent work stops work that yields first */
 } ffl_policy_t;
 
--- a/lib/gang/policy.c
+++ b/lib/gang/policy.c
@@ -27,12 +27,25 @@
 static uint64_t reserve_large(const ffl_rank_t *r, const ffl_job_t *job);
 
 static const ffl_policy_t policies[FFL_POLICY__MAX] = {
-	[FFL_POLICY_FAIR] = { "fair", key_fair, ffl_learn_expect, fit_best,
-			      reserve_large, false, true },
-	[FFL_POLICY_FCFS] = { "fcfs", key_fcfs, expect_declared, fit_first,
-			      reserve_none, true, false },
-	[FFL_POLICY_EASY] = { "easy", key_fcfs, expect_declared, fit_first,
-			      reserve_any, true, false },
+	[FFL_POLICY_FAIR] = { .name = "fair",
+			      .key = key_fair,
+			      .expect_ms = ffl_learn_expect,
+			      .fit = fit_best,
+			      .reserve = reserve_large,
+			      .moves = false,
+			      .preempts = true },
+	[FFL_POLICY_FCFS] = { .name = "fcfs",
+			      .key = key_fcfs,
+			      .expect_ms = expect_declared,
+			      .fit = fit_first,
+			      .reserve = reserve_none,
+			      .in_order = true },
+	[FFL_POLICY_EASY] = { .name = "easy",
+			      .key = key_fcfs,
+			      .expect_ms = expect_declared,
+			      .fit = fit_first,
+			      .reserve = reserve_any,
+			      .in_order = true },
 };
 
 const ffl_policy_t *ffl_policy(ffl_policy_id_t id)
--- a/lib/gang/reserve.c
+++ b/lib/gang/reserve.c
@@ -4,12 +4,17 @@
 
 /** A job that runs longer than expected goes on for part of its time. */
 #define OVERRUN_PART 4
+/** Lower bits of a cost: accelerators that would be moved. */
+#define MOVED_BITS 12
+#define MOVED_MAX  ((1U << MOVED_BITS) - 1)
 
 /** A search for free regions, or for the one that is free first. */
 typedef struct {
 	ffl_pass_t *p;
 	const ffl_job_t *job;
-	bool short_enough; /**< ends before the reservation begins */
+	bool short_enough; /**< may run where the reservation is */
+	bool moves;	   /**< work that can be moved counts as gone */
+	uint32_t rank;	   /**< of the job, among those that yield */
 } find_t;
 
 static uint64_t cost_free(const ffl_space_t *sp, const ffl_region_t *r,
@@ -17,7 +22,9 @@
 static uint64_t cost_earliest(const ffl_space_t *sp, const ffl_region_t *r,
 			      void *arg);
 static uint64_t failed_key(const find_t *f);
-static uint64_t slots_end(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots);
+static uint64_t slots_end(const find_t *f, const ffl_node_t *n, uint64_t slots,
+			  uint32_t *moved);
+static bool may_backfill(ffl_pass_t *p, const ffl_job_t *job);
 
 static uint64_t cost_free(const ffl_space_t *sp, const ffl_region_t *r,
 			  void *arg)
@@ -48,6 +55,22 @@
 	return ffl_mix(h, f->short_enough);
 }
 
+/* Work that ends in time or can be moved runs where a block is reserved. */
+static bool may_backfill(ffl_pass_t *p, const ffl_job_t *job)
+{
+	const ffl_policy_t *policy = p->s->policy;
+	const ffl_job_t *holder = ffl_gangs_find(p->g, p->s->reserved.job);
+
+	if (policy->preempts && job->spec.urgency == FFL_URGENT)
+		return true;
+	if (policy->moves && job->spec.checkpointable && holder &&
+	    ffl_yield_rank(p->s, job) <= ffl_yield_rank(p->s, holder))
+		return true;
+	return p->now_ms + policy->expect_ms(&p->g->learn, &job->spec,
+					     FFL_LEARN_HIGH) <=
+	       p->s->reserved.expect_ms;
+}
+
 bool ffl_free_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at)
 {
 	find_t f = { .p = p, .job = job };
@@ -55,15 +78,9 @@
 	const ffl_reservation_t *res = &p->s->reserved;
 	bool owner = res->job == job->id;
 	uint64_t key;
-	uint64_t run_ms;
-
-	if (res->job && !owner) {
-		run_ms = p->s->policy->expect_ms(&p->g->learn, &job->spec,
-						 FFL_LEARN_HIGH);
-		f.short_enough = p->now_ms + run_ms <= res->expect_ms ||
-				 (p->s->policy->preempts &&
-				  job->spec.urgency == FFL_URGENT);
-	}
+
+	if (res->job && !owner)
+		f.short_enough = may_backfill(p, job);
 	key = failed_key(&f);
 	if (!owner && g_hash_table_contains(p->s->failed, &key))
 		return false;
@@ -88,28 +105,35 @@
 }
 
 /* Returns when the last holder of slots is expected to end. */
-static uint64_t slots_end(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots)
+static uint64_t slots_end(const find_t *f, const ffl_node_t *n, uint64_t slots,
+			  uint32_t *moved)
 {
-	uint64_t end_ms = p->now_ms;
+	uint64_t end_ms = f->p->now_ms;
 
 	for (uint32_t link = n->owner; link;) {
-		ffl_owner_t *o = ffl_owner(p->s->space, link);
+		ffl_owner_t *o = ffl_owner(f->p->s->space, link);
 
 		link = o->next;
 		if (!(o->slots & slots) || !o->job->part_count)
 			continue;
+		if (f->moves && ffl_yield_movable(f->p, o, f->rank)) {
+			*moved += o->job->spec.accelerators;
+			continue;
+		}
 		if (!o->end_ms)
-			o->end_ms = ffl_expected_end(p, o->job);
+			o->end_ms = ffl_expected_end(f->p, o->job);
 		end_ms = MAX(end_ms, o->end_ms);
 	}
 	return end_ms;
 }
 
+/* Counts time first, in steps, and then what would have to be moved. */
 static uint64_t cost_earliest(const ffl_space_t *sp, const ffl_region_t *r,
 			      void *arg)
 {
 	const find_t *f = arg;
 	uint64_t end_ms = f->p->now_ms;
+	uint32_t moved = 0;
 
 	for (uint32_t i = 0; i < r->count; i++) {
 		const ffl_node_t *n = ffl_node(sp, r->first + i);
@@ -119,20 +143,23 @@
 		if (!n->open || (n->claimed & slots) ||
 		    (n->w->used & slots & ~n->owned))
 			return FFL_COST_NONE;
-		at_ms = slots_end(f->p, n, n->w->used & slots);
+		at_ms = slots_end(f, n, n->w->used & slots, &moved);
 		end_ms = MAX(end_ms, at_ms);
 	}
-	return end_ms;
+	return (end_ms << MOVED_BITS) + MIN(moved, MOVED_MAX);
 }
 
 bool ffl_earliest_search(ffl_pass_t *p, const ffl_job_t *job, ffl_region_t *at,
 			 uint64_t *at_ms)
 {
-	find_t f = { .p = p, .job = job };
+	find_t f = { .p = p, .job = job, .moves = p->s->policy->moves };
 	ffl_shape_t shape = ffl_job_shape(&job->spec);
+	uint64_t cost;
 
-	*at_ms = ffl_region_search(p->s->space, &shape, cost_earliest, &f, at);
-	return *at_ms != FFL_COST_NONE;
+	f.rank = ffl_yield_rank(p->s, job);
+	cost = ffl_region_search(p->s->space, &shape, cost_earliest, &f, at);
+	*at_ms = cost >> MOVED_BITS;
+	return cost != FFL_COST_NONE;
 }
 
 void ffl_reserve_clear(ffl_pass_t *p)
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -13,6 +13,7 @@
 static void read_in(ffl_pass_t *p, ffl_fleet_t *fleet);
 static bool start(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at,
 		  const char *why, ffl_decision_t *out);
+static void claim(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at);
 static bool decide(ffl_pass_t *p, ffl_job_t *job, ffl_decision_t *out);
 static void explain_blocked(ffl_pass_t *p, ffl_job_t *job);
 static bool decide_reserved(ffl_pass_t *p, ffl_decision_t *out);
@@ -127,6 +128,16 @@
 	return true;
 }
 
+static void claim(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at)
+{
+	ffl_share_t *share = ffl_queue_share(p, job);
+
+	ffl_claim_add(p, job, at);
+	share->running += job->spec.accelerators;
+	if (!job->unit)
+		share->above += job->spec.accelerators;
+}
+
 /* Notes why a job cannot start, for those who ask. */
 static void explain_blocked(ffl_pass_t *p, ffl_job_t *job)
 {
@@ -145,7 +156,6 @@
 /* Tries a job: inside its guarantee, on free slots, by stopping others. */
 static bool decide(ffl_pass_t *p, ffl_job_t *job, ffl_decision_t *out)
 {
-	ffl_share_t *share = ffl_queue_share(p, job);
 	ffl_region_t at = { .count = 0 };
 	bool inside;
 
@@ -162,10 +172,7 @@
 		explain_blocked(p, job);
 		return false;
 	}
-	ffl_claim_add(p, job, &at);
-	share->running += job->spec.accelerators;
-	if (!job->unit)
-		share->above += job->spec.accelerators;
+	claim(p, job, &at);
 	return ffl_claim_next(p, out);
 }
 
@@ -173,6 +180,7 @@
 static bool decide_reserved(ffl_pass_t *p, ffl_decision_t *out)
 {
 	ffl_job_t *job = ffl_reserve_choose(p);
+	ffl_region_t at;
 
 	ffl_reserve_clear(p);
 	if (!job)
@@ -183,10 +191,17 @@
 		return true;
 	}
 	ffl_reserve_clear(p);
-	if (job->wait.kind != FFL_WAIT_QUOTA &&
-	    job->wait.kind != FFL_WAIT_PREEMPTION)
-		ffl_reserve(p, job);
-	return false;
+	if (job->wait.kind == FFL_WAIT_QUOTA ||
+	    job->wait.kind == FFL_WAIT_PREEMPTION)
+		return false;
+	ffl_reserve(p, job);
+	if (!p->s->reserved.job || !p->s->policy->moves ||
+	    p->s->reserved.expect_ms > p->now_ms)
+		return false;
+	at = p->s->reserved.at;
+	ffl_reserve_clear(p);
+	claim(p, job, &at);
+	return ffl_claim_next(p, out);
 }
 
 static bool decide_queue(ffl_pass_t *p, ffl_decision_t *out)
--- a/lib/gang/sched_int.h
+++ b/lib/gang/sched_int.h
@@ -48,6 +48,9 @@
  */
 uint64_t ffl_yield_cost(ffl_pass_t *p, const ffl_region_t *r, uint32_t limit);
 
+/** Tells whether work can be checkpointed and moved for a job of a rank. */
+bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, uint32_t rank);
+
 /** Finds the job's place inside its customer's guarantee. */
 bool ffl_reclaim_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at);
 /** Finds a place for urgent work by stopping work that yields. */
--- a/lib/gang/yield.c
+++ b/lib/gang/yield.c
@@ -66,6 +66,15 @@
 	o->lost = (spent_ms + 1) * o->job->spec.accelerators;
 }
 
+bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, uint32_t rank)
+{
+	if (!o->job->spec.checkpointable || !ffl_job_active(o->job) ||
+	    o->job->unit)
+		return false;
+	owner_info(p, o);
+	return o->rank <= rank;
+}
+
 /* Adds the work lost on one worker; each job counts once. */
 static uint64_t add_owners(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots,
 			   uint32_t limit, uint32_t *rank)
