--- a/lib/host/command_job.c
+++ b/lib/host/command_job.c
@@ -46,7 +46,7 @@
 	ffl_record_t rec = { .kind = FFL_REC_JOB };
 	const ffl_job_t *known;
 	ffl_findings_t fs;
-	json_t *body = ffl_call_parse_body(c);
+	json_t *body = ffl_call_body(c);
 
 	if (!body)
 		return;
@@ -60,13 +60,13 @@
 		ffl_copy(rec.job.cell, sizeof(rec.job.cell), h->opt.self.dc);
 	ffl_job_check(&rec.job, &h->config, &h->fleet, &fs);
 	known = ffl_gangs_find_name(&h->gangs, rec.job.customer, rec.job.name);
-	if (fs.errors)
-		ffl_call_findings_problem(c, &fs);
-	else if (known)
+	if (known)
 		ffl_actions_answer(c->out, c->ev->id, 200,
 				   ffl_job_to_json(known));
+	else if (fs.errors)
+		ffl_call_findings(c, &fs);
 	else
-		ffl_call_append_and_wait(h, c, &rec, 0);
+		ffl_call_append(h, c, &rec, 0);
 	ffl_findings_finish(&fs);
 }
 
@@ -75,7 +75,7 @@
 	const ffl_job_t *job = NULL;
 	uint64_t id;
 
-	if (ffl_call_parse_id(c->ev->arg, &id))
+	if (ffl_parse_id(c->ev->arg, &id))
 		job = ffl_gangs_find(&h->gangs, id);
 	if (job && visible(c, job))
 		return job;
@@ -114,5 +114,5 @@
 	rec.job_cancel.job = job->id;
 	ffl_copy(rec.job_cancel.who, sizeof(rec.job_cancel.who),
 		 c->operator_name ? c->operator_name : c->customer->name);
-	ffl_call_append_and_wait(h, c, &rec, job->id);
+	ffl_call_append(h, c, &rec, job->id);
 }
