A reservation may move smaller work that has a checkpoint

Cause: a gang of 64 of a cell of 128 waited for a whole rack to drain. Change: work with a checkpoint, smaller and not yielding later, counts as gone when a block is reserved, backfills it, and is checkpointed when the block's other holders have ended. Batch work is reserved for as well, at a quarter. Two ways were tried and dropped: equal sizes moved each other without end; gathering unmovable work at one end gained nothing.

--- a/lib/gang/policy.c
+++ b/lib/gang/policy.c
@@ -12,6 +12,8 @@
 #define AGE_MS 600000
 /** A job that waited less gets no reservation, in milliseconds. */
 #define RESERVE_AFTER_MS 1000
+/** Waiting of batch work counts this much less for a reservation. */
+#define BATCH_PART 4
 
 static uint64_t key_fcfs(const ffl_rank_t *r, const ffl_job_t *job);
 static uint64_t key_fair(const ffl_rank_t *r, const ffl_job_t *job);
@@ -32,7 +34,7 @@
 			      .expect_ms = ffl_learn_expect,
 			      .fit = fit_best,
 			      .reserve = reserve_large,
-			      .moves = false,
+			      .moves = true,
 			      .preempts = true },
 	[FFL_POLICY_FCFS] = { .name = "fcfs",
 			      .key = key_fcfs,
@@ -104,10 +106,9 @@
 	uint64_t size = (uint64_t)__builtin_popcountll(r->last);
 	uint64_t cost = 1 + 4 * (uint64_t)__builtin_popcountll(left);
 
+	cost += 64 * (uint64_t)ffl_node(sp, n->rack)->fresh + n->rack;
 	if (!n->w->used && left)
-		cost += 4096 + ffl_node(sp, n->rack)->fresh;
-	else if (!n->w->used)
-		cost += ffl_node(sp, n->rack)->fresh;
+		cost += 4096;
 	if (size < n->w->info.accelerators &&
 	    !(n->w->used & (r->last << size | r->last >> size)))
 		cost += 2;
@@ -149,7 +150,9 @@
 {
 	uint64_t wait_ms = r->now_ms - job->queued_ms;
 
-	if (wait_ms < RESERVE_AFTER_MS || job->spec.urgency == FFL_BATCH)
+	if (wait_ms < RESERVE_AFTER_MS)
 		return 0;
+	if (job->spec.urgency == FFL_BATCH)
+		wait_ms /= BATCH_PART;
 	return job->spec.accelerators * wait_ms;
 }
--- a/lib/gang/reserve.c
+++ b/lib/gang/reserve.c
@@ -14,7 +14,6 @@
 	const ffl_job_t *job;
 	bool short_enough; /**< may run where the reservation is */
 	bool moves;	   /**< work that can be moved counts as gone */
-	uint32_t rank;	   /**< of the job, among those that yield */
 } find_t;
 
 static uint64_t cost_free(const ffl_space_t *sp, const ffl_region_t *r,
@@ -64,6 +63,7 @@
 	if (policy->preempts && job->spec.urgency == FFL_URGENT)
 		return true;
 	if (policy->moves && job->spec.checkpointable && holder &&
+	    job->spec.accelerators < holder->spec.accelerators &&
 	    ffl_yield_rank(p->s, job) <= ffl_yield_rank(p->s, holder))
 		return true;
 	return p->now_ms + policy->expect_ms(&p->g->learn, &job->spec,
@@ -116,7 +116,7 @@
 		link = o->next;
 		if (!(o->slots & slots) || !o->job->part_count)
 			continue;
-		if (f->moves && ffl_yield_movable(f->p, o, f->rank)) {
+		if (f->moves && ffl_yield_movable(f->p, o, f->job)) {
 			*moved += o->job->spec.accelerators;
 			continue;
 		}
@@ -156,7 +156,6 @@
 	ffl_shape_t shape = ffl_job_shape(&job->spec);
 	uint64_t cost;
 
-	f.rank = ffl_yield_rank(p->s, job);
 	cost = ffl_region_search(p->s->space, &shape, cost_earliest, &f, at);
 	*at_ms = cost >> MOVED_BITS;
 	return cost != FFL_COST_NONE;
--- a/lib/gang/sched_int.h
+++ b/lib/gang/sched_int.h
@@ -48,8 +48,8 @@
  */
 uint64_t ffl_yield_cost(ffl_pass_t *p, const ffl_region_t *r, uint32_t limit);
 
-/** Tells whether work can be checkpointed and moved for a job of a rank. */
-bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, uint32_t rank);
+/** Tells whether work can be checkpointed and moved for a job. */
+bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, const ffl_job_t *job);
 
 /** Finds the job's place inside its customer's guarantee. */
 bool ffl_reclaim_search(ffl_pass_t *p, ffl_job_t *job, ffl_region_t *at);
--- a/lib/gang/solve.c
+++ b/lib/gang/solve.c
@@ -42,7 +42,7 @@
 			return FFL_COST_NONE;
 		cost += USED_COST *
 			(uint64_t)__builtin_popcountll(n->w->used & slots);
-		cost += !n->w->used;
+		cost += !n->w->used + 4 * n->rack;
 	}
 	return cost;
 }
--- a/lib/gang/yield.c
+++ b/lib/gang/yield.c
@@ -7,6 +7,10 @@
 #define LOST_MAX   ((1ULL << RANK_SHIFT) - 1)
 /** Work that a checkpoint saves loses this much, in milliseconds. */
 #define CHECKPOINT_LOSS_MS 10000
+/** Work that ran for less is not moved, in milliseconds. */
+#define MOVE_AFTER_MS 60000
+/** Gain over loss at which work without a checkpoint is stopped. */
+#define GAIN_MIN 2
 
 static void owner_info(ffl_pass_t *p, ffl_owner_t *o);
 static uint64_t add_owners(ffl_pass_t *p, const ffl_node_t *n, uint64_t slots,
@@ -66,13 +70,26 @@
 	o->lost = (spent_ms + 1) * o->job->spec.accelerators;
 }
 
-bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, uint32_t rank)
+/* Only smaller work moves, so that two jobs never move each other. What has
+ * no checkpoint is stopped only by work that yields later, and where it loses
+ * much less than the waiting job would. */
+bool ffl_yield_movable(ffl_pass_t *p, ffl_owner_t *o, const ffl_job_t *job)
 {
-	if (!o->job->spec.checkpointable || !ffl_job_active(o->job) ||
-	    o->job->unit)
+	uint32_t rank = ffl_yield_rank(p->s, job);
+
+	if (!ffl_job_active(o->job) || o->job->unit ||
+	    o->job->spec.accelerators >= job->spec.accelerators ||
+	    p->now_ms - o->job->since_ms < MOVE_AFTER_MS)
 		return false;
 	owner_info(p, o);
-	return o->rank <= rank;
+	if (o->job->spec.checkpointable)
+		return o->rank <= rank;
+	if (o->rank >= rank)
+		return false;
+	if (!o->end_ms)
+		o->end_ms = ffl_expected_end(p, o->job);
+	return GAIN_MIN * o->lost <
+	       job->spec.accelerators * (o->end_ms - p->now_ms);
 }
 
 /* Adds the work lost on one worker; each job counts once. */
