--- a/include/fireflyledge/sched.h
+++ b/include/fireflyledge/sched.h
@@ -61,6 +61,7 @@
 	guint next_job;
 	bool begun;	  /**< a pass is due, nothing is read yet */
 	bool passing;	  /**< the pass has been read in */
+	bool stopped;	  /**< this pass stopped work */
 	bool reserve_due; /**< the reservation is decided next */
 	bool ever;	  /**< a pass has taken place */
 } ffl_sched_t;
--- a/lib/gang/sched.c
+++ b/lib/gang/sched.c
@@ -18,6 +18,7 @@
 static void explain_blocked(ffl_pass_t *p, ffl_job_t *job);
 static bool decide_reserved(ffl_pass_t *p, ffl_decision_t *out);
 static bool decide_queue(ffl_pass_t *p, ffl_decision_t *out);
+static bool next_decision(ffl_pass_t *p, ffl_decision_t *out);
 
 void ffl_sched_init(ffl_sched_t *s, const char *dc)
 {
@@ -100,6 +101,7 @@
 	s->config_revision = p->cfg->revision;
 	s->passing = true;
 	s->reserve_due = true;
+	s->stopped = false;
 }
 
 static bool start(ffl_pass_t *p, ffl_job_t *job, const ffl_region_t *at,
@@ -229,6 +231,18 @@
 	return false;
 }
 
+static bool next_decision(ffl_pass_t *p, ffl_decision_t *out)
+{
+	if (ffl_claim_next(p, out))
+		return true;
+	if (p->s->reserve_due) {
+		p->s->reserve_due = decide_reserved(p, out);
+		if (p->s->reserve_due)
+			return true;
+	}
+	return decide_queue(p, out);
+}
+
 bool ffl_sched_next(ffl_sched_t *s, ffl_gangs_t *g, ffl_fleet_t *fleet,
 		    const ffl_config_t *cfg, uint64_t now_ms,
 		    ffl_decision_t *out)
@@ -243,19 +257,14 @@
 			return false;
 		read_in(&p, fleet);
 	}
-	if (ffl_claim_next(&p, out))
+	if (next_decision(&p, out)) {
+		s->stopped = s->stopped || out->kind == FFL_DECIDE_PREEMPT;
 		return true;
-	if (s->reserve_due) {
-		s->reserve_due = false;
-		if (decide_reserved(&p, out)) {
-			s->reserve_due = true;
-			return true;
-		}
 	}
-	if (decide_queue(&p, out))
-		return true;
+
 	s->begun = false;
-	s->fleet_version = fleet->version;
+	/* Work that was stopped is queued again and has its turn at once. */
+	s->fleet_version = fleet->version - s->stopped;
 	s->gangs_version = g->version;
 	return false;
 }
--- a/lib/gang/solve.c
+++ b/lib/gang/solve.c
@@ -11,13 +11,23 @@
 typedef struct {
 	ffl_witness_t *w;
 	ffl_space_t *sp;
-	uint32_t *order; /**< units without jobs, the largest first */
+	uint32_t *order;    /**< units with room, the largest first */
+	ffl_region_t *jobs; /**< for each, where its jobs run; none if empty */
 	uint32_t count;
 	uint32_t tries;
 } solve_t;
 
+/** Regions that a unit could have. */
+typedef struct {
+	GArray *regions; /**< of ffl_region_t */
+	const ffl_region_t *jobs;
+} collect_t;
+
 static uint64_t cost_region(const ffl_space_t *sp, const ffl_region_t *r,
 			    void *arg);
+static bool region_allowed(const ffl_space_t *sp, const ffl_region_t *r,
+			   const ffl_region_t *jobs);
+static void withdraw(ffl_space_t *sp, const ffl_region_t *r);
 static uint64_t collect_region(const ffl_space_t *sp, const ffl_region_t *r,
 			       void *arg);
 static bool place_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_unit_t *u);
@@ -47,19 +57,55 @@
 	return cost;
 }
 
+/* Tells whether a unit could have a region, given where its jobs run. */
+static bool region_allowed(const ffl_space_t *sp, const ffl_region_t *r,
+			   const ffl_region_t *jobs)
+{
+	uint64_t left = 0;
+
+	for (uint32_t i = 0; i < r->count; i++) {
+		const ffl_node_t *n = ffl_node(sp, r->first + i);
+		uint64_t own =
+			n->pinned & ffl_region_on(sp, jobs, r->first + i);
+		uint64_t slots = ffl_region_slots(sp, r, i) & ~own;
+
+		if (slots && (!n->open || (n->promised & slots)))
+			return false;
+	}
+	for (uint32_t i = 0; i < jobs->count; i++) {
+		uint32_t at = jobs->first + i;
+
+		left |= ffl_node(sp, at)->pinned & ffl_region_on(sp, jobs, at) &
+			~ffl_region_on(sp, r, at);
+	}
+	return left == 0;
+}
+
 static uint64_t collect_region(const ffl_space_t *sp, const ffl_region_t *r,
 			       void *arg)
 {
+	collect_t *c = arg;
 	ffl_region_t copy = *r;
 
-	if (cost_region(sp, r, NULL) == FFL_COST_NONE)
+	if (!region_allowed(sp, r, c->jobs))
 		return FFL_COST_NONE;
 	ffl_copy(copy.worker, sizeof(copy.worker),
 		 ffl_node(sp, r->first)->w->info.name);
-	g_array_append_val((GArray *)arg, copy);
+	g_array_append_val(c->regions, copy);
 	return 1;
 }
 
+/* Takes back a promise, but not that of slots held inside a guarantee. */
+static void withdraw(ffl_space_t *sp, const ffl_region_t *r)
+{
+	ffl_space_promise(sp, r, false);
+	for (uint32_t i = 0; i < r->count; i++) {
+		ffl_node_t *n = ffl_node(sp, r->first + i);
+
+		n->promised |= n->pinned;
+	}
+}
+
 static bool place_unit(ffl_witness_t *w, ffl_space_t *sp, ffl_unit_t *u)
 {
 	ffl_shape_t shape = { .accelerators = u->accelerators,
@@ -91,7 +137,7 @@
 
 static bool place_rest(solve_t *s, uint32_t at)
 {
-	GArray *regions;
+	collect_t c = { .jobs = NULL };
 	ffl_shape_t shape;
 	ffl_region_t best;
 	ffl_unit_t *u;
@@ -103,24 +149,25 @@
 	shape.accelerators = u->accelerators;
 	shape.adjacency = u->adjacency;
 	shape.cores = shape.memory_mb = 0;
-	regions = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
-	ffl_region_search(s->sp, &shape, collect_region, regions, &best);
-	for (guint i = 0; !done && i < regions->len; i++) {
+	c.jobs = &s->jobs[at];
+	c.regions = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
+	ffl_region_search(s->sp, &shape, collect_region, &c, &best);
+	for (guint i = 0; !done && i < c.regions->len; i++) {
 		if (s->tries++ >= TRIES_MAX)
 			break;
-		u->at = g_array_index(regions, ffl_region_t, i);
+		u->at = g_array_index(c.regions, ffl_region_t, i);
 		ffl_space_promise(s->sp, &u->at, true);
 		done = place_rest(s, at + 1);
 		if (!done)
-			ffl_space_promise(s->sp, &u->at, false);
+			withdraw(s->sp, &u->at);
 	}
 	if (!done)
 		u->at.count = 0;
-	g_array_free(regions, TRUE);
+	g_array_free(c.regions, TRUE);
 	return done;
 }
 
-/* Places every unit that no job is inside anew. */
+/* Places anew every unit that has room, around the jobs inside. */
 static bool solve_again(ffl_witness_t *w, ffl_space_t *sp)
 {
 	GArray *before = g_array_copy(w->units);
@@ -128,18 +175,26 @@
 	bool done;
 
 	s.order = g_new(uint32_t, w->units->len);
+	s.jobs = g_new0(ffl_region_t, w->units->len);
 	for (guint i = 0; i < w->units->len; i++) {
 		ffl_unit_t *u = ffl_unit(w, i);
 
-		if (u->held)
+		if (u->held >= u->accelerators || (u->held && !u->at.count))
 			continue;
 		s.order[s.count++] = i;
-		ffl_space_promise(sp, &u->at, false);
-		u->at.count = 0;
 	}
 	g_qsort_with_data(s.order, (gint)s.count, sizeof(*s.order),
 			  compare_units, w);
+	for (uint32_t i = 0; i < s.count; i++) {
+		ffl_unit_t *u = ffl_unit(w, s.order[i]);
+
+		if (u->held)
+			s.jobs[i] = u->at;
+		withdraw(sp, &u->at);
+		u->at.count = 0;
+	}
 	done = place_rest(&s, 0);
+	g_free(s.jobs);
 	g_free(s.order);
 	if (!done) {
 		g_array_free(w->units, TRUE);
--- a/lib/gang/witness.c
+++ b/lib/gang/witness.c
@@ -6,7 +6,8 @@
 typedef struct {
 	const ffl_witness_t *w;
 	uint32_t unit;
-	GArray *own; /**< of ffl_region_t: the jobs' */
+	GArray *own;   /**< of ffl_region_t: the jobs' */
+	GArray *found; /**< of ffl_region_t, or NULL where one is enough */
 	ffl_region_t at;
 } around_t;
 
@@ -215,6 +216,7 @@
 			    void *arg)
 {
 	const around_t *a = arg;
+	ffl_region_t copy;
 	uint64_t other;
 
 	for (guint i = 0; i < a->own->len; i++) {
@@ -242,7 +244,13 @@
 		    ffl_regions_overlap(sp, &u->at, r))
 			return FFL_COST_NONE;
 	}
-	return 0;
+	if (!a->found)
+		return 0;
+	copy = *r;
+	ffl_copy(copy.worker, sizeof(copy.worker),
+		 ffl_node(sp, r->first)->w->info.name);
+	g_array_append_val(a->found, copy);
+	return 1;
 }
 
 static void add_region(GArray *own, const ffl_region_t *r)
@@ -317,7 +325,7 @@
 {
 	for (guint i = 0; i < w->units->len; i++) {
 		ffl_unit_t *u = ffl_unit(w, i);
-		bool clash = !ffl_region_open(sp, &u->at);
+		bool clash = false;
 
 		if (u->held || !u->at.count)
 			continue;
@@ -415,6 +423,7 @@
 	if (!ffl_region_of_job(sp, job, &own) || join_unit(w, sp, job, &own))
 		return;
 	a.own = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
+	a.found = g_array_new(FALSE, FALSE, sizeof(ffl_region_t));
 	add_region(a.own, &own);
 	for (guint i = 0; !job->unit && i < w->units->len; i++) {
 		const ffl_unit_t *u = ffl_unit(w, i);
@@ -422,13 +431,18 @@
 				      .adjacency = u->adjacency };
 
 		a.unit = i;
-		if (!u->held && ffl_unit_takes(u, job) && !tried_before(w, i) &&
-		    ffl_region_search(sp, &shape, cost_around, &a, &a.at) !=
-			    FFL_COST_NONE &&
-		    ffl_witness_take(w, sp, i, &a.at, &own,
-				     job->spec.accelerators))
-			job->unit = i + 1;
+		if (u->held || !ffl_unit_takes(u, job) || tried_before(w, i))
+			continue;
+		g_array_set_size(a.found, 0);
+		ffl_region_search(sp, &shape, cost_around, &a, &a.at);
+		for (guint k = 0; !job->unit && k < a.found->len; k++) {
+			a.at = g_array_index(a.found, ffl_region_t, k);
+			if (ffl_witness_take(w, sp, i, &a.at, &own,
+					     job->spec.accelerators))
+				job->unit = i + 1;
+		}
 	}
+	g_array_free(a.found, TRUE);
 	g_array_free(a.own, TRUE);
 }
 
