--- a/lib/gang/witness.c
+++ b/lib/gang/witness.c
@@ -11,14 +11,6 @@
 	ffl_region_t at;
 } around_t;
 
-static uint64_t content_of(const ffl_config_t *cfg, const char *dc);
-static bool same_shape(const ffl_unit_t *a, const ffl_unit_t *b);
-static void load_units(ffl_witness_t *w, const ffl_config_t *cfg,
-		       const char *dc);
-static uint32_t nth_of_shape(const GArray *units, const ffl_unit_t *like,
-			     uint32_t n);
-static uint32_t rank_in_shape(const GArray *units, uint32_t at);
-static void carry_over(ffl_witness_t *w, GArray *old, ffl_gangs_t *g);
 static void pin_job(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job);
 static void pin_claims(ffl_witness_t *w, ffl_space_t *sp, const ffl_gangs_t *g,
 		       const GArray *claims);
@@ -38,8 +30,6 @@
 static void promote(ffl_witness_t *w, ffl_space_t *sp, ffl_job_t *job);
 static gint compare_ids(gconstpointer a, gconstpointer b);
 static void promote_all(ffl_witness_t *w, ffl_space_t *sp, ffl_gangs_t *g);
-static void reload(ffl_witness_t *w, ffl_gangs_t *g, const ffl_config_t *cfg,
-		   const char *dc);
 static bool takes_more(const ffl_witness_t *w, uint64_t customer_hash);
 
 void ffl_witness_init(ffl_witness_t *w)
@@ -66,92 +56,6 @@
 	       u->held + job->spec.accelerators <= u->accelerators;
 }
 
-static uint64_t content_of(const ffl_config_t *cfg, const char *dc)
-{
-	uint64_t h = 1;
-
-	for (guint i = 0; i < cfg->guarantees->len; i++) {
-		const ffl_guarantee_t *g =
-			&g_array_index(cfg->guarantees, ffl_guarantee_t, i);
-
-		if (strcmp(g->dc, dc) != 0)
-			continue;
-		h = ffl_hash(g->customer, strlen(g->customer), h);
-		h = ffl_mix(h, g->revision);
-		h = ffl_mix(h, ((uint64_t)g->count << 32) | g->accelerators);
-		h = ffl_mix(h, g->adjacency);
-	}
-	return h;
-}
-
-static bool same_shape(const ffl_unit_t *a, const ffl_unit_t *b)
-{
-	return a->accelerators == b->accelerators &&
-	       a->adjacency == b->adjacency &&
-	       strcmp(a->customer, b->customer) == 0;
-}
-
-static void load_units(ffl_witness_t *w, const ffl_config_t *cfg,
-		       const char *dc)
-{
-	for (guint i = 0; i < cfg->guarantees->len; i++) {
-		const ffl_guarantee_t *g =
-			&g_array_index(cfg->guarantees, ffl_guarantee_t, i);
-		ffl_unit_t u = { .revision = g->revision,
-				 .accelerators = g->accelerators,
-				 .adjacency = g->adjacency };
-
-		if (strcmp(g->dc, dc) != 0)
-			continue;
-		ffl_copy(u.customer, sizeof(u.customer), g->customer);
-		u.customer_hash = ffl_hash(g->customer, strlen(g->customer), 0);
-		for (uint32_t n = 0; n < g->count; n++)
-			g_array_append_val(w->units, u);
-	}
-}
-
-/* Returns the place + 1 of the n-th unit of a shape, or 0. */
-static uint32_t nth_of_shape(const GArray *units, const ffl_unit_t *like,
-			     uint32_t n)
-{
-	for (guint i = 0; i < units->len; i++) {
-		if (same_shape(&g_array_index(units, ffl_unit_t, i), like) &&
-		    n-- == 0)
-			return i + 1;
-	}
-	return 0;
-}
-
-static uint32_t rank_in_shape(const GArray *units, uint32_t at)
-{
-	const ffl_unit_t *u = &g_array_index(units, ffl_unit_t, at);
-	uint32_t rank = 0;
-
-	while (at-- > 0 && same_shape(&g_array_index(units, ffl_unit_t, at), u))
-		rank++;
-	return rank;
-}
-
-/* Units that stay keep their regions and the jobs inside. */
-static void carry_over(ffl_witness_t *w, GArray *old, ffl_gangs_t *g)
-{
-	uint32_t *moved = g_new0(uint32_t, old->len + 1);
-
-	for (guint i = 0; i < old->len; i++) {
-		const ffl_unit_t *u = &g_array_index(old, ffl_unit_t, i);
-
-		moved[i + 1] = nth_of_shape(w->units, u, rank_in_shape(old, i));
-		if (moved[i + 1])
-			ffl_unit(w, moved[i + 1] - 1)->at = u->at;
-	}
-	for (guint i = 0; g && i < g->open->len; i++) {
-		ffl_job_t *job = g_array_index(g->open, ffl_job_t *, i);
-
-		job->unit = job->unit <= old->len ? moved[job->unit] : 0;
-	}
-	g_free(moved);
-}
-
 void ffl_space_promise(ffl_space_t *sp, const ffl_region_t *at, bool promised)
 {
 	for (uint32_t i = 0; i < at->count; i++) {
@@ -411,7 +315,7 @@
 /* Tells whether a unit is like the one before it, which was tried. */
 static bool tried_before(const ffl_witness_t *w, uint32_t i)
 {
-	return i && same_shape(ffl_unit(w, i), ffl_unit(w, i - 1)) &&
+	return i && ffl_unit_same_shape(ffl_unit(w, i), ffl_unit(w, i - 1)) &&
 	       !ffl_unit(w, i - 1)->held;
 }
 
@@ -475,27 +379,11 @@
 	g_array_free(jobs, TRUE);
 }
 
-/* Loads the units anew where the guarantees of the cell changed. */
-static void reload(ffl_witness_t *w, ffl_gangs_t *g, const ffl_config_t *cfg,
-		   const char *dc)
-{
-	uint64_t content = content_of(cfg, dc);
-	GArray *old = w->units;
-
-	if (content == w->content)
-		return;
-	w->units = g_array_new(FALSE, TRUE, sizeof(ffl_unit_t));
-	load_units(w, cfg, dc);
-	carry_over(w, old, g);
-	g_array_free(old, TRUE);
-	w->content = content;
-}
-
 void ffl_witness_update(ffl_witness_t *w, ffl_space_t *sp, ffl_gangs_t *g,
 			const ffl_config_t *cfg, const char *dc,
 			const GArray *claims)
 {
-	reload(w, g, cfg, dc);
+	ffl_witness_reload(w, g, cfg, dc);
 	for (guint i = 0; i < w->units->len; i++)
 		ffl_unit(w, i)->held = 0;
 	pin_claims(w, sp, g, claims);
--- a/lib/gang/witness_int.h
+++ b/lib/gang/witness_int.h
@@ -41,6 +41,10 @@
 /** Finds regions for the units that have none; false where one remains. */
 bool ffl_witness_solve(ffl_witness_t *w, ffl_space_t *sp);
 
+/** Loads the units anew where the guarantees of the cell changed. */
+void ffl_witness_reload(ffl_witness_t *w, ffl_gangs_t *g,
+			const ffl_config_t *cfg, const char *dc);
+bool ffl_unit_same_shape(const ffl_unit_t *a, const ffl_unit_t *b);
 /** Tells whether a job can run inside a unit, next to those that do. */
 bool ffl_unit_takes(const ffl_unit_t *u, const ffl_job_t *job);
 
