--- /dev/null
+++ b/tests/gang_test.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "fakes/fake_cell.h"
+
+/** A job that is refused, or not. */
+typedef struct {
+	const char *customer;
+	uint32_t accelerators;
+	ffl_adjacency_t adjacency;
+	uint32_t cores;
+	uint32_t memory_mb;
+	ffl_msg_t msg; /**< first error, or FFL_MSG__MAX */
+	bool nearest;  /**< the nearest shape is named */
+} admission_t;
+
+static const admission_t admissions[] = {
+	{ "a", 8, FFL_ADJ_WORKER, 4, 8192, FFL_MSG__MAX, false },
+	{ "a", 64, FFL_ADJ_RACK, 0, 0, FFL_MSG__MAX, false },
+	{ "a", 128, FFL_ADJ_DC, 0, 0, FFL_MSG__MAX, false },
+	{ "a", 0, FFL_ADJ_WORKER, 0, 0, FFL_MSG_OUT_OF_RANGE, false },
+	{ "a", 9, FFL_ADJ_WORKER, 0, 0, FFL_MSG_IMPOSSIBLE_JOB, true },
+	{ "a", 65, FFL_ADJ_RACK, 0, 0, FFL_MSG_IMPOSSIBLE_JOB, true },
+	{ "a", UINT32_MAX, FFL_ADJ_DC, 0, 0, FFL_MSG_IMPOSSIBLE_JOB, true },
+	{ "a", 1, FFL_ADJ_WORKER, 5, 0, FFL_MSG_IMPOSSIBLE_JOB, true },
+	{ "a", 1, FFL_ADJ_WORKER, 0, UINT32_MAX, FFL_MSG_IMPOSSIBLE_JOB, true },
+	{ "b", 1, FFL_ADJ_WORKER, 0, 0, FFL_MSG_UNKNOWN_CUSTOMER, false },
+	{ "q", 8, FFL_ADJ_WORKER, 0, 0, FFL_MSG_IMPOSSIBLE_JOB, false },
+};
+
+static void setup(fake_cell_t *c);
+static bool has(const ffl_findings_t *fs, ffl_msg_t msg);
+static void test_admission(void);
+static void test_learn(void);
+static void test_duplicate(void);
+static void test_reclaim(void);
+static void test_check(void);
+
+static void setup(fake_cell_t *c)
+{
+	static const fake_cell_size_t size = { 2, 8, 8, 32, 65536 };
+
+	fake_cell_init(c, &size);
+	fake_cell_customer(c, "a", 1, 0);
+	fake_cell_customer(c, "q", 1, 4);
+}
+
+static bool has(const ffl_findings_t *fs, ffl_msg_t msg)
+{
+	for (uint32_t i = 0; i < ffl_findings_count(fs); i++) {
+		if (ffl_findings_at(fs, i)->msg == msg)
+			return true;
+	}
+	return false;
+}
+
+static void test_admission(void)
+{
+	fake_cell_t c;
+
+	setup(&c);
+	for (size_t i = 0; i < G_N_ELEMENTS(admissions); i++) {
+		const admission_t *a = &admissions[i];
+		ffl_job_spec_t spec = { .accelerators = a->accelerators,
+					.adjacency = a->adjacency,
+					.cores = a->cores,
+					.memory_mb = a->memory_mb,
+					.name = "job",
+					.dc = FAKE_CELL_DC };
+		ffl_findings_t fs;
+
+		ffl_copy(spec.customer, sizeof(spec.customer), a->customer);
+		ffl_findings_init(&fs, "test");
+		g_assert_cmpint(ffl_job_check(&spec, &c.cfg, &c.fleet, &fs), ==,
+				a->msg == FFL_MSG__MAX ? FFL_OK : FFL_INVALID);
+		if (a->msg != FFL_MSG__MAX)
+			g_assert_true(has(&fs, a->msg));
+		g_assert_true(has(&fs, FFL_MSG_NEAREST_SHAPE) == a->nearest);
+		ffl_findings_finish(&fs);
+	}
+	fake_cell_finish(&c);
+}
+
+/* Declared ten times too long, learned after a few runs. */
+static void test_learn(void)
+{
+	ffl_job_spec_t spec = { .customer = "a", .kind = "survey" };
+	ffl_learn_t l;
+
+	ffl_learn_init(&l);
+	spec.declared_ms = 600000;
+	g_assert_cmpuint(ffl_learn_expect(&l, &spec, FFL_LEARN_MEDIAN), ==,
+			 600000);
+	for (uint32_t i = 1; i <= 20; i++) {
+		spec.declared_ms = i * 100000;
+		ffl_learn_observe(&l, &spec, i * 10000);
+	}
+	spec.declared_ms = 600000;
+	g_assert_cmpuint(ffl_learn_expect(&l, &spec, FFL_LEARN_MEDIAN), >,
+			 50000);
+	g_assert_cmpuint(ffl_learn_expect(&l, &spec, FFL_LEARN_HIGH), <, 75000);
+	ffl_learn_finish(&l);
+}
+
+static void test_duplicate(void)
+{
+	ffl_job_spec_t spec = { .customer = "a",
+				.name = "x",
+				.accelerators = 1 };
+	fake_cell_t c;
+
+	setup(&c);
+	g_assert_nonnull(fake_cell_submit(&c, &spec));
+	g_assert_null(fake_cell_submit(&c, &spec));
+	g_assert_cmpuint(c.gangs.open->len, ==, 1);
+	fake_cell_finish(&c);
+}
+
+/* A full cell gives a guaranteed shape back in one pass, and no more. */
+static void test_reclaim(void)
+{
+	ffl_job_spec_t spec = { .customer = "q", .accelerators = 8 };
+	const ffl_job_t *job;
+	fake_cell_t c;
+
+	setup(&c);
+	fake_cell_customer(&c, "b", 1, 0);
+	ffl_copy(spec.customer, sizeof(spec.customer), "b");
+	for (uint32_t i = 0; i < 16; i++)
+		fake_cell_submit(&c, &spec);
+	g_assert_cmpuint(fake_cell_pass(&c), ==, 16);
+	fake_cell_guarantee(&c, "a", 1, 8, FFL_ADJ_WORKER);
+	ffl_copy(spec.customer, sizeof(spec.customer), "a");
+	job = fake_cell_submit(&c, &spec);
+	g_assert_cmpuint(fake_cell_pass(&c), ==, 2);
+	g_assert_cmpint(job->state, ==, FFL_JOB_RUNNING);
+	fake_cell_finish(&c);
+}
+
+/* Sixteen workers of one shape each: a seventeenth cannot be promised. */
+static void test_check(void)
+{
+	ffl_findings_t fs;
+	fake_cell_t c;
+
+	setup(&c);
+	ffl_findings_init(&fs, "test");
+	fake_cell_guarantee(&c, "a", 16, 8, FFL_ADJ_WORKER);
+	g_assert_cmpint(ffl_witness_check(&c.fleet, &c.cfg, FAKE_CELL_DC, &fs),
+			==, FFL_OK);
+	fake_cell_guarantee(&c, "a", 1, 1, FFL_ADJ_WORKER);
+	g_assert_cmpint(ffl_witness_check(&c.fleet, &c.cfg, FAKE_CELL_DC, &fs),
+			==, FFL_INVALID);
+	g_assert_true(has(&fs, FFL_MSG_GUARANTEE_UNMET));
+	ffl_findings_finish(&fs);
+	fake_cell_finish(&c);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gang/admission", test_admission);
+	g_test_add_func("/gang/learn", test_learn);
+	g_test_add_func("/gang/duplicate", test_duplicate);
+	g_test_add_func("/gang/reclaim", test_reclaim);
+	g_test_add_func("/gang/check", test_check);
+	return g_test_run();
+}
