--- a/lib/gang/start.c
+++ b/lib/gang/start.c
@@ -6,8 +6,8 @@
 #define RETRY_MS 1000
 /** Time without progress after which a task counts as failed. */
 #define STUCK_MS 600000
-/** Number of starts in one epoch that an incarnation can tell apart. */
-#define STARTS_BITS 16
+/** Starts of one process that an incarnation can tell apart, in bits. */
+#define STARTS_BITS 20
 /** Failed starts after which a job is at fault wherever it ran. */
 #define FAILURES_MAX 8
 
@@ -159,7 +159,7 @@
 		return;
 	ffl_job_release(r, job);
 	job->incarnation =
-		(r->g->authority.epoch << STARTS_BITS) + ++job->starts;
+		(r->g->authority.epoch << STARTS_BITS) + ++r->g->starts;
 	job->parts = g_new0(ffl_part_t, d->place.count);
 	job->part_count = d->place.count;
 	ffl_job_set_state(r, job, FFL_JOB_HOLDING);
@@ -269,6 +269,7 @@
 		return;
 	}
 	if (job->cancelled || any_part(job, FFL_PART_GONE) ||
+	    must_yield(r, job) ||
 	    r->now_ms - job->since_ms > r->g->times.valid_ms) {
 		ffl_job_stop(r, job, false);
 		return;
@@ -290,7 +291,7 @@
 		    r->now_ms - w->listed_ms > r->g->times.settle_ms)
 			return true;
 		if ((w->drained || w->info.leaving) &&
-		    (job->spec.checkpointable || job->state == FFL_JOB_HOLDING))
+		    (job->spec.checkpointable || job->state != FFL_JOB_RUNNING))
 			return true;
 	}
 	return false;
