--- a/lib/gang/policy.c
+++ b/lib/gang/policy.c
@@ -34,7 +34,7 @@
 			      .expect_ms = ffl_learn_expect,
 			      .fit = fit_best,
 			      .reserve = reserve_large,
-			      .moves = true,
+			      .moves = false,
 			      .preempts = true },
 	[FFL_POLICY_FCFS] = { .name = "fcfs",
 			      .key = key_fcfs,
