--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -21,6 +21,8 @@
 
 void ffl_fleet_init(ffl_fleet_t *fleet)
 {
+	fleet->version = 0;
+	fleet->list_version = 0;
 	fleet->workers = g_ptr_array_new_with_free_func(worker_free);
 	fleet->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->racks = g_array_new(FALSE, TRUE, sizeof(ffl_rack_t));
@@ -135,6 +137,8 @@
 			take_info(fleet, &infos[i], now_ms);
 	}
 	drop_unlisted(fleet, now_ms);
+	fleet->version++;
+	fleet->list_version++;
 	g_ptr_array_sort(fleet->workers, compare_workers);
 	build_racks(fleet);
 }
@@ -146,6 +150,7 @@
 
 		w->drained = ffl_config_drained(cfg, w->info.name);
 	}
+	fleet->version++;
 }
 
 static uint32_t free_slots(const ffl_worker_t *w)
@@ -158,6 +163,7 @@
 	uint32_t before = free_slots(w);
 
 	w->used = used;
+	fleet->version++;
 	if (w->rack < fleet->racks->len)
 		g_array_index(fleet->racks, ffl_rack_t, w->rack).free_slots +=
 			free_slots(w) - before;
--- a/lib/host/command.c
+++ b/lib/host/command.c
@@ -15,14 +15,7 @@
 
 static void cmd_status(ffl_host_t *h, ffl_call_t *c);
 static void cmd_hosts(ffl_host_t *h, ffl_call_t *c);
-static void cmd_jobs(ffl_host_t *h, ffl_call_t *c);
-static void cmd_submit(ffl_host_t *h, ffl_call_t *c);
-static void cmd_job(ffl_host_t *h, ffl_call_t *c);
-static void cmd_job_why(ffl_host_t *h, ffl_call_t *c);
-static void cmd_cancel(ffl_host_t *h, ffl_call_t *c);
 static bool authenticate(ffl_host_t *h, ffl_call_t *c);
-static bool visible(const ffl_call_t *c, const ffl_job_t *job);
-static const ffl_job_t *find_job(ffl_host_t *h, ffl_call_t *c);
 
 static const command_fn_t commands[FFL_CMD__MAX] = {
 	[FFL_CMD_INTENT] = ffl_cmd_intent,
@@ -33,11 +26,11 @@
 	[FFL_CMD_WHY] = ffl_cmd_why,
 	[FFL_CMD_STATUS] = cmd_status,
 	[FFL_CMD_HOSTS] = cmd_hosts,
-	[FFL_CMD_JOBS] = cmd_jobs,
-	[FFL_CMD_SUBMIT] = cmd_submit,
-	[FFL_CMD_JOB] = cmd_job,
-	[FFL_CMD_JOB_WHY] = cmd_job_why,
-	[FFL_CMD_CANCEL] = cmd_cancel,
+	[FFL_CMD_JOBS] = ffl_cmd_jobs,
+	[FFL_CMD_SUBMIT] = ffl_cmd_submit,
+	[FFL_CMD_JOB] = ffl_cmd_job,
+	[FFL_CMD_JOB_WHY] = ffl_cmd_job_why,
+	[FFL_CMD_CANCEL] = ffl_cmd_cancel,
 };
 
 void ffl_call_problem(ffl_call_t *c, uint32_t http_status, const char *type,
@@ -210,106 +203,6 @@
 	ffl_actions_answer(c->out, c->ev->id, 200, array);
 }
 
-static bool visible(const ffl_call_t *c, const ffl_job_t *job)
-{
-	return c->operator_name ||
-	       strcmp(c->customer->name, job->spec.customer) == 0;
-}
-
-static void cmd_jobs(ffl_host_t *h, ffl_call_t *c)
-{
-	json_t *array = json_array();
-
-	for (guint i = 0; i < h->gangs.open->len; i++) {
-		const ffl_job_t *job =
-			g_array_index(h->gangs.open, ffl_job_t *, i);
-
-		if (visible(c, job))
-			json_array_append_new(array, ffl_job_to_json(job));
-	}
-	ffl_actions_answer(c->out, c->ev->id, 200, array);
-}
-
-static void cmd_submit(ffl_host_t *h, ffl_call_t *c)
-{
-	ffl_record_t rec = { .kind = FFL_REC_JOB };
-	const ffl_job_t *known;
-	ffl_findings_t fs;
-	json_t *body = ffl_call_body(c);
-
-	if (!body)
-		return;
-	ffl_findings_init(&fs, "body");
-	ffl_schema_from_json(&ffl_job_spec_schema, body, &rec.job, &fs);
-	json_decref(body);
-	if (c->customer)
-		ffl_copy(rec.job.customer, sizeof(rec.job.customer),
-			 c->customer->name);
-	if (!rec.job.dc[0])
-		ffl_copy(rec.job.cell, sizeof(rec.job.cell), h->opt.self.dc);
-	ffl_job_check(&rec.job, &h->config, &h->fleet, &fs);
-	known = ffl_gangs_find_name(&h->gangs, rec.job.customer, rec.job.name);
-	if (fs.errors)
-		ffl_call_findings(c, &fs);
-	else if (known)
-		ffl_actions_answer(c->out, c->ev->id, 200,
-				   ffl_job_to_json(known));
-	else
-		ffl_call_append(h, c, &rec, 0);
-	ffl_findings_finish(&fs);
-}
-
-static const ffl_job_t *find_job(ffl_host_t *h, ffl_call_t *c)
-{
-	const ffl_job_t *job = NULL;
-	uint64_t id;
-
-	if (ffl_parse_id(c->ev->arg, &id))
-		job = ffl_gangs_find(&h->gangs, id);
-	if (job && visible(c, job))
-		return job;
-	ffl_call_problem(c, 404, "unknown-job", "job does not exist",
-			 c->ev->arg);
-	return NULL;
-}
-
-static void cmd_job(ffl_host_t *h, ffl_call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-
-	if (job)
-		ffl_actions_answer(c->out, c->ev->id, 200,
-				   ffl_job_to_json(job));
-}
-
-static void cmd_job_why(ffl_host_t *h, ffl_call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-
-	if (!job)
-		return;
-	ffl_actions_answer(c->out, c->ev->id, 200,
-			   json_pack("{s:I,s:s,s:s}", "id", (json_int_t)job->id,
-				     "state", ffl_job_state_name(job->state),
-				     "waits_for",
-				     job->state == FFL_JOB_QUEUED
-					     ? "free adjacent accelerators"
-					     : ""));
-}
-
-static void cmd_cancel(ffl_host_t *h, ffl_call_t *c)
-{
-	const ffl_job_t *job = find_job(h, c);
-	ffl_record_t rec = { .kind = FFL_REC_JOB_CANCEL };
-
-	if (!job)
-		return;
-	rec.job_cancel.job = job->id;
-	ffl_copy(rec.job_cancel.who, sizeof(rec.job_cancel.who),
-		 c->operator_name ? c->operator_name : c->customer->name);
-	ffl_call_append(h, c, &rec, job->id);
-}
-
 void ffl_host_command(ffl_host_t *h, const ffl_ev_command_t *ev,
 		      uint64_t now_ms, ffl_actions_t *out)
 {
--- a/lib/host/command_int.h
+++ b/lib/host/command_int.h
@@ -37,5 +37,10 @@
 void ffl_cmd_config(ffl_host_t *h, ffl_call_t *c);
 void ffl_cmd_history(ffl_host_t *h, ffl_call_t *c);
 void ffl_cmd_why(ffl_host_t *h, ffl_call_t *c);
+void ffl_cmd_jobs(ffl_host_t *h, ffl_call_t *c);
+void ffl_cmd_submit(ffl_host_t *h, ffl_call_t *c);
+void ffl_cmd_job(ffl_host_t *h, ffl_call_t *c);
+void ffl_cmd_job_why(ffl_host_t *h, ffl_call_t *c);
+void ffl_cmd_cancel(ffl_host_t *h, ffl_call_t *c);
 
 #endif
