--- a/scripts/plots.sh
+++ b/scripts/plots.sh
@@ -75,8 +75,8 @@
 	bars "$1" "$2" "$3" 'map(select(.name == "'"$4"'" and .mix)) | .[] |
 		[.mix, .policy, .value] | @tsv'
 }
-policy_bars gang-completion "Mean completion time of jobs by mix" s completion
-policy_bars gang-large-wait "Wait of the largest tenth by mix" s large_wait
+policy_bars gang-completion "Mean completion time of jobs by mix" s completion_mean
+policy_bars gang-large-wait "Wait of the largest tenth by mix" s largest_tenth_wait
 policy_bars gang-fragmentation "Fragmentation by mix" share fragmentation
 bars request-completion "Completion p95 of the normal class" ms \
 	'map(select(.name == "request.completion" and .quantile == 0.95 and
