--- a/fakes/world.c
+++ b/fakes/world.c
@@ -656,7 +656,10 @@
 
 void world_pause(world_t *w, uint32_t host, uint32_t ms)
 {
-	w->hosts[host].paused_until_ms = w->now_ms + ms;
+	world_host_t *h = &w->hosts[host];
+
+	/* A pause within a longer one does not end it. */
+	h->paused_until_ms = MAX(h->paused_until_ms, w->now_ms + ms);
 }
 
 void world_stop(world_t *w, uint32_t host)
--- a/fuzz/drive.c
+++ b/fuzz/drive.c
@@ -1,6 +1,7 @@
 /*
  * Runs a fuzz target on seeded random input, without libFuzzer.
- * Usage: drive SEED RUNS
+ * Usage: drive SEED RUNS [FILE]
+ * A failing input is kept in FILE, for the libFuzzer program of the target.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -12,7 +13,7 @@
 /** Most operations of one run. */
 #define OPS_MAX 128
 
-static int run_once(ffl_rng_t *rng);
+static int run_once(ffl_rng_t *rng, const char *keep);
 
 static uint64_t steps;
 
@@ -21,7 +22,7 @@
 	steps += n;
 }
 
-static int run_once(ffl_rng_t *rng)
+static int run_once(ffl_rng_t *rng, const char *keep)
 {
 	size_t count = 1 + ffl_rng_below(rng, OPS_MAX);
 	size_t size = count * fuzz_target.op_bytes;
@@ -38,6 +39,9 @@
 		printf("%s: FAULT: %s\n%s", fuzz_target.name, fault,
 		       trace->str);
 		g_string_free(trace, TRUE);
+		if (keep && !g_file_set_contents(keep, (const gchar *)ops,
+						 (gssize)size, NULL))
+			fprintf(stderr, "cannot write %s\n", keep);
 	}
 	g_free(ops);
 	return fault ? 1 : 0;
@@ -51,7 +55,7 @@
 
 	ffl_rng_init(&rng, seed);
 	for (uint64_t i = 0; i < runs; i++) {
-		if (run_once(&rng)) {
+		if (run_once(&rng, argc > 3 ? argv[3] : NULL)) {
 			printf("%s: failed with seed %" PRIu64 " run %" PRIu64
 			       "\n",
 			       fuzz_target.name, seed, i);
--- a/fuzz/request_fuzz.c
+++ b/fuzz/request_fuzz.c
@@ -122,7 +122,8 @@
 		return NULL;
 	case OP_PAUSE:
 		world_pause(w, host, arg * 100U);
-		o->pause_ms[host] = w->now_ms + arg * 100U;
+		o->pause_ms[host] =
+			MAX(o->pause_ms[host], w->now_ms + arg * 100U);
 		return NULL;
 	case OP_STOP:
 		if (w->hosts[host].exited) {
