One TAP check for the tests with real processes

Change: scripts/tap.sh holds it, the four source it; no check, bound or expectation of theirs changed.

--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -10,21 +10,9 @@
 EXTRA="[requests]
 max_timeout = 4s"
 . scripts/cluster.sh
-N=0
+. scripts/tap.sh
 ROCIO="Authorization: Bearer rocio-token"
 
-check() {
-	local t0=$SECONDS
-	local name=$1 out
-	shift
-	N=$((N + 1))
-	if out=$("$@" 2>&1); then
-		echo "ok $N - $name"; [ -z "${SLOW:-}" ] || echo "# $((SECONDS - t0)) s"
-	else
-		echo "$out" | head -c 2000 | sed 's/^/# /'
-		echo "not ok $N - $name"
-	fi
-}
 
 op() { FFL_OPERATORS=$(operators_url "$1") "$BUILD/ffl" --json "${@:2}"; }
 caller() { FFL_TOKEN=rocio-token FFL_CALLERS=$(callers_url "$1") \
--- a/tests/product.sh
+++ b/tests/product.sh
@@ -4,18 +4,7 @@
 BUILD=${BUILD:-build/asan}
 DIR=$(mktemp -d)
 trap 'rm -rf "$DIR"' EXIT
-N=0
-check() {
-	local name=$1 out
-	shift
-	N=$((N + 1))
-	if out=$("$@" 2>&1); then
-		echo "ok $N - $name"
-	else
-		echo "$out" | head -c 2000 | sed 's/^/# /'
-		echo "not ok $N - $name"
-	fi
-}
+. scripts/tap.sh
 exits() { "${@:2}"; [ $? = "$1" ]; }
 root=$DIR/root
 check "make install" make -s install BUILD=build DESTDIR="$root" PREFIX=/opt/ffl
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -4,21 +4,9 @@
 BUILD=${BUILD:-build/asan}
 PORT=${PORT:-23300}
 . scripts/cluster.sh
-N=0
+. scripts/tap.sh
 trap '' PIPE
 
-# check NAME COMMAND: one line of TAP.
-check() {
-	local name=$1 out
-	shift
-	N=$((N + 1))
-	if out=$("$@" 2>&1); then
-		echo "ok $N - $name"
-	else
-		echo "$out" | head -c 2000 | sed 's/^/# /'
-		echo "not ok $N - $name"
-	fi
-}
 
 CALLER=$((PORT + 11))
 URL=http://127.0.0.1:$CALLER
--- a/tests/shutdown.sh
+++ b/tests/shutdown.sh
@@ -4,22 +4,11 @@
 BUILD=${BUILD:-build/asan}
 PORT=${PORT:-23600}
 . scripts/cluster.sh
-N=0
+. scripts/tap.sh
 CLIENTS=8
 AUTH="Authorization: Bearer rocio-token"
 
 same() { cmp "$DIR/big" "$DIR/back" || head -c 400 "$DIR/back"; cmp -s "$DIR/big" "$DIR/back"; }
-check() {
-	local name=$1 out
-	shift
-	N=$((N + 1))
-	if out=$("$@" 2>&1); then
-		echo "ok $N - $name"
-	else
-		echo "$out" | head -c 2000 | sed 's/^/# /'
-		echo "not ok $N - $name"
-	fi
-}
 
 # client N: sends requests to host 2 until it is told that the host is
 # unready, as the balancer would; every answer goes to a file.
