--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,14 @@
 CLI_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard cli/*.c)))
 FAKE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard fakes/*.c)))
 STANDIN_OBJS := $(FAKE_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard standin/*.c)))
+PLATFORM_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard platform/*.c)))
+JOBD_OBJS := $(PLATFORM_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard jobd/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/*_test.c)))
 
-PROGRAMS = $(BUILD)/fireflyledged $(BUILD)/ffl $(BUILD)/ffl-platform
+PROGRAMS = $(BUILD)/fireflyledged $(BUILD)/ffl $(BUILD)/ffl-platform \
+	$(BUILD)/ffl-jobd
 
-.PHONY: all programs demo check check-tests setup tests fuzz fuzzers fuzz-all \
+.PHONY: all programs target-programs demo check check-tests setup tests fuzz fuzzers fuzz-all \
 	mutants mutant benches bench bench-compare plots capacity coverage loc format format-check tidy cppcheck lint clean
 .SECONDARY:
 
@@ -43,6 +46,13 @@
 $(BUILD)/fireflyledged: $(DAEMON_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
 
+$(BUILD)/ffl-jobd: $(JOBD_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ $(shell pkg-config --libs libcurl) -lcivetweb \
+		-linih -largtable2 $(LIBS)
+
+# What the users' platform runs; deploy/system.toml builds it.
+target-programs: $(BUILD)/ffl-jobd
+
 $(BUILD)/ffl: $(CLI_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ $(DLIBS) $(LIBS)
 
@@ -194,7 +204,7 @@
 	@sh scripts/demo.sh
 
 SOURCES := $(sort $(wildcard include/*/*.h lib/*/*.[ch] daemon/*.[ch] \
-	cli/*.[ch] standin/*.[ch] fakes/*.[ch] fuzz/*.[ch] tests/*.[ch] \
+	cli/*.[ch] jobd/*.[ch] platform/*.[ch] standin/*.[ch] fakes/*.[ch] fuzz/*.[ch] tests/*.[ch] \
 	bench/*.[ch]))
 
 format:
@@ -203,7 +213,8 @@
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
-TIDY_SOURCES = $(LIB_SRCS) $(wildcard daemon/*.c cli/*.c standin/*.c)
+TIDY_SOURCES = $(LIB_SRCS) $(wildcard daemon/*.c cli/*.c jobd/*.c \
+	platform/*.c standin/*.c)
 
 # A stamp for each file, so that only what changed is checked again.
 $(BUILD)/tidy/%.ok: %.c .clang-tidy
@@ -217,7 +228,7 @@
 cppcheck:
 	@cppcheck --quiet --std=c11 --enable=warning,portability \
 		--suppress=missingIncludeSystem --inline-suppr -Iinclude -I. \
-		--error-exitcode=1 -j 4 lib daemon cli standin
+		--error-exitcode=1 -j 4 lib daemon cli jobd platform standin
 
 lint: format-check tidy cppcheck
 
--- /dev/null
+++ b/include/fireflyledge/dispatch.h
@@ -0,0 +1,143 @@
+/**
+ * @file dispatch.h
+ * @brief The leader's decisions: what runs where, and each run's life.
+ *
+ * Every run is on the log before its worker is told of it, and every end is
+ * on the log before the worker may forget it. What a leader keeps besides is
+ * recovered from the workers' reports.
+ */
+#ifndef FFL_DISPATCH_H
+#define FFL_DISPATCH_H
+
+#include "fireflyledge/order.h"
+
+/** A line for the log: a decision and what it rested on. */
+typedef void (*ffl_note_fn_t)(void *user, const char *event,
+			      const char *subject, const char *text);
+
+/** Figures that a deployment sets. */
+typedef struct {
+	uint32_t lease_max_ms;	 /**< longest lease that workers grant */
+	uint32_t stop_max_ms;	 /**< longest time that a stop takes */
+	uint32_t gang_wait_ms;	 /**< how long a part of a gang waits */
+	uint32_t reclaim_ms;	 /**< guaranteed work has begun by then */
+	uint32_t spread_percent; /**< time on a far rack, of a near one */
+	uint32_t early_ms;	 /**< a due time may be early by so much */
+} ffl_dispatch_options_t;
+
+/** A worker as the leader sees it. */
+typedef struct {
+	ffl_worker_entry_t entry;
+	bool listed;
+	ffl_room_t used;
+	GPtrArray *runs;   /**< of ffl_run_t *, not owned */
+	uint32_t calls;	   /**< orders without an answer yet */
+	uint64_t clock_at; /**< when clock_ms was received; 0: never */
+	uint64_t clock_ms;
+	uint64_t expire_ms; /**< all leases given have ended by then */
+	uint64_t seen;	    /**< highest number of an end that was taken */
+	uint64_t acked;	    /**< of these, up to which all are on the log */
+	uint64_t acked_sent;
+	uint64_t ack_batch; /**< batch that makes seen the next acked */
+	bool hold_open;
+	uint64_t hold_ms; /**< no hold before */
+	uint32_t silent;  /**< holds in a row without an answer */
+	uint32_t fails;	  /**< failures in a row, over several flows */
+	const ffl_flow_t *fails_flow;
+	bool proved;		/**< a run has ended well there */
+	uint64_t quarantine_ms; /**< nothing is placed before */
+	uint64_t reserved_ms;	/**< only guaranteed work before */
+} ffl_runner_t;
+
+/** Life of a run. */
+typedef enum {
+	FFL_RUN_PLANNED, /**< not on the log yet, or not sent yet */
+	FFL_RUN_SENT,	 /**< ordered, no answer yet */
+	FFL_RUN_RUNNING,
+	FFL_RUN_ADOPTED, /**< ordered by an earlier leader, not seen yet */
+	FFL_RUN__MAX
+} ffl_run_state_t;
+
+/** A run of a task. */
+typedef struct {
+	ffl_flow_t *flow;
+	uint32_t task;
+	uint32_t run;
+	ffl_runner_t *runner;
+	ffl_run_state_t state;
+	ffl_room_t room;
+	uint64_t batch; /**< that carries it onto the log */
+	uint64_t call;	/**< order on its way, 0: none */
+	uint64_t placed_ms;
+	uint64_t retry_ms;
+	uint64_t running_ms; /**< when it was known to run */
+	uint64_t moved_ms;   /**< when its progress last moved */
+	uint32_t percent;
+	bool unanswered;     /**< an order may still be on its way */
+	bool stop;	     /**< it is to end */
+	uint64_t stopped_ms; /**< when the worker accepted the stop */
+	const char *why;     /**< reason for the stop */
+} ffl_run_t;
+
+/** The dispatcher. */
+typedef struct {
+	ffl_dispatch_options_t opt;
+	ffl_flows_t *flows;
+	GHashTable *runners;	/**< ffl_runner_t by id */
+	GPtrArray *runs;	/**< of ffl_run_t */
+	GHashTable *calls;	/**< of open orders by number */
+	GHashTable *guaranteed; /**< GPUs by customer, borrowed; may be NULL */
+	uint64_t token;		/**< 0 while not leading */
+	uint64_t led_ms;	/**< when it began to lead */
+	uint64_t next_call;
+	uint64_t next_batch; /**< that the next changes belong to */
+	uint64_t recorded;   /**< last batch that is on the log */
+	bool dirty;
+	bool replan; /**< something changed that placement depends on */
+	bool fenced; /**< a worker has seen a later leader */
+	ffl_note_fn_t note;
+	void *note_user;
+	uint64_t starts;
+	uint64_t preempted;
+} ffl_dispatch_t;
+
+void ffl_dispatch_init(ffl_dispatch_t *d, const ffl_dispatch_options_t *opt,
+		       ffl_flows_t *flows);
+void ffl_dispatch_finish(ffl_dispatch_t *d);
+
+/** Begins to lead: adopts every run that is on the log. */
+void ffl_dispatch_lead(ffl_dispatch_t *d, uint64_t token, uint64_t now_ms);
+/** Ends to lead; nothing is stopped at workers. */
+void ffl_dispatch_yield(ffl_dispatch_t *d);
+
+/** Takes a worker's entry in the list. */
+void ffl_dispatch_listed(ffl_dispatch_t *d, const ffl_worker_entry_t *entry,
+			 uint64_t now_ms);
+/** Takes that a worker is no longer in the list. */
+void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id);
+/** Marks all workers as not listed, before the list is read anew. */
+void ffl_dispatch_relist(ffl_dispatch_t *d);
+
+/** Takes a worker's answer to an order. */
+void ffl_dispatch_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
+			uint64_t now_ms);
+
+/** Takes that a flow is new or was cancelled. */
+void ffl_dispatch_touch(ffl_dispatch_t *d);
+
+/**
+ * Decides what is due and adds the orders that follow.
+ *
+ * @param may_start whether authority and what is known are fresh enough for
+ *                  new runs
+ * @param orders    of ffl_order_t
+ */
+void ffl_dispatch_step(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms,
+		       bool may_start, GArray *orders);
+
+/** Returns the flows that changed, of ffl_flow_t *, and opens a new batch. */
+uint64_t ffl_dispatch_batch(ffl_dispatch_t *d, GPtrArray *flows);
+/** Takes that a batch is on the log. */
+void ffl_dispatch_recorded(ffl_dispatch_t *d, uint64_t batch);
+
+#endif
--- a/include/fireflyledge/settings.h
+++ b/include/fireflyledge/settings.h
@@ -72,6 +72,13 @@
 	const char *text;
 } ffl_setting_t;
 
+/** The keys of one program. */
+typedef struct {
+	const ffl_setting_t *rows;
+	uint32_t count;
+	size_t size_bytes; /**< of the structure that they fill */
+} ffl_setting_table_t;
+
 /** Number of keys, and the key at an index. */
 uint32_t ffl_settings_count(void);
 const ffl_setting_t *ffl_settings_at(uint32_t i);
@@ -88,6 +95,14 @@
 ffl_status_t ffl_settings_parse(const char *text, size_t size_bytes,
 				ffl_settings_t *out, ffl_findings_t *fs);
 
+/** The same for the keys of another program. */
+ffl_status_t ffl_settings_load_table(const ffl_setting_table_t *table,
+				     const char *path, void *out,
+				     ffl_findings_t *fs);
+ffl_status_t ffl_settings_parse_table(const ffl_setting_table_t *table,
+				      const char *text, size_t size_bytes,
+				      void *out, ffl_findings_t *fs);
+
 const char *ffl_setting_type_name(uint32_t type);
 
 #endif
--- /dev/null
+++ b/jobd/client.c
@@ -0,0 +1,246 @@
+#include <string.h>
+#include <curl/curl.h>
+
+#include "jobd/jobd.h"
+
+/** Time to connect: both ways between regions, and one lost packet. */
+#define CONNECT_MS 400
+/** The client looks for deadlines at least so often. */
+#define POLL_MS 1000
+/** Largest answer; a page of the log has 1 MB. */
+#define REPLY_BYTES_MAX (16U << 20)
+/** Connections that are kept. */
+#define CONNECTIONS_MAX 512
+
+/** One HTTP call on its way. */
+typedef struct {
+	ffl_pf_call_t http;
+	ffl_pf_about_t about;
+	GByteArray *reply;
+	struct curl_slist *headers;
+	CURL *easy;
+} call_t;
+
+struct jobd_client {
+	jobd_t *d;
+	ffl_ring_t calls; /**< of call_t */
+	CURLM *multi;
+	GPtrArray *idle;   /**< of CURL * */
+	GPtrArray *active; /**< of CURL *, with a call on its way */
+	pthread_t thread;
+	_Atomic bool stop;
+};
+
+static void call_free(call_t *call);
+static size_t take_reply(char *data, size_t size, size_t n, void *user);
+static void submit(jobd_client_t *c, call_t *call);
+static void set_headers(call_t *call, CURL *easy);
+static void start_call(jobd_client_t *c, call_t *call);
+static void deliver(jobd_client_t *c, call_t *call, bool connected,
+		    long status);
+static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code);
+static void drop_active(CURLM *multi, CURL *easy);
+static void *run(void *arg);
+
+static void call_free(call_t *call)
+{
+	if (call->http.body)
+		g_byte_array_unref(call->http.body);
+	curl_slist_free_all(call->headers);
+	g_byte_array_unref(call->reply);
+	g_free(call);
+}
+
+static size_t take_reply(char *data, size_t size, size_t n, void *user)
+{
+	call_t *call = user;
+
+	if (call->reply->len + size * n > REPLY_BYTES_MAX)
+		return 0;
+	g_byte_array_append(call->reply, (const guint8 *)data,
+			    (guint)(size * n));
+	return size * n;
+}
+
+/* The reply's bytes live as long as the event that points into them. */
+static void deliver(jobd_client_t *c, call_t *call, bool connected, long status)
+{
+	bool order = call->about.kind == FFL_NODE_ACT_ORDER;
+	jobd_box_t *box =
+		jobd_box_new(order ? FFL_NODE_EV_WORKER : FFL_NODE_EV_STORE);
+	ffl_pf_answer_t answer = {
+		.connected = connected,
+		.status = status,
+		.body = { call->reply->data, call->reply->len },
+	};
+
+	box->body = g_byte_array_ref(call->reply);
+	if (order)
+		ffl_pf_worker_reply(&call->about, &answer, &box->arena,
+				    &box->ev.worker);
+	else
+		ffl_pf_store_reply(&call->about, &answer, &box->arena,
+				   &box->ev.store);
+	jobd_post_sure(c->d, box);
+}
+
+static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code)
+{
+	call_t *call;
+	long status = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	if (code == CURLE_OK)
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_multi_remove_handle(c->multi, easy);
+	g_ptr_array_remove_fast(c->active, easy);
+	g_ptr_array_add(c->idle, easy);
+	deliver(c, call, code != CURLE_COULDNT_CONNECT, status);
+	call_free(call);
+}
+
+static void set_headers(call_t *call, CURL *easy)
+{
+	char type[FFL_PF_HEADER_BYTES];
+
+	if (call->http.header[0])
+		call->headers =
+			curl_slist_append(call->headers, call->http.header);
+	if (call->http.post) {
+		g_snprintf(type, sizeof(type), "Content-Type: %s",
+			   call->http.content_type);
+		call->headers = curl_slist_append(call->headers, type);
+		call->headers = curl_slist_append(call->headers, "Expect:");
+	}
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void start_call(jobd_client_t *c, call_t *call)
+{
+	CURL *easy = c->idle->len ? g_ptr_array_remove_index(c->idle,
+							     c->idle->len - 1)
+				  : curl_easy_init();
+
+	curl_easy_reset(easy);
+	curl_easy_setopt(easy, CURLOPT_URL, call->http.url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->http.timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_reply);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	set_headers(call, easy);
+	if (call->http.post) {
+		curl_easy_setopt(easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+				 call->http.body->data);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+				 (long)call->http.body->len);
+	}
+	curl_multi_add_handle(c->multi, easy);
+	g_ptr_array_add(c->active, easy);
+}
+
+static void *run(void *arg)
+{
+	jobd_client_t *c = arg;
+	int running;
+	int left;
+
+	while (!atomic_load(&c->stop)) {
+		call_t *call;
+		CURLMsg *msg;
+
+		while ((call = ffl_ring_pop(&c->calls, 0)))
+			start_call(c, call);
+		curl_multi_perform(c->multi, &running);
+		while ((msg = curl_multi_info_read(c->multi, &left))) {
+			if (msg->msg == CURLMSG_DONE)
+				finish_call(c, msg->easy_handle,
+					    msg->data.result);
+		}
+		curl_multi_poll(c->multi, NULL, 0, POLL_MS, NULL);
+	}
+	return NULL;
+}
+
+jobd_client_t *jobd_client_start(jobd_t *d)
+{
+	jobd_client_t *c = g_new0(jobd_client_t, 1);
+
+	c->d = d;
+	ffl_ring_init(&c->calls, JOBD_CALLS_MAX);
+	c->multi = curl_multi_init();
+	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
+			  (long)CONNECTIONS_MAX);
+	c->idle = g_ptr_array_new();
+	c->active = g_ptr_array_new();
+	pthread_create(&c->thread, NULL, run, c);
+	return c;
+}
+
+static void drop_active(CURLM *multi, CURL *easy)
+{
+	call_t *call;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	curl_multi_remove_handle(multi, easy);
+	curl_easy_cleanup(easy);
+	call_free(call);
+}
+
+void jobd_client_stop(jobd_client_t *c)
+{
+	call_t *call;
+
+	atomic_store(&c->stop, true);
+	curl_multi_wakeup(c->multi);
+	pthread_join(c->thread, NULL);
+	ffl_ring_close(&c->calls);
+	while ((call = ffl_ring_pop(&c->calls, 0)))
+		call_free(call);
+	for (guint i = 0; i < c->active->len; i++)
+		drop_active(c->multi, g_ptr_array_index(c->active, i));
+	g_ptr_array_free(c->active, TRUE);
+	for (guint i = 0; i < c->idle->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(c->idle, i));
+	g_ptr_array_free(c->idle, TRUE);
+	curl_multi_cleanup(c->multi);
+	ffl_ring_finish(&c->calls);
+	g_free(c);
+}
+
+/* A full ring is answered as a call that was never made. */
+static void submit(jobd_client_t *c, call_t *call)
+{
+	call->reply = g_byte_array_new();
+	if (ffl_ring_push(&c->calls, call)) {
+		curl_multi_wakeup(c->multi);
+		return;
+	}
+	deliver(c, call, false, 0);
+	call_free(call);
+}
+
+void jobd_client_store(jobd_t *d, const ffl_node_act_t *act)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->about.kind = act->kind;
+	call->about.call = act->store.call;
+	call->about.topic = act->store.topic;
+	call->about.from = act->store.from;
+	ffl_pf_store_call(d->settings.log_addr, act, &call->http);
+	submit(d->client, call);
+}
+
+void jobd_client_order(jobd_t *d, const ffl_node_act_t *act)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->about.kind = act->kind;
+	call->about.call = act->order.call;
+	call->about.order = act->order.kind;
+	ffl_pf_worker_call(&act->order, &call->http);
+	submit(d->client, call);
+}
--- /dev/null
+++ b/jobd/core.c
@@ -0,0 +1,130 @@
+#include <time.h>
+
+#include "jobd/jobd.h"
+
+/** Time between looks at what is due. */
+#define TICK_MS	  50
+#define MS_PER_S  1000
+#define NS_PER_MS 1000000
+#define US_PER_MS 1000
+
+typedef void (*act_fn_t)(jobd_t *d, const ffl_node_act_t *act);
+
+static void do_ready(jobd_t *d, const ffl_node_act_t *act);
+static void do_note(jobd_t *d, const ffl_node_act_t *act);
+static void do_exit(jobd_t *d, const ffl_node_act_t *act);
+static void step(jobd_t *d, ffl_node_event_t *ev, GArray *acts);
+
+static const act_fn_t doers[FFL_NODE_ACT__MAX] = {
+	[FFL_NODE_ACT_READ] = jobd_client_store,
+	[FFL_NODE_ACT_NEWEST] = jobd_client_store,
+	[FFL_NODE_ACT_APPEND] = jobd_client_store,
+	[FFL_NODE_ACT_ORDER] = jobd_client_order,
+	[FFL_NODE_ACT_ANSWER] = jobd_web_answer,
+	[FFL_NODE_ACT_READY] = do_ready,
+	[FFL_NODE_ACT_NOTE] = do_note,
+	[FFL_NODE_ACT_EXIT] = do_exit,
+};
+
+uint64_t jobd_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (uint64_t)ts.tv_sec * MS_PER_S +
+	       (uint64_t)ts.tv_nsec / NS_PER_MS;
+}
+
+jobd_box_t *jobd_box_new(ffl_node_event_kind_t kind)
+{
+	jobd_box_t *box = g_new0(jobd_box_t, 1);
+
+	box->ev.kind = kind;
+	ffl_arena_init(&box->arena);
+	return box;
+}
+
+void jobd_box_free(jobd_box_t *box)
+{
+	if (box->ev.kind == FFL_NODE_EV_STORE)
+		ffl_pf_store_finish(&box->ev.store);
+	if (box->ev.kind == FFL_NODE_EV_REQUEST && box->ev.request.spec) {
+		ffl_flow_spec_finish(box->ev.request.spec);
+		g_free(box->ev.request.spec);
+	}
+	if (box->body)
+		g_byte_array_unref(box->body);
+	ffl_arena_finish(&box->arena);
+	g_free(box);
+}
+
+bool jobd_post(jobd_t *d, jobd_box_t *box)
+{
+	if (ffl_ring_push(&d->events, box))
+		return true;
+	jobd_box_free(box);
+	return false;
+}
+
+void jobd_post_sure(jobd_t *d, jobd_box_t *box)
+{
+	struct timespec pause = { 0, NS_PER_MS };
+
+	while (!ffl_ring_push(&d->events, box)) {
+		if (atomic_load(&d->exiting)) {
+			jobd_box_free(box);
+			return;
+		}
+		nanosleep(&pause, NULL);
+	}
+}
+
+static void do_ready(jobd_t *d, const ffl_node_act_t *act)
+{
+	atomic_store(&d->ready, act->ready);
+}
+
+static void do_note(jobd_t *d, const ffl_node_act_t *act)
+{
+	jobd_line(act->note.event, act->note.subject, act->note.text);
+}
+
+static void do_exit(jobd_t *d, const ffl_node_act_t *act)
+{
+	atomic_store(&d->exiting, true);
+}
+
+static void step(jobd_t *d, ffl_node_event_t *ev, GArray *acts)
+{
+	ev->now_ms = jobd_now_ms();
+	ev->wall_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
+	ffl_node_step(&d->node, ev, acts);
+	for (guint i = 0; i < acts->len; i++) {
+		const ffl_node_act_t *act =
+			&g_array_index(acts, ffl_node_act_t, i);
+
+		doers[act->kind](d, act);
+	}
+}
+
+void jobd_core_run(jobd_t *d)
+{
+	GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+	ffl_node_event_t tick = { .kind = FFL_NODE_EV_TICK };
+	uint64_t ticked_ms = 0;
+
+	while (!atomic_load(&d->exiting)) {
+		jobd_box_t *box = ffl_ring_pop(&d->events, TICK_MS);
+
+		if (box) {
+			step(d, &box->ev, acts);
+			jobd_box_free(box);
+		}
+		if (!box || jobd_now_ms() - ticked_ms >= TICK_MS) {
+			step(d, &tick, acts);
+			ticked_ms = jobd_now_ms();
+		}
+	}
+	ffl_node_acts_clear(acts);
+	g_array_free(acts, TRUE);
+}
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -7,6 +7,8 @@
 
 /** Largest settings file, in bytes. */
 #define FILE_BYTES_MAX (1U << 20)
+/** A decimal fraction is kept in thousandths. */
+#define THOUSAND 1000
 
 /** A unit and its factor. */
 typedef struct {
@@ -19,7 +21,8 @@
 	const char *next; /**< rest of the text */
 	const char *end;
 	uint32_t line;
-	ffl_settings_t *out;
+	const ffl_setting_table_t *table;
+	void *out;
 	ffl_findings_t *fs;
 	uint32_t *seen_line; /**< line of each key, 0 where not seen */
 	char section[FFL_NAME_BYTES];
@@ -51,9 +54,10 @@
 static char *read_line(char *buf, int size, void *stream);
 static int take_pair(void *user, const char *section, const char *key,
 		     const char *value);
-static const ffl_setting_t *find_key(const char *section, const char *key,
-				     uint32_t *index);
-static bool known_section(const char *section);
+static bool add_fraction(const char **end, const unit_t *units, uint64_t *n);
+static const ffl_setting_t *find_key(const reader_t *r, const char *section,
+				     const char *key, uint32_t *index);
+static bool known_section(const reader_t *r, const char *section);
 static void check_section(reader_t *r, const char *line);
 static void apply_defaults(reader_t *r);
 static void set_default(const ffl_setting_t *s, reader_t *r);
@@ -126,6 +130,9 @@
 	    "hash of the token that holds until an operator is confirmed"),
 };
 
+static const ffl_setting_table_t daemon_table = { rows, G_N_ELEMENTS(rows),
+						  sizeof(ffl_settings_t) };
+
 static const unit_t no_units[] = { { "", 1 }, { NULL, 0 } };
 static const unit_t duration_units[] = {
 	{ "ms", 1 }, { "s", 1000 }, { "min", 60000 }, { NULL, 0 }
@@ -223,34 +230,56 @@
 		ffl_copy(dst, FFL_HEX_BYTES, value);
 }
 
+/* Takes up to three decimals; the number is then in thousandths. */
+static bool add_fraction(const char **end, const unit_t *units, uint64_t *n)
+{
+	const char *p = *end;
+	uint64_t scale = THOUSAND;
+
+	if (*p != '.' || !g_ascii_isdigit(p[1]) || *n > UINT32_MAX)
+		return false;
+	*n *= THOUSAND;
+	for (p++; g_ascii_isdigit(*p); p++) {
+		scale /= 10;
+		*n += scale * (uint64_t)(*p - '0');
+	}
+	*end = p;
+	return true;
+}
+
 static void store_number(reader_t *r, const ffl_setting_t *s, const char *value,
 			 const unit_t *units, void *dst)
 {
-	char *end;
+	const char *end;
+	char *digits_end;
+	bool fraction;
+	uint64_t factor;
 	uint64_t n;
 
 	errno = 0;
-	n = strtoull(value, &end, 10);
+	n = strtoull(value, &digits_end, 10);
+	end = digits_end;
 	if (value[0] < '0' || value[0] > '9' || errno) {
 		ffl_findings_add(r->fs, FFL_MSG_BAD_NUMBER, s->key, r->line, 0,
 				 "\"%.60s\"", value);
 		return;
 	}
+	fraction = add_fraction(&end, units, &n);
 	while (units->name && strcmp(units->name, end) != 0)
 		units++;
-	if (!units->name) {
+	if (!units->name || (fraction && units->factor < THOUSAND)) {
 		ffl_findings_add(r->fs, FFL_MSG_BAD_UNIT, s->key, r->line, 0,
 				 "\"%.60s\"", value);
 		return;
 	}
-	if (n > s->max || n * units->factor < s->min ||
-	    n * units->factor > s->max) {
+	factor = fraction ? units->factor / THOUSAND : units->factor;
+	if (n > UINT32_MAX || n * factor < s->min || n * factor > s->max) {
 		ffl_findings_add(r->fs, FFL_MSG_OUT_OF_RANGE, s->key, r->line,
 				 0, "\"%.40s\" is outside %u..%u", value,
 				 s->min, s->max);
 		return;
 	}
-	*(uint32_t *)dst = (uint32_t)(n * units->factor);
+	*(uint32_t *)dst = (uint32_t)(n * factor);
 }
 
 static void store_count(reader_t *r, const ffl_setting_t *s, const char *value,
@@ -271,23 +300,25 @@
 	store_number(r, s, value, size_units, dst);
 }
 
-static const ffl_setting_t *find_key(const char *section, const char *key,
-				     uint32_t *index)
+static const ffl_setting_t *find_key(const reader_t *r, const char *section,
+				     const char *key, uint32_t *index)
 {
-	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		if (strcmp(rows[i].section, section) == 0 &&
-		    strcmp(rows[i].key, key) == 0) {
+	const ffl_setting_t *keys = r->table->rows;
+
+	for (uint32_t i = 0; i < r->table->count; i++) {
+		if (strcmp(keys[i].section, section) == 0 &&
+		    strcmp(keys[i].key, key) == 0) {
 			*index = i;
-			return &rows[i];
+			return &keys[i];
 		}
 	}
 	return NULL;
 }
 
-static bool known_section(const char *section)
+static bool known_section(const reader_t *r, const char *section)
 {
-	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		if (strcmp(rows[i].section, section) == 0)
+	for (uint32_t i = 0; i < r->table->count; i++) {
+		if (strcmp(r->table->rows[i].section, section) == 0)
 			return true;
 	}
 	return false;
@@ -305,7 +336,7 @@
 		return;
 	name = g_strndup(open + 1, (gsize)(close - open - 1));
 	first = g_hash_table_lookup(r->sections, name);
-	if (!known_section(name))
+	if (!known_section(r, name))
 		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_SECTION, name, r->line,
 				 0, "%s", "");
 	else if (first)
@@ -383,9 +414,9 @@
 	if (!section[0])
 		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_SECTION, key, r->line,
 				 0, "the key stands before any section");
-	if (!known_section(section))
+	if (!known_section(r, section))
 		return 1;
-	s = find_key(section, key, &i);
+	s = find_key(r, section, key, &i);
 	if (!s) {
 		ffl_findings_add(r->fs, FFL_MSG_UNKNOWN_KEY, key, r->line, 0,
 				 "section [%s] has no such key", section);
@@ -413,34 +444,51 @@
 
 static void apply_defaults(reader_t *r)
 {
-	for (uint32_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+	for (uint32_t i = 0; i < r->table->count; i++) {
 		if (!r->seen_line[i])
-			set_default(&rows[i], r);
+			set_default(&r->table->rows[i], r);
 	}
 }
 
 ffl_status_t ffl_settings_parse(const char *text, size_t size_bytes,
 				ffl_settings_t *out, ffl_findings_t *fs)
 {
-	uint32_t seen_line[G_N_ELEMENTS(rows)] = { 0 };
+	return ffl_settings_parse_table(&daemon_table, text, size_bytes, out,
+					fs);
+}
+
+ffl_status_t ffl_settings_parse_table(const ffl_setting_table_t *table,
+				      const char *text, size_t size_bytes,
+				      void *out, ffl_findings_t *fs)
+{
+	uint32_t *seen_line = g_new0(uint32_t, table->count);
 	uint32_t before = fs->errors;
 	reader_t r = { .next = text,
 		       .end = text + size_bytes,
+		       .table = table,
 		       .out = out,
 		       .fs = fs,
 		       .seen_line = seen_line };
 
-	memset(out, 0, sizeof(*out));
+	memset(out, 0, table->size_bytes);
 	r.sections =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ini_parse_stream(read_line, &r, take_pair, &r);
 	apply_defaults(&r);
 	g_hash_table_destroy(r.sections);
+	g_free(seen_line);
 	return fs->errors > before ? FFL_INVALID : FFL_OK;
 }
 
 ffl_status_t ffl_settings_load(const char *path, ffl_settings_t *out,
 			       ffl_findings_t *fs)
+{
+	return ffl_settings_load_table(&daemon_table, path, out, fs);
+}
+
+ffl_status_t ffl_settings_load_table(const ffl_setting_table_t *table,
+				     const char *path, void *out,
+				     ffl_findings_t *fs)
 {
 	ffl_status_t status;
 	gchar *text = NULL;
@@ -457,7 +505,7 @@
 				 FILE_BYTES_MAX);
 		status = FFL_INVALID;
 	} else {
-		status = ffl_settings_parse(text, size, out, fs);
+		status = ffl_settings_parse_table(table, text, size, out, fs);
 	}
 	g_free(text);
 	return status;
--- /dev/null
+++ b/lib/dispatch/dispatch_int.h
@@ -0,0 +1,81 @@
+/**
+ * @file dispatch_int.h
+ * @brief What the dispatcher's files share.
+ */
+#ifndef FFL_DISPATCH_INT_H
+#define FFL_DISPATCH_INT_H
+
+#include "fireflyledge/dispatch.h"
+
+/** A lease, as percent of the longest: a successor has time to adopt. */
+#define LEASE_PERCENT 65
+/** A hold's answer waits so long for an end; the workers' own bound. */
+#define HOLD_WAIT_MS 1500
+/** A worker's clock may be 2% slow. */
+#define CLOCK_SLOW_PERCENT 98
+#define PERCENT		   100
+
+/** An order on its way. */
+typedef struct {
+	uint64_t call;
+	ffl_order_kind_t kind;
+	ffl_runner_t *runner;
+	ffl_run_t *run; /**< NULL for a hold, or when the run has gone */
+	uint64_t sent_ms;
+	uint64_t acked;
+} ffl_open_call_t;
+
+void ffl_dispatch_note(ffl_dispatch_t *d, const char *event,
+		       const char *subject, const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* runner.c */
+ffl_runner_t *ffl_runner_get(ffl_dispatch_t *d, const char *id);
+bool ffl_room_fits(const ffl_room_t *free, const ffl_room_t *need);
+ffl_room_t ffl_runner_free(const ffl_runner_t *r);
+void ffl_room_add(ffl_room_t *to, const ffl_room_t *room);
+void ffl_room_take(ffl_room_t *from, const ffl_room_t *room);
+/** Latest end of a lease that may be given now; 0 without a clock. */
+uint64_t ffl_runner_lease(const ffl_dispatch_t *d, ffl_runner_t *r,
+			  uint64_t now_ms);
+void ffl_runner_clock(ffl_runner_t *r, uint64_t clock_ms, uint64_t now_ms);
+void ffl_runner_free_data(void *data);
+void ffl_runner_good(ffl_runner_t *r);
+void ffl_runner_bad(ffl_dispatch_t *d, ffl_runner_t *r, const ffl_flow_t *flow,
+		    uint64_t now_ms);
+
+/* run.c */
+ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
+		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
+ffl_run_t *ffl_run_find(const ffl_runner_t *r, const char *task, uint32_t run);
+void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_end_t end,
+		 const char *saved, uint64_t now_ms);
+/** Asks for the end of a run, and of its whole gang. */
+void ffl_run_stop(ffl_dispatch_t *d, ffl_run_t *run, const char *why);
+void ffl_flow_dirty(ffl_dispatch_t *d, ffl_flow_t *flow);
+bool ffl_run_same_gang(const ffl_run_t *a, const ffl_run_t *b);
+
+/* place.c */
+void ffl_place(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms);
+
+/** A step that waits for room. */
+typedef struct {
+	ffl_flow_t *flow;
+	const ffl_step_t *step;
+	uint32_t step_index;
+	uint32_t occurrence;
+	uint32_t first; /**< index of the step's first task */
+	uint64_t now_ms;
+	bool guaranteed;
+	bool near_only; /**< neither far from its data nor spread */
+} ffl_unit_t;
+
+bool ffl_runner_allows(const ffl_runner_t *r, const ffl_unit_t *unit);
+uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
+ffl_room_t ffl_step_room(const ffl_step_t *step);
+
+/* preempt.c */
+/** Stops what keeps a guaranteed gang from starting, if that helps. */
+bool ffl_preempt(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need);
+
+#endif
--- /dev/null
+++ b/lib/dispatch/preempt.c
@@ -0,0 +1,298 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+/** A GPU counts as so many cores when lost work is weighed. */
+#define GPU_CORES  8
+#define CORE_MILLI 1000
+/** Room that was freed is kept for guaranteed work for so long beyond the
+ * time that a stop takes. */
+#define RESERVE_SLACK_MS 600
+
+/** Room that there would be on a worker. */
+typedef struct {
+	ffl_runner_t *runner;
+	ffl_room_t spare;
+	uint32_t tasks; /**< of the step, placed there in this plan */
+} offer_t;
+
+/** A plan: what would be stopped. */
+typedef struct {
+	ffl_dispatch_t *d;
+	const ffl_unit_t *unit;
+	GArray *offers;	     /**< of offer_t */
+	GHashTable *victims; /**< of ffl_run_t * */
+	uint64_t cost;
+} plan_t;
+
+static bool may_stop(const ffl_run_t *run);
+static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms);
+static uint64_t gang_loss(const plan_t *plan, const ffl_run_t *run);
+static void make_offers(plan_t *plan, const char *rack);
+static ffl_run_t *cheapest(const plan_t *plan, const offer_t *offer);
+static void take_victim(plan_t *plan, ffl_run_t *run);
+static uint64_t price(plan_t *plan, const offer_t *offer,
+		      const ffl_room_t *need);
+static bool take_room(plan_t *plan, const ffl_room_t *need);
+static bool make_plan(plan_t *plan, uint32_t need_count, const char *rack);
+static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit);
+static void plan_close(plan_t *plan);
+static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
+		      plan_t *best);
+static void carry_out(plan_t *plan);
+
+static bool may_stop(const ffl_run_t *run)
+{
+	return !run->stop && run->flow->spec.priority > 0;
+}
+
+/* Core-milliseconds of work that a stop throws away. */
+static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms)
+{
+	const ffl_step_t *step =
+		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	uint64_t cores = step->gpus * GPU_CORES + step->cpu_milli / CORE_MILLI;
+	uint64_t ran = now_ms - run->placed_ms;
+
+	if (step->saves)
+		ran = MIN(ran, CORE_MILLI);
+	return cores * ran + 1;
+}
+
+static uint64_t gang_loss(const plan_t *plan, const ffl_run_t *run)
+{
+	uint64_t sum = loss_of(run, plan->unit->now_ms);
+
+	for (guint i = 0; i < plan->d->runs->len; i++) {
+		const ffl_run_t *other = g_ptr_array_index(plan->d->runs, i);
+
+		if (other != run && ffl_run_same_gang(run, other))
+			sum += loss_of(other, plan->unit->now_ms);
+	}
+	return sum;
+}
+
+static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	plan->d = d;
+	plan->unit = unit;
+	plan->offers = g_array_new(FALSE, TRUE, sizeof(offer_t));
+	plan->victims = g_hash_table_new(NULL, NULL);
+	plan->cost = 0;
+}
+
+static void plan_close(plan_t *plan)
+{
+	g_array_free(plan->offers, TRUE);
+	g_hash_table_destroy(plan->victims);
+}
+
+static void make_offers(plan_t *plan, const char *rack)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, plan->d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ffl_runner_t *r = value;
+		offer_t offer = { .runner = r };
+
+		if (!ffl_runner_allows(r, plan->unit) ||
+		    (rack && strcmp(r->entry.rack, rack) != 0))
+			continue;
+		offer.spare = ffl_runner_free(r);
+		offer.tasks = ffl_runner_tasks_of(r, plan->unit);
+		/* What is being stopped is as good as free. */
+		for (guint i = 0; i < r->runs->len; i++) {
+			const ffl_run_t *run = g_ptr_array_index(r->runs, i);
+
+			if (run->stop)
+				ffl_room_add(&offer.spare, &run->room);
+		}
+		g_array_append_val(plan->offers, offer);
+	}
+}
+
+static ffl_run_t *cheapest(const plan_t *plan, const offer_t *offer)
+{
+	ffl_run_t *best = NULL;
+	uint64_t best_loss = 0;
+
+	for (guint i = 0; i < offer->runner->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(offer->runner->runs, i);
+		uint64_t loss;
+
+		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
+			continue;
+		loss = gang_loss(plan, run) / (run->room.gpus + 1);
+		if (!best || loss < best_loss) {
+			best = run;
+			best_loss = loss;
+		}
+	}
+	return best;
+}
+
+/* A gang is stopped whole, and frees its room everywhere. */
+static void take_victim(plan_t *plan, ffl_run_t *run)
+{
+	plan->cost += gang_loss(plan, run);
+	for (guint i = 0; i < plan->d->runs->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(plan->d->runs, i);
+
+		if (other != run && !ffl_run_same_gang(run, other))
+			continue;
+		g_hash_table_add(plan->victims, other);
+		for (guint k = 0; k < plan->offers->len; k++) {
+			offer_t *offer =
+				&g_array_index(plan->offers, offer_t, k);
+
+			if (offer->runner == other->runner)
+				ffl_room_add(&offer->spare, &other->room);
+		}
+	}
+}
+
+/* Estimates what it costs to fit one more task on a worker. */
+static uint64_t price(plan_t *plan, const offer_t *offer,
+		      const ffl_room_t *need)
+{
+	ffl_room_t room = offer->spare;
+	uint64_t cost = 0;
+
+	if (plan->unit->step->per_worker_max &&
+	    offer->tasks >= plan->unit->step->per_worker_max)
+		return UINT64_MAX;
+	if (ffl_room_fits(&room, need))
+		return 0;
+	for (guint i = 0; i < offer->runner->runs->len; i++) {
+		const ffl_run_t *run =
+			g_ptr_array_index(offer->runner->runs, i);
+
+		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
+			continue;
+		ffl_room_add(&room, &run->room);
+		cost += gang_loss(plan, run);
+		if (ffl_room_fits(&room, need))
+			return cost;
+	}
+	return UINT64_MAX;
+}
+
+static bool take_room(plan_t *plan, const ffl_room_t *need)
+{
+	offer_t *best = NULL;
+	uint64_t best_cost = UINT64_MAX;
+
+	for (guint i = 0; i < plan->offers->len; i++) {
+		offer_t *offer = &g_array_index(plan->offers, offer_t, i);
+		uint64_t cost = price(plan, offer, need);
+
+		if (cost < best_cost) {
+			best = offer;
+			best_cost = cost;
+		}
+	}
+	if (!best)
+		return false;
+	while (!ffl_room_fits(&best->spare, need)) {
+		ffl_run_t *victim = cheapest(plan, best);
+
+		if (!victim)
+			return false;
+		take_victim(plan, victim);
+	}
+	ffl_room_take(&best->spare, need);
+	best->tasks++;
+	return true;
+}
+
+static bool make_plan(plan_t *plan, uint32_t need_count, const char *rack)
+{
+	ffl_room_t need = ffl_step_room(plan->unit->step);
+
+	make_offers(plan, rack);
+	for (uint32_t i = 0; i < need_count; i++) {
+		if (!take_room(plan, &need))
+			return false;
+	}
+	return true;
+}
+
+static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
+		      plan_t *best)
+{
+	GHashTable *tried = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+	bool found = false;
+
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ffl_runner_t *r = value;
+		plan_t plan;
+
+		if (!r->listed || !g_hash_table_add(tried, r->entry.rack))
+			continue;
+		plan_open(&plan, d, unit);
+		if (!make_plan(&plan, need, r->entry.rack) ||
+		    (found && plan.cost >= best->cost)) {
+			plan_close(&plan);
+			continue;
+		}
+		if (found)
+			plan_close(best);
+		*best = plan;
+		found = true;
+	}
+	g_hash_table_destroy(tried);
+	return found;
+}
+
+static void carry_out(plan_t *plan)
+{
+	uint64_t until = plan->unit->now_ms + plan->d->opt.stop_max_ms +
+			 RESERVE_SLACK_MS;
+	GHashTableIter iter;
+	gpointer key;
+
+	for (guint i = 0; i < plan->offers->len; i++) {
+		offer_t *offer = &g_array_index(plan->offers, offer_t, i);
+
+		if (offer->tasks >
+		    ffl_runner_tasks_of(offer->runner, plan->unit))
+			offer->runner->reserved_ms = until;
+	}
+	g_hash_table_iter_init(&iter, plan->victims);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		ffl_run_t *run = key;
+
+		if (run->stop)
+			continue;
+		plan->d->preempted++;
+		ffl_dispatch_note(plan->d, "run-preempted", run->flow->spec.id,
+				  "task=%u run=%u worker=%s for=%s", run->task,
+				  run->run, run->runner->entry.id,
+				  plan->unit->flow->spec.id);
+		ffl_run_stop(plan->d, run, "preempted");
+	}
+}
+
+bool ffl_preempt(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need)
+{
+	ffl_unit_t anywhere = *unit;
+	plan_t plan;
+	bool ok = false;
+
+	if (unit->step->same_rack && unit->step->gang)
+		ok = best_rack(d, unit, need, &plan);
+	if (!ok) {
+		anywhere.near_only = false;
+		plan_open(&plan, d, &anywhere);
+		ok = make_plan(&plan, need, NULL);
+	}
+	if (ok)
+		carry_out(&plan);
+	plan_close(&plan);
+	return ok;
+}
--- /dev/null
+++ b/lib/dispatch/reply.c
@@ -0,0 +1,242 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+/** Time before an order without an answer is repeated. */
+#define RESEND_MS 100
+/** Time before a silent worker is asked again. */
+#define SILENT_MS 400
+/** Time for which nothing is placed on a worker that refused. */
+#define REFUSED_MS   400
+#define UNHEALTHY_MS 1500
+
+typedef void (*take_fn_t)(ffl_dispatch_t *d, ffl_open_call_t *open,
+			  const ffl_reply_t *reply, uint64_t now_ms);
+
+static void take_hold(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms);
+static void take_start(ffl_dispatch_t *d, ffl_open_call_t *open,
+		       const ffl_reply_t *reply, uint64_t now_ms);
+static void take_stop(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms);
+static void take_ends(ffl_dispatch_t *d, ffl_runner_t *r,
+		      const ffl_reply_t *reply, uint64_t now_ms);
+static void take_running(ffl_dispatch_t *d, ffl_runner_t *r,
+			 const ffl_reply_t *reply, uint64_t now_ms);
+static bool is_listed(const ffl_run_t *run, const ffl_reply_t *reply);
+static void find_missing(ffl_dispatch_t *d, ffl_runner_t *r,
+			 const ffl_reply_t *reply, uint64_t sent_ms,
+			 uint64_t now_ms);
+static void refuse_start(ffl_dispatch_t *d, ffl_run_t *run,
+			 const ffl_reply_t *reply, uint64_t now_ms);
+
+static const take_fn_t takers[FFL_ORDER__MAX] = {
+	[FFL_ORDER_HOLD] = take_hold,
+	[FFL_ORDER_START] = take_start,
+	[FFL_ORDER_STOP] = take_stop,
+};
+
+/* An end is acknowledged only once what follows from it is on the log. */
+static void take_ends(ffl_dispatch_t *d, ffl_runner_t *r,
+		      const ffl_reply_t *reply, uint64_t now_ms)
+{
+	bool any = false;
+
+	for (uint32_t i = 0; i < reply->ended_count; i++) {
+		const ffl_run_row_t *row = &reply->ended[i];
+		ffl_run_t *run;
+
+		if (row->number <= r->seen)
+			continue;
+		r->seen = row->number;
+		any = true;
+		run = ffl_run_find(r, row->task, row->run);
+		if (run)
+			ffl_run_end(d, run, row->end, row->saved, now_ms);
+	}
+	if (!any)
+		return;
+	r->ack_batch = d->next_batch;
+	d->dirty = true;
+}
+
+static void take_running(ffl_dispatch_t *d, ffl_runner_t *r,
+			 const ffl_reply_t *reply, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < reply->running_count; i++) {
+		const ffl_run_row_t *row = &reply->running[i];
+		ffl_run_t *run = ffl_run_find(r, row->task, row->run);
+		ffl_flow_t *flow;
+		uint32_t task;
+
+		if (!run) {
+			flow = ffl_task_find(d->flows, row->task, &task);
+			ffl_dispatch_note(d, "run-unknown", row->task,
+					  "run=%u worker=%s", row->run,
+					  r->entry.id);
+			if (!flow)
+				continue;
+			/* A run that no record keeps must not go on. */
+			run = ffl_run_add(d, flow, task, row->run, r, now_ms);
+			run->stop = true;
+			run->why = "unknown";
+		}
+		if (run->state != FFL_RUN_RUNNING) {
+			run->state = FFL_RUN_RUNNING;
+			run->running_ms = now_ms;
+			run->moved_ms = now_ms;
+		}
+		if (row->percent != run->percent) {
+			run->percent = row->percent;
+			run->moved_ms = now_ms;
+		}
+		if (row->saved[0] &&
+		    run->flow->tasks[run->task].run == run->run)
+			ffl_flow_task_save(run->flow, run->task, row->saved);
+	}
+}
+
+static bool is_listed(const ffl_run_t *run, const ffl_reply_t *reply)
+{
+	char name[FFL_TASK_NAME_BYTES];
+
+	ffl_task_name(run->flow, run->task, name);
+	for (uint32_t i = 0; i < reply->running_count; i++) {
+		if (reply->running[i].run == run->run &&
+		    strcmp(reply->running[i].task, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* A report that was asked for after a run was known to be there, and does
+ * not list it, says that it has ended. */
+static void find_missing(ffl_dispatch_t *d, ffl_runner_t *r,
+			 const ffl_reply_t *reply, uint64_t sent_ms,
+			 uint64_t now_ms)
+{
+	for (guint i = r->runs->len; i-- > 0;) {
+		ffl_run_t *run;
+		bool known;
+
+		if (i >= r->runs->len)
+			continue;
+		run = g_ptr_array_index(r->runs, i);
+		known = run->state == FFL_RUN_ADOPTED ||
+			(run->state == FFL_RUN_RUNNING &&
+			 run->running_ms < sent_ms) ||
+			(run->stopped_ms && run->stopped_ms < sent_ms);
+		if (known && !is_listed(run, reply))
+			ffl_run_end(d, run,
+				    run->stop ? FFL_END_STOPPED
+					      : FFL_END_LAPSED,
+				    NULL, now_ms);
+	}
+}
+
+static void take_hold(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms)
+{
+	ffl_runner_t *r = open->runner;
+
+	r->hold_open = false;
+	if (reply->outcome != FFL_REPLY_OK) {
+		r->silent++;
+		r->hold_ms = now_ms + SILENT_MS;
+		return;
+	}
+	r->silent = 0;
+	r->hold_ms = now_ms;
+	r->acked_sent = MAX(r->acked_sent, open->acked);
+	take_ends(d, r, reply, now_ms);
+	take_running(d, r, reply, now_ms);
+	/* 500 ends are listed at a time: the rest may follow. */
+	if (reply->ended_count < 500)
+		find_missing(d, r, reply, open->sent_ms, now_ms);
+}
+
+static void refuse_start(ffl_dispatch_t *d, ffl_run_t *run,
+			 const ffl_reply_t *reply, uint64_t now_ms)
+{
+	ffl_runner_t *r = run->runner;
+	char name[FFL_TASK_NAME_BYTES];
+
+	ffl_task_name(run->flow, run->task, name);
+	ffl_dispatch_note(d, "start-refused", name,
+			  "run=%u worker=%s reason=%s", run->run, r->entry.id,
+			  ffl_reply_outcome_name(reply->outcome));
+	r->quarantine_ms = MAX(r->quarantine_ms,
+			       now_ms + (reply->outcome == FFL_REPLY_UNHEALTHY
+						 ? UNHEALTHY_MS
+						 : REFUSED_MS));
+	if (run->unanswered || reply->outcome == FFL_REPLY_OLD) {
+		/* An earlier order may have been carried out. */
+		ffl_run_stop(d, run, "refused");
+		return;
+	}
+	ffl_run_end(d, run, FFL_END_STOPPED, NULL, now_ms);
+}
+
+static void take_start(ffl_dispatch_t *d, ffl_open_call_t *open,
+		       const ffl_reply_t *reply, uint64_t now_ms)
+{
+	ffl_run_t *run = open->run;
+
+	if (!run)
+		return;
+	run->call = 0;
+	if (reply->outcome == FFL_REPLY_OK) {
+		run->unanswered = false;
+		if (run->state != FFL_RUN_RUNNING) {
+			run->state = FFL_RUN_RUNNING;
+			run->running_ms = now_ms;
+			run->moved_ms = now_ms;
+		}
+		return;
+	}
+	if (reply->outcome == FFL_REPLY_UNKNOWN) {
+		run->unanswered = true;
+		run->retry_ms = now_ms + RESEND_MS;
+		return;
+	}
+	refuse_start(d, run, reply, now_ms);
+}
+
+static void take_stop(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms)
+{
+	ffl_run_t *run = open->run;
+
+	if (!run)
+		return;
+	run->call = 0;
+	run->retry_ms = now_ms + d->opt.stop_max_ms;
+	if (reply->outcome == FFL_REPLY_OK)
+		run->stopped_ms = now_ms;
+	else
+		run->retry_ms = now_ms + RESEND_MS;
+}
+
+void ffl_dispatch_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
+			uint64_t now_ms)
+{
+	ffl_open_call_t *open = g_hash_table_lookup(d->calls, &reply->call);
+	ffl_worker_entry_t entry;
+	ffl_runner_t *r;
+
+	if (!open)
+		return;
+	r = open->runner;
+	r->calls--;
+	if (reply->outcome == FFL_REPLY_FENCED)
+		d->fenced = true;
+	if (reply->born_ms && r->entry.born_ms &&
+	    reply->born_ms > r->entry.born_ms) {
+		entry = r->entry;
+		entry.born_ms = reply->born_ms;
+		ffl_dispatch_listed(d, &entry, now_ms);
+	}
+	ffl_runner_clock(r, reply->clock_ms, now_ms);
+	takers[open->kind](d, open, reply, now_ms);
+	g_hash_table_remove(d->calls, &reply->call);
+}
--- /dev/null
+++ b/lib/dispatch/run.c
@@ -0,0 +1,192 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+/** A task whose run ended before its time waits this long, so that a worker
+ * that refuses everything does not spin. */
+#define RETRY_MS 50
+
+static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void take_done(ffl_dispatch_t *d, ffl_run_t *run);
+static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
+static bool is_current(const ffl_run_t *run);
+
+ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
+		       uint32_t run, ffl_runner_t *r, uint64_t now_ms)
+{
+	ffl_run_t *added = g_new0(ffl_run_t, 1);
+
+	added->flow = flow;
+	added->task = task;
+	added->run = run;
+	added->runner = r;
+	added->room =
+		ffl_step_room(&flow->spec.steps[ffl_flow_step_of(flow, task)]);
+	added->batch = d->next_batch;
+	added->placed_ms = now_ms;
+	ffl_room_add(&r->used, &added->room);
+	g_ptr_array_add(r->runs, added);
+	g_ptr_array_add(d->runs, added);
+	return added;
+}
+
+ffl_run_t *ffl_run_find(const ffl_runner_t *r, const char *task, uint32_t run)
+{
+	char name[FFL_TASK_NAME_BYTES];
+
+	for (guint i = 0; i < r->runs->len; i++) {
+		ffl_run_t *candidate = g_ptr_array_index(r->runs, i);
+
+		if (candidate->run != run)
+			continue;
+		ffl_task_name(candidate->flow, candidate->task, name);
+		if (strcmp(name, task) == 0)
+			return candidate;
+	}
+	return NULL;
+}
+
+void ffl_flow_dirty(ffl_dispatch_t *d, ffl_flow_t *flow)
+{
+	flow->dirty = d->next_batch;
+	d->dirty = true;
+	d->replan = true;
+}
+
+bool ffl_run_same_gang(const ffl_run_t *a, const ffl_run_t *b)
+{
+	uint32_t step;
+
+	if (a->flow != b->flow || a->run != b->run ||
+	    a->task / a->flow->spec.tasks_each !=
+		    b->task / b->flow->spec.tasks_each)
+		return false;
+	step = ffl_flow_step_of(a->flow, a->task);
+	return a->flow->spec.steps[step].gang &&
+	       ffl_flow_step_of(b->flow, b->task) == step;
+}
+
+static bool is_current(const ffl_run_t *run)
+{
+	const ffl_task_t *task = &run->flow->tasks[run->task];
+
+	return task->state == FFL_TASK_PLACED && task->run == run->run;
+}
+
+static void remove_run(ffl_dispatch_t *d, ffl_run_t *run)
+{
+	ffl_open_call_t *open;
+
+	if (run->call) {
+		open = g_hash_table_lookup(d->calls, &run->call);
+		if (open)
+			open->run = NULL;
+	}
+	ffl_room_take(&run->runner->used, &run->room);
+	g_ptr_array_remove_fast(run->runner->runs, run);
+	g_ptr_array_remove_fast(d->runs, run);
+	g_free(run);
+	d->replan = true;
+}
+
+/* One end stands for the whole gang. */
+static void take_done(ffl_dispatch_t *d, ffl_run_t *run)
+{
+	ffl_flow_t *flow = run->flow;
+	uint32_t step = ffl_flow_step_of(flow, run->task);
+	const ffl_step_t *s = &flow->spec.steps[step];
+	uint32_t first = run->task;
+	uint32_t count = 1;
+
+	if (s->gang) {
+		first = ffl_flow_first_task(
+			flow, run->task / flow->spec.tasks_each, step);
+		count = s->tasks;
+	}
+	for (uint32_t i = first; i < first + count; i++) {
+		if (flow->tasks[i].state != FFL_TASK_DONE)
+			ffl_flow_task_set(flow, i, FFL_TASK_DONE);
+	}
+	ffl_runner_good(run->runner);
+}
+
+static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+{
+	ffl_flow_t *flow = run->flow;
+	uint32_t step = ffl_flow_step_of(flow, run->task);
+	const ffl_step_t *s = &flow->spec.steps[step];
+	uint32_t at = run->task;
+
+	if (s->gang)
+		at = ffl_flow_first_task(
+			flow, run->task / flow->spec.tasks_each, step);
+	ffl_runner_bad(d, run->runner, flow, now_ms);
+	if (flow->tasks[at].failed_run == run->run)
+		return;
+	flow->tasks[at].failed_run = run->run;
+	flow->tasks[at].failures++;
+	if (!s->lasting &&
+	    flow->tasks[at].failures >= flow->spec.attempts_max) {
+		flow->failed = true;
+		ffl_dispatch_note(d, "job-failed", flow->spec.id,
+				  "step=%u failures=%u worker=%s", step,
+				  flow->tasks[at].failures,
+				  run->runner->entry.id);
+	}
+}
+
+void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_end_t end,
+		 const char *saved, uint64_t now_ms)
+{
+	ffl_flow_t *flow = run->flow;
+	char name[FFL_TASK_NAME_BYTES];
+	bool current = is_current(run);
+
+	ffl_task_name(flow, run->task, name);
+	ffl_dispatch_note(d, "run-ended", name,
+			  "run=%u worker=%s end=%s current=%d after_ms=%" PRIu64
+			  " why=%s",
+			  run->run, run->runner->entry.id, ffl_end_name(end),
+			  current, now_ms - run->placed_ms,
+			  run->why ? run->why : "-");
+	if (end == FFL_END_FAILED && current)
+		take_failure(d, run, now_ms);
+	if (end == FFL_END_DONE && current) {
+		take_done(d, run);
+	} else if (current) {
+		ffl_flow_task_save(flow, run->task, saved);
+		ffl_flow_task_set(flow, run->task, FFL_TASK_WAITING);
+		flow->retry_ms = now_ms + RETRY_MS;
+	} else if (end == FFL_END_DONE) {
+		ffl_runner_good(run->runner);
+	}
+	if (end != FFL_END_DONE) {
+		for (guint i = 0; i < d->runs->len; i++) {
+			ffl_run_t *other = g_ptr_array_index(d->runs, i);
+
+			if (other != run && ffl_run_same_gang(run, other) &&
+			    !other->stop)
+				ffl_run_stop(d, other, "gang-broken");
+		}
+	}
+	ffl_flow_dirty(d, flow);
+	remove_run(d, run);
+	if (ffl_flow_ended(flow) && !flow->closed_ms) {
+		flow->closed_ms = now_ms;
+		ffl_dispatch_note(d, "job-ended", flow->spec.id, "state=%s",
+				  ffl_flow_state_name(ffl_flow_state(flow)));
+	}
+}
+
+void ffl_run_stop(ffl_dispatch_t *d, ffl_run_t *run, const char *why)
+{
+	for (guint i = 0; i < d->runs->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(d->runs, i);
+
+		if ((other != run && !ffl_run_same_gang(run, other)) ||
+		    other->stop)
+			continue;
+		other->stop = true;
+		other->why = why;
+	}
+}
--- /dev/null
+++ b/lib/dispatch/runner.c
@@ -0,0 +1,171 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+/** Failures in a row, of two flows or more, that quarantine a worker. */
+#define FAILS_MAX 2
+/** A quarantined worker is tried again after this; as long as the shortest
+ * failures of a kind that ends by itself last. */
+#define QUARANTINE_MS 4000
+/** An answer of a list is a clock only where none is fresher than this. */
+#define CLOCK_FRESH_MS 5000
+/** Slack of timers and of the way, when leases are waited out. */
+#define EXPIRE_SLACK_MS 150
+
+static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms);
+
+ffl_runner_t *ffl_runner_get(ffl_dispatch_t *d, const char *id)
+{
+	ffl_runner_t *r = g_hash_table_lookup(d->runners, id);
+
+	if (r)
+		return r;
+	r = g_new0(ffl_runner_t, 1);
+	ffl_copy(r->entry.id, sizeof(r->entry.id), id);
+	r->runs = g_ptr_array_new();
+	g_hash_table_insert(d->runners, r->entry.id, r);
+	return r;
+}
+
+void ffl_runner_free_data(void *data)
+{
+	ffl_runner_t *r = data;
+
+	g_ptr_array_free(r->runs, TRUE);
+	g_free(r);
+}
+
+bool ffl_room_fits(const ffl_room_t *free, const ffl_room_t *need)
+{
+	return free->cpu_milli >= need->cpu_milli &&
+	       free->mem_mb >= need->mem_mb && free->gpus >= need->gpus;
+}
+
+void ffl_room_add(ffl_room_t *to, const ffl_room_t *room)
+{
+	to->cpu_milli += room->cpu_milli;
+	to->mem_mb += room->mem_mb;
+	to->gpus += room->gpus;
+}
+
+void ffl_room_take(ffl_room_t *from, const ffl_room_t *room)
+{
+	from->cpu_milli -= MIN(from->cpu_milli, room->cpu_milli);
+	from->mem_mb -= MIN(from->mem_mb, room->mem_mb);
+	from->gpus -= MIN(from->gpus, room->gpus);
+}
+
+ffl_room_t ffl_runner_free(const ffl_runner_t *r)
+{
+	ffl_room_t free = r->entry.capacity;
+
+	ffl_room_take(&free, &r->used);
+	return free;
+}
+
+void ffl_runner_clock(ffl_runner_t *r, uint64_t clock_ms, uint64_t now_ms)
+{
+	if (!clock_ms)
+		return;
+	r->clock_ms = clock_ms;
+	r->clock_at = now_ms;
+}
+
+uint64_t ffl_runner_lease(const ffl_dispatch_t *d, ffl_runner_t *r,
+			  uint64_t now_ms)
+{
+	uint64_t lease_ms =
+		(uint64_t)d->opt.lease_max_ms * LEASE_PERCENT / PERCENT;
+	uint64_t ahead_ms;
+	uint64_t end_ms;
+
+	if (!r->clock_at)
+		return 0;
+	ahead_ms = now_ms - r->clock_at + lease_ms;
+	end_ms = r->clock_at + ahead_ms * PERCENT / CLOCK_SLOW_PERCENT +
+		 EXPIRE_SLACK_MS;
+	r->expire_ms = MAX(r->expire_ms, end_ms);
+	return r->clock_ms + ahead_ms;
+}
+
+void ffl_runner_good(ffl_runner_t *r)
+{
+	r->fails = 0;
+	r->proved = true;
+	r->quarantine_ms = 0;
+}
+
+void ffl_runner_bad(ffl_dispatch_t *d, ffl_runner_t *r, const ffl_flow_t *flow,
+		    uint64_t now_ms)
+{
+	r->proved = false;
+	if (r->fails && r->fails_flow == flow)
+		return;
+	r->fails++;
+	r->fails_flow = flow;
+	if (r->fails < FAILS_MAX)
+		return;
+	r->quarantine_ms = now_ms + QUARANTINE_MS;
+	ffl_dispatch_note(d, "worker-quarantined", r->entry.id,
+			  "failures=%u for_ms=%d", r->fails, QUARANTINE_MS);
+}
+
+/* Nothing of an earlier incarnation runs or is listed any more. */
+static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
+{
+	while (r->runs->len)
+		ffl_run_end(d, g_ptr_array_index(r->runs, 0), FFL_END_LAPSED,
+			    NULL, now_ms);
+	r->seen = 0;
+	r->acked = 0;
+	r->acked_sent = 0;
+	r->ack_batch = 0;
+	r->clock_at = 0;
+	r->expire_ms = 0;
+	r->fails = 0;
+	r->proved = false;
+}
+
+void ffl_dispatch_listed(ffl_dispatch_t *d, const ffl_worker_entry_t *entry,
+			 uint64_t now_ms)
+{
+	ffl_runner_t *r = ffl_runner_get(d, entry->id);
+
+	if (r->entry.born_ms && r->entry.born_ms != entry->born_ms) {
+		if (entry->born_ms < r->entry.born_ms)
+			return;
+		ffl_dispatch_note(d, "worker-restarted", entry->id, "runs=%u",
+				  r->runs->len);
+		lose_life(d, r, now_ms);
+	}
+	if (entry->draining && !r->entry.draining)
+		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
+				  r->runs->len);
+	r->entry = *entry;
+	r->listed = true;
+	if (!r->clock_at || now_ms - r->clock_at > CLOCK_FRESH_MS)
+		ffl_runner_clock(r, entry->clock_ms, now_ms);
+	d->replan = true;
+}
+
+void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id)
+{
+	ffl_runner_t *r = g_hash_table_lookup(d->runners, id);
+
+	if (!r || !r->listed)
+		return;
+	r->listed = false;
+	ffl_dispatch_note(d, "worker-gone", id, "runs=%u", r->runs->len);
+	if (!r->runs->len && !r->calls)
+		g_hash_table_remove(d->runners, id);
+}
+
+void ffl_dispatch_relist(ffl_dispatch_t *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((ffl_runner_t *)value)->listed = false;
+}
--- /dev/null
+++ b/lib/flow/flow.c
@@ -0,0 +1,354 @@
+#include <string.h>
+
+#include "fireflyledge/flow.h"
+
+static void flow_free(void *data);
+static void task_clear(ffl_task_t *task);
+static void save_task(ffl_task_t *task, const char *saved);
+static bool is_id(const char *id);
+static bool same_step(const ffl_step_t *a, const ffl_step_t *b);
+
+static const char *const state_names[FFL_FLOW__MAX] = {
+	[FFL_FLOW_QUEUED] = "queued",	    [FFL_FLOW_RUNNING] = "running",
+	[FFL_FLOW_COMPLETED] = "completed", [FFL_FLOW_FAILED] = "failed",
+	[FFL_FLOW_CANCELLED] = "cancelled",
+};
+
+const char *ffl_flow_state_name(uint32_t state)
+{
+	return state < FFL_FLOW__MAX ? state_names[state] : "?";
+}
+
+void ffl_flow_spec_init(ffl_flow_spec_t *spec)
+{
+	memset(spec, 0, sizeof(*spec));
+}
+
+void ffl_flow_spec_finish(ffl_flow_spec_t *spec)
+{
+	g_free(spec->steps);
+	g_free(spec->spec);
+	memset(spec, 0, sizeof(*spec));
+}
+
+static bool is_id(const char *id)
+{
+	return strlen(id) == FFL_FLOW_ID_BYTES - 1 &&
+	       strspn(id, "0123456789abcdefABCDEF") == FFL_FLOW_ID_BYTES - 1;
+}
+
+ffl_status_t ffl_flow_spec_settle(ffl_flow_spec_t *spec, ffl_err_t *err)
+{
+	uint64_t tasks = 0;
+
+	if (!is_id(spec->id))
+		return ffl_err_set(err, FFL_INVALID,
+				   "the id is not 16 hexadecimal digits");
+	if (!spec->spec || strlen(spec->spec) > FFL_FLOW_SPEC_BYTES_MAX)
+		return ffl_err_set(err, FFL_INVALID,
+				   "spec is missing or over %d bytes",
+				   FFL_FLOW_SPEC_BYTES_MAX);
+	if (!spec->steps_count || spec->steps_count > FFL_FLOW_STEPS_MAX)
+		return ffl_err_set(err, FFL_INVALID, "1 to %d steps, not %u",
+				   FFL_FLOW_STEPS_MAX, spec->steps_count);
+	if (!spec->occurrences)
+		spec->occurrences = 1;
+	for (uint32_t i = 0; i < spec->steps_count; i++) {
+		ffl_step_t *step = &spec->steps[i];
+
+		if (!step->tasks)
+			return ffl_err_set(err, FFL_INVALID,
+					   "steps[%u] has no tasks", i);
+		if (step->after >> i)
+			return ffl_err_set(err, FFL_INVALID,
+					   "steps[%u] waits for a later step",
+					   i);
+		step->first_task = (uint32_t)tasks;
+		tasks += step->tasks;
+		if (tasks * spec->occurrences > FFL_FLOW_TASKS_MAX)
+			return ffl_err_set(err, FFL_INVALID,
+					   "more than %d tasks",
+					   FFL_FLOW_TASKS_MAX);
+	}
+	spec->tasks_each = (uint32_t)tasks;
+	return FFL_OK;
+}
+
+static bool same_step(const ffl_step_t *a, const ffl_step_t *b)
+{
+	return a->tasks == b->tasks && a->cpu_milli == b->cpu_milli &&
+	       a->mem_mb == b->mem_mb && a->gpus == b->gpus &&
+	       a->after == b->after && a->gang == b->gang &&
+	       a->lasting == b->lasting && strcmp(a->rack, b->rack) == 0 &&
+	       strcmp(a->label, b->label) == 0;
+}
+
+bool ffl_flow_spec_same(const ffl_flow_spec_t *a, const ffl_flow_spec_t *b)
+{
+	if (a->steps_count != b->steps_count ||
+	    a->occurrences != b->occurrences || strcmp(a->spec, b->spec) != 0 ||
+	    strcmp(a->queue, b->queue) != 0)
+		return false;
+	for (uint32_t i = 0; i < a->steps_count; i++) {
+		if (!same_step(&a->steps[i], &b->steps[i]))
+			return false;
+	}
+	return true;
+}
+
+static void task_clear(ffl_task_t *task)
+{
+	g_free(task->worker);
+	g_free(task->checkpoint);
+	memset(task, 0, sizeof(*task));
+}
+
+static void flow_free(void *data)
+{
+	ffl_flow_t *flow = data;
+
+	for (uint32_t i = 0; i < flow->tasks_count; i++)
+		task_clear(&flow->tasks[i]);
+	g_free(flow->tasks);
+	ffl_flow_spec_finish(&flow->spec);
+	g_free(flow);
+}
+
+void ffl_flows_init(ffl_flows_t *flows)
+{
+	flows->by_id =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, flow_free);
+	flows->open = g_ptr_array_new();
+	flows->early = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)g_bytes_unref);
+}
+
+void ffl_flows_finish(ffl_flows_t *flows)
+{
+	g_ptr_array_free(flows->open, TRUE);
+	g_hash_table_destroy(flows->by_id);
+	g_hash_table_destroy(flows->early);
+}
+
+ffl_flow_t *ffl_flows_find(const ffl_flows_t *flows, const char *id)
+{
+	return g_hash_table_lookup(flows->by_id, id);
+}
+
+ffl_flow_t *ffl_flows_add(ffl_flows_t *flows, ffl_flow_spec_t *spec,
+			  uint64_t offset)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, spec->id);
+	GBytes *early;
+	gsize size;
+
+	if (flow) {
+		ffl_flow_spec_finish(spec);
+		return flow;
+	}
+	flow = g_new0(ffl_flow_t, 1);
+	flow->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	flow->order = offset;
+	flow->tasks_count = flow->spec.tasks_each * flow->spec.occurrences;
+	flow->tasks = g_new0(ffl_task_t, flow->tasks_count);
+	g_hash_table_insert(flows->by_id, flow->spec.id, flow);
+	g_ptr_array_add(flows->open, flow);
+	early = g_hash_table_lookup(flows->early, flow->spec.id);
+	if (early) {
+		const void *data = g_bytes_get_data(early, &size);
+
+		if (ffl_flow_progress_decode((ffl_bytes_t){ data, size },
+					     flow) == FFL_OK)
+			flow->has_progress = true;
+		g_hash_table_remove(flows->early, flow->spec.id);
+		flow->shown = ffl_flow_state(flow);
+	}
+	return flow;
+}
+
+ffl_status_t ffl_flows_progress(ffl_flows_t *flows, const char *id,
+				ffl_bytes_t value, uint64_t offset)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, id);
+	ffl_status_t status;
+
+	if (!flow) {
+		g_hash_table_replace(flows->early, g_strdup(id),
+				     g_bytes_new(value.data, value.size_bytes));
+		return FFL_NOT_FOUND;
+	}
+	if (flow->has_progress && offset <= flow->progress_offset)
+		return FFL_OK;
+	status = ffl_flow_progress_decode(value, flow);
+	if (status != FFL_OK)
+		return status;
+	flow->has_progress = true;
+	flow->progress_offset = offset;
+	flow->shown = ffl_flow_state(flow);
+	if (ffl_flow_ended(flow) && !flow->placed_count)
+		ffl_flows_close(flows, flow);
+	return FFL_OK;
+}
+
+void ffl_flows_reset_progress(ffl_flows_t *flows)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, flows->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ffl_flow_t *flow = value;
+
+		flow->has_progress = false;
+		flow->progress_offset = 0;
+		flow->dirty = 0;
+		flow->closed_ms = 0;
+		if (!g_ptr_array_find(flows->open, flow, NULL))
+			continue;
+		for (uint32_t i = 0; i < flow->tasks_count; i++)
+			task_clear(&flow->tasks[i]);
+		flow->done_count = 0;
+		flow->placed_count = 0;
+		flow->started = false;
+		flow->failed = false;
+	}
+}
+
+void ffl_flows_close(ffl_flows_t *flows, ffl_flow_t *flow)
+{
+	g_ptr_array_remove(flows->open, flow);
+}
+
+void ffl_flows_remove(ffl_flows_t *flows, const char *id)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, id);
+
+	if (!flow)
+		return;
+	ffl_flows_close(flows, flow);
+	g_hash_table_remove(flows->by_id, id);
+}
+
+uint32_t ffl_flows_pending(const ffl_flows_t *flows, const char *queue)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < flows->open->len; i++) {
+		const ffl_flow_t *flow = g_ptr_array_index(flows->open, i);
+
+		if (!flow->started && !flow->cancelled && !flow->failed &&
+		    strcmp(flow->spec.queue, queue) == 0)
+			n++;
+	}
+	return n;
+}
+
+ffl_flow_state_t ffl_flow_state(const ffl_flow_t *flow)
+{
+	if (flow->done_count == flow->tasks_count)
+		return FFL_FLOW_COMPLETED;
+	if (flow->cancelled)
+		return FFL_FLOW_CANCELLED;
+	if (flow->failed)
+		return FFL_FLOW_FAILED;
+	return flow->started ? FFL_FLOW_RUNNING : FFL_FLOW_QUEUED;
+}
+
+bool ffl_flow_ended(const ffl_flow_t *flow)
+{
+	return flow->cancelled || flow->failed ||
+	       flow->done_count == flow->tasks_count;
+}
+
+uint32_t ffl_flow_step_of(const ffl_flow_t *flow, uint32_t task)
+{
+	uint32_t index = task % flow->spec.tasks_each;
+	uint32_t step = 0;
+
+	while (step + 1 < flow->spec.steps_count &&
+	       flow->spec.steps[step + 1].first_task <= index)
+		step++;
+	return step;
+}
+
+uint32_t ffl_flow_first_task(const ffl_flow_t *flow, uint32_t occurrence,
+			     uint32_t step)
+{
+	return occurrence * flow->spec.tasks_each +
+	       flow->spec.steps[step].first_task;
+}
+
+bool ffl_flow_step_ready(const ffl_flow_t *flow, uint32_t occurrence,
+			 uint32_t step)
+{
+	uint64_t after = flow->spec.steps[step].after;
+
+	for (uint32_t s = 0; s < step; s++) {
+		uint32_t first;
+
+		if (!(after >> s & 1))
+			continue;
+		first = ffl_flow_first_task(flow, occurrence, s);
+		for (uint32_t i = 0; i < flow->spec.steps[s].tasks; i++) {
+			if (flow->tasks[first + i].state != FFL_TASK_DONE)
+				return false;
+		}
+	}
+	return true;
+}
+
+void ffl_flow_task_set(ffl_flow_t *flow, uint32_t task, ffl_task_state_t state)
+{
+	ffl_task_t *t = &flow->tasks[task];
+
+	flow->placed_count -= t->state == FFL_TASK_PLACED;
+	flow->done_count -= t->state == FFL_TASK_DONE;
+	t->state = state;
+	flow->placed_count += state == FFL_TASK_PLACED;
+	flow->done_count += state == FFL_TASK_DONE;
+	if (state == FFL_TASK_PLACED)
+		return;
+	g_clear_pointer(&t->worker, g_free);
+	if (state == FFL_TASK_DONE)
+		g_clear_pointer(&t->checkpoint, g_free);
+}
+
+void ffl_flow_task_place(ffl_flow_t *flow, uint32_t task, uint32_t run,
+			 const char *worker, int64_t born_ms)
+{
+	ffl_task_t *t = &flow->tasks[task];
+
+	ffl_flow_task_set(flow, task, FFL_TASK_PLACED);
+	t->run = run;
+	g_free(t->worker);
+	t->worker = g_strdup(worker);
+	t->born_ms = born_ms;
+	flow->started = true;
+}
+
+static void save_task(ffl_task_t *task, const char *saved)
+{
+	if (task->state == FFL_TASK_DONE ||
+	    g_strcmp0(task->checkpoint, saved) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(saved);
+}
+
+void ffl_flow_task_save(ffl_flow_t *flow, uint32_t task, const char *saved)
+{
+	uint32_t step = ffl_flow_step_of(flow, task);
+	const ffl_step_t *s = &flow->spec.steps[step];
+	uint32_t first;
+
+	if (!saved || !saved[0] || strlen(saved) > FFL_CHECKPOINT_BYTES_MAX)
+		return;
+	if (!s->gang) {
+		save_task(&flow->tasks[task], saved);
+		return;
+	}
+	first = ffl_flow_first_task(flow, task / flow->spec.tasks_each, step);
+	for (uint32_t i = 0; i < s->tasks; i++)
+		save_task(&flow->tasks[first + i], saved);
+}
--- /dev/null
+++ b/lib/flow/flow_record.c
@@ -0,0 +1,373 @@
+#include <string.h>
+#include <msgpack.h>
+
+#include "fireflyledge/flow.h"
+
+/** Layouts of the records; a reader leaves newer ones alone. */
+#define SPEC_LAYOUT	1
+#define PROGRESS_LAYOUT 1
+/** Fields of each array. */
+#define SPEC_FIELDS	15
+#define STEP_FIELDS	18
+#define PROGRESS_FIELDS 4
+#define TASK_FIELDS	7
+
+/** Reads the fields of an array in order. */
+typedef struct {
+	const msgpack_object *next;
+	uint32_t left;
+	bool bad;
+} fields_t;
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes);
+static void pack_text(msgpack_packer *pk, const char *text);
+static void pack_step(msgpack_packer *pk, const ffl_step_t *step);
+static void pack_task(msgpack_packer *pk, const ffl_task_t *task);
+static fields_t open_fields(const msgpack_object *obj, uint32_t count);
+static uint64_t take_number(fields_t *f);
+static uint32_t take_u32(fields_t *f);
+static int64_t take_signed(fields_t *f);
+static bool take_flag(fields_t *f);
+static char *take_text(fields_t *f);
+static void take_name(fields_t *f, ffl_name_t out);
+static fields_t take_array(fields_t *f);
+static void take_step(fields_t *f, ffl_step_t *out);
+static void take_spec(fields_t *f, ffl_flow_spec_t *out);
+static void take_task(fields_t *f, ffl_task_t *out);
+static bool take_tasks(fields_t *f, ffl_task_t *out, uint32_t count);
+static void install(ffl_flow_t *flow, ffl_task_t *tasks);
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes)
+{
+	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t n = text ? strlen(text) : 0;
+
+	msgpack_pack_str(pk, n);
+	msgpack_pack_str_body(pk, n ? text : "", n);
+}
+
+static void pack_step(msgpack_packer *pk, const ffl_step_t *step)
+{
+	msgpack_pack_array(pk, STEP_FIELDS);
+	msgpack_pack_uint32(pk, step->tasks);
+	msgpack_pack_uint32(pk, step->cpu_milli);
+	msgpack_pack_uint32(pk, step->mem_mb);
+	msgpack_pack_uint32(pk, step->gpus);
+	msgpack_pack_uint32(pk, step->estimate_ms);
+	msgpack_pack_uint64(pk, step->after);
+	msgpack_pack_uint8(pk, step->gang);
+	msgpack_pack_uint8(pk, step->same_rack);
+	msgpack_pack_uint8(pk, step->saves);
+	msgpack_pack_uint8(pk, step->copies);
+	msgpack_pack_uint8(pk, step->lasting);
+	msgpack_pack_uint8(pk, step->fills);
+	pack_text(pk, step->label);
+	pack_text(pk, step->rack);
+	pack_text(pk, step->image);
+	msgpack_pack_uint32(pk, step->per_worker_max);
+	msgpack_pack_uint32(pk, step->target_ms);
+	msgpack_pack_uint32(pk, step->unavailable_max);
+}
+
+void ffl_flow_spec_encode(const ffl_flow_spec_t *spec, GByteArray *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_bytes);
+	msgpack_pack_array(&pk, SPEC_FIELDS);
+	msgpack_pack_uint8(&pk, SPEC_LAYOUT);
+	pack_text(&pk, spec->id);
+	pack_text(&pk, spec->queue);
+	pack_text(&pk, spec->service);
+	pack_text(&pk, spec->customer);
+	msgpack_pack_uint32(&pk, spec->priority);
+	msgpack_pack_uint32(&pk, spec->attempts_max);
+	msgpack_pack_uint32(&pk, spec->stretch_milli);
+	msgpack_pack_uint32(&pk, spec->aim_ms);
+	msgpack_pack_uint64(&pk, spec->accepted_ms);
+	msgpack_pack_uint64(&pk, spec->start_at_ms);
+	msgpack_pack_uint64(&pk, spec->interval_ms);
+	msgpack_pack_uint32(&pk, spec->timed ? spec->occurrences : 0);
+	pack_text(&pk, spec->spec);
+	msgpack_pack_array(&pk, spec->steps_count);
+	for (uint32_t i = 0; i < spec->steps_count; i++)
+		pack_step(&pk, &spec->steps[i]);
+}
+
+static fields_t open_fields(const msgpack_object *obj, uint32_t count)
+{
+	fields_t f = { NULL, 0, true };
+
+	if (obj->type != MSGPACK_OBJECT_ARRAY || obj->via.array.size < count)
+		return f;
+	f.next = obj->via.array.ptr;
+	f.left = obj->via.array.size;
+	f.bad = false;
+	return f;
+}
+
+static uint64_t take_number(fields_t *f)
+{
+	if (f->bad || !f->left ||
+	    f->next->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		f->bad = true;
+		return 0;
+	}
+	f->left--;
+	return f->next++->via.u64;
+}
+
+static uint32_t take_u32(fields_t *f)
+{
+	uint64_t n = take_number(f);
+
+	if (n > UINT32_MAX)
+		f->bad = true;
+	return (uint32_t)n;
+}
+
+static int64_t take_signed(fields_t *f)
+{
+	if (!f->bad && f->left &&
+	    f->next->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		f->left--;
+		return f->next++->via.i64;
+	}
+	return (int64_t)take_number(f);
+}
+
+static bool take_flag(fields_t *f)
+{
+	return take_number(f) != 0;
+}
+
+static char *take_text(fields_t *f)
+{
+	const msgpack_object *obj = f->next;
+
+	if (f->bad || !f->left || obj->type != MSGPACK_OBJECT_STR) {
+		f->bad = true;
+		return NULL;
+	}
+	f->left--;
+	f->next++;
+	return g_strndup(obj->via.str.ptr, obj->via.str.size);
+}
+
+static void take_name(fields_t *f, ffl_name_t out)
+{
+	char *text = take_text(f);
+
+	if (text && !ffl_copy(out, FFL_NAME_BYTES, text))
+		f->bad = true;
+	g_free(text);
+}
+
+static fields_t take_array(fields_t *f)
+{
+	fields_t inner = { NULL, 0, true };
+
+	if (f->bad || !f->left || f->next->type != MSGPACK_OBJECT_ARRAY) {
+		f->bad = true;
+		return inner;
+	}
+	f->left--;
+	return open_fields(f->next++, 0);
+}
+
+static void take_step(fields_t *f, ffl_step_t *out)
+{
+	out->tasks = take_u32(f);
+	out->cpu_milli = take_u32(f);
+	out->mem_mb = take_u32(f);
+	out->gpus = take_u32(f);
+	out->estimate_ms = take_u32(f);
+	out->after = take_number(f);
+	out->gang = take_flag(f);
+	out->same_rack = take_flag(f);
+	out->saves = take_flag(f);
+	out->copies = take_flag(f);
+	out->lasting = take_flag(f);
+	out->fills = take_flag(f);
+	take_name(f, out->label);
+	take_name(f, out->rack);
+	take_name(f, out->image);
+	out->per_worker_max = take_u32(f);
+	out->target_ms = take_u32(f);
+	out->unavailable_max = take_u32(f);
+}
+
+static void take_spec(fields_t *f, ffl_flow_spec_t *out)
+{
+	fields_t steps;
+	char *id;
+
+	if (take_number(f) != SPEC_LAYOUT)
+		f->bad = true;
+	id = take_text(f);
+	if (id && !ffl_copy(out->id, sizeof(out->id), id))
+		f->bad = true;
+	g_free(id);
+	take_name(f, out->queue);
+	take_name(f, out->service);
+	take_name(f, out->customer);
+	out->priority = take_u32(f);
+	out->attempts_max = take_u32(f);
+	out->stretch_milli = take_u32(f);
+	out->aim_ms = take_u32(f);
+	out->accepted_ms = take_number(f);
+	out->start_at_ms = take_number(f);
+	out->interval_ms = take_number(f);
+	out->occurrences = take_u32(f);
+	out->timed = out->occurrences > 0;
+	out->spec = take_text(f);
+	steps = take_array(f);
+	if (steps.left > FFL_FLOW_STEPS_MAX)
+		f->bad = true;
+	if (f->bad)
+		return;
+	out->steps_count = steps.left;
+	out->steps = g_new0(ffl_step_t, out->steps_count);
+	for (uint32_t i = 0; i < out->steps_count; i++) {
+		fields_t step = take_array(&steps);
+
+		take_step(&step, &out->steps[i]);
+		f->bad = f->bad || step.bad;
+	}
+}
+
+ffl_status_t ffl_flow_spec_decode(ffl_bytes_t in, ffl_flow_spec_t *out)
+{
+	msgpack_unpacked msg;
+	fields_t f = { NULL, 0, true };
+	ffl_err_t err;
+	size_t off = 0;
+
+	ffl_flow_spec_init(out);
+	msgpack_unpacked_init(&msg);
+	if (msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
+				&off) == MSGPACK_UNPACK_SUCCESS) {
+		f = open_fields(&msg.data, SPEC_FIELDS);
+		take_spec(&f, out);
+	}
+	msgpack_unpacked_destroy(&msg);
+	if (!f.bad && ffl_flow_spec_settle(out, &err) == FFL_OK)
+		return FFL_OK;
+	ffl_flow_spec_finish(out);
+	return FFL_INVALID;
+}
+
+static void pack_task(msgpack_packer *pk, const ffl_task_t *task)
+{
+	msgpack_pack_array(pk, TASK_FIELDS);
+	msgpack_pack_uint8(pk, (uint8_t)task->state);
+	msgpack_pack_uint32(pk, task->run);
+	msgpack_pack_uint32(pk, task->failures);
+	msgpack_pack_uint32(pk, task->failed_run);
+	pack_text(pk, task->worker);
+	msgpack_pack_int64(pk, task->worker ? task->born_ms : 0);
+	pack_text(pk, task->checkpoint);
+}
+
+void ffl_flow_progress_encode(const ffl_flow_t *flow, GByteArray *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_bytes);
+	msgpack_pack_array(&pk, PROGRESS_FIELDS);
+	msgpack_pack_uint8(&pk, PROGRESS_LAYOUT);
+	msgpack_pack_uint8(&pk, flow->failed);
+	msgpack_pack_uint8(&pk, flow->started);
+	msgpack_pack_array(&pk, flow->tasks_count);
+	for (uint32_t i = 0; i < flow->tasks_count; i++)
+		pack_task(&pk, &flow->tasks[i]);
+}
+
+static void take_task(fields_t *f, ffl_task_t *out)
+{
+	uint64_t state = take_number(f);
+
+	if (state >= FFL_TASK__MAX)
+		f->bad = true;
+	out->state = (ffl_task_state_t)state;
+	out->run = take_u32(f);
+	out->failures = take_u32(f);
+	out->failed_run = take_u32(f);
+	out->worker = take_text(f);
+	out->born_ms = take_signed(f);
+	out->checkpoint = take_text(f);
+	if (out->checkpoint && !out->checkpoint[0])
+		g_clear_pointer(&out->checkpoint, g_free);
+	if (out->state != FFL_TASK_PLACED)
+		g_clear_pointer(&out->worker, g_free);
+}
+
+static bool take_tasks(fields_t *f, ffl_task_t *out, uint32_t count)
+{
+	fields_t rows = take_array(f);
+
+	if (f->bad || rows.left != count)
+		return false;
+	for (uint32_t i = 0; i < count; i++) {
+		fields_t row = take_array(&rows);
+
+		take_task(&row, &out[i]);
+		if (row.bad)
+			return false;
+	}
+	return true;
+}
+
+static void install(ffl_flow_t *flow, ffl_task_t *tasks)
+{
+	flow->done_count = 0;
+	flow->placed_count = 0;
+	for (uint32_t i = 0; i < flow->tasks_count; i++) {
+		g_free(flow->tasks[i].worker);
+		g_free(flow->tasks[i].checkpoint);
+		flow->tasks[i] = tasks[i];
+		flow->done_count += tasks[i].state == FFL_TASK_DONE;
+		flow->placed_count += tasks[i].state == FFL_TASK_PLACED;
+	}
+	g_free(tasks);
+}
+
+ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow)
+{
+	ffl_task_t *tasks = g_new0(ffl_task_t, flow->tasks_count);
+	msgpack_unpacked msg;
+	fields_t f = { NULL, 0, true };
+	bool failed = false;
+	bool started = false;
+	size_t off = 0;
+	bool ok = false;
+
+	msgpack_unpacked_init(&msg);
+	if (msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
+				&off) == MSGPACK_UNPACK_SUCCESS) {
+		f = open_fields(&msg.data, PROGRESS_FIELDS);
+		if (take_number(&f) != PROGRESS_LAYOUT)
+			f.bad = true;
+		failed = take_flag(&f);
+		started = take_flag(&f);
+		ok = take_tasks(&f, tasks, flow->tasks_count);
+	}
+	msgpack_unpacked_destroy(&msg);
+	if (!ok) {
+		for (uint32_t i = 0; i < flow->tasks_count; i++) {
+			g_free(tasks[i].worker);
+			g_free(tasks[i].checkpoint);
+		}
+		g_free(tasks);
+		return FFL_INVALID;
+	}
+	flow->failed = failed;
+	flow->started = started;
+	install(flow, tasks);
+	return FFL_OK;
+}
--- /dev/null
+++ b/lib/node/lead.c
@@ -0,0 +1,409 @@
+#include <string.h>
+#include <msgpack.h>
+
+#include "lib/node/node_int.h"
+
+/** A leader shows that it lives so often. */
+#define HEARTBEAT_MS 600
+/** After a write was sent, it proves authority for so long. */
+#define AUTHORITY_MS 1800
+/** A silent leader is replaced after this: authority and its margin. */
+#define TAKEOVER_MS 2400
+/** The log must have answered well for so long before silence counts. */
+#define WELL_MS 1200
+/** Hosts claim one after the other, so that appends do not collide. */
+#define CLAIM_SPREAD_MS 250
+/** Deadline of an append, and time before it is repeated. */
+#define APPEND_TIMEOUT_MS 900
+#define REPEAT_MS	  120
+/** What is known of jobs and workers must be as young as this to start. */
+#define KNOWN_MS 2200
+/** A leader without the log holds what runs for so long: one lease. */
+#define HOLD_ON_MS 6000
+/** Fields of a record of leadership. */
+#define LEAD_FIELDS 5
+
+/** A record of leadership. */
+typedef struct {
+	char holder[FFL_NAME_BYTES];
+	uint64_t life;
+	uint64_t token; /**< 0 in a claim: its own offset gives it */
+	uint64_t number;
+	bool resigned;
+} lead_record_t;
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes);
+static ffl_write_t *lead_write(const ffl_node_t *n, bool resigned);
+static bool lead_decode(ffl_bytes_t in, lead_record_t *out);
+static void send_append(ffl_node_t *n);
+static void open_append(ffl_node_t *n, bool claim, bool resigned);
+static void add_batch(ffl_node_t *n);
+static void claim(ffl_node_t *n);
+static bool may_claim(ffl_node_t *n);
+static void drop_append(ffl_node_t *n);
+static void append_stands(ffl_node_t *n, uint64_t offset);
+static void check_append(ffl_node_t *n);
+static void take_append(ffl_node_t *n, const ffl_store_reply_t *reply);
+static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply);
+static void become_leader(ffl_node_t *n, uint64_t offset);
+static void step_down(ffl_node_t *n, const char *why);
+static void drive_leader(ffl_node_t *n);
+
+void ffl_lead_init(ffl_node_t *n)
+{
+	n->lead.flows = g_ptr_array_new();
+}
+
+void ffl_lead_finish(ffl_node_t *n)
+{
+	drop_append(n);
+	g_ptr_array_free(n->lead.flows, TRUE);
+}
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes)
+{
+	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
+	return 0;
+}
+
+static ffl_write_t *lead_write(const ffl_node_t *n, bool resigned)
+{
+	ffl_write_t *w = ffl_write_new('\0', KEY_LEAD);
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, w->value, write_bytes);
+	msgpack_pack_array(&pk, LEAD_FIELDS);
+	msgpack_pack_str(&pk, strlen(n->opt.name));
+	msgpack_pack_str_body(&pk, n->opt.name, strlen(n->opt.name));
+	msgpack_pack_uint64(&pk, n->life);
+	msgpack_pack_uint64(&pk, n->lead.claim ? 0 : n->lead.token);
+	msgpack_pack_uint64(&pk, n->lead.number);
+	msgpack_pack_uint8(&pk, resigned);
+	return w;
+}
+
+static bool lead_decode(ffl_bytes_t in, lead_record_t *out)
+{
+	msgpack_unpacked msg;
+	const msgpack_object *f;
+	size_t off = 0;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	msgpack_unpacked_init(&msg);
+	ok = msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
+				 &off) == MSGPACK_UNPACK_SUCCESS &&
+	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
+	     msg.data.via.array.size >= LEAD_FIELDS;
+	if (ok) {
+		f = msg.data.via.array.ptr;
+		ok = f[0].type == MSGPACK_OBJECT_STR &&
+		     f[0].via.str.size < sizeof(out->holder);
+		for (int i = 1; i < LEAD_FIELDS; i++)
+			ok = ok && f[i].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+		if (ok) {
+			memcpy(out->holder, f[0].via.str.ptr,
+			       f[0].via.str.size);
+			out->life = f[1].via.u64;
+			out->token = f[2].via.u64;
+			out->number = f[3].via.u64;
+			out->resigned = f[4].via.u64 != 0;
+		}
+	}
+	msgpack_unpacked_destroy(&msg);
+	return ok;
+}
+
+void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec)
+{
+	ffl_lead_t *l = &n->lead;
+	lead_record_t r;
+
+	if (l->leading || !lead_decode(rec->value, &r))
+		return;
+	if (strcmp(l->holder, r.holder) != 0 || l->holder_life != r.life)
+		ffl_node_note(n, "leader-seen", r.holder,
+			      "offset=%" PRIu64 " token=%" PRIu64, rec->offset,
+			      r.token);
+	ffl_copy(l->holder, sizeof(l->holder), r.holder);
+	l->holder_life = r.life;
+	l->resigned = r.resigned;
+	l->seen_ms = n->now_ms;
+}
+
+bool ffl_lead_may_start(const ffl_node_t *n)
+{
+	const ffl_lead_t *l = &n->lead;
+
+	return l->leading && !n->stop_ms && !l->resign &&
+	       n->now_ms - l->proved_ms <= AUTHORITY_MS &&
+	       ffl_tail_fresh(n, FFL_TOPIC_JOBS, KNOWN_MS) &&
+	       ffl_tail_fresh(n, FFL_TOPIC_WORKERS, KNOWN_MS);
+}
+
+static void drop_append(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	if (l->writes)
+		g_ptr_array_unref(l->writes);
+	l->writes = NULL;
+	g_ptr_array_set_size(l->flows, 0);
+	l->call = 0;
+	l->check = 0;
+	l->batch = 0;
+	l->claim = false;
+}
+
+static void send_append(ffl_node_t *n)
+{
+	ffl_node_act_t *act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
+	ffl_lead_t *l = &n->lead;
+
+	act->store.topic = FFL_TOPIC_RUNS;
+	act->store.call = l->call = ffl_node_call(n);
+	act->store.at = l->at;
+	act->store.timeout_ms = APPEND_TIMEOUT_MS;
+	act->store.writes = g_ptr_array_ref(l->writes);
+	l->sent_ms = n->now_ms;
+}
+
+static void open_append(ffl_node_t *n, bool is_claim, bool resigned)
+{
+	ffl_lead_t *l = &n->lead;
+
+	l->claim = is_claim;
+	l->number++;
+	l->writes = g_ptr_array_new_with_free_func(ffl_write_free);
+	g_ptr_array_add(l->writes, lead_write(n, resigned));
+	l->resigned = resigned;
+}
+
+static void add_batch(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	l->batch = ffl_dispatch_batch(&n->dispatch, l->flows);
+	for (guint i = 0; i < l->flows->len; i++) {
+		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
+		ffl_write_t *w = ffl_write_new(KEY_PROGRESS, flow->spec.id);
+
+		ffl_flow_progress_encode(flow, w->value);
+		flow->recorded = ffl_flow_state(flow);
+		g_ptr_array_add(l->writes, w);
+	}
+}
+
+static bool may_claim(ffl_node_t *n)
+{
+	const ffl_tail_t *t = &n->tails[FFL_TOPIC_RUNS];
+	const ffl_lead_t *l = &n->lead;
+	uint64_t rank =
+		ffl_hash(n->opt.name, strlen(n->opt.name), l->holder_life) % 8;
+	uint64_t wait_ms = TAKEOVER_MS + rank * CLAIM_SPREAD_MS;
+
+	if (n->stop_ms || !t->synced || !n->has_routes || !t->well_ms ||
+	    n->now_ms < l->retry_ms || !n->tails[FFL_TOPIC_JOBS].synced ||
+	    !t->next_known || t->fresh_ms + AUTHORITY_MS < n->now_ms)
+		return false;
+	if (strcmp(l->holder, n->opt.name) == 0)
+		return true;
+	if (!l->holder[0] || l->resigned)
+		wait_ms = rank * CLAIM_SPREAD_MS / 4;
+	else if (n->now_ms - t->well_ms < WELL_MS)
+		return false;
+	return n->now_ms - l->seen_ms >= wait_ms;
+}
+
+static void claim(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	ffl_node_note(n, "leader-claim", n->opt.name,
+		      "at=%" PRIu64 " before=%s silent_ms=%" PRIu64,
+		      n->tails[FFL_TOPIC_RUNS].next, l->holder,
+		      n->now_ms - l->seen_ms);
+	open_append(n, true, false);
+	l->at = n->tails[FFL_TOPIC_RUNS].next;
+	send_append(n);
+}
+
+static void become_leader(ffl_node_t *n, uint64_t offset)
+{
+	ffl_lead_t *l = &n->lead;
+
+	l->leading = true;
+	l->resign = false;
+	l->token = offset + 1;
+	ffl_copy(l->holder, sizeof(l->holder), n->opt.name);
+	l->holder_life = n->life;
+	ffl_tail_restart(&n->tails[FFL_TOPIC_WORKERS]);
+	n->tails[FFL_TOPIC_RUNS].call = 0;
+	ffl_dispatch_lead(&n->dispatch, l->token, n->now_ms);
+	ffl_node_note(n, "leader-began", n->opt.name,
+		      "token=%" PRIu64 " runs=%u open=%u", l->token,
+		      n->dispatch.runs->len, n->flows.open->len);
+}
+
+/* What was changed but not recorded must not be believed any more. */
+static void step_down(ffl_node_t *n, const char *why)
+{
+	ffl_lead_t *l = &n->lead;
+
+	ffl_node_note(n, "leader-ended", n->opt.name,
+		      "token=%" PRIu64 " why=%s", l->token, why);
+	drop_append(n);
+	if (l->leading) {
+		ffl_dispatch_yield(&n->dispatch);
+		ffl_flows_reset_progress(&n->flows);
+	}
+	l->leading = false;
+	l->holder[0] = '\0';
+	l->seen_ms = n->now_ms;
+	l->retry_ms = n->now_ms + CLAIM_SPREAD_MS;
+	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
+}
+
+static void append_stands(ffl_node_t *n, uint64_t offset)
+{
+	ffl_lead_t *l = &n->lead;
+	uint64_t end = offset + l->writes->len;
+	bool was_claim = l->claim;
+
+	l->proved_ms = l->sent_ms;
+	l->last_ms = n->now_ms;
+	l->at = end;
+	n->tails[FFL_TOPIC_RUNS].next = end;
+	for (guint i = 0; i < l->flows->len; i++) {
+		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
+
+		flow->shown = flow->recorded;
+		flow->has_progress = true;
+		flow->progress_offset = end;
+	}
+	if (l->batch)
+		ffl_dispatch_recorded(&n->dispatch, l->batch);
+	drop_append(n);
+	if (was_claim)
+		become_leader(n, offset);
+	else if (l->resigned && l->resign)
+		step_down(n, "resigned");
+}
+
+/* The answer was lost, or the topic ends elsewhere: what stands there? */
+static void check_append(ffl_node_t *n)
+{
+	ffl_node_act_t *act = ffl_node_act(n, FFL_NODE_ACT_READ);
+	ffl_lead_t *l = &n->lead;
+
+	act->store.topic = FFL_TOPIC_RUNS;
+	act->store.call = l->check = ffl_node_call(n);
+	act->store.from = l->at;
+	act->store.timeout_ms = APPEND_TIMEOUT_MS;
+}
+
+static void take_append(ffl_node_t *n, const ffl_store_reply_t *reply)
+{
+	ffl_lead_t *l = &n->lead;
+
+	l->call = 0;
+	switch (reply->outcome) {
+	case FFL_STORE_OK:
+		append_stands(n, reply->first);
+		return;
+	case FFL_STORE_MOVED:
+		check_append(n);
+		return;
+	default:
+		l->retry_ms = n->now_ms + REPEAT_MS;
+		if (l->claim && reply->outcome == FFL_STORE_REFUSED)
+			step_down(n, "claim refused");
+		return;
+	}
+}
+
+static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply)
+{
+	ffl_lead_t *l = &n->lead;
+	lead_record_t r;
+
+	l->check = 0;
+	if (reply->outcome == FFL_STORE_EXPIRED) {
+		step_down(n, "records expired");
+		return;
+	}
+	if (reply->outcome != FFL_STORE_OK || !reply->count) {
+		l->retry_ms = n->now_ms + REPEAT_MS;
+		return;
+	}
+	if (reply->records[0].offset == l->at &&
+	    strcmp(reply->records[0].key, KEY_LEAD) == 0 &&
+	    lead_decode(reply->records[0].value, &r) && r.life == n->life &&
+	    r.number == l->number) {
+		append_stands(n, l->at);
+		return;
+	}
+	step_down(n, "another leads");
+}
+
+bool ffl_lead_take(ffl_node_t *n, const ffl_store_reply_t *reply)
+{
+	ffl_lead_t *l = &n->lead;
+
+	if (l->call && reply->call == l->call) {
+		take_append(n, reply);
+		return true;
+	}
+	if (l->check && reply->call == l->check) {
+		take_check(n, reply);
+		return true;
+	}
+	return false;
+}
+
+static void drive_leader(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	if (n->dispatch.fenced) {
+		step_down(n, "fenced by a worker");
+		return;
+	}
+	if (n->now_ms - l->proved_ms > HOLD_ON_MS) {
+		step_down(n, "no word from the log");
+		return;
+	}
+	if (l->call || l->check)
+		return;
+	if (l->writes) {
+		if (n->now_ms >= l->retry_ms)
+			send_append(n);
+		return;
+	}
+	if (!l->resign && !n->dispatch.dirty &&
+	    n->now_ms - l->last_ms < HEARTBEAT_MS)
+		return;
+	open_append(n, false, l->resign);
+	if (n->dispatch.dirty)
+		add_batch(n);
+	send_append(n);
+}
+
+void ffl_lead_drive(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	if (l->leading) {
+		drive_leader(n);
+		return;
+	}
+	if (l->call || l->check)
+		return;
+	if (l->writes) {
+		if (n->now_ms >= l->retry_ms)
+			send_append(n);
+		return;
+	}
+	if (may_claim(n))
+		claim(n);
+}
--- /dev/null
+++ b/lib/node/node.c
@@ -0,0 +1,273 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "lib/node/node_int.h"
+
+/** Time before a failed call is repeated, and its growth. */
+#define BACKOFF_MS	   100
+#define BACKOFF_DOUBLE_MAX 3
+/** The balancer learns of an unready host within two looks of a second. */
+#define UNREADY_MS 2500
+
+typedef void (*event_fn_t)(ffl_node_t *n, ffl_node_event_t *ev);
+
+static void on_tick(ffl_node_t *n, ffl_node_event_t *ev);
+static void on_store(ffl_node_t *n, ffl_node_event_t *ev);
+static void on_worker(ffl_node_t *n, ffl_node_event_t *ev);
+static void on_request(ffl_node_t *n, ffl_node_event_t *ev);
+static void on_stop(ffl_node_t *n, ffl_node_event_t *ev);
+static void take_note(void *user, const char *event, const char *subject,
+		      const char *text);
+static void drive_dispatch(ffl_node_t *n);
+static void drive_ready(ffl_node_t *n);
+static void drive_stop(ffl_node_t *n);
+static uint32_t config_age_max(const ffl_node_t *n);
+
+static const event_fn_t handlers[FFL_NODE_EV__MAX] = {
+	[FFL_NODE_EV_TICK] = on_tick,	  [FFL_NODE_EV_STORE] = on_store,
+	[FFL_NODE_EV_WORKER] = on_worker, [FFL_NODE_EV_REQUEST] = on_request,
+	[FFL_NODE_EV_STOP] = on_stop,
+};
+
+static const char *const topic_names[FFL_TOPIC__MAX] = {
+	[FFL_TOPIC_CONFIG] = "config",
+	[FFL_TOPIC_WORKERS] = "workers",
+	[FFL_TOPIC_JOBS] = "jobs",
+	[FFL_TOPIC_RUNS] = "runs",
+};
+
+static const char *const say_names[FFL_SAY__MAX] = {
+	[FFL_SAY_ACCEPTED] = "accepted",   [FFL_SAY_STATE] = "state",
+	[FFL_SAY_PENDING] = "pending",	   [FFL_SAY_CANCELLED] = "cancelled",
+	[FFL_SAY_GONE] = "gone",	   [FFL_SAY_NO_ROUTE] = "no-route",
+	[FFL_SAY_NO_KEY] = "no-key",	   [FFL_SAY_NOT_YOURS] = "not-yours",
+	[FFL_SAY_INVALID] = "invalid",	   [FFL_SAY_CONFLICT] = "conflict",
+	[FFL_SAY_NO_METHOD] = "no-method", [FFL_SAY_BUSY] = "busy",
+	[FFL_SAY_UNKNOWN] = "unknown",
+};
+
+static const char *const outcome_names[FFL_STORE__MAX] = {
+	[FFL_STORE_OK] = "ok",		 [FFL_STORE_MOVED] = "moved",
+	[FFL_STORE_EXPIRED] = "expired", [FFL_STORE_REFUSED] = "refused",
+	[FFL_STORE_UNKNOWN] = "unknown",
+};
+
+const char *ffl_topic_name(uint32_t topic)
+{
+	return topic < FFL_TOPIC__MAX ? topic_names[topic] : "?";
+}
+
+const char *ffl_say_name(uint32_t what)
+{
+	return what < FFL_SAY__MAX ? say_names[what] : "?";
+}
+
+const char *ffl_store_outcome_name(uint32_t outcome)
+{
+	return outcome < FFL_STORE__MAX ? outcome_names[outcome] : "?";
+}
+
+ffl_write_t *ffl_write_new(char kind, const char *id)
+{
+	ffl_write_t *w = g_new0(ffl_write_t, 1);
+
+	if (kind)
+		g_snprintf(w->key, sizeof(w->key), "%c%s", kind, id);
+	else
+		ffl_copy(w->key, sizeof(w->key), id);
+	w->value = g_byte_array_new();
+	return w;
+}
+
+void ffl_write_free(void *data)
+{
+	ffl_write_t *w = data;
+
+	g_byte_array_unref(w->value);
+	g_free(w);
+}
+
+ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind)
+{
+	ffl_node_act_t *act;
+
+	g_array_set_size(n->acts, n->acts->len + 1);
+	act = &g_array_index(n->acts, ffl_node_act_t, n->acts->len - 1);
+	memset(act, 0, sizeof(*act));
+	act->kind = kind;
+	return act;
+}
+
+void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
+		   const char *fmt, ...)
+{
+	char text[FFL_REASON_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	g_vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	take_note(n, event, subject, text);
+}
+
+static void take_note(void *user, const char *event, const char *subject,
+		      const char *text)
+{
+	ffl_node_act_t *act = ffl_node_act(user, FFL_NODE_ACT_NOTE);
+
+	ffl_copy(act->note.event, sizeof(act->note.event), event);
+	ffl_copy(act->note.subject, sizeof(act->note.subject), subject);
+	ffl_copy(act->note.text, sizeof(act->note.text), text);
+}
+
+uint64_t ffl_node_call(ffl_node_t *n)
+{
+	return ++n->next_call;
+}
+
+uint32_t ffl_node_backoff(ffl_node_t *n, uint32_t failures)
+{
+	uint32_t ms = BACKOFF_MS << MIN(failures - 1, BACKOFF_DOUBLE_MAX);
+
+	return ms / 2 + (uint32_t)ffl_rng_below(&n->rng, ms);
+}
+
+void ffl_node_init(ffl_node_t *n, const ffl_node_options_t *opt)
+{
+	memset(n, 0, sizeof(*n));
+	n->opt = *opt;
+	ffl_rng_init(&n->rng, opt->seed);
+	n->life = ffl_rng_next(&n->rng) >> 1;
+	ffl_flows_init(&n->flows);
+	ffl_dispatch_init(&n->dispatch, &opt->dispatch, &n->flows);
+	n->dispatch.note = take_note;
+	n->dispatch.note_user = n;
+	ffl_routes_init(&n->routes);
+	ffl_tails_init(n);
+	ffl_lead_init(n);
+	n->pending = g_ptr_array_new_with_free_func(ffl_pending_free);
+	n->orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
+}
+
+void ffl_node_finish(ffl_node_t *n)
+{
+	g_array_free(n->orders, TRUE);
+	g_ptr_array_free(n->pending, TRUE);
+	ffl_lead_finish(n);
+	ffl_tails_finish(n);
+	ffl_dispatch_finish(&n->dispatch);
+	ffl_flows_finish(&n->flows);
+	ffl_routes_finish(&n->routes);
+}
+
+static uint32_t config_age_max(const ffl_node_t *n)
+{
+	return n->opt.config_apply_ms + n->opt.config_skew_ms / 2;
+}
+
+bool ffl_node_serves(const ffl_node_t *n)
+{
+	return n->has_routes && n->tails[FFL_TOPIC_JOBS].synced &&
+	       (n->lead.leading || n->tails[FFL_TOPIC_RUNS].synced) &&
+	       ffl_tail_fresh(n, FFL_TOPIC_CONFIG, config_age_max(n));
+}
+
+static void on_tick(ffl_node_t *n, ffl_node_event_t *ev)
+{
+}
+
+static void on_store(ffl_node_t *n, ffl_node_event_t *ev)
+{
+	if (ffl_lead_take(n, &ev->store) || ffl_ask_appended(n, &ev->store))
+		return;
+	ffl_tails_take(n, &ev->store);
+}
+
+static void on_worker(ffl_node_t *n, ffl_node_event_t *ev)
+{
+	ffl_dispatch_reply(&n->dispatch, &ev->worker, n->now_ms);
+}
+
+static void on_request(ffl_node_t *n, ffl_node_event_t *ev)
+{
+	ffl_ask_take(n, &ev->request);
+}
+
+static void on_stop(ffl_node_t *n, ffl_node_event_t *ev)
+{
+	if (n->stop_ms)
+		return;
+	n->stop_ms = n->now_ms;
+	n->lead.resign = n->lead.leading;
+	ffl_node_note(n, "stopping", n->opt.name, "leading=%d pending=%u",
+		      n->lead.leading, n->pending->len);
+}
+
+static void drive_dispatch(ffl_node_t *n)
+{
+	if (!n->lead.leading)
+		return;
+	g_array_set_size(n->orders, 0);
+	ffl_dispatch_step(&n->dispatch, n->now_ms, n->wall_ms,
+			  ffl_lead_may_start(n), n->orders);
+	for (guint i = 0; i < n->orders->len; i++)
+		ffl_node_act(n, FFL_NODE_ACT_ORDER)->order =
+			g_array_index(n->orders, ffl_order_t, i);
+}
+
+static void drive_ready(ffl_node_t *n)
+{
+	bool ready = !n->stop_ms && ffl_node_serves(n);
+
+	if (ready == n->ready)
+		return;
+	n->ready = ready;
+	ffl_node_act(n, FFL_NODE_ACT_READY)->ready = ready;
+	ffl_node_note(n, ready ? "ready" : "unready", n->opt.name,
+		      "config=%" PRIu64 " age_ms=%" PRIu64 " stopping=%d",
+		      n->routes.version,
+		      n->now_ms - n->tails[FFL_TOPIC_CONFIG].fresh_ms,
+		      n->stop_ms != 0);
+}
+
+static void drive_stop(ffl_node_t *n)
+{
+	uint64_t since = n->now_ms - n->stop_ms;
+
+	if (!n->stop_ms || n->exiting)
+		return;
+	if (since < n->opt.stop_drain_ms &&
+	    (since < UNREADY_MS || n->pending->len || n->lead.leading))
+		return;
+	n->exiting = true;
+	ffl_node_note(n, "stopped", n->opt.name,
+		      "pending=%u leading=%d after_ms=%" PRIu64,
+		      n->pending->len, n->lead.leading, since);
+	ffl_node_act(n, FFL_NODE_ACT_EXIT);
+}
+
+void ffl_node_step(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts)
+{
+	n->acts = acts;
+	ffl_node_acts_clear(acts);
+	n->now_ms = ev->now_ms;
+	n->wall_ms = ev->wall_ms;
+	handlers[ev->kind](n, ev);
+	drive_dispatch(n);
+	ffl_lead_drive(n);
+	ffl_tails_drive(n);
+	ffl_ask_drive(n);
+	drive_ready(n);
+	drive_stop(n);
+}
+
+void ffl_node_acts_clear(GArray *acts)
+{
+	for (guint i = 0; i < acts->len; i++) {
+		ffl_node_act_t *act = &g_array_index(acts, ffl_node_act_t, i);
+
+		if (act->kind == FFL_NODE_ACT_APPEND && act->store.writes)
+			g_ptr_array_unref(act->store.writes);
+	}
+	g_array_set_size(acts, 0);
+}
--- /dev/null
+++ b/lib/node/node_int.h
@@ -0,0 +1,58 @@
+/**
+ * @file node_int.h
+ * @brief What the files of an entry host share.
+ */
+#ifndef FFL_NODE_INT_H
+#define FFL_NODE_INT_H
+
+#include "fireflyledge/node.h"
+
+/** First letter of a record's key tells what it is. */
+#define KEY_SPEC     'j'
+#define KEY_CANCEL   'c'
+#define KEY_PROGRESS 'r'
+#define KEY_LEAD     "lead"
+
+ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind);
+void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
+		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+uint64_t ffl_node_call(ffl_node_t *n);
+/** Time before a call is repeated that has failed so often, with jitter. */
+uint32_t ffl_node_backoff(ffl_node_t *n, uint32_t failures);
+ffl_write_t *ffl_write_new(char kind, const char *id);
+void ffl_write_free(void *data);
+
+/* tail.c */
+void ffl_tails_init(ffl_node_t *n);
+void ffl_tails_finish(ffl_node_t *n);
+void ffl_tails_drive(ffl_node_t *n);
+/** Takes an answer to a tail's call; false where it is none. */
+bool ffl_tails_take(ffl_node_t *n, const ffl_store_reply_t *reply);
+/** Reads a topic anew from its newest records. */
+void ffl_tail_restart(ffl_tail_t *t);
+/** Asks for what is new without waiting for it. */
+void ffl_tail_peek(ffl_node_t *n, ffl_topic_t topic);
+/** Tells whether all that was written before @p age_ms ago is known. */
+bool ffl_tail_fresh(const ffl_node_t *n, ffl_topic_t topic, uint32_t age_ms);
+
+/* lead.c */
+void ffl_lead_init(ffl_node_t *n);
+void ffl_lead_finish(ffl_node_t *n);
+void ffl_lead_drive(ffl_node_t *n);
+bool ffl_lead_take(ffl_node_t *n, const ffl_store_reply_t *reply);
+/** Takes a record of leadership that was read. */
+void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Tells whether new runs may be started now. */
+bool ffl_lead_may_start(const ffl_node_t *n);
+
+/* ask.c */
+void ffl_ask_take(ffl_node_t *n, ffl_request_t *req);
+bool ffl_ask_appended(ffl_node_t *n, const ffl_store_reply_t *reply);
+void ffl_ask_drive(ffl_node_t *n);
+void ffl_pending_free(void *data);
+
+/* node.c */
+/** Tells whether the configuration is known well enough to answer. */
+bool ffl_node_serves(const ffl_node_t *n);
+
+#endif
