Cancellations outlive a restart; runs of workers that left end with their lease

(3) a task past its customer's estimate shows 100% and was taken to hang. Change: early cancellations are kept; runs without a reachable worker end with the last lease that any leader may have given; only progress short of the estimate tells that a task hangs; a leader without the log extends leases for 3 s only.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -94,6 +94,7 @@
 	uint64_t recorded;   /**< last batch that is on the log */
 	bool dirty;
 	bool replan; /**< something changed that placement depends on */
+	bool may_hold;
 	bool fenced; /**< a worker has seen a later leader */
 	ffl_note_fn_t note;
 	void *note_user;
@@ -105,8 +106,13 @@
 		       ffl_flows_t *flows);
 void ffl_dispatch_finish(ffl_dispatch_t *d);
 
-/** Begins to lead: adopts every run that is on the log. */
-void ffl_dispatch_lead(ffl_dispatch_t *d, uint64_t token, uint64_t now_ms);
+/**
+ * Begins to lead: adopts every run that is on the log.
+ *
+ * @param given_ms when an earlier leader may have given its last lease
+ */
+void ffl_dispatch_lead(ffl_dispatch_t *d, uint64_t token, uint64_t given_ms,
+		       uint64_t now_ms);
 /** Ends to lead; nothing is stopped at workers. */
 void ffl_dispatch_yield(ffl_dispatch_t *d);
 
@@ -130,10 +136,11 @@
  *
  * @param may_start whether authority and what is known are fresh enough for
  *                  new runs
+ * @param may_hold  whether leases may still be extended
  * @param orders    of ffl_order_t
  */
 void ffl_dispatch_step(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms,
-		       bool may_start, GArray *orders);
+		       bool may_start, bool may_hold, GArray *orders);
 
 /** Returns the flows that changed, of ffl_flow_t *, and opens a new batch. */
 uint64_t ffl_dispatch_batch(ffl_dispatch_t *d, GPtrArray *flows);
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -127,6 +127,7 @@
 	GHashTable *by_id;
 	GPtrArray *open;   /**< of ffl_flow_t *: not ended, oldest first */
 	GHashTable *early; /**< progress read before its specification */
+	GHashTable *early_cancels; /**< ids cancelled before that */
 } ffl_flows_t;
 
 void ffl_flow_spec_init(ffl_flow_spec_t *spec);
@@ -160,6 +161,8 @@
 /** Takes a progress record that was read from the log. */
 ffl_status_t ffl_flows_progress(ffl_flows_t *flows, const char *id,
 				ffl_bytes_t value, uint64_t offset);
+/** Takes the cancellation of a flow, which may be read before it. */
+void ffl_flows_cancel(ffl_flows_t *flows, const char *id);
 /** Forgets all progress, before it is read anew. */
 void ffl_flows_reset_progress(ffl_flows_t *flows);
 void ffl_flows_remove(ffl_flows_t *flows, const char *id);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -241,6 +241,7 @@
 	uint64_t retry_ms;
 	uint64_t last_ms; /**< when the last append stood */
 	bool resign;	  /**< hand over as soon as possible */
+	bool resigning;	  /**< the append on its way says so */
 	uint64_t number;  /**< of this leader's appends */
 } ffl_lead_t;
 
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -102,12 +102,12 @@
 	}
 }
 
-/* What an earlier leader gave may last for two whole leases: one that it
- * gave just before it lost its authority, after as long without the log. */
-void ffl_dispatch_lead(ffl_dispatch_t *d, uint64_t token, uint64_t now_ms)
+void ffl_dispatch_lead(ffl_dispatch_t *d, uint64_t token, uint64_t given_ms,
+		       uint64_t now_ms)
 {
-	uint64_t worst_ms = 2 * (uint64_t)d->opt.lease_max_ms * LEASE_PERCENT /
-			    CLOCK_SLOW_PERCENT;
+	uint64_t worst_ms = given_ms + (uint64_t)d->opt.lease_max_ms *
+					       LEASE_PERCENT /
+					       CLOCK_SLOW_PERCENT;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -121,7 +121,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_runner_t *r = value;
 
-		r->expire_ms = r->runs->len ? now_ms + worst_ms : 0;
+		r->expire_ms = r->runs->len ? worst_ms : 0;
 	}
 	d->replan = true;
 }
@@ -236,7 +236,7 @@
 	order->acked = r->acked;
 	/* A silent worker's lease is left to end, so that it can be waited
 	 * out; one with nothing to run needs none. */
-	if (r->runs->len && !r->silent)
+	if (r->runs->len && !r->silent && d->may_hold)
 		order->until_ms = ffl_runner_lease(d, r, now_ms);
 	if (r->runs->len && !r->silent && !adopted && r->clock_at &&
 	    !r->ack_batch)
@@ -320,7 +320,8 @@
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
 	if (run->state != FFL_RUN_RUNNING || run->stop || step->lasting ||
-	    run->runner->silent || now_ms - run->moved_ms < HANG_MS)
+	    run->runner->silent || run->percent >= PERCENT ||
+	    now_ms - run->moved_ms < HANG_MS)
 		return;
 	ffl_runner_bad(d, run->runner, flow, now_ms);
 	ffl_run_stop(d, run, "hangs");
@@ -328,7 +329,9 @@
 
 static void watch_runner(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
 {
-	if (!r->silent || !r->runs->len || now_ms < r->expire_ms)
+	bool unreachable = r->silent || !r->entry.addr[0];
+
+	if (!unreachable || !r->runs->len || now_ms < r->expire_ms)
 		return;
 	ffl_dispatch_note(d, "worker-lost", r->entry.id, "runs=%u silent=%u",
 			  r->runs->len, r->silent);
@@ -390,10 +393,11 @@
 }
 
 void ffl_dispatch_step(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms,
-		       bool may_start, GArray *orders)
+		       bool may_start, bool may_hold, GArray *orders)
 {
 	if (!d->token)
 		return;
+	d->may_hold = may_hold;
 	settle_flows(d, now_ms);
 	stop_cancelled(d);
 	for (guint i = d->runs->len; i-- > 0;) {
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -121,6 +121,8 @@
 	flows->open = g_ptr_array_new();
 	flows->early = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     (GDestroyNotify)g_bytes_unref);
+	flows->early_cancels =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void ffl_flows_finish(ffl_flows_t *flows)
@@ -128,6 +130,7 @@
 	g_ptr_array_free(flows->open, TRUE);
 	g_hash_table_destroy(flows->by_id);
 	g_hash_table_destroy(flows->early);
+	g_hash_table_destroy(flows->early_cancels);
 }
 
 ffl_flow_t *ffl_flows_find(const ffl_flows_t *flows, const char *id)
@@ -164,9 +167,24 @@
 		g_hash_table_remove(flows->early, flow->spec.id);
 		flow->shown = ffl_flow_state(flow);
 	}
+	if (g_hash_table_remove(flows->early_cancels, flow->spec.id))
+		ffl_flows_cancel(flows, flow->spec.id);
 	return flow;
 }
 
+void ffl_flows_cancel(ffl_flows_t *flows, const char *id)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, id);
+
+	if (!flow) {
+		g_hash_table_add(flows->early_cancels, g_strdup(id));
+		return;
+	}
+	flow->cancelled = true;
+	if (flow->shown != FFL_FLOW_COMPLETED && flow->shown != FFL_FLOW_FAILED)
+		flow->shown = FFL_FLOW_CANCELLED;
+}
+
 ffl_status_t ffl_flows_progress(ffl_flows_t *flows, const char *id,
 				ffl_bytes_t value, uint64_t offset)
 {
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -18,8 +18,11 @@
 #define REPEAT_MS	  120
 /** What is known of jobs and workers must be as young as this to start. */
 #define KNOWN_MS 2200
-/** A leader without the log holds what runs for so long: one lease. */
-#define HOLD_ON_MS 6000
+/** A leader without the log extends leases for so long; then what runs
+ * outlasts the log's outage by one lease. */
+#define HOLD_ON_MS 3000
+/** After this it gives up: every lease that it gave has ended. */
+#define GIVE_UP_MS 12000
 /** Fields of a record of leadership. */
 #define LEAD_FIELDS 5
 
@@ -131,6 +134,11 @@
 	l->seen_ms = n->now_ms;
 }
 
+bool ffl_lead_may_hold(const ffl_node_t *n)
+{
+	return n->lead.leading && n->now_ms - n->lead.proved_ms <= HOLD_ON_MS;
+}
+
 bool ffl_lead_may_start(const ffl_node_t *n)
 {
 	const ffl_lead_t *l = &n->lead;
@@ -176,7 +184,7 @@
 	l->number++;
 	l->writes = g_ptr_array_new_with_free_func(ffl_write_free);
 	g_ptr_array_add(l->writes, lead_write(n, resigned));
-	l->resigned = resigned;
+	l->resigning = resigned;
 }
 
 static void add_batch(ffl_node_t *n)
@@ -231,6 +239,8 @@
 static void become_leader(ffl_node_t *n, uint64_t offset)
 {
 	ffl_lead_t *l = &n->lead;
+	bool gone = l->resigned || strcmp(l->holder, n->opt.name) == 0;
+	uint64_t given_ms = gone ? n->now_ms : l->seen_ms + HOLD_ON_MS;
 
 	l->leading = true;
 	l->resign = false;
@@ -239,7 +249,7 @@
 	l->holder_life = n->life;
 	ffl_tail_restart(&n->tails[FFL_TOPIC_WORKERS]);
 	n->tails[FFL_TOPIC_RUNS].call = 0;
-	ffl_dispatch_lead(&n->dispatch, l->token, n->now_ms);
+	ffl_dispatch_lead(&n->dispatch, l->token, given_ms, n->now_ms);
 	ffl_node_note(n, "leader-began", n->opt.name,
 		      "token=%" PRIu64 " runs=%u open=%u", l->token,
 		      n->dispatch.runs->len, n->flows.open->len);
@@ -286,7 +296,7 @@
 	drop_append(n);
 	if (was_claim)
 		become_leader(n, offset);
-	else if (l->resigned && l->resign)
+	else if (l->resigning)
 		step_down(n, "resigned");
 }
 
@@ -369,7 +379,7 @@
 		step_down(n, "fenced by a worker");
 		return;
 	}
-	if (n->now_ms - l->proved_ms > HOLD_ON_MS) {
+	if (n->now_ms - l->proved_ms > GIVE_UP_MS) {
 		step_down(n, "no word from the log");
 		return;
 	}
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -209,7 +209,8 @@
 		return;
 	g_array_set_size(n->orders, 0);
 	ffl_dispatch_step(&n->dispatch, n->now_ms, n->wall_ms,
-			  ffl_lead_may_start(n), n->orders);
+			  ffl_lead_may_start(n), ffl_lead_may_hold(n),
+			  n->orders);
 	for (guint i = 0; i < n->orders->len; i++)
 		ffl_node_act(n, FFL_NODE_ACT_ORDER)->order =
 			g_array_index(n->orders, ffl_order_t, i);
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -44,6 +44,8 @@
 void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec);
 /** Tells whether new runs may be started now. */
 bool ffl_lead_may_start(const ffl_node_t *n);
+/** Tells whether leases may be extended now. */
+bool ffl_lead_may_hold(const ffl_node_t *n);
 
 /* ask.c */
 void ffl_ask_take(ffl_node_t *n, ffl_request_t *req);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -113,7 +113,6 @@
 {
 	const char *id = rec->key + 1;
 	ffl_flow_spec_t spec;
-	ffl_flow_t *flow;
 
 	if (!rec->value.size_bytes) {
 		if (rec->key[0] == KEY_SPEC)
@@ -121,13 +120,7 @@
 		return;
 	}
 	if (rec->key[0] == KEY_CANCEL) {
-		flow = ffl_flows_find(&n->flows, id);
-		if (!flow || flow->cancelled)
-			return;
-		flow->cancelled = true;
-		if (flow->shown != FFL_FLOW_COMPLETED &&
-		    flow->shown != FFL_FLOW_FAILED)
-			flow->shown = FFL_FLOW_CANCELLED;
+		ffl_flows_cancel(&n->flows, id);
 		ffl_dispatch_touch(&n->dispatch);
 		return;
 	}
