Placement is thought over only when something changed

Each event planned anew over all waiting jobs, racks and runs; names were printed to match rows. Change: plan when something changed or every 100 ms; shapes that found no room are skipped for the rest of a pass; losses are weighed once a preemption; rows are matched by job and index. Conclusion: slow code was the late code.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -77,6 +77,7 @@
 	bool stop;	     /**< it is to end */
 	uint64_t stopped_ms; /**< when the worker accepted the stop */
 	const char *why;     /**< reason for the stop */
+	uint64_t loss;	     /**< of stopping it with its gang, while weighed */
 } ffl_run_t;
 
 /** The dispatcher. */
@@ -93,7 +94,9 @@
 	uint64_t next_batch; /**< that the next changes belong to */
 	uint64_t recorded;   /**< last batch that is on the log */
 	bool dirty;
-	bool replan; /**< something changed that placement depends on */
+	bool replan;	     /**< something changed that placement depends on */
+	uint64_t planned_ms; /**< when placement was last thought over */
+	GArray *misfits;     /**< of shapes without room, in one pass */
 	bool may_hold;
 	bool fenced; /**< a worker has seen a later leader */
 	ffl_note_fn_t note;
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -119,6 +119,7 @@
 	uint64_t seen_ms;
 	uint64_t blocked_ms; /**< since when nothing fitted; 0: not blocked */
 	uint64_t retry_ms;   /**< no placement before */
+	uint64_t preempt_ms; /**< nothing more is stopped for it before */
 	uint64_t closed_ms;  /**< when it ended */
 } ffl_flow_t;
 
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -91,6 +91,8 @@
 	ffl_end_t end;
 	uint32_t percent;
 	char saved[FFL_CHECKPOINT_BYTES_MAX + 1];
+	ffl_flow_t *flow; /**< found by the receiver; NULL: unknown */
+	uint32_t index;	  /**< of the task in that flow */
 } ffl_run_row_t;
 
 /** An answer of a worker. */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -69,6 +69,7 @@
 	d->runs = g_ptr_array_new();
 	d->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
+	d->misfits = g_array_new(FALSE, TRUE, sizeof(ffl_shape_t));
 	d->next_batch = 1;
 }
 
@@ -77,6 +78,7 @@
 	for (guint i = 0; i < d->runs->len; i++)
 		free_run(g_ptr_array_index(d->runs, i));
 	g_ptr_array_free(d->runs, TRUE);
+	g_array_free(d->misfits, TRUE);
 	g_hash_table_destroy(d->calls);
 	g_hash_table_destroy(d->runners);
 }
@@ -404,8 +406,11 @@
 		if (i < d->runs->len)
 			watch_run(d, g_ptr_array_index(d->runs, i), now_ms);
 	}
-	if (may_start)
+	if (may_start && (d->replan || now_ms - d->planned_ms >= REPLAN_MS)) {
+		d->replan = false;
+		d->planned_ms = now_ms;
 		ffl_place(d, now_ms, wall_ms);
+	}
 	drive_runs(d, may_start, orders, now_ms);
 	drive_runners(d, orders, now_ms);
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -47,7 +47,7 @@
 /* run.c */
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
-ffl_run_t *ffl_run_find(const ffl_runner_t *r, const char *task, uint32_t run);
+ffl_run_t *ffl_run_find(const ffl_runner_t *r, const ffl_run_row_t *row);
 void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_end_t end,
 		 const char *saved, uint64_t now_ms);
 /** Asks for the end of a run, and of its whole gang. */
@@ -58,6 +58,16 @@
 /* place.c */
 void ffl_place(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms);
 
+/** A shape of task that found no room in this pass. */
+typedef struct {
+	ffl_room_t room;
+	const char *label;
+	const char *rack;
+	uint32_t tasks;
+	bool guaranteed;
+	bool gang;
+} ffl_shape_t;
+
 /** A step that waits for room. */
 typedef struct {
 	ffl_flow_t *flow;
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -8,6 +8,8 @@
 #define FREE_FAR_PERCENT 40
 /** Penalty of a worker with a failure, in GPUs left over. */
 #define FAILED_PENALTY 64
+/** Time for the end of a stop to be reported. */
+#define PREEMPT_SLACK_MS 150
 
 static int by_rank(const void *a, const void *b);
 static void mark_guaranteed(ffl_dispatch_t *d, GPtrArray *ranked,
@@ -17,6 +19,10 @@
 		       uint64_t now_ms, uint64_t wall_ms);
 static bool is_due(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 		   uint32_t occurrence, uint64_t wall_ms);
+static ffl_shape_t shape_of(const ffl_unit_t *unit);
+static bool is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit);
+static void add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
+static void preempt_for(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need);
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit);
@@ -318,9 +324,9 @@
 	if (ok) {
 		for (uint32_t i = 0; i < n; i++)
 			commit(d, unit, unit->first + i, chosen[i], run + 1);
-	} else if (unit->guaranteed) {
-		unit->near_only = unit->step->rack[0] != '\0';
-		ffl_preempt(d, unit, n);
+	} else {
+		add_misfit(d, unit);
+		preempt_for(d, unit, n);
 	}
 	g_free(chosen);
 }
@@ -337,8 +343,8 @@
 		if (task->state != FFL_TASK_WAITING)
 			continue;
 		unit->near_only = true;
-		r = choose(d, unit, NULL);
-		if (!r && far) {
+		r = left ? NULL : choose(d, unit, NULL);
+		if (!r && far && !left) {
 			unit->near_only = false;
 			r = choose(d, unit, NULL);
 		}
@@ -347,8 +353,67 @@
 		else
 			left++;
 	}
-	if (left && unit->guaranteed)
-		ffl_preempt(d, unit, left);
+	if (!left)
+		return;
+	add_misfit(d, unit);
+	preempt_for(d, unit, left);
+}
+
+/* Room that is being freed is waited for before more is stopped. */
+static void preempt_for(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need)
+{
+	if (!unit->guaranteed || unit->now_ms < unit->flow->preempt_ms)
+		return;
+	unit->near_only = unit->step->rack[0] != '\0';
+	if (ffl_preempt(d, unit, need))
+		unit->flow->preempt_ms =
+			unit->now_ms + d->opt.stop_max_ms + PREEMPT_SLACK_MS;
+	else
+		unit->flow->preempt_ms = unit->now_ms + PREEMPT_SLACK_MS;
+}
+
+static ffl_shape_t shape_of(const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = { .room = ffl_step_room(unit->step),
+			      .label = unit->step->label,
+			      .rack = unit->step->rack,
+			      .tasks = unit->step->gang ? unit->step->tasks : 1,
+			      .guaranteed = unit->guaranteed,
+			      .gang = unit->step->gang };
+
+	return shape;
+}
+
+/* What needs no less than something that found no room finds none. */
+static bool is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = shape_of(unit);
+
+	for (guint i = 0; i < d->misfits->len; i++) {
+		const ffl_shape_t *m =
+			&g_array_index(d->misfits, ffl_shape_t, i);
+
+		if (ffl_room_fits(&shape.room, &m->room) &&
+		    shape.tasks >= m->tasks && shape.gang == m->gang &&
+		    (m->guaranteed || !shape.guaranteed) &&
+		    (!m->label[0] || strcmp(m->label, shape.label) == 0) &&
+		    (!m->rack[0] || strcmp(m->rack, shape.rack) == 0))
+			return true;
+	}
+	return false;
+}
+
+static void add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = shape_of(unit);
+
+	if (unit->step->per_worker_max)
+		return;
+	if (unit->near_only && unit->step->same_rack && unit->step->gang)
+		return;
+	if (!unit->near_only)
+		shape.rack = "";
+	g_array_append_val(d->misfits, shape);
 }
 
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit)
@@ -361,6 +426,8 @@
 	if (!waits || !ffl_flow_step_ready(unit->flow, unit->occurrence,
 					   unit->step_index))
 		return;
+	if (!unit->guaranteed && is_misfit(d, unit))
+		return;
 	if (unit->step->gang)
 		place_gang(d, unit);
 	else
@@ -400,6 +467,7 @@
 		if (!ffl_flow_ended(flow))
 			g_ptr_array_add(ranked, flow);
 	}
+	g_array_set_size(d->misfits, 0);
 	g_ptr_array_sort(ranked, by_rank);
 	mark_guaranteed(d, ranked, entitled);
 	for (int pass = 0; pass < 2; pass++) {
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -27,7 +27,7 @@
 
 static bool may_stop(const ffl_run_t *run);
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms);
-static uint64_t gang_loss(const plan_t *plan, const ffl_run_t *run);
+static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms);
 static void make_offers(plan_t *plan, const char *rack);
 static ffl_run_t *cheapest(const plan_t *plan, const offer_t *offer);
 static void take_victim(plan_t *plan, ffl_run_t *run);
@@ -59,17 +59,31 @@
 	return cores * ran + 1;
 }
 
-static uint64_t gang_loss(const plan_t *plan, const ffl_run_t *run)
+/* A gang is stopped whole: the loss of each run is that of all of them. */
+static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms)
 {
-	uint64_t sum = loss_of(run, plan->unit->now_ms);
+	for (guint i = 0; i < d->runs->len; i++)
+		((ffl_run_t *)g_ptr_array_index(d->runs, i))->loss = 0;
+	for (guint i = 0; i < d->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(d->runs, i);
+		uint64_t sum = loss_of(run, now_ms);
 
-	for (guint i = 0; i < plan->d->runs->len; i++) {
-		const ffl_run_t *other = g_ptr_array_index(plan->d->runs, i);
+		if (run->loss || !may_stop(run))
+			continue;
+		for (guint k = i + 1; k < d->runs->len; k++) {
+			const ffl_run_t *other = g_ptr_array_index(d->runs, k);
 
-		if (other != run && ffl_run_same_gang(run, other))
-			sum += loss_of(other, plan->unit->now_ms);
+			if (ffl_run_same_gang(run, other))
+				sum += loss_of(other, now_ms);
+		}
+		run->loss = sum;
+		for (guint k = i + 1; k < d->runs->len; k++) {
+			ffl_run_t *other = g_ptr_array_index(d->runs, k);
+
+			if (ffl_run_same_gang(run, other))
+				other->loss = sum;
+		}
 	}
-	return sum;
 }
 
 static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit)
@@ -124,7 +138,7 @@
 
 		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
 			continue;
-		loss = gang_loss(plan, run) / (run->room.gpus + 1);
+		loss = run->loss / (run->room.gpus + 1);
 		if (!best || loss < best_loss) {
 			best = run;
 			best_loss = loss;
@@ -136,7 +150,7 @@
 /* A gang is stopped whole, and frees its room everywhere. */
 static void take_victim(plan_t *plan, ffl_run_t *run)
 {
-	plan->cost += gang_loss(plan, run);
+	plan->cost += run->loss;
 	for (guint i = 0; i < plan->d->runs->len; i++) {
 		ffl_run_t *other = g_ptr_array_index(plan->d->runs, i);
 
@@ -172,7 +186,7 @@
 		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
 			continue;
 		ffl_room_add(&room, &run->room);
-		cost += gang_loss(plan, run);
+		cost += run->loss;
 		if (ffl_room_fits(&room, need))
 			return cost;
 	}
@@ -284,6 +298,7 @@
 	plan_t plan;
 	bool ok = false;
 
+	weigh_losses(d, unit->now_ms);
 	if (unit->step->same_rack && unit->step->gang)
 		ok = best_rack(d, unit, need, &plan);
 	if (!ok) {
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -24,6 +24,8 @@
 static void take_running(ffl_dispatch_t *d, ffl_runner_t *r,
 			 const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_listed(const ffl_run_t *run, const ffl_reply_t *reply);
+static void resolve(const ffl_dispatch_t *d, ffl_run_row_t *rows,
+		    uint32_t count);
 static void find_missing(ffl_dispatch_t *d, ffl_runner_t *r,
 			 const ffl_reply_t *reply, uint64_t sent_ms,
 			 uint64_t now_ms);
@@ -50,7 +52,7 @@
 			continue;
 		r->seen = row->number;
 		any = true;
-		run = ffl_run_find(r, row->task, row->run);
+		run = ffl_run_find(r, row);
 		if (run)
 			ffl_run_end(d, run, row->end, row->saved, now_ms);
 	}
@@ -65,7 +67,7 @@
 {
 	for (uint32_t i = 0; i < reply->running_count; i++) {
 		const ffl_run_row_t *row = &reply->running[i];
-		ffl_run_t *run = ffl_run_find(r, row->task, row->run);
+		ffl_run_t *run = ffl_run_find(r, row);
 		ffl_flow_t *flow;
 		uint32_t task;
 
@@ -74,10 +76,11 @@
 			ffl_dispatch_note(d, "run-unknown", row->task,
 					  "run=%u worker=%s", row->run,
 					  r->entry.id);
-			if (!flow)
+			if (!row->flow)
 				continue;
 			/* A run that no record keeps must not go on. */
-			run = ffl_run_add(d, flow, task, row->run, r, now_ms);
+			run = ffl_run_add(d, row->flow, row->index, row->run, r,
+					  now_ms);
 			run->stop = true;
 			run->why = "unknown";
 		}
@@ -98,17 +101,24 @@
 
 static bool is_listed(const ffl_run_t *run, const ffl_reply_t *reply)
 {
-	char name[FFL_TASK_NAME_BYTES];
-
-	ffl_task_name(run->flow, run->task, name);
 	for (uint32_t i = 0; i < reply->running_count; i++) {
-		if (reply->running[i].run == run->run &&
-		    strcmp(reply->running[i].task, name) == 0)
+		const ffl_run_row_t *row = &reply->running[i];
+
+		if (row->run == run->run && row->flow == run->flow &&
+		    row->index == run->task)
 			return true;
 	}
 	return false;
 }
 
+static void resolve(const ffl_dispatch_t *d, ffl_run_row_t *rows,
+		    uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++)
+		rows[i].flow =
+			ffl_task_find(d->flows, rows[i].task, &rows[i].index);
+}
+
 /* A report that was asked for after a run was known to be there, and does
  * not list it, says that it has ended. */
 static void find_missing(ffl_dispatch_t *d, ffl_runner_t *r,
@@ -237,6 +247,8 @@
 		ffl_dispatch_listed(d, &entry, now_ms);
 	}
 	ffl_runner_clock(r, reply->clock_ms, now_ms);
+	resolve(d, reply->running, reply->running_count);
+	resolve(d, reply->ended, reply->ended_count);
 	takers[open->kind](d, open, reply, now_ms);
 	g_hash_table_remove(d->calls, &reply->call);
 }
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -30,17 +30,14 @@
 	return added;
 }
 
-ffl_run_t *ffl_run_find(const ffl_runner_t *r, const char *task, uint32_t run)
+ffl_run_t *ffl_run_find(const ffl_runner_t *r, const ffl_run_row_t *row)
 {
-	char name[FFL_TASK_NAME_BYTES];
-
 	for (guint i = 0; i < r->runs->len; i++) {
 		ffl_run_t *candidate = g_ptr_array_index(r->runs, i);
 
-		if (candidate->run != run)
-			continue;
-		ffl_task_name(candidate->flow, candidate->task, name);
-		if (strcmp(name, task) == 0)
+		if (candidate->run == row->run &&
+		    candidate->flow == row->flow &&
+		    candidate->task == row->index)
 			return candidate;
 	}
 	return NULL;
