--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -200,9 +200,10 @@
 	uint64_t sent_ms;
 	uint64_t peek; /**< read that does not wait, 0: none */
 	uint64_t peek_ms;
-	uint64_t due_ms;   /**< no read before */
-	uint64_t fresh_ms; /**< all records of before are known */
-	uint64_t well_ms;  /**< since when reads have gone well; 0: not */
+	uint64_t due_ms;     /**< no read before */
+	uint64_t fresh_ms;   /**< all records of before are known */
+	uint64_t changed_ms; /**< when a record was last read */
+	uint64_t well_ms;    /**< since when reads have gone well; 0: not */
 	uint32_t failures;
 	GHashTable *listed; /**< keys of the pages so far, of workers */
 } ffl_tail_t;
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -74,21 +74,21 @@
 
 /** How a run ended. */
 typedef enum {
-	FFL_END_DONE,
-	FFL_END_FAILED,
-	FFL_END_STOPPED,
-	FFL_END_LAPSED,
-	FFL_END_BROKEN, /**< another task of its gang ended */
-	FFL_END_ALONE,	/**< its gang was not whole in time */
-	FFL_END__MAX
-} ffl_end_t;
+	FFL_ENDING_DONE,
+	FFL_ENDING_FAILED,
+	FFL_ENDING_STOPPED,
+	FFL_ENDING_LAPSED,
+	FFL_ENDING_BROKEN, /**< another task of its gang ended */
+	FFL_ENDING_ALONE,  /**< its gang was not whole in time */
+	FFL_ENDING__MAX
+} ffl_ending_t;
 
 /** A run that a worker lists. */
 typedef struct {
 	uint64_t number; /**< of the end, 0 for what runs */
 	char task[FFL_TASK_NAME_BYTES];
 	uint32_t run;
-	ffl_end_t end;
+	ffl_ending_t end;
 	uint32_t percent;
 	char saved[FFL_CHECKPOINT_BYTES_MAX + 1];
 	ffl_flow_t *flow; /**< found by the receiver; NULL: unknown */
@@ -109,7 +109,7 @@
 
 const char *ffl_order_kind_name(uint32_t kind);
 const char *ffl_reply_outcome_name(uint32_t outcome);
-const char *ffl_end_name(uint32_t end);
+const char *ffl_ending_name(uint32_t end);
 
 /** Writes the name of a task. */
 void ffl_task_name(const ffl_flow_t *flow, uint32_t task,
--- a/jobd/client.c
+++ b/jobd/client.c
@@ -18,7 +18,7 @@
 	ffl_pf_about_t about;
 	GByteArray *reply;
 	struct curl_slist *headers;
-	CURL *easy;
+	uint32_t sent; /**< times that it was sent on a connection */
 } call_t;
 
 struct jobd_client {
@@ -36,8 +36,9 @@
 static void submit(jobd_client_t *c, call_t *call);
 static void set_headers(call_t *call, CURL *easy);
 static void start_call(jobd_client_t *c, call_t *call);
-static void deliver(jobd_client_t *c, call_t *call, bool connected,
-		    long status);
+static int note_sent(void *user, char *remote_ip, char *local_ip,
+		     int remote_port, int local_port);
+static void deliver(jobd_client_t *c, call_t *call, long status);
 static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code);
 static void drop_active(CURLM *multi, CURL *easy);
 static void *run(void *arg);
@@ -62,14 +63,24 @@
 	return size * n;
 }
 
+/* The library sends a call again where a kept connection turns out closed. */
+static int note_sent(void *user, char *remote_ip, char *local_ip,
+		     int remote_port, int local_port)
+{
+	call_t *call = user;
+
+	call->sent++;
+	return CURL_PREREQFUNC_OK;
+}
+
 /* The reply's bytes live as long as the event that points into them. */
-static void deliver(jobd_client_t *c, call_t *call, bool connected, long status)
+static void deliver(jobd_client_t *c, call_t *call, long status)
 {
 	bool order = call->about.kind == FFL_NODE_ACT_ORDER;
 	jobd_box_t *box =
 		jobd_box_new(order ? FFL_NODE_EV_WORKER : FFL_NODE_EV_STORE);
 	ffl_pf_answer_t answer = {
-		.connected = connected,
+		.sent = call->sent,
 		.status = status,
 		.body = { call->reply->data, call->reply->len },
 	};
@@ -95,7 +106,7 @@
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_remove_fast(c->active, easy);
 	g_ptr_array_add(c->idle, easy);
-	deliver(c, call, code != CURLE_COULDNT_CONNECT, status);
+	deliver(c, call, status);
 	call_free(call);
 }
 
@@ -129,6 +140,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_reply);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, note_sent);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	set_headers(call, easy);
 	if (call->http.post) {
 		curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -218,7 +231,7 @@
 		curl_multi_wakeup(c->multi);
 		return;
 	}
-	deliver(c, call, false, 0);
+	deliver(c, call, 0);
 	call_free(call);
 }
 
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -98,7 +98,7 @@
 		run->state = FFL_RUN_ADOPTED;
 		if (r->entry.born_ms && task->born_ms &&
 		    r->entry.born_ms != task->born_ms)
-			ffl_run_end(d, run, FFL_END_LAPSED, NULL, now_ms);
+			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
 		else if (!r->entry.born_ms)
 			r->entry.born_ms = task->born_ms;
 	}
@@ -286,7 +286,7 @@
 		      GArray *orders, uint64_t now_ms)
 {
 	if (run->stop && run->state == FFL_RUN_PLANNED) {
-		ffl_run_end(d, run, FFL_END_STOPPED, NULL, now_ms);
+		ffl_run_end(d, run, FFL_ENDING_STOPPED, NULL, now_ms);
 		return;
 	}
 	if (run->call || now_ms < run->retry_ms || !run->runner->entry.addr[0])
@@ -344,7 +344,7 @@
 			continue;
 		run = g_ptr_array_index(r->runs, i);
 		if (run->state != FFL_RUN_PLANNED)
-			ffl_run_end(d, run, FFL_END_LAPSED, NULL, now_ms);
+			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
 	}
 }
 
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -48,7 +48,7 @@
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
 ffl_run_t *ffl_run_find(const ffl_runner_t *r, const ffl_run_row_t *row);
-void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_end_t end,
+void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_ending_t end,
 		 const char *saved, uint64_t now_ms);
 /** Asks for the end of a run, and of its whole gang. */
 void ffl_run_stop(ffl_dispatch_t *d, ffl_run_t *run, const char *why);
--- a/lib/dispatch/order.c
+++ b/lib/dispatch/order.c
@@ -21,10 +21,10 @@
 	[FFL_REPLY_UNKNOWN] = "unknown",
 };
 
-static const char *const end_names[FFL_END__MAX] = {
-	[FFL_END_DONE] = "done",       [FFL_END_FAILED] = "failed",
-	[FFL_END_STOPPED] = "stopped", [FFL_END_LAPSED] = "lapsed",
-	[FFL_END_BROKEN] = "broken",   [FFL_END_ALONE] = "alone",
+static const char *const end_names[FFL_ENDING__MAX] = {
+	[FFL_ENDING_DONE] = "done",	  [FFL_ENDING_FAILED] = "failed",
+	[FFL_ENDING_STOPPED] = "stopped", [FFL_ENDING_LAPSED] = "lapsed",
+	[FFL_ENDING_BROKEN] = "broken",	  [FFL_ENDING_ALONE] = "alone",
 };
 
 const char *ffl_order_kind_name(uint32_t kind)
@@ -37,9 +37,9 @@
 	return outcome < FFL_REPLY__MAX ? outcome_names[outcome] : "?";
 }
 
-const char *ffl_end_name(uint32_t end)
+const char *ffl_ending_name(uint32_t end)
 {
-	return end < FFL_END__MAX ? end_names[end] : "?";
+	return end < FFL_ENDING__MAX ? end_names[end] : "?";
 }
 
 void ffl_task_name(const ffl_flow_t *flow, uint32_t task,
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -138,8 +138,8 @@
 			(run->stopped_ms && run->stopped_ms < sent_ms);
 		if (known && !is_listed(run, reply))
 			ffl_run_end(d, run,
-				    run->stop ? FFL_END_STOPPED
-					      : FFL_END_LAPSED,
+				    run->stop ? FFL_ENDING_STOPPED
+					      : FFL_ENDING_LAPSED,
 				    NULL, now_ms);
 	}
 }
@@ -184,7 +184,7 @@
 		ffl_run_stop(d, run, "refused");
 		return;
 	}
-	ffl_run_end(d, run, FFL_END_STOPPED, NULL, now_ms);
+	ffl_run_end(d, run, FFL_ENDING_STOPPED, NULL, now_ms);
 }
 
 static void take_start(ffl_dispatch_t *d, ffl_open_call_t *open,
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -132,7 +132,7 @@
 	}
 }
 
-void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_end_t end,
+void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_ending_t end,
 		 const char *saved, uint64_t now_ms)
 {
 	ffl_flow_t *flow = run->flow;
@@ -143,21 +143,21 @@
 	ffl_dispatch_note(d, "run-ended", name,
 			  "run=%u worker=%s end=%s current=%d after_ms=%" PRIu64
 			  " why=%s",
-			  run->run, run->runner->entry.id, ffl_end_name(end),
+			  run->run, run->runner->entry.id, ffl_ending_name(end),
 			  current, now_ms - run->placed_ms,
 			  run->why ? run->why : "-");
-	if (end == FFL_END_FAILED && current)
+	if (end == FFL_ENDING_FAILED && current)
 		take_failure(d, run, now_ms);
-	if (end == FFL_END_DONE && current) {
+	if (end == FFL_ENDING_DONE && current) {
 		take_done(d, run);
 	} else if (current) {
 		ffl_flow_task_save(flow, run->task, saved);
 		ffl_flow_task_set(flow, run->task, FFL_TASK_WAITING);
 		flow->retry_ms = now_ms + RETRY_MS;
-	} else if (end == FFL_END_DONE) {
+	} else if (end == FFL_ENDING_DONE) {
 		ffl_runner_good(run->runner);
 	}
-	if (end != FFL_END_DONE) {
+	if (end != FFL_ENDING_DONE) {
 		for (guint i = 0; i < d->runs->len; i++) {
 			ffl_run_t *other = g_ptr_array_index(d->runs, i);
 
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -114,7 +114,7 @@
 static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
 {
 	while (r->runs->len)
-		ffl_run_end(d, g_ptr_array_index(r->runs, 0), FFL_END_LAPSED,
+		ffl_run_end(d, g_ptr_array_index(r->runs, 0), FFL_ENDING_LAPSED,
 			    NULL, now_ms);
 	r->seen = 0;
 	r->acked = 0;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -42,6 +42,7 @@
 static void open_append(ffl_node_t *n, bool claim, bool resigned);
 static void add_batch(ffl_node_t *n);
 static void claim(ffl_node_t *n);
+static bool knows_jobs(const ffl_node_t *n);
 static bool may_claim(ffl_node_t *n);
 static void drop_append(ffl_node_t *n);
 static void append_stands(ffl_node_t *n, uint64_t offset);
@@ -202,6 +203,18 @@
 	}
 }
 
+/* Progress is known of no job whose specification has not been read: an end
+ * that a worker lists would find no run. */
+static bool knows_jobs(const ffl_node_t *n)
+{
+	const ffl_tail_t *jobs = &n->tails[FFL_TOPIC_JOBS];
+
+	if (!jobs->synced || n->now_ms - jobs->fresh_ms > KNOWN_MS)
+		return false;
+	return !g_hash_table_size(n->flows.early) ||
+	       jobs->fresh_ms > n->tails[FFL_TOPIC_RUNS].changed_ms;
+}
+
 static bool may_claim(ffl_node_t *n)
 {
 	const ffl_tail_t *t = &n->tails[FFL_TOPIC_RUNS];
@@ -211,8 +224,8 @@
 	uint64_t wait_ms = TAKEOVER_MS + rank * CLAIM_SPREAD_MS;
 
 	if (n->stop_ms || !t->synced || !n->has_routes || !t->well_ms ||
-	    n->now_ms < l->retry_ms || !n->tails[FFL_TOPIC_JOBS].synced ||
-	    !t->next_known || t->fresh_ms + AUTHORITY_MS < n->now_ms)
+	    n->now_ms < l->retry_ms || !knows_jobs(n) || !t->next_known ||
+	    t->fresh_ms + AUTHORITY_MS < n->now_ms)
 		return false;
 	if (strcmp(l->holder, n->opt.name) == 0)
 		return true;
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -251,6 +251,7 @@
 		t->next = reply->end;
 		t->next_known = true;
 	}
+	t->changed_ms = n->now_ms;
 	for (uint32_t i = 0; i < reply->count; i++)
 		appliers[t->topic](n, &reply->records[i]);
 	if (reply->more && reply->count) {
@@ -278,6 +279,7 @@
 		if (rec->offset < t->next)
 			continue;
 		appliers[t->topic](n, rec);
+		t->changed_ms = n->now_ms;
 		t->next = rec->offset + 1;
 	}
 	if (t->next >= reply->end)
