What can still be in time goes first; headroom for guaranteed work

Change: lib/dispatch/rank.c: run times learned by queue, tiers by what a job can still be worth, headroom that work with slack leaves free; far placement only after a wait longer than what it costs.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -96,6 +96,7 @@
 	bool dirty;
 	bool replan;	     /**< something changed that placement depends on */
 	uint64_t planned_ms; /**< when placement was last thought over */
+	GHashTable *learned; /**< mean time of a run in ms, by queue */
 	GArray *misfits;     /**< of shapes without room, in one pass */
 	bool may_hold;
 	bool fenced; /**< a worker has seen a later leader */
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -117,7 +117,7 @@
 	ffl_flow_state_t recorded; /**< in the batch on its way */
 	uint64_t dirty; /**< batch that must carry its progress; 0: none */
 	uint64_t seen_ms;
-	uint64_t blocked_ms; /**< since when nothing fitted; 0: not blocked */
+	uint32_t tier;	     /**< what it is worth, while flows are ranked */
 	uint64_t retry_ms;   /**< no placement before */
 	uint64_t preempt_ms; /**< nothing more is stopped for it before */
 	uint64_t closed_ms;  /**< when it ended */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -69,6 +69,8 @@
 	d->runs = g_ptr_array_new();
 	d->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
+	d->learned =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->misfits = g_array_new(FALSE, TRUE, sizeof(ffl_shape_t));
 	d->next_batch = 1;
 }
@@ -78,6 +80,7 @@
 	for (guint i = 0; i < d->runs->len; i++)
 		free_run(g_ptr_array_index(d->runs, i));
 	g_ptr_array_free(d->runs, TRUE);
+	g_hash_table_destroy(d->learned);
 	g_array_free(d->misfits, TRUE);
 	g_hash_table_destroy(d->calls);
 	g_hash_table_destroy(d->runners);
@@ -252,6 +255,8 @@
 		  uint64_t now_ms)
 {
 	const ffl_task_t *task = &run->flow->tasks[run->task];
+	const ffl_step_t *step =
+		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
 	ffl_order_t *order;
 
 	if (run->state == FFL_RUN_PLANNED) {
@@ -263,11 +268,13 @@
 	order->checkpoint = task->checkpoint;
 	order->until_ms = ffl_runner_lease(d, run->runner, now_ms);
 	order->timeout_ms = START_TIMEOUT_MS;
-	ffl_dispatch_note(d, "run-ordered", order->task,
-			  "run=%u worker=%s waited_ms=%" PRIu64 " resumed=%d",
-			  run->run, run->runner->entry.id,
-			  now_ms - run->flow->seen_ms,
-			  task->checkpoint != NULL);
+	ffl_dispatch_note(
+		d, "run-ordered", order->task,
+		"run=%u worker=%s rack=%s priority=%u waited_ms=%" PRIu64
+		" resumed=%d data_rack=%s gpus=%u",
+		run->run, run->runner->entry.id, run->runner->entry.rack,
+		run->flow->spec.priority, now_ms - run->flow->seen_ms,
+		task->checkpoint != NULL, step->rack, step->gpus);
 }
 
 static void stop(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -10,7 +10,7 @@
 /** A lease, as percent of the longest: a successor has time to adopt. */
 #define LEASE_PERCENT 65
 /** A hold's answer waits so long for an end; the workers' own bound. */
-#define HOLD_WAIT_MS 1500
+#define HOLD_WAIT_MS 1000
 /** A worker's clock may be 2% slow. */
 #define CLOCK_SLOW_PERCENT 98
 #define PERCENT		   100
@@ -84,6 +84,29 @@
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
 ffl_room_t ffl_step_room(const ffl_step_t *step);
 
+/* rank.c */
+
+/** What a flow is still worth. */
+typedef enum {
+	FFL_TIER_TIMELY, /**< can meet its objective */
+	FFL_TIER_LATE,	 /**< is worth less */
+	FFL_TIER_LOST,	 /**< is worth nothing any more */
+	FFL_TIER__MAX
+} ffl_tier_t;
+
+/** Time that a run of a step is expected to take near its data. */
+uint64_t ffl_expect_run(const ffl_dispatch_t *d, const ffl_flow_t *flow,
+			uint32_t step);
+/** Learns from a run that has ended well. */
+void ffl_learn_run(ffl_dispatch_t *d, const ffl_run_t *run, uint64_t now_ms);
+ffl_tier_t ffl_rank_tier(const ffl_dispatch_t *d, const ffl_flow_t *flow,
+			 uint64_t now_ms);
+/** Tells whether a flow has slack to wait for others. */
+bool ffl_rank_may_wait(const ffl_dispatch_t *d, const ffl_flow_t *flow,
+		       uint64_t now_ms);
+/** Share of the GPUs that a flow with slack leaves free, in percent. */
+uint32_t ffl_rank_headroom(const ffl_flow_t *flow);
+
 /* preempt.c */
 /** Stops what keeps a guaranteed gang from starting, if that helps. */
 bool ffl_preempt(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need);
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -23,6 +23,7 @@
 static bool is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit);
 static void add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
 static void preempt_for(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need);
+static bool leaves_room(ffl_dispatch_t *d, const ffl_unit_t *unit);
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit);
@@ -51,6 +52,11 @@
 	const ffl_flow_t *x = *(ffl_flow_t *const *)a;
 	const ffl_flow_t *y = *(ffl_flow_t *const *)b;
 
+	/* Of what is not first, what can still be in time goes before. */
+	if ((x->spec.priority == 0) != (y->spec.priority == 0))
+		return x->spec.priority == 0 ? -1 : 1;
+	if (x->tier != y->tier)
+		return x->tier < y->tier ? -1 : 1;
 	if (x->spec.priority != y->spec.priority)
 		return x->spec.priority < y->spec.priority ? -1 : 1;
 	if (x->order != y->order)
@@ -205,17 +211,19 @@
 }
 
 /* Far from its data, or spread over racks, a step takes a multiple of its
- * time, and so of the room. */
+ * time, and so of the room: it pays once the wait is longer than that. */
 static bool may_go_far(ffl_dispatch_t *d, const ffl_unit_t *unit)
 {
 	uint64_t waited = unit->now_ms - unit->flow->seen_ms;
+	uint64_t run_ms = ffl_expect_run(d, unit->flow, unit->step_index);
+	uint64_t more_ms = run_ms * (d->opt.spread_percent - PERCENT) / PERCENT;
 
 	if (!unit->step->rack[0] && !unit->step->same_rack)
 		return true;
-	if (free_percent(d) >= FREE_FAR_PERCENT)
-		return waited >= (uint64_t)unit->step->estimate_ms *
-					 FAR_PERCENT / PERCENT;
-	return waited >= unit->step->estimate_ms;
+	if (unit->flow->spec.priority > 0 &&
+	    free_percent(d) >= FREE_FAR_PERCENT)
+		return waited >= run_ms * FAR_PERCENT / PERCENT;
+	return waited >= more_ms;
 }
 
 static void commit(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t task,
@@ -416,6 +424,15 @@
 	g_array_append_val(d->misfits, shape);
 }
 
+/* Work with slack leaves room for what may come with a guarantee. */
+static bool leaves_room(ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	uint32_t headroom = ffl_rank_headroom(unit->flow);
+
+	return headroom && free_percent(d) < headroom &&
+	       ffl_rank_may_wait(d, unit->flow, unit->now_ms);
+}
+
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit)
 {
 	bool waits = false;
@@ -426,7 +443,7 @@
 	if (!waits || !ffl_flow_step_ready(unit->flow, unit->occurrence,
 					   unit->step_index))
 		return;
-	if (!unit->guaranteed && is_misfit(d, unit))
+	if (!unit->guaranteed && (is_misfit(d, unit) || leaves_room(d, unit)))
 		return;
 	if (unit->step->gang)
 		place_gang(d, unit);
@@ -464,8 +481,10 @@
 	for (guint i = 0; i < d->flows->open->len; i++) {
 		ffl_flow_t *flow = g_ptr_array_index(d->flows->open, i);
 
-		if (!ffl_flow_ended(flow))
-			g_ptr_array_add(ranked, flow);
+		if (ffl_flow_ended(flow))
+			continue;
+		flow->tier = ffl_rank_tier(d, flow, now_ms);
+		g_ptr_array_add(ranked, flow);
 	}
 	g_array_set_size(d->misfits, 0);
 	g_ptr_array_sort(ranked, by_rank);
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -7,7 +7,7 @@
 #define RETRY_MS 50
 
 static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
-static void take_done(ffl_dispatch_t *d, ffl_run_t *run);
+static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
 
@@ -87,7 +87,7 @@
 }
 
 /* One end stands for the whole gang. */
-static void take_done(ffl_dispatch_t *d, ffl_run_t *run)
+static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	ffl_flow_t *flow = run->flow;
 	uint32_t step = ffl_flow_step_of(flow, run->task);
@@ -105,6 +105,7 @@
 			ffl_flow_task_set(flow, i, FFL_TASK_DONE);
 	}
 	ffl_runner_good(run->runner);
+	ffl_learn_run(d, run, now_ms);
 }
 
 static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
@@ -149,7 +150,7 @@
 	if (end == FFL_ENDING_FAILED && current)
 		take_failure(d, run, now_ms);
 	if (end == FFL_ENDING_DONE && current) {
-		take_done(d, run);
+		take_done(d, run, now_ms);
 	} else if (current) {
 		ffl_flow_task_save(flow, run->task, saved);
 		ffl_flow_task_set(flow, run->task, FFL_TASK_WAITING);
