--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -11,7 +11,7 @@
 /** Share of the GPUs that work of each priority leaves free while it has
  * slack, so that guaranteed work seldom has to stop any. */
 #define HEADROOM_PERCENT_FIRST 8
-#define HEADROOM_PERCENT_OTHER 20
+#define HEADROOM_PERCENT_OTHER 35
 /** Work with less slack than this share of its time does not wait. */
 #define SLACK_PERCENT 40
 
