Work leaves draining workers before they go; those that left are known at once

Change: what outlasts the time that a draining worker has left is stopped (saves first) and placed anew; a draining worker whose entry goes without three heartbeats of silence, on a list read without a gap, has left.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -22,6 +22,7 @@
 	uint32_t gang_wait_ms;	 /**< how long a part of a gang waits */
 	uint32_t reclaim_ms;	 /**< guaranteed work has begun by then */
 	uint32_t spread_percent; /**< time on a far rack, of a near one */
+	uint32_t heartbeat_ms;	 /**< workers report about so often */
 	uint32_t early_ms;	 /**< a due time may be early by so much */
 } ffl_dispatch_options_t;
 
@@ -29,6 +30,7 @@
 typedef struct {
 	ffl_worker_entry_t entry;
 	bool listed;
+	uint64_t listed_ms; /**< when its entry was last read */
 	ffl_room_t used;
 	GPtrArray *runs;   /**< of ffl_run_t *, not owned */
 	uint32_t calls;	   /**< orders without an answer yet */
@@ -123,8 +125,13 @@
 /** Takes a worker's entry in the list. */
 void ffl_dispatch_listed(ffl_dispatch_t *d, const ffl_worker_entry_t *entry,
 			 uint64_t now_ms);
-/** Takes that a worker is no longer in the list. */
-void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id);
+/**
+ * Takes that a worker is no longer in the list.
+ *
+ * @param followed_ms for how long the list has been read without a gap
+ */
+void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id,
+			   uint64_t followed_ms, uint64_t now_ms);
 /** Marks all workers as not listed, before the list is read anew. */
 void ffl_dispatch_relist(ffl_dispatch_t *d);
 
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -27,8 +27,9 @@
 	ffl_name_t dc;
 	ffl_name_t rack;
 	bool draining;
-	int64_t born_ms;   /**< incarnation: Unix time of its start */
-	uint64_t clock_ms; /**< its own clock; 0 where it did not say */
+	uint32_t leaves_ms; /**< least time until it leaves, while draining */
+	int64_t born_ms;    /**< incarnation: Unix time of its start */
+	uint64_t clock_ms;  /**< its own clock; 0 where it did not say */
 	ffl_room_t capacity;
 	uint32_t labels_count;
 	ffl_name_t labels[FFL_WORKER_LABELS_MAX];
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -36,6 +36,7 @@
 	uint32_t gang_wait_ms;
 	uint32_t reclaim_ms;
 	uint32_t early_ms;
+	uint32_t heartbeat_ms;
 	uint32_t far_second_ms;
 	uint32_t config_apply_ms;
 	uint32_t config_skew_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -41,6 +41,7 @@
 	opt->dispatch.gang_wait_ms = s->gang_wait_ms;
 	opt->dispatch.reclaim_ms = s->reclaim_ms;
 	opt->dispatch.early_ms = s->early_ms;
+	opt->dispatch.heartbeat_ms = s->heartbeat_ms;
 	opt->dispatch.spread_percent = s->far_second_ms / MS_PER_PERCENT;
 }
 
--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -35,6 +35,8 @@
 	    "3s", "time for which a part of a gang waits for the rest"),
 	ROW("bounds", "reclaim", FFL_SET_DURATION, reclaim_ms, 1, 600000,
 	    "2900ms", "time in which guaranteed work has begun"),
+	ROW("bounds", "heartbeat", FFL_SET_DURATION, heartbeat_ms, 10, 600000,
+	    "1500ms", "time between two reports of a worker to the list"),
 	ROW("bounds", "early", FFL_SET_DURATION, early_ms, 0, 600000, "250ms",
 	    "time by which a start may be before its due time"),
 	ROW("bounds", "far_second", FFL_SET_DURATION, far_second_ms, 1000,
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -12,6 +12,8 @@
 #define RENEW_MS 1500
 /** A task whose progress stands still for so long hangs. */
 #define HANG_MS 3000
+/** A draining worker often stays a little longer than it says. */
+#define LINGER_MS 1500
 /** Placement is thought over at least so often while something waits. */
 #define REPLAN_MS 100
 
@@ -35,6 +37,7 @@
 		       uint64_t now_ms);
 static void drive_runners(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void watch_runner(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms);
 static void stop_cancelled(ffl_dispatch_t *d);
 static void settle_flows(ffl_dispatch_t *d, uint64_t now_ms);
@@ -328,6 +331,7 @@
 	const ffl_step_t *step =
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
+	evacuate(d, run, now_ms);
 	if (run->state != FFL_RUN_RUNNING || run->stop || step->lasting ||
 	    run->runner->silent || run->percent >= PERCENT ||
 	    now_ms - run->moved_ms < HANG_MS)
@@ -336,6 +340,25 @@
 	ffl_run_stop(d, run, "hangs");
 }
 
+/* Work that outlasts a draining worker is moved while it can be saved. */
+static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+{
+	const ffl_worker_entry_t *e = &run->runner->entry;
+	uint32_t step = ffl_flow_step_of(run->flow, run->task);
+	uint64_t ran_ms = now_ms - run->running_ms;
+	uint64_t left_ms = now_ms - run->runner->listed_ms;
+	uint64_t run_ms = ffl_expect_run(d, run->flow, step);
+	bool saves = run->flow->spec.steps[step].saves;
+
+	if (!e->draining || run->stop || run->state != FFL_RUN_RUNNING)
+		return;
+	left_ms = e->leaves_ms > left_ms ? e->leaves_ms - left_ms : 0;
+	if (!saves)
+		left_ms += LINGER_MS;
+	if (ran_ms + left_ms < run_ms)
+		ffl_run_stop(d, run, "evacuated");
+}
+
 static void watch_runner(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
 {
 	bool unreachable = r->silent || !r->entry.addr[0];
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -9,9 +9,13 @@
 #define QUARANTINE_MS 4000
 /** An answer of a list is a clock only where none is fresher than this. */
 #define CLOCK_FRESH_MS 5000
+/** An entry goes after so many heartbeats of silence. */
+#define SILENCE_BEATS 3
 /** Slack of timers and of the way, when leases are waited out. */
 #define EXPIRE_SLACK_MS 150
 
+static bool has_left(const ffl_dispatch_t *d, const ffl_runner_t *r,
+		     uint64_t followed_ms, uint64_t now_ms);
 static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms);
 
 ffl_runner_t *ffl_runner_get(ffl_dispatch_t *d, const char *id)
@@ -143,19 +147,41 @@
 				  r->runs->len);
 	r->entry = *entry;
 	r->listed = true;
+	r->listed_ms = now_ms;
 	if (!r->clock_at || now_ms - r->clock_at > CLOCK_FRESH_MS)
 		ffl_runner_clock(r, entry->clock_ms, now_ms);
 	d->replan = true;
 }
 
-void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id)
+/* An entry goes when its worker has left, or after three heartbeats of
+ * silence. One that was draining and was heard shortly before has left, and
+ * nothing runs there any more. */
+static bool has_left(const ffl_dispatch_t *d, const ffl_runner_t *r,
+		     uint64_t followed_ms, uint64_t now_ms)
+{
+	uint64_t silence_ms = (uint64_t)d->opt.heartbeat_ms * SILENCE_BEATS;
+
+	return r->entry.draining && followed_ms > silence_ms &&
+	       now_ms - r->listed_ms <
+		       (uint64_t)d->opt.heartbeat_ms * (SILENCE_BEATS - 1);
+}
+
+void ffl_dispatch_unlisted(ffl_dispatch_t *d, const char *id,
+			   uint64_t followed_ms, uint64_t now_ms)
 {
 	ffl_runner_t *r = g_hash_table_lookup(d->runners, id);
+	bool left;
 
 	if (!r || !r->listed)
 		return;
 	r->listed = false;
-	ffl_dispatch_note(d, "worker-gone", id, "runs=%u", r->runs->len);
+	left = has_left(d, r, followed_ms, now_ms);
+	ffl_dispatch_note(d, "worker-gone", id,
+			  "runs=%u draining=%d heard_ms=%" PRIu64 " left=%d",
+			  r->runs->len, r->entry.draining,
+			  now_ms - r->listed_ms, left);
+	if (left)
+		lose_life(d, r, now_ms);
 	if (!r->runs->len && !r->calls)
 		g_hash_table_remove(d->runners, id);
 }
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -96,7 +96,9 @@
 	ffl_tail_t *t = &n->tails[FFL_TOPIC_WORKERS];
 
 	if (!rec->value.size_bytes) {
-		ffl_dispatch_unlisted(&n->dispatch, rec->key);
+		ffl_dispatch_unlisted(&n->dispatch, rec->key,
+				      t->well_ms ? n->now_ms - t->well_ms : 0,
+				      n->now_ms);
 		return;
 	}
 	if (!rec->worker) {
@@ -226,7 +228,8 @@
 			g_ptr_array_add(gone, g_strdup(key));
 	}
 	for (guint i = 0; i < gone->len; i++)
-		ffl_dispatch_unlisted(&n->dispatch, g_ptr_array_index(gone, i));
+		ffl_dispatch_unlisted(&n->dispatch, g_ptr_array_index(gone, i),
+				      0, n->now_ms);
 	g_ptr_array_free(gone, TRUE);
 }
 
