--- /dev/null
+++ b/fakes/site.c
@@ -0,0 +1,927 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fakes/site.h"
+
+/** One way to the log and to a worker, and the workers' reports. */
+#define LOG_MS	      4
+#define WORKER_MS     3
+#define REPORT_MS     1500
+#define TICK_MS	      50
+#define LATE_LEAST_MS 2000
+#define LATE_MOST_MS  12000
+#define PAGE_MOST     4
+#define CANCEL_MS     3000
+#define PERCENT	      100
+#define PRICE_GPU     1000
+
+typedef enum {
+	EVENT_STORE,	   /**< a call arrives at the log */
+	EVENT_STORE_BACK,  /**< its answer arrives at the host */
+	EVENT_WORKER,	   /**< an order arrives at a worker */
+	EVENT_WORKER_BACK, /**< its answer arrives */
+	EVENT_TIMEOUT,	   /**< a host gives up on a call */
+	EVENT__MAX
+} event_kind_t;
+
+/** Something that is to happen. */
+typedef struct {
+	event_kind_t kind;
+	uint64_t due_ms;
+	uint32_t host;
+	uint64_t life;
+	ffl_node_act_t act; /**< with its own copies of texts */
+	char *spec;
+	uint64_t until_ms; /**< a waiting read is answered then */
+	bool no_answer;
+	ffl_node_event_t ev;
+} event_t;
+
+typedef void (*event_fn_t)(site_t *s, event_t *e);
+
+static void on_store(site_t *s, event_t *e);
+static void on_store_back(site_t *s, event_t *e);
+static void on_worker(site_t *s, event_t *e);
+static void on_timeout(site_t *s, event_t *e);
+static void event_free(event_t *e);
+static event_t *event_new(event_kind_t kind, uint64_t due_ms, uint32_t host,
+			  uint64_t life);
+static gint by_due(gconstpointer a, gconstpointer b, gpointer user);
+static void push(site_t *s, event_t *e);
+static char *call_key(bool order, uint32_t host, uint64_t life, uint64_t call);
+static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
+static void take_answer(site_t *s, const ffl_act_say_t *say);
+static void step_host(site_t *s, uint32_t host, ffl_node_event_t *ev);
+static void boot_host(site_t *s, uint32_t host);
+static void put_config(site_t *s);
+static void report_workers(site_t *s);
+static void decode_records(site_t *s, ffl_topic_t topic,
+			   ffl_store_reply_t *reply);
+static void serve_store(site_t *s, event_t *e, event_t *back);
+static site_job_t *job_of(site_t *s, const char *task, uint32_t *step);
+static bool plan_task(void *user, const char *task, task_plan_t *out);
+static void note_started(void *user, task_worker_t *w, const task_run_t *run);
+static void note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row);
+static void note_acked(void *user, task_worker_t *w, const ffl_run_row_t *row);
+static uint32_t count_present(void *user, const task_run_t *run);
+static void broken(site_t *s, const char *fault, const char *detail);
+static void ask(site_t *s, uint32_t host, uint32_t job, ffl_ask_t what);
+static site_job_t *new_job(site_t *s, uint32_t work_ms);
+
+static const event_fn_t handlers[EVENT__MAX] = {
+	[EVENT_STORE] = on_store,     [EVENT_STORE_BACK] = on_store_back,
+	[EVENT_WORKER] = on_worker,   [EVENT_WORKER_BACK] = on_store_back,
+	[EVENT_TIMEOUT] = on_timeout,
+};
+
+static void broken(site_t *s, const char *fault, const char *detail)
+{
+	if (s->fault)
+		return;
+	s->fault = fault;
+	ffl_copy(s->detail, sizeof(s->detail), detail);
+}
+
+static event_t *event_new(event_kind_t kind, uint64_t due_ms, uint32_t host,
+			  uint64_t life)
+{
+	event_t *e = g_new0(event_t, 1);
+
+	e->kind = kind;
+	e->due_ms = due_ms;
+	e->host = host;
+	e->life = life;
+	return e;
+}
+
+static void event_free(event_t *e)
+{
+	if (e->act.kind == FFL_NODE_ACT_APPEND && e->act.store.writes)
+		g_ptr_array_unref(e->act.store.writes);
+	g_free(e->spec);
+	g_free(e);
+}
+
+static gint by_due(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const event_t *x = a;
+	const event_t *y = b;
+
+	return x->due_ms < y->due_ms ? -1 : x->due_ms > y->due_ms;
+}
+
+static void push(site_t *s, event_t *e)
+{
+	GList *at = s->events.tail;
+
+	/* Most events are due after those that wait already. */
+	while (at && by_due(at->data, e, NULL) > 0)
+		at = at->prev;
+	g_queue_insert_after(&s->events, at, e);
+}
+
+static char *call_key(bool order, uint32_t host, uint64_t life, uint64_t call)
+{
+	return g_strdup_printf("%d/%u/%" PRIu64 "/%" PRIu64, order, host, life,
+			       call);
+}
+
+static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act)
+{
+	bool order = act->kind == FFL_NODE_ACT_ORDER;
+	uint64_t life = s->hosts[host].life;
+	uint64_t call = order ? act->order.call : act->store.call;
+	uint32_t timeout_ms =
+		order ? act->order.timeout_ms : act->store.timeout_ms;
+	event_t *e =
+		event_new(order ? EVENT_WORKER : EVENT_STORE,
+			  s->now_ms + (order ? WORKER_MS : LOG_MS), host, life);
+	event_t *timeout =
+		event_new(EVENT_TIMEOUT, s->now_ms + timeout_ms, host, life);
+
+	e->act = *act;
+	if (act->kind == FFL_NODE_ACT_APPEND)
+		g_ptr_array_ref(e->act.store.writes);
+	if (order && act->order.spec)
+		e->spec = g_strdup(act->order.spec);
+	if (act->kind == FFL_NODE_ACT_READ)
+		e->until_ms = e->due_ms + act->store.wait_ms;
+	timeout->act.kind = order ? FFL_NODE_ACT_ORDER : FFL_NODE_ACT_READ;
+	if (order)
+		timeout->act.order.call = call;
+	else
+		timeout->act.store.call = call;
+	g_hash_table_add(s->open, call_key(order, host, life, call));
+	push(s, e);
+	push(s, timeout);
+}
+
+static void take_answer(site_t *s, const ffl_act_say_t *say)
+{
+	uint32_t index = GPOINTER_TO_UINT(g_hash_table_lookup(
+				 s->asked, GSIZE_TO_POINTER(say->call))) -
+			 1;
+	site_job_t *job;
+
+	if (index >= s->jobs_count)
+		return;
+	job = &s->jobs[index];
+	switch (say->say) {
+	case FFL_SAY_ACCEPTED:
+		job->accepted = true;
+		break;
+	case FFL_SAY_BUSY:
+		job->refused = true;
+		break;
+	case FFL_SAY_UNKNOWN:
+		job->unsure = true;
+		break;
+	case FFL_SAY_CANCELLED:
+		if (!job->cancelled_ms)
+			job->cancelled_ms = s->now_ms;
+		break;
+	case FFL_SAY_GONE:
+		if (job->accepted)
+			broken(s, "an accepted job is not known", job->id);
+		break;
+	case FFL_SAY_STATE:
+		if (say->state == FFL_FLOW_COMPLETED &&
+		    g_hash_table_size(job->ran) < job->spec.tasks_each)
+			broken(s, "shown as completed, and a task is not done",
+			       job->id);
+		if (say->state == FFL_FLOW_CANCELLED && !job->cancel_sent)
+			broken(s, "shown as cancelled without cause", job->id);
+		if (say->state == FFL_FLOW_FAILED && !job->fails)
+			broken(s, "shown as failed without cause", job->id);
+		break;
+	default:
+		break;
+	}
+}
+
+static void step_host(site_t *s, uint32_t host, ffl_node_event_t *ev)
+{
+	site_host_t *h = &s->hosts[host];
+
+	ev->now_ms = s->now_ms;
+	ev->wall_ms = s->wall_ms + s->now_ms;
+	ffl_node_step(&h->node, ev, s->acts);
+	for (guint i = 0; i < s->acts->len; i++) {
+		const ffl_node_act_t *act =
+			&g_array_index(s->acts, ffl_node_act_t, i);
+
+		s->actions++;
+		switch (act->kind) {
+		case FFL_NODE_ACT_READ:
+		case FFL_NODE_ACT_NEWEST:
+		case FFL_NODE_ACT_APPEND:
+		case FFL_NODE_ACT_ORDER:
+			send_act(s, host, act);
+			break;
+		case FFL_NODE_ACT_ANSWER:
+			take_answer(s, &act->say);
+			break;
+		case FFL_NODE_ACT_EXIT:
+			h->exited = true;
+			break;
+		case FFL_NODE_ACT_NOTE:
+			if (g_getenv("SITE_NOTES"))
+				g_printerr("%" PRIu64 " h%u %s %s %s\n",
+					   s->now_ms, host, act->note.event,
+					   act->note.subject, act->note.text);
+			break;
+		default:
+			break;
+		}
+	}
+	ffl_node_acts_clear(s->acts);
+}
+
+static void boot_host(site_t *s, uint32_t host)
+{
+	site_host_t *h = &s->hosts[host];
+	ffl_node_options_t opt = {
+		.seed = ffl_rng_next(&s->rng),
+		.config_apply_ms = 2500,
+		.config_skew_ms = 5000,
+		.stop_drain_ms = 4800,
+		.keep_ended_ms = 120000,
+		.dispatch = { .lease_max_ms = 10000,
+			      .stop_max_ms = 400,
+			      .gang_wait_ms = 3000,
+			      .reclaim_ms = 2900,
+			      .spread_percent = 300,
+			      .heartbeat_ms = REPORT_MS,
+			      .early_ms = 250 },
+	};
+
+	g_snprintf(opt.name, sizeof(opt.name), "host-%u", host);
+	ffl_node_init(&h->node, &opt);
+	h->alive = true;
+	h->exited = false;
+	h->life++;
+	h->ticked_ms = s->now_ms + ffl_rng_below(&s->rng, TICK_MS);
+	h->back_ms = 0;
+}
+
+/* The records of others are decoded where they are read. */
+static void put_config(site_t *s)
+{
+	char text[32];
+
+	s->version++;
+	g_snprintf(text, sizeof(text), "%" PRIu64, s->version);
+	keyed_log_put(&s->topics[FFL_TOPIC_CONFIG], "config", text,
+		      strlen(text));
+}
+
+static void report_workers(site_t *s)
+{
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+		ffl_worker_entry_t entry;
+
+		if (s->now_ms % REPORT_MS != i * SITE_STEP_MS)
+			continue;
+		if (!w->alive && w->listed) {
+			w->listed = false;
+			keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "",
+				      0);
+		}
+		if (!w->alive)
+			continue;
+		task_worker_entry(w, s->now_ms, &entry);
+		keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, &entry,
+			      sizeof(entry));
+	}
+}
+
+static void decode_records(site_t *s, ffl_topic_t topic,
+			   ffl_store_reply_t *reply)
+{
+	for (uint32_t i = 0; i < reply->count; i++) {
+		ffl_store_record_t *rec = &reply->records[i];
+		ffl_route_t route = { .queue = "lining",
+				      .prefix = "/lining/",
+				      .service = "survey",
+				      .priority = 1,
+				      .attempts_max = 2,
+				      .stretch_milli = 3000,
+				      .aim_ms = 1000 };
+
+		if (topic == FFL_TOPIC_WORKERS && rec->value.size_bytes)
+			rec->worker = ffl_arena_copy(&s->arena, rec->value.data,
+						     sizeof(*rec->worker));
+		if (topic != FFL_TOPIC_CONFIG)
+			continue;
+		rec->routes = ffl_arena_alloc(&s->arena, sizeof(*rec->routes));
+		ffl_routes_init(rec->routes);
+		rec->routes->version = rec->offset + 1;
+		g_array_append_val(rec->routes->routes, route);
+		ffl_copy(route.queue, sizeof(route.queue), "dew");
+		ffl_copy(route.prefix, sizeof(route.prefix), "/dew/");
+		route.priority = 0;
+		g_array_append_val(rec->routes->routes, route);
+		g_hash_table_replace(rec->routes->keys, g_strdup("key"),
+				     g_strdup("ponds"));
+		g_hash_table_replace(rec->routes->guaranteed, g_strdup("ponds"),
+				     GUINT_TO_POINTER(16));
+	}
+}
+
+static void serve_store(site_t *s, event_t *e, event_t *back)
+{
+	const ffl_act_store_t *call = &e->act.store;
+	keyed_log_t *log = &s->topics[call->topic];
+	ffl_store_reply_t *out = &back->ev.store;
+
+	back->ev.kind = FFL_NODE_EV_STORE;
+	out->call = call->call;
+	if (e->act.kind == FFL_NODE_ACT_APPEND) {
+		out->outcome = keyed_log_append(log, call->at, call->writes,
+						&out->first);
+		out->end = log->end;
+		return;
+	}
+	if (e->act.kind == FFL_NODE_ACT_READ)
+		keyed_log_read(log, call->from, out, &s->arena);
+	else
+		keyed_log_newest(log, call->after, PAGE_MOST, out, &s->arena);
+	decode_records(s, call->topic, out);
+}
+
+static void on_store(site_t *s, event_t *e)
+{
+	const ffl_act_store_t *call = &e->act.store;
+	const site_host_t *h = &s->hosts[e->host];
+	event_t *back;
+
+	if (s->now_ms < h->cut_until || s->now_ms < s->silent_until)
+		return;
+	back = event_new(EVENT_STORE_BACK, s->now_ms + LOG_MS, e->host,
+			 e->life);
+	if (s->now_ms < s->down_until) {
+		back->ev.kind = FFL_NODE_EV_STORE;
+		back->ev.store.call = call->call;
+		back->ev.store.outcome = FFL_STORE_REFUSED;
+		push(s, back);
+		return;
+	}
+	if (e->act.kind == FFL_NODE_ACT_READ && s->now_ms < e->until_ms &&
+	    call->from >= s->topics[call->topic].end) {
+		/* Looks again until a record is there. */
+		event_t *again =
+			event_new(EVENT_STORE, s->now_ms + SITE_STEP_MS,
+				  e->host, e->life);
+
+		again->act = e->act;
+		again->until_ms = e->until_ms;
+		push(s, again);
+		event_free(back);
+		return;
+	}
+	if (e->act.kind == FFL_NODE_ACT_APPEND && s->now_ms < s->lost_until &&
+	    ffl_rng_below(&s->rng, PERCENT) < s->lost_percent) {
+		if (!e->no_answer && ffl_rng_below(&s->rng, 2)) {
+			event_t *late = event_new(
+				EVENT_STORE,
+				s->now_ms + 1000 + ffl_rng_below(&s->rng, 5000),
+				e->host, e->life);
+
+			late->act = e->act;
+			g_ptr_array_ref(late->act.store.writes);
+			late->no_answer = true;
+			push(s, late);
+		} else {
+			serve_store(s, e, back);
+		}
+		event_free(back);
+		return;
+	}
+	serve_store(s, e, back);
+	if (e->no_answer)
+		event_free(back);
+	else
+		push(s, back);
+}
+
+static void on_store_back(site_t *s, event_t *e)
+{
+	site_host_t *h = &s->hosts[e->host];
+	bool order = e->ev.kind == FFL_NODE_EV_WORKER;
+	char *key = call_key(order, e->host, e->life,
+			     order ? e->ev.worker.call : e->ev.store.call);
+	bool open = g_hash_table_remove(s->open, key);
+
+	g_free(key);
+	if (open && h->alive && h->life == e->life)
+		step_host(s, e->host, &e->ev);
+	if (!order) {
+		for (uint32_t i = 0; i < e->ev.store.count; i++) {
+			if (e->ev.store.records[i].routes)
+				ffl_routes_finish(
+					e->ev.store.records[i].routes);
+		}
+	}
+}
+
+static void on_timeout(site_t *s, event_t *e)
+{
+	bool order = e->act.kind == FFL_NODE_ACT_ORDER;
+
+	if (order) {
+		e->ev.kind = FFL_NODE_EV_WORKER;
+		e->ev.worker.call = e->act.order.call;
+		e->ev.worker.outcome = FFL_REPLY_UNKNOWN;
+	} else {
+		e->ev.kind = FFL_NODE_EV_STORE;
+		e->ev.store.call = e->act.store.call;
+		e->ev.store.outcome = FFL_STORE_UNKNOWN;
+	}
+	on_store_back(s, e);
+}
+
+static void on_worker(site_t *s, event_t *e)
+{
+	const task_hooks_t hooks = { s,		 plan_task,  note_started,
+				     note_ended, note_acked, count_present };
+	event_t *back;
+	uint32_t index = 0;
+
+	while (index < s->workers_count &&
+	       strcmp(s->workers[index].id, e->act.order.worker) != 0)
+		index++;
+	if (index == s->workers_count || !s->workers[index].alive ||
+	    s->worker_cut[index])
+		return;
+	if (!e->no_answer && e->act.order.kind != FFL_ORDER_HOLD &&
+	    s->now_ms < s->late_until &&
+	    ffl_rng_below(&s->rng, PERCENT) < s->late_percent) {
+		event_t *late = event_new(
+			EVENT_WORKER,
+			s->now_ms + LATE_LEAST_MS +
+				ffl_rng_below(&s->rng,
+					      LATE_MOST_MS - LATE_LEAST_MS),
+			e->host, e->life);
+
+		late->act = e->act;
+		late->spec = g_strdup(e->spec);
+		late->no_answer = true;
+		push(s, late);
+		return;
+	}
+	back = event_new(EVENT_WORKER_BACK, s->now_ms + WORKER_MS, e->host,
+			 e->life);
+	back->ev.kind = FFL_NODE_EV_WORKER;
+	task_worker_take(&s->workers[index], &e->act.order, s->now_ms, &hooks,
+			 &s->arena, &back->ev.worker);
+	if (e->no_answer)
+		event_free(back);
+	else
+		push(s, back);
+}
+
+static site_job_t *job_of(site_t *s, const char *task, uint32_t *step)
+{
+	uint32_t occurrence;
+
+	for (uint32_t i = 0; i < s->jobs_count; i++) {
+		size_t n = strlen(s->jobs[i].id);
+
+		if (strncmp(task, s->jobs[i].id, n) != 0)
+			continue;
+		if (sscanf(task + n, ".%u.%u.", &occurrence, step) != 2)
+			return NULL;
+		return &s->jobs[i];
+	}
+	return NULL;
+}
+
+static bool plan_task(void *user, const char *task, task_plan_t *out)
+{
+	uint32_t step = 0;
+	const site_job_t *job = job_of(user, task, &step);
+	const ffl_step_t *st;
+
+	if (!job || step >= job->spec.steps_count)
+		return false;
+	st = &job->spec.steps[step];
+	out->work_ms = job->work_ms;
+	out->gang_tasks = st->gang ? st->tasks : 0;
+	out->fails = job->fails;
+	out->room = (ffl_room_t){ st->cpu_milli, st->mem_mb, st->gpus };
+	return true;
+}
+
+static void note_started(void *user, task_worker_t *w, const task_run_t *run)
+{
+	site_t *s = user;
+	uint32_t step = 0;
+	site_job_t *job = job_of(s, run->task, &step);
+
+	if (!job) {
+		broken(s, "a task that nobody asked for", run->task);
+		return;
+	}
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		const task_worker_t *other = &s->workers[i];
+
+		for (guint k = 0; other->alive && k < other->runs->len; k++) {
+			const task_run_t *r = g_ptr_array_index(other->runs, k);
+
+			if (r != run && strcmp(r->task, run->task) == 0)
+				broken(s, "two runs of a task at once",
+				       run->task);
+		}
+	}
+	if (g_hash_table_contains(job->done, run->task))
+		broken(s, "started after an end that was acknowledged",
+		       run->task);
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(job->failures, run->task)) >=
+	    2)
+		broken(s, "more runs than attempts", run->task);
+	if (job->refused && !job->accepted && !job->unsure)
+		broken(s, "a job that was refused runs", run->task);
+	if (job->cancelled_ms && s->now_ms > job->cancelled_ms + CANCEL_MS &&
+	    s->now_ms >= s->late_until + LATE_MOST_MS &&
+	    s->now_ms >= s->silent_until)
+		broken(s, "a cancelled job is started", run->task);
+	for (uint32_t i = 0; step == 1 && i < job->spec.steps[0].tasks; i++) {
+		char name[FFL_TASK_NAME_BYTES];
+
+		g_snprintf(name, sizeof(name), "%s.0.0.%u", job->id, i);
+		if (!g_hash_table_contains(job->ran, name))
+			broken(s, "a step starts before the one that it needs",
+			       run->task);
+	}
+}
+
+static void note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row)
+{
+	site_t *s = user;
+	uint32_t step = 0;
+	site_job_t *job = job_of(s, row->task, &step);
+	const ffl_step_t *st;
+
+	if (!job || row->end != FFL_ENDING_DONE)
+		return;
+	st = &job->spec.steps[step];
+	/* One good end stands for the whole gang. */
+	for (uint32_t i = 0; st->gang && i < st->tasks; i++)
+		g_hash_table_add(job->ran, g_strdup_printf("%s.0.%u.%u",
+							   job->id, step, i));
+	g_hash_table_add(job->ran, g_strdup(row->task));
+}
+
+static void note_acked(void *user, task_worker_t *w, const ffl_run_row_t *row)
+{
+	uint32_t step = 0;
+	site_job_t *job = job_of(user, row->task, &step);
+
+	if (!job)
+		return;
+	if (row->end == FFL_ENDING_DONE)
+		g_hash_table_add(job->done, g_strdup(row->task));
+	if (row->end == FFL_ENDING_FAILED)
+		g_hash_table_insert(
+			job->failures, g_strdup(row->task),
+			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
+						 job->failures, row->task)) +
+					 1));
+}
+
+static uint32_t count_present(void *user, const task_run_t *run)
+{
+	const site_t *s = user;
+	size_t n = (size_t)(strrchr(run->task, '.') - run->task);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		const task_worker_t *w = &s->workers[i];
+
+		for (guint k = 0; w->alive && k < w->runs->len; k++) {
+			const task_run_t *r = g_ptr_array_index(w->runs, k);
+
+			count += r->run == run->run && !r->stop_ms &&
+				 strncmp(r->task, run->task, n + 1) == 0;
+		}
+	}
+	return count;
+}
+
+void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers)
+{
+	memset(s, 0, sizeof(*s));
+	s->now_ms = 100000;
+	s->wall_ms = 1700000000000;
+	ffl_rng_init(&s->rng, seed);
+	ffl_arena_init(&s->arena);
+	g_queue_init(&s->events);
+	s->acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+	s->open = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->asked = g_hash_table_new(NULL, NULL);
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		keyed_log_init(&s->topics[i]);
+	put_config(s);
+	s->hosts_count = hosts;
+	s->workers_count = workers;
+	for (uint32_t i = 0; i < workers; i++)
+		task_worker_init(&s->workers[i], i, s->now_ms);
+	for (uint32_t i = 0; i < hosts; i++)
+		boot_host(s, i);
+}
+
+void site_finish(site_t *s)
+{
+	event_t *e;
+
+	while ((e = g_queue_pop_head(&s->events))) {
+		if (e->kind == EVENT_STORE_BACK) {
+			s->hosts[e->host].alive = false;
+			on_store_back(s, e);
+			s->hosts[e->host].alive = true;
+		}
+		event_free(e);
+	}
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		ffl_node_finish(&s->hosts[i].node);
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		task_worker_finish(&s->workers[i]);
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		keyed_log_finish(&s->topics[i]);
+	for (uint32_t i = 0; i < s->jobs_count; i++) {
+		ffl_flow_spec_finish(&s->jobs[i].spec);
+		g_hash_table_destroy(s->jobs[i].done);
+		g_hash_table_destroy(s->jobs[i].ran);
+		g_hash_table_destroy(s->jobs[i].failures);
+	}
+	g_hash_table_destroy(s->open);
+	g_hash_table_destroy(s->asked);
+	g_array_free(s->acts, TRUE);
+	ffl_arena_finish(&s->arena);
+}
+
+static void tick_hosts(site_t *s)
+{
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		site_host_t *h = &s->hosts[i];
+		ffl_node_event_t ev = { .kind = FFL_NODE_EV_TICK };
+
+		if (h->alive && h->exited)
+			site_kill(s, i, 500);
+		if (!h->alive && h->back_ms && s->now_ms >= h->back_ms)
+			boot_host(s, i);
+		if (!h->alive || s->now_ms < h->frozen_until ||
+		    s->now_ms - h->ticked_ms < TICK_MS)
+			continue;
+		h->ticked_ms = s->now_ms;
+		step_host(s, i, &ev);
+	}
+}
+
+void site_run(site_t *s, uint32_t ms)
+{
+	const task_hooks_t hooks = { s,		 plan_task,  note_started,
+				     note_ended, note_acked, count_present };
+	uint64_t end = s->now_ms + ms;
+
+	for (; s->now_ms < end; s->now_ms += SITE_STEP_MS) {
+		event_t *e;
+
+		report_workers(s);
+		for (uint32_t i = 0; i < s->workers_count; i++) {
+			if (s->workers[i].alive)
+				task_worker_tick(&s->workers[i], s->now_ms,
+						 SITE_STEP_MS, &hooks);
+		}
+		while ((e = g_queue_peek_head(&s->events)) &&
+		       e->due_ms <= s->now_ms) {
+			bool back = e->kind != EVENT_STORE &&
+				    e->kind != EVENT_WORKER;
+			uint64_t frozen = s->hosts[e->host].frozen_until;
+
+			g_queue_pop_head(&s->events);
+			if (back && s->now_ms < frozen) {
+				e->due_ms = frozen + 1;
+				push(s, e);
+				continue;
+			}
+			handlers[e->kind](s, e);
+			event_free(e);
+		}
+		tick_hosts(s);
+	}
+}
+
+static site_job_t *new_job(site_t *s, uint32_t work_ms)
+{
+	site_job_t *job = &s->jobs[s->jobs_count++];
+
+	g_snprintf(job->id, sizeof(job->id), "%016x", s->jobs_count * 0x9e37u);
+	job->work_ms = work_ms;
+	job->spec.spec = g_strdup("spec");
+	job->done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	job->failures =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return job;
+}
+
+uint32_t site_submit(site_t *s, uint32_t host, uint32_t tasks, uint32_t gpus,
+		     uint32_t work_ms, bool gang)
+{
+	site_job_t *job;
+
+	if (s->jobs_count == SITE_JOBS_MAX)
+		return s->jobs_count - 1;
+	job = new_job(s, work_ms);
+	job->spec.steps_count = 1;
+	job->spec.steps = g_new0(ffl_step_t, 1);
+	job->spec.tasks_each = tasks;
+	job->spec.steps[0] = (ffl_step_t){ .tasks = tasks,
+					   .cpu_milli = gpus * PRICE_GPU,
+					   .mem_mb = gpus * PRICE_GPU,
+					   .gpus = gpus,
+					   .estimate_ms = work_ms,
+					   .gang = gang };
+	site_repeat(s, host, s->jobs_count - 1);
+	return s->jobs_count - 1;
+}
+
+uint32_t site_submit_chain(site_t *s, uint32_t host, uint32_t work_ms)
+{
+	site_job_t *job;
+
+	if (s->jobs_count == SITE_JOBS_MAX)
+		return s->jobs_count - 1;
+	job = new_job(s, work_ms);
+	job->spec.steps_count = 2;
+	job->spec.steps = g_new0(ffl_step_t, 2);
+	job->spec.tasks_each = 4;
+	job->spec.steps[0] = (ffl_step_t){ .tasks = 2,
+					   .gpus = 1,
+					   .estimate_ms = work_ms,
+					   .cpu_milli = PRICE_GPU };
+	job->spec.steps[1] = job->spec.steps[0];
+	job->spec.steps[1].after = 1;
+	job->spec.steps[1].first_task = 2;
+	site_repeat(s, host, s->jobs_count - 1);
+	return s->jobs_count - 1;
+}
+
+static void ask(site_t *s, uint32_t host, uint32_t job, ffl_ask_t what)
+{
+	site_host_t *h = &s->hosts[host];
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_REQUEST };
+	const site_job_t *j = &s->jobs[job];
+	ffl_flow_spec_t spec = { .occurrences = 0 };
+	char path[64];
+
+	if (!h->alive || h->exited || s->now_ms < h->frozen_until)
+		return;
+	g_snprintf(path, sizeof(path), "/%s/%s", job % 3 ? "lining" : "dew",
+		   j->id);
+	ev.request.call = ++s->next_call;
+	ev.request.ask = what;
+	ev.request.host = "ponds.example";
+	ev.request.path = path;
+	ev.request.key = "key";
+	ev.request.deadline_ms = 3000;
+	if (what == FFL_ASK_SUBMIT) {
+		spec.spec = g_strdup(j->spec.spec);
+		spec.steps_count = j->spec.steps_count;
+		spec.steps =
+			g_memdup2(j->spec.steps,
+				  j->spec.steps_count * sizeof(ffl_step_t));
+		ev.request.spec = &spec;
+	}
+	g_hash_table_insert(s->asked, GSIZE_TO_POINTER(ev.request.call),
+			    GUINT_TO_POINTER(job + 1));
+	step_host(s, host, &ev);
+	ffl_flow_spec_finish(&spec);
+}
+
+/* What a caller sends is unsure until it is answered. */
+void site_repeat(site_t *s, uint32_t host, uint32_t job)
+{
+	const site_host_t *h = &s->hosts[host];
+
+	if (!h->alive || h->exited || s->now_ms < h->frozen_until)
+		return;
+	ask(s, host, job, FFL_ASK_SUBMIT);
+}
+
+void site_cancel(site_t *s, uint32_t host, uint32_t job)
+{
+	s->jobs[job].cancel_sent = true;
+	ask(s, host, job, FFL_ASK_CANCEL);
+}
+
+void site_look(site_t *s, uint32_t host, uint32_t job)
+{
+	ask(s, host, job, FFL_ASK_LOOK);
+}
+
+/* Calls that a dead host had open stay without an answer. */
+void site_kill(site_t *s, uint32_t host, uint32_t back_ms)
+{
+	site_host_t *h = &s->hosts[host];
+
+	if (!h->alive)
+		return;
+	for (guint i = 0; i < h->node.pending->len; i++) {
+		const ffl_pending_t *p = g_ptr_array_index(h->node.pending, i);
+		uint32_t index = GPOINTER_TO_UINT(g_hash_table_lookup(
+					 s->asked, GSIZE_TO_POINTER(p->call))) -
+				 1;
+
+		if (index < s->jobs_count && p->ask == FFL_ASK_SUBMIT)
+			s->jobs[index].unsure = true;
+	}
+	ffl_node_finish(&h->node);
+	memset(&h->node, 0, sizeof(h->node));
+	h->alive = false;
+	h->frozen_until = 0;
+	h->back_ms = s->now_ms + back_ms + SITE_STEP_MS;
+}
+
+void site_stop(site_t *s, uint32_t host)
+{
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_STOP };
+
+	if (s->hosts[host].alive)
+		step_host(s, host, &ev);
+}
+
+void site_worker_crash(site_t *s, uint32_t worker)
+{
+	if (s->workers[worker].alive)
+		task_worker_crash(&s->workers[worker]);
+}
+
+void site_worker_boot(site_t *s, uint32_t worker)
+{
+	if (!s->workers[worker].alive)
+		task_worker_boot(&s->workers[worker], s->now_ms,
+				 (int64_t)s->now_ms + 1);
+}
+
+void site_worker_drain(site_t *s, uint32_t worker)
+{
+	s->workers[worker].draining = true;
+}
+
+int site_leader(const site_t *s)
+{
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		if (s->hosts[i].alive && s->hosts[i].node.lead.leading)
+			return (int)i;
+	}
+	return -1;
+}
+
+void site_settle(site_t *s, uint32_t ms)
+{
+	s->down_until = 0;
+	s->silent_until = 0;
+	s->lost_until = 0;
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		site_host_t *h = &s->hosts[i];
+
+		h->cut_until = 0;
+		if (!h->alive && !h->back_ms)
+			h->back_ms = s->now_ms;
+	}
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+
+		s->worker_cut[i] = false;
+		w->hangs = false;
+		w->draining = false;
+		if (!w->alive)
+			site_worker_boot(s, i);
+	}
+	site_run(s, ms);
+	for (uint32_t i = 0; i < s->jobs_count && !s->fault; i++) {
+		const site_job_t *job = &s->jobs[i];
+		const ffl_flow_t *flow;
+
+		if (!job->accepted)
+			continue;
+		for (uint32_t k = 0; k < s->hosts_count; k++) {
+			flow = ffl_flows_find(&s->hosts[k].node.flows, job->id);
+			if (!flow)
+				broken(s, "an accepted job is lost", job->id);
+			else if (flow->shown == FFL_FLOW_QUEUED ||
+				 flow->shown == FFL_FLOW_RUNNING)
+				broken(s, "a job does not end", job->id);
+			if (flow && flow->shown == FFL_FLOW_COMPLETED &&
+			    g_hash_table_size(job->ran) < flow->tasks_count)
+				broken(s,
+				       "shown as completed, and a task is not "
+				       "done",
+				       job->id);
+		}
+	}
+}
--- /dev/null
+++ b/fuzz/node_fuzz.c
@@ -0,0 +1,160 @@
+/*
+ * Hosts on a log service that die, freeze, leave, are cut off or see the log
+ * fail in every way, with workers that crash, hang, leave and carry orders
+ * out late: nothing accepted is lost, nothing done runs again, no two runs of
+ * a task at once, no refused or cancelled job runs, and everything ends.
+ */
+#include <string.h>
+
+#include "fakes/site.h"
+#include "fuzz/fuzz.h"
+
+#define HOSTS	3
+#define WORKERS 4
+/** Times of one unit of an operation's last byte. */
+#define RUN_UNIT_MS   20U
+#define FAULT_UNIT_MS 50U
+#define START_MS      3000
+#define HEAL_MS	      70000
+#define OPS_MAX	      32
+
+/** Operations: the first byte of each chooses one. */
+typedef enum {
+	OP_SUBMIT,
+	OP_CHAIN,
+	OP_REPEAT,
+	OP_CANCEL,
+	OP_LOOK,
+	OP_KILL,
+	OP_KILL_ALL,
+	OP_STOP,
+	OP_FREEZE,
+	OP_CUT,
+	OP_LOG_SILENT,
+	OP_LOG_BUSY,
+	OP_LOG_LOST,
+	OP_FORGET,
+	OP_LATE,
+	OP_CRASH,
+	OP_BOOT,
+	OP_HANG,
+	OP_DRAIN,
+	OP_CUT_WORKER,
+	OP__MAX
+} op_t;
+
+static const char *const op_names[OP__MAX] = {
+	"submit",     "chain",	  "repeat",   "cancel", "look",
+	"kill",	      "kill-all", "stop",     "freeze", "cut",
+	"log-silent", "log-busy", "log-lost", "forget", "late",
+	"crash",      "boot",	  "hang",     "drain",	"cut-worker"
+};
+
+static const char *run(const uint8_t *ops, size_t op_count, GString *trace);
+static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time);
+static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms);
+static void apply_worker(site_t *s, op_t op, uint32_t worker);
+
+const fuzz_target_t fuzz_target = { "node", 3, run };
+
+static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms)
+{
+	int leader = site_leader(s);
+
+	/* Half of the faults strike the leader. */
+	if (ms / FAULT_UNIT_MS % 2 && leader >= 0)
+		host = (uint32_t)leader;
+	if (op == OP_KILL)
+		site_kill(s, host, ms);
+	else if (op == OP_STOP)
+		site_stop(s, host);
+	else if (op == OP_FREEZE)
+		s->hosts[host].frozen_until = s->now_ms + ms;
+	else if (op == OP_CUT)
+		s->hosts[host].cut_until = s->now_ms + ms;
+	else
+		for (uint32_t i = 0; i < HOSTS; i++)
+			site_kill(s, i, ms / 4);
+}
+
+static void apply_worker(site_t *s, op_t op, uint32_t worker)
+{
+	if (op == OP_CRASH)
+		site_worker_crash(s, worker);
+	else if (op == OP_BOOT)
+		site_worker_boot(s, worker);
+	else if (op == OP_HANG)
+		s->workers[worker].hangs = !s->workers[worker].hangs;
+	else if (op == OP_DRAIN)
+		site_worker_drain(s, worker);
+	else
+		s->worker_cut[worker] = !s->worker_cut[worker];
+}
+
+static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time)
+{
+	static const uint32_t works_ms[] = { 300, 2000, 6000 };
+	uint32_t host = arg % HOSTS;
+	uint32_t ms = time * FAULT_UNIT_MS;
+	uint32_t job = s->jobs_count ? arg / HOSTS % s->jobs_count : 0;
+
+	if (op == OP_SUBMIT) {
+		job = site_submit(s, host, 1 + arg / 3 % 4, 1 << arg / 16 % 4,
+				  works_ms[arg / 12 % 3], arg / 64 % 2);
+		if (arg > 240 && !s->jobs[job].accepted)
+			s->jobs[job].fails = true;
+	} else if (op == OP_CHAIN) {
+		site_submit_chain(s, host, works_ms[arg / 12 % 3]);
+	} else if (op < OP_KILL && s->jobs_count) {
+		if (op == OP_REPEAT)
+			site_repeat(s, host, job);
+		else if (op == OP_CANCEL)
+			site_cancel(s, host, job);
+		else
+			site_look(s, host, job);
+	} else if (op >= OP_KILL && op <= OP_CUT) {
+		apply_host(s, op, host, ms);
+	} else if (op == OP_LOG_SILENT) {
+		s->silent_until = s->now_ms + ms / 2;
+	} else if (op == OP_LOG_BUSY) {
+		s->down_until = s->now_ms + ms / 2;
+	} else if (op == OP_LOG_LOST) {
+		s->lost_until = s->now_ms + ms;
+		s->lost_percent = arg % 100;
+	} else if (op == OP_FORGET) {
+		for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+			keyed_log_forget(&s->topics[i]);
+	} else if (op == OP_LATE) {
+		s->late_until = s->now_ms + ms;
+		s->late_percent = arg % 60;
+	} else if (op >= OP_CRASH) {
+		apply_worker(s, op, arg % WORKERS);
+	}
+	site_run(s, time * RUN_UNIT_MS);
+}
+
+static const char *run(const uint8_t *ops, size_t op_count, GString *trace)
+{
+	const char *fault;
+	site_t s;
+
+	site_init(&s, 1 + op_count, HOSTS, WORKERS);
+	site_run(&s, START_MS);
+	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.fault; i++) {
+		const uint8_t *b = &ops[3 * i];
+		op_t op = (op_t)(b[0] % OP__MAX);
+
+		if (trace)
+			g_string_append_printf(
+				trace, "%" PRIu64 " { %s, %u, %u },\n",
+				s.now_ms, op_names[op], b[1], b[2]);
+		apply(&s, op, b[1], b[2]);
+	}
+	site_settle(&s, HEAL_MS);
+	fault = s.fault;
+	if (trace && fault)
+		g_string_append_printf(trace, "%s: %s\n", fault, s.detail);
+	fuzz_steps(op_count + s.actions);
+	site_finish(&s);
+	return fault;
+}
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -174,6 +174,8 @@
 
 /** State that follows from what is known now. */
 ffl_flow_state_t ffl_flow_state(const ffl_flow_t *flow);
+/** Shows a state that is on the log; a cancellation is on the log too. */
+void ffl_flow_show(ffl_flow_t *flow, ffl_flow_state_t recorded);
 /** Tells whether a flow is completed, failed or cancelled. */
 bool ffl_flow_ended(const ffl_flow_t *flow);
 /** Step of a task, by the task's index over all occurrences. */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -215,7 +215,7 @@
 
 	if (r->hold_open || now_ms < r->hold_ms || !r->entry.addr[0])
 		return false;
-	if (r->acked > r->acked_sent)
+	if (r->acked > r->acked_sent || (r->silent && r->listed))
 		return true;
 	for (guint i = 0; i < r->runs->len && !sent; i++) {
 		const ffl_run_t *run = g_ptr_array_index(r->runs, i);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -5,7 +5,8 @@
 /** Time before an order without an answer is repeated. */
 #define RESEND_MS 100
 /** Time before a silent worker is asked again. */
-#define SILENT_MS 400
+#define SILENT_MS	  200
+#define SILENT_DOUBLE_MAX 3
 /** Time for which nothing is placed on a worker that refused. */
 #define REFUSED_MS   400
 #define UNHEALTHY_MS 1500
@@ -19,6 +20,7 @@
 		       const ffl_reply_t *reply, uint64_t now_ms);
 static void take_stop(ffl_dispatch_t *d, ffl_open_call_t *open,
 		      const ffl_reply_t *reply, uint64_t now_ms);
+static void take_belated(ffl_dispatch_t *d, const ffl_run_row_t *row);
 static void take_ends(ffl_dispatch_t *d, ffl_runner_t *r,
 		      const ffl_reply_t *reply, uint64_t now_ms);
 static void take_running(ffl_dispatch_t *d, ffl_runner_t *r,
@@ -38,6 +40,32 @@
 	[FFL_ORDER_STOP] = take_stop,
 };
 
+/* A run that was given up has ended well after all: it counts, unless its
+ * task was placed again. */
+static void take_belated(ffl_dispatch_t *d, const ffl_run_row_t *row)
+{
+	ffl_flow_t *flow = row->flow;
+	uint32_t step = ffl_flow_step_of(flow, row->index);
+	const ffl_step_t *s = &flow->spec.steps[step];
+	uint32_t first = row->index;
+	uint32_t count = 1;
+
+	if (s->gang) {
+		first = ffl_flow_first_task(
+			flow, row->index / flow->spec.tasks_each, step);
+		count = s->tasks;
+	}
+	for (uint32_t i = first; i < first + count; i++) {
+		if (flow->tasks[i].state != FFL_TASK_WAITING ||
+		    flow->tasks[i].run != row->run)
+			return;
+	}
+	for (uint32_t i = first; i < first + count; i++)
+		ffl_flow_task_set(flow, i, FFL_TASK_DONE);
+	ffl_dispatch_note(d, "run-belated", row->task, "run=%u", row->run);
+	ffl_flow_dirty(d, flow);
+}
+
 /* An end is acknowledged only once what follows from it is on the log. */
 static void take_ends(ffl_dispatch_t *d, ffl_runner_t *r,
 		      const ffl_reply_t *reply, uint64_t now_ms)
@@ -55,6 +83,8 @@
 		run = ffl_run_find(r, row);
 		if (run)
 			ffl_run_end(d, run, row->end, row->saved, now_ms);
+		else if (row->flow && row->end == FFL_ENDING_DONE)
+			take_belated(d, row);
 	}
 	if (!any)
 		return;
@@ -152,7 +182,8 @@
 	r->hold_open = false;
 	if (reply->outcome != FFL_REPLY_OK) {
 		r->silent++;
-		r->hold_ms = now_ms + SILENT_MS;
+		r->hold_ms = now_ms +
+			     (SILENT_MS << MIN(r->silent, SILENT_DOUBLE_MAX));
 		return;
 	}
 	r->silent = 0;
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -114,18 +114,34 @@
 			  "failures=%u for_ms=%d", r->fails, QUARANTINE_MS);
 }
 
-/* Nothing of an earlier incarnation runs or is listed any more. */
+/* Nothing of an earlier incarnation runs or is listed any more. An order
+ * that is still on its way may reach the new one under the same name: the
+ * run is stopped there before the task is placed again. */
 static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
 {
-	while (r->runs->len)
-		ffl_run_end(d, g_ptr_array_index(r->runs, 0), FFL_ENDING_LAPSED,
-			    NULL, now_ms);
+	for (guint i = r->runs->len; i-- > 0;) {
+		ffl_run_t *run;
+
+		if (i >= r->runs->len)
+			continue;
+		run = g_ptr_array_index(r->runs, i);
+		if (run->call || run->unanswered) {
+			run->state = FFL_RUN_SENT;
+			run->stopped_ms = 0;
+			ffl_run_stop(d, run, "restarted");
+		} else {
+			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
+		}
+	}
 	r->seen = 0;
 	r->acked = 0;
 	r->acked_sent = 0;
 	r->ack_batch = 0;
 	r->clock_at = 0;
-	r->expire_ms = 0;
+	r->expire_ms = r->runs->len ? now_ms + d->opt.lease_max_ms * PERCENT /
+						       CLOCK_SLOW_PERCENT
+				    : 0;
+	r->silent = 0;
 	r->fails = 0;
 	r->proved = false;
 }
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -181,8 +181,14 @@
 		return;
 	}
 	flow->cancelled = true;
-	if (flow->shown != FFL_FLOW_COMPLETED && flow->shown != FFL_FLOW_FAILED)
-		flow->shown = FFL_FLOW_CANCELLED;
+	ffl_flow_show(flow, flow->shown);
+}
+
+void ffl_flow_show(ffl_flow_t *flow, ffl_flow_state_t recorded)
+{
+	bool open = recorded == FFL_FLOW_QUEUED || recorded == FFL_FLOW_RUNNING;
+
+	flow->shown = open && flow->cancelled ? FFL_FLOW_CANCELLED : recorded;
 }
 
 ffl_status_t ffl_flows_progress(ffl_flows_t *flows, const char *id,
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -300,7 +300,7 @@
 	for (guint i = 0; i < l->flows->len; i++) {
 		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
 
-		flow->shown = flow->recorded;
+		ffl_flow_show(flow, flow->recorded);
 		flow->has_progress = true;
 		flow->progress_offset = end;
 	}
--- /dev/null
+++ b/tests/node_test.c
@@ -0,0 +1,260 @@
+#include <string.h>
+
+#include "fakes/site.h"
+
+/** Times of a calm start and of a job's work. */
+#define START_MS 3000
+#define WORK_MS	 2000
+#define HEAL_MS	 60000
+
+/** A fault, and what the caller must be told in spite of it. */
+typedef struct {
+	const char *name;
+	void (*play)(site_t *s);
+} story_t;
+
+static void check(const site_t *s);
+static void test_story(gconstpointer data);
+
+static void check(const site_t *s)
+{
+	if (s->fault)
+		g_test_message("%s: %s", s->fault, s->detail);
+	g_assert_cmpstr(s->fault, ==, NULL);
+}
+
+static void calm(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 2, WORK_MS, true);
+
+	site_run(s, WORK_MS + 1000);
+	site_look(s, 2, job);
+	g_assert_true(s->jobs[job].accepted);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+}
+
+static void chain(site_t *s)
+{
+	uint32_t job = site_submit_chain(s, 1, WORK_MS);
+
+	site_run(s, 2 * WORK_MS + 1000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+}
+
+/* Pages come in the order of keys: cancellations before specifications. */
+static void cancelled_before_restart(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 8, WORK_MS, false);
+
+	site_run(s, 500);
+	site_cancel(s, 1, job);
+	site_run(s, 1000);
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		site_kill(s, i, 1000);
+	site_run(s, 15000);
+	g_assert_true(s->jobs[job].cancelled_ms != 0);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 0);
+}
+
+/* Nothing is known of a worker's address once its entry has gone. */
+static void leader_and_worker_gone(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 8, 4 * WORK_MS, false);
+	int leader;
+
+	site_run(s, 1000);
+	site_worker_crash(s, 0);
+	site_run(s, 2000);
+	leader = site_leader(s);
+	g_assert_cmpint(leader, >=, 0);
+	site_kill(s, (uint32_t)leader, 20000);
+	site_run(s, 40000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+}
+
+/* A successor knows every job whose progress it has before it decides. */
+static void resigned_after_accept(site_t *s)
+{
+	int leader = site_leader(s);
+	uint32_t job;
+
+	g_assert_cmpint(leader, >=, 0);
+	job = site_submit(s, (uint32_t)leader, 2, 4, 300, true);
+	site_run(s, 60);
+	site_stop(s, (uint32_t)leader);
+	site_run(s, 10000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 2);
+}
+
+static void lost_answers(site_t *s)
+{
+	s->lost_until = s->now_ms + 8000;
+	s->lost_percent = 60;
+	for (uint32_t i = 0; i < 6; i++) {
+		site_submit(s, i % 3, 2, 2, WORK_MS, i % 2);
+		site_run(s, 700);
+	}
+}
+
+static void late_orders(site_t *s)
+{
+	s->late_until = s->now_ms + 8000;
+	s->late_percent = 40;
+	for (uint32_t i = 0; i < 6; i++) {
+		site_submit(s, i % 3, 2, 2, WORK_MS, i % 2);
+		site_run(s, 700);
+	}
+}
+
+static void log_down(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 4, 3 * WORK_MS, false);
+
+	site_run(s, 500);
+	s->silent_until = s->now_ms + 5000;
+	site_run(s, 12000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+	/* What ran went on: no second run was needed. */
+	for (uint32_t i = 0; i < 4; i++)
+		g_assert_cmpuint(
+			ffl_flows_find(&s->hosts[0].node.flows, s->jobs[job].id)
+				->tasks[i]
+				.run,
+			==, 1);
+}
+
+static void leader_frozen(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 4, 3 * WORK_MS, true);
+	int leader = site_leader(s);
+
+	site_run(s, 500);
+	s->hosts[leader].frozen_until = s->now_ms + 4000;
+	site_run(s, 14000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+}
+
+static void leader_cut(site_t *s)
+{
+	int leader = site_leader(s);
+	uint32_t job;
+
+	s->hosts[leader].cut_until = s->now_ms + 9000;
+	site_run(s, 3500);
+	g_assert_cmpint(site_leader(s), >=, 0);
+	job = site_submit(s, ((uint32_t)leader + 1) % 3, 2, 2, WORK_MS, true);
+	site_run(s, 12000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 2);
+}
+
+static void history_forgotten(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 4, 4, WORK_MS, false);
+
+	site_run(s, 300);
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		keyed_log_forget(&s->topics[i]);
+	site_run(s, 8000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+}
+
+static void worker_hangs(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 1, 8, 2 * WORK_MS, false);
+
+	site_run(s, 500);
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		s->workers[i].hangs = s->workers[i].runs->len > 0;
+	site_run(s, 14000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 1);
+}
+
+/* Guaranteed work starts within the bound though all room is taken. */
+static void reclaimed(site_t *s)
+{
+	uint32_t job;
+
+	site_submit(s, 0, 1, 1, 100, false);
+	site_submit(s, 0, 64, 1, 15000, false);
+	site_run(s, 3000);
+	while (s->jobs_count % 3)
+		site_submit(s, 0, 1, 1, 100, false);
+	job = site_submit(s, 0, 2, 8, WORK_MS, true);
+	site_run(s, 2900);
+	g_assert_cmpuint(
+		ffl_flows_find(&s->hosts[0].node.flows, s->jobs[job].id)
+			->started,
+		==, true);
+}
+
+static void hopeless(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 2, 2, 500, true);
+
+	s->jobs[job].fails = true;
+	site_run(s, 6000);
+	g_assert_cmpint(
+		ffl_flows_find(&s->hosts[0].node.flows, s->jobs[job].id)->shown,
+		==, FFL_FLOW_FAILED);
+}
+
+/* A worker that leaves is known to have left once its entry is dropped. */
+static void worker_left(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 1, 8, 3 * WORK_MS, false);
+
+	site_run(s, 6500);
+	g_assert_cmpuint(s->jobs[job].accepted, ==, true);
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		if (s->workers[i].runs->len)
+			site_worker_drain(s, i);
+	}
+	site_run(s, 12000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 1);
+}
+
+static const story_t stories[] = {
+	{ "calm", calm },
+	{ "chain", chain },
+	{ "cancelled-before-restart", cancelled_before_restart },
+	{ "leader-and-worker-gone", leader_and_worker_gone },
+	{ "resigned-after-accept", resigned_after_accept },
+	{ "lost-answers", lost_answers },
+	{ "late-orders", late_orders },
+	{ "log-down", log_down },
+	{ "leader-frozen", leader_frozen },
+	{ "leader-cut", leader_cut },
+	{ "history-forgotten", history_forgotten },
+	{ "worker-hangs", worker_hangs },
+	{ "reclaimed", reclaimed },
+	{ "hopeless", hopeless },
+	{ "worker-left", worker_left },
+};
+
+static void test_story(gconstpointer data)
+{
+	const story_t *story = data;
+
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		site_t s;
+
+		site_init(&s, seed, 3, 4);
+		site_run(&s, START_MS);
+		story->play(&s);
+		site_settle(&s, HEAL_MS);
+		check(&s);
+		site_finish(&s);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(stories); i++) {
+		char *path = g_strdup_printf("/node/%s", stories[i].name);
+
+		g_test_add_data_func(path, &stories[i], test_story);
+		g_free(path);
+	}
+	return g_test_run();
+}
