--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -98,11 +98,8 @@
 	for (uint32_t i = 0; i < reply->running_count; i++) {
 		const ffl_run_row_t *row = &reply->running[i];
 		ffl_run_t *run = ffl_run_find(r, row);
-		ffl_flow_t *flow;
-		uint32_t task;
 
 		if (!run) {
-			flow = ffl_task_find(d->flows, row->task, &task);
 			ffl_dispatch_note(d, "run-unknown", row->task,
 					  "run=%u worker=%s", row->run,
 					  r->entry.id);
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -256,7 +256,10 @@
 
 	if (n->now_ms < p->deadline_ms)
 		return false;
-	answer_pending(n, index, p->attempted ? FFL_SAY_UNKNOWN : FFL_SAY_BUSY);
+	/* A record that is on its way may yet stand. */
+	answer_pending(n, index,
+		       p->attempted || p->append ? FFL_SAY_UNKNOWN
+						 : FFL_SAY_BUSY);
 	return true;
 }
 
