--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -273,6 +273,10 @@
 	out->call = order->call;
 	out->clock_ms = task_worker_clock(w, now_ms);
 	out->born_ms = w->born_ms;
+	if (order->born_ms && order->born_ms != w->born_ms) {
+		out->outcome = FFL_REPLY_OTHER_LIFE;
+		return;
+	}
 	if (order->token < w->token) {
 		out->outcome = FFL_REPLY_FENCED;
 		return;
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -48,7 +48,8 @@
 	uint64_t call;
 	ffl_name_t worker;
 	char addr[FFL_ADDR_BYTES];
-	uint64_t token; /**< fencing token */
+	uint64_t token;	 /**< fencing token */
+	int64_t born_ms; /**< incarnation that it is meant for */
 	char task[FFL_TASK_NAME_BYTES];
 	uint32_t run;
 	const char *spec;
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -102,10 +102,10 @@
 		run = ffl_run_add(d, flow, i, task->run, r, now_ms);
 		run->batch = 0;
 		run->state = FFL_RUN_ADOPTED;
-		if (r->entry.born_ms && task->born_ms &&
-		    r->entry.born_ms != task->born_ms)
+		/* What this host knows of the worker may be older still. */
+		if (r->entry.born_ms > task->born_ms)
 			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
-		else if (!r->entry.born_ms)
+		else
 			r->entry.born_ms = task->born_ms;
 	}
 }
@@ -120,6 +120,7 @@
 	gpointer value;
 
 	ffl_dispatch_yield(d);
+	ffl_dispatch_relist(d);
 	d->token = token;
 	d->led_ms = now_ms;
 	d->fenced = false;
@@ -200,6 +201,7 @@
 	order->kind = kind;
 	order->call = open_call(d, kind, r, run, now_ms);
 	order->token = d->token;
+	order->born_ms = r->entry.born_ms;
 	ffl_copy(order->worker, sizeof(order->worker), r->entry.id);
 	ffl_copy(order->addr, sizeof(order->addr), r->entry.addr);
 	if (!run)
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -40,6 +40,13 @@
 			  uint64_t now_ms);
 void ffl_runner_clock(ffl_runner_t *r, uint64_t clock_ms, uint64_t now_ms);
 void ffl_runner_free_data(void *data);
+/**
+ * Takes that an incarnation of a worker is no more.
+ *
+ * @param same_id whether another one may take orders that were meant for it
+ */
+void ffl_runner_lost(ffl_dispatch_t *d, ffl_runner_t *r, bool same_id,
+		     uint64_t now_ms);
 void ffl_runner_good(ffl_runner_t *r);
 void ffl_runner_bad(ffl_dispatch_t *d, ffl_runner_t *r, const ffl_flow_t *flow,
 		    uint64_t now_ms);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -274,6 +274,11 @@
 		entry.born_ms = reply->born_ms;
 		ffl_dispatch_listed(d, &entry, now_ms);
 	}
+	if (reply->outcome == FFL_REPLY_OTHER_LIFE && r->runs->len) {
+		ffl_dispatch_note(d, "worker-replaced", r->entry.id, "runs=%u",
+				  r->runs->len);
+		ffl_runner_lost(d, r, false, now_ms);
+	}
 	ffl_runner_clock(r, reply->clock_ms, now_ms);
 	resolve(d, reply->running, reply->running_count);
 	resolve(d, reply->ended, reply->ended_count);
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -16,7 +16,6 @@
 
 static bool has_left(const ffl_dispatch_t *d, const ffl_runner_t *r,
 		     uint64_t followed_ms, uint64_t now_ms);
-static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms);
 
 ffl_runner_t *ffl_runner_get(ffl_dispatch_t *d, const char *id)
 {
@@ -117,7 +116,8 @@
 /* Nothing of an earlier incarnation runs or is listed any more. An order
  * that is still on its way may reach the new one under the same name: the
  * run is stopped there before the task is placed again. */
-static void lose_life(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
+void ffl_runner_lost(ffl_dispatch_t *d, ffl_runner_t *r, bool same_id,
+		     uint64_t now_ms)
 {
 	for (guint i = r->runs->len; i-- > 0;) {
 		ffl_run_t *run;
@@ -125,7 +125,7 @@
 		if (i >= r->runs->len)
 			continue;
 		run = g_ptr_array_index(r->runs, i);
-		if (run->call || run->unanswered) {
+		if (same_id && (run->call || run->unanswered)) {
 			run->state = FFL_RUN_SENT;
 			run->stopped_ms = 0;
 			ffl_run_stop(d, run, "restarted");
@@ -156,7 +156,7 @@
 			return;
 		ffl_dispatch_note(d, "worker-restarted", entry->id, "runs=%u",
 				  r->runs->len);
-		lose_life(d, r, now_ms);
+		ffl_runner_lost(d, r, true, now_ms);
 	}
 	if (entry->draining && !r->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
@@ -188,8 +188,13 @@
 	ffl_runner_t *r = g_hash_table_lookup(d->runners, id);
 	bool left;
 
-	if (!r || !r->listed)
+	if (!r)
 		return;
+	if (!r->listed) {
+		if (!r->runs->len && !r->calls)
+			g_hash_table_remove(d->runners, id);
+		return;
+	}
 	r->listed = false;
 	left = has_left(d, r, followed_ms, now_ms);
 	ffl_dispatch_note(d, "worker-gone", id,
@@ -197,7 +202,7 @@
 			  r->runs->len, r->entry.draining,
 			  now_ms - r->listed_ms, left);
 	if (left)
-		lose_life(d, r, now_ms);
+		ffl_runner_lost(d, r, false, now_ms);
 	if (!r->runs->len && !r->calls)
 		g_hash_table_remove(d->runners, id);
 }
