Hosts that the log does not serve are unready at once; faster takeover

Change: unready after 400 ms of failing reads; heartbeat 600 -> 400 ms, authority 1800 -> 1300, takeover 2400 -> 1800, spread 250 -> 150.

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -204,8 +204,9 @@
 	uint64_t fresh_ms;   /**< all records of before are known */
 	uint64_t changed_ms; /**< when a record was last read */
 	uint64_t well_ms;    /**< since when reads have gone well; 0: not */
-	uint32_t failures;
-	GHashTable *listed; /**< keys of the pages so far, of workers */
+	uint32_t failures;   /**< in a row */
+	uint64_t failed_ms;  /**< when they began */
+	GHashTable *listed;  /**< keys of the pages so far, of workers */
 } ffl_tail_t;
 
 /** What waits for the log before a caller is answered. */
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -4,15 +4,15 @@
 #include "lib/node/node_int.h"
 
 /** A leader shows that it lives so often. */
-#define HEARTBEAT_MS 600
+#define HEARTBEAT_MS 400
 /** After a write was sent, it proves authority for so long. */
-#define AUTHORITY_MS 1800
+#define AUTHORITY_MS 1300
 /** A silent leader is replaced after this: authority and its margin. */
-#define TAKEOVER_MS 2400
+#define TAKEOVER_MS 1800
 /** The log must have answered well for so long before silence counts. */
-#define WELL_MS 1200
+#define WELL_MS 900
 /** Hosts claim one after the other, so that appends do not collide. */
-#define CLAIM_SPREAD_MS 250
+#define CLAIM_SPREAD_MS 150
 /** Deadline of an append, and time before it is repeated. */
 #define APPEND_TIMEOUT_MS 900
 #define REPEAT_MS	  120
@@ -225,7 +225,7 @@
 
 	if (n->stop_ms || !t->synced || !n->has_routes || !t->well_ms ||
 	    n->now_ms < l->retry_ms || !knows_jobs(n) || !t->next_known ||
-	    t->fresh_ms + AUTHORITY_MS < n->now_ms)
+	    t->fresh_ms + KNOWN_MS < n->now_ms)
 		return false;
 	if (strcmp(l->holder, n->opt.name) == 0)
 		return true;
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -6,6 +6,8 @@
 /** Time before a failed call is repeated, and its growth. */
 #define BACKOFF_MS	   100
 #define BACKOFF_DOUBLE_MAX 3
+/** A host that fails to read the log for so long is cut off from it. */
+#define CUT_OFF_MS 400
 /** The balancer learns of an unready host within two looks of a second. */
 #define UNREADY_MS 2500
 
@@ -19,6 +21,7 @@
 static void take_note(void *user, const char *event, const char *subject,
 		      const char *text);
 static void drive_dispatch(ffl_node_t *n);
+static bool is_cut_off(const ffl_node_t *n);
 static void drive_ready(ffl_node_t *n);
 static void drive_stop(ffl_node_t *n);
 static uint32_t config_age_max(const ffl_node_t *n);
@@ -216,9 +219,17 @@
 			g_array_index(n->orders, ffl_order_t, i);
 }
 
+/* A host that the log does not serve sends callers elsewhere at once. */
+static bool is_cut_off(const ffl_node_t *n)
+{
+	const ffl_tail_t *jobs = &n->tails[FFL_TOPIC_JOBS];
+
+	return jobs->failures && n->now_ms - jobs->failed_ms > CUT_OFF_MS;
+}
+
 static void drive_ready(ffl_node_t *n)
 {
-	bool ready = !n->stop_ms && ffl_node_serves(n);
+	bool ready = !n->stop_ms && ffl_node_serves(n) && !is_cut_off(n);
 
 	if (ready == n->ready)
 		return;
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -299,6 +299,8 @@
 		ffl_tail_restart(t);
 		return;
 	}
+	if (!t->failures)
+		t->failed_ms = n->now_ms;
 	if (!t->failures++)
 		ffl_node_note(n, "store-lost", ffl_topic_name(t->topic),
 			      "outcome=%s",
