--- a/Makefile
+++ b/Makefile
@@ -101,14 +101,15 @@
 	-fno-sanitize-recover=undefined
 FUZZ_TARGETS := $(patsubst fuzz/%_fuzz.c,%,$(sort $(wildcard fuzz/*_fuzz.c)))
 FUZZ_OBJS := $(patsubst %.c,$(BUILD)/fuzz/%.o,$(LIB_SRCS) \
-	$(sort $(wildcard fakes/*.c)) fuzz/fuzz.c $(sort $(wildcard fuzz/*_oracle.c)))
+	$(sort $(wildcard fakes/*.c platform/*.c)) fuzz/fuzz.c $(sort $(wildcard fuzz/*_oracle.c)))
 TARGET ?= config
 SEED ?= 1
 RUNS ?= 2000
 # Runs of each target in CI.
 FUZZ_CI_RUNS ?= 300
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(FAKE_OBJS) $(BUILD)/libfireflyledge.a
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(FAKE_OBJS) $(PLATFORM_OBJS) \
+		$(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
 
 $(BUILD)/fuzz/%.o: %.c
@@ -126,7 +127,7 @@
 DRIVERS := $(FUZZ_TARGETS:%=$(BUILD)/drive/%)
 
 $(BUILD)/drive/%: $(BUILD)/fuzz/%_fuzz.o $(BUILD)/fuzz/drive.o $(ORACLE_OBJS) $(FAKE_OBJS) \
-		$(BUILD)/libfireflyledge.a
+		$(PLATFORM_OBJS) $(BUILD)/libfireflyledge.a
 	@mkdir -p $(@D)
 	$(CC) $(SAN) -o $@ $^ -linih $(LIBS)
 
@@ -181,7 +182,7 @@
 		-c $(MUTANT) -o $(MUTANT).o
 	$(CC) -o $(OUT) $(MUTANT).o $(BUILD)/fuzz/$(TARGET)_fuzz.o \
 		$(BUILD)/fuzz/drive.o $(ORACLE_OBJS) $(FAKE_OBJS) \
-		$(filter-out $(BUILD)/$(FILE:.c=.o),$(LIB_OBJS)) -linih $(LIBS)
+		$(PLATFORM_OBJS) $(filter-out $(BUILD)/$(FILE:.c=.o),$(LIB_OBJS)) -linih $(LIBS)
 
 check: setup
 	@$(MAKE) -s -j check-tests
--- a/lib/flow/flow_record.c
+++ b/lib/flow/flow_record.c
@@ -2,6 +2,7 @@
 #include <msgpack.h>
 
 #include "fireflyledge/flow.h"
+#include "lib/wire/measure.h"
 
 /** Layouts of the records; a reader leaves newer ones alone. */
 #define SPEC_LAYOUT	1
@@ -23,6 +24,7 @@
 static void pack_text(msgpack_packer *pk, const char *text);
 static void pack_step(msgpack_packer *pk, const ffl_step_t *step);
 static void pack_task(msgpack_packer *pk, const ffl_task_t *task);
+static bool unpack(msgpack_unpacked *msg, ffl_bytes_t in);
 static fields_t open_fields(const msgpack_object *obj, uint32_t count);
 static uint64_t take_number(fields_t *f);
 static uint32_t take_u32(fields_t *f);
@@ -99,6 +101,17 @@
 		pack_step(&pk, &spec->steps[i]);
 }
 
+/* Takes no memory for what a record only claims to hold. */
+static bool unpack(msgpack_unpacked *msg, ffl_bytes_t in)
+{
+	size_t used = 0;
+	size_t off = 0;
+
+	return ffl_wire_measure(in, &used) == FFL_OK &&
+	       msgpack_unpack_next(msg, (const char *)in.data, used, &off) ==
+		       MSGPACK_UNPACK_SUCCESS;
+}
+
 static fields_t open_fields(const msgpack_object *obj, uint32_t count)
 {
 	fields_t f = { NULL, 0, true };
@@ -246,12 +259,10 @@
 	msgpack_unpacked msg;
 	fields_t f = { NULL, 0, true };
 	ffl_err_t err;
-	size_t off = 0;
 
 	ffl_flow_spec_init(out);
 	msgpack_unpacked_init(&msg);
-	if (msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
-				&off) == MSGPACK_UNPACK_SUCCESS) {
+	if (unpack(&msg, in)) {
 		f = open_fields(&msg.data, SPEC_FIELDS);
 		take_spec(&f, out);
 	}
@@ -344,12 +355,10 @@
 	fields_t f = { NULL, 0, true };
 	bool failed = false;
 	bool started = false;
-	size_t off = 0;
 	bool ok = false;
 
 	msgpack_unpacked_init(&msg);
-	if (msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
-				&off) == MSGPACK_UNPACK_SUCCESS) {
+	if (unpack(&msg, in)) {
 		f = open_fields(&msg.data, PROGRESS_FIELDS);
 		if (take_number(&f) != PROGRESS_LAYOUT)
 			f.bad = true;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -2,6 +2,7 @@
 #include <msgpack.h>
 
 #include "lib/node/node_int.h"
+#include "lib/wire/measure.h"
 
 /** A leader shows that it lives so often. */
 #define HEARTBEAT_MS 400
@@ -90,12 +91,14 @@
 {
 	msgpack_unpacked msg;
 	const msgpack_object *f;
+	size_t used = 0;
 	size_t off = 0;
 	bool ok;
 
 	memset(out, 0, sizeof(*out));
 	msgpack_unpacked_init(&msg);
-	ok = msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
+	ok = ffl_wire_measure(in, &used) == FFL_OK &&
+	     msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
 				 &off) == MSGPACK_UNPACK_SUCCESS &&
 	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
 	     msg.data.via.array.size >= LEAD_FIELDS;
--- /dev/null
+++ b/tests/platform_test.c
@@ -0,0 +1,438 @@
+#include <string.h>
+
+#include "platform/platform.h"
+
+/** A job's body and what is wrong with it; NULL: nothing. */
+typedef struct {
+	const char *name;
+	const char *body;
+	const char *problem;
+} job_case_t;
+
+#define STEP "{\"count\":2,\"cpu\":500,\"gpu\":1}"
+
+static const job_case_t job_cases[] = {
+	{ "plain", "{\"spec\":\"s\",\"steps\":[" STEP "]}", NULL },
+	{ "zeros left out", "{\"spec\":\"\",\"steps\":[{\"count\":1}]}", NULL },
+	{ "depends",
+	  "{\"spec\":\"s\",\"steps\":[" STEP
+	  ",{\"count\":1,\"depends_on\":[0]}]}",
+	  NULL },
+	{ "repeated",
+	  "{\"spec\":\"s\",\"steps\":[" STEP
+	  "],\"repeat_count\":3,\"start_at_ms\":5,\"interval_ms\":10}",
+	  NULL },
+	{ "no JSON", "spec", "the body is not a JSON object" },
+	{ "list", "[]", "the body is not a JSON object" },
+	{ "no spec", "{\"steps\":[" STEP "]}", "spec cannot be read" },
+	{ "spec is a number", "{\"spec\":1,\"steps\":[" STEP "]}",
+	  "spec cannot be read" },
+	{ "no steps", "{\"spec\":\"s\"}", "steps cannot be read" },
+	{ "steps empty", "{\"spec\":\"s\",\"steps\":[]}",
+	  "steps cannot be read" },
+	{ "negative", "{\"spec\":\"s\",\"steps\":[{\"count\":-1}]}",
+	  "steps[0].count cannot be read" },
+	{ "overflow", "{\"spec\":\"s\",\"steps\":[{\"count\":4294967296}]}",
+	  "steps[0].count cannot be read" },
+	{ "fraction", "{\"spec\":\"s\",\"steps\":[{\"count\":1.5}]}",
+	  "steps[0].count cannot be read" },
+	{ "flag is text",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"gang\":\"yes\"}]}",
+	  "steps[0].gang cannot be read" },
+	{ "label too long",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"required_label\":"
+	  "\"0123456789012345678901234567890123456789012345678\"}]}",
+	  "steps[0].required_label cannot be read" },
+	{ "depends on itself by number",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"depends_on\":[64]}]}",
+	  "steps[0].depends_on cannot be read" },
+	{ "repeat absurd",
+	  "{\"spec\":\"s\",\"steps\":[" STEP "],\"repeat_count\":99999999}",
+	  "repeat_count cannot be read" },
+};
+
+/** What a specification that can be read is refused for. */
+typedef struct {
+	const char *name;
+	const char *id;
+	const char *body;
+	const char *problem;
+} settle_case_t;
+
+static const settle_case_t settle_cases[] = {
+	{ "fine", "5c0e7a21d94b36f8", "{\"spec\":\"s\",\"steps\":[" STEP "]}",
+	  NULL },
+	{ "short id", "5c0e", "{\"spec\":\"s\",\"steps\":[" STEP "]}",
+	  "the id is not 16 hexadecimal digits" },
+	{ "odd id", "5c0e7a21d94b36fz", "{\"spec\":\"s\",\"steps\":[" STEP "]}",
+	  "the id is not 16 hexadecimal digits" },
+	{ "cycle", "5c0e7a21d94b36f8",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"depends_on\":[1]}," STEP
+	  "]}",
+	  "steps[0] waits for a later step" },
+	{ "itself", "5c0e7a21d94b36f8",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"depends_on\":[0]}]}",
+	  "steps[0] waits for a later step" },
+	{ "no tasks", "5c0e7a21d94b36f8",
+	  "{\"spec\":\"s\",\"steps\":[{\"cpu\":1}]}", "steps[0] has no tasks" },
+	{ "too many", "5c0e7a21d94b36f8",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":4000000000}]}",
+	  "more than 65536 tasks" },
+	{ "too many times", "5c0e7a21d94b36f8",
+	  "{\"spec\":\"s\",\"steps\":[{\"count\":2000}],\"repeat_count\":2000}",
+	  "more than 65536 tasks" },
+};
+
+/** A call's end and what it means. */
+typedef struct {
+	const char *name;
+	uint32_t sent;
+	long status;
+	const char *body;
+	ffl_store_outcome_t outcome;
+} append_case_t;
+
+static const append_case_t append_cases[] = {
+	{ "done", 1, 200, "{\"offset\":4,\"end_offset\":6}", FFL_STORE_OK },
+	{ "unreadable", 1, 200, "done", FFL_STORE_UNKNOWN },
+	{ "half", 1, 200, "{\"end_offset\":6}", FFL_STORE_UNKNOWN },
+	{ "never sent", 0, 0, "", FFL_STORE_REFUSED },
+	{ "no answer", 1, 0, "", FFL_STORE_UNKNOWN },
+	{ "elsewhere", 1, 412, "{\"end_offset\":6}", FFL_STORE_MOVED },
+	{ "busy", 1, 503, "", FFL_STORE_REFUSED },
+	{ "too many", 1, 429, "", FFL_STORE_REFUSED },
+	{ "full", 1, 507, "", FFL_STORE_REFUSED },
+	{ "busy after a reset", 2, 503, "", FFL_STORE_UNKNOWN },
+	{ "too many after a reset", 2, 429, "", FFL_STORE_UNKNOWN },
+	{ "odd", 1, 500, "", FFL_STORE_UNKNOWN },
+};
+
+/** A worker's answer to a start. */
+typedef struct {
+	const char *name;
+	uint32_t sent;
+	long status;
+	const char *body;
+	ffl_reply_outcome_t outcome;
+} start_case_t;
+
+static const start_case_t start_cases[] = {
+	{ "started", 1, 200, "{\"clock_ms\":5}", FFL_REPLY_OK },
+	{ "unreadable", 1, 200, "", FFL_REPLY_UNKNOWN },
+	{ "fenced", 1, 409, "{\"reason\":\"fence\"}", FFL_REPLY_FENCED },
+	{ "old", 1, 409, "{\"reason\":\"old\"}", FFL_REPLY_OLD },
+	{ "late", 1, 409, "{\"reason\":\"late\"}", FFL_REPLY_LATE },
+	{ "room", 1, 409, "{\"reason\":\"room\"}", FFL_REPLY_ROOM },
+	{ "odd reason", 1, 409, "{\"reason\":7}", FFL_REPLY_INVALID },
+	{ "room after a reset", 2, 409, "{\"reason\":\"room\"}",
+	  FFL_REPLY_UNKNOWN },
+	{ "other life", 1, 421, "{}", FFL_REPLY_OTHER_LIFE },
+	{ "unhealthy", 1, 503, "", FFL_REPLY_UNHEALTHY },
+	{ "no answer", 1, 0, "", FFL_REPLY_UNKNOWN },
+};
+
+/** An entry of the list of workers. */
+typedef struct {
+	const char *name;
+	const char *value;
+	bool good;
+} entry_case_t;
+
+#define ROOM "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":8}"
+#define ENTRY(state)                                                     \
+	"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," \
+	"\"state\":\"" state "\"," ROOM                                  \
+	",\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":5,\"born\":7}"
+
+static const entry_case_t entry_cases[] = {
+	{ "ready", ENTRY("ready"), true },
+	{ "draining", ENTRY("draining"), true },
+	{ "odd state", ENTRY("resting"), false },
+	{ "no JSON", "\xff\xfe", false },
+	{ "no address", "{\"service\":\"s\",\"state\":\"ready\"," ROOM "}",
+	  false },
+	{ "no room", "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"}",
+	  false },
+	{ "room is text",
+	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\","
+	  "\"capacity\":{\"cpu\":\"many\"}}",
+	  false },
+	{ "labels are numbers",
+	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," ROOM
+	  ",\"labels\":[1]}",
+	  false },
+};
+
+static ffl_bytes_t bytes_of(const char *text);
+static void test_jobs(void);
+static void test_settle(void);
+static void test_appends(void);
+static void test_starts(void);
+static void test_entries(void);
+static void test_records(void);
+static void test_hold(void);
+static void test_config(void);
+static void test_round_trip(void);
+
+static ffl_bytes_t bytes_of(const char *text)
+{
+	ffl_bytes_t b = { (const uint8_t *)text, strlen(text) };
+
+	return b;
+}
+
+static void test_jobs(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(job_cases); i++) {
+		const job_case_t *c = &job_cases[i];
+		char problem[FFL_REASON_BYTES];
+		ffl_flow_spec_t *spec = ffl_pf_job_decode(
+			bytes_of(c->body), problem, sizeof(problem));
+
+		g_test_message("%s", c->name);
+		g_assert_cmpstr(spec ? NULL : problem, ==, c->problem);
+		if (!spec)
+			continue;
+		ffl_flow_spec_finish(spec);
+		g_free(spec);
+	}
+}
+
+static void test_settle(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(settle_cases); i++) {
+		const settle_case_t *c = &settle_cases[i];
+		char problem[FFL_REASON_BYTES];
+		ffl_flow_spec_t *spec = ffl_pf_job_decode(
+			bytes_of(c->body), problem, sizeof(problem));
+		ffl_err_t err = { 0 };
+		ffl_status_t status;
+
+		g_test_message("%s", c->name);
+		g_assert_nonnull(spec);
+		ffl_copy(spec->id, sizeof(spec->id), c->id);
+		status = ffl_flow_spec_settle(spec, &err);
+		g_assert_cmpint(status, ==, c->problem ? FFL_INVALID : FFL_OK);
+		g_assert_cmpstr(c->problem ? err.text : NULL, ==, c->problem);
+		ffl_flow_spec_finish(spec);
+		g_free(spec);
+	}
+}
+
+static void test_appends(void)
+{
+	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_APPEND, .call = 3 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(append_cases); i++) {
+		const append_case_t *c = &append_cases[i];
+		ffl_pf_answer_t answer = { c->sent, c->status,
+					   bytes_of(c->body) };
+		ffl_store_reply_t reply;
+		ffl_arena_t arena;
+
+		g_test_message("%s", c->name);
+		ffl_arena_init(&arena);
+		ffl_pf_store_reply(&about, &answer, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, c->outcome);
+		g_assert_cmpuint(reply.call, ==, 3);
+		ffl_arena_finish(&arena);
+	}
+}
+
+static void test_starts(void)
+{
+	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_ORDER,
+				 .order = FFL_ORDER_START };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(start_cases); i++) {
+		const start_case_t *c = &start_cases[i];
+		ffl_pf_answer_t answer = { c->sent, c->status,
+					   bytes_of(c->body) };
+		ffl_arena_t arena;
+		ffl_reply_t reply;
+
+		g_test_message("%s", c->name);
+		ffl_arena_init(&arena);
+		ffl_pf_worker_reply(&about, &answer, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, c->outcome);
+		ffl_arena_finish(&arena);
+	}
+}
+
+static void test_entries(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
+		const entry_case_t *c = &entry_cases[i];
+		const ffl_worker_entry_t *entry;
+		ffl_arena_t arena;
+
+		g_test_message("%s", c->name);
+		ffl_arena_init(&arena);
+		entry = ffl_pf_worker_entry("i-1", bytes_of(c->value), &arena);
+		g_assert_cmpint(entry != NULL, ==, c->good);
+		if (entry) {
+			g_assert_cmpstr(entry->rack, ==, "r1-3");
+			g_assert_cmpint(entry->born_ms, ==, 7);
+			g_assert_cmpuint(entry->capacity.gpus, ==, 8);
+		}
+		ffl_arena_finish(&arena);
+	}
+}
+
+/* What was framed is read back; a record that is cut off is left out. */
+static void test_records(void)
+{
+	static const uint8_t body[] = { 0, 0, 0, 0,   0,   0,	0, 9,  0,
+					0, 0, 0, 0,   0,   0,	5, 0,  0,
+					0, 4, 2, 'j', '1', 'v', 0, 0,  0,
+					1, 7, 0, 0,   0,   9,	1, 'k' };
+	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_READ,
+				 .topic = FFL_TOPIC_JOBS,
+				 .from = 6 };
+	ffl_pf_answer_t answer = { 1, 200, { body, sizeof(body) } };
+	ffl_store_reply_t reply;
+	ffl_arena_t arena;
+
+	ffl_arena_init(&arena);
+	ffl_pf_store_reply(&about, &answer, &arena, &reply);
+	g_assert_cmpint(reply.outcome, ==, FFL_STORE_OK);
+	g_assert_cmpuint(reply.end, ==, 9);
+	g_assert_cmpuint(reply.first, ==, 5);
+	g_assert_cmpuint(reply.count, ==, 2);
+	g_assert_cmpuint(reply.records[0].offset, ==, 6);
+	g_assert_cmpstr(reply.records[0].key, ==, "j1");
+	g_assert_cmpuint(reply.records[0].value.size_bytes, ==, 1);
+	g_assert_cmpuint(reply.records[1].offset, ==, 7);
+	g_assert_cmpstr(reply.records[1].key, ==, "?");
+	ffl_arena_finish(&arena);
+}
+
+static void test_hold(void)
+{
+	static const char body[] =
+		"{\"clock_ms\":482113,\"born\":17,"
+		"\"running\":[[\"a.0.1.17\",2,\"00b\",41],[\"odd\"]],"
+		"\"finished\":[[58,\"a.0.1.9\",1,\"done\",\"\"],"
+		"[59,\"a.0.1.8\",1,\"vanished\",\"\"]]}";
+	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_ORDER,
+				 .order = FFL_ORDER_HOLD };
+	ffl_pf_answer_t answer = { 1, 200, bytes_of(body) };
+	ffl_arena_t arena;
+	ffl_reply_t reply;
+
+	ffl_arena_init(&arena);
+	ffl_pf_worker_reply(&about, &answer, &arena, &reply);
+	g_assert_cmpint(reply.outcome, ==, FFL_REPLY_OK);
+	g_assert_cmpuint(reply.clock_ms, ==, 482113);
+	g_assert_cmpint(reply.born_ms, ==, 17);
+	g_assert_cmpuint(reply.running_count, ==, 1);
+	g_assert_cmpuint(reply.running[0].percent, ==, 41);
+	g_assert_cmpstr(reply.running[0].saved, ==, "00b");
+	g_assert_cmpuint(reply.ended_count, ==, 1);
+	g_assert_cmpint(reply.ended[0].end, ==, FFL_ENDING_DONE);
+	ffl_arena_finish(&arena);
+}
+
+static void test_config(void)
+{
+	static const char good[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"n.e\","
+		"\"path_prefix\":\"/p/\",\"service\":\"s\",\"priority\":2,"
+		"\"max_attempts\":2,\"deadline_factor\":1.5,"
+		"\"target_latency_ms\":300,\"public\":false},"
+		"{\"name\":\"q\",\"host\":\"n.e\",\"path_prefix\":\"/p/q/\","
+		"\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
+		"\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":12}}]}";
+	static const char *const bad[] = { "",
+					   "[]",
+					   "{}",
+					   "{\"version\":-1}",
+					   "{\"version\":\"x\"}",
+					   "{\"version\":1,\"routes\":[7]}",
+					   "{\"version\":1,\"tenants\":[{"
+					   "\"api_keys\":[1]}]}" };
+	const ffl_route_t *route;
+	ffl_routes_t routes;
+
+	g_assert_true(ffl_pf_config_decode(bytes_of(good), &routes));
+	g_assert_cmpuint(routes.version, ==, 7);
+	route = ffl_routes_match(&routes, "n.e:80", "/p/q/1");
+	g_assert_cmpstr(route->queue, ==, "q");
+	route = ffl_routes_match(&routes, "N.E", "/p/1");
+	g_assert_cmpstr(route->queue, ==, "r");
+	g_assert_cmpuint(route->stretch_milli, ==, 1500);
+	g_assert_null(ffl_routes_match(&routes, "other", "/p/1"));
+	g_assert_cmpstr(ffl_routes_customer(&routes, "k2"), ==, "t");
+	g_assert_null(ffl_routes_customer(&routes, "k3"));
+	ffl_routes_finish(&routes);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		g_assert_false(ffl_pf_config_decode(bytes_of(bad[i]), &routes));
+}
+
+/* A specification and its progress are read back as they were written. */
+static void test_round_trip(void)
+{
+	static const char body[] =
+		"{\"spec\":\"(text)\",\"steps\":[{\"count\":2,\"gpu\":4,"
+		"\"gang\":true,\"same_rack\":true,\"data_rack\":\"r1\"},"
+		"{\"count\":3,\"depends_on\":[0],\"checkpointing\":true}]}";
+	char problem[FFL_REASON_BYTES];
+	ffl_flow_spec_t *spec =
+		ffl_pf_job_decode(bytes_of(body), problem, sizeof(problem));
+	GByteArray *bytes = g_byte_array_new();
+	ffl_flow_spec_t back;
+	ffl_flows_t flows;
+	ffl_flow_t *flow;
+	ffl_err_t err;
+
+	ffl_copy(spec->id, sizeof(spec->id), "5c0e7a21d94b36f8");
+	g_assert_cmpint(ffl_flow_spec_settle(spec, &err), ==, FFL_OK);
+	ffl_flow_spec_encode(spec, bytes);
+	g_assert_cmpint(
+		ffl_flow_spec_decode((ffl_bytes_t){ bytes->data, bytes->len },
+				     &back),
+		==, FFL_OK);
+	g_assert_true(ffl_flow_spec_same(spec, &back));
+	for (guint n = 0; n < bytes->len; n++) {
+		ffl_flow_spec_t cut;
+
+		g_assert_cmpint(ffl_flow_spec_decode(
+					(ffl_bytes_t){ bytes->data, n }, &cut),
+				==, FFL_INVALID);
+	}
+	ffl_flows_init(&flows);
+	flow = ffl_flows_add(&flows, &back, 4);
+	ffl_flow_task_place(flow, 0, 1, "i-1", 17);
+	ffl_flow_task_save(flow, 0, "00b");
+	g_byte_array_set_size(bytes, 0);
+	ffl_flow_progress_encode(flow, bytes);
+	ffl_flow_task_set(flow, 0, FFL_TASK_DONE);
+	g_assert_cmpint(
+		ffl_flows_progress(&flows, "5c0e7a21d94b36f8",
+				   (ffl_bytes_t){ bytes->data, bytes->len }, 9),
+		==, FFL_OK);
+	g_assert_cmpint(flow->tasks[0].state, ==, FFL_TASK_PLACED);
+	g_assert_cmpstr(flow->tasks[0].worker, ==, "i-1");
+	g_assert_cmpint(flow->tasks[0].born_ms, ==, 17);
+	/* A checkpoint of one task of a gang is that of all. */
+	g_assert_cmpstr(flow->tasks[1].checkpoint, ==, "00b");
+	ffl_flows_finish(&flows);
+	ffl_flow_spec_finish(spec);
+	g_free(spec);
+	g_byte_array_unref(bytes);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/jobs", test_jobs);
+	g_test_add_func("/platform/settle", test_settle);
+	g_test_add_func("/platform/appends", test_appends);
+	g_test_add_func("/platform/starts", test_starts);
+	g_test_add_func("/platform/entries", test_entries);
+	g_test_add_func("/platform/records", test_records);
+	g_test_add_func("/platform/hold", test_hold);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/round-trip", test_round_trip);
+	return g_test_run();
+}
