A stand-in of the users' platform over HTTP, and ffl-jobd against it

Change: site/ (ffl-site) speaks the published log and worker calls on top of the fakes of the virtual site; tests/site.sh plays two hosts against it: configuration, keys, acceptance, repeats, conflicts, bad bodies, failure, cancellation, lost answers, an outage, a dead leader, a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,12 @@
 FAKE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard fakes/*.c)))
 STANDIN_OBJS := $(FAKE_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard standin/*.c)))
 PLATFORM_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard platform/*.c)))
+SITE_OBJS := $(FAKE_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard site/*.c)))
 JOBD_OBJS := $(PLATFORM_OBJS) $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard jobd/*.c)))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(sort $(wildcard tests/*_test.c)))
 
 PROGRAMS = $(BUILD)/fireflyledged $(BUILD)/ffl $(BUILD)/ffl-platform \
-	$(BUILD)/ffl-jobd
+	$(BUILD)/ffl-jobd $(BUILD)/ffl-site
 
 .PHONY: all programs target-programs demo check check-tests setup tests fuzz fuzzers fuzz-all \
 	mutants mutant benches bench bench-compare plots capacity coverage loc format format-check tidy cppcheck lint clean
@@ -50,6 +51,9 @@
 	$(CC) $(SAN) -o $@ $^ $(shell pkg-config --libs libcurl) -lcivetweb \
 		-linih -largtable2 $(LIBS)
 
+$(BUILD)/ffl-site: $(SITE_OBJS) $(BUILD)/libfireflyledge.a
+	$(CC) $(SAN) -o $@ $^ -lcivetweb -linih -largtable2 $(LIBS)
+
 # What the users' platform runs; deploy/system.toml builds it.
 target-programs: $(BUILD)/ffl-jobd
 
@@ -205,7 +209,7 @@
 	@sh scripts/demo.sh
 
 SOURCES := $(sort $(wildcard include/*/*.h lib/*/*.[ch] daemon/*.[ch] \
-	cli/*.[ch] jobd/*.[ch] platform/*.[ch] standin/*.[ch] fakes/*.[ch] fuzz/*.[ch] tests/*.[ch] \
+	cli/*.[ch] jobd/*.[ch] platform/*.[ch] site/*.[ch] standin/*.[ch] fakes/*.[ch] fuzz/*.[ch] tests/*.[ch] \
 	bench/*.[ch]))
 
 format:
@@ -215,7 +219,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 TIDY_SOURCES = $(LIB_SRCS) $(wildcard daemon/*.c cli/*.c jobd/*.c \
-	platform/*.c standin/*.c)
+	platform/*.c site/*.c standin/*.c)
 
 # A stamp for each file, so that only what changed is checked again.
 $(BUILD)/tidy/%.ok: %.c .clang-tidy
@@ -229,7 +233,7 @@
 cppcheck:
 	@cppcheck --quiet --std=c11 --enable=warning,portability \
 		--suppress=missingIncludeSystem --inline-suppr -Iinclude -I. \
-		--error-exitcode=1 -j 4 lib daemon cli jobd platform standin
+		--error-exitcode=1 -j 4 lib daemon cli jobd platform site standin
 
 lint: format-check tidy cppcheck
 
--- /dev/null
+++ b/site/main.c
@@ -0,0 +1,228 @@
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <argtable2.h>
+
+#include "site/site.h"
+
+#define MS_PER_S    1000
+#define NS_PER_MS   1000000
+#define REPORT_MS   500
+#define CHUNK_BYTES 16384
+#define THREADS	    "64"
+#define STATE_BYTES 160
+
+static int serve_config(struct mg_connection *conn, void *site);
+static int serve_fault(struct mg_connection *conn, void *site);
+static int serve_state(struct mg_connection *conn, void *site);
+static void *tick(void *arg);
+static bool serve(site_http_t *s);
+
+/** A path and what serves it. */
+static const struct {
+	const char *path;
+	mg_request_handler serve;
+} routes[] = {
+	{ "/-/log-append$", site_http_append },
+	{ "/-/log-read$", site_http_log_read },
+	{ "/-/log-newest$", site_http_newest },
+	{ "/w*/-/*", site_http_order },
+	{ "/config$", serve_config },
+	{ "/fault$", serve_fault },
+	{ "/state$", serve_state },
+};
+
+uint64_t site_http_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * MS_PER_S +
+	       (uint64_t)ts.tv_nsec / NS_PER_MS;
+}
+
+void site_http_wait(site_http_t *s, uint64_t until_ms)
+{
+	struct timespec ts = { (time_t)(until_ms / MS_PER_S),
+			       (long)(until_ms % MS_PER_S) * NS_PER_MS };
+
+	pthread_cond_timedwait(&s->changed, &s->lock, &ts);
+}
+
+void site_http_send(struct mg_connection *conn, int status, const void *body,
+		    size_t size_bytes)
+{
+	mg_printf(conn, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n\r\n", status,
+		  mg_get_response_code_text(conn, status), size_bytes);
+	if (size_bytes)
+		mg_write(conn, body, size_bytes);
+}
+
+bool site_http_read(struct mg_connection *conn, GByteArray *body)
+{
+	char buf[CHUNK_BYTES];
+	int n;
+
+	while ((n = mg_read(conn, buf, sizeof(buf))) > 0)
+		g_byte_array_append(body, (const guint8 *)buf, (guint)n);
+	return n == 0;
+}
+
+/* What an operator writes to the platform. */
+static int serve_config(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	GByteArray *body = g_byte_array_new();
+
+	site_http_read(conn, body);
+	pthread_mutex_lock(&s->lock);
+	keyed_log_put(&s->topics[FFL_TOPIC_CONFIG], "config", body->data,
+		      body->len);
+	pthread_cond_broadcast(&s->changed);
+	pthread_mutex_unlock(&s->lock);
+	g_byte_array_unref(body);
+	site_http_send(conn, 200, "", 0);
+	return 1;
+}
+
+/* kind = down, up, lost, forget, crash, drain; n: of what, or how many. */
+static int serve_fault(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	const char *query = mg_get_request_info(conn)->query_string;
+	char kind[16] = "";
+	char text[16] = "0";
+	uint32_t n;
+
+	if (query) {
+		mg_get_var(query, strlen(query), "kind", kind, sizeof(kind));
+		mg_get_var(query, strlen(query), "n", text, sizeof(text));
+	}
+	n = (uint32_t)strtoul(text, NULL, 10);
+	pthread_mutex_lock(&s->lock);
+	if (strcmp(kind, "down") == 0 || strcmp(kind, "up") == 0)
+		s->down = kind[0] == 'd';
+	else if (strcmp(kind, "lost") == 0)
+		s->lost = n;
+	else if (strcmp(kind, "crash") == 0 && n < s->workers_count)
+		task_worker_crash(&s->workers[n]);
+	else if (strcmp(kind, "drain") == 0 && n < s->workers_count)
+		s->workers[n].draining = true;
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX && strcmp(kind, "forget") == 0;
+	     i++)
+		keyed_log_forget(&s->topics[i]);
+	pthread_mutex_unlock(&s->lock);
+	site_http_send(conn, 200, "", 0);
+	return 1;
+}
+
+static int serve_state(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	char text[STATE_BYTES];
+	uint32_t running = 0;
+
+	pthread_mutex_lock(&s->lock);
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		running += s->workers[i].runs->len;
+	g_snprintf(text, sizeof(text),
+		   "{\"running\":%u,\"starts\":%" PRIu64 "}", running,
+		   s->starts);
+	pthread_mutex_unlock(&s->lock);
+	site_http_send(conn, 200, text, strlen(text));
+	return 1;
+}
+
+static void *tick(void *arg)
+{
+	site_http_t *s = arg;
+	struct timespec pause = { 0, SITE_HTTP_TICK_MS * NS_PER_MS };
+	uint64_t last_ms = site_http_now_ms();
+	uint64_t reported_ms = 0;
+
+	for (;;) {
+		uint64_t now_ms;
+
+		nanosleep(&pause, NULL);
+		now_ms = site_http_now_ms();
+		pthread_mutex_lock(&s->lock);
+		for (uint32_t i = 0; i < s->workers_count; i++) {
+			task_worker_t *w = &s->workers[i];
+			uint64_t ends = w->next_end;
+
+			if (!w->alive)
+				continue;
+			task_worker_tick(w, now_ms,
+					 (uint32_t)(now_ms - last_ms),
+					 &site_http_hooks);
+			if (w->next_end != ends)
+				pthread_cond_broadcast(&s->changed);
+		}
+		if (now_ms - reported_ms >= REPORT_MS) {
+			site_http_report(s);
+			reported_ms = now_ms;
+		}
+		pthread_mutex_unlock(&s->lock);
+		last_ms = now_ms;
+	}
+	return NULL;
+}
+
+static bool serve(site_http_t *s)
+{
+	const char *options[] = {
+		"listening_ports",	 s->addr, "num_threads", THREADS,
+		"enable_keep_alive",	 "yes",	  "tcp_nodelay", "1",
+		"keep_alive_timeout_ms", "10000", NULL
+	};
+	struct mg_callbacks callbacks = { 0 };
+	struct mg_context *ctx = mg_start(&callbacks, s, options);
+	pthread_t thread;
+
+	if (!ctx)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++)
+		mg_set_request_handler(ctx, routes[i].path, routes[i].serve, s);
+	pthread_create(&thread, NULL, tick, s);
+	pthread_join(thread, NULL);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *addr =
+		arg_str1("l", "listen", "IP:PORT", "address to listen on");
+	struct arg_int *workers =
+		arg_int0("w", "workers", "N", "number of workers (4)");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { addr, workers, end };
+	static site_http_t s;
+	pthread_condattr_t attr;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "ffl-site");
+		return 2;
+	}
+	ffl_copy(s.addr, sizeof(s.addr), addr->sval[0]);
+	s.workers_count = workers->count ? (uint32_t)workers->ival[0] : 4;
+	if (s.workers_count > SITE_HTTP_WORKERS_MAX)
+		s.workers_count = SITE_HTTP_WORKERS_MAX;
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	signal(SIGPIPE, SIG_IGN);
+	mg_init_library(0);
+	pthread_mutex_init(&s.lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&s.changed, &attr);
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		keyed_log_init(&s.topics[i]);
+	for (uint32_t i = 0; i < s.workers_count; i++)
+		task_worker_init(&s.workers[i], i, site_http_now_ms());
+	if (serve(&s))
+		return 0;
+	fprintf(stderr, "ffl-site: cannot listen on %s\n", s.addr);
+	return 4;
+}
--- /dev/null
+++ b/site/worker.c
@@ -0,0 +1,232 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <jansson.h>
+
+#include "site/site.h"
+
+/** A job's task fails where its specification says so. */
+#define FAIL_WORD "fails"
+/** Room that a task takes: the stand-in does not look into jobs. */
+#define TASK_CPU 1000
+#define TASK_MEM 1000
+#define ID_BYTES 16
+
+static bool plan_task(void *user, const char *task, task_plan_t *out);
+static void note_started(void *user, task_worker_t *w, const task_run_t *run);
+static void note_end(void *user, task_worker_t *w, const ffl_run_row_t *row);
+static uint32_t count_present(void *user, const task_run_t *run);
+static bool read_order(const char *uri, const json_t *doc, ffl_order_t *out,
+		       task_worker_t **worker, site_http_t *s);
+static json_t *rows_of(const ffl_reply_t *reply, bool ended);
+static void answer(struct mg_connection *conn, const ffl_reply_t *reply);
+static bool has_end(const task_worker_t *w, uint64_t acked);
+
+static const char *const endings[FFL_ENDING__MAX] = {
+	[FFL_ENDING_DONE] = "done",	  [FFL_ENDING_FAILED] = "failed",
+	[FFL_ENDING_STOPPED] = "stopped", [FFL_ENDING_LAPSED] = "lapsed",
+	[FFL_ENDING_BROKEN] = "broken",	  [FFL_ENDING_ALONE] = "alone",
+};
+
+static const char *const reasons[FFL_REPLY__MAX] = {
+	[FFL_REPLY_FENCED] = "fence",
+	[FFL_REPLY_OLD] = "old",
+	[FFL_REPLY_LATE] = "late",
+	[FFL_REPLY_ROOM] = "room",
+};
+
+static const char *const orders[FFL_ORDER__MAX] = {
+	[FFL_ORDER_HOLD] = "hold",
+	[FFL_ORDER_START] = "run-start",
+	[FFL_ORDER_STOP] = "run-stop",
+};
+
+/* Set by the order that is being carried out; the lock is held. */
+static const char *current_spec = "";
+
+const task_hooks_t site_http_hooks = { NULL,	 plan_task, note_started,
+				       note_end, note_end,  count_present };
+
+static bool plan_task(void *user, const char *task, task_plan_t *out)
+{
+	uint32_t work_ms = 300;
+
+	sscanf(current_spec, "work=%u", &work_ms);
+	out->work_ms = work_ms;
+	out->gang_tasks = 0;
+	out->fails = strstr(current_spec, FAIL_WORD) != NULL;
+	out->room = (ffl_room_t){ TASK_CPU, TASK_MEM, 1 };
+	return true;
+}
+
+static void note_started(void *user, task_worker_t *w, const task_run_t *run)
+{
+}
+
+static void note_end(void *user, task_worker_t *w, const ffl_run_row_t *row)
+{
+}
+
+static uint32_t count_present(void *user, const task_run_t *run)
+{
+	return 1;
+}
+
+static bool read_order(const char *uri, const json_t *doc, ffl_order_t *out,
+		       task_worker_t **worker, site_http_t *s)
+{
+	const char *task = json_string_value(json_object_get(doc, "task"));
+	const char *slash = strrchr(uri, '/');
+	uint32_t index;
+
+	memset(out, 0, sizeof(*out));
+	if (sscanf(uri, "/w%u/-/", &index) != 1 || index >= s->workers_count)
+		return false;
+	*worker = &s->workers[index];
+	while (out->kind < FFL_ORDER__MAX &&
+	       strcmp(orders[out->kind], slash + 1) != 0)
+		out->kind++;
+	if (out->kind == FFL_ORDER__MAX || !json_is_object(doc))
+		return false;
+	if (task)
+		ffl_copy(out->task, sizeof(out->task), task);
+	out->run = (uint32_t)json_integer_value(json_object_get(doc, "run_id"));
+	out->token = (uint64_t)json_integer_value(
+		json_object_get(doc, "fencing_token"));
+	out->until_ms =
+		(uint64_t)json_integer_value(json_object_get(doc, "until_ms"));
+	out->acked = (uint64_t)json_integer_value(
+		json_object_get(doc, "acked_through"));
+	out->wait_ms =
+		(uint32_t)json_integer_value(json_object_get(doc, "wait_ms"));
+	return true;
+}
+
+static json_t *rows_of(const ffl_reply_t *reply, bool ended)
+{
+	json_t *rows = json_array();
+	uint32_t count = ended ? reply->ended_count : reply->running_count;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const ffl_run_row_t *r =
+			ended ? &reply->ended[i] : &reply->running[i];
+
+		json_array_append_new(
+			rows,
+			ended ? json_pack("[I,s,i,s,s]", (json_int_t)r->number,
+					  r->task, (int)r->run, endings[r->end],
+					  r->saved)
+			      : json_pack("[s,i,s,i,i]", r->task, (int)r->run,
+					  r->saved, (int)r->percent, 0));
+	}
+	return rows;
+}
+
+static void answer(struct mg_connection *conn, const ffl_reply_t *reply)
+{
+	bool ok = reply->outcome == FFL_REPLY_OK;
+	json_t *doc =
+		json_pack("{s:I,s:I}", "clock_ms", (json_int_t)reply->clock_ms,
+			  "born", (json_int_t)reply->born_ms);
+	char *text;
+
+	if (!ok && reasons[reply->outcome])
+		json_object_set_new(doc, "reason",
+				    json_string(reasons[reply->outcome]));
+	json_object_set_new(doc, "running", rows_of(reply, false));
+	json_object_set_new(doc, "finished", rows_of(reply, true));
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	site_http_send(conn, ok ? 200 : 409, text, strlen(text));
+	free(text);
+}
+
+static bool has_end(const task_worker_t *w, uint64_t acked)
+{
+	const ffl_run_row_t *last;
+
+	if (!w->ended->len)
+		return false;
+	last = g_ptr_array_index(w->ended, w->ended->len - 1);
+	return last->number > acked;
+}
+
+int site_http_order(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	const char *uri = mg_get_request_info(conn)->local_uri;
+	const char *expected = mg_get_header(conn, "X-Expect-Instance");
+	GByteArray *body = g_byte_array_new();
+	task_worker_t *w = NULL;
+	uint64_t until_ms = site_http_now_ms();
+	ffl_reply_t reply;
+	ffl_order_t order;
+	ffl_arena_t arena;
+	json_t *doc;
+
+	site_http_read(conn, body);
+	doc = json_loadb((const char *)body->data, body->len, 0, NULL);
+	if (!read_order(uri, doc, &order, &w, s)) {
+		site_http_send(conn, 400, "", 0);
+	} else if (!w->alive) {
+		site_http_send(conn, 503, "", 0);
+	} else if (expected && strcmp(expected, w->id) != 0) {
+		site_http_send(conn, 421, "", 0);
+	} else {
+		until_ms += order.wait_ms;
+		ffl_arena_init(&arena);
+		pthread_mutex_lock(&s->lock);
+		current_spec = json_string_value(json_object_get(doc, "spec"));
+		if (!current_spec)
+			current_spec = "";
+		s->starts += order.kind == FFL_ORDER_START;
+		task_worker_take(w, &order, site_http_now_ms(),
+				 &site_http_hooks, &arena, &reply);
+		while (order.wait_ms && !has_end(w, order.acked) &&
+		       site_http_now_ms() < until_ms)
+			site_http_wait(s, until_ms);
+		if (order.wait_ms)
+			task_worker_take(w, &order, site_http_now_ms(),
+					 &site_http_hooks, &arena, &reply);
+		pthread_mutex_unlock(&s->lock);
+		answer(conn, &reply);
+		ffl_arena_finish(&arena);
+	}
+	json_decref(doc);
+	g_byte_array_unref(body);
+	return 1;
+}
+
+void site_http_report(site_http_t *s)
+{
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+		char addr[FFL_ADDR_BYTES];
+		json_t *doc;
+		char *text;
+
+		if (!w->alive) {
+			if (w->listed)
+				keyed_log_put(&s->topics[FFL_TOPIC_WORKERS],
+					      w->id, "", 0);
+			w->listed = false;
+			continue;
+		}
+		g_snprintf(addr, sizeof(addr), "%s/w%u", s->addr, i);
+		doc = json_pack(
+			"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I}",
+			"service", "survey", "address", addr, "zone", "norte",
+			"state", w->draining ? "draining" : "ready", "capacity",
+			"cpu", (int)w->capacity.cpu_milli, "mem_mb",
+			(int)w->capacity.mem_mb, "gpu", (int)w->capacity.gpus,
+			"labels", "a", "r1", "clock_ms",
+			(json_int_t)task_worker_clock(w, site_http_now_ms()),
+			"born", (json_int_t)w->born_ms);
+		text = json_dumps(doc, JSON_COMPACT);
+		keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, text,
+			      strlen(text));
+		json_decref(doc);
+		free(text);
+	}
+	pthread_cond_broadcast(&s->changed);
+}
--- /dev/null
+++ b/tests/site.sh
@@ -0,0 +1,126 @@
+#!/usr/bin/env bash
+# ffl-jobd against a stand-in of the users' platform, with real processes on
+# loopback: the whole path over its published protocol. Prints TAP.
+BUILD=${BUILD:-build/asan}
+PORT=${PORT:-17600}
+DIR=$(mktemp -d)
+SITE=127.0.0.1:$PORT
+. scripts/tap.sh
+echo 1..17
+
+cleanup() {
+	for p in "$DIR"/*.pid; do
+		kill -9 "$(cat "$p")" 2>/dev/null
+	done
+	wait 2>/dev/null
+	rm -rf "$DIR"
+}
+trap cleanup EXIT
+
+wait_for() {
+	local n=$1
+	shift
+	while ! eval "$@" >/dev/null 2>&1; do
+		n=$((n - 1))
+		[ "$n" -gt 0 ] || return 1
+		sleep 0.1
+	done
+}
+
+callers() { echo "http://127.0.0.1:$((PORT + 10 + $1))"; }
+looks() { echo "http://127.0.0.1:$((PORT + 20 + $1))"; }
+
+start_host() {
+	cat >"$DIR/host$1.ini" <<INI
+[host]
+name = host-$1
+data_centre = norte
+region = altiplano
+[listen]
+callers = 127.0.0.1:$((PORT + 10 + $1))
+ready = 127.0.0.1:$((PORT + 20 + $1))
+[log]
+address = $SITE
+INI
+	"$BUILD/ffl-jobd" -c "$DIR/host$1.ini" >>"$DIR/host$1.log" 2>&1 &
+	echo $! >"$DIR/host$1.pid"
+}
+
+ready() { curl -sf "$(looks "$1")/-/readyz"; }
+call() {
+	local method=$1 host=$2 path=$3
+	shift 3
+	curl -s -o "$DIR/body" -w '%{http_code}' -X "$method" \
+		-H 'Host: ponds.example' -H 'X-Deadline-Ms: 3000' "$@" \
+		"$(callers "$host")$path"
+}
+KEY='Authorization: Bearer k1'
+submit() { call POST "$1" "/lining/$2" -H "$KEY" -d "$3"; }
+state() { call GET "$1" "/lining/$2" -H "$KEY" >/dev/null
+	jq -r .state "$DIR/body"; }
+leader() { grep -l leader-began "$DIR"/host*.log | tail -n 1 |
+	sed 's/.*host\([0-9]\).log/\1/'; }
+config() {
+	curl -sf -X POST "http://$SITE/config" -d "{\"version\":$1,\"routes\":[
+	{\"name\":\"lining\",\"host\":\"ponds.example\",
+	\"path_prefix\":\"/lining/\",\"service\":\"survey\",\"priority\":1,
+	\"max_attempts\":2,\"deadline_factor\":3,\"target_latency_ms\":1000}$2],
+	\"tenants\":[{\"name\":\"ponds\",\"api_keys\":[\"k1\"],
+	\"guaranteed\":{\"gpu\":8}}]}"
+}
+JOB='{"spec":"work=300","steps":[{"count":3,"gpu":1,"cpu":1000}]}'
+LONG='{"spec":"work=20000","steps":[{"count":2,"gpu":1,"cpu":1000}]}'
+FAILS='{"spec":"work=100 fails","steps":[{"count":1,"gpu":1}]}'
+
+"$BUILD/ffl-site" -l "$SITE" -w 3 >"$DIR/site.log" 2>&1 &
+echo $! >"$DIR/site.pid"
+wait_for 100 "curl -sf http://$SITE/state"
+start_host 1
+check "a host without a configuration is not ready" \
+	bash -c "sleep 1; ! curl -sf $(looks 1)/-/readyz"
+config 1 ''
+start_host 2
+check "two hosts are ready" wait_for 100 "ready 1 && ready 2"
+check "an unknown key is refused" \
+	[ "$(call GET 1 /lining/ -H 'Authorization: Bearer no')" = 401 ]
+check "an unknown route is refused" \
+	[ "$(call GET 1 /dew/ -H "$KEY")" = 404 ]
+check "a job is accepted" [ "$(submit 1 00000000000000a1 "$JOB")" = 200 ]
+check "it is completed, and the other host says so" wait_for 100 \
+	'[ "$(state 2 00000000000000a1)" = completed ]'
+check "the same job again is the same job" \
+	[ "$(submit 2 00000000000000a1 "$JOB")" = 200 ]
+check "another job by its id is a conflict" \
+	[ "$(submit 2 00000000000000a1 "$LONG")" = 409 ]
+check "a body that is no job is refused" \
+	[ "$(submit 1 00000000000000a2 '{"steps":7}')" = 400 ]
+check "a job that nobody sent is not known" \
+	[ "$(call GET 2 /lining/00000000000000ff -H "$KEY")" = 410 ]
+submit 1 00000000000000a3 "$FAILS" >/dev/null
+check "a hopeless job fails after its attempts" wait_for 100 \
+	'[ "$(state 1 00000000000000a3)" = failed ]'
+submit 1 00000000000000a4 "$LONG" >/dev/null
+wait_for 100 '[ "$(state 1 00000000000000a4)" = running ]'
+call DELETE 2 /lining/00000000000000a4 -H "$KEY" >/dev/null
+check "a cancelled job is stopped" wait_for 100 \
+	'[ "$(curl -s http://$SITE/state | jq .running)" = 0 ]'
+config 2 ',{"name":"dew","host":"ponds.example","path_prefix":"/dew/","service":"survey"}'
+check "a new route is in force on both hosts" wait_for 30 \
+	'[ "$(call GET 1 /dew/ -H "$KEY")" = 200 ] &&
+	[ "$(call GET 2 /dew/ -H "$KEY")" = 200 ]'
+curl -s "http://$SITE/fault?kind=lost&n=1" >/dev/null
+check "a job is accepted though the log's answer is lost" \
+	[ "$(submit 1 00000000000000a5 "$JOB")" = 200 ]
+curl -s "http://$SITE/fault?kind=down" >/dev/null
+check "nothing is accepted while the log is down" \
+	[ "$(submit 1 00000000000000a6 "$JOB")" = 503 ]
+curl -s "http://$SITE/fault?kind=up" >/dev/null
+wait_for 100 "ready 1 && ready 2"
+submit 1 00000000000000a7 "$JOB" >/dev/null
+L=$(leader)
+kill -9 "$(cat "$DIR/host$L.pid")"
+check "the other host completes a job of a leader that died" wait_for 200 \
+	"[ \"\$(state $((3 - L)) 00000000000000a7)\" = completed ]"
+kill -TERM "$(cat "$DIR/host$((3 - L)).pid")"
+check "a planned stop ends by itself" wait_for 100 \
+	"! kill -0 $(cat "$DIR/host$((3 - L)).pid")"
