Ended jobs leave the log; lasting tasks start again however they end

Cause: keyed topics keep the newest record of each key for good, so a host that runs for weeks would read every job that ever was; a lasting task that ended well was taken for done. The fake log copies what it hands out (a record in flight outlived its key: found by ASan).

--- a/fakes/keyed_log.c
+++ b/fakes/keyed_log.c
@@ -7,6 +7,7 @@
 	const char *after;
 	uint32_t most;
 	ffl_store_reply_t *out;
+	ffl_arena_t *arena;
 } page_t;
 
 static void kept_free(void *data);
@@ -14,7 +15,8 @@
 static gint by_key(gconstpointer a, gconstpointer b, gpointer user);
 static void add(keyed_log_t *log, const char *key, const void *value,
 		size_t size_bytes);
-static void fill(ffl_store_record_t *rec, const kept_t *kept);
+static void fill(ffl_store_record_t *rec, const kept_t *kept,
+		 ffl_arena_t *arena);
 static gboolean take_newest(gpointer key, gpointer value, gpointer user);
 
 static void kept_free(void *data)
@@ -97,13 +99,15 @@
 	log->first = log->end;
 }
 
-static void fill(ffl_store_record_t *rec, const kept_t *kept)
+static void fill(ffl_store_record_t *rec, const kept_t *kept,
+		 ffl_arena_t *arena)
 {
 	gsize size;
+	gconstpointer data = g_bytes_get_data(kept->value, &size);
 
 	rec->offset = kept->offset;
 	ffl_copy(rec->key, sizeof(rec->key), kept->key);
-	rec->value.data = g_bytes_get_data(kept->value, &size);
+	rec->value.data = ffl_arena_copy(arena, data, size);
 	rec->value.size_bytes = size;
 }
 
@@ -121,7 +125,7 @@
 						      sizeof(*out->records));
 	for (uint64_t i = from; i < log->end; i++)
 		fill(&out->records[out->count++],
-		     g_ptr_array_index(log->history, i - log->first));
+		     g_ptr_array_index(log->history, i - log->first), arena);
 }
 
 static gboolean take_newest(gpointer key, gpointer value, gpointer user)
@@ -134,14 +138,14 @@
 		page->out->more = true;
 		return TRUE;
 	}
-	fill(&page->out->records[page->out->count++], value);
+	fill(&page->out->records[page->out->count++], value, page->arena);
 	return FALSE;
 }
 
 void keyed_log_newest(const keyed_log_t *log, const char *after, uint32_t most,
 		      ffl_store_reply_t *out, ffl_arena_t *arena)
 {
-	page_t page = { after, most, out };
+	page_t page = { after, most, out, arena };
 
 	out->outcome = FFL_STORE_OK;
 	out->end = log->end;
--- a/fakes/keyed_log.h
+++ b/fakes/keyed_log.h
@@ -32,7 +32,7 @@
 		   size_t size_bytes);
 /** Forgets the history, not the newest records. */
 void keyed_log_forget(keyed_log_t *log);
-/** Fills an answer; the records' bytes live as long as the log. */
+/** Fills an answer; the records live as long as the arena. */
 void keyed_log_read(const keyed_log_t *log, uint64_t from,
 		    ffl_store_reply_t *out, ffl_arena_t *arena);
 void keyed_log_newest(const keyed_log_t *log, const char *after, uint32_t most,
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -120,7 +120,8 @@
 	uint32_t tier;	     /**< what it is worth, while flows are ranked */
 	uint64_t retry_ms;   /**< no placement before */
 	uint64_t preempt_ms; /**< nothing more is stopped for it before */
-	uint64_t closed_ms;  /**< when it ended */
+	uint64_t closed_ms;  /**< when it was first seen to have ended */
+	uint64_t dropped_ms; /**< when its progress was dropped from the log */
 } ffl_flow_t;
 
 /** Every flow that a host knows. */
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -241,10 +241,11 @@
 	GPtrArray *flows;  /**< whose progress it carries */
 	uint64_t check;	   /**< read that looks whether it stands */
 	uint64_t retry_ms;
-	uint64_t last_ms; /**< when the last append stood */
-	bool resign;	  /**< hand over as soon as possible */
-	bool resigning;	  /**< the append on its way says so */
-	uint64_t number;  /**< of this leader's appends */
+	uint64_t last_ms;   /**< when the last append stood */
+	uint64_t pruned_ms; /**< when ended jobs were last looked for */
+	bool resign;	    /**< hand over as soon as possible */
+	bool resigning;	    /**< the append on its way says so */
+	uint64_t number;    /**< of this leader's appends */
 } ffl_lead_t;
 
 /** An entry host. */
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -8,6 +8,7 @@
 
 static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static bool lasts(const ffl_run_t *run);
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
 
@@ -70,6 +71,14 @@
 	return task->state == FFL_TASK_PLACED && task->run == run->run;
 }
 
+/* A lasting task is started again however it ends. */
+static bool lasts(const ffl_run_t *run)
+{
+	const ffl_flow_t *flow = run->flow;
+
+	return flow->spec.steps[ffl_flow_step_of(flow, run->task)].lasting;
+}
+
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run)
 {
 	ffl_open_call_t *open;
@@ -149,7 +158,7 @@
 			  run->why ? run->why : "-");
 	if (end == FFL_ENDING_FAILED && current)
 		take_failure(d, run, now_ms);
-	if (end == FFL_ENDING_DONE && current) {
+	if (end == FFL_ENDING_DONE && current && !lasts(run)) {
 		take_done(d, run, now_ms);
 	} else if (current) {
 		ffl_flow_task_save(flow, run->task, saved);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -141,8 +141,12 @@
 		ffl_lead_record(n, rec);
 		return;
 	}
-	if (rec->key[0] != KEY_PROGRESS || !rec->value.size_bytes)
+	if (rec->key[0] != KEY_PROGRESS)
 		return;
+	if (!rec->value.size_bytes) {
+		g_hash_table_remove(n->flows.early, rec->key + 1);
+		return;
+	}
 	if (ffl_flows_progress(&n->flows, rec->key + 1, rec->value,
 			       rec->offset) == FFL_INVALID)
 		ffl_node_note(n, "progress-unreadable", rec->key,
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -213,6 +213,22 @@
 	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 1);
 }
 
+/* An ended job leaves the log once nobody asks for it any more. */
+static void ended_are_dropped(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 2, 2, 300, false);
+
+	site_run(s, 3000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 2);
+	site_run(s, 240000);
+	s->jobs[job].accepted = false;
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		g_assert_null(ffl_flows_find(&s->hosts[i].node.flows,
+					     s->jobs[job].id));
+	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_JOBS].newest), ==, 0);
+	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest), ==, 1);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -229,6 +245,7 @@
 	{ "reclaimed", reclaimed },
 	{ "hopeless", hopeless },
 	{ "worker-left", worker_left },
+	{ "ended-are-dropped", ended_are_dropped },
 };
 
 static void test_story(gconstpointer data)
