Metrics on an address of their own; ffl explain

Cause: on call there are only logs and metrics, and neither could be asked for one job. Change: counters for every logged event and gauges in the usual text format; ffl explain ID reads the lines of any hosts and prints the job's story by time. No histograms yet.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -126,6 +126,8 @@
 		       const char *path, json_t *body);
 cli_exit_t cli_run_token_hash(const cli_t *cli, const cli_subcommand_t *sub,
 			      const char *path, json_t *body);
+cli_exit_t cli_run_explain(const cli_t *cli, const cli_subcommand_t *sub,
+			   const char *path, json_t *body);
 cli_exit_t cli_run_check_config(const cli_t *cli, const cli_subcommand_t *sub,
 				const char *path, json_t *body);
 
--- a/cli/table.c
+++ b/cli/table.c
@@ -143,6 +143,12 @@
 	{ "FILE", "file", CLI_OPT_ARG, true, "settings file" },
 };
 
+static const cli_opt_t explain_opts[] = {
+	{ "JOB", "job", CLI_OPT_ARG, true, "id of the job" },
+	{ "log", "log", CLI_OPT_TEXT, false,
+	  "file with lines of any hosts (standard input)" },
+};
+
 static const cli_subcommand_t subcommands[] = {
 	INTENT("guarantee", "guarantee shapes to a customer", guarantee_opts),
 	INTENT("order", "state in which order work yields", order_opts),
@@ -182,6 +188,8 @@
 	    cli_run_token_hash, "", hash_opts),
 	OWN(LOCAL, "check-config", "check a settings file",
 	    cli_run_check_config, "", file_opts),
+	OWN(LOCAL, "explain", "tell a job's story from the hosts' logs",
+	    cli_run_explain, "", explain_opts),
 };
 
 const cli_subcommand_t *cli_find(const char *name)
--- a/jobd/core.c
+++ b/jobd/core.c
@@ -86,6 +86,7 @@
 
 static void do_note(jobd_t *d, const ffl_node_act_t *act)
 {
+	jobd_metrics_count(act->note.event);
 	jobd_line(act->note.event, act->note.subject, act->note.text);
 }
 
@@ -122,6 +123,7 @@
 		}
 		if (!box || jobd_now_ms() - ticked_ms >= TICK_MS) {
 			step(d, &tick, acts);
+			jobd_metrics_take(&d->node);
 			ticked_ms = jobd_now_ms();
 		}
 	}
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -27,6 +27,7 @@
 	ffl_name_t region;
 	char callers[FFL_ADDR_BYTES];
 	char ready[FFL_ADDR_BYTES];
+	char metrics[FFL_ADDR_BYTES];
 	uint32_t threads;
 	uint32_t body_bytes;
 	char log_addr[FFL_ADDR_BYTES];
@@ -87,6 +88,15 @@
 void jobd_client_store(jobd_t *d, const ffl_node_act_t *act);
 void jobd_client_order(jobd_t *d, const ffl_node_act_t *act);
 
+/* metrics.c */
+void jobd_metrics_init(void);
+/** Counts an event that was logged, whether its line was written or not. */
+void jobd_metrics_count(const char *event);
+/** Takes the host's state, after each look at what is due. */
+void jobd_metrics_take(const ffl_node_t *n);
+/** Writes all metrics in the usual text format. */
+void jobd_metrics_format(GString *out);
+
 /* web.c */
 jobd_web_t *jobd_web_start(jobd_t *d);
 void jobd_web_stop(jobd_web_t *w);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -91,6 +91,7 @@
 	jobd_box_t *box;
 
 	make_options(&d->settings, &opt);
+	jobd_metrics_init();
 	ffl_node_init(&d->node, &opt);
 	ffl_ring_init(&d->events, JOBD_EVENTS_MAX);
 	if (!jobd_web_start(d)) {
--- /dev/null
+++ b/jobd/metrics.c
@@ -0,0 +1,112 @@
+#include <pthread.h>
+
+#include "jobd/jobd.h"
+
+/** A gauge: a figure of the host's state. */
+typedef enum {
+	GAUGE_LEADING,
+	GAUGE_READY,
+	GAUGE_CONFIG_VERSION,
+	GAUGE_CONFIG_AGE,
+	GAUGE_JOBS_AGE,
+	GAUGE_JOBS,
+	GAUGE_JOBS_OPEN,
+	GAUGE_RUNS,
+	GAUGE_WORKERS,
+	GAUGE_PENDING,
+	GAUGE_STARTS,
+	GAUGE_PREEMPTED,
+	GAUGE__MAX
+} gauge_t;
+
+static const struct {
+	const char *name;
+	const char *text;
+} texts[GAUGE__MAX] = {
+	[GAUGE_LEADING] = { "leading", "1 while this host leads" },
+	[GAUGE_READY] = { "ready", "1 while this host takes calls" },
+	[GAUGE_CONFIG_VERSION] = { "config_version", "version in force" },
+	[GAUGE_CONFIG_AGE] = { "config_age_ms",
+			       "time since the log was last read to its end" },
+	[GAUGE_JOBS_AGE] = { "jobs_age_ms", "the same of the jobs' topic" },
+	[GAUGE_JOBS] = { "jobs", "jobs known" },
+	[GAUGE_JOBS_OPEN] = { "jobs_open", "jobs that have not ended" },
+	[GAUGE_RUNS] = { "runs", "runs at workers, on the leader" },
+	[GAUGE_WORKERS] = { "workers", "workers known, on the leader" },
+	[GAUGE_PENDING] = { "calls_pending", "calls that wait for the log" },
+	[GAUGE_STARTS] = { "starts", "runs ordered by this host" },
+	[GAUGE_PREEMPTED] = { "preempted", "runs stopped for others" },
+};
+
+static struct {
+	pthread_mutex_t lock;
+	GHashTable *events; /**< count by event */
+	uint64_t gauges[GAUGE__MAX];
+} metrics;
+
+void jobd_metrics_init(void)
+{
+	pthread_mutex_init(&metrics.lock, NULL);
+	metrics.events =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void jobd_metrics_count(const char *event)
+{
+	gsize n;
+
+	pthread_mutex_lock(&metrics.lock);
+	n = GPOINTER_TO_SIZE(g_hash_table_lookup(metrics.events, event));
+	g_hash_table_replace(metrics.events, g_strdup(event),
+			     GSIZE_TO_POINTER(n + 1));
+	pthread_mutex_unlock(&metrics.lock);
+}
+
+void jobd_metrics_take(const ffl_node_t *n)
+{
+	const ffl_tail_t *tails = n->tails;
+	const uint64_t fresh[GAUGE__MAX] = {
+		[GAUGE_LEADING] = n->lead.leading,
+		[GAUGE_READY] = n->ready,
+		[GAUGE_CONFIG_VERSION] = n->routes.version,
+		[GAUGE_CONFIG_AGE] =
+			n->now_ms - tails[FFL_TOPIC_CONFIG].fresh_ms,
+		[GAUGE_JOBS_AGE] = n->now_ms - tails[FFL_TOPIC_JOBS].fresh_ms,
+		[GAUGE_JOBS] = g_hash_table_size(n->flows.by_id),
+		[GAUGE_JOBS_OPEN] = n->flows.open->len,
+		[GAUGE_RUNS] = n->dispatch.runs->len,
+		[GAUGE_WORKERS] = g_hash_table_size(n->dispatch.runners),
+		[GAUGE_PENDING] = n->pending->len,
+		[GAUGE_STARTS] = n->dispatch.starts,
+		[GAUGE_PREEMPTED] = n->dispatch.preempted,
+	};
+
+	pthread_mutex_lock(&metrics.lock);
+	for (uint32_t i = 0; i < GAUGE__MAX; i++)
+		metrics.gauges[i] = fresh[i];
+	pthread_mutex_unlock(&metrics.lock);
+}
+
+void jobd_metrics_format(GString *out)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	pthread_mutex_lock(&metrics.lock);
+	for (uint32_t i = 0; i < GAUGE__MAX; i++)
+		g_string_append_printf(out,
+				       "# HELP ffl_jobd_%s %s\n"
+				       "# TYPE ffl_jobd_%s gauge\n"
+				       "ffl_jobd_%s %" PRIu64 "\n",
+				       texts[i].name, texts[i].text,
+				       texts[i].name, texts[i].name,
+				       metrics.gauges[i]);
+	g_string_append(out, "# TYPE ffl_jobd_events_total counter\n");
+	g_hash_table_iter_init(&iter, metrics.events);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		g_string_append_printf(
+			out, "ffl_jobd_events_total{event=\"%s\"} %zu\n",
+			(const char *)key, GPOINTER_TO_SIZE(value));
+	pthread_mutex_unlock(&metrics.lock);
+}
--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -19,6 +19,8 @@
 	    "address for callers"),
 	ROW("listen", "ready", FFL_SET_ADDRESS, ready, 0, 0, NULL,
 	    "address for looks at readiness"),
+	ROW("listen", "metrics", FFL_SET_ADDRESS, metrics, 0, 0, NULL,
+	    "address for metrics, under /metrics"),
 	ROW("listen", "threads", FFL_SET_COUNT, threads, 4, 1024, "32",
 	    "calls that are served at once"),
 	ROW("listen", "body", FFL_SET_SIZE, body_bytes, 1024, 1U << 26, "256KB",
--- a/jobd/web.c
+++ b/jobd/web.c
@@ -35,6 +35,7 @@
 
 static int serve_caller(struct mg_connection *conn, void *user);
 static int serve_look(struct mg_connection *conn, void *user);
+static void send_metrics(struct mg_connection *conn);
 static ffl_status_t read_body(struct mg_connection *conn, GByteArray *body,
 			      size_t max_bytes);
 static const char *header(const struct mg_connection *conn, const char *name);
@@ -206,12 +207,28 @@
 	return 1;
 }
 
+static void send_metrics(struct mg_connection *conn)
+{
+	GString *text = g_string_new(NULL);
+
+	jobd_metrics_format(text);
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+		  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		  text->len, text->str);
+	g_string_free(text, TRUE);
+}
+
 static int serve_look(struct mg_connection *conn, void *user)
 {
 	const jobd_web_t *w = user;
 	ffl_pf_say_t say = { .status = atomic_load(&w->d->ready) ? 200 : 503 };
 
 	mg_disable_connection_keep_alive(conn);
+	if (strcmp(mg_get_request_info(conn)->local_uri, "/metrics") == 0) {
+		send_metrics(conn);
+		return 1;
+	}
 	ffl_copy(say.body, sizeof(say.body), "{}");
 	send_say(conn, &say);
 	return 1;
@@ -250,6 +267,7 @@
 {
 	jobd_web_t *w = g_new0(jobd_web_t, 1);
 	char threads[STACK_COUNT_BYTES];
+	char looks[2 * FFL_ADDR_BYTES];
 
 	w->d = d;
 	pthread_mutex_init(&w->lock, NULL);
@@ -257,7 +275,9 @@
 	d->web = w;
 	g_snprintf(threads, sizeof(threads), "%u", d->settings.threads);
 	w->callers = listen_on(w, d->settings.callers, threads, serve_caller);
-	w->looks = listen_on(w, d->settings.ready, READY_THREADS, serve_look);
+	g_snprintf(looks, sizeof(looks), "%s,%s", d->settings.ready,
+		   d->settings.metrics);
+	w->looks = listen_on(w, looks, READY_THREADS, serve_look);
 	if (w->callers && w->looks)
 		return w;
 	jobd_web_stop(w);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
-echo 1..17
+echo 1..19
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -39,6 +39,7 @@
 [listen]
 callers = 127.0.0.1:$((PORT + 10 + $1))
 ready = 127.0.0.1:$((PORT + 20 + $1))
+metrics = 127.0.0.1:$((PORT + 30 + $1))
 [log]
 address = $SITE
 INI
@@ -96,6 +97,12 @@
 	[ "$(submit 1 00000000000000a2 '{"steps":7}')" = 400 ]
 check "a job that nobody sent is not known" \
 	[ "$(call GET 2 /lining/00000000000000ff -H "$KEY")" = 410 ]
+check "metrics count what was decided" bash -c \
+	"curl -sf http://127.0.0.1:$((PORT + 31))/metrics |
+	grep -q '^ffl_jobd_leading '"
+check "ffl explain tells the story of the job from the hosts' logs" bash -c \
+	"cat $DIR/host*.log | $BUILD/ffl explain 00000000000000a1 |
+	grep -q 'job-ended.*state=completed'"
 submit 1 00000000000000a3 "$FAILS" >/dev/null
 check "a hopeless job fails after its attempts" wait_for 100 \
 	'[ "$(state 1 00000000000000a3)" = failed ]'
