--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 		lib/pkgconfig include/fireflyledge share/man/man1 \
 		share/man/man5 share/man/man8)
 	$(INSTALL) -m 755 $(BUILD)/ffl $(DESTDIR)$(PREFIX)/bin/
-	$(INSTALL) -m 755 $(BUILD)/fireflyledged $(DESTDIR)$(PREFIX)/sbin/
+	$(INSTALL) -m 755 $(BUILD)/fireflyledged $(BUILD)/ffl-jobd $(DESTDIR)$(PREFIX)/sbin/
 	$(INSTALL) -m 644 include/fireflyledge/*.h \
 		$(DESTDIR)$(PREFIX)/include/fireflyledge/
 	$(INSTALL) -m 644 $(BUILD)/libfireflyledge.a $(DESTDIR)$(PREFIX)/lib/
@@ -96,7 +96,7 @@
 	$(INSTALL) -m 644 man/ffl.1 $(DESTDIR)$(PREFIX)/share/man/man1/
 	$(INSTALL) -m 644 man/fireflyledged.ini.5 \
 		$(DESTDIR)$(PREFIX)/share/man/man5/
-	$(INSTALL) -m 644 man/fireflyledged.8 $(DESTDIR)$(PREFIX)/share/man/man8/
+	$(INSTALL) -m 644 man/fireflyledged.8 man/ffl-jobd.8 $(DESTDIR)$(PREFIX)/share/man/man8/
 
 # Tests run under ASan and UBSan, threads under TSan, fuzzers under libFuzzer.
 CHECK_SAN = -fsanitize=address,undefined -fno-sanitize-recover=undefined
--- a/fakes/site.c
+++ b/fakes/site.c
@@ -367,8 +367,10 @@
 		push(s, back);
 		return;
 	}
-	if (e->act.kind == FFL_NODE_ACT_READ && s->now_ms < e->until_ms &&
-	    call->from >= s->topics[call->topic].end) {
+	if ((e->act.kind == FFL_NODE_ACT_READ && s->now_ms < e->until_ms &&
+	     call->from >= s->topics[call->topic].end) ||
+	    (call->topic == FFL_TOPIC_JOBS && s->now_ms < h->lag_until &&
+	     e->act.kind == FFL_NODE_ACT_READ)) {
 		/* Looks again until a record is there. */
 		event_t *again =
 			event_new(EVENT_STORE, s->now_ms + SITE_STEP_MS,
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -26,6 +26,7 @@
 	uint64_t life;	       /**< answers to earlier lives are void */
 	uint64_t frozen_until; /**< it takes no events before */
 	uint64_t cut_until;    /**< it does not reach the log before */
+	uint64_t lag_until;    /**< what it reads of the jobs comes late */
 	uint64_t ticked_ms;
 	uint64_t back_ms; /**< when it starts again; 0: not */
 } site_host_t;
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -229,6 +229,90 @@
 	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest), ==, 1);
 }
 
+/* The caller's deadline passes while the host is frozen, its record on the
+ * way: whether the job runs is unsure. */
+static void frozen_while_accepting(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job;
+
+	s->lost_until = s->now_ms + 3000;
+	s->lost_percent = 100;
+	job = site_submit(s, host, 1, 1, WORK_MS, false);
+	site_run(s, 20);
+	s->hosts[host].frozen_until = s->now_ms + 5000;
+	site_run(s, 10000);
+	g_assert_false(s->jobs[job].refused);
+}
+
+/* The answer to the record is lost, and then the log refuses. */
+static void lost_then_refused(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job;
+
+	s->hosts[host].lag_until = s->now_ms + 6000;
+	s->lost_until = s->now_ms + 500;
+	s->lost_percent = 100;
+	job = site_submit(s, host, 1, 1, WORK_MS, false);
+	site_run(s, 500);
+	s->down_until = s->now_ms + 4000;
+	site_run(s, 10000);
+	g_assert_false(s->jobs[job].refused);
+}
+
+/* The successor has the progress of a job that it has not read yet. */
+static void claimed_before_reading(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t job;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		if (i != leader)
+			s->hosts[i].lag_until = s->now_ms + 1500;
+	}
+	job = site_submit(s, leader, 2, 4, 300, true);
+	site_run(s, 150);
+	site_stop(s, leader);
+	site_run(s, 10000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 2);
+}
+
+/* A host that led before knows an earlier incarnation of a worker. */
+static void led_before(site_t *s)
+{
+	uint32_t first = (uint32_t)site_leader(s);
+	int second;
+	uint32_t job;
+
+	site_worker_drain(s, 1);
+	site_worker_drain(s, 2);
+	site_worker_drain(s, 3);
+	site_run(s, 2000);
+	s->hosts[first].cut_until = s->now_ms + 8000;
+	site_run(s, 4000);
+	site_worker_crash(s, 0);
+	site_run(s, 200);
+	site_worker_boot(s, 0);
+	site_run(s, 6000);
+	second = site_leader(s);
+	g_assert_cmpint(second, >=, 0);
+	g_assert_cmpuint((uint32_t)second, !=, first);
+	job = site_submit(s, (uint32_t)second, 2, 4, 3 * WORK_MS, false);
+	site_run(s, 500);
+	for (uint32_t i = 0; i < 3; i++) {
+		if (i != first)
+			site_kill(s, i, 20000);
+	}
+	site_run(s, 20000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 2);
+	g_assert_cmpuint(
+		ffl_flows_find(&s->hosts[first].node.flows, s->jobs[job].id)
+			->tasks[0]
+			.run,
+		==, 1);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -246,6 +330,10 @@
 	{ "hopeless", hopeless },
 	{ "worker-left", worker_left },
 	{ "ended-are-dropped", ended_are_dropped },
+	{ "frozen-while-accepting", frozen_while_accepting },
+	{ "lost-then-refused", lost_then_refused },
+	{ "claimed-before-reading", claimed_before_reading },
+	{ "led-before", led_before },
 };
 
 static void test_story(gconstpointer data)
