A report is always on its way to a worker that leaves

Change: two reports overlap at a draining worker; while what a worker told is not on the log yet it is asked anew after 0.2 s (was 1.5 s). The fake's reports wait for an end as the platform's do.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -41,6 +41,7 @@
 
 static void on_store(site_t *s, event_t *e);
 static void on_store_back(site_t *s, event_t *e);
+static bool waits_for_end(site_t *s, event_t *e, task_worker_t *w);
 static void on_worker(site_t *s, event_t *e);
 static void on_timeout(site_t *s, event_t *e);
 static void event_free(event_t *e);
@@ -133,9 +134,9 @@
 	uint64_t call = order ? act->order.call : act->store.call;
 	uint32_t timeout_ms =
 		order ? act->order.timeout_ms : act->store.timeout_ms;
-	event_t *e =
-		event_new(order ? EVENT_WORKER : EVENT_STORE,
-			  s->now_ms + (order ? WORKER_MS : LOG_MS), host, life);
+	event_t *e = event_new(order ? EVENT_WORKER : EVENT_STORE,
+			       s->now_ms + (order ? s->worker_ms : LOG_MS),
+			       host, life);
 	event_t *timeout =
 		event_new(EVENT_TIMEOUT, s->now_ms + timeout_ms, host, life);
 
@@ -443,6 +444,26 @@
 	on_store_back(s, e);
 }
 
+/* A report that waits is given once there is an end that its sender has not
+ * acknowledged; its lease counts from its arrival. */
+static bool waits_for_end(site_t *s, event_t *e, task_worker_t *w)
+{
+	const ffl_order_t *order = &e->act.order;
+	const ffl_run_row_t *last;
+
+	if (order->kind != FFL_ORDER_HOLD || !order->wait_ms ||
+	    order->token < w->token)
+		return false;
+	if (e->until_ms ? s->now_ms >= e->until_ms : false)
+		return false;
+	if (!e->until_ms)
+		task_worker_extend(w, order, s->now_ms);
+	if (!w->ended->len)
+		return true;
+	last = g_ptr_array_index(w->ended, w->ended->len - 1);
+	return last->number <= order->acked;
+}
+
 static void on_worker(site_t *s, event_t *e)
 {
 	const task_hooks_t hooks = { s,		 plan_task,  note_started,
@@ -472,7 +493,20 @@
 		push(s, late);
 		return;
 	}
-	back = event_new(EVENT_WORKER_BACK, s->now_ms + WORKER_MS, e->host,
+	if (waits_for_end(s, e, &s->workers[index])) {
+		event_t *again =
+			event_new(EVENT_WORKER, s->now_ms + SITE_STEP_MS,
+				  e->host, e->life);
+
+		again->act = e->act;
+		again->no_answer = e->no_answer;
+		again->until_ms = e->until_ms
+					  ? e->until_ms
+					  : s->now_ms + e->act.order.wait_ms;
+		push(s, again);
+		return;
+	}
+	back = event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms, e->host,
 			 e->life);
 	back->ev.kind = FFL_NODE_EV_WORKER;
 	task_worker_take(&s->workers[index], &e->act.order, s->now_ms, &hooks,
@@ -615,6 +649,7 @@
 {
 	memset(s, 0, sizeof(*s));
 	s->now_ms = 100000;
+	s->worker_ms = WORKER_MS;
 	s->wall_ms = 1700000000000;
 	ffl_rng_init(&s->rng, seed);
 	ffl_arena_init(&s->arena);
@@ -825,6 +860,15 @@
 	ask(s, host, job, FFL_ASK_LOOK);
 }
 
+void site_worker_leave(site_t *s, uint32_t worker)
+{
+	task_worker_t *w = &s->workers[worker];
+
+	task_worker_crash(w);
+	w->listed = false;
+	keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "", 0);
+}
+
 /* Calls that a dead host had open stay without an answer. */
 void site_kill(site_t *s, uint32_t host, uint32_t back_ms)
 {
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -73,6 +73,7 @@
 	uint64_t silent_until; /**< the log does not answer before */
 	uint64_t lost_until;   /**< answers of writes are lost before */
 	uint64_t late_until;   /**< orders are carried out late before */
+	uint32_t worker_ms;    /**< one way to a worker */
 	uint32_t lost_percent;
 	uint32_t late_percent;
 	uint64_t version; /**< of the configuration */
@@ -100,6 +101,8 @@
 void site_worker_crash(site_t *s, uint32_t worker);
 void site_worker_boot(site_t *s, uint32_t worker);
 void site_worker_drain(site_t *s, uint32_t worker);
+/** The worker exits, and its entry goes at once. */
+void site_worker_leave(site_t *s, uint32_t worker);
 
 /** Index of the leader, or -1. */
 int site_leader(const site_t *s);
--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -20,7 +20,6 @@
 static void take_stop(task_worker_t *w, const ffl_order_t *order,
 		      uint64_t now_ms, const task_hooks_t *hooks,
 		      ffl_arena_t *arena, ffl_reply_t *out);
-static void extend(task_worker_t *w, const ffl_order_t *order, uint64_t now_ms);
 static void end_run(task_worker_t *w, task_run_t *run, ffl_ending_t ending,
 		    const task_hooks_t *hooks);
 static uint32_t past_run(const task_worker_t *w, const char *task);
@@ -171,7 +170,8 @@
 	       w->used.gpus + room->gpus <= w->capacity.gpus;
 }
 
-static void extend(task_worker_t *w, const ffl_order_t *order, uint64_t now_ms)
+void task_worker_extend(task_worker_t *w, const ffl_order_t *order,
+			uint64_t now_ms)
 {
 	uint64_t most = task_worker_clock(w, now_ms) + w->lease_max_ms;
 
@@ -183,7 +183,7 @@
 		      uint64_t now_ms, const task_hooks_t *hooks,
 		      ffl_arena_t *arena, ffl_reply_t *out)
 {
-	extend(w, order, now_ms);
+	task_worker_extend(w, order, now_ms);
 	while (w->ended->len) {
 		ffl_run_row_t *row = g_ptr_array_index(w->ended, 0);
 
@@ -220,14 +220,14 @@
 	task_plan_t plan;
 
 	if (task_worker_find(w, order->task, order->run)) {
-		extend(w, order, now_ms);
+		task_worker_extend(w, order, now_ms);
 		return;
 	}
 	if (order->until_ms <= task_worker_clock(w, now_ms)) {
 		out->outcome = FFL_REPLY_LATE;
 		return;
 	}
-	extend(w, order, now_ms);
+	task_worker_extend(w, order, now_ms);
 	if (order->run <= past_run(w, order->task)) {
 		out->outcome = FFL_REPLY_OLD;
 		return;
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -78,6 +78,9 @@
 void task_worker_take(task_worker_t *w, const ffl_order_t *order,
 		      uint64_t now_ms, const task_hooks_t *hooks,
 		      ffl_arena_t *arena, ffl_reply_t *out);
+/** Extends the lease as an order says. */
+void task_worker_extend(task_worker_t *w, const ffl_order_t *order,
+			uint64_t now_ms);
 void task_worker_entry(const task_worker_t *w, uint64_t now_ms,
 		       ffl_worker_entry_t *out);
 task_run_t *task_worker_find(const task_worker_t *w, const char *task,
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -41,7 +41,7 @@
 	uint64_t acked;	    /**< of these, up to which all are on the log */
 	uint64_t acked_sent;
 	uint64_t ack_batch; /**< batch that makes seen the next acked */
-	bool hold_open;
+	uint32_t holds_open;
 	uint64_t hold_ms; /**< no hold before */
 	uint32_t silent;  /**< holds in a row without an answer */
 	uint32_t fails;	  /**< failures in a row, over several flows */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -9,7 +9,7 @@
 #define HOLD_SLACK_MS	 600
 /** A worker that is not silent is asked anew at most so long after it was
  * last asked, while what it reported is not on the log yet. */
-#define RENEW_MS 1500
+#define RENEW_MS 200
 /** A task whose progress stands still for so long hangs. */
 #define HANG_MS 3000
 /** A draining worker often stays a little longer than it says. */
@@ -24,6 +24,7 @@
 static ffl_order_t *new_order(ffl_dispatch_t *d, GArray *orders,
 			      ffl_order_kind_t kind, ffl_runner_t *r,
 			      ffl_run_t *run, uint64_t now_ms);
+static uint32_t holds_max(const ffl_runner_t *r, uint64_t now_ms);
 static bool wants_hold(const ffl_runner_t *r, uint64_t now_ms);
 static void hold(ffl_dispatch_t *d, ffl_runner_t *r, GArray *orders,
 		 uint64_t now_ms);
@@ -156,7 +157,7 @@
 		r->acked = 0;
 		r->acked_sent = 0;
 		r->ack_batch = 0;
-		r->hold_open = false;
+		r->holds_open = 0;
 		r->hold_ms = 0;
 		r->silent = 0;
 		r->expire_ms = 0;
@@ -211,11 +212,22 @@
 	return order;
 }
 
+/* A worker that leaves takes its last ends with it: a report is always on
+ * its way there, the next before the one before has been answered. */
+static uint32_t holds_max(const ffl_runner_t *r, uint64_t now_ms)
+{
+	bool overlap = r->entry.draining && !r->silent &&
+		       now_ms - r->hold_ms >= HOLD_WAIT_MS / 2;
+
+	return overlap ? 2 : 1;
+}
+
 static bool wants_hold(const ffl_runner_t *r, uint64_t now_ms)
 {
 	bool sent = false;
 
-	if (r->hold_open || now_ms < r->hold_ms || !r->entry.addr[0])
+	if (r->holds_open >= holds_max(r, now_ms) || now_ms < r->hold_ms ||
+	    !r->entry.addr[0])
 		return false;
 	if (r->acked > r->acked_sent || (r->silent && r->listed))
 		return true;
@@ -252,7 +264,7 @@
 	    !r->ack_batch)
 		order->wait_ms = stopping ? d->opt.stop_max_ms : HOLD_WAIT_MS;
 	order->timeout_ms = order->wait_ms + HOLD_SLACK_MS;
-	r->hold_open = true;
+	r->holds_open++;
 	r->hold_ms = now_ms;
 }
 
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -176,7 +176,7 @@
 {
 	ffl_runner_t *r = open->runner;
 
-	r->hold_open = false;
+	r->holds_open--;
 	if (reply->outcome != FFL_REPLY_OK) {
 		r->silent++;
 		r->hold_ms = now_ms +
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -15,6 +15,7 @@
 
 static void check(const site_t *s);
 static void test_story(gconstpointer data);
+static void test_last_ends(void);
 
 static void check(const site_t *s)
 {
@@ -352,6 +353,39 @@
 	}
 }
 
+/* A worker exits just after a run has ended there: the end is known, since a
+ * report is always on its way to a worker that leaves. */
+static void test_last_ends(void)
+{
+	for (uint32_t i = 0; i < 12; i++) {
+		uint32_t index = 0;
+		uint32_t job;
+		site_t s;
+
+		site_init(&s, 1 + i, 3, 4);
+		s.worker_ms = 100;
+		site_run(&s, START_MS);
+		job = site_submit(&s, 0, 1, 8, 3900 + i * 100, false);
+		site_run(&s, 1000);
+		while (!s.workers[index].runs->len)
+			index++;
+		site_run(&s, 1500);
+		site_worker_drain(&s, index);
+		while (!g_hash_table_size(s.jobs[job].ran))
+			site_run(&s, SITE_STEP_MS);
+		site_run(&s, SITE_STEP_MS);
+		site_worker_leave(&s, index);
+		site_settle(&s, HEAL_MS);
+		check(&s);
+		g_assert_cmpuint(
+			ffl_flows_find(&s.hosts[0].node.flows, s.jobs[job].id)
+				->tasks[0]
+				.run,
+			==, 1);
+		site_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -361,5 +395,6 @@
 		g_test_add_data_func(path, &stories[i], test_story);
 		g_free(path);
 	}
+	g_test_add_func("/node/last-ends", test_last_ends);
 	return g_test_run();
 }
