--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -249,9 +249,10 @@
 		return;
 	run->call = 0;
 	run->retry_ms = now_ms + d->opt.stop_max_ms;
-	if (reply->outcome == FFL_REPLY_OK)
+	/* From the first acceptance on it cannot start there any more. */
+	if (reply->outcome == FFL_REPLY_OK && !run->stopped_ms)
 		run->stopped_ms = now_ms;
-	else
+	if (reply->outcome != FFL_REPLY_OK)
 		run->retry_ms = now_ms + RESEND_MS;
 }
 
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -365,7 +365,7 @@
 		site_init(&s, 1 + i, 3, 4);
 		s.worker_ms = 100;
 		site_run(&s, START_MS);
-		job = site_submit(&s, 0, 1, 8, 3900 + i * 100, false);
+		job = site_submit(&s, 0, 1, 8, 3600 + i * 100, false);
 		site_run(&s, 1000);
 		while (!s.workers[index].runs->len)
 			index++;
