--- /dev/null
+++ b/lib/dispatch/choose.c
@@ -0,0 +1,193 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+/** A step that waits for the room near its data takes room elsewhere after
+ * this share of its own time, or at once while so much is free. */
+#define FAR_PERCENT	 50
+#define FREE_FAR_PERCENT 40
+/** Penalty of a worker with a failure, in GPUs left over. */
+#define FAILED_PENALTY 64
+
+static int64_t cost_of(const ffl_runner_t *r, const ffl_unit_t *unit);
+
+uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < r->runs->len; i++) {
+		const ffl_run_t *run = g_ptr_array_index(r->runs, i);
+
+		n += run->flow == unit->flow && run->task >= unit->first &&
+		     run->task < unit->first + unit->step->tasks;
+	}
+	return n;
+}
+
+bool ffl_runner_allows(const ffl_runner_t *r, const ffl_unit_t *unit)
+{
+	const ffl_step_t *step = unit->step;
+	bool labelled = !step->label[0];
+
+	if (!r->listed || r->entry.draining || r->silent || !r->clock_at ||
+	    unit->now_ms < r->quarantine_ms ||
+	    strcmp(r->entry.service, unit->flow->spec.service) != 0)
+		return false;
+	if (!unit->guaranteed && unit->now_ms < r->reserved_ms)
+		return false;
+	for (uint32_t i = 0; i < r->entry.labels_count && !labelled; i++)
+		labelled = strcmp(r->entry.labels[i], step->label) == 0;
+	if (!labelled)
+		return false;
+	return !unit->near_only || !step->rack[0] ||
+	       strcmp(r->entry.rack, step->rack) == 0;
+}
+
+/* The fullest worker that a task fits on keeps others whole. */
+static int64_t cost_of(const ffl_runner_t *r, const ffl_unit_t *unit)
+{
+	ffl_room_t free = ffl_runner_free(r);
+	int64_t cost = (int64_t)free.gpus - unit->step->gpus;
+
+	if (r->fails || (unit->flow->tasks[unit->first].failures && !r->proved))
+		cost += FAILED_PENALTY;
+	if (unit->step->rack[0] && strcmp(r->entry.rack, unit->step->rack) != 0)
+		cost += FAILED_PENALTY;
+	return cost;
+}
+
+ffl_runner_t *ffl_choose(ffl_dispatch_t *d, const ffl_unit_t *unit,
+			 const char *rack)
+{
+	ffl_room_t need = ffl_step_room(unit->step);
+	ffl_runner_t *best = NULL;
+	int64_t best_cost = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ffl_runner_t *r = value;
+		ffl_room_t free = ffl_runner_free(r);
+		int64_t cost;
+
+		if (!ffl_room_fits(&free, &need) || !ffl_runner_allows(r, unit))
+			continue;
+		if (rack && strcmp(r->entry.rack, rack) != 0)
+			continue;
+		if (unit->step->per_worker_max &&
+		    ffl_runner_tasks_of(r, unit) >= unit->step->per_worker_max)
+			continue;
+		cost = cost_of(r, unit);
+		if (!best || cost < best_cost ||
+		    (cost == best_cost &&
+		     strcmp(r->entry.id, best->entry.id) < 0)) {
+			best = r;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+uint32_t ffl_free_percent(ffl_dispatch_t *d)
+{
+	uint64_t all = 0;
+	uint64_t free = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ffl_runner_t *r = value;
+
+		if (!r->listed || r->entry.draining)
+			continue;
+		all += r->entry.capacity.gpus;
+		free += ffl_runner_free(r).gpus;
+	}
+	return all ? (uint32_t)(free * PERCENT / all) : PERCENT;
+}
+
+/* Far from its data, or spread over racks, a step takes a multiple of its
+ * time, and so of the room: it pays once the wait is longer than that. */
+bool ffl_may_go_far(ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	uint64_t waited = unit->now_ms - unit->flow->seen_ms;
+	uint64_t run_ms = ffl_expect_run(d, unit->flow, unit->step_index);
+	uint64_t more_ms = run_ms * (d->opt.spread_percent - PERCENT) / PERCENT;
+
+	if (!unit->step->rack[0] && !unit->step->same_rack)
+		return true;
+	if (unit->flow->spec.priority > 0 &&
+	    ffl_free_percent(d) >= FREE_FAR_PERCENT)
+		return waited >= run_ms * FAR_PERCENT / PERCENT;
+	return waited >= more_ms;
+}
+
+/* Chooses a worker for each task, taking the room meanwhile. */
+bool ffl_choose_gang(ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     const char *rack, ffl_runner_t **chosen)
+{
+	uint32_t n = unit->step->tasks;
+	ffl_room_t need = ffl_step_room(unit->step);
+	uint32_t got;
+
+	for (got = 0; got < n; got++) {
+		uint32_t here = 0;
+
+		chosen[got] = ffl_choose(d, unit, rack);
+		if (!chosen[got])
+			break;
+		for (uint32_t i = 0; i <= got; i++)
+			here += chosen[i] == chosen[got];
+		if (unit->step->per_worker_max &&
+		    here > unit->step->per_worker_max)
+			break;
+		ffl_room_add(&chosen[got]->used, &need);
+	}
+	for (uint32_t i = 0; i < got; i++)
+		ffl_room_take(&chosen[i]->used, &need);
+	return got == n;
+}
+
+/* Takes the rack that has the least left over of those that fit. */
+bool ffl_choose_rack(ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     ffl_runner_t **chosen)
+{
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	const char *best = NULL;
+	uint32_t best_free = 0;
+
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		ffl_runner_t *r = value;
+		uint32_t free;
+
+		if (!ffl_runner_allows(r, unit))
+			continue;
+		free = GPOINTER_TO_UINT(
+			g_hash_table_lookup(racks, r->entry.rack));
+		free += ffl_runner_free(r).gpus + 1;
+		g_hash_table_insert(racks, r->entry.rack,
+				    GUINT_TO_POINTER(free));
+	}
+	g_hash_table_iter_init(&iter, racks);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		uint32_t free = GPOINTER_TO_UINT(value);
+
+		if (best && (free > best_free ||
+			     (free == best_free && strcmp(key, best) > 0)))
+			continue;
+		if (!ffl_choose_gang(d, unit, key, chosen))
+			continue;
+		best = key;
+		best_free = free;
+	}
+	if (best)
+		ffl_choose_gang(d, unit, best, chosen);
+	g_hash_table_destroy(racks);
+	return best != NULL;
+}
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -87,9 +87,40 @@
 	bool near_only; /**< neither far from its data nor spread */
 } ffl_unit_t;
 
+ffl_room_t ffl_step_room(const ffl_step_t *step);
+
+/* misfit.c */
+/** Tells whether a step needs no less than what found no room already. */
+bool ffl_is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit);
+void ffl_add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
+
+/* choose.c */
 bool ffl_runner_allows(const ffl_runner_t *r, const ffl_unit_t *unit);
+/** Tasks of a step that run on a worker. */
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
-ffl_room_t ffl_step_room(const ffl_step_t *step);
+/** Returns the best worker for a task, of a rack or of all; NULL: none. */
+ffl_runner_t *ffl_choose(ffl_dispatch_t *d, const ffl_unit_t *unit,
+			 const char *rack);
+/** Chooses a worker for each task of a gang; false where it does not fit. */
+bool ffl_choose_gang(ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     const char *rack, ffl_runner_t **chosen);
+/** The same in one rack. */
+bool ffl_choose_rack(ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     ffl_runner_t **chosen);
+bool ffl_may_go_far(ffl_dispatch_t *d, const ffl_unit_t *unit);
+/** Share of the GPUs that are free. */
+uint32_t ffl_free_percent(ffl_dispatch_t *d);
+
+/* drive.c */
+void ffl_drive_runs(ffl_dispatch_t *d, bool may_start, GArray *orders,
+		    uint64_t now_ms);
+void ffl_drive_runners(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms);
+
+/* watch.c */
+/** Stops what is cancelled, hangs or would be lost with its worker. */
+void ffl_watch_runs(ffl_dispatch_t *d, uint64_t now_ms);
+/** Gives up the runs of a worker whose leases have all ended. */
+void ffl_watch_runner(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms);
 
 /* rank.c */
 
--- /dev/null
+++ b/lib/dispatch/misfit.c
@@ -0,0 +1,49 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+static ffl_shape_t shape_of(const ffl_unit_t *unit);
+
+static ffl_shape_t shape_of(const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = { .room = ffl_step_room(unit->step),
+			      .label = unit->step->label,
+			      .rack = unit->step->rack,
+			      .tasks = unit->step->gang ? unit->step->tasks : 1,
+			      .guaranteed = unit->guaranteed,
+			      .gang = unit->step->gang };
+
+	return shape;
+}
+
+/* What needs no less than something that found no room finds none. */
+bool ffl_is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = shape_of(unit);
+
+	for (guint i = 0; i < d->misfits->len; i++) {
+		const ffl_shape_t *m =
+			&g_array_index(d->misfits, ffl_shape_t, i);
+
+		if (ffl_room_fits(&shape.room, &m->room) &&
+		    shape.tasks >= m->tasks && shape.gang == m->gang &&
+		    (m->guaranteed || !shape.guaranteed) &&
+		    (!m->label[0] || strcmp(m->label, shape.label) == 0) &&
+		    (!m->rack[0] || strcmp(m->rack, shape.rack) == 0))
+			return true;
+	}
+	return false;
+}
+
+void ffl_add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	ffl_shape_t shape = shape_of(unit);
+
+	if (unit->step->per_worker_max)
+		return;
+	if (unit->near_only && unit->step->same_rack && unit->step->gang)
+		return;
+	if (!unit->near_only)
+		shape.rack = "";
+	g_array_append_val(d->misfits, shape);
+}
--- /dev/null
+++ b/lib/dispatch/watch.c
@@ -0,0 +1,90 @@
+#include "lib/dispatch/dispatch_int.h"
+
+/** A task whose progress stands still for so long hangs. */
+#define HANG_MS 3000
+/** A draining worker often stays a little longer than it says. */
+#define LINGER_MS 1500
+
+static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void stop_cancelled(ffl_dispatch_t *d);
+
+/* Work that outlasts a draining worker is moved while it can be saved. */
+static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+{
+	const ffl_worker_entry_t *e = &run->runner->entry;
+	uint32_t step = ffl_flow_step_of(run->flow, run->task);
+	uint64_t ran_ms = now_ms - run->running_ms;
+	uint64_t left_ms = now_ms - run->runner->listed_ms;
+	uint64_t run_ms = ffl_expect_run(d, run->flow, step);
+	bool saves = run->flow->spec.steps[step].saves;
+
+	if (!e->draining || run->stop || run->state != FFL_RUN_RUNNING)
+		return;
+	left_ms = e->leaves_ms > left_ms ? e->leaves_ms - left_ms : 0;
+	if (!saves)
+		left_ms += LINGER_MS;
+	if (ran_ms + left_ms < run_ms)
+		ffl_run_stop(d, run, "evacuated");
+}
+
+/* A task that stands still is started elsewhere, and its worker left out. */
+static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+{
+	const ffl_flow_t *flow = run->flow;
+	const ffl_step_t *step =
+		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
+
+	evacuate(d, run, now_ms);
+	if (run->state != FFL_RUN_RUNNING || run->stop || step->lasting ||
+	    run->runner->silent || run->percent >= PERCENT ||
+	    now_ms - run->moved_ms < HANG_MS)
+		return;
+	ffl_runner_bad(d, run->runner, flow, now_ms);
+	ffl_run_stop(d, run, "hangs");
+}
+
+static void stop_cancelled(ffl_dispatch_t *d)
+{
+	for (guint i = 0; i < d->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(d->runs, i);
+		const ffl_task_t *task = &run->flow->tasks[run->task];
+		bool current =
+			task->state == FFL_TASK_PLACED && task->run == run->run;
+
+		if (run->stop || !current)
+			continue;
+		if (run->flow->cancelled)
+			ffl_run_stop(d, run, "cancelled");
+		else if (run->flow->failed)
+			ffl_run_stop(d, run, "failed");
+	}
+}
+
+void ffl_watch_runs(ffl_dispatch_t *d, uint64_t now_ms)
+{
+	stop_cancelled(d);
+	for (guint i = d->runs->len; i-- > 0;) {
+		if (i < d->runs->len)
+			watch_run(d, g_ptr_array_index(d->runs, i), now_ms);
+	}
+}
+
+void ffl_watch_runner(ffl_dispatch_t *d, ffl_runner_t *r, uint64_t now_ms)
+{
+	bool unreachable = r->silent || !r->entry.addr[0];
+
+	if (!unreachable || !r->runs->len || now_ms < r->expire_ms)
+		return;
+	ffl_dispatch_note(d, "worker-lost", r->entry.id, "runs=%u silent=%u",
+			  r->runs->len, r->silent);
+	for (guint i = r->runs->len; i-- > 0;) {
+		ffl_run_t *run;
+
+		if (i >= r->runs->len)
+			continue;
+		run = g_ptr_array_index(r->runs, i);
+		if (run->state != FFL_RUN_PLANNED)
+			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
+	}
+}
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -1,8 +1,6 @@
 #include <string.h>
-#include <msgpack.h>
 
 #include "lib/node/node_int.h"
-#include "lib/wire/measure.h"
 
 /** A leader shows that it lives so often. */
 #define HEARTBEAT_MS 400
@@ -24,35 +22,9 @@
 #define HOLD_ON_MS 3000
 /** After this it gives up: every lease that it gave has ended. */
 #define GIVE_UP_MS 12000
-/** Ended jobs are looked for so often, and dropped so many at a time. */
-#define PRUNE_MS  2000
-#define DROPS_MAX 64
-/** An ended job is kept longer than it must be shown: a call of its caller
- * may be repeated seconds later. */
-#define KEEP_MARGIN_MS 60000
-/** What was asked is dropped so long after the progress. */
-#define DROP_AFTER_MS 5000
-/** Fields of a record of leadership. */
-#define LEAD_FIELDS 5
-
-/** A record of leadership. */
-typedef struct {
-	char holder[FFL_NAME_BYTES];
-	uint64_t life;
-	uint64_t token; /**< 0 in a claim: its own offset gives it */
-	uint64_t number;
-	bool resigned;
-} lead_record_t;
-
-static int write_bytes(void *user, const char *buf, size_t size_bytes);
-static ffl_write_t *lead_write(const ffl_node_t *n, bool resigned);
-static bool lead_decode(ffl_bytes_t in, lead_record_t *out);
 static void send_append(ffl_node_t *n);
 static void open_append(ffl_node_t *n, bool claim, bool resigned);
 static void add_batch(ffl_node_t *n);
-static bool is_final(const ffl_flow_t *flow);
-static void add_drops(ffl_node_t *n);
-static void drop_specs(ffl_node_t *n);
 static void claim(ffl_node_t *n);
 static bool knows_jobs(const ffl_node_t *n);
 static bool may_claim(ffl_node_t *n);
@@ -63,7 +35,6 @@
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void become_leader(ffl_node_t *n, uint64_t offset);
 static void step_down(ffl_node_t *n, const char *why);
-static void prune(ffl_node_t *n);
 static void drive_leader(ffl_node_t *n);
 
 void ffl_lead_init(ffl_node_t *n)
@@ -77,68 +48,12 @@
 	g_ptr_array_free(n->lead.flows, TRUE);
 }
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes)
-{
-	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
-	return 0;
-}
-
-static ffl_write_t *lead_write(const ffl_node_t *n, bool resigned)
-{
-	ffl_write_t *w = ffl_write_new('\0', KEY_LEAD);
-	msgpack_packer pk;
-
-	msgpack_packer_init(&pk, w->value, write_bytes);
-	msgpack_pack_array(&pk, LEAD_FIELDS);
-	msgpack_pack_str(&pk, strlen(n->opt.name));
-	msgpack_pack_str_body(&pk, n->opt.name, strlen(n->opt.name));
-	msgpack_pack_uint64(&pk, n->life);
-	msgpack_pack_uint64(&pk, n->lead.claim ? 0 : n->lead.token);
-	msgpack_pack_uint64(&pk, n->lead.number);
-	msgpack_pack_uint8(&pk, resigned);
-	return w;
-}
-
-static bool lead_decode(ffl_bytes_t in, lead_record_t *out)
-{
-	msgpack_unpacked msg;
-	const msgpack_object *f;
-	size_t used = 0;
-	size_t off = 0;
-	bool ok;
-
-	memset(out, 0, sizeof(*out));
-	msgpack_unpacked_init(&msg);
-	ok = ffl_wire_measure(in, &used) == FFL_OK &&
-	     msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
-				 &off) == MSGPACK_UNPACK_SUCCESS &&
-	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
-	     msg.data.via.array.size >= LEAD_FIELDS;
-	if (ok) {
-		f = msg.data.via.array.ptr;
-		ok = f[0].type == MSGPACK_OBJECT_STR &&
-		     f[0].via.str.size < sizeof(out->holder);
-		for (int i = 1; i < LEAD_FIELDS; i++)
-			ok = ok && f[i].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
-		if (ok) {
-			memcpy(out->holder, f[0].via.str.ptr,
-			       f[0].via.str.size);
-			out->life = f[1].via.u64;
-			out->token = f[2].via.u64;
-			out->number = f[3].via.u64;
-			out->resigned = f[4].via.u64 != 0;
-		}
-	}
-	msgpack_unpacked_destroy(&msg);
-	return ok;
-}
-
 void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec)
 {
 	ffl_lead_t *l = &n->lead;
-	lead_record_t r;
+	ffl_lead_record_t r;
 
-	if (l->leading || !lead_decode(rec->value, &r))
+	if (l->leading || !ffl_lead_decode(rec->value, &r))
 		return;
 	if (strcmp(l->holder, r.holder) != 0 || l->holder_life != r.life)
 		ffl_node_note(n, "leader-seen", r.holder,
@@ -199,7 +114,7 @@
 	l->claim = is_claim;
 	l->number++;
 	l->writes = g_ptr_array_new_with_free_func(ffl_write_free);
-	g_ptr_array_add(l->writes, lead_write(n, resigned));
+	g_ptr_array_add(l->writes, ffl_lead_write(n, resigned));
 	l->resigning = resigned;
 }
 
@@ -218,72 +133,6 @@
 	}
 }
 
-static bool is_final(const ffl_flow_t *flow)
-{
-	return flow->shown != FFL_FLOW_QUEUED &&
-	       flow->shown != FFL_FLOW_RUNNING && !flow->placed_count;
-}
-
-/* Jobs that ended long ago leave the log: first their progress, here, then
- * what was asked, so that no progress is left without a specification. */
-static void add_drops(ffl_node_t *n)
-{
-	uint64_t keep_ms = (uint64_t)n->opt.keep_ended_ms + KEEP_MARGIN_MS;
-	uint32_t count = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (count < DROPS_MAX &&
-	       g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_flow_t *flow = value;
-
-		if (!is_final(flow) || flow->dropped_ms)
-			continue;
-		if (!flow->closed_ms)
-			flow->closed_ms = n->now_ms;
-		if (n->now_ms - flow->closed_ms < keep_ms)
-			continue;
-		g_ptr_array_add(n->lead.writes,
-				ffl_write_new(KEY_PROGRESS, flow->spec.id));
-		flow->dropped_ms = n->now_ms;
-		count++;
-	}
-}
-
-/* A drop whose answer is lost is repeated: the job is still known then. */
-static void drop_specs(ffl_node_t *n)
-{
-	ffl_node_act_t *act = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_flow_t *flow = value;
-
-		if (!flow->dropped_ms ||
-		    n->now_ms - flow->dropped_ms < DROP_AFTER_MS)
-			continue;
-		if (!act) {
-			act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
-			act->store.topic = FFL_TOPIC_JOBS;
-			act->store.call = ffl_node_call(n);
-			act->store.at = FFL_AT_ANY;
-			act->store.timeout_ms = APPEND_TIMEOUT_MS;
-			act->store.writes =
-				g_ptr_array_new_with_free_func(ffl_write_free);
-		}
-		flow->dropped_ms = n->now_ms;
-		g_ptr_array_add(act->store.writes,
-				ffl_write_new(KEY_CANCEL, flow->spec.id));
-		g_ptr_array_add(act->store.writes,
-				ffl_write_new(KEY_SPEC, flow->spec.id));
-		if (act->store.writes->len >= 2 * DROPS_MAX)
-			return;
-	}
-}
-
 /* Progress is known of no job whose specification has not been read: an end
  * that a worker lists would find no run. */
 static bool knows_jobs(const ffl_node_t *n)
@@ -429,7 +278,7 @@
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
 	ffl_lead_t *l = &n->lead;
-	lead_record_t r;
+	ffl_lead_record_t r;
 
 	l->check = 0;
 	if (reply->outcome == FFL_STORE_EXPIRED) {
@@ -442,7 +291,7 @@
 	}
 	if (reply->records[0].offset == l->at &&
 	    strcmp(reply->records[0].key, KEY_LEAD) == 0 &&
-	    lead_decode(reply->records[0].value, &r) && r.life == n->life &&
+	    ffl_lead_decode(reply->records[0].value, &r) && r.life == n->life &&
 	    r.number == l->number) {
 		append_stands(n, l->at);
 		return;
@@ -465,16 +314,6 @@
 	return false;
 }
 
-/* Done with heartbeats, and seldom: it looks at every job. */
-static void prune(ffl_node_t *n)
-{
-	if (n->now_ms - n->lead.pruned_ms < PRUNE_MS)
-		return;
-	n->lead.pruned_ms = n->now_ms;
-	drop_specs(n);
-	add_drops(n);
-}
-
 static void drive_leader(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
@@ -501,7 +340,7 @@
 	if (n->dispatch.dirty)
 		add_batch(n);
 	else
-		prune(n);
+		ffl_prune(n);
 	send_append(n);
 }
 
--- /dev/null
+++ b/lib/node/lead_record.c
@@ -0,0 +1,66 @@
+#include <string.h>
+#include <msgpack.h>
+
+#include "lib/node/node_int.h"
+#include "lib/wire/measure.h"
+
+/** Fields of a record of leadership. */
+#define LEAD_FIELDS 5
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes);
+
+static int write_bytes(void *user, const char *buf, size_t size_bytes)
+{
+	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
+	return 0;
+}
+
+ffl_write_t *ffl_lead_write(const ffl_node_t *n, bool resigned)
+{
+	ffl_write_t *w = ffl_write_new('\0', KEY_LEAD);
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, w->value, write_bytes);
+	msgpack_pack_array(&pk, LEAD_FIELDS);
+	msgpack_pack_str(&pk, strlen(n->opt.name));
+	msgpack_pack_str_body(&pk, n->opt.name, strlen(n->opt.name));
+	msgpack_pack_uint64(&pk, n->life);
+	msgpack_pack_uint64(&pk, n->lead.claim ? 0 : n->lead.token);
+	msgpack_pack_uint64(&pk, n->lead.number);
+	msgpack_pack_uint8(&pk, resigned);
+	return w;
+}
+
+bool ffl_lead_decode(ffl_bytes_t in, ffl_lead_record_t *out)
+{
+	msgpack_unpacked msg;
+	const msgpack_object *f;
+	size_t used = 0;
+	size_t off = 0;
+	bool ok;
+
+	memset(out, 0, sizeof(*out));
+	msgpack_unpacked_init(&msg);
+	ok = ffl_wire_measure(in, &used) == FFL_OK &&
+	     msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
+				 &off) == MSGPACK_UNPACK_SUCCESS &&
+	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
+	     msg.data.via.array.size >= LEAD_FIELDS;
+	if (ok) {
+		f = msg.data.via.array.ptr;
+		ok = f[0].type == MSGPACK_OBJECT_STR &&
+		     f[0].via.str.size < sizeof(out->holder);
+		for (int i = 1; i < LEAD_FIELDS; i++)
+			ok = ok && f[i].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+		if (ok) {
+			memcpy(out->holder, f[0].via.str.ptr,
+			       f[0].via.str.size);
+			out->life = f[1].via.u64;
+			out->token = f[2].via.u64;
+			out->number = f[3].via.u64;
+			out->resigned = f[4].via.u64 != 0;
+		}
+	}
+	msgpack_unpacked_destroy(&msg);
+	return ok;
+}
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -47,6 +47,25 @@
 /** Tells whether leases may be extended now. */
 bool ffl_lead_may_hold(const ffl_node_t *n);
 
+/* lead_record.c */
+
+/** A record of leadership. */
+typedef struct {
+	char holder[FFL_NAME_BYTES];
+	uint64_t life;
+	uint64_t token; /**< 0 in a claim: its own offset gives it */
+	uint64_t number;
+	bool resigned;
+} ffl_lead_record_t;
+
+ffl_write_t *ffl_lead_write(const ffl_node_t *n, bool resigned);
+bool ffl_lead_decode(ffl_bytes_t in, ffl_lead_record_t *out);
+
+/* prune.c */
+/** Drops jobs that ended long ago with a heartbeat; seldom, since it looks at
+ * every job. */
+void ffl_prune(ffl_node_t *n);
+
 /* ask.c */
 void ffl_ask_take(ffl_node_t *n, ffl_request_t *req);
 bool ffl_ask_appended(ffl_node_t *n, const ffl_store_reply_t *reply);
--- a/site/log.c
+++ b/site/log.c
@@ -12,6 +12,7 @@
 #define NAME_BYTES   64
 #define NUMBER_BYTES 24
 
+static const char *query_of(const struct mg_connection *conn);
 static int topic_of(const char *query);
 static bool query_number(const char *query, const char *name, uint64_t *out);
 static GPtrArray *split(const GByteArray *body);
@@ -27,6 +28,13 @@
 	[FFL_TOPIC_RUNS] = "keyed.runs",
 };
 
+static const char *query_of(const struct mg_connection *conn)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+
+	return query ? query : "";
+}
+
 static int topic_of(const char *query)
 {
 	char name[NAME_BYTES];
@@ -105,8 +113,8 @@
 int site_http_append(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
-	const char *query = mg_get_request_info(conn)->query_string;
-	int topic = topic_of(query ? query : "");
+	const char *query = query_of(conn);
+	int topic = topic_of(query);
 	GByteArray *body = g_byte_array_new();
 	ffl_store_outcome_t outcome = FFL_STORE_UNKNOWN;
 	uint64_t at = FFL_AT_ANY;
@@ -160,8 +168,8 @@
 int site_http_log_read(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
-	const char *query = mg_get_request_info(conn)->query_string;
-	int topic = topic_of(query ? query : "");
+	const char *query = query_of(conn);
+	int topic = topic_of(query);
 	GByteArray *out = g_byte_array_new();
 	ffl_store_reply_t reply = { 0 };
 	uint64_t from = 0;
@@ -207,8 +215,8 @@
 int site_http_newest(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
-	const char *query = mg_get_request_info(conn)->query_string;
-	int topic = topic_of(query ? query : "");
+	const char *query = query_of(conn);
+	int topic = topic_of(query);
 	ffl_store_reply_t reply = { 0 };
 	char after[FFL_RECORD_KEY_BYTES] = "";
 	json_t *items = json_array();
