--- a/fuzz/platform_fuzz.c
+++ b/fuzz/decode_fuzz.c
@@ -52,7 +52,7 @@
 static const char *decode_store(part_t part, ffl_bytes_t body);
 static const char *decode_progress(ffl_bytes_t body);
 
-const fuzz_target_t fuzz_target = { "platform", 2, run };
+const fuzz_target_t fuzz_target = { "decode", 2, run };
 
 /* An operation adds a fragment, or a raw byte. */
 static GByteArray *make_body(const uint8_t *ops, size_t op_count)
