Workers' speeds are learned; the slow ones are left out

Their gangs end with the slowest member, and progress reports (percent of the run's own work) show why: members of one gang move at 8, 10 and 12.5% a second (workers of 0.8, 1.0 and 1.25 of the usual speed), and at 1% a second where a worker is slowed down for seconds. Placement looked at neither.

Tests: dispatch/speed-learned and slow-left-out in tests/dispatch_test.c, a bench of the dispatcher alone; both fail on the code before.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -46,9 +46,11 @@
 	uint32_t silent;  /**< holds in a row without an answer */
 	uint32_t fails;	  /**< failures in a row, over several flows */
 	const ffl_flow_t *fails_flow;
-	bool proved;		/**< a run has ended well there */
-	uint64_t quarantine_ms; /**< nothing is placed before */
-	uint64_t reserved_ms;	/**< only guaranteed work before */
+	bool proved;			/**< a run has ended well there */
+	uint64_t quarantine_ms;		/**< nothing is placed before */
+	uint64_t reserved_ms;		/**< only guaranteed work before */
+	uint32_t speed_milli; /**< of a usual worker's speed; 0: not known */
+	uint64_t slow_ms;     /**< taken as slow before; 0: it is not */
 } ffl_runner_t;
 
 /** Life of a run. */
@@ -75,6 +77,10 @@
 	uint64_t running_ms; /**< when it was known to run */
 	uint64_t moved_ms;   /**< when its progress last moved */
 	uint32_t percent;
+	uint32_t sample_percent; /**< where the newest window began */
+	uint64_t sample_ms;	 /**< when; 0: no window yet */
+	uint32_t rate;	     /**< thousandths of a percent a second, newest */
+	uint32_t best_rate;  /**< the best of its windows */
 	bool unanswered;     /**< an order may still be on its way */
 	bool stop;	     /**< it is to end */
 	uint64_t stopped_ms; /**< when the worker accepted the stop */
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -89,6 +89,14 @@
 	char *checkpoint;    /**< NULL where there is none */
 } ffl_task_t;
 
+/** How fast a run of a step goes on a worker of usual speed, in thousandths
+ * of a percent a second. */
+typedef struct {
+	uint32_t run;  /**< number of the run that was looked at */
+	uint32_t mean; /**< over its tasks, 0: not known */
+	uint32_t most;
+} ffl_step_rate_t;
+
 /** State of a flow as its customer sees it. */
 typedef enum {
 	FFL_FLOW_QUEUED,
@@ -122,6 +130,7 @@
 	uint64_t preempt_ms; /**< nothing more is stopped for it before */
 	uint64_t closed_ms;  /**< when it was first seen to have ended */
 	uint64_t dropped_ms; /**< when its progress was dropped from the log */
+	ffl_step_rate_t *rates; /**< of each step of each occurrence, or NULL */
 } ffl_flow_t;
 
 /** Every flow that a host knows. */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -8,8 +8,14 @@
 #define FREE_FAR_PERCENT 40
 /** Penalty of a worker with a failure, in GPUs left over. */
 #define FAILED_PENALTY 64
+/** Thousandths of speed that weigh as much as a GPU left over. */
+#define SPEED_MILLI_A_GPU 50
+/** The slowest worker of a rack counts as so many of one alone. */
+#define RACK_SPEED_WEIGHT 8
 
 static int64_t cost_of(const ffl_runner_t *r, const ffl_unit_t *unit);
+static int64_t rack_cost(uint32_t free, ffl_runner_t *const *chosen,
+			 const ffl_unit_t *unit);
 
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit)
 {
@@ -39,6 +45,8 @@
 		labelled = strcmp(r->entry.labels[i], step->label) == 0;
 	if (!labelled)
 		return false;
+	if (unit->sound_only && ffl_runner_slow(r, unit->now_ms))
+		return false;
 	return !unit->near_only || !step->rack[0] ||
 	       strcmp(r->entry.rack, step->rack) == 0;
 }
@@ -48,6 +56,11 @@
 {
 	ffl_room_t free = ffl_runner_free(r);
 	int64_t cost = (int64_t)free.gpus - unit->step->gpus;
+	int64_t speed = ffl_runner_speed(r) / SPEED_MILLI_A_GPU;
+
+	/* What comes first has the least slack; the rest leaves it the fast
+	 * workers. */
+	cost += unit->flow->spec.priority == 0 ? -speed : speed;
 
 	if (r->fails || (unit->flow->tasks[unit->first].failures && !r->proved))
 		cost += FAILED_PENALTY;
@@ -150,6 +163,20 @@
 	return got == n;
 }
 
+/* A gang goes as fast as its slowest worker. */
+static int64_t rack_cost(uint32_t free, ffl_runner_t *const *chosen,
+			 const ffl_unit_t *unit)
+{
+	uint32_t slowest = ffl_runner_speed(chosen[0]);
+
+	if (unit->flow->spec.priority != 0)
+		return free;
+	for (uint32_t i = 1; i < unit->step->tasks; i++)
+		slowest = MIN(slowest, ffl_runner_speed(chosen[i]));
+	return (int64_t)free -
+	       (int64_t)slowest * RACK_SPEED_WEIGHT / SPEED_MILLI_A_GPU;
+}
+
 /* Takes the rack that has the least left over of those that fit. */
 bool ffl_choose_rack(ffl_dispatch_t *d, const ffl_unit_t *unit,
 		     ffl_runner_t **chosen)
@@ -159,7 +186,7 @@
 	gpointer key;
 	gpointer value;
 	const char *best = NULL;
-	uint32_t best_free = 0;
+	int64_t best_cost = 0;
 
 	g_hash_table_iter_init(&iter, d->runners);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -176,15 +203,16 @@
 	}
 	g_hash_table_iter_init(&iter, racks);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		uint32_t free = GPOINTER_TO_UINT(value);
+		int64_t cost;
 
-		if (best && (free > best_free ||
-			     (free == best_free && strcmp(key, best) > 0)))
-			continue;
 		if (!ffl_choose_gang(d, unit, key, chosen))
 			continue;
+		cost = rack_cost(GPOINTER_TO_UINT(value), chosen, unit);
+		if (best && (cost > best_cost ||
+			     (cost == best_cost && strcmp(key, best) > 0)))
+			continue;
 		best = key;
-		best_free = free;
+		best_cost = cost;
 	}
 	if (best)
 		ffl_choose_gang(d, unit, best, chosen);
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -51,6 +51,19 @@
 void ffl_runner_bad(ffl_dispatch_t *d, ffl_runner_t *r, const ffl_flow_t *flow,
 		    uint64_t now_ms);
 
+/* speed.c */
+/** Usual speed of a worker, as thousandths of a mean one's. */
+uint32_t ffl_runner_speed(const ffl_runner_t *r);
+/** Tells whether a worker runs well below its usual speed. */
+bool ffl_runner_slow(const ffl_runner_t *r, uint64_t now_ms);
+/** Rate that a run has on its worker when that is sound; 0: not known. */
+uint64_t ffl_run_usual_rate(const ffl_dispatch_t *d, const ffl_run_t *run);
+/** Begins a window at which a run's rate is taken. */
+void ffl_speed_begin(ffl_run_t *run, uint32_t percent, uint64_t now_ms);
+/** Takes how far a run is. */
+void ffl_speed_take(ffl_dispatch_t *d, ffl_run_t *run, uint32_t percent,
+		    uint64_t now_ms);
+
 /* run.c */
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
@@ -84,7 +97,8 @@
 	uint32_t first; /**< index of the step's first task */
 	uint64_t now_ms;
 	bool guaranteed;
-	bool near_only; /**< neither far from its data nor spread */
+	bool near_only;	 /**< neither far from its data nor spread */
+	bool sound_only; /**< not on a slow worker */
 } ffl_unit_t;
 
 ffl_room_t ffl_step_room(const ffl_step_t *step);
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -13,7 +13,12 @@
 		       uint64_t now_ms, uint64_t wall_ms);
 static bool is_due(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 		   uint32_t occurrence, uint64_t wall_ms);
-static void preempt_for(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need);
+static bool may_preempt(const ffl_unit_t *unit);
+static bool make_room(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need);
+static uint32_t place_fitting(ffl_dispatch_t *d, ffl_unit_t *unit, bool far);
+static bool find_gang(ffl_dispatch_t *d, ffl_unit_t *unit, bool far,
+		      ffl_runner_t **chosen);
+static ffl_runner_t *find_worker(ffl_dispatch_t *d, ffl_unit_t *unit, bool far);
 static bool leaves_room(ffl_dispatch_t *d, const ffl_unit_t *unit);
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit);
@@ -104,6 +109,22 @@
 	ffl_flow_dirty(d, unit->flow);
 }
 
+static bool find_gang(ffl_dispatch_t *d, ffl_unit_t *unit, bool far,
+		      ffl_runner_t **chosen)
+{
+	bool rack = unit->step->same_rack;
+
+	unit->near_only = true;
+	if (rack ? ffl_choose_rack(d, unit, chosen)
+		 : ffl_choose_gang(d, unit, NULL, chosen))
+		return true;
+	if (!far)
+		return false;
+	unit->near_only = false;
+	return (rack && ffl_choose_rack(d, unit, chosen)) ||
+	       ffl_choose_gang(d, unit, NULL, chosen);
+}
+
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit)
 {
 	uint32_t n = unit->step->tasks;
@@ -122,27 +143,35 @@
 		run = MAX(run, task->run);
 	}
 	far = ffl_may_go_far(d, unit);
-	unit->near_only = true;
-	ok = unit->step->same_rack ? ffl_choose_rack(d, unit, chosen)
-				   : ffl_choose_gang(d, unit, NULL, chosen);
-	if (!ok && far) {
-		unit->near_only = false;
-		ok = unit->step->same_rack && ffl_choose_rack(d, unit, chosen);
-		ok = ok || ffl_choose_gang(d, unit, NULL, chosen);
+	ok = find_gang(d, unit, far, chosen);
+	if (!ok && may_preempt(unit) && !make_room(d, unit, n)) {
+		unit->sound_only = false;
+		ok = find_gang(d, unit, far, chosen);
+		if (!ok)
+			make_room(d, unit, n);
 	}
-	if (ok) {
-		for (uint32_t i = 0; i < n; i++)
-			commit(d, unit, unit->first + i, chosen[i], run + 1);
-	} else {
+	if (!ok)
 		ffl_add_misfit(d, unit);
-		preempt_for(d, unit, n);
-	}
+	for (uint32_t i = 0; i < n && ok; i++)
+		commit(d, unit, unit->first + i, chosen[i], run + 1);
 	g_free(chosen);
 }
 
-static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit)
+static ffl_runner_t *find_worker(ffl_dispatch_t *d, ffl_unit_t *unit, bool far)
+{
+	ffl_runner_t *r;
+
+	unit->near_only = true;
+	r = ffl_choose(d, unit, NULL);
+	if (r || !far)
+		return r;
+	unit->near_only = false;
+	return ffl_choose(d, unit, NULL);
+}
+
+/* Places what fits; returns the number of tasks that are left. */
+static uint32_t place_fitting(ffl_dispatch_t *d, ffl_unit_t *unit, bool far)
 {
-	bool far = ffl_may_go_far(d, unit);
 	uint32_t left = 0;
 
 	for (uint32_t i = 0; i < unit->step->tasks; i++) {
@@ -151,34 +180,45 @@
 
 		if (task->state != FFL_TASK_WAITING)
 			continue;
-		unit->near_only = true;
-		r = left ? NULL : ffl_choose(d, unit, NULL);
-		if (!r && far && !left) {
-			unit->near_only = false;
-			r = ffl_choose(d, unit, NULL);
-		}
+		r = left ? NULL : find_worker(d, unit, far);
 		if (r)
 			commit(d, unit, unit->first + i, r, task->run + 1);
 		else
 			left++;
 	}
-	if (!left)
-		return;
-	ffl_add_misfit(d, unit);
-	preempt_for(d, unit, left);
+	return left;
+}
+
+static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit)
+{
+	bool far = ffl_may_go_far(d, unit);
+	uint32_t left = place_fitting(d, unit, far);
+
+	if (left && may_preempt(unit) && !make_room(d, unit, left)) {
+		unit->sound_only = false;
+		left = place_fitting(d, unit, far);
+		if (left)
+			make_room(d, unit, left);
+	}
+	if (left)
+		ffl_add_misfit(d, unit);
 }
 
 /* Room that is being freed is waited for before more is stopped. */
-static void preempt_for(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need)
+static bool may_preempt(const ffl_unit_t *unit)
 {
-	if (!unit->guaranteed || unit->now_ms < unit->flow->preempt_ms)
-		return;
+	return unit->guaranteed && unit->now_ms >= unit->flow->preempt_ms;
+}
+
+static bool make_room(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need)
+{
+	bool ok;
+
 	unit->near_only = unit->step->rack[0] != '\0';
-	if (ffl_preempt(d, unit, need))
-		unit->flow->preempt_ms =
-			unit->now_ms + d->opt.stop_max_ms + PREEMPT_SLACK_MS;
-	else
-		unit->flow->preempt_ms = unit->now_ms + PREEMPT_SLACK_MS;
+	ok = ffl_preempt(d, unit, need);
+	unit->flow->preempt_ms =
+		unit->now_ms + PREEMPT_SLACK_MS + (ok ? d->opt.stop_max_ms : 0);
+	return ok;
 }
 
 /* Work with slack leaves room for what may come with a guarantee. */
@@ -224,6 +264,7 @@
 				.first = ffl_flow_first_task(flow, k, s),
 				.now_ms = now_ms,
 				.guaranteed = guaranteed,
+				.sound_only = true,
 			};
 
 			place_unit(d, &unit);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -116,6 +116,7 @@
 			run->running_ms = now_ms;
 			run->moved_ms = now_ms;
 		}
+		ffl_speed_take(d, run, row->percent, now_ms);
 		if (row->percent != run->percent) {
 			run->percent = row->percent;
 			run->moved_ms = now_ms;
@@ -229,6 +230,8 @@
 			run->state = FFL_RUN_RUNNING;
 			run->running_ms = now_ms;
 			run->moved_ms = now_ms;
+			if (!run->flow->tasks[run->task].checkpoint)
+				ffl_speed_begin(run, 0, now_ms);
 		}
 		return;
 	}
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -110,6 +110,7 @@
 	for (uint32_t i = 0; i < flow->tasks_count; i++)
 		task_clear(&flow->tasks[i]);
 	g_free(flow->tasks);
+	g_free(flow->rates);
 	ffl_flow_spec_finish(&flow->spec);
 	g_free(flow);
 }
--- /dev/null
+++ b/tests/dispatch_test.c
@@ -0,0 +1,300 @@
+#include <string.h>
+
+#include "fireflyledge/dispatch.h"
+
+/** Virtual time between two looks at everything. */
+#define STEP_MS 50
+#define LEAD_MS 1000
+/** Workers of a test and what each has. */
+#define WORKERS_MAX 12
+#define GPUS	    8
+#define CPU_MILLI   32000
+#define MEM_MB	    65536
+/** Work that a task of rate 100 does in a millisecond, of 100,000. */
+#define WORK	   100000
+#define RATE_USUAL 100
+
+/** A run at a worker. */
+typedef struct {
+	char task[FFL_TASK_NAME_BYTES];
+	uint32_t run;
+	uint64_t work; /**< done so far, WORK at its end */
+	uint64_t end_number;
+	bool stopped;
+} bench_run_t;
+
+/** A worker: what it runs, how fast, and what has ended. */
+typedef struct {
+	ffl_worker_entry_t entry;
+	uint32_t rate; /**< percent of a usual worker's */
+	bool hangs;
+	GArray *runs;	/**< of bench_run_t */
+	uint64_t ended; /**< ends so far */
+	uint32_t starts;
+} bench_worker_t;
+
+/** A leader's dispatcher with a log that never fails and prompt workers. */
+typedef struct {
+	ffl_flows_t flows;
+	ffl_dispatch_t d;
+	GHashTable *guaranteed;
+	bench_worker_t workers[WORKERS_MAX];
+	uint32_t workers_count;
+	uint32_t work_ms; /**< of each task on a usual worker */
+	uint64_t now_ms;
+	uint32_t preempted;
+} bench_t;
+
+static void bench_init(bench_t *b, uint32_t workers);
+static void bench_finish(bench_t *b);
+static ffl_flow_t *submit(bench_t *b, const char *id, uint32_t priority,
+			  ffl_step_t step);
+static bench_worker_t *worker_of(bench_t *b, const char *id);
+static void answer(bench_t *b, const ffl_order_t *order);
+static void work(bench_t *b);
+static void run_ms(bench_t *b, uint32_t ms);
+
+static void bench_init(bench_t *b, uint32_t workers)
+{
+	ffl_dispatch_options_t opt = {
+		.lease_max_ms = 10000,
+		.stop_max_ms = 400,
+		.gang_wait_ms = 3000,
+		.reclaim_ms = 2900,
+		.spread_percent = 300,
+		.heartbeat_ms = 1500,
+		.early_ms = 250,
+	};
+
+	memset(b, 0, sizeof(*b));
+	ffl_flows_init(&b->flows);
+	ffl_dispatch_init(&b->d, &opt, &b->flows);
+	b->guaranteed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	b->d.guaranteed = b->guaranteed;
+	b->now_ms = LEAD_MS;
+	b->work_ms = 4000;
+	ffl_dispatch_lead(&b->d, 1, 0, b->now_ms);
+	for (uint32_t i = 0; i < workers; i++) {
+		bench_worker_t *w = &b->workers[b->workers_count++];
+
+		g_snprintf(w->entry.id, sizeof(w->entry.id), "w%02u", i);
+		ffl_copy(w->entry.addr, sizeof(w->entry.addr), w->entry.id);
+		ffl_copy(w->entry.service, sizeof(w->entry.service), "survey");
+		ffl_copy(w->entry.rack, sizeof(w->entry.rack), "r1");
+		w->entry.born_ms = 1;
+		w->entry.clock_ms = b->now_ms;
+		w->entry.capacity = (ffl_room_t){ CPU_MILLI, MEM_MB, GPUS };
+		w->rate = RATE_USUAL;
+		w->runs = g_array_new(FALSE, TRUE, sizeof(bench_run_t));
+		ffl_dispatch_listed(&b->d, &w->entry, b->now_ms);
+	}
+}
+
+static void bench_finish(bench_t *b)
+{
+	for (uint32_t i = 0; i < b->workers_count; i++)
+		g_array_free(b->workers[i].runs, TRUE);
+	ffl_dispatch_finish(&b->d);
+	ffl_flows_finish(&b->flows);
+	g_hash_table_destroy(b->guaranteed);
+}
+
+static ffl_flow_t *submit(bench_t *b, const char *id, uint32_t priority,
+			  ffl_step_t step)
+{
+	ffl_flow_spec_t spec;
+	ffl_err_t err;
+
+	ffl_flow_spec_init(&spec);
+	g_snprintf(spec.id, sizeof(spec.id), "%016x", (unsigned)g_str_hash(id));
+	ffl_copy(spec.queue, sizeof(spec.queue), "checks");
+	ffl_copy(spec.service, sizeof(spec.service), "survey");
+	ffl_copy(spec.customer, sizeof(spec.customer), "ponds");
+	spec.priority = priority;
+	spec.attempts_max = 2;
+	spec.stretch_milli = 3000;
+	spec.aim_ms = 1000;
+	spec.spec = g_strdup("s");
+	spec.steps_count = 1;
+	spec.steps = g_new(ffl_step_t, 1);
+	step.estimate_ms = b->work_ms;
+	step.cpu_milli = step.gpus * 1000;
+	step.mem_mb = step.gpus * 1000;
+	spec.steps[0] = step;
+	g_assert_cmpint(ffl_flow_spec_settle(&spec, &err), ==, FFL_OK);
+	ffl_dispatch_touch(&b->d);
+	return ffl_flows_add(&b->flows, &spec, g_str_hash(id));
+}
+
+static bench_worker_t *worker_of(bench_t *b, const char *id)
+{
+	for (uint32_t i = 0; i < b->workers_count; i++) {
+		if (strcmp(b->workers[i].entry.id, id) == 0)
+			return &b->workers[i];
+	}
+	g_assert_not_reached();
+}
+
+static void answer(bench_t *b, const ffl_order_t *order)
+{
+	bench_worker_t *w = worker_of(b, order->worker);
+	ffl_run_row_t running[64] = { 0 };
+	ffl_run_row_t ended[64] = { 0 };
+	ffl_reply_t reply = { .call = order->call,
+			      .born_ms = 1,
+			      .clock_ms = b->now_ms,
+			      .running = running,
+			      .ended = ended };
+	bench_run_t run = { .run = order->run };
+
+	if (order->kind == FFL_ORDER_START) {
+		ffl_copy(run.task, sizeof(run.task), order->task);
+		g_array_append_val(w->runs, run);
+		w->starts++;
+	}
+	for (guint i = 0; i < w->runs->len; i++) {
+		bench_run_t *r = &g_array_index(w->runs, bench_run_t, i);
+		bool gone = r->end_number != 0;
+		ffl_run_row_t *row = gone ? &ended[reply.ended_count]
+					  : &running[reply.running_count];
+
+		if (order->kind == FFL_ORDER_STOP && r->run == order->run &&
+		    strcmp(r->task, order->task) == 0 && !gone) {
+			r->end_number = ++w->ended;
+			r->stopped = true;
+			b->preempted++;
+		}
+		if (order->kind != FFL_ORDER_HOLD ||
+		    (gone && r->end_number <= order->acked))
+			continue;
+		ffl_copy(row->task, sizeof(row->task), r->task);
+		row->run = r->run;
+		row->number = r->end_number;
+		row->end = r->stopped ? FFL_ENDING_STOPPED : FFL_ENDING_DONE;
+		row->percent = (uint32_t)(r->work * 100 / WORK);
+		reply.ended_count += gone;
+		reply.running_count += !gone;
+	}
+	ffl_dispatch_reply(&b->d, &reply, b->now_ms);
+}
+
+static void work(bench_t *b)
+{
+	for (uint32_t i = 0; i < b->workers_count; i++) {
+		bench_worker_t *w = &b->workers[i];
+
+		for (guint k = 0; k < w->runs->len && !w->hangs; k++) {
+			bench_run_t *r =
+				&g_array_index(w->runs, bench_run_t, k);
+
+			r->work += (uint64_t)STEP_MS * WORK * w->rate /
+				   RATE_USUAL / b->work_ms;
+			if (r->work < WORK || r->end_number)
+				continue;
+			r->work = WORK;
+			r->end_number = ++w->ended;
+		}
+	}
+}
+
+/* Reports come once a second, as the workers' long polls give them. */
+static void run_ms(bench_t *b, uint32_t ms)
+{
+	GArray *orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
+	GPtrArray *changed = g_ptr_array_new();
+	GArray *holds = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
+
+	for (uint64_t end = b->now_ms + ms; b->now_ms < end;) {
+		b->now_ms += STEP_MS;
+		work(b);
+		g_array_set_size(orders, 0);
+		ffl_dispatch_step(&b->d, b->now_ms, b->now_ms, true, true,
+				  orders);
+		for (guint i = 0; i < orders->len; i++) {
+			ffl_order_t *order =
+				&g_array_index(orders, ffl_order_t, i);
+
+			if (order->kind == FFL_ORDER_HOLD && order->wait_ms)
+				g_array_append_val(holds, *order);
+			else
+				answer(b, order);
+		}
+		for (guint i = 0; i < holds->len && b->now_ms % 1000 == 0; i++)
+			answer(b, &g_array_index(holds, ffl_order_t, i));
+		if (b->now_ms % 1000 == 0)
+			g_array_set_size(holds, 0);
+		g_ptr_array_set_size(changed, 0);
+		ffl_dispatch_recorded(&b->d,
+				      ffl_dispatch_batch(&b->d, changed));
+	}
+	for (guint i = 0; i < holds->len; i++)
+		answer(b, &g_array_index(holds, ffl_order_t, i));
+	g_array_free(holds, TRUE);
+	g_array_free(orders, TRUE);
+	g_ptr_array_free(changed, TRUE);
+}
+
+/* Tasks of a gang have the same work: their rates tell the workers apart. */
+static void test_speed_learned(void)
+{
+	bench_t b;
+
+	bench_init(&b, 4);
+	b.workers[0].rate = 80;
+	b.workers[3].rate = 125;
+	for (uint32_t i = 0; i < 4; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "g%u", i);
+		submit(&b, id, 1,
+		       (ffl_step_t){ .tasks = 4, .gpus = 8, .gang = true });
+		run_ms(&b, 8000);
+	}
+	submit(&b, "first", 0,
+	       (ffl_step_t){ .tasks = 1, .gpus = 8, .gang = true });
+	run_ms(&b, 500);
+	g_assert_cmpuint(b.workers[3].runs->len, ==, 5);
+	submit(&b, "later", 1,
+	       (ffl_step_t){ .tasks = 1, .gpus = 8, .gang = true });
+	run_ms(&b, 500);
+	g_assert_cmpuint(b.workers[0].runs->len, ==, 5);
+	bench_finish(&b);
+}
+
+/* A worker that turns slow gets nothing while others have room. */
+static void test_slow_left_out(void)
+{
+	uint32_t before;
+	bench_t b;
+
+	bench_init(&b, 4);
+	b.work_ms = 10000;
+	submit(&b, "gang", 1,
+	       (ffl_step_t){ .tasks = 4, .gpus = 1, .gang = true });
+	submit(&b, "fill", 1, (ffl_step_t){ .tasks = 4, .gpus = 2 });
+	run_ms(&b, 3000);
+	for (uint32_t i = 0; i < 4; i++) {
+		if (b.workers[i].starts)
+			b.workers[i].rate = 10;
+	}
+	run_ms(&b, 2000);
+	before = b.workers[0].starts + b.workers[1].starts +
+		 b.workers[2].starts + b.workers[3].starts;
+	for (uint32_t i = 0; i < 4; i++)
+		before -= b.workers[i].rate == 10 ? 0 : b.workers[i].starts;
+	submit(&b, "new", 1, (ffl_step_t){ .tasks = 3, .gpus = 1 });
+	run_ms(&b, 500);
+	for (uint32_t i = 0; i < 4; i++)
+		before -= b.workers[i].rate == 10 ? b.workers[i].starts : 0;
+	g_assert_cmpuint(before, ==, 0);
+	bench_finish(&b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
+	g_test_add_func("/dispatch/slow-left-out", test_slow_left_out);
+	return g_test_run();
+}
