First priority may stop other work beyond its guarantee

And one large job beyond the guarantee took it from every younger one: need was summed up though it did not fit.

A job that does not fit into what is left of the guarantee is passed over and leaves it to the next. Work of first priority that can still be in time may stop lower priorities without a guarantee too, as long as no more core-time is thrown away than its own; the room that it frees is kept for it.

Tests: dispatch/guarantee-skips and first-priority; both fail before.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -49,6 +49,7 @@
 	bool proved;			/**< a run has ended well there */
 	uint64_t quarantine_ms;		/**< nothing is placed before */
 	uint64_t reserved_ms;		/**< only guaranteed work before */
+	const ffl_flow_t *reserved_for; /**< and this; never followed */
 	uint32_t speed_milli; /**< of a usual worker's speed; 0: not known */
 	uint64_t slow_ms;     /**< taken as slow before; 0: it is not */
 } ffl_runner_t;
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -39,7 +39,8 @@
 	    unit->now_ms < r->quarantine_ms ||
 	    strcmp(r->entry.service, unit->flow->spec.service) != 0)
 		return false;
-	if (!unit->guaranteed && unit->now_ms < r->reserved_ms)
+	if (!unit->guaranteed && unit->now_ms < r->reserved_ms &&
+	    r->reserved_for != unit->flow)
 		return false;
 	for (uint32_t i = 0; i < r->entry.labels_count && !labelled; i++)
 		labelled = strcmp(r->entry.labels[i], step->label) == 0;
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -83,10 +83,11 @@
 		sum = GPOINTER_TO_UINT(
 			g_hash_table_lookup(used, flow->spec.customer));
 		sum += need_of(flow);
+		if (sum > limit)
+			continue;
 		g_hash_table_insert(used, flow->spec.customer,
 				    GUINT_TO_POINTER(sum));
-		if (sum <= limit)
-			g_hash_table_add(entitled, flow);
+		g_hash_table_add(entitled, flow);
 	}
 	g_hash_table_destroy(used);
 }
@@ -207,7 +208,11 @@
 /* Room that is being freed is waited for before more is stopped. */
 static bool may_preempt(const ffl_unit_t *unit)
 {
-	return unit->guaranteed && unit->now_ms >= unit->flow->preempt_ms;
+	const ffl_flow_t *flow = unit->flow;
+
+	return (unit->guaranteed ||
+		(flow->spec.priority == 0 && flow->tier == FFL_TIER_TIMELY)) &&
+	       unit->now_ms >= flow->preempt_ms;
 }
 
 static bool make_room(ffl_dispatch_t *d, ffl_unit_t *unit, uint32_t need)
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -8,6 +8,9 @@
 /** Room that was freed is kept for guaranteed work for so long beyond the
  * time that a stop takes. */
 #define RESERVE_SLACK_MS 600
+/** Work of first priority beyond its guarantee throws away at most this
+ * share of its own. */
+#define WORTH_PERCENT 100
 
 /** Room that there would be on a worker. */
 typedef struct {
@@ -26,6 +29,7 @@
 } plan_t;
 
 static bool may_stop(const ffl_run_t *run);
+static uint32_t cores_of(const ffl_step_t *step);
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms);
 static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms);
 static void make_offers(plan_t *plan, const char *rack);
@@ -39,6 +43,7 @@
 static void plan_close(plan_t *plan);
 static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
 		      plan_t *best);
+static bool is_worth(const ffl_dispatch_t *d, const plan_t *plan);
 static void carry_out(plan_t *plan);
 
 static bool may_stop(const ffl_run_t *run)
@@ -46,12 +51,17 @@
 	return !run->stop && run->flow->spec.priority > 0;
 }
 
+static uint32_t cores_of(const ffl_step_t *step)
+{
+	return step->gpus * GPU_CORES + step->cpu_milli / CORE_MILLI;
+}
+
 /* Core-milliseconds of work that a stop throws away. */
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms)
 {
 	const ffl_step_t *step =
 		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
-	uint64_t cores = step->gpus * GPU_CORES + step->cpu_milli / CORE_MILLI;
+	uint64_t cores = cores_of(step);
 	uint64_t ran = now_ms - run->placed_ms;
 
 	if (step->saves)
@@ -263,6 +273,16 @@
 	return found;
 }
 
+/* Without a guarantee, no more is thrown away than the step's own work. */
+static bool is_worth(const ffl_dispatch_t *d, const plan_t *plan)
+{
+	const ffl_unit_t *unit = plan->unit;
+	uint64_t own = (uint64_t)cores_of(unit->step) * unit->step->tasks *
+		       ffl_expect_run(d, unit->flow, unit->step_index);
+
+	return unit->guaranteed || plan->cost <= own * WORTH_PERCENT / PERCENT;
+}
+
 static void carry_out(plan_t *plan)
 {
 	uint64_t until = plan->unit->now_ms + plan->d->opt.stop_max_ms +
@@ -273,9 +293,11 @@
 	for (guint i = 0; i < plan->offers->len; i++) {
 		offer_t *offer = &g_array_index(plan->offers, offer_t, i);
 
-		if (offer->tasks >
+		if (offer->tasks <=
 		    ffl_runner_tasks_of(offer->runner, plan->unit))
-			offer->runner->reserved_ms = until;
+			continue;
+		offer->runner->reserved_ms = until;
+		offer->runner->reserved_for = plan->unit->flow;
 	}
 	g_hash_table_iter_init(&iter, plan->victims);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
@@ -306,6 +328,7 @@
 		plan_open(&plan, d, &anywhere);
 		ok = make_plan(&plan, need, NULL);
 	}
+	ok = ok && is_worth(d, &plan);
 	if (ok)
 		carry_out(&plan);
 	plan_close(&plan);
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -291,10 +291,67 @@
 	bench_finish(&b);
 }
 
+/* A large job of the customer does not take the guarantee of smaller ones. */
+static void test_guarantee_skips(void)
+{
+	ffl_flow_t *large;
+	ffl_flow_t *small;
+	bench_t b;
+
+	bench_init(&b, 2);
+	g_hash_table_insert(b.guaranteed, "ponds", GUINT_TO_POINTER(8));
+	b.work_ms = 60000;
+	submit(&b, "low", 2, (ffl_step_t){ .tasks = 16, .gpus = 1 });
+	run_ms(&b, 30000);
+	b.work_ms = 4000;
+	large = submit(&b, "a-large", 0,
+		       (ffl_step_t){ .tasks = 4, .gpus = 8, .gang = true });
+	large->order = 1;
+	small = submit(&b, "b-small", 0,
+		       (ffl_step_t){ .tasks = 1, .gpus = 8, .gang = true });
+	small->order = 2;
+	run_ms(&b, 1500);
+	g_assert_true(small->started);
+	g_assert_false(large->started);
+	bench_finish(&b);
+}
+
+/* Work of first priority stops others without a guarantee too, but never
+ * throws away more than its own. */
+static void test_first_priority(void)
+{
+	static const struct {
+		uint32_t ran_ms;
+		bool starts;
+	} cases[] = {
+		{ 1000, true },
+		{ 30000, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *first;
+		bench_t b;
+
+		bench_init(&b, 2);
+		b.work_ms = 60000;
+		submit(&b, "low", 2, (ffl_step_t){ .tasks = 16, .gpus = 1 });
+		run_ms(&b, cases[i].ran_ms);
+		b.work_ms = 4000;
+		first = submit(
+			&b, "first", 0,
+			(ffl_step_t){ .tasks = 2, .gpus = 4, .gang = true });
+		run_ms(&b, 1500);
+		g_assert_cmpint(first->started, ==, cases[i].starts);
+		bench_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_left_out);
+	g_test_add_func("/dispatch/guarantee-skips", test_guarantee_skips);
+	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	return g_test_run();
 }
