A task that hangs is known from one report to the next

Yet the rate that a run should have is known: from its own past, or from the rest of its gang.

Where that rate is 4% a second or more, standing still between two reports is a hang; else 3 s as before. The time counts from report to report, so that a late report is no sign.

Test: dispatch/hang-known fails before.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -77,6 +77,7 @@
 	uint64_t retry_ms;
 	uint64_t running_ms; /**< when it was known to run */
 	uint64_t moved_ms;   /**< when its progress last moved */
+	uint64_t seen_ms;    /**< when it was last reported */
 	uint32_t percent;
 	uint32_t sample_percent; /**< where the newest window began */
 	uint64_t sample_ms;	 /**< when; 0: no window yet */
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -116,6 +116,7 @@
 			run->running_ms = now_ms;
 			run->moved_ms = now_ms;
 		}
+		run->seen_ms = now_ms;
 		ffl_speed_take(d, run, row->percent, now_ms);
 		if (row->percent != run->percent) {
 			run->percent = row->percent;
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -2,11 +2,17 @@
 
 /** A task whose progress stands still for so long hangs. */
 #define HANG_MS 3000
+/** The same where its rate is known: one report after another. */
+#define HANG_KNOWN_MS 900
+/** Least such rate, in thousandths of a percent a second. */
+#define HANG_RATE 4000
+
 /** A draining worker often stays a little longer than it says. */
 #define LINGER_MS 1500
 
 static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static bool hangs(const ffl_dispatch_t *d, const ffl_run_t *run);
 static void stop_cancelled(ffl_dispatch_t *d);
 
 /* Work that outlasts a draining worker is moved while it can be saved. */
@@ -28,6 +34,17 @@
 		ffl_run_stop(d, run, "evacuated");
 }
 
+static bool hangs(const ffl_dispatch_t *d, const ffl_run_t *run)
+{
+	uint64_t still_ms = run->seen_ms - MIN(run->seen_ms, run->moved_ms);
+
+	if (run->runner->silent || run->percent >= PERCENT)
+		return false;
+	return still_ms >= (ffl_run_usual_rate(d, run) >= HANG_RATE
+				    ? HANG_KNOWN_MS
+				    : HANG_MS);
+}
+
 /* A task that stands still is started elsewhere, and its worker left out. */
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
@@ -36,9 +53,9 @@
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
 	evacuate(d, run, now_ms);
-	if (run->state != FFL_RUN_RUNNING || run->stop || step->lasting ||
-	    run->runner->silent || run->percent >= PERCENT ||
-	    now_ms - run->moved_ms < HANG_MS)
+	if (run->state != FFL_RUN_RUNNING || run->stop || step->lasting)
+		return;
+	if (!hangs(d, run))
 		return;
 	ffl_runner_bad(d, run->runner, flow, now_ms);
 	ffl_run_stop(d, run, "hangs");
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -198,7 +198,7 @@
 	}
 }
 
-/* Reports come once a second, as the workers' long polls give them. */
+/* Reports come once a second or with an end, as from long polls. */
 static void run_ms(bench_t *b, uint32_t ms)
 {
 	GArray *orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
@@ -220,10 +220,15 @@
 			else
 				answer(b, order);
 		}
-		for (guint i = 0; i < holds->len && b->now_ms % 1000 == 0; i++)
-			answer(b, &g_array_index(holds, ffl_order_t, i));
-		if (b->now_ms % 1000 == 0)
-			g_array_set_size(holds, 0);
+		for (guint i = holds->len; i-- > 0;) {
+			ffl_order_t hold = g_array_index(holds, ffl_order_t, i);
+
+			if (b->now_ms % 1000 != 0 &&
+			    worker_of(b, hold.worker)->ended <= hold.acked)
+				continue;
+			g_array_remove_index_fast(holds, i);
+			answer(b, &hold);
+		}
 		g_ptr_array_set_size(changed, 0);
 		ffl_dispatch_recorded(&b->d,
 				      ffl_dispatch_batch(&b->d, changed));
@@ -265,29 +270,40 @@
 /* A worker that turns slow gets nothing while others have room. */
 static void test_slow_left_out(void)
 {
+	ffl_flow_t *gang;
+	bench_worker_t *slow;
 	uint32_t before;
 	bench_t b;
 
 	bench_init(&b, 4);
-	b.work_ms = 10000;
-	submit(&b, "gang", 1,
-	       (ffl_step_t){ .tasks = 4, .gpus = 1, .gang = true });
-	submit(&b, "fill", 1, (ffl_step_t){ .tasks = 4, .gpus = 2 });
+	b.work_ms = 20000;
+	gang = submit(&b, "gang", 1,
+		      (ffl_step_t){ .tasks = 2, .gpus = 3, .gang = true });
 	run_ms(&b, 3000);
-	for (uint32_t i = 0; i < 4; i++) {
-		if (b.workers[i].starts)
-			b.workers[i].rate = 10;
-	}
-	run_ms(&b, 2000);
-	before = b.workers[0].starts + b.workers[1].starts +
-		 b.workers[2].starts + b.workers[3].starts;
-	for (uint32_t i = 0; i < 4; i++)
-		before -= b.workers[i].rate == 10 ? 0 : b.workers[i].starts;
+	slow = worker_of(&b, gang->tasks[0].worker);
+	slow->rate = 10;
+	run_ms(&b, 2500);
+	before = slow->starts;
 	submit(&b, "new", 1, (ffl_step_t){ .tasks = 3, .gpus = 1 });
 	run_ms(&b, 500);
-	for (uint32_t i = 0; i < 4; i++)
-		before -= b.workers[i].rate == 10 ? b.workers[i].starts : 0;
-	g_assert_cmpuint(before, ==, 0);
+	g_assert_cmpuint(slow->starts, ==, before);
+	bench_finish(&b);
+}
+
+/* A task that stands still while the rest of its gang moves is known to hang
+ * from one report to the next. */
+static void test_hang_known(void)
+{
+	ffl_flow_t *flow;
+	bench_t b;
+
+	bench_init(&b, 6);
+	flow = submit(&b, "gang", 0,
+		      (ffl_step_t){ .tasks = 3, .gpus = 8, .gang = true });
+	run_ms(&b, 1200);
+	worker_of(&b, flow->tasks[1].worker)->hangs = true;
+	run_ms(&b, 1900);
+	g_assert_cmpuint(flow->tasks[1].run, ==, 2);
 	bench_finish(&b);
 }
 
@@ -351,6 +367,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_left_out);
+	g_test_add_func("/dispatch/hang-known", test_hang_known);
 	g_test_add_func("/dispatch/guarantee-skips", test_guarantee_skips);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	return g_test_run();
