--- a/fakes/site.c
+++ b/fakes/site.c
@@ -12,6 +12,10 @@
 #define LATE_MOST_MS  12000
 #define PAGE_MOST     4
 #define CANCEL_MS     3000
+/** Times of the adviser. */
+#define ADVICE_MS	30
+#define ADVICE_EACH_MS	2
+#define TICKET_VALID_MS 3000
 /** Longer than any play: the oracle asks for every job at its end. */
 #define KEEP_MS	  3600000
 #define PERCENT	  100
@@ -34,6 +38,7 @@
 	uint64_t life;
 	ffl_node_act_t act; /**< with its own copies of texts */
 	char *spec;
+	char ticket[FFL_TICKET_BYTES];
 	uint64_t until_ms; /**< a waiting read is answered then */
 	bool no_answer;
 	ffl_node_event_t ev;
@@ -52,16 +57,20 @@
 static gint by_due(gconstpointer a, gconstpointer b, gpointer user);
 static void push(site_t *s, event_t *e);
 static char *call_key(bool order, uint32_t host, uint64_t life, uint64_t call);
+static void ticket_of(const char *step, const task_worker_t *w,
+		      char out[FFL_TICKET_BYTES]);
+static bool is_denied(const site_t *s, const char *step, uint32_t worker);
+static void serve_advice(site_t *s, uint32_t host, const ffl_order_t *order);
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
 static void take_answer(site_t *s, const ffl_act_say_t *say);
 static void step_host(site_t *s, uint32_t host, ffl_node_event_t *ev);
 static void boot_host(site_t *s, uint32_t host);
-static void put_config(site_t *s);
 static void report_workers(site_t *s);
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, event_t *e, event_t *back);
 static site_job_t *job_of(site_t *s, const char *task, uint32_t *step);
+static bool is_first(const site_t *s, const site_job_t *job);
 static bool plan_task(void *user, const char *task, task_plan_t *out);
 static void note_started(void *user, task_worker_t *w, const task_run_t *run);
 static void note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row);
@@ -129,6 +138,59 @@
 			       call);
 }
 
+static void ticket_of(const char *step, const task_worker_t *w,
+		      char out[FFL_TICKET_BYTES])
+{
+	g_snprintf(out, FFL_TICKET_BYTES, "%s/%s/%" PRId64, step, w->id,
+		   w->born_ms);
+}
+
+/* A step that leaves half of the workers free is kept off one of them. */
+static bool is_denied(const site_t *s, const char *step, uint32_t worker)
+{
+	uint32_t index = 0;
+	const site_job_t *job = job_of((site_t *)s, step, &index);
+	const ffl_step_t *st;
+
+	if (!job || index >= job->spec.steps_count)
+		return true;
+	st = &job->spec.steps[index];
+	return st->tasks * st->gpus * 2 <= s->workers_count * 8 &&
+	       g_str_hash(step) % s->workers_count == worker;
+}
+
+static void serve_advice(site_t *s, uint32_t host, const ffl_order_t *order)
+{
+	event_t *back = event_new(EVENT_WORKER_BACK,
+				  s->now_ms + ADVICE_MS +
+					  order->asked->len * ADVICE_EACH_MS,
+				  host, s->hosts[host].life);
+	ffl_reply_t *reply = &back->ev.worker;
+
+	back->ev.kind = FFL_NODE_EV_WORKER;
+	reply->call = order->call;
+	reply->valid_ms = TICKET_VALID_MS;
+	reply->tickets = ffl_arena_alloc(
+		&s->arena, (order->asked->len + 1) * sizeof(*reply->tickets));
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+		ffl_ticket_t *t = &reply->tickets[reply->tickets_count];
+		bool asked = false;
+
+		for (guint k = 0; k < order->asked->len && !asked; k++)
+			asked = strcmp(g_ptr_array_index(order->asked, k),
+				       w->id) == 0;
+		if (!asked || is_denied(s, order->task, i))
+			continue;
+		ffl_copy(t->worker, sizeof(t->worker), w->id);
+		ticket_of(order->task, w, t->ticket);
+		reply->tickets_count++;
+	}
+	g_hash_table_add(s->open,
+			 call_key(true, host, back->life, order->call));
+	push(s, back);
+}
+
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act)
 {
 	bool order = act->kind == FFL_NODE_ACT_ORDER;
@@ -143,6 +205,8 @@
 		event_new(EVENT_TIMEOUT, s->now_ms + timeout_ms, host, life);
 
 	e->act = *act;
+	if (order && act->order.ticket)
+		ffl_copy(e->ticket, sizeof(e->ticket), act->order.ticket);
 	if (act->kind == FFL_NODE_ACT_APPEND)
 		g_ptr_array_ref(e->act.store.writes);
 	if (order && act->order.spec)
@@ -219,7 +283,11 @@
 		case FFL_NODE_ACT_NEWEST:
 		case FFL_NODE_ACT_APPEND:
 		case FFL_NODE_ACT_ORDER:
-			send_act(s, host, act);
+			if (act->kind == FFL_NODE_ACT_ORDER &&
+			    act->order.kind == FFL_ORDER_ADVISE)
+				serve_advice(s, host, &act->order);
+			else
+				send_act(s, host, act);
 			break;
 		case FFL_NODE_ACT_ANSWER:
 			take_answer(s, &act->say);
@@ -249,7 +317,8 @@
 		.config_skew_ms = 5000,
 		.stop_drain_ms = 4800,
 		.keep_ended_ms = KEEP_MS,
-		.dispatch = { .lease_max_ms = 10000,
+		.dispatch = { .adviser_addr = "adviser",
+			      .lease_max_ms = 10000,
 			      .stop_max_ms = 400,
 			      .gang_wait_ms = 3000,
 			      .reclaim_ms = 2900,
@@ -268,7 +337,7 @@
 }
 
 /* The records of others are decoded where they are read. */
-static void put_config(site_t *s)
+void site_config(site_t *s)
 {
 	char text[32];
 
@@ -324,6 +393,7 @@
 		ffl_copy(route.queue, sizeof(route.queue), "dew");
 		ffl_copy(route.prefix, sizeof(route.prefix), "/dew/");
 		route.priority = 0;
+		route.needs_tickets = s->advised;
 		g_array_append_val(rec->routes->routes, route);
 		g_hash_table_replace(rec->routes->keys, g_strdup("key"),
 				     g_strdup("ponds"));
@@ -491,6 +561,7 @@
 
 		late->act = e->act;
 		late->spec = g_strdup(e->spec);
+		ffl_copy(late->ticket, sizeof(late->ticket), e->ticket);
 		late->no_answer = true;
 		push(s, late);
 		return;
@@ -510,6 +581,8 @@
 	}
 	back = event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms, e->host,
 			 e->life);
+	e->act.order.ticket = e->ticket;
+	s->ordered = &s->workers[index];
 	back->ev.kind = FFL_NODE_EV_WORKER;
 	task_worker_take(&s->workers[index], &e->act.order, s->now_ms, &hooks,
 			 &s->arena, &back->ev.worker);
@@ -528,17 +601,25 @@
 
 		if (strncmp(task, s->jobs[i].id, n) != 0)
 			continue;
-		if (sscanf(task + n, ".%u.%u.", &occurrence, step) != 2)
+		if (sscanf(task + n, ".%u.%u", &occurrence, step) != 2)
 			return NULL;
 		return &s->jobs[i];
 	}
 	return NULL;
 }
 
+/* Each third job goes to the queue of first priority. */
+static bool is_first(const site_t *s, const site_job_t *job)
+{
+	return (job - s->jobs) % 3 == 0;
+}
+
 static bool plan_task(void *user, const char *task, task_plan_t *out)
 {
+	site_t *s = user;
 	uint32_t step = 0;
-	const site_job_t *job = job_of(user, task, &step);
+	const site_job_t *job = job_of(s, task, &step);
+	char name[FFL_TASK_NAME_BYTES];
 	const ffl_step_t *st;
 
 	if (!job || step >= job->spec.steps_count)
@@ -547,6 +628,12 @@
 	out->work_ms = job->work_ms;
 	out->gang_tasks = st->gang ? st->tasks : 0;
 	out->fails = job->fails;
+	out->ticket = NULL;
+	if (s->advised && is_first(s, job)) {
+		g_snprintf(name, sizeof(name), "%s.0.%u", job->id, step);
+		ticket_of(name, s->ordered, s->ticket);
+		out->ticket = s->ticket;
+	}
 	out->room = (ffl_room_t){ st->cpu_milli, st->mem_mb, st->gpus };
 	return true;
 }
@@ -661,7 +748,7 @@
 	s->asked = g_hash_table_new(NULL, NULL);
 	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
 		keyed_log_init(&s->topics[i]);
-	put_config(s);
+	site_config(s);
 	s->hosts_count = hosts;
 	s->workers_count = workers;
 	for (uint32_t i = 0; i < workers; i++)
@@ -819,8 +906,8 @@
 
 	if (!h->alive || h->exited || s->now_ms < h->frozen_until)
 		return;
-	g_snprintf(path, sizeof(path), "/%s/%s", job % 3 ? "lining" : "dew",
-		   j->id);
+	g_snprintf(path, sizeof(path), "/%s/%s",
+		   is_first(s, &s->jobs[job]) ? "dew" : "lining", j->id);
 	ev.request.call = ++s->next_call;
 	ev.request.ask = what;
 	ev.request.host = "ponds.example";
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -77,14 +77,19 @@
 	uint32_t lost_percent;
 	uint32_t late_percent;
 	uint64_t version; /**< of the configuration */
+	bool advised;	  /**< the queue of first priority needs tickets */
 	uint64_t actions;
-	const char *fault; /**< first promise that was broken */
+	const task_worker_t *ordered;  /**< that carries out an order now */
+	char ticket[FFL_TICKET_BYTES]; /**< that it asks for */
+	const char *fault;	       /**< first promise that was broken */
 	char detail[160];
 } site_t;
 
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers);
 void site_finish(site_t *s);
 void site_run(site_t *s, uint32_t ms);
+/** Writes a new version of the configuration. */
+void site_config(site_t *s);
 
 /** Sends a job of one step to a host; returns its index. */
 uint32_t site_submit(site_t *s, uint32_t host, uint32_t tasks, uint32_t gpus,
--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -20,6 +20,9 @@
 static void take_stop(task_worker_t *w, const ffl_order_t *order,
 		      uint64_t now_ms, const task_hooks_t *hooks,
 		      ffl_arena_t *arena, ffl_reply_t *out);
+static void take_pace(task_worker_t *w, const ffl_order_t *order,
+		      uint64_t now_ms, const task_hooks_t *hooks,
+		      ffl_arena_t *arena, ffl_reply_t *out);
 static void end_run(task_worker_t *w, task_run_t *run, ffl_ending_t ending,
 		    const task_hooks_t *hooks);
 static uint32_t past_run(const task_worker_t *w, const char *task);
@@ -30,6 +33,7 @@
 	[FFL_ORDER_HOLD] = take_hold,
 	[FFL_ORDER_START] = take_start,
 	[FFL_ORDER_STOP] = take_stop,
+	[FFL_ORDER_PACE] = take_pace,
 };
 
 void task_worker_init(task_worker_t *w, uint32_t index, uint64_t now_ms)
@@ -142,7 +146,7 @@
 			continue;
 		}
 		if (!w->hangs)
-			run->worked_ms += ms;
+			run->worked_ms += ms * run->pace / PERCENT;
 		if (run->worked_ms >= run->plan.work_ms)
 			end_run(w, run,
 				run->plan.fails ? FFL_ENDING_FAILED
@@ -236,6 +240,10 @@
 		out->outcome = FFL_REPLY_INVALID;
 		return;
 	}
+	if (plan.ticket && g_strcmp0(plan.ticket, order->ticket) != 0) {
+		out->outcome = FFL_REPLY_TICKET;
+		return;
+	}
 	if (!fits(w, &plan.room)) {
 		out->outcome = FFL_REPLY_ROOM;
 		return;
@@ -244,6 +252,7 @@
 	ffl_copy(run->task, sizeof(run->task), order->task);
 	run->run = order->run;
 	run->started_ms = now_ms;
+	run->pace = PERCENT;
 	run->plan = plan;
 	w->used.cpu_milli += plan.room.cpu_milli;
 	w->used.mem_mb += plan.room.mem_mb;
@@ -265,6 +274,18 @@
 	run->ending = FFL_ENDING_STOPPED;
 }
 
+static void take_pace(task_worker_t *w, const ffl_order_t *order,
+		      uint64_t now_ms, const task_hooks_t *hooks,
+		      ffl_arena_t *arena, ffl_reply_t *out)
+{
+	task_run_t *run = task_worker_find(w, order->task, order->run);
+
+	if (run)
+		run->pace = MIN(order->percent, PERCENT);
+	else
+		out->outcome = FFL_REPLY_OLD;
+}
+
 void task_worker_take(task_worker_t *w, const ffl_order_t *order,
 		      uint64_t now_ms, const task_hooks_t *hooks,
 		      ffl_arena_t *arena, ffl_reply_t *out)
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -16,6 +16,7 @@
 	uint32_t work_ms;
 	uint32_t gang_tasks; /**< 0 where it is no gang */
 	bool fails;
+	const char *ticket; /**< that a start must carry; NULL: none */
 	ffl_room_t room;
 } task_plan_t;
 
@@ -27,6 +28,7 @@
 	uint32_t worked_ms;
 	uint64_t stop_ms; /**< ends then; 0: not being stopped */
 	ffl_ending_t ending;
+	uint32_t pace; /**< share of the work that it does, in percent */
 	task_plan_t plan;
 } task_run_t;
 
--- a/fuzz/node_fuzz.c
+++ b/fuzz/node_fuzz.c
@@ -139,6 +139,7 @@
 	site_t s;
 
 	site_init(&s, 1 + op_count, HOSTS, WORKERS);
+	s.advised = op_count % 2;
 	site_run(&s, START_MS);
 	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.fault; i++) {
 		const uint8_t *b = &ops[3 * i];
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -24,6 +24,7 @@
 	uint32_t spread_percent; /**< time on a far rack, of a near one */
 	uint32_t heartbeat_ms;	 /**< workers report about so often */
 	uint32_t early_ms;	 /**< a due time may be early by so much */
+	char adviser_addr[FFL_ADDR_BYTES]; /**< "": there is none */
 } ffl_dispatch_options_t;
 
 /** A worker as the leader sees it. */
@@ -52,6 +53,7 @@
 	const ffl_flow_t *reserved_for; /**< and this; never followed */
 	uint32_t speed_milli; /**< of a usual worker's speed; 0: not known */
 	uint64_t slow_ms;     /**< taken as slow before; 0: it is not */
+	uint32_t pace;	      /**< of the work that fills there, in percent */
 } ffl_runner_t;
 
 /** Life of a run. */
@@ -83,6 +85,9 @@
 	uint64_t sample_ms;	 /**< when; 0: no window yet */
 	uint32_t rate;	     /**< thousandths of a percent a second, newest */
 	uint32_t best_rate;  /**< the best of its windows */
+	uint32_t recent;     /**< as the worker reported it */
+	uint32_t pace;	     /**< that it is to have, in percent */
+	uint32_t paced;	     /**< that its worker has accepted */
 	bool unanswered;     /**< an order may still be on its way */
 	bool stop;	     /**< it is to end */
 	uint64_t stopped_ms; /**< when the worker accepted the stop */
@@ -90,6 +95,17 @@
 	uint64_t loss;	     /**< of stopping it with its gang, while weighed */
 } ffl_run_t;
 
+/** What the adviser said; one call at a time, as it serves one host. */
+typedef struct {
+	GHashTable *steps; /**< of what is known of workers, by step */
+	uint64_t call;	   /**< on its way; 0: none */
+	bool wanted;	   /**< a call is to be made */
+	uint64_t sent_ms;
+	uint64_t retry_ms;		/**< no call before */
+	char step[FFL_TASK_NAME_BYTES]; /**< that the call is about */
+	GPtrArray *asked;		/**< ids of the workers asked about */
+} ffl_advice_t;
+
 /** The dispatcher. */
 typedef struct {
 	ffl_dispatch_options_t opt;
@@ -108,6 +124,7 @@
 	uint64_t planned_ms; /**< when placement was last thought over */
 	GHashTable *learned; /**< mean time of a run in ms, by queue */
 	GArray *misfits;     /**< of shapes without room, in one pass */
+	ffl_advice_t advice;
 	bool may_hold;
 	bool fenced; /**< a worker has seen a later leader */
 	ffl_note_fn_t note;
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -64,6 +64,7 @@
 	uint64_t interval_ms;
 	uint32_t occurrences; /**< 1 where the flow is not repeated */
 	bool timed;
+	bool needs_tickets; /**< runs only where the adviser allows it */
 	uint32_t steps_count;
 	uint32_t tasks_each; /**< tasks of one occurrence */
 	ffl_step_t *steps;
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -9,6 +9,8 @@
 
 /** Longest name of a task, "ID.OCCURRENCE.STEP.INDEX", with terminator. */
 #define FFL_TASK_NAME_BYTES 56
+/** Longest ticket of the adviser, with terminator. */
+#define FFL_TICKET_BYTES 64
 /** Labels of a worker that are kept. */
 #define FFL_WORKER_LABELS_MAX 8
 
@@ -36,9 +38,11 @@
 } ffl_worker_entry_t;
 
 typedef enum {
-	FFL_ORDER_HOLD,	 /**< extend the lease and report */
-	FFL_ORDER_START, /**< start a run of a task */
-	FFL_ORDER_STOP,	 /**< stop a run of a task */
+	FFL_ORDER_HOLD,	  /**< extend the lease and report */
+	FFL_ORDER_START,  /**< start a run of a task */
+	FFL_ORDER_STOP,	  /**< stop a run of a task */
+	FFL_ORDER_PACE,	  /**< let a run work at a share of its pace */
+	FFL_ORDER_ADVISE, /**< ask the adviser which workers may run a step */
 	FFL_ORDER__MAX
 } ffl_order_kind_t;
 
@@ -54,8 +58,11 @@
 	uint32_t run;
 	const char *spec;
 	const char *checkpoint; /**< NULL where there is none */
+	const char *ticket;	/**< NULL where none is needed */
+	const GPtrArray *asked; /**< ids of the workers asked about */
 	uint64_t until_ms;	/**< end of the lease by the worker's clock */
 	uint64_t acked;		/**< ends up to this number are on the log */
+	uint32_t percent;	/**< pace of a run */
 	uint32_t wait_ms;	/**< the answer waits for an end */
 	uint32_t timeout_ms;
 } ffl_order_t;
@@ -67,6 +74,7 @@
 	FFL_REPLY_OLD,	      /**< that run, or a later one, has ended there */
 	FFL_REPLY_LATE,	      /**< its lease had ended */
 	FFL_REPLY_ROOM,	      /**< it does not fit */
+	FFL_REPLY_TICKET,     /**< its ticket is not valid there */
 	FFL_REPLY_INVALID,    /**< the worker cannot read it */
 	FFL_REPLY_UNHEALTHY,  /**< the worker has done nothing */
 	FFL_REPLY_OTHER_LIFE, /**< another incarnation answers */
@@ -92,12 +100,21 @@
 	uint32_t run;
 	ffl_ending_t end;
 	uint32_t percent;
+	/** Over the last half second: the latency's tail in ms of a task that
+	 * has an objective, else the processor in use in thousandths. */
+	uint32_t recent;
 	char saved[FFL_CHECKPOINT_BYTES_MAX + 1];
 	ffl_flow_t *flow; /**< found by the receiver; NULL: unknown */
 	uint32_t index;	  /**< of the task in that flow */
 } ffl_run_row_t;
 
-/** An answer of a worker. */
+/** A worker that may run a step. */
+typedef struct {
+	ffl_name_t worker;
+	char ticket[FFL_TICKET_BYTES];
+} ffl_ticket_t;
+
+/** An answer of a worker, or of the adviser. */
 typedef struct {
 	uint64_t call;
 	ffl_reply_outcome_t outcome;
@@ -107,6 +124,9 @@
 	uint32_t running_count;
 	ffl_run_row_t *ended;
 	uint32_t ended_count;
+	ffl_ticket_t *tickets;
+	uint32_t tickets_count;
+	uint32_t valid_ms; /**< of the tickets, from the answer on */
 } ffl_reply_t;
 
 const char *ffl_order_kind_name(uint32_t kind);
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -31,6 +31,7 @@
 	uint32_t threads;
 	uint32_t body_bytes;
 	char log_addr[FFL_ADDR_BYTES];
+	char adviser_addr[FFL_ADDR_BYTES];
 	uint32_t lines_per_s;
 	uint32_t lease_max_ms;
 	uint32_t stop_max_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -36,6 +36,8 @@
 	opt->stop_drain_ms = s->grace_ms > 2 * STOP_MARGIN_MS
 				     ? s->grace_ms - STOP_MARGIN_MS
 				     : s->grace_ms / 2;
+	ffl_copy(opt->dispatch.adviser_addr, sizeof(opt->dispatch.adviser_addr),
+		 s->adviser_addr);
 	opt->dispatch.lease_max_ms = s->lease_max_ms;
 	opt->dispatch.stop_max_ms = s->stop_max_ms;
 	opt->dispatch.gang_wait_ms = s->gang_wait_ms;
--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -27,6 +27,8 @@
 	    "largest body of a call"),
 	ROW("log", "address", FFL_SET_ADDRESS, log_addr, 0, 0, NULL,
 	    "address of the platform's log"),
+	ROW("adviser", "address", FFL_SET_ADDRESS, adviser_addr, 0, 0, "",
+	    "address of the service that says which workers may run a step"),
 	ROW("lines", "per_second", FFL_SET_COUNT, lines_per_s, 1, 100000, "400",
 	    "lines of the host's own log that a second may have"),
 	ROW("bounds", "lease_max", FFL_SET_DURATION, lease_max_ms, 500, 3600000,
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -200,6 +200,9 @@
 static void store_address(reader_t *r, const ffl_setting_t *s,
 			  const char *value, void *dst)
 {
+	/* An address whose default is empty may be left out. */
+	if (!value[0] && s->def && !s->def[0])
+		return;
 	if (!valid_address(value) || !ffl_copy(dst, FFL_ADDR_BYTES, value))
 		ffl_findings_add(r->fs, FFL_MSG_BAD_VALUE, s->key, r->line, 0,
 				 "\"%.60s\" is not IP:PORT", value);
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -52,6 +52,12 @@
 	       strcmp(r->entry.rack, step->rack) == 0;
 }
 
+bool ffl_may_run(const ffl_dispatch_t *d, const ffl_runner_t *r,
+		 const ffl_unit_t *unit)
+{
+	return ffl_runner_allows(r, unit) && ffl_advice_allows(d, unit, r);
+}
+
 /* The fullest worker that a task fits on keeps others whole. */
 static int64_t cost_of(const ffl_runner_t *r, const ffl_unit_t *unit)
 {
@@ -85,7 +91,7 @@
 		ffl_room_t free = ffl_runner_free(r);
 		int64_t cost;
 
-		if (!ffl_room_fits(&free, &need) || !ffl_runner_allows(r, unit))
+		if (!ffl_room_fits(&free, &need) || !ffl_may_run(d, r, unit))
 			continue;
 		if (rack && strcmp(r->entry.rack, rack) != 0)
 			continue;
@@ -194,7 +200,7 @@
 		ffl_runner_t *r = value;
 		uint32_t free;
 
-		if (!ffl_runner_allows(r, unit))
+		if (!ffl_may_run(d, r, unit))
 			continue;
 		free = GPOINTER_TO_UINT(
 			g_hash_table_lookup(racks, r->entry.rack));
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -43,6 +43,7 @@
 	d->learned =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	d->misfits = g_array_new(FALSE, TRUE, sizeof(ffl_shape_t));
+	ffl_advice_init(&d->advice);
 	d->next_batch = 1;
 }
 
@@ -53,6 +54,7 @@
 	g_ptr_array_free(d->runs, TRUE);
 	g_hash_table_destroy(d->learned);
 	g_array_free(d->misfits, TRUE);
+	ffl_advice_finish(&d->advice);
 	g_hash_table_destroy(d->calls);
 	g_hash_table_destroy(d->runners);
 }
@@ -70,6 +72,7 @@
 		run = ffl_run_add(d, flow, i, task->run, r, now_ms);
 		run->batch = 0;
 		run->state = FFL_RUN_ADOPTED;
+		run->paced = PACE_UNKNOWN;
 		/* What this host knows of the worker may be older still. */
 		if (r->entry.born_ms > task->born_ms)
 			ffl_run_end(d, run, FFL_ENDING_LAPSED, NULL, now_ms);
@@ -109,6 +112,7 @@
 	gpointer value;
 
 	d->token = 0;
+	ffl_advice_reset(&d->advice);
 	g_hash_table_remove_all(d->calls);
 	for (guint i = 0; i < d->runs->len; i++)
 		free_run(g_ptr_array_index(d->runs, i));
@@ -147,9 +151,11 @@
 
 		if (!flow->seen_ms)
 			flow->seen_ms = now_ms;
-		if (ffl_flow_ended(flow) && !flow->placed_count &&
-		    flow->dirty <= d->recorded)
-			ffl_flows_close(d->flows, flow);
+		if (!ffl_flow_ended(flow) || flow->placed_count ||
+		    flow->dirty > d->recorded)
+			continue;
+		ffl_advice_forget(d, flow);
+		ffl_flows_close(d->flows, flow);
 	}
 }
 
@@ -166,6 +172,8 @@
 		d->planned_ms = now_ms;
 		ffl_place(d, now_ms, wall_ms);
 	}
+	if (may_start)
+		ffl_advice_drive(d, orders, now_ms);
 	ffl_drive_runs(d, may_start, orders, now_ms);
 	ffl_drive_runners(d, orders, now_ms);
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -11,6 +11,9 @@
 #define LEASE_PERCENT 65
 /** A hold's answer waits so long for an end; the workers' own bound. */
 #define HOLD_WAIT_MS 1000
+/** The same where a latency objective is watched: the workers' figures are
+ * of the last half second. */
+#define SERVE_WAIT_MS 500
 /** A worker's clock may be 2% slow. */
 #define CLOCK_SLOW_PERCENT 98
 #define PERCENT		   100
@@ -23,6 +26,7 @@
 	ffl_run_t *run; /**< NULL for a hold, or when the run has gone */
 	uint64_t sent_ms;
 	uint64_t acked;
+	uint32_t percent; /**< pace that was ordered */
 } ffl_open_call_t;
 
 void ffl_dispatch_note(ffl_dispatch_t *d, const char *event,
@@ -64,6 +68,15 @@
 void ffl_speed_take(ffl_dispatch_t *d, ffl_run_t *run, uint32_t percent,
 		    uint64_t now_ms);
 
+/* avail.c */
+/**
+ * Tells whether a step bears it that one more of its tasks is stopped.
+ *
+ * @param also of ffl_run_t *: runs that are to be stopped too, or NULL
+ */
+bool ffl_step_may_miss(const ffl_dispatch_t *d, const ffl_run_t *run,
+		       GHashTable *also);
+
 /* run.c */
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
@@ -109,7 +122,11 @@
 void ffl_add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
 
 /* choose.c */
+/** Tells whether a worker is one for a step, tickets aside. */
 bool ffl_runner_allows(const ffl_runner_t *r, const ffl_unit_t *unit);
+/** Tells whether a step may run on a worker now, if there is room. */
+bool ffl_may_run(const ffl_dispatch_t *d, const ffl_runner_t *r,
+		 const ffl_unit_t *unit);
 /** Tasks of a step that run on a worker. */
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
 /** Returns the best worker for a task, of a rack or of all; NULL: none. */
@@ -125,6 +142,36 @@
 /** Share of the GPUs that are free. */
 uint32_t ffl_free_percent(ffl_dispatch_t *d);
 
+/* pace.c */
+/** Pace of a run of which it is not known. */
+#define PACE_UNKNOWN UINT32_MAX
+/** Tells whether a worker has tasks with a latency objective. */
+bool ffl_runner_serves(const ffl_runner_t *r);
+/** Sets the pace of what fills on a worker, after its report was taken. */
+void ffl_pace_take(ffl_dispatch_t *d, ffl_runner_t *r);
+/** Tells whether a run's worker is to be told its pace. */
+bool ffl_pace_due(const ffl_run_t *run);
+
+/* advice.c */
+void ffl_advice_init(ffl_advice_t *a);
+void ffl_advice_finish(ffl_advice_t *a);
+/** Forgets all; what an earlier leader was told is not known to this one. */
+void ffl_advice_reset(ffl_advice_t *a);
+/** Tells whether a step may run on a worker now. */
+bool ffl_advice_allows(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+		       const ffl_runner_t *r);
+/** Returns the ticket of a start; NULL where none is needed. */
+const char *ffl_advice_ticket(const ffl_dispatch_t *d, const ffl_run_t *run);
+/** Takes that a worker did not accept its ticket. */
+void ffl_advice_refused(ffl_dispatch_t *d, const ffl_run_t *run);
+/** Notes that a step waits for advice; the first of a pass is asked for. */
+void ffl_advice_want(ffl_dispatch_t *d, const ffl_unit_t *unit);
+void ffl_advice_drive(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms);
+/** Takes the adviser's answer; false where it is another's. */
+bool ffl_advice_take(ffl_dispatch_t *d, const ffl_reply_t *reply,
+		     uint64_t now_ms);
+void ffl_advice_forget(ffl_dispatch_t *d, const ffl_flow_t *flow);
+
 /* drive.c */
 void ffl_drive_runs(ffl_dispatch_t *d, bool may_start, GArray *orders,
 		    uint64_t now_ms);
--- a/lib/dispatch/drive.c
+++ b/lib/dispatch/drive.c
@@ -5,6 +5,7 @@
 /** Deadlines of orders: both ways between regions and a worker's work. */
 #define START_TIMEOUT_MS 400
 #define STOP_TIMEOUT_MS	 400
+#define PACE_TIMEOUT_MS	 400
 #define HOLD_SLACK_MS	 600
 /** A worker that is not silent is asked anew at most so long after it was
  * last asked, while what it reported is not on the log yet. */
@@ -23,6 +24,8 @@
 		  uint64_t now_ms);
 static void stop(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
 		 uint64_t now_ms);
+static void pace(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
+		 uint64_t now_ms);
 static void drive_run(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 		      GArray *orders, uint64_t now_ms);
 
@@ -116,7 +119,9 @@
 		order->until_ms = ffl_runner_lease(d, r, now_ms);
 	if (r->runs->len && !r->silent && !adopted && r->clock_at &&
 	    !r->ack_batch)
-		order->wait_ms = stopping ? d->opt.stop_max_ms : HOLD_WAIT_MS;
+		order->wait_ms = stopping		? d->opt.stop_max_ms
+				 : ffl_runner_serves(r) ? SERVE_WAIT_MS
+							: HOLD_WAIT_MS;
 	order->timeout_ms = order->wait_ms + HOLD_SLACK_MS;
 	r->holds_open++;
 	r->hold_ms = now_ms;
@@ -138,6 +143,7 @@
 	order->spec = run->flow->spec.spec;
 	order->checkpoint = task->checkpoint;
 	order->until_ms = ffl_runner_lease(d, run->runner, now_ms);
+	order->ticket = ffl_advice_ticket(d, run);
 	order->timeout_ms = START_TIMEOUT_MS;
 	ffl_dispatch_note(
 		d, "run-ordered", order->task,
@@ -160,6 +166,18 @@
 			  run->runner->entry.id, run->why ? run->why : "-");
 }
 
+static void pace(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
+		 uint64_t now_ms)
+{
+	ffl_order_t *order =
+		new_order(d, orders, FFL_ORDER_PACE, run->runner, run, now_ms);
+	ffl_open_call_t *open = g_hash_table_lookup(d->calls, &order->call);
+
+	open->percent = run->pace;
+	order->percent = run->pace;
+	order->timeout_ms = PACE_TIMEOUT_MS;
+}
+
 static void drive_run(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 		      GArray *orders, uint64_t now_ms)
 {
@@ -180,6 +198,8 @@
 	}
 	if (run->state == FFL_RUN_SENT && may_start)
 		start(d, run, orders, now_ms);
+	else if (ffl_pace_due(run))
+		pace(d, run, orders, now_ms);
 }
 
 void ffl_drive_runs(ffl_dispatch_t *d, bool may_start, GArray *orders,
--- a/lib/dispatch/misfit.c
+++ b/lib/dispatch/misfit.c
@@ -39,7 +39,7 @@
 {
 	ffl_shape_t shape = shape_of(unit);
 
-	if (unit->step->per_worker_max)
+	if (unit->step->per_worker_max || unit->flow->spec.needs_tickets)
 		return;
 	if (unit->near_only && unit->step->same_rack && unit->step->gang)
 		return;
--- a/lib/dispatch/order.c
+++ b/lib/dispatch/order.c
@@ -4,9 +4,9 @@
 #include "fireflyledge/order.h"
 
 static const char *const kind_names[FFL_ORDER__MAX] = {
-	[FFL_ORDER_HOLD] = "hold",
-	[FFL_ORDER_START] = "start",
-	[FFL_ORDER_STOP] = "stop",
+	[FFL_ORDER_HOLD] = "hold",     [FFL_ORDER_START] = "start",
+	[FFL_ORDER_STOP] = "stop",     [FFL_ORDER_PACE] = "pace",
+	[FFL_ORDER_ADVISE] = "advise",
 };
 
 static const char *const outcome_names[FFL_REPLY__MAX] = {
@@ -15,6 +15,7 @@
 	[FFL_REPLY_OLD] = "old",
 	[FFL_REPLY_LATE] = "late",
 	[FFL_REPLY_ROOM] = "room",
+	[FFL_REPLY_TICKET] = "ticket",
 	[FFL_REPLY_INVALID] = "invalid",
 	[FFL_REPLY_UNHEALTHY] = "unhealthy",
 	[FFL_REPLY_OTHER_LIFE] = "other-life",
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -20,6 +20,7 @@
 		      ffl_runner_t **chosen);
 static ffl_runner_t *find_worker(ffl_dispatch_t *d, ffl_unit_t *unit, bool far);
 static bool leaves_room(ffl_dispatch_t *d, const ffl_unit_t *unit);
+static bool waits_still(const ffl_unit_t *unit);
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit);
@@ -235,15 +236,21 @@
 	       ffl_rank_may_wait(d, unit->flow, unit->now_ms);
 }
 
-static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit)
+static bool waits_still(const ffl_unit_t *unit)
 {
-	bool waits = false;
+	for (uint32_t i = 0; i < unit->step->tasks; i++) {
+		if (unit->flow->tasks[unit->first + i].state ==
+		    FFL_TASK_WAITING)
+			return true;
+	}
+	return false;
+}
 
-	for (uint32_t i = 0; i < unit->step->tasks && !waits; i++)
-		waits = unit->flow->tasks[unit->first + i].state ==
-			FFL_TASK_WAITING;
-	if (!waits || !ffl_flow_step_ready(unit->flow, unit->occurrence,
-					   unit->step_index))
+static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit)
+{
+	if (!waits_still(unit) ||
+	    !ffl_flow_step_ready(unit->flow, unit->occurrence,
+				 unit->step_index))
 		return;
 	if (!unit->guaranteed &&
 	    (ffl_is_misfit(d, unit) || leaves_room(d, unit)))
@@ -252,6 +259,8 @@
 		place_gang(d, unit);
 	else
 		place_tasks(d, unit);
+	if (waits_still(unit))
+		ffl_advice_want(d, unit);
 }
 
 static void place_flow(ffl_dispatch_t *d, ffl_flow_t *flow, bool guaranteed,
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -29,6 +29,7 @@
 } plan_t;
 
 static bool may_stop(const ffl_run_t *run);
+static bool may_take(const plan_t *plan, const ffl_run_t *run);
 static uint32_t cores_of(const ffl_step_t *step);
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms);
 static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms);
@@ -96,6 +97,12 @@
 	}
 }
 
+static bool may_take(const plan_t *plan, const ffl_run_t *run)
+{
+	return may_stop(run) && !g_hash_table_contains(plan->victims, run) &&
+	       ffl_step_may_miss(plan->d, run, plan->victims);
+}
+
 static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit)
 {
 	plan->d = d;
@@ -121,7 +128,7 @@
 		ffl_runner_t *r = value;
 		offer_t offer = { .runner = r };
 
-		if (!ffl_runner_allows(r, plan->unit) ||
+		if (!ffl_may_run(plan->d, r, plan->unit) ||
 		    (rack && strcmp(r->entry.rack, rack) != 0))
 			continue;
 		offer.spare = ffl_runner_free(r);
@@ -146,7 +153,7 @@
 		ffl_run_t *run = g_ptr_array_index(offer->runner->runs, i);
 		uint64_t loss;
 
-		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
+		if (!may_take(plan, run))
 			continue;
 		loss = run->loss / (run->room.gpus + 1);
 		if (!best || loss < best_loss) {
@@ -193,7 +200,7 @@
 		const ffl_run_t *run =
 			g_ptr_array_index(offer->runner->runs, i);
 
-		if (!may_stop(run) || g_hash_table_contains(plan->victims, run))
+		if (!may_take(plan, run))
 			continue;
 		ffl_room_add(&room, &run->room);
 		cost += run->loss;
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -18,6 +18,7 @@
 static uint64_t chain_ms(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 			 bool left_only);
 static bool step_left(const ffl_flow_t *flow, uint32_t step);
+static bool has_lasting(const ffl_flow_t *flow);
 
 /* The mean of what was seen of a queue, or the customer's own estimate. */
 uint64_t ffl_expect_run(const ffl_dispatch_t *d, const ffl_flow_t *flow,
@@ -87,13 +88,23 @@
 	       flow->spec.aim_ms;
 }
 
+/* What lasts is worth as much at any time. */
+static bool has_lasting(const ffl_flow_t *flow)
+{
+	for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
+		if (flow->spec.steps[s].lasting)
+			return true;
+	}
+	return false;
+}
+
 ffl_tier_t ffl_rank_tier(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 			 uint64_t now_ms)
 {
 	uint64_t objective = objective_ms(d, flow);
 	uint64_t end = now_ms - flow->seen_ms + chain_ms(d, flow, true);
 
-	if (flow->spec.timed || end <= objective)
+	if (flow->spec.timed || has_lasting(flow) || end <= objective)
 		return FFL_TIER_TIMELY;
 	return end <= LATE_FACTOR * objective ? FFL_TIER_LATE : FFL_TIER_LOST;
 }
@@ -104,7 +115,8 @@
 	uint64_t left = chain_ms(d, flow, true);
 	uint64_t end = now_ms - flow->seen_ms + left;
 
-	return end + left * SLACK_PERCENT / PERCENT < objective_ms(d, flow);
+	return !has_lasting(flow) &&
+	       end + left * SLACK_PERCENT / PERCENT < objective_ms(d, flow);
 }
 
 uint32_t ffl_rank_headroom(const ffl_flow_t *flow)
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -20,6 +20,8 @@
 		       const ffl_reply_t *reply, uint64_t now_ms);
 static void take_stop(ffl_dispatch_t *d, ffl_open_call_t *open,
 		      const ffl_reply_t *reply, uint64_t now_ms);
+static void take_pace(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms);
 static void take_belated(ffl_dispatch_t *d, const ffl_run_row_t *row);
 static void take_ends(ffl_dispatch_t *d, ffl_runner_t *r,
 		      const ffl_reply_t *reply, uint64_t now_ms);
@@ -38,6 +40,7 @@
 	[FFL_ORDER_HOLD] = take_hold,
 	[FFL_ORDER_START] = take_start,
 	[FFL_ORDER_STOP] = take_stop,
+	[FFL_ORDER_PACE] = take_pace,
 };
 
 /* A run that was given up has ended well after all: it counts, unless its
@@ -117,6 +120,7 @@
 			run->moved_ms = now_ms;
 		}
 		run->seen_ms = now_ms;
+		run->recent = row->recent;
 		ffl_speed_take(d, run, row->percent, now_ms);
 		if (row->percent != run->percent) {
 			run->percent = row->percent;
@@ -190,6 +194,7 @@
 	r->acked_sent = MAX(r->acked_sent, open->acked);
 	take_ends(d, r, reply, now_ms);
 	take_running(d, r, reply, now_ms);
+	ffl_pace_take(d, r);
 	/* 500 ends are listed at a time: the rest may follow. */
 	if (reply->ended_count < 500)
 		find_missing(d, r, reply, open->sent_ms, now_ms);
@@ -205,10 +210,14 @@
 	ffl_dispatch_note(d, "start-refused", name,
 			  "run=%u worker=%s reason=%s", run->run, r->entry.id,
 			  ffl_reply_outcome_name(reply->outcome));
-	r->quarantine_ms = MAX(r->quarantine_ms,
-			       now_ms + (reply->outcome == FFL_REPLY_UNHEALTHY
-						 ? UNHEALTHY_MS
-						 : REFUSED_MS));
+	if (reply->outcome == FFL_REPLY_TICKET)
+		ffl_advice_refused(d, run);
+	else
+		r->quarantine_ms =
+			MAX(r->quarantine_ms,
+			    now_ms + (reply->outcome == FFL_REPLY_UNHEALTHY
+					      ? UNHEALTHY_MS
+					      : REFUSED_MS));
 	if (run->unanswered || reply->outcome == FFL_REPLY_OLD) {
 		/* An earlier order may have been carried out. */
 		ffl_run_stop(d, run, "refused");
@@ -260,6 +269,20 @@
 		run->retry_ms = now_ms + RESEND_MS;
 }
 
+static void take_pace(ffl_dispatch_t *d, ffl_open_call_t *open,
+		      const ffl_reply_t *reply, uint64_t now_ms)
+{
+	ffl_run_t *run = open->run;
+
+	if (!run)
+		return;
+	run->call = 0;
+	if (reply->outcome == FFL_REPLY_OK)
+		run->paced = open->percent;
+	else
+		run->retry_ms = now_ms + RESEND_MS;
+}
+
 void ffl_dispatch_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
 			uint64_t now_ms)
 {
@@ -267,6 +290,8 @@
 	ffl_worker_entry_t entry;
 	ffl_runner_t *r;
 
+	if (ffl_advice_take(d, reply, now_ms))
+		return;
 	if (!open)
 		return;
 	r = open->runner;
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -25,6 +25,8 @@
 		ffl_step_room(&flow->spec.steps[ffl_flow_step_of(flow, task)]);
 	added->batch = d->next_batch;
 	added->placed_ms = now_ms;
+	added->pace = PERCENT;
+	added->paced = PERCENT;
 	ffl_room_add(&r->used, &added->room);
 	g_ptr_array_add(r->runs, added);
 	g_ptr_array_add(d->runs, added);
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -26,6 +26,7 @@
 	r = g_new0(ffl_runner_t, 1);
 	ffl_copy(r->entry.id, sizeof(r->entry.id), id);
 	r->runs = g_ptr_array_new();
+	r->pace = PERCENT;
 	g_hash_table_insert(d->runners, r->entry.id, r);
 	return r;
 }
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -27,6 +27,11 @@
 
 	if (!e->draining || run->stop || run->state != FFL_RUN_RUNNING)
 		return;
+	if (run->flow->spec.steps[step].lasting) {
+		if (ffl_step_may_miss(d, run, NULL))
+			ffl_run_stop(d, run, "evacuated");
+		return;
+	}
 	left_ms = e->leaves_ms > left_ms ? e->leaves_ms - left_ms : 0;
 	if (!saves)
 		left_ms += LINGER_MS;
--- a/lib/flow/flow_record.c
+++ b/lib/flow/flow_record.c
@@ -9,6 +9,7 @@
 #define PROGRESS_LAYOUT 1
 /** Fields of each array. */
 #define SPEC_FIELDS	15
+#define SPEC_FIELDS_NOW 16 /**< with what later writers add */
 #define STEP_FIELDS	18
 #define PROGRESS_FIELDS 4
 #define TASK_FIELDS	7
@@ -81,7 +82,7 @@
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, write_bytes);
-	msgpack_pack_array(&pk, SPEC_FIELDS);
+	msgpack_pack_array(&pk, SPEC_FIELDS_NOW);
 	msgpack_pack_uint8(&pk, SPEC_LAYOUT);
 	pack_text(&pk, spec->id);
 	pack_text(&pk, spec->queue);
@@ -99,6 +100,7 @@
 	msgpack_pack_array(&pk, spec->steps_count);
 	for (uint32_t i = 0; i < spec->steps_count; i++)
 		pack_step(&pk, &spec->steps[i]);
+	msgpack_pack_uint8(&pk, spec->needs_tickets);
 }
 
 /* Takes no memory for what a record only claims to hold. */
@@ -252,6 +254,7 @@
 		take_step(&step, &out->steps[i]);
 		f->bad = f->bad || step.bad;
 	}
+	out->needs_tickets = f->left && take_flag(f);
 }
 
 ffl_status_t ffl_flow_spec_decode(ffl_bytes_t in, ffl_flow_spec_t *out)
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -108,6 +108,7 @@
 	spec->attempts_max = MAX(route->attempts_max, 1);
 	spec->stretch_milli = route->stretch_milli;
 	spec->aim_ms = route->aim_ms;
+	spec->needs_tickets = route->needs_tickets;
 	spec->accepted_ms = n->wall_ms;
 	if (strlen(id) >= sizeof(spec->id) ||
 	    ffl_flow_spec_settle(spec, &err) != FFL_OK) {
--- a/site/main.c
+++ b/site/main.c
@@ -26,6 +26,7 @@
 	const char *path;
 	mg_request_handler serve;
 } routes[] = {
+	{ "/-/advise$", site_http_advise },
 	{ "/-/log-append$", site_http_append },
 	{ "/-/log-read$", site_http_log_read },
 	{ "/-/log-newest$", site_http_newest },
@@ -129,8 +130,9 @@
 	for (uint32_t i = 0; i < s->workers_count; i++)
 		running += s->workers[i].runs->len;
 	g_snprintf(text, sizeof(text),
-		   "{\"running\":%u,\"starts\":%" PRIu64 "}", running,
-		   s->starts);
+		   "{\"running\":%u,\"starts\":%" PRIu64 ",\"advised\":%" PRIu64
+		   "}",
+		   running, s->starts, s->advised);
 	pthread_mutex_unlock(&s->lock);
 	site_http_send(conn, 200, text, strlen(text));
 	return 1;
--- a/site/site.h
+++ b/site/site.h
@@ -29,6 +29,7 @@
 	uint32_t lost; /**< so many appends are done and not answered */
 	bool down;     /**< every call to the log is refused */
 	uint64_t starts;
+	uint64_t advised;  /**< calls for advice */
 	uint64_t twice;	   /**< starts of a task that runs already */
 	GHashTable *gangs; /**< tasks of the gang by "ID.K.STEP" */
 } site_http_t;
@@ -48,6 +49,7 @@
 /* worker.c */
 extern const task_hooks_t site_http_hooks;
 int site_http_order(struct mg_connection *conn, void *site);
+int site_http_advise(struct mg_connection *conn, void *site);
 /** Writes the workers' entries to the log; called with the lock held. */
 void site_http_report(site_http_t *s);
 
--- a/site/worker.c
+++ b/site/worker.c
@@ -7,6 +7,9 @@
 
 /** A job's task fails where its specification says so. */
 #define FAIL_WORD "fails"
+/** Its workers want a ticket where it says so; the first is never allowed. */
+#define ADVISED_WORD "advised"
+#define TICKET_MS    3000
 /** Room that a task takes: the stand-in does not look into jobs. */
 #define TASK_CPU 1000
 #define TASK_MEM 1000
@@ -21,6 +24,8 @@
 static json_t *rows_of(const ffl_reply_t *reply, bool ended);
 static void answer(struct mg_connection *conn, const ffl_reply_t *reply);
 static bool has_end(const task_worker_t *w, uint64_t acked);
+static void ticket_of(const char *task, const char *worker,
+		      char out[FFL_TICKET_BYTES]);
 
 static const char *const endings[FFL_ENDING__MAX] = {
 	[FFL_ENDING_DONE] = "done",	  [FFL_ENDING_FAILED] = "failed",
@@ -29,20 +34,20 @@
 };
 
 static const char *const reasons[FFL_REPLY__MAX] = {
-	[FFL_REPLY_FENCED] = "fence",
-	[FFL_REPLY_OLD] = "old",
-	[FFL_REPLY_LATE] = "late",
-	[FFL_REPLY_ROOM] = "room",
+	[FFL_REPLY_FENCED] = "fence",  [FFL_REPLY_OLD] = "old",
+	[FFL_REPLY_LATE] = "late",     [FFL_REPLY_ROOM] = "room",
+	[FFL_REPLY_TICKET] = "ticket",
 };
 
 static const char *const orders[FFL_ORDER__MAX] = {
-	[FFL_ORDER_HOLD] = "hold",
-	[FFL_ORDER_START] = "run-start",
-	[FFL_ORDER_STOP] = "run-stop",
+	[FFL_ORDER_HOLD] = "hold",     [FFL_ORDER_START] = "run-start",
+	[FFL_ORDER_STOP] = "run-stop", [FFL_ORDER_PACE] = "pace",
+	[FFL_ORDER_ADVISE] = "advise",
 };
 
 /* Set by the order that is being carried out; the lock is held. */
 static const char *current_spec = "";
+static char current_ticket[FFL_TICKET_BYTES];
 
 const task_hooks_t site_http_hooks = { NULL,	 plan_task, note_started,
 				       note_end, note_end,  count_present };
@@ -55,6 +60,8 @@
 	out->work_ms = work_ms;
 	out->gang_tasks = 0;
 	out->fails = strstr(current_spec, FAIL_WORD) != NULL;
+	out->ticket =
+		strstr(current_spec, ADVISED_WORD) ? current_ticket : NULL;
 	out->room = (ffl_room_t){ TASK_CPU, TASK_MEM, 1 };
 	return true;
 }
@@ -90,6 +97,9 @@
 		return false;
 	if (task)
 		ffl_copy(out->task, sizeof(out->task), task);
+	out->ticket = json_string_value(json_object_get(doc, "ticket"));
+	out->percent =
+		(uint32_t)json_integer_value(json_object_get(doc, "percent"));
 	out->run = (uint32_t)json_integer_value(json_object_get(doc, "run_id"));
 	out->token = (uint64_t)json_integer_value(
 		json_object_get(doc, "fencing_token"));
@@ -151,6 +161,55 @@
 	return last->number > acked;
 }
 
+/* A ticket names the step, all of a task's name but its index. */
+static void ticket_of(const char *task, const char *worker,
+		      char out[FFL_TICKET_BYTES])
+{
+	const char *last = strrchr(task, '.');
+
+	g_snprintf(out, FFL_TICKET_BYTES, "%.*s/%s",
+		   last ? (int)(last - task) : 0, task, worker);
+}
+
+int site_http_advise(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	GByteArray *body = g_byte_array_new();
+	json_t *rows = json_array();
+	char name[FFL_TASK_NAME_BYTES];
+	char ticket[FFL_TICKET_BYTES];
+	const json_t *id;
+	json_t *doc;
+	char *text;
+	size_t i;
+
+	site_http_read(conn, body);
+	doc = json_loadb((const char *)body->data, body->len, 0, NULL);
+	g_byte_array_unref(body);
+	json_array_foreach(json_object_get(doc, "workers"), i, id)
+	{
+		const char *worker = json_string_value(id);
+		const char *step =
+			json_string_value(json_object_get(doc, "step"));
+
+		if (!worker || !step || strcmp(worker, s->workers[0].id) == 0)
+			continue;
+		g_snprintf(name, sizeof(name), "%s.0", step);
+		ticket_of(name, worker, ticket);
+		json_array_append_new(rows, json_pack("[s,s]", worker, ticket));
+	}
+	json_decref(doc);
+	pthread_mutex_lock(&s->lock);
+	s->advised++;
+	pthread_mutex_unlock(&s->lock);
+	doc = json_pack("{s:o,s:i}", "allowed", rows, "valid_ms", TICKET_MS);
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	site_http_send(conn, 200, text, strlen(text));
+	free(text);
+	return 1;
+}
+
 int site_http_order(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
@@ -180,6 +239,7 @@
 		if (!current_spec)
 			current_spec = "";
 		s->starts += order.kind == FFL_ORDER_START;
+		ticket_of(order.task, w->id, current_ticket);
 		task_worker_take(w, &order, site_http_now_ms(),
 				 &site_http_hooks, &arena, &reply);
 		while (order.wait_ms && !has_end(w, order.acked) &&
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -21,6 +21,7 @@
 	uint64_t work; /**< done so far, WORK at its end */
 	uint64_t end_number;
 	bool stopped;
+	uint32_t pace; /**< in percent */
 } bench_run_t;
 
 /** A worker: what it runs, how fast, and what has ended. */
@@ -31,6 +32,8 @@
 	GArray *runs;	/**< of bench_run_t */
 	uint64_t ended; /**< ends so far */
 	uint32_t starts;
+	uint32_t with_ticket; /**< starts that carried the right ticket */
+	bool denied;	      /**< the adviser does not allow it */
 } bench_worker_t;
 
 /** A leader's dispatcher with a log that never fails and prompt workers. */
@@ -43,14 +46,24 @@
 	uint32_t work_ms; /**< of each task on a usual worker */
 	uint64_t now_ms;
 	uint32_t preempted;
+	uint32_t advised;   /**< calls for advice */
+	uint32_t asked_max; /**< most workers of one */
+	uint32_t valid_ms;
+	uint32_t calm_tail_ms; /**< latency without filling work */
+	uint32_t fill_tail_ms; /**< what a filling task adds */
 } bench_t;
 
 static void bench_init(bench_t *b, uint32_t workers);
 static void bench_finish(bench_t *b);
+static uint32_t bench_fill_pace(const bench_t *b);
 static ffl_flow_t *submit(bench_t *b, const char *id, uint32_t priority,
 			  ffl_step_t step);
 static bench_worker_t *worker_of(bench_t *b, const char *id);
+static void advise(bench_t *b, const ffl_order_t *order);
+static bool ticket_fits(const ffl_order_t *order);
+static uint32_t tail_ms(const bench_t *b, const bench_worker_t *w);
 static void answer(bench_t *b, const ffl_order_t *order);
+static bool lasts(const bench_t *b, const char *name);
 static void work(bench_t *b);
 static void run_ms(bench_t *b, uint32_t ms);
 
@@ -64,6 +77,7 @@
 		.spread_percent = 300,
 		.heartbeat_ms = 1500,
 		.early_ms = 250,
+		.adviser_addr = "adviser",
 	};
 
 	memset(b, 0, sizeof(*b));
@@ -74,6 +88,7 @@
 	b->d.guaranteed = b->guaranteed;
 	b->now_ms = LEAD_MS;
 	b->work_ms = 4000;
+	b->valid_ms = 3000;
 	ffl_dispatch_lead(&b->d, 1, 0, b->now_ms);
 	for (uint32_t i = 0; i < workers; i++) {
 		bench_worker_t *w = &b->workers[b->workers_count++];
@@ -100,6 +115,18 @@
 	g_hash_table_destroy(b->guaranteed);
 }
 
+/* Least pace of a run on the first worker. */
+static uint32_t bench_fill_pace(const bench_t *b)
+{
+	uint32_t least = 100;
+
+	for (guint i = 0; i < b->workers[0].runs->len; i++)
+		least = MIN(
+			least,
+			g_array_index(b->workers[0].runs, bench_run_t, i).pace);
+	return least;
+}
+
 static ffl_flow_t *submit(bench_t *b, const char *id, uint32_t priority,
 			  ffl_step_t step)
 {
@@ -136,6 +163,58 @@
 	g_assert_not_reached();
 }
 
+static void advise(bench_t *b, const ffl_order_t *order)
+{
+	ffl_ticket_t tickets[WORKERS_MAX] = { 0 };
+	ffl_reply_t reply = { .call = order->call,
+			      .tickets = tickets,
+			      .valid_ms = b->valid_ms };
+
+	b->advised++;
+	b->asked_max = MAX(b->asked_max, order->asked->len);
+	for (guint i = 0; i < order->asked->len; i++) {
+		const char *id = g_ptr_array_index(order->asked, i);
+		ffl_ticket_t *t = &tickets[reply.tickets_count];
+
+		if (worker_of(b, id)->denied)
+			continue;
+		ffl_copy(t->worker, sizeof(t->worker), id);
+		g_snprintf(t->ticket, sizeof(t->ticket), "%s/%s", order->task,
+			   id);
+		reply.tickets_count++;
+	}
+	ffl_dispatch_reply(&b->d, &reply, b->now_ms);
+}
+
+static bool ticket_fits(const ffl_order_t *order)
+{
+	size_t step = strlen(order->task);
+
+	while (step && order->task[step] != '.')
+		step--;
+	return order->ticket &&
+	       strncmp(order->ticket, order->task, step) == 0 &&
+	       strcmp(order->ticket + step + 1, order->worker) == 0;
+}
+
+/* Latency of what serves on a worker: each filling task adds its share. */
+static uint32_t tail_ms(const bench_t *b, const bench_worker_t *w)
+{
+	uint32_t ms = b->calm_tail_ms;
+
+	for (guint i = 0; i < w->runs->len; i++) {
+		const bench_run_t *r = &g_array_index(w->runs, bench_run_t, i);
+		uint32_t task;
+		ffl_flow_t *flow = ffl_task_find(&b->flows, r->task, &task);
+		const ffl_step_t *step =
+			&flow->spec.steps[ffl_flow_step_of(flow, task)];
+
+		if (step->fills && !r->end_number)
+			ms += b->fill_tail_ms * r->pace / 100;
+	}
+	return ms;
+}
+
 static void answer(bench_t *b, const ffl_order_t *order)
 {
 	bench_worker_t *w = worker_of(b, order->worker);
@@ -146,12 +225,13 @@
 			      .clock_ms = b->now_ms,
 			      .running = running,
 			      .ended = ended };
-	bench_run_t run = { .run = order->run };
+	bench_run_t run = { .run = order->run, .pace = 100 };
 
 	if (order->kind == FFL_ORDER_START) {
 		ffl_copy(run.task, sizeof(run.task), order->task);
 		g_array_append_val(w->runs, run);
 		w->starts++;
+		w->with_ticket += ticket_fits(order);
 	}
 	for (guint i = 0; i < w->runs->len; i++) {
 		bench_run_t *r = &g_array_index(w->runs, bench_run_t, i);
@@ -165,6 +245,9 @@
 			r->stopped = true;
 			b->preempted++;
 		}
+		if (order->kind == FFL_ORDER_PACE && r->run == order->run &&
+		    strcmp(r->task, order->task) == 0)
+			r->pace = order->percent;
 		if (order->kind != FFL_ORDER_HOLD ||
 		    (gone && r->end_number <= order->acked))
 			continue;
@@ -173,12 +256,21 @@
 		row->number = r->end_number;
 		row->end = r->stopped ? FFL_ENDING_STOPPED : FFL_ENDING_DONE;
 		row->percent = (uint32_t)(r->work * 100 / WORK);
+		row->recent = tail_ms(b, w);
 		reply.ended_count += gone;
 		reply.running_count += !gone;
 	}
 	ffl_dispatch_reply(&b->d, &reply, b->now_ms);
 }
 
+static bool lasts(const bench_t *b, const char *name)
+{
+	uint32_t task;
+	ffl_flow_t *flow = ffl_task_find(&b->flows, name, &task);
+
+	return flow->spec.steps[ffl_flow_step_of(flow, task)].lasting;
+}
+
 static void work(bench_t *b)
 {
 	for (uint32_t i = 0; i < b->workers_count; i++) {
@@ -193,6 +285,8 @@
 			if (r->work < WORK || r->end_number)
 				continue;
 			r->work = WORK;
+			if (lasts(b, r->task))
+				continue;
 			r->end_number = ++w->ended;
 		}
 	}
@@ -215,7 +309,10 @@
 			ffl_order_t *order =
 				&g_array_index(orders, ffl_order_t, i);
 
-			if (order->kind == FFL_ORDER_HOLD && order->wait_ms)
+			if (order->kind == FFL_ORDER_ADVISE)
+				advise(b, order);
+			else if (order->kind == FFL_ORDER_HOLD &&
+				 order->wait_ms)
 				g_array_append_val(holds, *order);
 			else
 				answer(b, order);
@@ -307,6 +404,151 @@
 	bench_finish(&b);
 }
 
+/* Of a step that lasts no more tasks are stopped than it bears. */
+static void test_max_unavailable(void)
+{
+	static const struct {
+		uint32_t max;
+		uint32_t asked;
+		uint32_t stopped;
+	} cases[] = {
+		{ 1, 1, 1 },
+		{ 1, 2, 0 },
+		{ 3, 3, 3 },
+		{ 0, 4, 4 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bench_t b;
+
+		bench_init(&b, 4);
+		g_hash_table_insert(b.guaranteed, "ponds",
+				    GUINT_TO_POINTER(32));
+		submit(&b, "serves", 1,
+		       (ffl_step_t){ .tasks = 4,
+				     .gpus = 8,
+				     .lasting = true,
+				     .unavailable_max = cases[i].max });
+		run_ms(&b, 6000);
+		submit(&b, "first", 0,
+		       (ffl_step_t){ .tasks = cases[i].asked, .gpus = 8 });
+		run_ms(&b, 1500);
+		g_assert_cmpuint(b.preempted, ==, cases[i].stopped);
+		bench_finish(&b);
+	}
+}
+
+/* What lasts goes on being placed, however long it has waited. */
+static void test_lasting_placed(void)
+{
+	ffl_flow_t *serves;
+	bench_t b;
+
+	bench_init(&b, 1);
+	b.work_ms = 100;
+	serves = submit(&b, "serves", 2,
+			(ffl_step_t){ .tasks = 5, .gpus = 1, .lasting = true });
+	run_ms(&b, 30000);
+	g_assert_cmpuint(serves->placed_count, ==, 5);
+	bench_finish(&b);
+}
+
+/* A step of an advised queue runs only where its tickets allow it; a call is
+ * made again only once tickets have ended. */
+static void test_advice(void)
+{
+	ffl_flow_t *first;
+	ffl_flow_t *more;
+	bench_t b;
+
+	bench_init(&b, 6);
+	for (uint32_t i = 0; i < 4; i++)
+		b.workers[i].denied = true;
+	first = submit(&b, "first", 0,
+		       (ffl_step_t){ .tasks = 3, .gpus = 4, .gang = true });
+	first->spec.needs_tickets = true;
+	run_ms(&b, 300);
+	g_assert_true(first->started);
+	g_assert_cmpuint(b.advised, ==, 1);
+	g_assert_cmpuint(b.asked_max, ==, 6);
+	g_assert_cmpuint(b.workers[4].with_ticket + b.workers[5].with_ticket,
+			 ==, 3);
+	more = submit(&b, "more", 0, (ffl_step_t){ .tasks = 2, .gpus = 4 });
+	more->spec.needs_tickets = true;
+	run_ms(&b, 1000);
+	/* Each step is advised by itself; what is denied stays so. */
+	g_assert_cmpuint(b.advised, ==, 2);
+	g_assert_cmpuint(more->placed_count, ==, 1);
+	run_ms(&b, 8000);
+	g_assert_cmpuint(more->done_count, ==, 2);
+	for (uint32_t i = 0; i < 4; i++)
+		g_assert_cmpuint(b.workers[i].starts, ==, 0);
+	bench_finish(&b);
+}
+
+/* Without an adviser such work waits, and other work goes on. */
+static void test_no_adviser(void)
+{
+	ffl_flow_t *advised;
+	ffl_flow_t *plain;
+	bench_t b;
+
+	bench_init(&b, 2);
+	b.d.opt.adviser_addr[0] = '\0';
+	advised = submit(&b, "advised", 0, (ffl_step_t){ .tasks = 1 });
+	advised->spec.needs_tickets = true;
+	plain = submit(&b, "plain", 1, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	run_ms(&b, 1000);
+	g_assert_false(advised->started);
+	g_assert_true(plain->started);
+	bench_finish(&b);
+}
+
+/* Filling work is slowed down as far as the latency objective beside it
+ * needs, and goes on at full pace once it does no harm. */
+static void test_pace(void)
+{
+	static const struct {
+		uint32_t calm_ms;
+		uint32_t fill_ms;
+		uint32_t most; /**< pace in the end, in percent */
+		uint32_t least;
+	} cases[] = {
+		{ 50, 0, 100, 100 },  /* no harm */
+		{ 50, 15, 100, 100 }, /* little harm */
+		{ 50, 200, 30, 0 },   /* a fifth of its pace is borne */
+		{ 95, 10, 0, 0 },     /* no room at all */
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint32_t on_end = 0;
+		bench_t b;
+
+		bench_init(&b, 1);
+		b.work_ms = 500;
+		b.calm_tail_ms = cases[i].calm_ms;
+		b.fill_tail_ms = cases[i].fill_ms;
+		submit(&b, "serves", 1,
+		       (ffl_step_t){ .tasks = 1,
+				     .gpus = 1,
+				     .lasting = true,
+				     .target_ms = 100 });
+		submit(&b, "fills", 2,
+		       (ffl_step_t){
+			       .tasks = 1, .lasting = true, .fills = true });
+		for (uint32_t k = 0; k < 100; k++) {
+			run_ms(&b, 100);
+			on_end = tail_ms(&b, &b.workers[0]) > 100 ? on_end + 1
+								  : 0;
+			/* Never for 4 s on end. */
+			g_assert_cmpuint(on_end, <, 40);
+		}
+		g_assert_cmpuint(bench_fill_pace(&b), <=, cases[i].most);
+		g_assert_cmpuint(bench_fill_pace(&b), >=, cases[i].least);
+		bench_finish(&b);
+	}
+}
+
 /* A large job of the customer does not take the guarantee of smaller ones. */
 static void test_guarantee_skips(void)
 {
@@ -368,6 +610,11 @@
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_left_out);
 	g_test_add_func("/dispatch/hang-known", test_hang_known);
+	g_test_add_func("/dispatch/max-unavailable", test_max_unavailable);
+	g_test_add_func("/dispatch/lasting-placed", test_lasting_placed);
+	g_test_add_func("/dispatch/advice", test_advice);
+	g_test_add_func("/dispatch/no-adviser", test_no_adviser);
+	g_test_add_func("/dispatch/pace", test_pace);
 	g_test_add_func("/dispatch/guarantee-skips", test_guarantee_skips);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	return g_test_run();
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -316,6 +316,30 @@
 		==, 1);
 }
 
+/* Work that needs tickets goes on through the loss of its leader. */
+static void advised(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t jobs[4];
+
+	s->advised = true;
+	site_config(s);
+	site_run(s, 1000);
+	for (uint32_t i = 0; i < 4; i++) {
+		while (s->jobs_count % 3)
+			site_submit(s, 0, 1, 1, 100, false);
+		jobs[i] =
+			site_submit(s, (leader + 1) % 3, 2, 4, WORK_MS, i % 2);
+		site_run(s, 700);
+		if (i == 1)
+			site_kill(s, leader, 3000);
+	}
+	site_run(s, 20000);
+	for (uint32_t i = 0; i < 4; i++)
+		g_assert_cmpuint(g_hash_table_size(s->jobs[jobs[i]].ran), ==,
+				 2);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -337,6 +361,7 @@
 	{ "lost-then-refused", lost_then_refused },
 	{ "claimed-before-reading", claimed_before_reading },
 	{ "led-before", led_before },
+	{ "advised", advised },
 };
 
 static void test_story(gconstpointer data)
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -122,6 +122,8 @@
 	{ "fenced", 1, 409, "{\"reason\":\"fence\"}", FFL_REPLY_FENCED },
 	{ "old", 1, 409, "{\"reason\":\"old\"}", FFL_REPLY_OLD },
 	{ "late", 1, 409, "{\"reason\":\"late\"}", FFL_REPLY_LATE },
+	{ "ticket", 1, 409, "{\"clock_ms\":5,\"reason\":\"ticket\"}",
+	  FFL_REPLY_TICKET },
 	{ "room", 1, 409, "{\"reason\":\"room\"}", FFL_REPLY_ROOM },
 	{ "odd reason", 1, 409, "{\"reason\":7}", FFL_REPLY_INVALID },
 	{ "room after a reset", 2, 409, "{\"reason\":\"room\"}",
@@ -198,6 +200,15 @@
 	}
 }
 
+static void assert_body(ffl_pf_call_t *call, const char *body)
+{
+	char *text = g_strndup((const char *)call->body->data, call->body->len);
+
+	g_assert_cmpstr(text, ==, body);
+	g_free(text);
+	g_byte_array_unref(call->body);
+}
+
 static void test_settle(void)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(settle_cases); i++) {
@@ -311,7 +322,7 @@
 {
 	static const char body[] =
 		"{\"clock_ms\":482113,\"born\":17,"
-		"\"running\":[[\"a.0.1.17\",2,\"00b\",41],[\"odd\"]],"
+		"\"running\":[[\"a.0.1.17\",2,\"00b\",41,350],[\"odd\"]],"
 		"\"finished\":[[58,\"a.0.1.9\",1,\"done\",\"\"],"
 		"[59,\"a.0.1.8\",1,\"vanished\",\"\"]]}";
 	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_ORDER,
@@ -327,12 +338,102 @@
 	g_assert_cmpint(reply.born_ms, ==, 17);
 	g_assert_cmpuint(reply.running_count, ==, 1);
 	g_assert_cmpuint(reply.running[0].percent, ==, 41);
+	g_assert_cmpuint(reply.running[0].recent, ==, 350);
 	g_assert_cmpstr(reply.running[0].saved, ==, "00b");
 	g_assert_cmpuint(reply.ended_count, ==, 1);
 	g_assert_cmpint(reply.ended[0].end, ==, FFL_ENDING_DONE);
 	ffl_arena_finish(&arena);
 }
 
+/* What the adviser is asked, what it answers, and a start with its ticket. */
+static void test_advice(void)
+{
+	static const struct {
+		const char *name;
+		long status;
+		const char *body;
+		ffl_reply_outcome_t outcome;
+		uint32_t tickets;
+	} cases[] = {
+		{ "two", 200,
+		  "{\"allowed\":[[\"i-1\",\"c81e\"],[\"i-2\",\"c81f\"]],"
+		  "\"valid_ms\":3000}",
+		  FFL_REPLY_OK, 2 },
+		{ "none", 200, "{\"allowed\":[],\"valid_ms\":3000}",
+		  FFL_REPLY_OK, 0 },
+		{ "odd rows", 200,
+		  "{\"allowed\":[[\"i-1\"],7,[\"i-2\",\"c\"]],\"valid_ms\":1}",
+		  FFL_REPLY_OK, 1 },
+		{ "no list", 200, "{\"valid_ms\":1}", FFL_REPLY_UNKNOWN, 0 },
+		{ "odd time", 200, "{\"allowed\":[],\"valid_ms\":-1}",
+		  FFL_REPLY_UNKNOWN, 0 },
+		{ "no JSON", 200, "yes", FFL_REPLY_UNKNOWN, 0 },
+		{ "too many wait", 429, "", FFL_REPLY_UNHEALTHY, 0 },
+		{ "no answer", 0, "", FFL_REPLY_UNKNOWN, 0 },
+	};
+	ffl_pf_about_t about = { .kind = FFL_NODE_ACT_ORDER,
+				 .order = FFL_ORDER_ADVISE };
+	ffl_order_t order = { .kind = FFL_ORDER_ADVISE,
+			      .addr = "10.0.0.1:8524",
+			      .task = "5c0e7a21d94b36f8.0.1" };
+	GPtrArray *asked = g_ptr_array_new();
+	ffl_pf_call_t call;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_pf_answer_t answer = { 1, cases[i].status,
+					   bytes_of(cases[i].body) };
+		ffl_arena_t arena;
+		ffl_reply_t reply;
+
+		g_test_message("%s", cases[i].name);
+		ffl_arena_init(&arena);
+		ffl_pf_worker_reply(&about, &answer, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, cases[i].outcome);
+		g_assert_cmpuint(reply.tickets_count, ==, cases[i].tickets);
+		ffl_arena_finish(&arena);
+	}
+	g_ptr_array_add(asked, (void *)"i-1");
+	g_ptr_array_add(asked, (void *)"i-2");
+	order.asked = asked;
+	ffl_pf_worker_call(&order, &call);
+	g_assert_cmpstr(call.url, ==, "http://10.0.0.1:8524/-/advise");
+	g_assert_cmpstr(call.header, ==, "");
+	assert_body(&call, "{\"step\":\"5c0e7a21d94b36f8.0.1\","
+			   "\"workers\":[\"i-1\",\"i-2\"]}");
+	g_ptr_array_free(asked, TRUE);
+	order = (ffl_order_t){ .kind = FFL_ORDER_START,
+			       .worker = "i-1",
+			       .task = "5c0e7a21d94b36f8.0.1.0",
+			       .run = 1,
+			       .token = 7,
+			       .spec = "s",
+			       .until_ms = 9,
+			       .ticket = "c81e" };
+	ffl_pf_worker_call(&order, &call);
+	assert_body(&call, "{\"fencing_token\":7,\"until_ms\":9,"
+			   "\"task\":\"5c0e7a21d94b36f8.0.1.0\",\"run_id\":1,"
+			   "\"spec\":\"s\",\"ticket\":\"c81e\"}");
+}
+
+static void test_pace(void)
+{
+	ffl_order_t order = { .kind = FFL_ORDER_PACE,
+			      .worker = "i-1",
+			      .addr = "10.0.0.1:8524",
+			      .task = "5c0e7a21d94b36f8.0.1.0",
+			      .run = 2,
+			      .token = 7,
+			      .percent = 40 };
+	ffl_pf_call_t call;
+
+	ffl_pf_worker_call(&order, &call);
+	g_assert_cmpstr(call.url, ==, "http://10.0.0.1:8524/-/pace");
+	g_assert_cmpstr(call.header, ==, "X-Expect-Instance: i-1");
+	assert_body(&call, "{\"fencing_token\":7,"
+			   "\"task\":\"5c0e7a21d94b36f8.0.1.0\",\"run_id\":2,"
+			   "\"percent\":40}");
+}
+
 static void test_config(void)
 {
 	static const char good[] =
@@ -341,7 +442,9 @@
 		"\"max_attempts\":2,\"deadline_factor\":1.5,"
 		"\"target_latency_ms\":300,\"public\":false},"
 		"{\"name\":\"q\",\"host\":\"n.e\",\"path_prefix\":\"/p/q/\","
-		"\"service\":\"s\"}],\"tenants\":[{\"name\":\"t\","
+		"\"service\":\"s\",\"advice\":{\"decide_ms\":30,"
+		"\"period_ms\":2,\"valid_ms\":3000}}],"
+		"\"tenants\":[{\"name\":\"t\","
 		"\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":12}}]}";
 	static const char *const bad[] = { "",
 					   "[]",
@@ -358,8 +461,10 @@
 	g_assert_cmpuint(routes.version, ==, 7);
 	route = ffl_routes_match(&routes, "n.e:80", "/p/q/1");
 	g_assert_cmpstr(route->queue, ==, "q");
+	g_assert_true(route->needs_tickets);
 	route = ffl_routes_match(&routes, "N.E", "/p/1");
 	g_assert_cmpstr(route->queue, ==, "r");
+	g_assert_false(route->needs_tickets);
 	g_assert_cmpuint(route->stretch_milli, ==, 1500);
 	g_assert_null(ffl_routes_match(&routes, "other", "/p/1"));
 	g_assert_cmpstr(ffl_routes_customer(&routes, "k2"), ==, "t");
@@ -386,6 +491,7 @@
 	ffl_err_t err;
 
 	ffl_copy(spec->id, sizeof(spec->id), "5c0e7a21d94b36f8");
+	spec->needs_tickets = true;
 	g_assert_cmpint(ffl_flow_spec_settle(spec, &err), ==, FFL_OK);
 	ffl_flow_spec_encode(spec, bytes);
 	g_assert_cmpint(
@@ -393,6 +499,7 @@
 				     &back),
 		==, FFL_OK);
 	g_assert_true(ffl_flow_spec_same(spec, &back));
+	g_assert_true(back.needs_tickets);
 	for (guint n = 0; n < bytes->len; n++) {
 		ffl_flow_spec_t cut;
 
@@ -432,6 +539,8 @@
 	g_test_add_func("/platform/entries", test_entries);
 	g_test_add_func("/platform/records", test_records);
 	g_test_add_func("/platform/hold", test_hold);
+	g_test_add_func("/platform/advice", test_advice);
+	g_test_add_func("/platform/pace", test_pace);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/round-trip", test_round_trip);
 	return g_test_run();
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
-echo 1..19
+echo 1..21
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -42,6 +42,8 @@
 metrics = 127.0.0.1:$((PORT + 30 + $1))
 [log]
 address = $SITE
+[adviser]
+address = $SITE
 INI
 	"$BUILD/ffl-jobd" -c "$DIR/host$1.ini" >>"$DIR/host$1.log" 2>&1 &
 	echo $! >"$DIR/host$1.pid"
@@ -115,6 +117,17 @@
 check "a new route is in force on both hosts" wait_for 30 \
 	'[ "$(call GET 1 /dew/ -H "$KEY")" = 200 ] &&
 	[ "$(call GET 2 /dew/ -H "$KEY")" = 200 ]'
+config 3 ',{"name":"fit","host":"ponds.example","path_prefix":"/fit/",
+	"service":"survey","max_attempts":2,"deadline_factor":3,
+	"advice":{"decide_ms":1,"period_ms":1,"valid_ms":3000}}'
+wait_for 30 '[ "$(call GET 1 /fit/ -H "$KEY")" = 200 ]'
+call POST 1 /fit/00000000000000b1 -H "$KEY" \
+	-d '{"spec":"work=200 advised","steps":[{"count":3,"gpu":1}]}' >/dev/null
+check "a job of an advised queue runs with its tickets" wait_for 100 \
+	'[ "$(call GET 1 /fit/00000000000000b1 -H "$KEY"; jq -r .state \
+	"$DIR/body")" = 200completed ]'
+check "the adviser was asked once for its step" \
+	[ "$(curl -s "http://$SITE/state" | jq .advised)" = 1 ]
 curl -s "http://$SITE/fault?kind=lost&n=1" >/dev/null
 check "a job is accepted though the log's answer is lost" \
 	[ "$(submit 1 00000000000000a5 "$JOB")" = 200 ]
