Hosts that follow read the log less often; a look is answered from what is new

Followers gather for 200 ms. A caller who looks at a job that has not ended, while the host gathers, has the new records read first (250 ms at most; at once where the log does not answer).

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -252,6 +252,7 @@
 			broken(s, "an accepted job is not known", job->id);
 		break;
 	case FFL_SAY_STATE:
+		job->shown = say->state;
 		if (say->state == FFL_FLOW_COMPLETED &&
 		    g_hash_table_size(job->ran) < job->spec.tasks_each)
 			broken(s, "shown as completed, and a task is not done",
@@ -280,6 +281,9 @@
 		s->actions++;
 		switch (act->kind) {
 		case FFL_NODE_ACT_READ:
+			s->reads++;
+			send_act(s, host, act);
+			break;
 		case FFL_NODE_ACT_NEWEST:
 		case FFL_NODE_ACT_APPEND:
 		case FFL_NODE_ACT_ORDER:
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -38,9 +38,10 @@
 	uint32_t work_ms;
 	bool fails;
 	bool accepted;
-	bool refused;	       /**< some sending was refused */
-	bool unsure;	       /**< some sending had no sure answer */
-	uint64_t cancelled_ms; /**< when the cancellation was confirmed */
+	bool refused;		/**< some sending was refused */
+	bool unsure;		/**< some sending had no sure answer */
+	uint64_t cancelled_ms;	/**< when the cancellation was confirmed */
+	ffl_flow_state_t shown; /**< last state that a caller was told */
 	bool cancel_sent;
 	uint32_t done_count; /**< tasks that have ended well */
 	GHashTable *done;    /**< names of tasks whose good end is on the log */
@@ -79,6 +80,7 @@
 	uint64_t version; /**< of the configuration */
 	bool advised;	  /**< the queue of first priority needs tickets */
 	uint64_t actions;
+	uint64_t reads;		       /**< of the log, by any host */
 	const task_worker_t *ordered;  /**< that carries out an order now */
 	char ticket[FFL_TICKET_BYTES]; /**< that it asks for */
 	const char *fault;	       /**< first promise that was broken */
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -14,6 +14,10 @@
 #define RECORDS_MAX 64
 /** A caller that is refused comes back after this; another host serves. */
 #define RETRY_AFTER_MS 1000
+/** A look is answered from what was known so long before it, and waits for
+ * newer records at most so long. */
+#define LOOK_AGE_MS  60
+#define LOOK_WAIT_MS 250
 
 typedef void (*ask_fn_t)(ffl_node_t *n, ffl_request_t *req,
 			 const ffl_route_t *route, const char *customer,
@@ -28,6 +32,8 @@
 static void ask_cancel(ffl_node_t *n, ffl_request_t *req,
 		       const ffl_route_t *route, const char *customer,
 		       const char *id);
+static bool knows_state(const ffl_node_t *n, const ffl_flow_t *flow,
+			uint64_t asked_ms);
 static ffl_act_say_t *say(ffl_node_t *n, uint64_t call, ffl_say_t what);
 static ffl_pending_t *wait_for(ffl_node_t *n, const ffl_request_t *req,
 			       const char *id);
@@ -130,6 +136,16 @@
 	ffl_flow_spec_encode(spec, p->record);
 }
 
+/* A final state stays; the leader has written all others itself. */
+static bool knows_state(const ffl_node_t *n, const ffl_flow_t *flow,
+			uint64_t asked_ms)
+{
+	return n->lead.leading ||
+	       (flow->shown != FFL_FLOW_QUEUED &&
+		flow->shown != FFL_FLOW_RUNNING) ||
+	       ffl_tail_current(n, FFL_TOPIC_RUNS, asked_ms - LOOK_AGE_MS);
+}
+
 static void ask_look(ffl_node_t *n, ffl_request_t *req,
 		     const ffl_route_t *route, const char *customer,
 		     const char *id)
@@ -147,8 +163,11 @@
 		ffl_tail_peek(n, FFL_TOPIC_JOBS);
 	} else if (!is_yours(flow, customer)) {
 		say(n, req->call, FFL_SAY_NOT_YOURS);
-	} else {
+	} else if (knows_state(n, flow, n->now_ms)) {
 		say(n, req->call, FFL_SAY_STATE)->state = flow->shown;
+	} else {
+		wait_for(n, req, id);
+		ffl_tail_peek(n, FFL_TOPIC_RUNS);
 	}
 }
 
@@ -236,6 +255,11 @@
 		return current;
 	}
 	if (p->ask == FFL_ASK_LOOK) {
+		if (!knows_state(n, flow, p->asked_ms) &&
+		    n->now_ms - p->asked_ms < LOOK_WAIT_MS) {
+			ffl_tail_peek(n, FFL_TOPIC_RUNS);
+			return false;
+		}
 		answer_pending(n, index, FFL_SAY_STATE);
 		return true;
 	}
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -32,6 +32,9 @@
 void ffl_tail_restart(ffl_tail_t *t);
 /** Asks for what is new without waiting for it. */
 void ffl_tail_peek(ffl_node_t *n, ffl_topic_t topic);
+/** Tells whether what was written before a time is known, or a read that
+ * waits for it is on its way, or no read goes well. */
+bool ffl_tail_current(const ffl_node_t *n, ffl_topic_t topic, uint64_t then_ms);
 /** Tells whether all that was written before @p age_ms ago is known. */
 bool ffl_tail_fresh(const ffl_node_t *n, ffl_topic_t topic, uint32_t age_ms);
 
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -10,8 +10,9 @@
  * of it must be seen, well within the time that a drain takes. */
 #define WORKERS_POLL_MS 500
 /** A host that does not lead gathers records for so long before it reads
- * again; callers look at jobs less often. */
-#define FOLLOW_GATHER_MS 60
+ * again: half of the time between two heartbeats of a leader, whose silence
+ * is noticed by so much later. A caller who looks at a job ends it. */
+#define FOLLOW_GATHER_MS 200
 
 typedef void (*apply_fn_t)(ffl_node_t *n, const ffl_store_record_t *rec);
 
@@ -206,6 +207,13 @@
 	t->peek_ms = n->now_ms;
 }
 
+bool ffl_tail_current(const ffl_node_t *n, ffl_topic_t topic, uint64_t then_ms)
+{
+	const ffl_tail_t *t = &n->tails[topic];
+
+	return t->call || t->failures || t->fresh_ms >= then_ms;
+}
+
 void ffl_tails_drive(ffl_node_t *n)
 {
 	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -340,6 +340,32 @@
 				 2);
 }
 
+/* Hosts that follow read seldom, and yet show an end at once. */
+static void followers_read_seldom(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job = 0;
+	uint64_t before;
+
+	for (uint32_t i = 0; i < 40; i++) {
+		job = site_submit(s, host, 1, 1, WORK_MS, false);
+		site_run(s, 50);
+	}
+	before = s->reads;
+	site_run(s, WORK_MS);
+	/* A second: two followers with two reads of the configuration and at
+	 * most five of jobs and of progress; the leader's two of each topic. */
+	g_test_message("reads %u", (unsigned)(s->reads - before));
+	g_assert_cmpuint(s->reads - before, <=, WORK_MS / 1000 * (2 * 12 + 6));
+	while (!g_hash_table_size(s->jobs[job].ran))
+		site_run(s, SITE_STEP_MS);
+	site_run(s, 100);
+	s->jobs[job].shown = FFL_FLOW_QUEUED;
+	site_look(s, host, job);
+	site_run(s, 100);
+	g_assert_cmpint(s->jobs[job].shown, ==, FFL_FLOW_COMPLETED);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -362,6 +388,7 @@
 	{ "claimed-before-reading", claimed_before_reading },
 	{ "led-before", led_before },
 	{ "advised", advised },
+	{ "followers-read-seldom", followers_read_seldom },
 };
 
 static void test_story(gconstpointer data)
