Evacuation goes by a run's own progress

Tasks of one queue differ by a factor of three.

What a run still takes follows from its rate and its newest report; the queue's mean only before the first.

Test: dispatch/evacuated fails before.

--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -7,22 +7,40 @@
 /** Least such rate, in thousandths of a percent a second. */
 #define HANG_RATE 4000
 
+/** Thousandths: of a percent a second, and of a second. */
+#define MILLI 1000
 /** A draining worker often stays a little longer than it says. */
 #define LINGER_MS 1500
 
 static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static uint64_t needs_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
+			 uint64_t now_ms);
 static bool hangs(const ffl_dispatch_t *d, const ffl_run_t *run);
 static void stop_cancelled(ffl_dispatch_t *d);
 
+/* Time that a run still takes: by its own progress, or as others took. */
+static uint64_t needs_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
+			 uint64_t now_ms)
+{
+	uint64_t since_ms = run->rate ? run->seen_ms : run->running_ms;
+	uint64_t all_ms;
+
+	if (run->rate)
+		all_ms = (uint64_t)(PERCENT - run->percent) * MILLI * MILLI /
+			 run->rate;
+	else
+		all_ms = ffl_expect_run(d, run->flow,
+					ffl_flow_step_of(run->flow, run->task));
+	return all_ms - MIN(all_ms, now_ms - since_ms);
+}
+
 /* Work that outlasts a draining worker is moved while it can be saved. */
 static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	const ffl_worker_entry_t *e = &run->runner->entry;
 	uint32_t step = ffl_flow_step_of(run->flow, run->task);
-	uint64_t ran_ms = now_ms - run->running_ms;
 	uint64_t left_ms = now_ms - run->runner->listed_ms;
-	uint64_t run_ms = ffl_expect_run(d, run->flow, step);
 	bool saves = run->flow->spec.steps[step].saves;
 
 	if (!e->draining || run->stop || run->state != FFL_RUN_RUNNING)
@@ -35,7 +53,7 @@
 	left_ms = e->leaves_ms > left_ms ? e->leaves_ms - left_ms : 0;
 	if (!saves)
 		left_ms += LINGER_MS;
-	if (ran_ms + left_ms < run_ms)
+	if (left_ms < needs_ms(d, run, now_ms))
 		ffl_run_stop(d, run, "evacuated");
 }
 
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -549,6 +549,39 @@
 	}
 }
 
+/* A run that its own progress shows to outlast a draining worker is moved,
+ * whatever others of its queue took; one that ends in time stays. */
+static void test_evacuated(void)
+{
+	static const struct {
+		uint32_t rate;
+		uint32_t run;
+	} cases[] = {
+		{ 25, 2 },
+		{ 100, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		bench_worker_t *w;
+		bench_t b;
+
+		bench_init(&b, 2);
+		b.workers[0].rate = cases[i].rate;
+		b.workers[1].rate = cases[i].rate;
+		flow = submit(&b, "one", 1,
+			      (ffl_step_t){ .tasks = 1, .gpus = 1 });
+		run_ms(&b, 2200);
+		w = worker_of(&b, flow->tasks[0].worker);
+		w->entry.draining = true;
+		w->entry.leaves_ms = 5000;
+		ffl_dispatch_listed(&b.d, &w->entry, b.now_ms);
+		run_ms(&b, 1500);
+		g_assert_cmpuint(flow->tasks[0].run, ==, cases[i].run);
+		bench_finish(&b);
+	}
+}
+
 /* A large job of the customer does not take the guarantee of smaller ones. */
 static void test_guarantee_skips(void)
 {
@@ -615,6 +648,7 @@
 	g_test_add_func("/dispatch/advice", test_advice);
 	g_test_add_func("/dispatch/no-adviser", test_no_adviser);
 	g_test_add_func("/dispatch/pace", test_pace);
+	g_test_add_func("/dispatch/evacuated", test_evacuated);
 	g_test_add_func("/dispatch/guarantee-skips", test_guarantee_skips);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	return g_test_run();
