What the newest records told counts as read: hosts serve a second sooner

After the last page all that was written before the first page was asked for is known; that is the age of the view.

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -75,7 +75,7 @@
 	const char *path;
 	const char *key;       /**< API key, or "" */
 	uint32_t deadline_ms;  /**< how long the caller waits; 0: unknown */
-	ffl_flow_spec_t *spec; /**< taken over; NULL where unreadable */
+	ffl_flow_spec_t *spec; /**< emptied where kept; NULL: unreadable */
 	const char *problem;   /**< what is wrong with the body, or NULL */
 } ffl_request_t;
 
@@ -193,6 +193,7 @@
 	ffl_topic_t topic;
 	bool synced; /**< all that was there at the start has been read */
 	bool paging;
+	uint64_t paged_ms; /**< when the first page was asked for */
 	char after[FFL_RECORD_KEY_BYTES];
 	uint64_t next; /**< offset that is read next */
 	bool next_known;
@@ -222,6 +223,12 @@
 	GByteArray *record;
 } ffl_pending_t;
 
+/** A call that waits until its host can serve it. */
+typedef struct {
+	ffl_request_t req; /**< with its own copies of texts */
+	uint64_t until_ms;
+} ffl_held_t;
+
 /** Leadership as a host sees it. */
 typedef struct {
 	bool leading;
@@ -260,6 +267,7 @@
 	ffl_tail_t tails[FFL_TOPIC__MAX];
 	ffl_lead_t lead;
 	GPtrArray *pending; /**< of ffl_pending_t */
+	GPtrArray *held;    /**< of ffl_held_t */
 	uint64_t next_call;
 	bool ready;
 	uint64_t stop_ms; /**< when a planned stop began; 0: not */
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -170,6 +170,7 @@
 
 	if (!t->paging) {
 		t->paging = true;
+		t->paged_ms = n->now_ms;
 		t->after[0] = '\0';
 		g_hash_table_remove_all(t->listed);
 	}
@@ -249,6 +250,7 @@
 {
 	t->paging = false;
 	t->synced = true;
+	t->fresh_ms = MAX(t->fresh_ms, t->paged_ms);
 	if (t->topic == FFL_TOPIC_WORKERS)
 		drop_unlisted(n, t);
 	if (t->topic == FFL_TOPIC_RUNS && !n->lead.seen_ms)
@@ -258,7 +260,8 @@
 }
 
 /* Pages are no snapshot: reading goes on from the end that the first page
- * told, so that what changed meanwhile is seen again. */
+ * told, so that what changed meanwhile is seen again. Yet all that was written
+ * before the first was asked for is known after the last. */
 static void take_page(ffl_node_t *n, ffl_tail_t *t,
 		      const ffl_store_reply_t *reply)
 {
