Calls wait up to 0.9 s until their host can serve them

A submission that the log refuses for certain is written again until 0.9 s have passed; a call that arrives before the host has its configuration waits as long, 64 at most. Then the refusal says that it has not run and when to come back. A stopping host refuses at once.

Tests: node/held-while-starting, held-while-busy, refused-in-time; each fails before.

--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -14,6 +14,10 @@
 #define RECORDS_MAX 64
 /** A caller that is refused comes back after this; another host serves. */
 #define RETRY_AFTER_MS 1000
+/** A call that cannot be served yet is tried again for so long: under a
+ * quarter of the shortest objective, after which a refusal comes late. */
+#define HOLD_MS	 900
+#define HELD_MAX 64
 /** A look is answered from what was known so long before it, and waits for
  * newer records at most so long. */
 #define LOOK_AGE_MS  60
@@ -34,6 +38,9 @@
 		       const char *id);
 static bool knows_state(const ffl_node_t *n, const ffl_flow_t *flow,
 			uint64_t asked_ms);
+static void serve_call(ffl_node_t *n, ffl_request_t *req);
+static void hold_call(ffl_node_t *n, ffl_request_t *req);
+static void drive_held(ffl_node_t *n);
 static ffl_act_say_t *say(ffl_node_t *n, uint64_t call, ffl_say_t what);
 static ffl_pending_t *wait_for(ffl_node_t *n, const ffl_request_t *req,
 			       const char *id);
@@ -190,16 +197,75 @@
 		ffl_tail_peek(n, FFL_TOPIC_JOBS);
 }
 
+void ffl_held_free(void *data)
+{
+	ffl_held_t *h = data;
+
+	g_free((char *)h->req.host);
+	g_free((char *)h->req.path);
+	g_free((char *)h->req.key);
+	g_free((char *)h->req.problem);
+	if (h->req.spec)
+		ffl_flow_spec_finish(h->req.spec);
+	g_free(h->req.spec);
+	g_free(h);
+}
+
+static void hold_call(ffl_node_t *n, ffl_request_t *req)
+{
+	ffl_held_t *h;
+
+	if (n->stop_ms || n->held->len >= HELD_MAX) {
+		say(n, req->call, FFL_SAY_BUSY);
+		return;
+	}
+	h = g_new0(ffl_held_t, 1);
+	h->req = *req;
+	h->req.host = g_strdup(req->host);
+	h->req.path = g_strdup(req->path);
+	h->req.key = g_strdup(req->key);
+	h->req.problem = g_strdup(req->problem);
+	if (req->spec) {
+		h->req.spec = g_new(ffl_flow_spec_t, 1);
+		*h->req.spec = *req->spec;
+		ffl_flow_spec_init(req->spec);
+	}
+	h->until_ms = n->now_ms + HOLD_MS;
+	g_ptr_array_add(n->held, h);
+}
+
+static void drive_held(ffl_node_t *n)
+{
+	bool serves = ffl_node_serves(n);
+
+	for (guint i = n->held->len; i-- > 0;) {
+		ffl_held_t *h = g_ptr_array_index(n->held, i);
+
+		if (serves)
+			serve_call(n, &h->req);
+		else if (n->now_ms >= h->until_ms || n->stop_ms)
+			say(n, h->req.call, FFL_SAY_BUSY);
+		else
+			continue;
+		g_ptr_array_remove_index(n->held, i);
+	}
+}
+
 void ffl_ask_take(ffl_node_t *n, ffl_request_t *req)
+{
+	if (!ffl_node_serves(n)) {
+		hold_call(n, req);
+		return;
+	}
+	serve_call(n, req);
+}
+
+static void serve_call(ffl_node_t *n, ffl_request_t *req)
 {
 	const ffl_route_t *route;
 	const char *customer = NULL;
 	const char *id;
 
-	if (!ffl_node_serves(n)) {
-		say(n, req->call, FFL_SAY_BUSY);
-		return;
-	}
 	route = ffl_routes_match(&n->routes, req->host, req->path);
 	if (!route) {
 		say(n, req->call, FFL_SAY_NO_ROUTE);
@@ -355,7 +421,8 @@
 					       : FFL_SAY_CANCELLED);
 		else if (reply->outcome == FFL_STORE_UNKNOWN)
 			p->attempted = true;
-		else if (!p->attempted && p->ask == FFL_ASK_SUBMIT)
+		else if (!p->attempted && p->ask == FFL_ASK_SUBMIT &&
+			 n->now_ms - p->asked_ms >= HOLD_MS)
 			answer_pending(n, i, FFL_SAY_BUSY);
 	}
 	return found;
@@ -363,6 +430,7 @@
 
 void ffl_ask_drive(ffl_node_t *n)
 {
+	drive_held(n);
 	for (guint i = n->pending->len; i-- > 0;) {
 		if (!try_pending(n, i))
 			expire_pending(n, i);
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -149,6 +149,7 @@
 	ffl_tails_init(n);
 	ffl_lead_init(n);
 	n->pending = g_ptr_array_new_with_free_func(ffl_pending_free);
+	n->held = g_ptr_array_new_with_free_func(ffl_held_free);
 	n->orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
 }
 
@@ -156,6 +157,7 @@
 {
 	g_array_free(n->orders, TRUE);
 	g_ptr_array_free(n->pending, TRUE);
+	g_ptr_array_free(n->held, TRUE);
 	ffl_lead_finish(n);
 	ffl_tails_finish(n);
 	ffl_dispatch_finish(&n->dispatch);
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -74,6 +74,7 @@
 bool ffl_ask_appended(ffl_node_t *n, const ffl_store_reply_t *reply);
 void ffl_ask_drive(ffl_node_t *n);
 void ffl_pending_free(void *data);
+void ffl_held_free(void *data);
 
 /* node.c */
 /** Tells whether the configuration is known well enough to answer. */
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -366,6 +366,54 @@
 	g_assert_cmpint(s->jobs[job].shown, ==, FFL_FLOW_COMPLETED);
 }
 
+/* A host that has just started serves a call as soon as it can. */
+static void held_while_starting(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job;
+
+	site_kill(s, host, 100);
+	site_run(s, 110 + SITE_STEP_MS);
+	g_assert_true(s->hosts[host].alive);
+	job = site_submit(s, host, 1, 1, WORK_MS, false);
+	site_run(s, 900);
+	g_assert_true(s->jobs[job].accepted);
+}
+
+/* The newest records are enough to serve: no read has to wait first. */
+static void serves_at_once(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+
+	site_kill(s, host, 100);
+	site_run(s, 110 + SITE_STEP_MS + 100);
+	g_assert_true(s->hosts[host].node.ready);
+}
+
+/* A log that refuses for a moment is asked again before the caller is. */
+static void held_while_busy(site_t *s)
+{
+	uint32_t job;
+
+	s->down_until = s->now_ms + 500;
+	job = site_submit(s, 0, 1, 1, WORK_MS, false);
+	site_run(s, 900);
+	g_assert_true(s->jobs[job].accepted);
+}
+
+/* One that refuses for longer has its caller sent elsewhere, in time. */
+static void refused_in_time(site_t *s)
+{
+	uint32_t job;
+
+	s->down_until = s->now_ms + 3000;
+	job = site_submit(s, 0, 1, 1, WORK_MS, false);
+	site_run(s, 500);
+	g_assert_false(s->jobs[job].refused);
+	site_run(s, 550);
+	g_assert_true(s->jobs[job].refused);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -389,6 +437,10 @@
 	{ "led-before", led_before },
 	{ "advised", advised },
 	{ "followers-read-seldom", followers_read_seldom },
+	{ "held-while-starting", held_while_starting },
+	{ "serves-at-once", serves_at_once },
+	{ "held-while-busy", held_while_busy },
+	{ "refused-in-time", refused_in_time },
 };
 
 static void test_story(gconstpointer data)
