--- a/scripts/vary-site.sh
+++ b/scripts/vary-site.sh
@@ -26,7 +26,10 @@
 	key=$1
 	percent=$2
 	value=$(sed -n "s/^$key = \([0-9.]*\)$/\1/p" "$site" | head -n 1)
-	echo "s/^$key = .*/$key = $(echo "scale=3; $value * $percent / 100" | bc)/"
+	digits=0
+	case $value in *.*) digits=3 ;; esac
+	echo "s/^$key = .*/$key = $(echo "scale=$digits; $value * $percent / 100" |
+		bc | sed 's/^\./0./')/"
 }
 
 for p in 50 200; do
