Latency histograms on the metrics address

Acceptance, queue wait by priority, placement to run, takeover, calls to the log by kind and orders to workers by kind, as histograms of libgsl with bounds that double, in the usual text format. The library tells of its own latencies by an action (FFL_NODE_ACT_MEASURE).

Tests: tests/site.sh 12 (counts on two hosts) and 16 (left_out).

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 
 $(BUILD)/ffl-jobd: $(JOBD_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ $(shell pkg-config --libs libcurl) -lcivetweb \
-		-linih -largtable2 $(LIBS)
+		-linih -largtable2 -lgsl -lgslcblas $(LIBS)
 
 $(BUILD)/ffl-site: $(SITE_OBJS) $(BUILD)/libfireflyledge.a
 	$(CC) $(SAN) -o $@ $^ -lcivetweb -linih -largtable2 $(LIBS)
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -15,6 +15,20 @@
 typedef void (*ffl_note_fn_t)(void *user, const char *event,
 			      const char *subject, const char *text);
 
+/** A latency that is measured. */
+typedef enum {
+	FFL_MEASURE_ACCEPT,	  /**< submission to acceptance */
+	FFL_MEASURE_QUEUE_FIRST,  /**< acceptance to placement, priority 0 */
+	FFL_MEASURE_QUEUE_SECOND, /**< the same, priority 1 */
+	FFL_MEASURE_QUEUE_OTHER,
+	FFL_MEASURE_RUNNING,  /**< placement to run */
+	FFL_MEASURE_TAKEOVER, /**< a leader's last sign to the next leader */
+	FFL_MEASURE__MAX
+} ffl_measure_t;
+
+/** Takes a latency. */
+typedef void (*ffl_measure_fn_t)(void *user, ffl_measure_t what, uint64_t ms);
+
 /** Figures that a deployment sets. */
 typedef struct {
 	uint32_t lease_max_ms;	 /**< longest lease that workers grant */
@@ -128,6 +142,7 @@
 	bool may_hold;
 	bool fenced; /**< a worker has seen a later leader */
 	ffl_note_fn_t note;
+	ffl_measure_fn_t measure;
 	void *note_user;
 	uint64_t starts;
 	uint64_t preempted;
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -126,6 +126,7 @@
 	FFL_NODE_ACT_ANSWER,
 	FFL_NODE_ACT_READY,
 	FFL_NODE_ACT_NOTE,
+	FFL_NODE_ACT_MEASURE,
 	FFL_NODE_ACT_EXIT,
 	FFL_NODE_ACT__MAX
 } ffl_node_act_kind_t;
@@ -155,6 +156,12 @@
 	char text[FFL_REASON_BYTES];
 } ffl_act_note_t;
 
+/** A latency that was seen. */
+typedef struct {
+	ffl_measure_t what;
+	uint64_t ms;
+} ffl_act_measure_t;
+
 /** An answer to a caller. */
 typedef struct {
 	uint64_t call;
@@ -173,6 +180,7 @@
 		ffl_order_t order;
 		ffl_act_say_t say;
 		ffl_act_note_t note;
+		ffl_act_measure_t measure;
 		bool ready;
 	};
 } ffl_node_act_t;
--- a/jobd/client.c
+++ b/jobd/client.c
@@ -19,6 +19,7 @@
 	GByteArray *reply;
 	struct curl_slist *headers;
 	uint32_t sent; /**< times that it was sent on a connection */
+	uint64_t begun_ms;
 } call_t;
 
 struct jobd_client {
@@ -33,6 +34,7 @@
 
 static void call_free(call_t *call);
 static size_t take_reply(char *data, size_t size, size_t n, void *user);
+static void measure(const call_t *call);
 static void submit(jobd_client_t *c, call_t *call);
 static void set_headers(call_t *call, CURL *easy);
 static void start_call(jobd_client_t *c, call_t *call);
@@ -95,6 +97,27 @@
 	jobd_post_sure(c->d, box);
 }
 
+static void measure(const call_t *call)
+{
+	static const jobd_hist_t stores[FFL_NODE_ACT__MAX] = {
+		[FFL_NODE_ACT_READ] = JOBD_HIST_READ,
+		[FFL_NODE_ACT_NEWEST] = JOBD_HIST_NEWEST,
+		[FFL_NODE_ACT_APPEND] = JOBD_HIST_APPEND,
+	};
+	static const jobd_hist_t orders[FFL_ORDER__MAX] = {
+		[FFL_ORDER_HOLD] = JOBD_HIST_HOLD,
+		[FFL_ORDER_START] = JOBD_HIST_START,
+		[FFL_ORDER_STOP] = JOBD_HIST_STOP,
+		[FFL_ORDER_PACE] = JOBD_HIST_PACE,
+		[FFL_ORDER_ADVISE] = JOBD_HIST_ADVISE,
+	};
+	bool order = call->about.kind == FFL_NODE_ACT_ORDER;
+
+	jobd_hist_add(order ? orders[call->about.order]
+			    : stores[call->about.kind],
+		      jobd_now_ms() - call->begun_ms);
+}
+
 static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code)
 {
 	call_t *call;
@@ -106,6 +129,7 @@
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_remove_fast(c->active, easy);
 	g_ptr_array_add(c->idle, easy);
+	measure(call);
 	deliver(c, call, status);
 	call_free(call);
 }
@@ -227,6 +251,7 @@
 static void submit(jobd_client_t *c, call_t *call)
 {
 	call->reply = g_byte_array_new();
+	call->begun_ms = jobd_now_ms();
 	if (ffl_ring_push(&c->calls, call)) {
 		curl_multi_wakeup(c->multi);
 		return;
--- a/jobd/core.c
+++ b/jobd/core.c
@@ -12,6 +12,7 @@
 
 static void do_ready(jobd_t *d, const ffl_node_act_t *act);
 static void do_note(jobd_t *d, const ffl_node_act_t *act);
+static void do_measure(jobd_t *d, const ffl_node_act_t *act);
 static void do_exit(jobd_t *d, const ffl_node_act_t *act);
 static void step(jobd_t *d, ffl_node_event_t *ev, GArray *acts);
 
@@ -23,6 +24,7 @@
 	[FFL_NODE_ACT_ANSWER] = jobd_web_answer,
 	[FFL_NODE_ACT_READY] = do_ready,
 	[FFL_NODE_ACT_NOTE] = do_note,
+	[FFL_NODE_ACT_MEASURE] = do_measure,
 	[FFL_NODE_ACT_EXIT] = do_exit,
 };
 
@@ -90,6 +92,20 @@
 	jobd_line(act->note.event, act->note.subject, act->note.text);
 }
 
+static void do_measure(jobd_t *d, const ffl_node_act_t *act)
+{
+	static const jobd_hist_t hists[FFL_MEASURE__MAX] = {
+		[FFL_MEASURE_ACCEPT] = JOBD_HIST_ACCEPT,
+		[FFL_MEASURE_QUEUE_FIRST] = JOBD_HIST_QUEUE_FIRST,
+		[FFL_MEASURE_QUEUE_SECOND] = JOBD_HIST_QUEUE_SECOND,
+		[FFL_MEASURE_QUEUE_OTHER] = JOBD_HIST_QUEUE_OTHER,
+		[FFL_MEASURE_RUNNING] = JOBD_HIST_RUNNING,
+		[FFL_MEASURE_TAKEOVER] = JOBD_HIST_TAKEOVER,
+	};
+
+	jobd_hist_add(hists[act->measure.what], act->measure.ms);
+}
+
 static void do_exit(jobd_t *d, const ffl_node_act_t *act)
 {
 	atomic_store(&d->exiting, true);
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -89,6 +89,32 @@
 void jobd_client_store(jobd_t *d, const ffl_node_act_t *act);
 void jobd_client_order(jobd_t *d, const ffl_node_act_t *act);
 
+/* hist.c */
+
+/** What a latency is of. */
+typedef enum {
+	JOBD_HIST_ACCEPT,
+	JOBD_HIST_QUEUE_FIRST,
+	JOBD_HIST_QUEUE_SECOND,
+	JOBD_HIST_QUEUE_OTHER,
+	JOBD_HIST_RUNNING,
+	JOBD_HIST_TAKEOVER,
+	JOBD_HIST_READ,
+	JOBD_HIST_NEWEST,
+	JOBD_HIST_APPEND,
+	JOBD_HIST_HOLD,
+	JOBD_HIST_START,
+	JOBD_HIST_STOP,
+	JOBD_HIST_PACE,
+	JOBD_HIST_ADVISE,
+	JOBD_HIST__MAX
+} jobd_hist_t;
+
+void jobd_hist_init(void);
+void jobd_hist_add(jobd_hist_t what, uint64_t ms);
+/** Writes all histograms in the usual text format. */
+void jobd_hist_format(GString *out);
+
 /* metrics.c */
 void jobd_metrics_init(void);
 /** Counts an event that was logged, whether its line was written or not. */
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -46,6 +46,7 @@
 
 void jobd_metrics_init(void)
 {
+	jobd_hist_init();
 	pthread_mutex_init(&metrics.lock, NULL);
 	metrics.events =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -109,4 +110,5 @@
 			out, "ffl_jobd_events_total{event=\"%s\"} %zu\n",
 			(const char *)key, GPOINTER_TO_SIZE(value));
 	pthread_mutex_unlock(&metrics.lock);
+	jobd_hist_format(out);
 }
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -24,6 +24,12 @@
 	d->note(d->note_user, event, subject, text);
 }
 
+void ffl_dispatch_measure(ffl_dispatch_t *d, ffl_measure_t what, uint64_t ms)
+{
+	if (d->measure)
+		d->measure(d->note_user, what, ms);
+}
+
 static void free_run(void *data)
 {
 	g_free(data);
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -33,6 +33,8 @@
 		       const char *subject, const char *fmt, ...)
 	__attribute__((format(printf, 4, 5)));
 
+void ffl_dispatch_measure(ffl_dispatch_t *d, ffl_measure_t what, uint64_t ms);
+
 /* runner.c */
 ffl_runner_t *ffl_runner_get(ffl_dispatch_t *d, const char *id);
 bool ffl_room_fits(const ffl_room_t *free, const ffl_room_t *need);
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -24,6 +24,7 @@
 static void place_unit(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit);
 static void place_tasks(ffl_dispatch_t *d, ffl_unit_t *unit);
+static void measure_wait(ffl_dispatch_t *d, const ffl_unit_t *unit);
 static void commit(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t task,
 		   ffl_runner_t *r, uint32_t run);
 
@@ -102,9 +103,24 @@
 	       flow->spec.start_at_ms + occurrence * flow->spec.interval_ms;
 }
 
+static void measure_wait(ffl_dispatch_t *d, const ffl_unit_t *unit)
+{
+	uint32_t priority = unit->flow->spec.priority;
+	ffl_measure_t what = FFL_MEASURE_QUEUE_OTHER;
+
+	if (unit->flow->spec.timed)
+		return;
+	if (priority < 2)
+		what = priority ? FFL_MEASURE_QUEUE_SECOND
+				: FFL_MEASURE_QUEUE_FIRST;
+	ffl_dispatch_measure(d, what, unit->now_ms - unit->flow->seen_ms);
+}
+
 static void commit(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t task,
 		   ffl_runner_t *r, uint32_t run)
 {
+	if (!unit->flow->started)
+		measure_wait(d, unit);
 	ffl_flow_task_place(unit->flow, task, run, r->entry.id,
 			    r->entry.born_ms);
 	ffl_run_add(d, unit->flow, task, run, r, unit->now_ms);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -237,6 +237,8 @@
 	if (reply->outcome == FFL_REPLY_OK) {
 		run->unanswered = false;
 		if (run->state != FFL_RUN_RUNNING) {
+			ffl_dispatch_measure(d, FFL_MEASURE_RUNNING,
+					     now_ms - run->placed_ms);
 			run->state = FFL_RUN_RUNNING;
 			run->running_ms = now_ms;
 			run->moved_ms = now_ms;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -185,6 +185,9 @@
 	bool gone = l->resigned || strcmp(l->holder, n->opt.name) == 0;
 	uint64_t given_ms = gone ? n->now_ms : l->seen_ms + HOLD_ON_MS;
 
+	if (l->seen_ms)
+		ffl_node_measure(n, FFL_MEASURE_TAKEOVER,
+				 n->now_ms - l->seen_ms);
 	l->leading = true;
 	l->resign = false;
 	l->token = offset + 1;
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -123,6 +123,14 @@
 	ffl_copy(act->note.text, sizeof(act->note.text), text);
 }
 
+void ffl_node_measure(void *user, ffl_measure_t what, uint64_t ms)
+{
+	ffl_node_act_t *act = ffl_node_act(user, FFL_NODE_ACT_MEASURE);
+
+	act->measure.what = what;
+	act->measure.ms = ms;
+}
+
 uint64_t ffl_node_call(ffl_node_t *n)
 {
 	return ++n->next_call;
@@ -144,6 +152,7 @@
 	ffl_flows_init(&n->flows);
 	ffl_dispatch_init(&n->dispatch, &opt->dispatch, &n->flows);
 	n->dispatch.note = take_note;
+	n->dispatch.measure = ffl_node_measure;
 	n->dispatch.note_user = n;
 	ffl_routes_init(&n->routes);
 	ffl_tails_init(n);
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 packages="gcc make pkg-config perl clang clang-format clang-tidy cppcheck
 libclang-rt-14-dev liburcu-dev libmsgpack-dev libcivetweb-dev
 libargtable2-dev liblog4c-dev libglib2.0-dev libinih-dev libjansson-dev
-libcurl4-openssl-dev libxxhash-dev libsodium-dev curl jq gnuplot-nox mandoc"
+libcurl4-openssl-dev libxxhash-dev libsodium-dev libgsl-dev curl jq gnuplot-nox mandoc"
 missing=""
 for p in $packages; do
 	dpkg-query -W -f='${Status}' "$p" 2>/dev/null |
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
-echo 1..21
+echo 1..23
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -44,6 +44,7 @@
 address = $SITE
 [adviser]
 address = $SITE
+${2:-}
 INI
 	"$BUILD/ffl-jobd" -c "$DIR/host$1.ini" >>"$DIR/host$1.log" 2>&1 &
 	echo $! >"$DIR/host$1.pid"
@@ -102,6 +103,14 @@
 check "metrics count what was decided" bash -c \
 	"curl -sf http://127.0.0.1:$((PORT + 31))/metrics |
 	grep -q '^ffl_jobd_leading '"
+check "histograms tell how long calls took" bash -c \
+	"cat <(curl -sf http://127.0.0.1:$((PORT + 31))/metrics) \
+	<(curl -sf http://127.0.0.1:$((PORT + 32))/metrics) |
+	grep -E '_count' | tee $DIR/counts |
+	grep -q 'accept_ms_count{} [1-9]' &&
+	grep -q 'queue_ms_count{priority=\"1\"} [1-9]' $DIR/counts &&
+	grep -q 'store_ms_count{call=\"append\"} [1-9]' $DIR/counts &&
+	grep -q 'order_ms_count{order=\"start\"} [1-9]' $DIR/counts"
 check "ffl explain tells the story of the job from the hosts' logs" bash -c \
 	"cat $DIR/host*.log | $BUILD/ffl explain 00000000000000a1 |
 	grep -q 'job-ended.*state=completed'"
@@ -113,6 +122,12 @@
 call DELETE 2 /lining/00000000000000a4 -H "$KEY" >/dev/null
 check "a cancelled job is stopped" wait_for 100 \
 	'[ "$(curl -s http://$SITE/state | jq .running)" = 0 ]'
+start_host 3 "[lines]
+per_second = 1"
+wait_for 100 "ready 3"
+check "lines beyond the budget are counted in the next line" wait_for 50 \
+	'call DELETE 3 /lining/00000000000000a1 -H "$KEY"; grep -q left_out "$DIR/host3.log"'
+kill -TERM "$(cat "$DIR/host3.pid")"
 config 2 ',{"name":"dew","host":"ponds.example","path_prefix":"/dew/","service":"survey"}'
 check "a new route is in force on both hosts" wait_for 30 \
 	'[ "$(call GET 1 /dew/ -H "$KEY")" = 200 ] &&
