Room that is freed for one job is not counted on by another

The bound itself (reclaim in the settings) was read and used by no decision.

Room that a plan frees is noted at its worker for its job alone: placement of others leaves it, and their plans count on it only where there is no other. From half of the bound on, guaranteed work goes to several racks, or far from its data, rather than late.

Tests: dispatch/room-of-one and reclaim-spreads fail before.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -65,6 +65,7 @@
 	uint64_t quarantine_ms;		/**< nothing is placed before */
 	uint64_t reserved_ms;		/**< only guaranteed work before */
 	const ffl_flow_t *reserved_for; /**< and this; never followed */
+	ffl_room_t reserved;		/**< of its room, for that flow alone */
 	uint32_t speed_milli; /**< of a usual worker's speed; 0: not known */
 	uint64_t slow_ms;     /**< taken as slow before; 0: it is not */
 	uint32_t pace;	      /**< of the work that fills there, in percent */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -6,6 +6,9 @@
  * this share of its own time, or at once while so much is free. */
 #define FAR_PERCENT	 50
 #define FREE_FAR_PERCENT 40
+/** Guaranteed work goes far rather than late after this share of the time in
+ * which it has to begin. */
+#define RECLAIM_PERCENT 50
 /** Penalty of a worker with a failure, in GPUs left over. */
 #define FAILED_PENALTY 64
 /** Thousandths of speed that weigh as much as a GPU left over. */
@@ -30,6 +33,11 @@
 	return n;
 }
 
+bool ffl_runner_reserved(const ffl_runner_t *r, const ffl_unit_t *unit)
+{
+	return unit->now_ms < r->reserved_ms && r->reserved_for != unit->flow;
+}
+
 bool ffl_runner_allows(const ffl_runner_t *r, const ffl_unit_t *unit)
 {
 	const ffl_step_t *step = unit->step;
@@ -39,8 +47,7 @@
 	    unit->now_ms < r->quarantine_ms ||
 	    strcmp(r->entry.service, unit->flow->spec.service) != 0)
 		return false;
-	if (!unit->guaranteed && unit->now_ms < r->reserved_ms &&
-	    r->reserved_for != unit->flow)
+	if (!unit->guaranteed && ffl_runner_reserved(r, unit))
 		return false;
 	for (uint32_t i = 0; i < r->entry.labels_count && !labelled; i++)
 		labelled = strcmp(r->entry.labels[i], step->label) == 0;
@@ -91,6 +98,8 @@
 		ffl_room_t free = ffl_runner_free(r);
 		int64_t cost;
 
+		if (ffl_runner_reserved(r, unit))
+			ffl_room_take(&free, &r->reserved);
 		if (!ffl_room_fits(&free, &need) || !ffl_may_run(d, r, unit))
 			continue;
 		if (rack && strcmp(r->entry.rack, rack) != 0)
@@ -138,6 +147,9 @@
 
 	if (!unit->step->rack[0] && !unit->step->same_rack)
 		return true;
+	if (unit->guaranteed &&
+	    waited >= (uint64_t)d->opt.reclaim_ms * RECLAIM_PERCENT / PERCENT)
+		return true;
 	if (unit->flow->spec.priority > 0 &&
 	    ffl_free_percent(d) >= FREE_FAR_PERCENT)
 		return waited >= run_ms * FAR_PERCENT / PERCENT;
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -131,6 +131,8 @@
 		 const ffl_unit_t *unit);
 /** Tasks of a step that run on a worker. */
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
+/** Tells whether room that is being freed there is another flow's. */
+bool ffl_runner_reserved(const ffl_runner_t *r, const ffl_unit_t *unit);
 /** Returns the best worker for a task, of a rack or of all; NULL: none. */
 ffl_runner_t *ffl_choose(ffl_dispatch_t *d, const ffl_unit_t *unit,
 			 const char *rack);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -26,6 +26,7 @@
 	GArray *offers;	     /**< of offer_t */
 	GHashTable *victims; /**< of ffl_run_t * */
 	uint64_t cost;
+	bool alone; /**< counts on no room that is freed for another */
 } plan_t;
 
 static bool may_stop(const ffl_run_t *run);
@@ -40,10 +41,13 @@
 		      const ffl_room_t *need);
 static bool take_room(plan_t *plan, const ffl_room_t *need);
 static bool make_plan(plan_t *plan, uint32_t need_count, const char *rack);
-static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit);
+static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit,
+		      bool alone);
+static bool find_plan(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
+		      bool alone, plan_t *plan);
 static void plan_close(plan_t *plan);
 static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
-		      plan_t *best);
+		      bool alone, plan_t *best);
 static bool is_worth(const ffl_dispatch_t *d, const plan_t *plan);
 static void carry_out(plan_t *plan);
 
@@ -103,8 +107,10 @@
 	       ffl_step_may_miss(plan->d, run, plan->victims);
 }
 
-static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit)
+static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit,
+		      bool alone)
 {
+	plan->alone = alone;
 	plan->d = d;
 	plan->unit = unit;
 	plan->offers = g_array_new(FALSE, TRUE, sizeof(offer_t));
@@ -127,8 +133,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_runner_t *r = value;
 		offer_t offer = { .runner = r };
+		bool reserved = ffl_runner_reserved(r, plan->unit);
 
-		if (!ffl_may_run(plan->d, r, plan->unit) ||
+		if ((plan->alone && reserved) ||
+		    !ffl_may_run(plan->d, r, plan->unit) ||
 		    (rack && strcmp(r->entry.rack, rack) != 0))
 			continue;
 		offer.spare = ffl_runner_free(r);
@@ -251,7 +259,7 @@
 }
 
 static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
-		      plan_t *best)
+		      bool alone, plan_t *best)
 {
 	GHashTable *tried = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter iter;
@@ -265,7 +273,7 @@
 
 		if (!r->listed || !g_hash_table_add(tried, r->entry.rack))
 			continue;
-		plan_open(&plan, d, unit);
+		plan_open(&plan, d, unit, alone);
 		if (!make_plan(&plan, need, r->entry.rack) ||
 		    (found && plan.cost >= best->cost)) {
 			plan_close(&plan);
@@ -294,17 +302,22 @@
 {
 	uint64_t until = plan->unit->now_ms + plan->d->opt.stop_max_ms +
 			 RESERVE_SLACK_MS;
+	ffl_room_t need = ffl_step_room(plan->unit->step);
 	GHashTableIter iter;
 	gpointer key;
 
 	for (guint i = 0; i < plan->offers->len; i++) {
 		offer_t *offer = &g_array_index(plan->offers, offer_t, i);
+		uint32_t placed =
+			ffl_runner_tasks_of(offer->runner, plan->unit);
 
-		if (offer->tasks <=
-		    ffl_runner_tasks_of(offer->runner, plan->unit))
+		if (offer->tasks <= placed)
 			continue;
 		offer->runner->reserved_ms = until;
 		offer->runner->reserved_for = plan->unit->flow;
+		offer->runner->reserved = (ffl_room_t){ 0 };
+		for (uint32_t k = placed; k < offer->tasks; k++)
+			ffl_room_add(&offer->runner->reserved, &need);
 	}
 	g_hash_table_iter_init(&iter, plan->victims);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
@@ -321,21 +334,37 @@
 	}
 }
 
+/* Looks for a plan in one rack where the step wants it, else anywhere. */
+static bool find_plan(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
+		      bool alone, plan_t *plan)
+{
+	if (unit->step->same_rack && unit->step->gang &&
+	    best_rack(d, unit, need, alone, plan))
+		return true;
+	plan_open(plan, d, unit, alone);
+	if (make_plan(plan, need, NULL))
+		return true;
+	plan_close(plan);
+	return false;
+}
+
 bool ffl_preempt(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need)
 {
 	ffl_unit_t anywhere = *unit;
 	plan_t plan;
-	bool ok = false;
+	bool ok;
 
 	weigh_losses(d, unit->now_ms);
-	if (unit->step->same_rack && unit->step->gang)
-		ok = best_rack(d, unit, need, &plan);
-	if (!ok) {
-		anywhere.near_only = false;
-		plan_open(&plan, d, &anywhere);
-		ok = make_plan(&plan, need, NULL);
-	}
-	ok = ok && is_worth(d, &plan);
+	ok = find_plan(d, unit, need, true, &plan);
+	anywhere.near_only = false;
+	if (!ok && unit->near_only)
+		ok = find_plan(d, &anywhere, need, true, &plan);
+	/* What is freed for others may be left over by them. */
+	if (!ok)
+		ok = find_plan(d, &anywhere, need, false, &plan);
+	if (!ok)
+		return false;
+	ok = is_worth(d, &plan);
 	if (ok)
 		carry_out(&plan);
 	plan_close(&plan);
