--- a/fakes/site.c
+++ b/fakes/site.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "fakes/site.h"
+#include "fakes/site_int.h"
 
 /** One way to the log and to a worker, and the workers' reports. */
 #define LOG_MS	      4
@@ -9,9 +9,7 @@
 #define REPORT_MS     1500
 #define TICK_MS	      50
 #define LATE_LEAST_MS 2000
-#define LATE_MOST_MS  12000
 #define PAGE_MOST     4
-#define CANCEL_MS     3000
 /** Times of the adviser. */
 #define ADVICE_MS	30
 #define ADVICE_EACH_MS	2
@@ -57,26 +55,15 @@
 static gint by_due(gconstpointer a, gconstpointer b, gpointer user);
 static void push(site_t *s, event_t *e);
 static char *call_key(bool order, uint32_t host, uint64_t life, uint64_t call);
-static void ticket_of(const char *step, const task_worker_t *w,
-		      char out[FFL_TICKET_BYTES]);
 static bool is_denied(const site_t *s, const char *step, uint32_t worker);
 static void serve_advice(site_t *s, uint32_t host, const ffl_order_t *order);
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
 static void take_answer(site_t *s, const ffl_act_say_t *say);
-static void step_host(site_t *s, uint32_t host, ffl_node_event_t *ev);
 static void boot_host(site_t *s, uint32_t host);
 static void report_workers(site_t *s);
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, event_t *e, event_t *back);
-static site_job_t *job_of(site_t *s, const char *task, uint32_t *step);
-static bool is_first(const site_t *s, const site_job_t *job);
-static bool plan_task(void *user, const char *task, task_plan_t *out);
-static void note_started(void *user, task_worker_t *w, const task_run_t *run);
-static void note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row);
-static void note_acked(void *user, task_worker_t *w, const ffl_run_row_t *row);
-static uint32_t count_present(void *user, const task_run_t *run);
-static void broken(site_t *s, const char *fault, const char *detail);
 static void ask(site_t *s, uint32_t host, uint32_t job, ffl_ask_t what);
 static site_job_t *new_job(site_t *s, uint32_t work_ms);
 
@@ -86,14 +73,6 @@
 	[EVENT_TIMEOUT] = on_timeout,
 };
 
-static void broken(site_t *s, const char *fault, const char *detail)
-{
-	if (s->fault)
-		return;
-	s->fault = fault;
-	ffl_copy(s->detail, sizeof(s->detail), detail);
-}
-
 static event_t *event_new(event_kind_t kind, uint64_t due_ms, uint32_t host,
 			  uint64_t life)
 {
@@ -138,8 +117,8 @@
 			       call);
 }
 
-static void ticket_of(const char *step, const task_worker_t *w,
-		      char out[FFL_TICKET_BYTES])
+void site_ticket_of(const char *step, const task_worker_t *w,
+		    char out[FFL_TICKET_BYTES])
 {
 	g_snprintf(out, FFL_TICKET_BYTES, "%s/%s/%" PRId64, step, w->id,
 		   w->born_ms);
@@ -149,7 +128,7 @@
 static bool is_denied(const site_t *s, const char *step, uint32_t worker)
 {
 	uint32_t index = 0;
-	const site_job_t *job = job_of((site_t *)s, step, &index);
+	const site_job_t *job = site_job_of((site_t *)s, step, &index);
 	const ffl_step_t *st;
 
 	if (!job || index >= job->spec.steps_count)
@@ -183,7 +162,7 @@
 		if (!asked || is_denied(s, order->task, i))
 			continue;
 		ffl_copy(t->worker, sizeof(t->worker), w->id);
-		ticket_of(order->task, w, t->ticket);
+		site_ticket_of(order->task, w, t->ticket);
 		reply->tickets_count++;
 	}
 	g_hash_table_add(s->open,
@@ -249,25 +228,28 @@
 		break;
 	case FFL_SAY_GONE:
 		if (job->accepted)
-			broken(s, "an accepted job is not known", job->id);
+			site_broken(s, "an accepted job is not known", job->id);
 		break;
 	case FFL_SAY_STATE:
 		job->shown = say->state;
 		if (say->state == FFL_FLOW_COMPLETED &&
 		    g_hash_table_size(job->ran) < job->spec.tasks_each)
-			broken(s, "shown as completed, and a task is not done",
-			       job->id);
+			site_broken(
+				s, "shown as completed, and a task is not done",
+				job->id);
 		if (say->state == FFL_FLOW_CANCELLED && !job->cancel_sent)
-			broken(s, "shown as cancelled without cause", job->id);
+			site_broken(s, "shown as cancelled without cause",
+				    job->id);
 		if (say->state == FFL_FLOW_FAILED && !job->fails)
-			broken(s, "shown as failed without cause", job->id);
+			site_broken(s, "shown as failed without cause",
+				    job->id);
 		break;
 	default:
 		break;
 	}
 }
 
-static void step_host(site_t *s, uint32_t host, ffl_node_event_t *ev)
+void site_step_host(site_t *s, uint32_t host, ffl_node_event_t *ev)
 {
 	site_host_t *h = &s->hosts[host];
 
@@ -494,7 +476,7 @@
 
 	g_free(key);
 	if (open && h->alive && h->life == e->life)
-		step_host(s, e->host, &e->ev);
+		site_step_host(s, e->host, &e->ev);
 	if (!order) {
 		for (uint32_t i = 0; i < e->ev.store.count; i++) {
 			if (e->ev.store.records[i].routes)
@@ -542,8 +524,12 @@
 
 static void on_worker(site_t *s, event_t *e)
 {
-	const task_hooks_t hooks = { s,		 plan_task,  note_started,
-				     note_ended, note_acked, count_present };
+	const task_hooks_t hooks = { s,
+				     site_plan_task,
+				     site_note_started,
+				     site_note_ended,
+				     site_note_acked,
+				     site_count_present };
 	event_t *back;
 	uint32_t index = 0;
 
@@ -596,148 +582,6 @@
 		push(s, back);
 }
 
-static site_job_t *job_of(site_t *s, const char *task, uint32_t *step)
-{
-	uint32_t occurrence;
-
-	for (uint32_t i = 0; i < s->jobs_count; i++) {
-		size_t n = strlen(s->jobs[i].id);
-
-		if (strncmp(task, s->jobs[i].id, n) != 0)
-			continue;
-		if (sscanf(task + n, ".%u.%u", &occurrence, step) != 2)
-			return NULL;
-		return &s->jobs[i];
-	}
-	return NULL;
-}
-
-/* Each third job goes to the queue of first priority. */
-static bool is_first(const site_t *s, const site_job_t *job)
-{
-	return (job - s->jobs) % 3 == 0;
-}
-
-static bool plan_task(void *user, const char *task, task_plan_t *out)
-{
-	site_t *s = user;
-	uint32_t step = 0;
-	const site_job_t *job = job_of(s, task, &step);
-	char name[FFL_TASK_NAME_BYTES];
-	const ffl_step_t *st;
-
-	if (!job || step >= job->spec.steps_count)
-		return false;
-	st = &job->spec.steps[step];
-	out->work_ms = job->work_ms;
-	out->gang_tasks = st->gang ? st->tasks : 0;
-	out->fails = job->fails;
-	out->ticket = NULL;
-	if (s->advised && is_first(s, job)) {
-		g_snprintf(name, sizeof(name), "%s.0.%u", job->id, step);
-		ticket_of(name, s->ordered, s->ticket);
-		out->ticket = s->ticket;
-	}
-	out->room = (ffl_room_t){ st->cpu_milli, st->mem_mb, st->gpus };
-	return true;
-}
-
-static void note_started(void *user, task_worker_t *w, const task_run_t *run)
-{
-	site_t *s = user;
-	uint32_t step = 0;
-	site_job_t *job = job_of(s, run->task, &step);
-
-	if (!job) {
-		broken(s, "a task that nobody asked for", run->task);
-		return;
-	}
-	for (uint32_t i = 0; i < s->workers_count; i++) {
-		const task_worker_t *other = &s->workers[i];
-
-		for (guint k = 0; other->alive && k < other->runs->len; k++) {
-			const task_run_t *r = g_ptr_array_index(other->runs, k);
-
-			if (r != run && strcmp(r->task, run->task) == 0)
-				broken(s, "two runs of a task at once",
-				       run->task);
-		}
-	}
-	if (g_hash_table_contains(job->done, run->task))
-		broken(s, "started after an end that was acknowledged",
-		       run->task);
-	if (GPOINTER_TO_UINT(g_hash_table_lookup(job->failures, run->task)) >=
-	    2)
-		broken(s, "more runs than attempts", run->task);
-	if (job->refused && !job->accepted && !job->unsure)
-		broken(s, "a job that was refused runs", run->task);
-	if (job->cancelled_ms && s->now_ms > job->cancelled_ms + CANCEL_MS &&
-	    s->now_ms >= s->late_until + LATE_MOST_MS &&
-	    s->now_ms >= s->silent_until)
-		broken(s, "a cancelled job is started", run->task);
-	for (uint32_t i = 0; step == 1 && i < job->spec.steps[0].tasks; i++) {
-		char name[FFL_TASK_NAME_BYTES];
-
-		g_snprintf(name, sizeof(name), "%s.0.0.%u", job->id, i);
-		if (!g_hash_table_contains(job->ran, name))
-			broken(s, "a step starts before the one that it needs",
-			       run->task);
-	}
-}
-
-static void note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row)
-{
-	site_t *s = user;
-	uint32_t step = 0;
-	site_job_t *job = job_of(s, row->task, &step);
-	const ffl_step_t *st;
-
-	if (!job || row->end != FFL_ENDING_DONE)
-		return;
-	st = &job->spec.steps[step];
-	/* One good end stands for the whole gang. */
-	for (uint32_t i = 0; st->gang && i < st->tasks; i++)
-		g_hash_table_add(job->ran, g_strdup_printf("%s.0.%u.%u",
-							   job->id, step, i));
-	g_hash_table_add(job->ran, g_strdup(row->task));
-}
-
-static void note_acked(void *user, task_worker_t *w, const ffl_run_row_t *row)
-{
-	uint32_t step = 0;
-	site_job_t *job = job_of(user, row->task, &step);
-
-	if (!job)
-		return;
-	if (row->end == FFL_ENDING_DONE)
-		g_hash_table_add(job->done, g_strdup(row->task));
-	if (row->end == FFL_ENDING_FAILED)
-		g_hash_table_insert(
-			job->failures, g_strdup(row->task),
-			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
-						 job->failures, row->task)) +
-					 1));
-}
-
-static uint32_t count_present(void *user, const task_run_t *run)
-{
-	const site_t *s = user;
-	size_t n = (size_t)(strrchr(run->task, '.') - run->task);
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < s->workers_count; i++) {
-		const task_worker_t *w = &s->workers[i];
-
-		for (guint k = 0; w->alive && k < w->runs->len; k++) {
-			const task_run_t *r = g_ptr_array_index(w->runs, k);
-
-			count += r->run == run->run && !r->stop_ms &&
-				 strncmp(r->task, run->task, n + 1) == 0;
-		}
-	}
-	return count;
-}
-
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers)
 {
 	memset(s, 0, sizeof(*s));
@@ -805,14 +649,18 @@
 		    s->now_ms - h->ticked_ms < TICK_MS)
 			continue;
 		h->ticked_ms = s->now_ms;
-		step_host(s, i, &ev);
+		site_step_host(s, i, &ev);
 	}
 }
 
 void site_run(site_t *s, uint32_t ms)
 {
-	const task_hooks_t hooks = { s,		 plan_task,  note_started,
-				     note_ended, note_acked, count_present };
+	const task_hooks_t hooks = { s,
+				     site_plan_task,
+				     site_note_started,
+				     site_note_ended,
+				     site_note_acked,
+				     site_count_present };
 	uint64_t end = s->now_ms + ms;
 
 	for (; s->now_ms < end; s->now_ms += SITE_STEP_MS) {
@@ -911,7 +759,7 @@
 	if (!h->alive || h->exited || s->now_ms < h->frozen_until)
 		return;
 	g_snprintf(path, sizeof(path), "/%s/%s",
-		   is_first(s, &s->jobs[job]) ? "dew" : "lining", j->id);
+		   site_is_first(s, &s->jobs[job]) ? "dew" : "lining", j->id);
 	ev.request.call = ++s->next_call;
 	ev.request.ask = what;
 	ev.request.host = "ponds.example";
@@ -928,7 +776,7 @@
 	}
 	g_hash_table_insert(s->asked, GSIZE_TO_POINTER(ev.request.call),
 			    GUINT_TO_POINTER(job + 1));
-	step_host(s, host, &ev);
+	site_step_host(s, host, &ev);
 	ffl_flow_spec_finish(&spec);
 }
 
@@ -952,115 +800,3 @@
 {
 	ask(s, host, job, FFL_ASK_LOOK);
 }
-
-void site_worker_leave(site_t *s, uint32_t worker)
-{
-	task_worker_t *w = &s->workers[worker];
-
-	task_worker_crash(w);
-	w->listed = false;
-	keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "", 0);
-}
-
-/* Calls that a dead host had open stay without an answer. */
-void site_kill(site_t *s, uint32_t host, uint32_t back_ms)
-{
-	site_host_t *h = &s->hosts[host];
-
-	if (!h->alive)
-		return;
-	for (guint i = 0; i < h->node.pending->len; i++) {
-		const ffl_pending_t *p = g_ptr_array_index(h->node.pending, i);
-		uint32_t index = GPOINTER_TO_UINT(g_hash_table_lookup(
-					 s->asked, GSIZE_TO_POINTER(p->call))) -
-				 1;
-
-		if (index < s->jobs_count && p->ask == FFL_ASK_SUBMIT)
-			s->jobs[index].unsure = true;
-	}
-	ffl_node_finish(&h->node);
-	memset(&h->node, 0, sizeof(h->node));
-	h->alive = false;
-	h->frozen_until = 0;
-	h->back_ms = s->now_ms + back_ms + SITE_STEP_MS;
-}
-
-void site_stop(site_t *s, uint32_t host)
-{
-	ffl_node_event_t ev = { .kind = FFL_NODE_EV_STOP };
-
-	if (s->hosts[host].alive)
-		step_host(s, host, &ev);
-}
-
-void site_worker_crash(site_t *s, uint32_t worker)
-{
-	if (s->workers[worker].alive)
-		task_worker_crash(&s->workers[worker]);
-}
-
-void site_worker_boot(site_t *s, uint32_t worker)
-{
-	if (!s->workers[worker].alive)
-		task_worker_boot(&s->workers[worker], s->now_ms,
-				 (int64_t)s->now_ms + 1);
-}
-
-void site_worker_drain(site_t *s, uint32_t worker)
-{
-	s->workers[worker].draining = true;
-}
-
-int site_leader(const site_t *s)
-{
-	for (uint32_t i = 0; i < s->hosts_count; i++) {
-		if (s->hosts[i].alive && s->hosts[i].node.lead.leading)
-			return (int)i;
-	}
-	return -1;
-}
-
-void site_settle(site_t *s, uint32_t ms)
-{
-	s->down_until = 0;
-	s->silent_until = 0;
-	s->lost_until = 0;
-	for (uint32_t i = 0; i < s->hosts_count; i++) {
-		site_host_t *h = &s->hosts[i];
-
-		h->cut_until = 0;
-		if (!h->alive && !h->back_ms)
-			h->back_ms = s->now_ms;
-	}
-	for (uint32_t i = 0; i < s->workers_count; i++) {
-		task_worker_t *w = &s->workers[i];
-
-		s->worker_cut[i] = false;
-		w->hangs = false;
-		w->draining = false;
-		if (!w->alive)
-			site_worker_boot(s, i);
-	}
-	site_run(s, ms);
-	for (uint32_t i = 0; i < s->jobs_count && !s->fault; i++) {
-		const site_job_t *job = &s->jobs[i];
-		const ffl_flow_t *flow;
-
-		if (!job->accepted)
-			continue;
-		for (uint32_t k = 0; k < s->hosts_count; k++) {
-			flow = ffl_flows_find(&s->hosts[k].node.flows, job->id);
-			if (!flow)
-				broken(s, "an accepted job is lost", job->id);
-			else if (flow->shown == FFL_FLOW_QUEUED ||
-				 flow->shown == FFL_FLOW_RUNNING)
-				broken(s, "a job does not end", job->id);
-			if (flow && flow->shown == FFL_FLOW_COMPLETED &&
-			    g_hash_table_size(job->ran) < flow->tasks_count)
-				broken(s,
-				       "shown as completed, and a task is not "
-				       "done",
-				       job->id);
-		}
-	}
-}
--- /dev/null
+++ b/fakes/site_faults.c
@@ -0,0 +1,117 @@
+#include <string.h>
+
+#include "fakes/site_int.h"
+
+void site_worker_leave(site_t *s, uint32_t worker)
+{
+	task_worker_t *w = &s->workers[worker];
+
+	task_worker_crash(w);
+	w->listed = false;
+	keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "", 0);
+}
+
+/* Calls that a dead host had open stay without an answer. */
+void site_kill(site_t *s, uint32_t host, uint32_t back_ms)
+{
+	site_host_t *h = &s->hosts[host];
+
+	if (!h->alive)
+		return;
+	for (guint i = 0; i < h->node.pending->len; i++) {
+		const ffl_pending_t *p = g_ptr_array_index(h->node.pending, i);
+		uint32_t index = GPOINTER_TO_UINT(g_hash_table_lookup(
+					 s->asked, GSIZE_TO_POINTER(p->call))) -
+				 1;
+
+		if (index < s->jobs_count && p->ask == FFL_ASK_SUBMIT)
+			s->jobs[index].unsure = true;
+	}
+	ffl_node_finish(&h->node);
+	memset(&h->node, 0, sizeof(h->node));
+	h->alive = false;
+	h->frozen_until = 0;
+	h->back_ms = s->now_ms + back_ms + SITE_STEP_MS;
+}
+
+void site_stop(site_t *s, uint32_t host)
+{
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_STOP };
+
+	if (s->hosts[host].alive)
+		site_step_host(s, host, &ev);
+}
+
+void site_worker_crash(site_t *s, uint32_t worker)
+{
+	if (s->workers[worker].alive)
+		task_worker_crash(&s->workers[worker]);
+}
+
+void site_worker_boot(site_t *s, uint32_t worker)
+{
+	if (!s->workers[worker].alive)
+		task_worker_boot(&s->workers[worker], s->now_ms,
+				 (int64_t)s->now_ms + 1);
+}
+
+void site_worker_drain(site_t *s, uint32_t worker)
+{
+	s->workers[worker].draining = true;
+}
+
+int site_leader(const site_t *s)
+{
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		if (s->hosts[i].alive && s->hosts[i].node.lead.leading)
+			return (int)i;
+	}
+	return -1;
+}
+
+void site_settle(site_t *s, uint32_t ms)
+{
+	s->down_until = 0;
+	s->silent_until = 0;
+	s->lost_until = 0;
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		site_host_t *h = &s->hosts[i];
+
+		h->cut_until = 0;
+		if (!h->alive && !h->back_ms)
+			h->back_ms = s->now_ms;
+	}
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+
+		s->worker_cut[i] = false;
+		w->hangs = false;
+		w->draining = false;
+		if (!w->alive)
+			site_worker_boot(s, i);
+	}
+	site_run(s, ms);
+	for (uint32_t i = 0; i < s->jobs_count && !s->fault; i++) {
+		const site_job_t *job = &s->jobs[i];
+		const ffl_flow_t *flow;
+
+		if (!job->accepted)
+			continue;
+		for (uint32_t k = 0; k < s->hosts_count; k++) {
+			flow = ffl_flows_find(&s->hosts[k].node.flows, job->id);
+			if (!flow)
+				site_broken(s, "an accepted job is lost",
+					    job->id);
+			else if (flow->shown == FFL_FLOW_QUEUED ||
+				 flow->shown == FFL_FLOW_RUNNING)
+				site_broken(s, "a job does not end", job->id);
+			if (flow && flow->shown == FFL_FLOW_COMPLETED &&
+			    g_hash_table_size(job->ran) < flow->tasks_count)
+				site_broken(
+					s,
+					"shown as completed, and a task is not "
+					"done",
+					job->id);
+		}
+	}
+}
--- /dev/null
+++ b/fakes/site_oracle.c
@@ -0,0 +1,158 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fakes/site_int.h"
+
+/** A cancelled job is not started any more after this. */
+#define CANCEL_MS 3000
+
+void site_broken(site_t *s, const char *fault, const char *detail)
+{
+	if (s->fault)
+		return;
+	s->fault = fault;
+	ffl_copy(s->detail, sizeof(s->detail), detail);
+}
+
+site_job_t *site_job_of(site_t *s, const char *task, uint32_t *step)
+{
+	uint32_t occurrence;
+
+	for (uint32_t i = 0; i < s->jobs_count; i++) {
+		size_t n = strlen(s->jobs[i].id);
+
+		if (strncmp(task, s->jobs[i].id, n) != 0)
+			continue;
+		if (sscanf(task + n, ".%u.%u", &occurrence, step) != 2)
+			return NULL;
+		return &s->jobs[i];
+	}
+	return NULL;
+}
+
+/* Each third job goes to the queue of first priority. */
+bool site_is_first(const site_t *s, const site_job_t *job)
+{
+	return (job - s->jobs) % 3 == 0;
+}
+
+bool site_plan_task(void *user, const char *task, task_plan_t *out)
+{
+	site_t *s = user;
+	uint32_t step = 0;
+	const site_job_t *job = site_job_of(s, task, &step);
+	char name[FFL_TASK_NAME_BYTES];
+	const ffl_step_t *st;
+
+	if (!job || step >= job->spec.steps_count)
+		return false;
+	st = &job->spec.steps[step];
+	out->work_ms = job->work_ms;
+	out->gang_tasks = st->gang ? st->tasks : 0;
+	out->fails = job->fails;
+	out->ticket = NULL;
+	if (s->advised && site_is_first(s, job)) {
+		g_snprintf(name, sizeof(name), "%s.0.%u", job->id, step);
+		site_ticket_of(name, s->ordered, s->ticket);
+		out->ticket = s->ticket;
+	}
+	out->room = (ffl_room_t){ st->cpu_milli, st->mem_mb, st->gpus };
+	return true;
+}
+
+void site_note_started(void *user, task_worker_t *w, const task_run_t *run)
+{
+	site_t *s = user;
+	uint32_t step = 0;
+	site_job_t *job = site_job_of(s, run->task, &step);
+
+	if (!job) {
+		site_broken(s, "a task that nobody asked for", run->task);
+		return;
+	}
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		const task_worker_t *other = &s->workers[i];
+
+		for (guint k = 0; other->alive && k < other->runs->len; k++) {
+			const task_run_t *r = g_ptr_array_index(other->runs, k);
+
+			if (r != run && strcmp(r->task, run->task) == 0)
+				site_broken(s, "two runs of a task at once",
+					    run->task);
+		}
+	}
+	if (g_hash_table_contains(job->done, run->task))
+		site_broken(s, "started after an end that was acknowledged",
+			    run->task);
+	if (GPOINTER_TO_UINT(g_hash_table_lookup(job->failures, run->task)) >=
+	    2)
+		site_broken(s, "more runs than attempts", run->task);
+	if (job->refused && !job->accepted && !job->unsure)
+		site_broken(s, "a job that was refused runs", run->task);
+	if (job->cancelled_ms && s->now_ms > job->cancelled_ms + CANCEL_MS &&
+	    s->now_ms >= s->late_until + LATE_MOST_MS &&
+	    s->now_ms >= s->silent_until)
+		site_broken(s, "a cancelled job is started", run->task);
+	for (uint32_t i = 0; step == 1 && i < job->spec.steps[0].tasks; i++) {
+		char name[FFL_TASK_NAME_BYTES];
+
+		g_snprintf(name, sizeof(name), "%s.0.0.%u", job->id, i);
+		if (!g_hash_table_contains(job->ran, name))
+			site_broken(
+				s, "a step starts before the one that it needs",
+				run->task);
+	}
+}
+
+void site_note_ended(void *user, task_worker_t *w, const ffl_run_row_t *row)
+{
+	site_t *s = user;
+	uint32_t step = 0;
+	site_job_t *job = site_job_of(s, row->task, &step);
+	const ffl_step_t *st;
+
+	if (!job || row->end != FFL_ENDING_DONE)
+		return;
+	st = &job->spec.steps[step];
+	/* One good end stands for the whole gang. */
+	for (uint32_t i = 0; st->gang && i < st->tasks; i++)
+		g_hash_table_add(job->ran, g_strdup_printf("%s.0.%u.%u",
+							   job->id, step, i));
+	g_hash_table_add(job->ran, g_strdup(row->task));
+}
+
+void site_note_acked(void *user, task_worker_t *w, const ffl_run_row_t *row)
+{
+	uint32_t step = 0;
+	site_job_t *job = site_job_of(user, row->task, &step);
+
+	if (!job)
+		return;
+	if (row->end == FFL_ENDING_DONE)
+		g_hash_table_add(job->done, g_strdup(row->task));
+	if (row->end == FFL_ENDING_FAILED)
+		g_hash_table_insert(
+			job->failures, g_strdup(row->task),
+			GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(
+						 job->failures, row->task)) +
+					 1));
+}
+
+uint32_t site_count_present(void *user, const task_run_t *run)
+{
+	const site_t *s = user;
+	size_t n = (size_t)(strrchr(run->task, '.') - run->task);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		const task_worker_t *w = &s->workers[i];
+
+		for (guint k = 0; w->alive && k < w->runs->len; k++) {
+			const task_run_t *r = g_ptr_array_index(w->runs, k);
+
+			count += r->run == run->run && !r->stop_ms &&
+				 strncmp(r->task, run->task, n + 1) == 0;
+		}
+	}
+	return count;
+}
