One range of a gang's tasks, one deadline of appends

The range was computed in four places (reply.c, run.c twice, flow.c), the deadline stood in three files, free_run() only freed. No behaviour changed: node, dispatch and platform tests pass.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -194,6 +194,9 @@
 /** Index of a step's first task in an occurrence. */
 uint32_t ffl_flow_first_task(const ffl_flow_t *flow, uint32_t occurrence,
 			     uint32_t step);
+/** Range of the tasks that end together with one: its gang, or itself. */
+void ffl_flow_range(const ffl_flow_t *flow, uint32_t task, uint32_t *first,
+		    uint32_t *count);
 /** Tells whether all steps that a step waits for are done. */
 bool ffl_flow_step_ready(const ffl_flow_t *flow, uint32_t occurrence,
 			 uint32_t step);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -6,7 +6,6 @@
 /** Placement is thought over at least so often while something waits. */
 #define REPLAN_MS 100
 
-static void free_run(void *data);
 static void adopt(ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms);
 static void settle_flows(ffl_dispatch_t *d, uint64_t now_ms);
 
@@ -30,11 +29,6 @@
 		d->measure(d->note_user, what, ms);
 }
 
-static void free_run(void *data)
-{
-	g_free(data);
-}
-
 void ffl_dispatch_init(ffl_dispatch_t *d, const ffl_dispatch_options_t *opt,
 		       ffl_flows_t *flows)
 {
@@ -56,7 +50,7 @@
 void ffl_dispatch_finish(ffl_dispatch_t *d)
 {
 	for (guint i = 0; i < d->runs->len; i++)
-		free_run(g_ptr_array_index(d->runs, i));
+		g_free(g_ptr_array_index(d->runs, i));
 	g_ptr_array_free(d->runs, TRUE);
 	g_hash_table_destroy(d->learned);
 	g_array_free(d->misfits, TRUE);
@@ -121,7 +115,7 @@
 	ffl_advice_reset(&d->advice);
 	g_hash_table_remove_all(d->calls);
 	for (guint i = 0; i < d->runs->len; i++)
-		free_run(g_ptr_array_index(d->runs, i));
+		g_free(g_ptr_array_index(d->runs, i));
 	g_ptr_array_set_size(d->runs, 0);
 	g_hash_table_iter_init(&iter, d->runners);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -48,16 +48,10 @@
 static void take_belated(ffl_dispatch_t *d, const ffl_run_row_t *row)
 {
 	ffl_flow_t *flow = row->flow;
-	uint32_t step = ffl_flow_step_of(flow, row->index);
-	const ffl_step_t *s = &flow->spec.steps[step];
-	uint32_t first = row->index;
-	uint32_t count = 1;
+	uint32_t first;
+	uint32_t count;
 
-	if (s->gang) {
-		first = ffl_flow_first_task(
-			flow, row->index / flow->spec.tasks_each, step);
-		count = s->tasks;
-	}
+	ffl_flow_range(flow, row->index, &first, &count);
 	for (uint32_t i = first; i < first + count; i++) {
 		if (flow->tasks[i].state != FFL_TASK_WAITING ||
 		    flow->tasks[i].run != row->run)
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -101,16 +101,10 @@
 static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	ffl_flow_t *flow = run->flow;
-	uint32_t step = ffl_flow_step_of(flow, run->task);
-	const ffl_step_t *s = &flow->spec.steps[step];
-	uint32_t first = run->task;
-	uint32_t count = 1;
+	uint32_t first;
+	uint32_t count;
 
-	if (s->gang) {
-		first = ffl_flow_first_task(
-			flow, run->task / flow->spec.tasks_each, step);
-		count = s->tasks;
-	}
+	ffl_flow_range(flow, run->task, &first, &count);
 	for (uint32_t i = first; i < first + count; i++) {
 		if (flow->tasks[i].state != FFL_TASK_DONE)
 			ffl_flow_task_set(flow, i, FFL_TASK_DONE);
@@ -124,11 +118,10 @@
 	ffl_flow_t *flow = run->flow;
 	uint32_t step = ffl_flow_step_of(flow, run->task);
 	const ffl_step_t *s = &flow->spec.steps[step];
-	uint32_t at = run->task;
+	uint32_t count;
+	uint32_t at;
 
-	if (s->gang)
-		at = ffl_flow_first_task(
-			flow, run->task / flow->spec.tasks_each, step);
+	ffl_flow_range(flow, run->task, &at, &count);
 	ffl_runner_bad(d, run->runner, flow, now_ms);
 	if (flow->tasks[at].failed_run == run->run)
 		return;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -304,6 +304,19 @@
 	       flow->spec.steps[step].first_task;
 }
 
+void ffl_flow_range(const ffl_flow_t *flow, uint32_t task, uint32_t *first,
+		    uint32_t *count)
+{
+	uint32_t step = ffl_flow_step_of(flow, task);
+
+	*first = task;
+	*count = 1;
+	if (!flow->spec.steps[step].gang)
+		return;
+	*first = ffl_flow_first_task(flow, task / flow->spec.tasks_each, step);
+	*count = flow->spec.steps[step].tasks;
+}
+
 bool ffl_flow_step_ready(const ffl_flow_t *flow, uint32_t occurrence,
 			 uint32_t step)
 {
@@ -363,17 +376,12 @@
 
 void ffl_flow_task_save(ffl_flow_t *flow, uint32_t task, const char *saved)
 {
-	uint32_t step = ffl_flow_step_of(flow, task);
-	const ffl_step_t *s = &flow->spec.steps[step];
 	uint32_t first;
+	uint32_t count;
 
 	if (!saved || !saved[0] || strlen(saved) > FFL_CHECKPOINT_BYTES_MAX)
 		return;
-	if (!s->gang) {
-		save_task(&flow->tasks[task], saved);
-		return;
-	}
-	first = ffl_flow_first_task(flow, task / flow->spec.tasks_each, step);
-	for (uint32_t i = 0; i < s->tasks; i++)
-		save_task(&flow->tasks[first + i], saved);
+	ffl_flow_range(flow, task, &first, &count);
+	for (uint32_t i = first; i < first + count; i++)
+		save_task(&flow->tasks[i], saved);
 }
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -6,9 +6,8 @@
 #define DEADLINE_MS 3000
 /** An answer leaves so long before the caller's deadline. */
 #define MARGIN_MS 300
-/** Deadline of an append, and time before it is repeated. */
-#define APPEND_TIMEOUT_MS 900
-#define REPEAT_MS	  100
+/** Time before an append is repeated. */
+#define REPEAT_MS 100
 /** Appends on their way at once, and records of one. */
 #define APPENDS_MAX 4
 #define RECORDS_MAX 64
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -12,9 +12,8 @@
 #define WELL_MS 900
 /** Hosts claim one after the other, so that appends do not collide. */
 #define CLAIM_SPREAD_MS 150
-/** Deadline of an append, and time before it is repeated. */
-#define APPEND_TIMEOUT_MS 900
-#define REPEAT_MS	  120
+/** Time before an append is repeated. */
+#define REPEAT_MS 120
 /** What is known of jobs and workers must be as young as this to start. */
 #define KNOWN_MS 2200
 /** A leader without the log extends leases for so long; then what runs
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -13,6 +13,9 @@
 #define KEY_PROGRESS 'r'
 #define KEY_LEAD     "lead"
 
+/** Deadline of an append: a slow log, and a way between regions. */
+#define APPEND_TIMEOUT_MS 900
+
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind);
 void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
 		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -8,8 +8,6 @@
 #define KEEP_MARGIN_MS 60000
 /** What was asked is dropped so long after the progress. */
 #define DROP_AFTER_MS 5000
-/** Deadline of a drop; a lost one is repeated. */
-#define DROP_TIMEOUT_MS 900
 
 static bool is_final(const ffl_flow_t *flow);
 static void add_drops(ffl_node_t *n);
@@ -67,7 +65,7 @@
 			act->store.topic = FFL_TOPIC_JOBS;
 			act->store.call = ffl_node_call(n);
 			act->store.at = FFL_AT_ANY;
-			act->store.timeout_ms = DROP_TIMEOUT_MS;
+			act->store.timeout_ms = APPEND_TIMEOUT_MS;
 			act->store.writes =
 				g_ptr_array_new_with_free_func(ffl_write_free);
 		}
