--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -37,6 +37,32 @@
 served() { curl -sf "$PLATFORM/v1/state" | jq ".hosts[\"$1\"].served"; }
 starts() { curl -sf "$PLATFORM/v1/state" | jq ".hosts[\"$1\"].starts"; }
 
+# Hosts of ffl-jobd, on the stand-in of the users' platform.
+JOBD_JOB=00000000000000d1
+jobd_port() { echo $((PORT + 300 + $1 * 10)); }
+start_jobd() {
+	cat >"$DIR/jobd$1.ini" <<INI
+[host]
+name = jobd-$1
+data_centre = norte
+region = altiplano
+[listen]
+callers = 127.0.0.1:$(jobd_port "$1")
+ready = 127.0.0.1:$(($(jobd_port "$1") + 1))
+metrics = 127.0.0.1:$(($(jobd_port "$1") + 2))
+[log]
+address = $SITE
+INI
+	"$BUILD/ffl-jobd" -c "$DIR/jobd$1.ini" >"$DIR/jobd$1.log" 2>&1 &
+	PIDS="$PIDS $!"
+}
+jobd_ready() { curl -sf "http://127.0.0.1:$(($(jobd_port "$1") + 1))/"; }
+jobd_call() {
+	curl -sf -X "$2" -H 'Host: ponds.example' \
+		-H 'Authorization: Bearer k1' ${3:+-d "$3"} \
+		"http://127.0.0.1:$(jobd_port "$1")/lining/$JOBD_JOB"
+}
+
 echo "Starting the stand-in platform and three entry hosts."
 start_platform
 for i in 1 2 3; do start_host $i; done
@@ -124,6 +150,25 @@
 kill -TERM "$HOST2"
 check "it exits with status 0" 'wait "$HOST2"'
 
+echo "Two hosts of ffl-jobd on a stand-in of the users' platform."
+SITE=127.0.0.1:$((PORT + 300))
+"$BUILD/ffl-site" -l "$SITE" -w 4 >"$DIR/site.log" 2>&1 &
+PIDS="$PIDS $!"
+wait_for 100 'curl -sf "http://$SITE/state"' >/dev/null
+curl -sf -X POST "http://$SITE/config" -d '{"version":1,"routes":[{"name":
+	"lining","host":"ponds.example","path_prefix":"/lining/","service":
+	"survey","priority":1,"max_attempts":2,"deadline_factor":3}],"tenants":
+	[{"name":"ponds","api_keys":["k1"],"guaranteed":{"gpu":8}}]}'
+for i in 1 2; do start_jobd $i; done
+check "both are ready" 'wait_for 100 "jobd_ready 1 && jobd_ready 2"'
+check "a job of two steps is accepted" 'jobd_call 1 POST "{\"spec\":
+	\"work=300\",\"steps\":[{\"count\":4,\"gpu\":1},{\"count\":1,
+	\"depends_on\":[0]}]}"'
+check "the other host shows it as completed" 'wait_for 100 \
+	"jobd_call 2 GET | grep -q completed"'
+check "its story is told from the logs of both" 'cat "$DIR"/jobd*.log |
+	"$FFL" explain "$JOBD_JOB" | grep -q "job-ended.*completed"'
+
 echo
 echo "Summary"
 printf '%s' "$SUMMARY"
