One step of a run, one name of a step, one opening of a jobs' append

Change. ffl_run_step(), ffl_run_same_step() (which ffl_run_same_gang() rests on), step_name() and ffl_jobs_append(). No behaviour is meant to change and no test is touched.

--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -25,7 +25,8 @@
 	uint32_t free_gpus;
 } candidate_t;
 
-static void step_key(const ffl_unit_t *unit, char out[FFL_TASK_NAME_BYTES]);
+static void step_name(const ffl_flow_t *flow, uint32_t occurrence,
+		      uint32_t step, char out[FFL_TASK_NAME_BYTES]);
 static GHashTable *known_of(const ffl_dispatch_t *d, const char *step);
 static const advice_t *advice_of(const ffl_dispatch_t *d, const char *step,
 				 const ffl_runner_t *r);
@@ -35,10 +36,11 @@
 static void take_allowed(ffl_dispatch_t *d, GHashTable *known,
 			 const ffl_reply_t *reply, uint64_t now_ms);
 
-static void step_key(const ffl_unit_t *unit, char out[FFL_TASK_NAME_BYTES])
+static void step_name(const ffl_flow_t *flow, uint32_t occurrence,
+		      uint32_t step, char out[FFL_TASK_NAME_BYTES])
 {
-	g_snprintf(out, FFL_TASK_NAME_BYTES, "%s.%u.%u", unit->flow->spec.id,
-		   unit->occurrence, unit->step_index);
+	g_snprintf(out, FFL_TASK_NAME_BYTES, "%s.%u.%u", flow->spec.id,
+		   occurrence, step);
 }
 
 static GHashTable *known_of(const ffl_dispatch_t *d, const char *step)
@@ -87,7 +89,7 @@
 
 	if (!unit->flow->spec.needs_tickets)
 		return true;
-	step_key(unit, step);
+	step_name(unit->flow, unit->occurrence, unit->step_index, step);
 	a = advice_of(d, step, r);
 	return a && a->ticket[0] &&
 	       unit->now_ms + TICKET_MARGIN_MS < a->ends_ms;
@@ -100,9 +102,8 @@
 
 	if (!run->flow->spec.needs_tickets)
 		return NULL;
-	g_snprintf(step, sizeof(step), "%s.%u.%u", run->flow->spec.id,
-		   run->task / run->flow->spec.tasks_each,
-		   ffl_flow_step_of(run->flow, run->task));
+	step_name(run->flow, run->task / run->flow->spec.tasks_each,
+		  ffl_flow_step_of(run->flow, run->task), step);
 	a = advice_of(d, step, run->runner);
 	return a ? a->ticket : "";
 }
@@ -112,9 +113,8 @@
 	char step[FFL_TASK_NAME_BYTES];
 	GHashTable *known;
 
-	g_snprintf(step, sizeof(step), "%s.%u.%u", run->flow->spec.id,
-		   run->task / run->flow->spec.tasks_each,
-		   ffl_flow_step_of(run->flow, run->task));
+	step_name(run->flow, run->task / run->flow->spec.tasks_each,
+		  ffl_flow_step_of(run->flow, run->task), step);
 	known = known_of(d, step);
 	if (known)
 		g_hash_table_remove(known, run->runner->entry.id);
@@ -165,7 +165,7 @@
 	if (!unit->flow->spec.needs_tickets || a->call || a->wanted ||
 	    unit->now_ms < a->retry_ms || !d->opt.adviser_addr[0])
 		return;
-	step_key(unit, a->step);
+	step_name(unit->flow, unit->occurrence, unit->step_index, a->step);
 	pick(d, unit, a->step);
 	a->wanted = a->asked->len > 0;
 }
@@ -254,8 +254,7 @@
 		return;
 	for (uint32_t k = 0; k < flow->spec.occurrences; k++) {
 		for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
-			g_snprintf(step, sizeof(step), "%s.%u.%u",
-				   flow->spec.id, k, s);
+			step_name(flow, k, s, step);
 			g_hash_table_remove(d->advice.steps, step);
 		}
 	}
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -88,6 +88,9 @@
 /** Asks for the end of a run, and of its whole gang. */
 void ffl_run_stop(ffl_dispatch_t *d, ffl_run_t *run, const char *why);
 void ffl_flow_dirty(ffl_dispatch_t *d, ffl_flow_t *flow);
+const ffl_step_t *ffl_run_step(const ffl_run_t *run);
+/** Tells whether two runs are of one step of one occurrence. */
+bool ffl_run_same_step(const ffl_run_t *a, const ffl_run_t *b);
 bool ffl_run_same_gang(const ffl_run_t *a, const ffl_run_t *b);
 
 /* place.c */
--- a/lib/dispatch/pace.c
+++ b/lib/dispatch/pace.c
@@ -12,15 +12,9 @@
 /** It goes faster by so much a report. */
 #define RISE_PERCENT 10
 
-static const ffl_step_t *step_of(const ffl_run_t *run);
 static uint32_t worst_share(const ffl_runner_t *r);
 static uint32_t next_pace(uint32_t pace, uint32_t share);
 
-static const ffl_step_t *step_of(const ffl_run_t *run)
-{
-	return &run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
-}
-
 /* Largest share of its latency objective that a task on the worker takes. */
 static uint32_t worst_share(const ffl_runner_t *r)
 {
@@ -28,7 +22,7 @@
 
 	for (guint i = 0; i < r->runs->len; i++) {
 		const ffl_run_t *run = g_ptr_array_index(r->runs, i);
-		const ffl_step_t *step = step_of(run);
+		const ffl_step_t *step = ffl_run_step(run);
 
 		if (step->target_ms && run->state == FFL_RUN_RUNNING)
 			worst = MAX(worst, (uint64_t)run->recent * PERCENT /
@@ -49,7 +43,7 @@
 bool ffl_runner_serves(const ffl_runner_t *r)
 {
 	for (guint i = 0; i < r->runs->len; i++) {
-		if (step_of(g_ptr_array_index(r->runs, i))->target_ms)
+		if (ffl_run_step(g_ptr_array_index(r->runs, i))->target_ms)
 			return true;
 	}
 	return false;
@@ -64,7 +58,7 @@
 	for (guint i = 0; i < r->runs->len; i++) {
 		ffl_run_t *run = g_ptr_array_index(r->runs, i);
 
-		if (step_of(run)->fills)
+		if (ffl_run_step(run)->fills)
 			run->pace = r->pace;
 	}
 	if (r->pace != before)
@@ -76,5 +70,5 @@
 bool ffl_pace_due(const ffl_run_t *run)
 {
 	return run->state == FFL_RUN_RUNNING && run->pace != run->paced &&
-	       step_of(run)->fills;
+	       ffl_run_step(run)->fills;
 }
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -64,8 +64,7 @@
 /* Core-milliseconds of work that a stop throws away. */
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms)
 {
-	const ffl_step_t *step =
-		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	const ffl_step_t *step = ffl_run_step(run);
 	uint64_t cores = cores_of(step);
 	uint64_t ran = now_ms - run->placed_ms;
 
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -8,7 +8,6 @@
 
 static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
-static bool lasts(const ffl_run_t *run);
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
 
@@ -53,32 +52,30 @@
 	d->replan = true;
 }
 
-bool ffl_run_same_gang(const ffl_run_t *a, const ffl_run_t *b)
+const ffl_step_t *ffl_run_step(const ffl_run_t *run)
 {
-	uint32_t step;
-
-	if (a->flow != b->flow || a->run != b->run ||
-	    a->task / a->flow->spec.tasks_each !=
-		    b->task / b->flow->spec.tasks_each)
-		return false;
-	step = ffl_flow_step_of(a->flow, a->task);
-	return a->flow->spec.steps[step].gang &&
-	       ffl_flow_step_of(b->flow, b->task) == step;
+	return &run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
 }
 
-static bool is_current(const ffl_run_t *run)
+bool ffl_run_same_step(const ffl_run_t *a, const ffl_run_t *b)
 {
-	const ffl_task_t *task = &run->flow->tasks[run->task];
+	uint32_t each = a->flow->spec.tasks_each;
 
-	return task->state == FFL_TASK_PLACED && task->run == run->run;
+	return a->flow == b->flow && a->task / each == b->task / each &&
+	       ffl_run_step(a) == ffl_run_step(b);
 }
 
-/* A lasting task is started again however it ends. */
-static bool lasts(const ffl_run_t *run)
+bool ffl_run_same_gang(const ffl_run_t *a, const ffl_run_t *b)
 {
-	const ffl_flow_t *flow = run->flow;
+	return a->flow == b->flow && a->run == b->run &&
+	       ffl_run_same_step(a, b) && ffl_run_step(a)->gang;
+}
 
-	return flow->spec.steps[ffl_flow_step_of(flow, run->task)].lasting;
+static bool is_current(const ffl_run_t *run)
+{
+	const ffl_task_t *task = &run->flow->tasks[run->task];
+
+	return task->state == FFL_TASK_PLACED && task->run == run->run;
 }
 
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run)
@@ -153,7 +150,7 @@
 			  run->why ? run->why : "-");
 	if (end == FFL_ENDING_FAILED && current)
 		take_failure(d, run, now_ms);
-	if (end == FFL_ENDING_DONE && current && !lasts(run)) {
+	if (end == FFL_ENDING_DONE && current && !ffl_run_step(run)->lasting) {
 		take_done(d, run, now_ms);
 	} else if (current) {
 		ffl_flow_task_save(flow, run->task, saved);
--- a/lib/dispatch/speed.c
+++ b/lib/dispatch/speed.c
@@ -69,8 +69,7 @@
 static uint32_t near_rate(const ffl_dispatch_t *d, const ffl_run_t *run,
 			  uint32_t rate)
 {
-	const ffl_step_t *step =
-		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	const ffl_step_t *step = ffl_run_step(run);
 
 	if (!step->rack[0] || g_str_equal(step->rack, run->runner->entry.rack))
 		return rate;
@@ -119,8 +118,7 @@
 
 static void learn(ffl_run_t *run, uint32_t near)
 {
-	const ffl_step_t *step =
-		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	const ffl_step_t *step = ffl_run_step(run);
 	uint32_t weight =
 		step->gang ? GANG_WEIGHT_PERCENT : TASK_WEIGHT_PERCENT;
 	ffl_runner_t *r = run->runner;
@@ -140,8 +138,7 @@
 
 uint64_t ffl_run_usual_rate(const ffl_dispatch_t *d, const ffl_run_t *run)
 {
-	const ffl_step_t *step =
-		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	const ffl_step_t *step = ffl_run_step(run);
 	uint64_t usual = run->best_rate;
 	uint64_t near = near_rate(d, run, MILLI);
 
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -384,15 +384,8 @@
 
 		if (!p->record || p->append || n->now_ms < p->retry_ms)
 			continue;
-		if (!act) {
-			act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
-			act->store.topic = FFL_TOPIC_JOBS;
-			act->store.call = ffl_node_call(n);
-			act->store.at = FFL_AT_ANY;
-			act->store.timeout_ms = APPEND_TIMEOUT_MS;
-			act->store.writes =
-				g_ptr_array_new_with_free_func(ffl_write_free);
-		}
+		if (!act)
+			act = ffl_jobs_append(n);
 		w = ffl_write_new(p->ask == FFL_ASK_SUBMIT ? KEY_SPEC
 							   : KEY_CANCEL,
 				  p->id);
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -90,6 +90,18 @@
 	g_free(w);
 }
 
+ffl_node_act_t *ffl_jobs_append(ffl_node_t *n)
+{
+	ffl_node_act_t *act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
+
+	act->store.topic = FFL_TOPIC_JOBS;
+	act->store.call = ffl_node_call(n);
+	act->store.at = FFL_AT_ANY;
+	act->store.timeout_ms = APPEND_TIMEOUT_MS;
+	act->store.writes = g_ptr_array_new_with_free_func(ffl_write_free);
+	return act;
+}
+
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind)
 {
 	ffl_node_act_t *act;
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -17,6 +17,8 @@
 #define APPEND_TIMEOUT_MS 900
 
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind);
+/** Opens an unconditional append to the jobs' topic, without records yet. */
+ffl_node_act_t *ffl_jobs_append(ffl_node_t *n);
 void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
 		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 /** Tells of a latency; @p user is the host. */
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -60,15 +60,8 @@
 		if (!flow->dropped_ms ||
 		    n->now_ms - flow->dropped_ms < DROP_AFTER_MS)
 			continue;
-		if (!act) {
-			act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
-			act->store.topic = FFL_TOPIC_JOBS;
-			act->store.call = ffl_node_call(n);
-			act->store.at = FFL_AT_ANY;
-			act->store.timeout_ms = APPEND_TIMEOUT_MS;
-			act->store.writes =
-				g_ptr_array_new_with_free_func(ffl_write_free);
-		}
+		if (!act)
+			act = ffl_jobs_append(n);
 		flow->dropped_ms = n->now_ms;
 		g_ptr_array_add(act->store.writes,
 				ffl_write_new(KEY_CANCEL, flow->spec.id));
