--- a/jobd/client.c
+++ b/jobd/client.c
@@ -122,8 +122,12 @@
 {
 	call_t *call;
 	long status = 0;
+	long connects = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	jobd_load_call(connects > 0, call->http.body ? call->http.body->len : 0,
+		       call->reply->len);
 	if (code == CURLE_OK)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(c->multi, easy);
@@ -185,6 +189,7 @@
 	int left;
 
 	while (!atomic_load(&c->stop)) {
+		uint64_t since_us = jobd_now_us();
 		call_t *call;
 		CURLMsg *msg;
 
@@ -196,6 +201,7 @@
 				finish_call(c, msg->easy_handle,
 					    msg->data.result);
 		}
+		jobd_load_busy(JOBD_DUTY_CLIENT, since_us);
 		curl_multi_poll(c->multi, NULL, 0, POLL_MS, NULL);
 	}
 	return NULL;
--- a/jobd/core.c
+++ b/jobd/core.c
@@ -42,6 +42,7 @@
 	jobd_box_t *box = g_new0(jobd_box_t, 1);
 
 	box->ev.kind = kind;
+	box->posted_ms = jobd_now_ms();
 	ffl_arena_init(&box->arena);
 	return box;
 }
@@ -116,6 +117,7 @@
 	ev->now_ms = jobd_now_ms();
 	ev->wall_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
 	ffl_node_step(&d->node, ev, acts);
+	jobd_load_drive(&d->node);
 	for (guint i = 0; i < acts->len; i++) {
 		const ffl_node_act_t *act =
 			&g_array_index(acts, ffl_node_act_t, i);
@@ -132,8 +134,10 @@
 
 	while (!atomic_load(&d->exiting)) {
 		jobd_box_t *box = ffl_ring_pop(&d->events, TICK_MS);
+		uint64_t since_us = jobd_now_us();
 
 		if (box) {
+			jobd_load_event(box->posted_ms);
 			step(d, &box->ev, acts);
 			jobd_box_free(box);
 		}
@@ -142,6 +146,7 @@
 			jobd_metrics_take(&d->node);
 			ticked_ms = jobd_now_ms();
 		}
+		jobd_load_busy(JOBD_DUTY_CORE, since_us);
 	}
 	ffl_node_acts_clear(acts);
 	g_array_free(acts, TRUE);
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -51,6 +51,7 @@
 	ffl_node_event_t ev;
 	ffl_arena_t arena;
 	GByteArray *body;
+	uint64_t posted_ms;
 } jobd_box_t;
 
 typedef struct jobd_client jobd_client_t;
@@ -89,6 +90,26 @@
 void jobd_client_store(jobd_t *d, const ffl_node_act_t *act);
 void jobd_client_order(jobd_t *d, const ffl_node_act_t *act);
 
+/* load.c */
+
+/** A thread whose work is measured. */
+typedef enum {
+	JOBD_DUTY_CORE,
+	JOBD_DUTY_CLIENT,
+	JOBD_DUTY__MAX
+} jobd_duty_t;
+
+/** Monotonic microseconds. */
+uint64_t jobd_now_us(void);
+/** Counts the time since then as work of a duty. */
+void jobd_load_busy(jobd_duty_t duty, uint64_t since_us);
+/** Counts a call that has ended; called by the client's thread. */
+void jobd_load_call(bool connected, size_t sent_bytes, size_t received_bytes);
+/** Counts an event that the core takes now. */
+void jobd_load_event(uint64_t posted_ms);
+/** Counts a look at what is due; writes a line a second on a busy host. */
+void jobd_load_drive(const ffl_node_t *n);
+
 /* hist.c */
 
 /** What a latency is of. */
