The HTTP client looks at the sockets that are ready, not at every open call

Cause (load lines): one thread polled some 400 descriptors and stepped through every open call each time that one of them moved; a call cost 1.2 ms of a 0.5-core leader, and twelve hundredths of a core could not serve 250 a second.

Change: jobd/sockets.c drives libcurl by epoll (curl_multi_socket_action), answers before deadlines; a submission writes to the wake-up only while the thread sleeps.

--- a/jobd/client.c
+++ b/jobd/client.c
@@ -1,7 +1,10 @@
+#include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <curl/curl.h>
 
 #include "jobd/jobd.h"
+#include "jobd/sockets.h"
 
 /** Time to connect: both ways between regions, and one lost packet. */
 #define CONNECT_MS 400
@@ -26,6 +29,7 @@
 	jobd_t *d;
 	ffl_ring_t calls; /**< of call_t */
 	CURLM *multi;
+	jobd_sockets_t sockets;
 	GPtrArray *idle;   /**< of CURL * */
 	GPtrArray *active; /**< of CURL *, with a call on its way */
 	pthread_t thread;
@@ -43,6 +47,8 @@
 static void deliver(jobd_client_t *c, call_t *call, long status);
 static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code);
 static void drop_active(CURLM *multi, CURL *easy);
+static bool take_calls(jobd_client_t *c);
+static void take_finished(jobd_client_t *c);
 static void *run(void *arg);
 
 static void call_free(call_t *call)
@@ -182,27 +188,43 @@
 	g_ptr_array_add(c->active, easy);
 }
 
+/* Takes what was submitted; a wake-up that comes after the last look at the
+ * ring ends the next wait. */
+static bool take_calls(jobd_client_t *c)
+{
+	call_t *call;
+	bool any = false;
+
+	while ((call = ffl_ring_pop(&c->calls, 0))) {
+		start_call(c, call);
+		any = true;
+	}
+	return any;
+}
+
+static void take_finished(jobd_client_t *c)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(c->multi, &left))) {
+		if (msg->msg == CURLMSG_DONE)
+			finish_call(c, msg->easy_handle, msg->data.result);
+	}
+}
+
 static void *run(void *arg)
 {
 	jobd_client_t *c = arg;
-	int running;
-	int left;
 
 	while (!atomic_load(&c->stop)) {
-		uint64_t since_us = jobd_now_us();
-		call_t *call;
-		CURLMsg *msg;
-
-		while ((call = ffl_ring_pop(&c->calls, 0)))
-			start_call(c, call);
-		curl_multi_perform(c->multi, &running);
-		while ((msg = curl_multi_info_read(c->multi, &left))) {
-			if (msg->msg == CURLMSG_DONE)
-				finish_call(c, msg->easy_handle,
-					    msg->data.result);
-		}
+		uint64_t since_us;
+
+		atomic_store(&c->sockets.sleeping, true);
+		since_us = jobd_sockets_run(&c->sockets,
+					    take_calls(c) ? 0 : POLL_MS);
+		take_finished(c);
 		jobd_load_busy(JOBD_DUTY_CLIENT, since_us);
-		curl_multi_poll(c->multi, NULL, 0, POLL_MS, NULL);
 	}
 	return NULL;
 }
@@ -218,6 +240,11 @@
 			  (long)CONNECTIONS_MAX);
 	c->idle = g_ptr_array_new();
 	c->active = g_ptr_array_new();
+	if (!jobd_sockets_init(&c->sockets, c->multi)) {
+		fprintf(stderr, "cannot watch sockets: %s\n",
+			g_strerror(errno));
+		return NULL;
+	}
 	pthread_create(&c->thread, NULL, run, c);
 	return c;
 }
@@ -237,7 +264,7 @@
 	call_t *call;
 
 	atomic_store(&c->stop, true);
-	curl_multi_wakeup(c->multi);
+	jobd_sockets_wake(&c->sockets);
 	pthread_join(c->thread, NULL);
 	ffl_ring_close(&c->calls);
 	while ((call = ffl_ring_pop(&c->calls, 0)))
@@ -249,6 +276,7 @@
 		curl_easy_cleanup(g_ptr_array_index(c->idle, i));
 	g_ptr_array_free(c->idle, TRUE);
 	curl_multi_cleanup(c->multi);
+	jobd_sockets_finish(&c->sockets);
 	ffl_ring_finish(&c->calls);
 	g_free(c);
 }
@@ -259,7 +287,7 @@
 	call->reply = g_byte_array_new();
 	call->begun_ms = jobd_now_ms();
 	if (ffl_ring_push(&c->calls, call)) {
-		curl_multi_wakeup(c->multi);
+		jobd_sockets_wake(&c->sockets);
 		return;
 	}
 	deliver(c, call, 0);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -102,6 +102,8 @@
 		return EXIT_STARTUP;
 	}
 	d->client = jobd_client_start(d);
+	if (!d->client)
+		return EXIT_STARTUP;
 	pthread_create(&signals, NULL, wait_signals, d);
 	pthread_detach(signals);
 	jobd_line("started", d->settings.name, FFL_VERSION);
