Placement looks at racks, not at every worker for every rack

Cause (load lines, bench/dispatch_bench.c): each event planned all placement anew, a gang tried each rack by walking all workers for each task, and gangs were found by walking all runs, pair by pair. With 250 open jobs the leader needed 1,272 ms of a whole core a second.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -110,6 +110,12 @@
 	uint64_t loss;	     /**< of stopping it with its gang, while weighed */
 } ffl_run_t;
 
+/** Workers of a rack. */
+typedef struct {
+	ffl_name_t name;
+	GPtrArray *runners; /**< of ffl_runner_t *, by id */
+} ffl_rack_t;
+
 /** What the adviser said; one call at a time, as it serves one host. */
 typedef struct {
 	GHashTable *steps; /**< of what is known of workers, by step */
@@ -127,6 +133,10 @@
 	ffl_flows_t *flows;
 	GHashTable *runners;	/**< ffl_runner_t by id */
 	GPtrArray *runs;	/**< of ffl_run_t */
+	GHashTable *flow_runs;	/**< of GPtrArray of these, by flow */
+	GPtrArray *listed;	/**< of listed ffl_runner_t, by id; see below */
+	GPtrArray *racks;	/**< of ffl_rack_t, of the listed */
+	bool racks_known;	/**< both are up to date */
 	GHashTable *calls;	/**< of open orders by number */
 	GHashTable *guaranteed; /**< GPUs by customer, borrowed; may be NULL */
 	uint64_t token;		/**< 0 while not leading */
@@ -137,6 +147,9 @@
 	bool dirty;
 	bool replan;	     /**< something changed that placement depends on */
 	uint64_t planned_ms; /**< when placement was last thought over */
+	uint64_t plans;	     /**< times that it was */
+	uint64_t gpus_all;   /**< of workers that stay, in this pass */
+	uint64_t gpus_free;  /**< of these, without a run */
 	GHashTable *learned; /**< mean time of a run in ms, by queue */
 	GArray *misfits;     /**< of shapes without room, in one pass */
 	ffl_advice_t advice;
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -17,6 +17,13 @@
 #define RACK_SPEED_WEIGHT 8
 
 static int64_t cost_of(const ffl_runner_t *r, const ffl_unit_t *unit);
+static ffl_room_t free_for(const ffl_runner_t *r, const ffl_unit_t *unit);
+static uint32_t slots_of(const ffl_dispatch_t *d, const ffl_runner_t *r,
+			 const ffl_unit_t *unit, const ffl_room_t *need);
+static bool has_slots(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+		      const GPtrArray *among);
+static uint32_t rack_free(const ffl_dispatch_t *d, const ffl_rack_t *rack,
+			  const ffl_unit_t *unit);
 static int64_t rack_cost(uint32_t free, ffl_runner_t *const *chosen,
 			 const ffl_unit_t *unit);
 
@@ -83,34 +90,38 @@
 	return cost;
 }
 
-ffl_runner_t *ffl_choose(ffl_dispatch_t *d, const ffl_unit_t *unit,
-			 const char *rack)
+/* Room that a step may use on a worker. */
+static ffl_room_t free_for(const ffl_runner_t *r, const ffl_unit_t *unit)
+{
+	ffl_room_t free = ffl_runner_free(r);
+
+	if (ffl_runner_reserved(r, unit))
+		ffl_room_take(&free, &r->reserved);
+	return free;
+}
+
+ffl_runner_t *ffl_choose(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+			 const GPtrArray *among)
 {
 	ffl_room_t need = ffl_step_room(unit->step);
 	ffl_runner_t *best = NULL;
 	int64_t best_cost = 0;
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, d->runners);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_runner_t *r = value;
-		ffl_room_t free = ffl_runner_free(r);
+	for (guint i = 0; i < among->len; i++) {
+		ffl_runner_t *r = g_ptr_array_index(among, i);
+		ffl_room_t free;
 		int64_t cost;
 
-		if (ffl_runner_reserved(r, unit))
-			ffl_room_take(&free, &r->reserved);
-		if (!ffl_room_fits(&free, &need) || !ffl_may_run(d, r, unit))
+		if (r->entry.capacity.gpus - r->used.gpus < need.gpus)
 			continue;
-		if (rack && strcmp(r->entry.rack, rack) != 0)
+		free = free_for(r, unit);
+		if (!ffl_room_fits(&free, &need) || !ffl_may_run(d, r, unit))
 			continue;
 		if (unit->step->per_worker_max &&
 		    ffl_runner_tasks_of(r, unit) >= unit->step->per_worker_max)
 			continue;
 		cost = cost_of(r, unit);
-		if (!best || cost < best_cost ||
-		    (cost == best_cost &&
-		     strcmp(r->entry.id, best->entry.id) < 0)) {
+		if (!best || cost < best_cost) {
 			best = r;
 			best_cost = cost;
 		}
@@ -118,28 +129,31 @@
 	return best;
 }
 
-uint32_t ffl_free_percent(ffl_dispatch_t *d)
+void ffl_count_free(ffl_dispatch_t *d)
 {
-	uint64_t all = 0;
-	uint64_t free = 0;
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *listed = ffl_listed(d);
 
-	g_hash_table_iter_init(&iter, d->runners);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const ffl_runner_t *r = value;
+	d->gpus_all = 0;
+	d->gpus_free = 0;
+	for (guint i = 0; i < listed->len; i++) {
+		const ffl_runner_t *r = g_ptr_array_index(listed, i);
 
-		if (!r->listed || r->entry.draining)
+		if (r->entry.draining)
 			continue;
-		all += r->entry.capacity.gpus;
-		free += ffl_runner_free(r).gpus;
+		d->gpus_all += r->entry.capacity.gpus;
+		d->gpus_free += ffl_runner_free(r).gpus;
 	}
-	return all ? (uint32_t)(free * PERCENT / all) : PERCENT;
+}
+
+uint32_t ffl_free_percent(const ffl_dispatch_t *d)
+{
+	return d->gpus_all ? (uint32_t)(d->gpus_free * PERCENT / d->gpus_all)
+			   : PERCENT;
 }
 
 /* Far from its data, or spread over racks, a step takes a multiple of its
  * time, and so of the room: it pays once the wait is longer than that. */
-bool ffl_may_go_far(ffl_dispatch_t *d, const ffl_unit_t *unit)
+bool ffl_may_go_far(const ffl_dispatch_t *d, const ffl_unit_t *unit)
 {
 	uint64_t waited = unit->now_ms - unit->flow->seen_ms;
 	uint64_t run_ms = ffl_expect_run(d, unit->flow, unit->step_index);
@@ -156,18 +170,53 @@
 	return waited >= more_ms;
 }
 
+/* Tasks of a step that fit on a worker. */
+static uint32_t slots_of(const ffl_dispatch_t *d, const ffl_runner_t *r,
+			 const ffl_unit_t *unit, const ffl_room_t *need)
+{
+	ffl_room_t free = free_for(r, unit);
+	uint32_t most = unit->step->per_worker_max ? unit->step->per_worker_max
+						   : unit->step->tasks;
+
+	if (!ffl_room_fits(&free, need) || !ffl_may_run(d, r, unit))
+		return 0;
+	if (need->gpus)
+		most = MIN(most, free.gpus / need->gpus);
+	if (need->cpu_milli)
+		most = MIN(most, free.cpu_milli / need->cpu_milli);
+	if (need->mem_mb)
+		most = MIN(most, free.mem_mb / need->mem_mb);
+	return most;
+}
+
+static bool has_slots(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+		      const GPtrArray *among)
+{
+	ffl_room_t need = ffl_step_room(unit->step);
+	uint64_t slots = 0;
+
+	for (guint i = 0; i < among->len; i++) {
+		slots += slots_of(d, g_ptr_array_index(among, i), unit, &need);
+		if (slots >= unit->step->tasks)
+			return true;
+	}
+	return false;
+}
+
 /* Chooses a worker for each task, taking the room meanwhile. */
-bool ffl_choose_gang(ffl_dispatch_t *d, const ffl_unit_t *unit,
-		     const char *rack, ffl_runner_t **chosen)
+bool ffl_choose_gang(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     const GPtrArray *among, ffl_runner_t **chosen)
 {
 	uint32_t n = unit->step->tasks;
 	ffl_room_t need = ffl_step_room(unit->step);
 	uint32_t got;
 
+	if (!has_slots(d, unit, among))
+		return false;
 	for (got = 0; got < n; got++) {
 		uint32_t here = 0;
 
-		chosen[got] = ffl_choose(d, unit, rack);
+		chosen[got] = ffl_choose(d, unit, among);
 		if (!chosen[got])
 			break;
 		for (uint32_t i = 0; i <= got; i++)
@@ -196,45 +245,42 @@
 	       (int64_t)slowest * RACK_SPEED_WEIGHT / SPEED_MILLI_A_GPU;
 }
 
+/* GPUs that are free in a rack, and its workers. */
+static uint32_t rack_free(const ffl_dispatch_t *d, const ffl_rack_t *rack,
+			  const ffl_unit_t *unit)
+{
+	uint32_t free = 0;
+
+	for (guint i = 0; i < rack->runners->len; i++) {
+		const ffl_runner_t *r = g_ptr_array_index(rack->runners, i);
+
+		if (ffl_may_run(d, r, unit))
+			free += ffl_runner_free(r).gpus + 1;
+	}
+	return free;
+}
+
 /* Takes the rack that has the least left over of those that fit. */
 bool ffl_choose_rack(ffl_dispatch_t *d, const ffl_unit_t *unit,
 		     ffl_runner_t **chosen)
 {
-	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	const char *best = NULL;
+	const GPtrArray *racks = ffl_racks(d);
+	const ffl_rack_t *best = NULL;
 	int64_t best_cost = 0;
 
-	g_hash_table_iter_init(&iter, d->runners);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_runner_t *r = value;
-		uint32_t free;
-
-		if (!ffl_may_run(d, r, unit))
-			continue;
-		free = GPOINTER_TO_UINT(
-			g_hash_table_lookup(racks, r->entry.rack));
-		free += ffl_runner_free(r).gpus + 1;
-		g_hash_table_insert(racks, r->entry.rack,
-				    GUINT_TO_POINTER(free));
-	}
-	g_hash_table_iter_init(&iter, racks);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
+	for (guint i = 0; i < racks->len; i++) {
+		const ffl_rack_t *rack = g_ptr_array_index(racks, i);
 		int64_t cost;
 
-		if (!ffl_choose_gang(d, unit, key, chosen))
+		if (!ffl_choose_gang(d, unit, rack->runners, chosen))
 			continue;
-		cost = rack_cost(GPOINTER_TO_UINT(value), chosen, unit);
-		if (best && (cost > best_cost ||
-			     (cost == best_cost && strcmp(key, best) > 0)))
+		cost = rack_cost(rack_free(d, rack, unit), chosen, unit);
+		if (best &&
+		    (cost > best_cost ||
+		     (cost == best_cost && strcmp(rack->name, best->name) > 0)))
 			continue;
-		best = key;
+		best = rack;
 		best_cost = cost;
 	}
-	if (best)
-		ffl_choose_gang(d, unit, best, chosen);
-	g_hash_table_destroy(racks);
-	return best != NULL;
+	return best && ffl_choose_gang(d, unit, best->runners, chosen);
 }
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -5,9 +5,12 @@
 
 /** Placement is thought over at least so often while something waits. */
 #define REPLAN_MS 100
+/** And at most so often: 1% of the time in which urgent work starts. */
+#define PLAN_MIN_MS 20
 
 static void adopt(ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms);
 static void settle_flows(ffl_dispatch_t *d, uint64_t now_ms);
+static bool plan_due(const ffl_dispatch_t *d, uint64_t now_ms);
 
 void ffl_dispatch_note(ffl_dispatch_t *d, const char *event,
 		       const char *subject, const char *fmt, ...)
@@ -38,6 +41,9 @@
 	d->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   ffl_runner_free_data);
 	d->runs = g_ptr_array_new();
+	d->flow_runs = g_hash_table_new_full(NULL, NULL, NULL,
+					     (GDestroyNotify)g_ptr_array_unref);
+	ffl_racks_init(d);
 	d->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
 	d->learned =
@@ -49,9 +55,10 @@
 
 void ffl_dispatch_finish(ffl_dispatch_t *d)
 {
-	for (guint i = 0; i < d->runs->len; i++)
-		g_free(g_ptr_array_index(d->runs, i));
+	ffl_runs_clear(d);
 	g_ptr_array_free(d->runs, TRUE);
+	g_hash_table_destroy(d->flow_runs);
+	ffl_racks_finish(d);
 	g_hash_table_destroy(d->learned);
 	g_array_free(d->misfits, TRUE);
 	ffl_advice_finish(&d->advice);
@@ -114,9 +121,7 @@
 	d->token = 0;
 	ffl_advice_reset(&d->advice);
 	g_hash_table_remove_all(d->calls);
-	for (guint i = 0; i < d->runs->len; i++)
-		g_free(g_ptr_array_index(d->runs, i));
-	g_ptr_array_set_size(d->runs, 0);
+	ffl_runs_clear(d);
 	g_hash_table_iter_init(&iter, d->runners);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_runner_t *r = value;
@@ -159,6 +164,18 @@
 	}
 }
 
+/* What is placed while a batch is on its way to the log waits for the next
+ * one anyway. */
+static bool plan_due(const ffl_dispatch_t *d, uint64_t now_ms)
+{
+	uint64_t since_ms = now_ms - d->planned_ms;
+
+	if (since_ms >= REPLAN_MS)
+		return true;
+	return d->replan && since_ms >= PLAN_MIN_MS &&
+	       d->recorded + 1 >= d->next_batch;
+}
+
 void ffl_dispatch_step(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms,
 		       bool may_start, bool may_hold, GArray *orders)
 {
@@ -167,9 +184,10 @@
 	d->may_hold = may_hold;
 	settle_flows(d, now_ms);
 	ffl_watch_runs(d, now_ms);
-	if (may_start && (d->replan || now_ms - d->planned_ms >= REPLAN_MS)) {
+	if (may_start && plan_due(d, now_ms)) {
 		d->replan = false;
 		d->planned_ms = now_ms;
+		d->plans++;
 		ffl_place(d, now_ms, wall_ms);
 	}
 	if (may_start)
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -57,6 +57,16 @@
 void ffl_runner_bad(ffl_dispatch_t *d, ffl_runner_t *r, const ffl_flow_t *flow,
 		    uint64_t now_ms);
 
+/* rack.c */
+void ffl_racks_init(ffl_dispatch_t *d);
+void ffl_racks_finish(ffl_dispatch_t *d);
+/** Takes that a worker was listed, went, or came to another rack. */
+void ffl_racks_forget(ffl_dispatch_t *d);
+/** Racks of the listed workers, of ffl_rack_t *. */
+const GPtrArray *ffl_racks(ffl_dispatch_t *d);
+/** The listed workers by id, of ffl_runner_t *. */
+const GPtrArray *ffl_listed(ffl_dispatch_t *d);
+
 /* speed.c */
 /** Usual speed of a worker, as thousandths of a mean one's. */
 uint32_t ffl_runner_speed(const ffl_runner_t *r);
@@ -82,6 +92,10 @@
 /* run.c */
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms);
+/** The runs of a flow, of ffl_run_t *; never NULL. */
+const GPtrArray *ffl_runs_of(const ffl_dispatch_t *d, const ffl_flow_t *flow);
+/** Frees all runs, whose workers must forget them. */
+void ffl_runs_clear(ffl_dispatch_t *d);
 ffl_run_t *ffl_run_find(const ffl_runner_t *r, const ffl_run_row_t *row);
 void ffl_run_end(ffl_dispatch_t *d, ffl_run_t *run, ffl_ending_t end,
 		 const char *saved, uint64_t now_ms);
@@ -104,6 +118,7 @@
 	uint32_t tasks;
 	bool guaranteed;
 	bool gang;
+	bool one_rack; /**< it was tried in one rack alone */
 } ffl_shape_t;
 
 /** A step that waits for room. */
@@ -123,7 +138,7 @@
 
 /* misfit.c */
 /** Tells whether a step needs no less than what found no room already. */
-bool ffl_is_misfit(const ffl_dispatch_t *d, const ffl_unit_t *unit);
+bool ffl_is_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
 void ffl_add_misfit(ffl_dispatch_t *d, const ffl_unit_t *unit);
 
 /* choose.c */
@@ -136,18 +151,21 @@
 uint32_t ffl_runner_tasks_of(const ffl_runner_t *r, const ffl_unit_t *unit);
 /** Tells whether room that is being freed there is another flow's. */
 bool ffl_runner_reserved(const ffl_runner_t *r, const ffl_unit_t *unit);
-/** Returns the best worker for a task, of a rack or of all; NULL: none. */
-ffl_runner_t *ffl_choose(ffl_dispatch_t *d, const ffl_unit_t *unit,
-			 const char *rack);
-/** Chooses a worker for each task of a gang; false where it does not fit. */
-bool ffl_choose_gang(ffl_dispatch_t *d, const ffl_unit_t *unit,
-		     const char *rack, ffl_runner_t **chosen);
+/** Returns the best of some workers for a task; NULL: none. */
+ffl_runner_t *ffl_choose(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+			 const GPtrArray *among);
+/** Chooses one of some workers for each task of a gang; false where it does
+ * not fit. */
+bool ffl_choose_gang(const ffl_dispatch_t *d, const ffl_unit_t *unit,
+		     const GPtrArray *among, ffl_runner_t **chosen);
 /** The same in one rack. */
 bool ffl_choose_rack(ffl_dispatch_t *d, const ffl_unit_t *unit,
 		     ffl_runner_t **chosen);
-bool ffl_may_go_far(ffl_dispatch_t *d, const ffl_unit_t *unit);
-/** Share of the GPUs that are free. */
-uint32_t ffl_free_percent(ffl_dispatch_t *d);
+bool ffl_may_go_far(const ffl_dispatch_t *d, const ffl_unit_t *unit);
+/** Counts the GPUs that are free, at the beginning of a pass. */
+void ffl_count_free(ffl_dispatch_t *d);
+/** Share of the GPUs that are free, in this pass. */
+uint32_t ffl_free_percent(const ffl_dispatch_t *d);
 
 /* pace.c */
 /** Pace of a run of which it is not known. */
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -124,6 +124,7 @@
 	ffl_flow_task_place(unit->flow, task, run, r->entry.id,
 			    r->entry.born_ms);
 	ffl_run_add(d, unit->flow, task, run, r, unit->now_ms);
+	d->gpus_free -= MIN(d->gpus_free, unit->step->gpus);
 	ffl_flow_dirty(d, unit->flow);
 }
 
@@ -134,13 +135,13 @@
 
 	unit->near_only = true;
 	if (rack ? ffl_choose_rack(d, unit, chosen)
-		 : ffl_choose_gang(d, unit, NULL, chosen))
+		 : ffl_choose_gang(d, unit, ffl_listed(d), chosen))
 		return true;
 	if (!far)
 		return false;
 	unit->near_only = false;
 	return (rack && ffl_choose_rack(d, unit, chosen)) ||
-	       ffl_choose_gang(d, unit, NULL, chosen);
+	       ffl_choose_gang(d, unit, ffl_listed(d), chosen);
 }
 
 static void place_gang(ffl_dispatch_t *d, ffl_unit_t *unit)
@@ -180,11 +181,11 @@
 	ffl_runner_t *r;
 
 	unit->near_only = true;
-	r = ffl_choose(d, unit, NULL);
+	r = ffl_choose(d, unit, ffl_listed(d));
 	if (r || !far)
 		return r;
 	unit->near_only = false;
-	return ffl_choose(d, unit, NULL);
+	return ffl_choose(d, unit, ffl_listed(d));
 }
 
 /* Places what fits; returns the number of tasks that are left. */
@@ -315,6 +316,7 @@
 		flow->tier = ffl_rank_tier(d, flow, now_ms);
 		g_ptr_array_add(ranked, flow);
 	}
+	ffl_count_free(d);
 	g_array_set_size(d->misfits, 0);
 	g_ptr_array_sort(ranked, by_rank);
 	mark_guaranteed(d, ranked, entitled);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -33,14 +33,16 @@
 static bool may_take(const plan_t *plan, const ffl_run_t *run);
 static uint32_t cores_of(const ffl_step_t *step);
 static uint64_t loss_of(const ffl_run_t *run, uint64_t now_ms);
+static void weigh_gang(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms);
-static void make_offers(plan_t *plan, const char *rack);
+static void make_offers(plan_t *plan, const GPtrArray *among);
 static ffl_run_t *cheapest(const plan_t *plan, const offer_t *offer);
 static void take_victim(plan_t *plan, ffl_run_t *run);
 static uint64_t price(plan_t *plan, const offer_t *offer,
 		      const ffl_room_t *need);
 static bool take_room(plan_t *plan, const ffl_room_t *need);
-static bool make_plan(plan_t *plan, uint32_t need_count, const char *rack);
+static bool make_plan(plan_t *plan, uint32_t need_count,
+		      const GPtrArray *among);
 static void plan_open(plan_t *plan, ffl_dispatch_t *d, const ffl_unit_t *unit,
 		      bool alone);
 static bool find_plan(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
@@ -74,29 +76,35 @@
 }
 
 /* A gang is stopped whole: the loss of each run is that of all of them. */
+static void weigh_gang(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+{
+	const GPtrArray *of = ffl_runs_of(d, run->flow);
+	uint64_t sum = loss_of(run, now_ms);
+
+	for (guint i = 0; ffl_run_step(run)->gang && i < of->len; i++) {
+		const ffl_run_t *other = g_ptr_array_index(of, i);
+
+		if (other != run && ffl_run_same_gang(run, other))
+			sum += loss_of(other, now_ms);
+	}
+	run->loss = sum;
+	for (guint i = 0; ffl_run_step(run)->gang && i < of->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(of, i);
+
+		if (ffl_run_same_gang(run, other))
+			other->loss = sum;
+	}
+}
+
 static void weigh_losses(ffl_dispatch_t *d, uint64_t now_ms)
 {
 	for (guint i = 0; i < d->runs->len; i++)
 		((ffl_run_t *)g_ptr_array_index(d->runs, i))->loss = 0;
 	for (guint i = 0; i < d->runs->len; i++) {
 		ffl_run_t *run = g_ptr_array_index(d->runs, i);
-		uint64_t sum = loss_of(run, now_ms);
-
-		if (run->loss || !may_stop(run))
-			continue;
-		for (guint k = i + 1; k < d->runs->len; k++) {
-			const ffl_run_t *other = g_ptr_array_index(d->runs, k);
-
-			if (ffl_run_same_gang(run, other))
-				sum += loss_of(other, now_ms);
-		}
-		run->loss = sum;
-		for (guint k = i + 1; k < d->runs->len; k++) {
-			ffl_run_t *other = g_ptr_array_index(d->runs, k);
 
-			if (ffl_run_same_gang(run, other))
-				other->loss = sum;
-		}
+		if (!run->loss && may_stop(run))
+			weigh_gang(d, run, now_ms);
 	}
 }
 
@@ -123,20 +131,15 @@
 	g_hash_table_destroy(plan->victims);
 }
 
-static void make_offers(plan_t *plan, const char *rack)
+static void make_offers(plan_t *plan, const GPtrArray *among)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, plan->d->runners);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_runner_t *r = value;
+	for (guint k = 0; k < among->len; k++) {
+		ffl_runner_t *r = g_ptr_array_index(among, k);
 		offer_t offer = { .runner = r };
 		bool reserved = ffl_runner_reserved(r, plan->unit);
 
 		if ((plan->alone && reserved) ||
-		    !ffl_may_run(plan->d, r, plan->unit) ||
-		    (rack && strcmp(r->entry.rack, rack) != 0))
+		    !ffl_may_run(plan->d, r, plan->unit))
 			continue;
 		offer.spare = ffl_runner_free(r);
 		offer.tasks = ffl_runner_tasks_of(r, plan->unit);
@@ -174,9 +177,11 @@
 /* A gang is stopped whole, and frees its room everywhere. */
 static void take_victim(plan_t *plan, ffl_run_t *run)
 {
+	const GPtrArray *of = ffl_runs_of(plan->d, run->flow);
+
 	plan->cost += run->loss;
-	for (guint i = 0; i < plan->d->runs->len; i++) {
-		ffl_run_t *other = g_ptr_array_index(plan->d->runs, i);
+	for (guint i = 0; i < of->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(of, i);
 
 		if (other != run && !ffl_run_same_gang(run, other))
 			continue;
@@ -245,11 +250,11 @@
 	return true;
 }
 
-static bool make_plan(plan_t *plan, uint32_t need_count, const char *rack)
+static bool make_plan(plan_t *plan, uint32_t need_count, const GPtrArray *among)
 {
 	ffl_room_t need = ffl_step_room(plan->unit->step);
 
-	make_offers(plan, rack);
+	make_offers(plan, among);
 	for (uint32_t i = 0; i < need_count; i++) {
 		if (!take_room(plan, &need))
 			return false;
@@ -260,20 +265,15 @@
 static bool best_rack(ffl_dispatch_t *d, const ffl_unit_t *unit, uint32_t need,
 		      bool alone, plan_t *best)
 {
-	GHashTable *tried = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer value;
+	const GPtrArray *racks = ffl_racks(d);
 	bool found = false;
 
-	g_hash_table_iter_init(&iter, d->runners);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_runner_t *r = value;
+	for (guint i = 0; i < racks->len; i++) {
+		const ffl_rack_t *rack = g_ptr_array_index(racks, i);
 		plan_t plan;
 
-		if (!r->listed || !g_hash_table_add(tried, r->entry.rack))
-			continue;
 		plan_open(&plan, d, unit, alone);
-		if (!make_plan(&plan, need, r->entry.rack) ||
+		if (!make_plan(&plan, need, rack->runners) ||
 		    (found && plan.cost >= best->cost)) {
 			plan_close(&plan);
 			continue;
@@ -283,7 +283,6 @@
 		*best = plan;
 		found = true;
 	}
-	g_hash_table_destroy(tried);
 	return found;
 }
 
@@ -341,7 +340,7 @@
 	    best_rack(d, unit, need, alone, plan))
 		return true;
 	plan_open(plan, d, unit, alone);
-	if (make_plan(plan, need, NULL))
+	if (make_plan(plan, need, ffl_listed(d)))
 		return true;
 	plan_close(plan);
 	return false;
--- /dev/null
+++ b/lib/dispatch/rack.c
@@ -0,0 +1,93 @@
+#include <string.h>
+
+#include "lib/dispatch/dispatch_int.h"
+
+static void rack_free(void *data);
+static int by_id(const void *a, const void *b);
+static void refresh(ffl_dispatch_t *d);
+static ffl_rack_t *rack_of(ffl_dispatch_t *d, const char *name);
+
+static void rack_free(void *data)
+{
+	ffl_rack_t *rack = data;
+
+	g_ptr_array_free(rack->runners, TRUE);
+	g_free(rack);
+}
+
+void ffl_racks_init(ffl_dispatch_t *d)
+{
+	d->racks = g_ptr_array_new_with_free_func(rack_free);
+	d->listed = g_ptr_array_new();
+	d->racks_known = false;
+}
+
+void ffl_racks_finish(ffl_dispatch_t *d)
+{
+	g_ptr_array_free(d->racks, TRUE);
+	g_ptr_array_free(d->listed, TRUE);
+}
+
+void ffl_racks_forget(ffl_dispatch_t *d)
+{
+	d->racks_known = false;
+}
+
+static int by_id(const void *a, const void *b)
+{
+	const ffl_runner_t *x = *(ffl_runner_t *const *)a;
+	const ffl_runner_t *y = *(ffl_runner_t *const *)b;
+
+	return strcmp(x->entry.id, y->entry.id);
+}
+
+static ffl_rack_t *rack_of(ffl_dispatch_t *d, const char *name)
+{
+	ffl_rack_t *rack;
+
+	for (guint i = 0; i < d->racks->len; i++) {
+		rack = g_ptr_array_index(d->racks, i);
+		if (strcmp(rack->name, name) == 0)
+			return rack;
+	}
+	rack = g_new0(ffl_rack_t, 1);
+	ffl_copy(rack->name, sizeof(rack->name), name);
+	rack->runners = g_ptr_array_new();
+	g_ptr_array_add(d->racks, rack);
+	return rack;
+}
+
+static void refresh(ffl_dispatch_t *d)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (d->racks_known)
+		return;
+	d->racks_known = true;
+	g_ptr_array_set_size(d->racks, 0);
+	g_ptr_array_set_size(d->listed, 0);
+	g_hash_table_iter_init(&iter, d->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((ffl_runner_t *)value)->listed)
+			g_ptr_array_add(d->listed, value);
+	}
+	g_ptr_array_sort(d->listed, by_id);
+	for (guint i = 0; i < d->listed->len; i++) {
+		ffl_runner_t *r = g_ptr_array_index(d->listed, i);
+
+		g_ptr_array_add(rack_of(d, r->entry.rack)->runners, r);
+	}
+}
+
+const GPtrArray *ffl_racks(ffl_dispatch_t *d)
+{
+	refresh(d);
+	return d->racks;
+}
+
+const GPtrArray *ffl_listed(ffl_dispatch_t *d)
+{
+	refresh(d);
+	return d->listed;
+}
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -8,9 +8,37 @@
 
 static void take_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void take_done(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void index_run(ffl_dispatch_t *d, ffl_run_t *run);
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
 
+static void index_run(ffl_dispatch_t *d, ffl_run_t *run)
+{
+	GPtrArray *of = g_hash_table_lookup(d->flow_runs, run->flow);
+
+	if (!of) {
+		of = g_ptr_array_new();
+		g_hash_table_insert(d->flow_runs, run->flow, of);
+	}
+	g_ptr_array_add(of, run);
+}
+
+const GPtrArray *ffl_runs_of(const ffl_dispatch_t *d, const ffl_flow_t *flow)
+{
+	static const GPtrArray none;
+	const GPtrArray *of = g_hash_table_lookup(d->flow_runs, flow);
+
+	return of ? of : &none;
+}
+
+void ffl_runs_clear(ffl_dispatch_t *d)
+{
+	g_hash_table_remove_all(d->flow_runs);
+	for (guint i = 0; i < d->runs->len; i++)
+		g_free(g_ptr_array_index(d->runs, i));
+	g_ptr_array_set_size(d->runs, 0);
+}
+
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_runner_t *r, uint64_t now_ms)
 {
@@ -29,6 +57,7 @@
 	ffl_room_add(&r->used, &added->room);
 	g_ptr_array_add(r->runs, added);
 	g_ptr_array_add(d->runs, added);
+	index_run(d, added);
 	return added;
 }
 
@@ -80,6 +109,7 @@
 
 static void remove_run(ffl_dispatch_t *d, ffl_run_t *run)
 {
+	GPtrArray *of = g_hash_table_lookup(d->flow_runs, run->flow);
 	ffl_open_call_t *open;
 
 	if (run->call) {
@@ -90,6 +120,9 @@
 	ffl_room_take(&run->runner->used, &run->room);
 	g_ptr_array_remove_fast(run->runner->runs, run);
 	g_ptr_array_remove_fast(d->runs, run);
+	g_ptr_array_remove_fast(of, run);
+	if (!of->len)
+		g_hash_table_remove(d->flow_runs, run->flow);
 	g_free(run);
 	d->replan = true;
 }
@@ -160,8 +193,10 @@
 		ffl_runner_good(run->runner);
 	}
 	if (end != FFL_ENDING_DONE) {
-		for (guint i = 0; i < d->runs->len; i++) {
-			ffl_run_t *other = g_ptr_array_index(d->runs, i);
+		const GPtrArray *of = ffl_runs_of(d, flow);
+
+		for (guint i = 0; i < of->len; i++) {
+			ffl_run_t *other = g_ptr_array_index(of, i);
 
 			if (other != run && ffl_run_same_gang(run, other) &&
 			    !other->stop)
@@ -179,8 +214,10 @@
 
 void ffl_run_stop(ffl_dispatch_t *d, ffl_run_t *run, const char *why)
 {
-	for (guint i = 0; i < d->runs->len; i++) {
-		ffl_run_t *other = g_ptr_array_index(d->runs, i);
+	const GPtrArray *of = ffl_runs_of(d, run->flow);
+
+	for (guint i = 0; i < of->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(of, i);
 
 		if ((other != run && !ffl_run_same_gang(run, other)) ||
 		    other->stop)
--- a/lib/dispatch/runner.c
+++ b/lib/dispatch/runner.c
@@ -24,6 +24,7 @@
 	if (r)
 		return r;
 	r = g_new0(ffl_runner_t, 1);
+	ffl_racks_forget(d);
 	ffl_copy(r->entry.id, sizeof(r->entry.id), id);
 	r->runs = g_ptr_array_new();
 	r->pace = PERCENT;
@@ -162,6 +163,8 @@
 	if (entry->draining && !r->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
 				  r->runs->len);
+	if (!r->listed || strcmp(r->entry.rack, entry->rack) != 0)
+		ffl_racks_forget(d);
 	r->entry = *entry;
 	r->listed = true;
 	r->listed_ms = now_ms;
@@ -191,6 +194,7 @@
 
 	if (!r)
 		return;
+	ffl_racks_forget(d);
 	if (!r->listed) {
 		if (!r->runs->len && !r->calls)
 			g_hash_table_remove(d->runners, id);
@@ -213,6 +217,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	ffl_racks_forget(d);
 	g_hash_table_iter_init(&iter, d->runners);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((ffl_runner_t *)value)->listed = false;
