--- a/jobd/client.c
+++ b/jobd/client.c
@@ -45,6 +45,8 @@
 static int note_sent(void *user, char *remote_ip, char *local_ip,
 		     int remote_port, int local_port);
 static void deliver(jobd_client_t *c, call_t *call, long status);
+static void note_failure(const call_t *call, CURL *easy, CURLcode code,
+			 long connects);
 static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code);
 static void drop_active(CURLM *multi, CURL *easy);
 static bool take_calls(jobd_client_t *c);
@@ -124,6 +126,26 @@
 		      jobd_now_ms() - call->begun_ms);
 }
 
+/* Tells a peer that does not accept connections from one that is silent on
+ * an open one. */
+static void note_failure(const call_t *call, CURL *easy, CURLcode code,
+			 long connects)
+{
+	char text[FFL_REASON_BYTES];
+	char *peer = NULL;
+	curl_off_t connected_us = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected_us);
+	curl_easy_getinfo(easy, CURLINFO_EFFECTIVE_URL, &peer);
+	g_snprintf(text, sizeof(text),
+		   "code=%d sent=%u connects=%ld connected_us=%" PRId64
+		   " after_ms=%" PRIu64 " timeout_ms=%u",
+		   (int)code, call->sent, connects, (int64_t)connected_us,
+		   jobd_now_ms() - call->begun_ms, call->http.timeout_ms);
+	jobd_metrics_count("call-failed");
+	jobd_line("call-failed", peer ? peer : "-", text);
+}
+
 static void finish_call(jobd_client_t *c, CURL *easy, CURLcode code)
 {
 	call_t *call;
@@ -136,6 +158,8 @@
 		       call->reply->len);
 	if (code == CURLE_OK)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	else
+		note_failure(call, easy, code, connects);
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_remove_fast(c->active, easy);
 	g_ptr_array_add(c->idle, easy);
