Hosts follow jobs' states; progress is read only by a host that is to lead

Cause (call-failed and load lines): every host read every progress record. A leader writes 0.2 to 1 MB of them a second; 20 hosts behind a 60 Mbit/s link got 9 MB each, reads timed out and began anew, and the leader's orders did not get through either: workers fell silent, their leases ended, their good ends came too late.

Change: a topic of states (keyed.states) has a record a job and state, and the leader's sign of life with its token, written after the progress stands; all hosts follow that. A host that is to lead reads the progress anew, then claims. A claim that loses no longer reads it again. A look waits for a read that was sent before it.

Tests: node/followers-skip-progress fails on the landed code (reads of the topic > 0). Three tests read a job's progress from the leader, which alone has it now, in place of host 0: the same assertion.

Conclusion: the regions' link no longer fills with hosts times tasks.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -264,6 +264,7 @@
 		switch (act->kind) {
 		case FFL_NODE_ACT_READ:
 			s->reads++;
+			s->topic_reads[act->store.topic]++;
 			send_act(s, host, act);
 			break;
 		case FFL_NODE_ACT_NEWEST:
@@ -303,6 +304,7 @@
 		.config_skew_ms = 5000,
 		.stop_drain_ms = 4800,
 		.keep_ended_ms = KEEP_MS,
+		.size_milli = s->sizes[host],
 		.dispatch = { .adviser_addr = "adviser",
 			      .lease_max_ms = 10000,
 			      .stop_max_ms = 400,
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -56,6 +56,7 @@
 	uint64_t wall_ms;
 	ffl_rng_t rng;
 	uint32_t hosts_count;
+	uint32_t sizes[SITE_HOSTS_MAX]; /**< thousandths of a core; 0: one */
 	uint32_t workers_count;
 	site_host_t hosts[SITE_HOSTS_MAX];
 	task_worker_t workers[SITE_WORKERS_MAX];
@@ -80,7 +81,8 @@
 	uint64_t version; /**< of the configuration */
 	bool advised;	  /**< the queue of first priority needs tickets */
 	uint64_t actions;
-	uint64_t reads;		       /**< of the log, by any host */
+	uint64_t reads; /**< of the log, by any host */
+	uint64_t topic_reads[FFL_TOPIC__MAX];
 	const task_worker_t *ordered;  /**< that carries out an order now */
 	char ticket[FFL_TICKET_BYTES]; /**< that it asks for */
 	const char *fault;	       /**< first promise that was broken */
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -121,7 +121,8 @@
 	uint32_t placed_count;
 	ffl_task_t *tasks;
 	uint32_t tasks_count;
-	ffl_flow_state_t shown; /**< from acknowledged records only */
+	ffl_flow_state_t shown;	    /**< from acknowledged records only */
+	ffl_flow_state_t published; /**< that the topic of states has */
 	/* What only the leader uses. */
 	ffl_flow_state_t recorded; /**< in the batch on its way */
 	uint64_t dirty; /**< batch that must carry its progress; 0: none */
@@ -139,6 +140,7 @@
 	GHashTable *by_id;
 	GPtrArray *open;   /**< of ffl_flow_t *: not ended, oldest first */
 	GHashTable *early; /**< progress read before its specification */
+	GHashTable *early_states;  /**< published states, likewise */
 	GHashTable *early_cancels; /**< ids cancelled before that */
 } ffl_flows_t;
 
@@ -175,8 +177,18 @@
 				ffl_bytes_t value, uint64_t offset);
 /** Takes the cancellation of a flow, which may be read before it. */
 void ffl_flows_cancel(ffl_flows_t *flows, const char *id);
-/** Forgets all progress, before it is read anew. */
+/** Takes a published state, which may be read before its flow; one that comes
+ * before another in a flow's life changes nothing after it. */
+void ffl_flows_published(ffl_flows_t *flows, const char *id,
+			 ffl_flow_state_t state);
+/** Forgets all progress, before it is read anew; every flow is open again. */
 void ffl_flows_reset_progress(ffl_flows_t *flows);
+/** Closes the flows whose published state is final. */
+void ffl_flows_close_published(ffl_flows_t *flows);
+/** Shows the progress that was read, and closes what has ended. */
+void ffl_flows_take_over(ffl_flows_t *flows);
+/** Tells whether a state stays. */
+bool ffl_flow_state_is_final(ffl_flow_state_t state);
 void ffl_flows_remove(ffl_flows_t *flows, const char *id);
 /** Takes a flow off the open ones once it has ended. */
 void ffl_flows_close(ffl_flows_t *flows, ffl_flow_t *flow);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -19,7 +19,9 @@
 	FFL_TOPIC_CONFIG,  /**< written by operators */
 	FFL_TOPIC_WORKERS, /**< written by workers */
 	FFL_TOPIC_JOBS,	   /**< specifications and cancellations */
-	FFL_TOPIC_RUNS,	   /**< leadership and progress, by the leader alone */
+	FFL_TOPIC_RUNS,	   /**< claims and progress, by the leader alone; read
+			    * by a host that is to lead */
+	FFL_TOPIC_STATES,  /**< who leads, and each job's state; read by all */
 	FFL_TOPIC__MAX
 } ffl_topic_t;
 
@@ -193,6 +195,7 @@
 	uint32_t config_skew_ms;  /**< more, while the log is unsteady */
 	uint32_t stop_drain_ms;	  /**< a planned stop ends by then */
 	uint32_t keep_ended_ms;	  /**< an ended job is shown for so long */
+	uint32_t size_milli;	  /**< processor, in thousandths of a core */
 	ffl_dispatch_options_t dispatch;
 } ffl_node_options_t;
 
@@ -237,14 +240,29 @@
 	uint64_t until_ms;
 } ffl_held_t;
 
+/** What a leader tells all hosts. */
+typedef struct {
+	uint64_t call; /**< append on its way; 0: none */
+	uint64_t sent_ms;
+	GPtrArray *writes; /**< of ffl_write_t, that it carries */
+	GPtrArray *drops;  /**< ids of jobs that have left the log */
+} ffl_publish_t;
+
 /** Leadership as a host sees it. */
 typedef struct {
 	bool leading;
 	uint64_t token;
 	char holder[FFL_NAME_BYTES];
 	uint64_t holder_life;
+	uint64_t holder_token;
+	uint32_t holder_size;  /**< of the last one that was seen; 0: none */
+	uint32_t largest_size; /**< of all that led, or asked to */
 	bool resigned;
+	uint64_t since_ms;  /**< when it was first seen to lead */
 	uint64_t seen_ms;   /**< when its last record was seen */
+	bool loading;	    /**< progress is read, in order to claim */
+	uint64_t wanted_ms; /**< when a larger host last asked to lead */
+	ffl_publish_t publish;
 	uint64_t proved_ms; /**< a write sent then has succeeded */
 	uint64_t call;	    /**< append on its way */
 	bool claim;	    /**< that append is a claim */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -6,6 +6,7 @@
 static void task_clear(ffl_task_t *task);
 static void save_task(ffl_task_t *task, const char *saved);
 static bool is_id(const char *id);
+static int by_order(const void *a, const void *b);
 static bool same_step(const ffl_step_t *a, const ffl_step_t *b);
 
 static const char *const state_names[FFL_FLOW__MAX] = {
@@ -14,6 +15,14 @@
 	[FFL_FLOW_CANCELLED] = "cancelled",
 };
 
+/** How late in a flow's life a state comes: work that is done is done, also
+ * where its cancellation was shown before. */
+static const uint8_t state_ages[FFL_FLOW__MAX] = {
+	[FFL_FLOW_QUEUED] = 0,	  [FFL_FLOW_RUNNING] = 1,
+	[FFL_FLOW_CANCELLED] = 2, [FFL_FLOW_FAILED] = 2,
+	[FFL_FLOW_COMPLETED] = 3,
+};
+
 const char *ffl_flow_state_name(uint32_t state)
 {
 	return state < FFL_FLOW__MAX ? state_names[state] : "?";
@@ -124,6 +133,8 @@
 					     (GDestroyNotify)g_bytes_unref);
 	flows->early_cancels =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	flows->early_states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void ffl_flows_finish(ffl_flows_t *flows)
@@ -132,6 +143,7 @@
 	g_hash_table_destroy(flows->by_id);
 	g_hash_table_destroy(flows->early);
 	g_hash_table_destroy(flows->early_cancels);
+	g_hash_table_destroy(flows->early_states);
 }
 
 ffl_flow_t *ffl_flows_find(const ffl_flows_t *flows, const char *id)
@@ -143,6 +155,7 @@
 			  uint64_t offset)
 {
 	ffl_flow_t *flow = ffl_flows_find(flows, spec->id);
+	ffl_flow_state_t state;
 	GBytes *early;
 	gsize size;
 
@@ -166,10 +179,13 @@
 					     flow) == FFL_OK)
 			flow->has_progress = true;
 		g_hash_table_remove(flows->early, flow->spec.id);
-		flow->shown = ffl_flow_state(flow);
 	}
 	if (g_hash_table_remove(flows->early_cancels, flow->spec.id))
 		ffl_flows_cancel(flows, flow->spec.id);
+	state = (ffl_flow_state_t)GPOINTER_TO_UINT(
+		g_hash_table_lookup(flows->early_states, flow->spec.id));
+	g_hash_table_remove(flows->early_states, flow->spec.id);
+	ffl_flows_published(flows, flow->spec.id, state);
 	return flow;
 }
 
@@ -185,6 +201,25 @@
 	ffl_flow_show(flow, flow->shown);
 }
 
+/* Of two records the later in a flow's life holds, whichever was read last:
+ * a superseded leader may have written the other. */
+void ffl_flows_published(ffl_flows_t *flows, const char *id,
+			 ffl_flow_state_t state)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, id);
+
+	if (!flow) {
+		g_hash_table_replace(flows->early_states, g_strdup(id),
+				     GUINT_TO_POINTER(state));
+		return;
+	}
+	if (state_ages[state] < state_ages[flow->published])
+		return;
+	flow->published = state;
+	if (state_ages[state] >= state_ages[flow->shown])
+		ffl_flow_show(flow, state);
+}
+
 void ffl_flow_show(ffl_flow_t *flow, ffl_flow_state_t recorded)
 {
 	bool open = recorded == FFL_FLOW_QUEUED || recorded == FFL_FLOW_RUNNING;
@@ -210,17 +245,57 @@
 		return status;
 	flow->has_progress = true;
 	flow->progress_offset = offset;
-	flow->shown = ffl_flow_state(flow);
-	if (ffl_flow_ended(flow) && !flow->placed_count)
+	if (ffl_flow_ended(flow) && !flow->placed_count) {
+		ffl_flow_show(flow, ffl_flow_state(flow));
 		ffl_flows_close(flows, flow);
+	}
 	return FFL_OK;
 }
 
+bool ffl_flow_state_is_final(ffl_flow_state_t state)
+{
+	return state != FFL_FLOW_QUEUED && state != FFL_FLOW_RUNNING;
+}
+
+void ffl_flows_close_published(ffl_flows_t *flows)
+{
+	for (guint i = flows->open->len; i-- > 0;) {
+		ffl_flow_t *flow = g_ptr_array_index(flows->open, i);
+
+		if (ffl_flow_state_is_final(flow->published))
+			g_ptr_array_remove_index(flows->open, i);
+	}
+}
+
+/* Progress leaves the log before what was asked: a job that has none any more
+ * and was shown to have ended is not begun again. */
+void ffl_flows_take_over(ffl_flows_t *flows)
+{
+	for (guint i = flows->open->len; i-- > 0;) {
+		ffl_flow_t *flow = g_ptr_array_index(flows->open, i);
+
+		if (flow->has_progress)
+			ffl_flow_show(flow, ffl_flow_state(flow));
+		else if (ffl_flow_state_is_final(flow->published))
+			g_ptr_array_remove_index(flows->open, i);
+	}
+}
+
+static int by_order(const void *a, const void *b)
+{
+	const ffl_flow_t *x = *(ffl_flow_t *const *)a;
+	const ffl_flow_t *y = *(ffl_flow_t *const *)b;
+
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
 void ffl_flows_reset_progress(ffl_flows_t *flows)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	g_hash_table_remove_all(flows->early);
+	g_ptr_array_set_size(flows->open, 0);
 	g_hash_table_iter_init(&iter, flows->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_flow_t *flow = value;
@@ -229,8 +304,7 @@
 		flow->progress_offset = 0;
 		flow->dirty = 0;
 		flow->closed_ms = 0;
-		if (!g_ptr_array_find(flows->open, flow, NULL))
-			continue;
+		g_ptr_array_add(flows->open, flow);
 		for (uint32_t i = 0; i < flow->tasks_count; i++)
 			task_clear(&flow->tasks[i]);
 		flow->done_count = 0;
@@ -238,6 +312,7 @@
 		flow->started = false;
 		flow->failed = false;
 	}
+	g_ptr_array_sort(flows->open, by_order);
 }
 
 void ffl_flows_close(ffl_flows_t *flows, ffl_flow_t *flow)
@@ -262,7 +337,7 @@
 	for (guint i = 0; i < flows->open->len; i++) {
 		const ffl_flow_t *flow = g_ptr_array_index(flows->open, i);
 
-		if (!flow->started && !flow->cancelled && !flow->failed &&
+		if (flow->shown == FFL_FLOW_QUEUED &&
 		    strcmp(flow->spec.queue, queue) == 0)
 			n++;
 	}
--- a/lib/node/ask.c
+++ b/lib/node/ask.c
@@ -146,10 +146,8 @@
 static bool knows_state(const ffl_node_t *n, const ffl_flow_t *flow,
 			uint64_t asked_ms)
 {
-	return n->lead.leading ||
-	       (flow->shown != FFL_FLOW_QUEUED &&
-		flow->shown != FFL_FLOW_RUNNING) ||
-	       ffl_tail_current(n, FFL_TOPIC_RUNS, asked_ms - LOOK_AGE_MS);
+	return n->lead.leading || ffl_flow_state_is_final(flow->shown) ||
+	       ffl_tail_current(n, FFL_TOPIC_STATES, asked_ms - LOOK_AGE_MS);
 }
 
 static void ask_look(ffl_node_t *n, ffl_request_t *req,
@@ -173,7 +171,7 @@
 		say(n, req->call, FFL_SAY_STATE)->state = flow->shown;
 	} else {
 		wait_for(n, req, id);
-		ffl_tail_peek(n, FFL_TOPIC_RUNS);
+		ffl_tail_peek(n, FFL_TOPIC_STATES);
 	}
 }
 
@@ -325,7 +323,7 @@
 	if (p->ask == FFL_ASK_LOOK) {
 		if (!knows_state(n, flow, p->asked_ms) &&
 		    n->now_ms - p->asked_ms < LOOK_WAIT_MS) {
-			ffl_tail_peek(n, FFL_TOPIC_RUNS);
+			ffl_tail_peek(n, FFL_TOPIC_STATES);
 			return false;
 		}
 		answer_pending(n, index, FFL_SAY_STATE);
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -10,8 +10,16 @@
 #define TAKEOVER_MS 1800
 /** The log must have answered well for so long before silence counts. */
 #define WELL_MS 900
-/** Hosts claim one after the other, so that appends do not collide. */
-#define CLAIM_SPREAD_MS 150
+/** Hosts of one size claim one after the other within this time. */
+#define CLAIM_SPREAD_MS 300
+/** A host of half the size waits so much longer, so that the claim of a larger
+ * one is seen before: its reading of the progress, and an append. */
+#define SIZE_STEP_MS 200
+/** Size that hosts compare with where no leader was seen yet: a core. */
+#define SIZE_USUAL_MILLI 1000
+/** A leader of less than half the size of another host is asked to resign so
+ * long after either of them came. */
+#define OUTGROWN_MS 2000
 /** Time before an append is repeated. */
 #define REPEAT_MS 120
 /** What is known of jobs and workers must be as young as this to start. */
@@ -24,6 +32,11 @@
 static void send_append(ffl_node_t *n);
 static void open_append(ffl_node_t *n, bool claim, bool resigned);
 static void add_batch(ffl_node_t *n);
+static uint32_t claim_wait_ms(const ffl_node_t *n);
+static bool may_lead(const ffl_node_t *n);
+static void load_progress(ffl_node_t *n);
+static void give_way(ffl_node_t *n, const char *why);
+static void ask_to_resign(ffl_node_t *n);
 static void claim(ffl_node_t *n);
 static bool knows_jobs(const ffl_node_t *n);
 static bool may_claim(ffl_node_t *n);
@@ -31,6 +44,7 @@
 static void append_stands(ffl_node_t *n, uint64_t offset);
 static void check_append(ffl_node_t *n);
 static void take_append(ffl_node_t *n, const ffl_store_reply_t *reply);
+static void lose(ffl_node_t *n, const char *why);
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void become_leader(ffl_node_t *n, uint64_t offset);
 static void step_down(ffl_node_t *n, const char *why);
@@ -47,21 +61,60 @@
 	g_ptr_array_free(n->lead.flows, TRUE);
 }
 
-void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec)
+void ffl_lead_seen(ffl_node_t *n, const ffl_lead_record_t *r, bool alive)
 {
 	ffl_lead_t *l = &n->lead;
-	ffl_lead_record_t r;
 
-	if (l->leading || !ffl_lead_decode(rec->value, &r))
+	if (l->leading && alive && r->token > l->token)
+		step_down(n, "another leads");
+	if (l->leading || r->token < l->holder_token)
+		return;
+	if (strcmp(l->holder, r->holder) != 0 || l->holder_life != r->life) {
+		ffl_node_note(n, "leader-seen", r->holder,
+			      "token=%" PRIu64 " size=%u resigned=%d", r->token,
+			      r->size_milli, r->resigned);
+		l->since_ms = n->now_ms;
+	}
+	ffl_copy(l->holder, sizeof(l->holder), r->holder);
+	l->holder_life = r->life;
+	l->holder_token = r->token;
+	l->holder_size = r->size_milli;
+	l->largest_size = MAX(l->largest_size, r->size_milli);
+	l->resigned = r->resigned;
+	if (!alive)
 		return;
-	if (strcmp(l->holder, r.holder) != 0 || l->holder_life != r.life)
-		ffl_node_note(n, "leader-seen", r.holder,
-			      "offset=%" PRIu64 " token=%" PRIu64, rec->offset,
-			      r.token);
-	ffl_copy(l->holder, sizeof(l->holder), r.holder);
-	l->holder_life = r.life;
-	l->resigned = r.resigned;
 	l->seen_ms = n->now_ms;
+	if (l->loading && !l->writes && !r->resigned && r->life != n->life)
+		give_way(n, "another leads");
+}
+
+/* Among the newest records it tells who led; a later leader than the one that
+ * was known, or a record read after them, shows one that lives. */
+void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec)
+{
+	ffl_lead_record_t r;
+
+	if (!ffl_lead_decode(rec->value, &r))
+		return;
+	if (!r.token)
+		r.token = rec->offset + 1;
+	ffl_lead_seen(n, &r,
+		      n->tails[FFL_TOPIC_RUNS].synced ||
+			      r.token > n->lead.holder_token);
+}
+
+void ffl_lead_wanted(ffl_node_t *n, uint32_t size_milli)
+{
+	ffl_lead_t *l = &n->lead;
+
+	l->wanted_ms = n->now_ms;
+	l->largest_size = MAX(l->largest_size, size_milli);
+	if (!l->leading || l->resign || size_milli < 2 * n->opt.size_milli ||
+	    n->now_ms - l->since_ms < OUTGROWN_MS)
+		return;
+	l->resign = true;
+	ffl_node_note(n, "leader-outgrown", n->opt.name, "size=%u by=%u",
+		      n->opt.size_milli, size_milli);
 }
 
 bool ffl_lead_may_hold(const ffl_node_t *n)
@@ -113,7 +166,8 @@
 	l->claim = is_claim;
 	l->number++;
 	l->writes = g_ptr_array_new_with_free_func(ffl_write_free);
-	g_ptr_array_add(l->writes, ffl_lead_write(n, resigned));
+	g_ptr_array_add(l->writes,
+			ffl_lead_write(n, is_claim ? 0 : l->token, resigned));
 	l->resigning = resigned;
 }
 
@@ -144,27 +198,92 @@
 	       jobs->fresh_ms > n->tails[FFL_TOPIC_RUNS].changed_ms;
 }
 
+/* Larger hosts come first; of one size, each in its own time. */
+static uint32_t claim_wait_ms(const ffl_node_t *n)
+{
+	const ffl_lead_t *l = &n->lead;
+	uint32_t size =
+		n->opt.size_milli ? n->opt.size_milli : SIZE_USUAL_MILLI;
+	uint32_t usual = l->largest_size ? l->largest_size : SIZE_USUAL_MILLI;
+	uint32_t wait_ms = (uint32_t)(ffl_hash(n->opt.name, strlen(n->opt.name),
+					       l->holder_life) %
+				      CLAIM_SPREAD_MS);
+
+	for (; 2 * size <= usual; size *= 2)
+		wait_ms += SIZE_STEP_MS;
+	return wait_ms;
+}
+
+/* Tells whether the log is known well enough to lead. */
+static bool may_lead(const ffl_node_t *n)
+{
+	const ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
+
+	return !n->stop_ms && t->synced && n->has_routes && t->well_ms &&
+	       n->now_ms >= n->lead.retry_ms &&
+	       t->fresh_ms + KNOWN_MS >= n->now_ms;
+}
+
+/* Tells whether nobody leads, as far as this host can know. */
 static bool may_claim(ffl_node_t *n)
 {
-	const ffl_tail_t *t = &n->tails[FFL_TOPIC_RUNS];
 	const ffl_lead_t *l = &n->lead;
-	uint64_t rank =
-		ffl_hash(n->opt.name, strlen(n->opt.name), l->holder_life) % 8;
-	uint64_t wait_ms = TAKEOVER_MS + rank * CLAIM_SPREAD_MS;
+	uint32_t wait_ms = TAKEOVER_MS + claim_wait_ms(n);
 
-	if (n->stop_ms || !t->synced || !n->has_routes || !t->well_ms ||
-	    n->now_ms < l->retry_ms || !knows_jobs(n) || !t->next_known ||
-	    t->fresh_ms + KNOWN_MS < n->now_ms)
+	if (!may_lead(n))
 		return false;
-	if (strcmp(l->holder, n->opt.name) == 0)
+	if (strcmp(l->holder, n->opt.name) == 0 && l->holder_life != n->life)
 		return true;
 	if (!l->holder[0] || l->resigned)
-		wait_ms = rank * CLAIM_SPREAD_MS / 4;
-	else if (n->now_ms - t->well_ms < WELL_MS)
+		wait_ms = claim_wait_ms(n);
+	else if (n->now_ms - n->tails[FFL_TOPIC_STATES].well_ms < WELL_MS)
 		return false;
 	return n->now_ms - l->seen_ms >= wait_ms;
 }
 
+static void load_progress(ffl_node_t *n)
+{
+	ffl_node_note(n, "leader-loading", n->opt.name,
+		      "before=%s silent_ms=%" PRIu64, n->lead.holder,
+		      n->now_ms - n->lead.seen_ms);
+	n->lead.loading = true;
+	ffl_flows_reset_progress(&n->flows);
+	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
+}
+
+/* Another host leads: what was read of the progress is not needed. */
+static void give_way(ffl_node_t *n, const char *why)
+{
+	ffl_lead_t *l = &n->lead;
+
+	ffl_node_note(n, "leader-not", n->opt.name, "why=%s", why);
+	drop_append(n);
+	l->loading = false;
+	l->seen_ms = n->now_ms;
+	l->retry_ms = n->now_ms + CLAIM_SPREAD_MS;
+	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
+	ffl_flows_reset_progress(&n->flows);
+	ffl_flows_close_published(&n->flows);
+}
+
+static void ask_to_resign(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+	const ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
+	uint32_t wait_ms = OUTGROWN_MS + claim_wait_ms(n);
+
+	if (!may_lead(n) || !l->holder[0] || l->resigned || !l->holder_size ||
+	    n->opt.size_milli < 2 * l->holder_size ||
+	    n->now_ms - l->since_ms < wait_ms ||
+	    n->now_ms - t->well_ms < wait_ms ||
+	    (l->wanted_ms && n->now_ms - l->wanted_ms < wait_ms))
+		return;
+	l->wanted_ms = n->now_ms;
+	ffl_node_note(n, "leader-wanted", n->opt.name, "size=%u of=%u",
+		      n->opt.size_milli, l->holder_size);
+	ffl_publish_want(n);
+}
+
 static void claim(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
@@ -188,12 +307,18 @@
 		ffl_node_measure(n, FFL_MEASURE_TAKEOVER,
 				 n->now_ms - l->seen_ms);
 	l->leading = true;
+	l->loading = false;
 	l->resign = false;
+	l->since_ms = n->now_ms;
 	l->token = offset + 1;
+	l->holder_token = l->token;
+	l->holder_size = n->opt.size_milli;
+	l->publish.sent_ms = 0;
 	ffl_copy(l->holder, sizeof(l->holder), n->opt.name);
 	l->holder_life = n->life;
 	ffl_tail_restart(&n->tails[FFL_TOPIC_WORKERS]);
 	n->tails[FFL_TOPIC_RUNS].call = 0;
+	ffl_flows_take_over(&n->flows);
 	ffl_dispatch_lead(&n->dispatch, l->token, given_ms, n->now_ms);
 	ffl_node_note(n, "leader-began", n->opt.name,
 		      "token=%" PRIu64 " runs=%u open=%u", l->token,
@@ -208,15 +333,15 @@
 	ffl_node_note(n, "leader-ended", n->opt.name,
 		      "token=%" PRIu64 " why=%s", l->token, why);
 	drop_append(n);
-	if (l->leading) {
-		ffl_dispatch_yield(&n->dispatch);
-		ffl_flows_reset_progress(&n->flows);
-	}
+	ffl_dispatch_yield(&n->dispatch);
+	ffl_flows_reset_progress(&n->flows);
+	ffl_flows_close_published(&n->flows);
+	if (l->resigning)
+		ffl_publish_resign(n, l->token);
 	l->leading = false;
 	l->holder[0] = '\0';
 	l->seen_ms = n->now_ms;
 	l->retry_ms = n->now_ms + CLAIM_SPREAD_MS;
-	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
 }
 
 static void append_stands(ffl_node_t *n, uint64_t offset)
@@ -272,11 +397,19 @@
 	default:
 		l->retry_ms = n->now_ms + REPEAT_MS;
 		if (l->claim && reply->outcome == FFL_STORE_REFUSED)
-			step_down(n, "claim refused");
+			give_way(n, "claim refused");
 		return;
 	}
 }
 
+static void lose(ffl_node_t *n, const char *why)
+{
+	if (n->lead.leading)
+		step_down(n, why);
+	else
+		give_way(n, why);
+}
+
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
 	ffl_lead_t *l = &n->lead;
@@ -284,7 +417,7 @@
 
 	l->check = 0;
 	if (reply->outcome == FFL_STORE_EXPIRED) {
-		step_down(n, "records expired");
+		lose(n, "records expired");
 		return;
 	}
 	if (reply->outcome != FFL_STORE_OK || !reply->count) {
@@ -298,7 +431,7 @@
 		append_stands(n, l->at);
 		return;
 	}
-	step_down(n, "another leads");
+	lose(n, "another leads");
 }
 
 bool ffl_lead_take(ffl_node_t *n, const ffl_store_reply_t *reply)
@@ -361,6 +494,12 @@
 			send_append(n);
 		return;
 	}
-	if (may_claim(n))
+	if (!may_claim(n)) {
+		ask_to_resign(n);
+		return;
+	}
+	if (!l->loading)
+		load_progress(n);
+	else if (n->tails[FFL_TOPIC_RUNS].synced && knows_jobs(n))
 		claim(n);
 }
--- a/lib/node/lead_record.c
+++ b/lib/node/lead_record.c
@@ -5,7 +5,8 @@
 #include "lib/wire/measure.h"
 
 /** Fields of a record of leadership. */
-#define LEAD_FIELDS 5
+#define LEAD_FIELDS	5
+#define LEAD_FIELDS_NOW 6 /**< with what later writers add */
 
 static int write_bytes(void *user, const char *buf, size_t size_bytes);
 
@@ -15,19 +16,20 @@
 	return 0;
 }
 
-ffl_write_t *ffl_lead_write(const ffl_node_t *n, bool resigned)
+ffl_write_t *ffl_lead_write(const ffl_node_t *n, uint64_t token, bool resigned)
 {
 	ffl_write_t *w = ffl_write_new('\0', KEY_LEAD);
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, w->value, write_bytes);
-	msgpack_pack_array(&pk, LEAD_FIELDS);
+	msgpack_pack_array(&pk, LEAD_FIELDS_NOW);
 	msgpack_pack_str(&pk, strlen(n->opt.name));
 	msgpack_pack_str_body(&pk, n->opt.name, strlen(n->opt.name));
 	msgpack_pack_uint64(&pk, n->life);
-	msgpack_pack_uint64(&pk, n->lead.claim ? 0 : n->lead.token);
+	msgpack_pack_uint64(&pk, token);
 	msgpack_pack_uint64(&pk, n->lead.number);
 	msgpack_pack_uint8(&pk, resigned);
+	msgpack_pack_uint32(&pk, n->opt.size_milli);
 	return w;
 }
 
@@ -59,6 +61,11 @@
 			out->token = f[2].via.u64;
 			out->number = f[3].via.u64;
 			out->resigned = f[4].via.u64 != 0;
+			if (msg.data.via.array.size > LEAD_FIELDS &&
+			    f[LEAD_FIELDS].type ==
+				    MSGPACK_OBJECT_POSITIVE_INTEGER)
+				out->size_milli = (uint32_t)MIN(
+					f[LEAD_FIELDS].via.u64, UINT32_MAX);
 		}
 	}
 	msgpack_unpacked_destroy(&msg);
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -33,10 +33,9 @@
 };
 
 static const char *const topic_names[FFL_TOPIC__MAX] = {
-	[FFL_TOPIC_CONFIG] = "config",
-	[FFL_TOPIC_WORKERS] = "workers",
-	[FFL_TOPIC_JOBS] = "jobs",
-	[FFL_TOPIC_RUNS] = "runs",
+	[FFL_TOPIC_CONFIG] = "config", [FFL_TOPIC_WORKERS] = "workers",
+	[FFL_TOPIC_JOBS] = "jobs",     [FFL_TOPIC_RUNS] = "runs",
+	[FFL_TOPIC_STATES] = "states",
 };
 
 static const char *const say_names[FFL_SAY__MAX] = {
@@ -169,6 +168,7 @@
 	ffl_routes_init(&n->routes);
 	ffl_tails_init(n);
 	ffl_lead_init(n);
+	ffl_publish_init(n);
 	n->pending = g_ptr_array_new_with_free_func(ffl_pending_free);
 	n->held = g_ptr_array_new_with_free_func(ffl_held_free);
 	n->orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
@@ -179,6 +179,7 @@
 	g_array_free(n->orders, TRUE);
 	g_ptr_array_free(n->pending, TRUE);
 	g_ptr_array_free(n->held, TRUE);
+	ffl_publish_finish(n);
 	ffl_lead_finish(n);
 	ffl_tails_finish(n);
 	ffl_dispatch_finish(&n->dispatch);
@@ -194,7 +195,7 @@
 bool ffl_node_serves(const ffl_node_t *n)
 {
 	return n->has_routes && n->tails[FFL_TOPIC_JOBS].synced &&
-	       (n->lead.leading || n->tails[FFL_TOPIC_RUNS].synced) &&
+	       n->tails[FFL_TOPIC_STATES].synced &&
 	       ffl_tail_fresh(n, FFL_TOPIC_CONFIG, config_age_max(n));
 }
 
@@ -204,7 +205,8 @@
 
 static void on_store(ffl_node_t *n, ffl_node_event_t *ev)
 {
-	if (ffl_lead_take(n, &ev->store) || ffl_ask_appended(n, &ev->store))
+	if (ffl_lead_take(n, &ev->store) || ffl_publish_take(n, &ev->store) ||
+	    ffl_ask_appended(n, &ev->store))
 		return;
 	ffl_tails_take(n, &ev->store);
 }
@@ -290,6 +292,7 @@
 	handlers[ev->kind](n, ev);
 	drive_dispatch(n);
 	ffl_lead_drive(n);
+	ffl_publish_drive(n);
 	ffl_tails_drive(n);
 	ffl_ask_drive(n);
 	drive_ready(n);
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -12,6 +12,9 @@
 #define KEY_CANCEL   'c'
 #define KEY_PROGRESS 'r'
 #define KEY_LEAD     "lead"
+#define KEY_STATE    's'
+/** A host asks a leader that is smaller to resign. */
+#define KEY_WANT "want"
 
 /** Deadline of an append: a slow log, and a way between regions. */
 #define APPEND_TIMEOUT_MS 900
@@ -45,20 +48,31 @@
 /** Tells whether all that was written before @p age_ms ago is known. */
 bool ffl_tail_fresh(const ffl_node_t *n, ffl_topic_t topic, uint32_t age_ms);
 
+/* publish.c */
+void ffl_publish_init(ffl_node_t *n);
+void ffl_publish_finish(ffl_node_t *n);
+/** Writes what has changed, and that the leader lives. */
+void ffl_publish_drive(ffl_node_t *n);
+/** Takes an answer to such a write; false where it is none. */
+bool ffl_publish_take(ffl_node_t *n, const ffl_store_reply_t *reply);
+/** Takes a record of the states' topic that was read. */
+void ffl_publish_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Tells all hosts that the leader has resigned. */
+void ffl_publish_resign(ffl_node_t *n, uint64_t token);
+/** Asks the leader to resign. */
+void ffl_publish_want(ffl_node_t *n);
+/** Closes a flow of a host that does not lead once its state is final. */
+void ffl_publish_settle(ffl_node_t *n, ffl_flow_t *flow);
+/** Drops the states of jobs that left the log under an earlier leader. */
+void ffl_publish_drop_orphans(ffl_node_t *n);
+/** Takes that a job has left the log, so that its state may. */
+void ffl_publish_drop(ffl_node_t *n, const char *id);
+
 /* lead.c */
 void ffl_lead_init(ffl_node_t *n);
 void ffl_lead_finish(ffl_node_t *n);
 void ffl_lead_drive(ffl_node_t *n);
 bool ffl_lead_take(ffl_node_t *n, const ffl_store_reply_t *reply);
-/** Takes a record of leadership that was read. */
-void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec);
-/** Tells whether new runs may be started now. */
-bool ffl_lead_may_start(const ffl_node_t *n);
-/** Tells whether leases may be extended now. */
-bool ffl_lead_may_hold(const ffl_node_t *n);
-
-/* lead_record.c */
-
 /** A record of leadership. */
 typedef struct {
 	char holder[FFL_NAME_BYTES];
@@ -66,9 +80,23 @@
 	uint64_t token; /**< 0 in a claim: its own offset gives it */
 	uint64_t number;
 	bool resigned;
+	uint32_t size_milli; /**< of the holder; 0 where it did not say */
 } ffl_lead_record_t;
 
-ffl_write_t *ffl_lead_write(const ffl_node_t *n, bool resigned);
+/** Takes that a leader was seen; @p alive: it has just written that. */
+void ffl_lead_seen(ffl_node_t *n, const ffl_lead_record_t *r, bool alive);
+/** Takes a record of leadership among the progress. */
+void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Takes that a host of a size asks to lead. */
+void ffl_lead_wanted(ffl_node_t *n, uint32_t size_milli);
+/** Tells whether new runs may be started now. */
+bool ffl_lead_may_start(const ffl_node_t *n);
+/** Tells whether leases may be extended now. */
+bool ffl_lead_may_hold(const ffl_node_t *n);
+
+/* lead_record.c */
+/** Writes a record of this host's leadership. */
+ffl_write_t *ffl_lead_write(const ffl_node_t *n, uint64_t token, bool resigned);
 bool ffl_lead_decode(ffl_bytes_t in, ffl_lead_record_t *out);
 
 /* prune.c */
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -15,8 +15,7 @@
 
 static bool is_final(const ffl_flow_t *flow)
 {
-	return flow->shown != FFL_FLOW_QUEUED &&
-	       flow->shown != FFL_FLOW_RUNNING && !flow->placed_count;
+	return ffl_flow_state_is_final(flow->shown) && !flow->placed_count;
 }
 
 /* Jobs that ended long ago leave the log: first their progress, here, then
@@ -78,6 +77,7 @@
 	if (n->now_ms - n->lead.pruned_ms < PRUNE_MS)
 		return;
 	n->lead.pruned_ms = n->now_ms;
+	ffl_publish_drop_orphans(n);
 	drop_specs(n);
 	add_drops(n);
 }
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -20,6 +20,7 @@
 static void apply_worker(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec);
+static void apply_state(ffl_node_t *n, const ffl_store_record_t *rec);
 static bool wanted(const ffl_node_t *n, const ffl_tail_t *t);
 static void ask_page(ffl_node_t *n, ffl_tail_t *t);
 static void ask_read(ffl_node_t *n, ffl_tail_t *t);
@@ -34,10 +35,9 @@
 static void pace(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
-	[FFL_TOPIC_CONFIG] = apply_config,
-	[FFL_TOPIC_WORKERS] = apply_worker,
-	[FFL_TOPIC_JOBS] = apply_job,
-	[FFL_TOPIC_RUNS] = apply_run,
+	[FFL_TOPIC_CONFIG] = apply_config, [FFL_TOPIC_WORKERS] = apply_worker,
+	[FFL_TOPIC_JOBS] = apply_job,	   [FFL_TOPIC_RUNS] = apply_run,
+	[FFL_TOPIC_STATES] = apply_state,
 };
 
 void ffl_tails_init(ffl_node_t *n)
@@ -118,8 +118,11 @@
 	ffl_flow_spec_t spec;
 
 	if (!rec->value.size_bytes) {
-		if (rec->key[0] == KEY_SPEC)
-			ffl_flows_remove(&n->flows, id);
+		if (rec->key[0] != KEY_SPEC)
+			return;
+		if (n->lead.leading)
+			ffl_publish_drop(n, id);
+		ffl_flows_remove(&n->flows, id);
 		return;
 	}
 	if (rec->key[0] == KEY_CANCEL) {
@@ -132,7 +135,7 @@
 			      rec->offset);
 		return;
 	}
-	ffl_flows_add(&n->flows, &spec, rec->offset);
+	ffl_publish_settle(n, ffl_flows_add(&n->flows, &spec, rec->offset));
 	ffl_dispatch_touch(&n->dispatch);
 }
 
@@ -154,11 +157,17 @@
 			      "offset=%" PRIu64, rec->offset);
 }
 
-/* The leader knows what it wrote; only it needs the list of workers. */
+static void apply_state(ffl_node_t *n, const ffl_store_record_t *rec)
+{
+	ffl_publish_record(n, rec);
+}
+
+/* The leader knows the progress that it wrote, and a host that does not lead
+ * needs none; only the leader needs the list of workers. */
 static bool wanted(const ffl_node_t *n, const ffl_tail_t *t)
 {
 	if (t->topic == FFL_TOPIC_RUNS)
-		return !n->lead.leading && !n->lead.call && !n->lead.check;
+		return n->lead.loading && !n->lead.call && !n->lead.check;
 	if (t->topic == FFL_TOPIC_WORKERS)
 		return n->lead.leading;
 	return true;
@@ -212,7 +221,8 @@
 {
 	const ffl_tail_t *t = &n->tails[topic];
 
-	return t->call || t->failures || t->fresh_ms >= then_ms;
+	return (t->call && t->sent_ms <= then_ms) || t->failures ||
+	       t->fresh_ms >= then_ms;
 }
 
 void ffl_tails_drive(ffl_node_t *n)
@@ -253,7 +263,7 @@
 	t->fresh_ms = MAX(t->fresh_ms, t->paged_ms);
 	if (t->topic == FFL_TOPIC_WORKERS)
 		drop_unlisted(n, t);
-	if (t->topic == FFL_TOPIC_RUNS && !n->lead.seen_ms)
+	if (t->topic == FFL_TOPIC_STATES && !n->lead.seen_ms)
 		n->lead.seen_ms = n->now_ms;
 	ffl_node_note(n, "topic-synced", ffl_topic_name(t->topic),
 		      "next=%" PRIu64, t->next);
@@ -284,7 +294,9 @@
 {
 	if (t->topic == FFL_TOPIC_WORKERS)
 		t->due_ms = n->now_ms + WORKERS_POLL_MS;
-	else if (count && !n->lead.leading && t->topic != FFL_TOPIC_CONFIG)
+	else if (count && t->topic == FFL_TOPIC_STATES)
+		t->due_ms = n->now_ms + FOLLOW_GATHER_MS;
+	else if (count && !n->lead.leading && t->topic == FFL_TOPIC_JOBS)
 		t->due_ms = n->now_ms + FOLLOW_GATHER_MS;
 }
 
--- a/site/log.c
+++ b/site/log.c
@@ -26,6 +26,7 @@
 	[FFL_TOPIC_WORKERS] = "keyed.servers",
 	[FFL_TOPIC_JOBS] = "keyed.jobs",
 	[FFL_TOPIC_RUNS] = "keyed.runs",
+	[FFL_TOPIC_STATES] = "keyed.states",
 };
 
 static const char *query_of(const struct mg_connection *conn)
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -14,6 +14,7 @@
 } story_t;
 
 static void check(const site_t *s);
+static const ffl_flow_t *led(const site_t *s, uint32_t job);
 static void test_story(gconstpointer data);
 static void test_last_ends(void);
 
@@ -24,6 +25,15 @@
 	g_assert_cmpstr(s->fault, ==, NULL);
 }
 
+/* A job as the leader knows it: progress is known to no other host. */
+static const ffl_flow_t *led(const site_t *s, uint32_t job)
+{
+	int leader = site_leader(s);
+
+	g_assert_cmpint(leader, >=, 0);
+	return ffl_flows_find(&s->hosts[leader].node.flows, s->jobs[job].id);
+}
+
 static void calm(site_t *s)
 {
 	uint32_t job = site_submit(s, 0, 4, 2, WORK_MS, true);
@@ -117,11 +127,7 @@
 	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
 	/* What ran went on: no second run was needed. */
 	for (uint32_t i = 0; i < 4; i++)
-		g_assert_cmpuint(
-			ffl_flows_find(&s->hosts[0].node.flows, s->jobs[job].id)
-				->tasks[i]
-				.run,
-			==, 1);
+		g_assert_cmpuint(led(s, job)->tasks[i].run, ==, 1);
 }
 
 static void leader_frozen(site_t *s)
@@ -182,10 +188,7 @@
 		site_submit(s, 0, 1, 1, 100, false);
 	job = site_submit(s, 0, 2, 8, WORK_MS, true);
 	site_run(s, 2900);
-	g_assert_cmpuint(
-		ffl_flows_find(&s->hosts[0].node.flows, s->jobs[job].id)
-			->started,
-		==, true);
+	g_assert_cmpuint(led(s, job)->started, ==, true);
 }
 
 static void hopeless(site_t *s)
@@ -230,6 +233,8 @@
 					     s->jobs[job].id));
 	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_JOBS].newest), ==, 0);
 	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest), ==, 1);
+	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_STATES].newest), ==,
+			1);
 }
 
 /* The caller's deadline passes while the host is frozen, its record on the
@@ -414,6 +419,44 @@
 	g_assert_true(s->jobs[job].refused);
 }
 
+/* Progress grows with tasks and hosts: only a host that is to lead reads it. */
+static void followers_skip_progress(site_t *s)
+{
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint64_t before = s->topic_reads[FFL_TOPIC_RUNS];
+	uint32_t job = 0;
+
+	for (uint32_t i = 0; i < 8; i++) {
+		job = site_submit(s, host, 8, 1, WORK_MS, false);
+		site_run(s, 500);
+	}
+	site_run(s, 20000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 8);
+	g_assert_cmpuint(s->topic_reads[FFL_TOPIC_RUNS] - before, ==, 0);
+}
+
+/* A small host leads only while no larger one can. */
+static void larger_host_leads(site_t *s)
+{
+	uint32_t job;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		s->sizes[i] = i == 1 ? 500 : 120;
+		site_kill(s, i, 100);
+	}
+	site_run(s, 6000);
+	g_assert_cmpint(site_leader(s), ==, 1);
+	site_kill(s, 1, 8000);
+	site_run(s, 4000);
+	g_assert_cmpint(site_leader(s), >=, 0);
+	job = site_submit(s, 0, 4, 2, 8000, true);
+	site_run(s, 12000);
+	g_assert_cmpint(site_leader(s), ==, 1);
+	site_run(s, 8000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].ran), ==, 4);
+	g_assert_cmpuint(led(s, job)->tasks[0].run, ==, 1);
+}
+
 static const story_t stories[] = {
 	{ "calm", calm },
 	{ "chain", chain },
@@ -441,6 +484,8 @@
 	{ "serves-at-once", serves_at_once },
 	{ "held-while-busy", held_while_busy },
 	{ "refused-in-time", refused_in_time },
+	{ "followers-skip-progress", followers_skip_progress },
+	{ "larger-host-leads", larger_host_leads },
 };
 
 static void test_story(gconstpointer data)
@@ -483,11 +528,7 @@
 		site_worker_leave(&s, index);
 		site_settle(&s, HEAL_MS);
 		check(&s);
-		g_assert_cmpuint(
-			ffl_flows_find(&s.hosts[0].node.flows, s.jobs[job].id)
-				->tasks[0]
-				.run,
-			==, 1);
+		g_assert_cmpuint(led(&s, job)->tasks[0].run, ==, 1);
 		site_finish(&s);
 	}
 }
