--- a/daemon/help.c
+++ b/daemon/help.c
@@ -18,6 +18,7 @@
 	static const char *const units[FFL_SET__MAX] = {
 		[FFL_SET_DURATION] = " ms",
 		[FFL_SET_SIZE] = " bytes",
+		[FFL_SET_CORES] = " thousandths of a core",
 	};
 
 	fputs(ffl_setting_type_name(s->type), out);
--- a/daemon/reload.c
+++ b/daemon/reload.c
@@ -16,6 +16,7 @@
 		[FFL_SET_COUNT] = sizeof(uint32_t),
 		[FFL_SET_DURATION] = sizeof(uint32_t),
 		[FFL_SET_SIZE] = sizeof(uint32_t),
+		[FFL_SET_CORES] = sizeof(uint32_t),
 	};
 
 	return sizes[s->type];
--- a/include/fireflyledge/settings.h
+++ b/include/fireflyledge/settings.h
@@ -23,6 +23,7 @@
 	FFL_SET_COUNT,	  /**< uint32_t, a bare number */
 	FFL_SET_DURATION, /**< uint32_t in ms, written with ms, s or min */
 	FFL_SET_SIZE,	  /**< uint32_t in bytes, written with B, KB or MB */
+	FFL_SET_CORES,	  /**< uint32_t in thousandths, written with core */
 	FFL_SET__MAX
 } ffl_setting_type_t;
 
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -44,6 +44,8 @@
 	uint32_t config_skew_ms;
 	uint32_t keep_ended_ms;
 	uint32_t grace_ms;
+	uint32_t processor_milli; /**< of one core */
+	uint32_t cores;
 } jobd_settings_t;
 
 /** An event with the memory that it points to. */
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -47,6 +47,8 @@
 			   const char *value, void *dst);
 static void store_size(reader_t *r, const ffl_setting_t *s, const char *value,
 		       void *dst);
+static void store_cores(reader_t *r, const ffl_setting_t *s, const char *value,
+			void *dst);
 static void store_number(reader_t *r, const ffl_setting_t *s, const char *value,
 			 const unit_t *units, void *dst);
 static bool valid_address(const char *text);
@@ -141,18 +143,20 @@
 	{ "B", 1 }, { "KB", 1024 }, { "MB", 1048576 }, { NULL, 0 }
 };
 
+static const unit_t core_units[] = { { "core", 1000 }, { NULL, 0 } };
+
 static const store_fn_t stores[FFL_SET__MAX] = {
 	[FFL_SET_NAME] = store_name,	     [FFL_SET_ADDRESS] = store_address,
 	[FFL_SET_URL] = store_url,	     [FFL_SET_HASH] = store_hash,
 	[FFL_SET_COUNT] = store_count,	     [FFL_SET_SIZE] = store_size,
-	[FFL_SET_DURATION] = store_duration,
+	[FFL_SET_DURATION] = store_duration, [FFL_SET_CORES] = store_cores,
 };
 
 static const char *const type_names[FFL_SET__MAX] = {
 	[FFL_SET_NAME] = "name",   [FFL_SET_ADDRESS] = "address",
 	[FFL_SET_URL] = "url",	   [FFL_SET_HASH] = "hash",
 	[FFL_SET_COUNT] = "count", [FFL_SET_DURATION] = "duration",
-	[FFL_SET_SIZE] = "size",
+	[FFL_SET_SIZE] = "size",   [FFL_SET_CORES] = "cores",
 };
 
 uint32_t ffl_settings_count(void)
@@ -303,6 +307,12 @@
 	store_number(r, s, value, size_units, dst);
 }
 
+static void store_cores(reader_t *r, const ffl_setting_t *s, const char *value,
+			void *dst)
+{
+	store_number(r, s, value, core_units, dst);
+}
+
 static const ffl_setting_t *find_key(const reader_t *r, const char *section,
 				     const char *key, uint32_t *index)
 {
