Events that come close together share a look at what is due

Cause (load lines): each of 500 to 1,900 events a second made the core walk every run, worker and open job.

Change: ffl_node_take() takes an event, ffl_node_drive() looks at what is due; the core thread drives at most every 4 ms while events come.

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -307,8 +307,14 @@
 void ffl_node_init(ffl_node_t *n, const ffl_node_options_t *opt);
 void ffl_node_finish(ffl_node_t *n);
 
-/** Takes one event; @p acts is emptied and filled with what follows. */
+/** Takes one event and looks at what is due; @p acts is emptied and filled
+ * with what follows. */
 void ffl_node_step(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts);
+/** Takes one event alone. */
+void ffl_node_take(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts);
+/** Looks at what is due; its cost grows with jobs, runs and workers. */
+void ffl_node_drive(ffl_node_t *n, uint64_t now_ms, uint64_t wall_ms,
+		    GArray *acts);
 /** Frees what actions own. */
 void ffl_node_acts_clear(GArray *acts);
 
--- a/jobd/core.c
+++ b/jobd/core.c
@@ -3,7 +3,10 @@
 #include "jobd/jobd.h"
 
 /** Time between looks at what is due. */
-#define TICK_MS	  50
+#define TICK_MS 50
+/** Least time between two after events: half of the time that an append to
+ * the log takes at the least. */
+#define GATHER_MS 4
 #define MS_PER_S  1000
 #define NS_PER_MS 1000000
 #define US_PER_MS 1000
@@ -14,7 +17,10 @@
 static void do_note(jobd_t *d, const ffl_node_act_t *act);
 static void do_measure(jobd_t *d, const ffl_node_act_t *act);
 static void do_exit(jobd_t *d, const ffl_node_act_t *act);
-static void step(jobd_t *d, ffl_node_event_t *ev, GArray *acts);
+static void carry_out(jobd_t *d, const GArray *acts);
+static void take(jobd_t *d, jobd_box_t *box, GArray *acts);
+static void drive(jobd_t *d, uint64_t now_ms, GArray *acts);
+static uint64_t wall_ms(void);
 
 static const act_fn_t doers[FFL_NODE_ACT__MAX] = {
 	[FFL_NODE_ACT_READ] = jobd_client_store,
@@ -112,12 +118,8 @@
 	atomic_store(&d->exiting, true);
 }
 
-static void step(jobd_t *d, ffl_node_event_t *ev, GArray *acts)
+static void carry_out(jobd_t *d, const GArray *acts)
 {
-	ev->now_ms = jobd_now_ms();
-	ev->wall_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
-	ffl_node_step(&d->node, ev, acts);
-	jobd_load_drive(&d->node);
 	for (guint i = 0; i < acts->len; i++) {
 		const ffl_node_act_t *act =
 			&g_array_index(acts, ffl_node_act_t, i);
@@ -126,25 +128,54 @@
 	}
 }
 
+static void take(jobd_t *d, jobd_box_t *box, GArray *acts)
+{
+	jobd_load_event(box->posted_ms);
+	box->ev.now_ms = jobd_now_ms();
+	box->ev.wall_ms = wall_ms();
+	ffl_node_take(&d->node, &box->ev, acts);
+	carry_out(d, acts);
+	jobd_box_free(box);
+}
+
+static void drive(jobd_t *d, uint64_t now_ms, GArray *acts)
+{
+	ffl_node_drive(&d->node, now_ms, wall_ms(), acts);
+	carry_out(d, acts);
+	jobd_load_drive(&d->node);
+}
+
+static uint64_t wall_ms(void)
+{
+	return (uint64_t)(g_get_real_time() / US_PER_MS);
+}
+
+/* Events that come close together share a look at what is due. */
 void jobd_core_run(jobd_t *d)
 {
 	GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
-	ffl_node_event_t tick = { .kind = FFL_NODE_EV_TICK };
+	uint64_t driven_ms = 0;
 	uint64_t ticked_ms = 0;
+	uint32_t wait_ms = TICK_MS;
 
 	while (!atomic_load(&d->exiting)) {
-		jobd_box_t *box = ffl_ring_pop(&d->events, TICK_MS);
+		jobd_box_t *box = ffl_ring_pop(&d->events, wait_ms);
 		uint64_t since_us = jobd_now_us();
-
-		if (box) {
-			jobd_load_event(box->posted_ms);
-			step(d, &box->ev, acts);
-			jobd_box_free(box);
+		uint64_t now_ms;
+
+		if (box)
+			take(d, box, acts);
+		now_ms = jobd_now_ms();
+		wait_ms = TICK_MS;
+		if (box && now_ms - driven_ms < GATHER_MS) {
+			wait_ms = (uint32_t)(driven_ms + GATHER_MS - now_ms);
+		} else {
+			drive(d, now_ms, acts);
+			driven_ms = now_ms;
 		}
-		if (!box || jobd_now_ms() - ticked_ms >= TICK_MS) {
-			step(d, &tick, acts);
+		if (now_ms - ticked_ms >= TICK_MS) {
 			jobd_metrics_take(&d->node);
-			ticked_ms = jobd_now_ms();
+			ticked_ms = now_ms;
 		}
 		jobd_load_busy(JOBD_DUTY_CORE, since_us);
 	}
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -20,6 +20,9 @@
 static void on_stop(ffl_node_t *n, ffl_node_event_t *ev);
 static void take_note(void *user, const char *event, const char *subject,
 		      const char *text);
+static void begin(ffl_node_t *n, uint64_t now_ms, uint64_t wall_ms,
+		  GArray *acts);
+static void drive(ffl_node_t *n);
 static void drive_dispatch(ffl_node_t *n);
 static bool is_cut_off(const ffl_node_t *n);
 static void drive_ready(ffl_node_t *n);
@@ -283,13 +286,16 @@
 	ffl_node_act(n, FFL_NODE_ACT_EXIT);
 }
 
-void ffl_node_step(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts)
+static void begin(ffl_node_t *n, uint64_t now_ms, uint64_t wall_ms,
+		  GArray *acts)
 {
 	n->acts = acts;
-	ffl_node_acts_clear(acts);
-	n->now_ms = ev->now_ms;
-	n->wall_ms = ev->wall_ms;
-	handlers[ev->kind](n, ev);
+	n->now_ms = now_ms;
+	n->wall_ms = wall_ms;
+}
+
+static void drive(ffl_node_t *n)
+{
 	drive_dispatch(n);
 	ffl_lead_drive(n);
 	ffl_publish_drive(n);
@@ -299,6 +305,27 @@
 	drive_stop(n);
 }
 
+void ffl_node_take(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts)
+{
+	ffl_node_acts_clear(acts);
+	begin(n, ev->now_ms, ev->wall_ms, acts);
+	handlers[ev->kind](n, ev);
+}
+
+void ffl_node_drive(ffl_node_t *n, uint64_t now_ms, uint64_t wall_ms,
+		    GArray *acts)
+{
+	ffl_node_acts_clear(acts);
+	begin(n, now_ms, wall_ms, acts);
+	drive(n);
+}
+
+void ffl_node_step(ffl_node_t *n, ffl_node_event_t *ev, GArray *acts)
+{
+	ffl_node_take(n, ev, acts);
+	drive(n);
+}
+
 void ffl_node_acts_clear(GArray *acts)
 {
 	for (guint i = 0; i < acts->len; i++) {
