--- a/fakes/site.c
+++ b/fakes/site.c
@@ -177,9 +177,10 @@
 	uint64_t call = order ? act->order.call : act->store.call;
 	uint32_t timeout_ms =
 		order ? act->order.timeout_ms : act->store.timeout_ms;
-	event_t *e = event_new(order ? EVENT_WORKER : EVENT_STORE,
-			       s->now_ms + (order ? s->worker_ms : LOG_MS),
-			       host, life);
+	event_t *e = event_new(
+		order ? EVENT_WORKER : EVENT_STORE,
+		s->now_ms + (order ? s->worker_ms : LOG_MS + s->far_ms[host]),
+		host, life);
 	event_t *timeout =
 		event_new(EVENT_TIMEOUT, s->now_ms + timeout_ms, host, life);
 
@@ -419,7 +420,8 @@
 
 	if (s->now_ms < h->cut_until || s->now_ms < s->silent_until)
 		return;
-	back = event_new(EVENT_STORE_BACK, s->now_ms + LOG_MS, e->host,
+	back = event_new(EVENT_STORE_BACK,
+			 s->now_ms + LOG_MS + s->far_ms[e->host], e->host,
 			 e->life);
 	if (s->now_ms < s->down_until) {
 		back->ev.kind = FFL_NODE_EV_STORE;
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -56,7 +56,8 @@
 	uint64_t wall_ms;
 	ffl_rng_t rng;
 	uint32_t hosts_count;
-	uint32_t sizes[SITE_HOSTS_MAX]; /**< thousandths of a core; 0: one */
+	uint32_t sizes[SITE_HOSTS_MAX];	 /**< thousandths of a core; 0: one */
+	uint32_t far_ms[SITE_HOSTS_MAX]; /**< longer way to the log */
 	uint32_t workers_count;
 	site_host_t hosts[SITE_HOSTS_MAX];
 	task_worker_t workers[SITE_WORKERS_MAX];
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -260,6 +260,7 @@
 	bool resigned;
 	uint64_t since_ms;  /**< when it was first seen to lead */
 	uint64_t seen_ms;   /**< when its last record was seen */
+	uint32_t way_ms;    /**< shortest time that a call to the log took */
 	bool loading;	    /**< progress is read, in order to claim */
 	uint64_t wanted_ms; /**< when a larger host last asked to lead */
 	ffl_publish_t publish;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -15,6 +15,9 @@
 /** A host of half the size waits so much longer, so that the claim of a larger
  * one is seen before: its reading of the progress, and an append. */
 #define SIZE_STEP_MS 200
+/** So many of a host's own round trips to the log are waited for too: each
+ * start takes two of its leader's, each takeover as many as its pages. */
+#define WAYS 16
 /** Size that hosts compare with where no leader was seen yet: a core. */
 #define SIZE_USUAL_MILLI 1000
 /** A leader of less than half the size of another host is asked to resign so
@@ -198,7 +201,7 @@
 	       jobs->fresh_ms > n->tails[FFL_TOPIC_RUNS].changed_ms;
 }
 
-/* Larger hosts come first; of one size, each in its own time. */
+/* Larger hosts come first, then those near the log, each in its own time. */
 static uint32_t claim_wait_ms(const ffl_node_t *n)
 {
 	const ffl_lead_t *l = &n->lead;
@@ -207,7 +210,8 @@
 	uint32_t usual = l->largest_size ? l->largest_size : SIZE_USUAL_MILLI;
 	uint32_t wait_ms = (uint32_t)(ffl_hash(n->opt.name, strlen(n->opt.name),
 					       l->holder_life) %
-				      CLAIM_SPREAD_MS);
+				      CLAIM_SPREAD_MS) +
+			   WAYS * l->way_ms;
 
 	for (; 2 * size <= usual; size *= 2)
 		wait_ms += SIZE_STEP_MS;
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -28,6 +28,7 @@
 		      const ffl_store_reply_t *reply);
 static void take_read(ffl_node_t *n, ffl_tail_t *t,
 		      const ffl_store_reply_t *reply, uint64_t sent_ms);
+static void take_way(ffl_node_t *n, uint64_t sent_ms);
 static void take_failure(ffl_node_t *n, ffl_tail_t *t,
 			 const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t);
@@ -300,6 +301,15 @@
 		t->due_ms = n->now_ms + FOLLOW_GATHER_MS;
 }
 
+/* Of calls that do not wait for records, the shortest. */
+static void take_way(ffl_node_t *n, uint64_t sent_ms)
+{
+	uint32_t took_ms = (uint32_t)(n->now_ms - sent_ms);
+
+	if (!n->lead.way_ms || took_ms < n->lead.way_ms)
+		n->lead.way_ms = MAX(took_ms, 1);
+}
+
 static void take_read(ffl_node_t *n, ffl_tail_t *t,
 		      const ffl_store_reply_t *reply, uint64_t sent_ms)
 {
@@ -343,8 +353,10 @@
 
 		if (t->peek && reply->call == t->peek) {
 			t->peek = 0;
-			if (reply->outcome == FFL_STORE_OK)
-				take_read(n, t, reply, t->peek_ms);
+			if (reply->outcome != FFL_STORE_OK)
+				return true;
+			take_way(n, t->peek_ms);
+			take_read(n, t, reply, t->peek_ms);
 			return true;
 		}
 		if (!t->call || reply->call != t->call)
@@ -362,6 +374,7 @@
 		if (!t->well_ms)
 			t->well_ms = t->sent_ms;
 		if (!t->synced) {
+			take_way(n, t->sent_ms);
 			take_page(n, t, reply);
 			return true;
 		}
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -17,6 +17,7 @@
 static const ffl_flow_t *led(const site_t *s, uint32_t job);
 static void test_story(gconstpointer data);
 static void test_last_ends(void);
+static void test_near_host_leads(void);
 
 static void check(const site_t *s)
 {
@@ -533,6 +534,33 @@
 	}
 }
 
+/* Of hosts of one size, one near the log leads. */
+static void test_near_host_leads(void)
+{
+	for (uint32_t i = 0; i < 24; i++) {
+		uint32_t leader;
+		uint32_t near;
+		site_t s;
+
+		site_init(&s, 1 + i, 3, 4);
+		site_run(&s, START_MS);
+		leader = (uint32_t)site_leader(&s);
+		near = (leader + 1 + i % 2) % 3;
+		s.far_ms[(leader + 2 - i % 2) % 3] = 20;
+		for (uint32_t k = 0; k < 3; k++) {
+			if (k != leader)
+				site_kill(&s, k, 100);
+		}
+		site_run(&s, 3000);
+		site_kill(&s, leader, 20000);
+		site_run(&s, 5000);
+		g_assert_cmpint(site_leader(&s), ==, (int)near);
+		site_settle(&s, HEAL_MS);
+		check(&s);
+		site_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -543,5 +571,6 @@
 		g_free(path);
 	}
 	g_test_add_func("/node/last-ends", test_last_ends);
+	g_test_add_func("/node/near-host-leads", test_near_host_leads);
 	return g_test_run();
 }
