An answer that still arrives is not given up and asked for anew

What callers saw: after a loss of all hosts those of the region without the log took no calls for 4 s longer than the others.

Cause (lines: store-lost, topic-synced): each read a page of the jobs, 0.7 to 1 MB, through a link that 20 others used; after 0.8 s it gave up and asked for the same bytes again.

Change: while bytes of an answer arrive, its deadline is 0.4 s after the last of them, at most eight times what was asked for.

Test: tests/site.sh "a host is ready though its pages of the log come slowly" (the stand-in sends a page in 2.4 s): not ok before, ok now.

--- a/jobd/client.c
+++ b/jobd/client.c
@@ -10,6 +10,11 @@
 #define CONNECT_MS 400
 /** Deadlines are looked at so often: an eighth of the shortest. */
 #define DEADLINES_MS 50
+/** An answer whose bytes still arrive is waited for so long after the last of
+ * them: a resent packet. */
+#define ARRIVING_MS 400
+/** But not beyond so many times its deadline. */
+#define ARRIVING_FACTOR 8
 /** Largest answer; a page of the log has 1 MB. */
 #define REPLY_BYTES_MAX (16U << 20)
 /** Connections that are kept. */
@@ -39,6 +44,7 @@
 };
 
 static void call_free(call_t *call);
+static void extend_deadline(call_t *call);
 static size_t take_reply(char *data, size_t size, size_t n, void *user);
 static void measure(const call_t *call);
 static void submit(jobd_client_t *c, call_t *call);
@@ -65,6 +71,17 @@
 	g_free(call);
 }
 
+/* Asked for anew, an answer would take the same bytes again from a link that
+ * is full already. */
+static void extend_deadline(call_t *call)
+{
+	uint64_t last_ms = call->begun_ms +
+			   (uint64_t)ARRIVING_FACTOR * call->http.timeout_ms;
+	uint64_t until_ms = MIN(jobd_now_ms() + ARRIVING_MS, last_ms);
+
+	call->deadline_ms = MAX(call->deadline_ms, until_ms);
+}
+
 static size_t take_reply(char *data, size_t size, size_t n, void *user)
 {
 	call_t *call = user;
@@ -73,6 +90,7 @@
 		return 0;
 	g_byte_array_append(call->reply, (const guint8 *)data,
 			    (guint)(size * n));
+	extend_deadline(call);
 	return size * n;
 }
 
--- a/site/log.c
+++ b/site/log.c
@@ -19,6 +19,7 @@
 static void write_free(void *data);
 static void put_number(GByteArray *out, uint64_t n, size_t bytes);
 static void send_json(struct mg_connection *conn, int status, json_t *doc);
+static void send_page(site_http_t *s, struct mg_connection *conn, json_t *doc);
 static bool refused(site_http_t *s, struct mg_connection *conn);
 
 static const char *const topics[FFL_TOPIC__MAX] = {
@@ -99,6 +100,20 @@
 	json_decref(doc);
 }
 
+static void send_page(site_http_t *s, struct mg_connection *conn, json_t *doc)
+{
+	char *text;
+
+	if (!s->slow_ms) {
+		send_json(conn, 200, doc);
+		return;
+	}
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	site_http_send_slowly(conn, text, s->slow_ms);
+	free(text);
+}
+
 static bool refused(site_http_t *s, struct mg_connection *conn)
 {
 	bool down;
@@ -250,7 +265,7 @@
 		g_free(value);
 	}
 	pthread_mutex_unlock(&s->lock);
-	send_json(conn, 200,
+	send_page(s, conn,
 		  json_pack("{s:o,s:b,s:I}", "items", items, "has_more",
 			    reply.more, "end_offset", (json_int_t)reply.end));
 	ffl_arena_finish(&arena);
--- a/site/main.c
+++ b/site/main.c
@@ -14,6 +14,8 @@
 #define CHUNK_BYTES 16384
 #define THREADS	    "64"
 #define STATE_BYTES 160
+/** Pieces of an answer that is sent slowly. */
+#define PIECES 16
 
 static int serve_config(struct mg_connection *conn, void *site);
 static int serve_fault(struct mg_connection *conn, void *site);
@@ -62,6 +64,24 @@
 		mg_write(conn, body, size_bytes);
 }
 
+void site_http_send_slowly(struct mg_connection *conn, const char *body,
+			   uint32_t ms)
+{
+	struct timespec pause = { 0, (long)(ms / PIECES) * NS_PER_MS };
+	size_t left = strlen(body);
+	size_t piece = left / PIECES + 1;
+
+	mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", left);
+	while (left) {
+		size_t n = MIN(left, piece);
+
+		mg_write(conn, body, n);
+		body += n;
+		left -= n;
+		nanosleep(&pause, NULL);
+	}
+}
+
 bool site_http_read(struct mg_connection *conn, GByteArray *body)
 {
 	char buf[CHUNK_BYTES];
@@ -89,7 +109,8 @@
 	return 1;
 }
 
-/* kind = down, up, lost, forget, crash, drain; n: of what, or how many. */
+/* kind = down, up, lost, slow, forget, crash, drain; n: of what, how many, or
+ * for how long. */
 static int serve_fault(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
@@ -108,6 +129,8 @@
 		s->down = kind[0] == 'd';
 	else if (strcmp(kind, "lost") == 0)
 		s->lost = n;
+	else if (strcmp(kind, "slow") == 0)
+		s->slow_ms = n;
 	else if (strcmp(kind, "crash") == 0 && n < s->workers_count)
 		task_worker_crash(&s->workers[n]);
 	else if (strcmp(kind, "drain") == 0 && n < s->workers_count)
--- a/site/site.h
+++ b/site/site.h
@@ -26,8 +26,9 @@
 	uint32_t workers_count;
 	char addr[FFL_ADDR_BYTES];
 	uint32_t work_ms;
-	uint32_t lost; /**< so many appends are done and not answered */
-	bool down;     /**< every call to the log is refused */
+	uint32_t lost;	  /**< so many appends are done and not answered */
+	bool down;	  /**< every call to the log is refused */
+	uint32_t slow_ms; /**< so long a page of newest records takes to send */
 	uint64_t starts;
 	uint64_t advised;  /**< calls for advice */
 	uint64_t twice;	   /**< starts of a task that runs already */
@@ -37,6 +38,9 @@
 uint64_t site_http_now_ms(void);
 void site_http_send(struct mg_connection *conn, int status, const void *body,
 		    size_t size_bytes);
+/** Sends a body in pieces over a time, as a full link does. */
+void site_http_send_slowly(struct mg_connection *conn, const char *body,
+			   uint32_t ms);
 bool site_http_read(struct mg_connection *conn, GByteArray *body);
 /** Waits for a change until a time; called with the lock held. */
 void site_http_wait(site_http_t *s, uint64_t until_ms);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
-echo 1..24
+echo 1..25
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -128,6 +128,12 @@
 check "lines beyond the budget are counted in the next line" wait_for 50 \
 	'call DELETE 3 /lining/00000000000000a1 -H "$KEY"; grep -q left_out "$DIR/host3.log"'
 kill -TERM "$(cat "$DIR/host3.pid")"
+curl -s "http://$SITE/fault?kind=slow&n=2400" >/dev/null
+start_host 4
+check "a host is ready though its pages of the log come slowly" \
+	wait_for 100 "ready 4"
+curl -s "http://$SITE/fault?kind=slow&n=0" >/dev/null
+kill -TERM "$(cat "$DIR/host4.pid")"
 L=$(leader)
 submit "$L" 00000000000000b4 "$LONG" >/dev/null
 wait_for 100 "[ \"\$(state $L 00000000000000b4)\" = running ]"
