The stand-in names the port that it cannot listen on

Cause: one status for a malformed data centre and for a port that is taken.

Change: the port is named, exit code 4 as for the other address.

Test: tests/product.sh 'a port that is taken is named': not ok before, ok now.

Conclusion: two demos at once need two PORTs; the second now says so.

--- a/standin/main.c
+++ b/standin/main.c
@@ -20,14 +20,19 @@
 #define CONNECTIONS    64
 #define DCS_MAX	       32
 #define THREADS	       "64"
+/** Exit codes. */
+#define EXIT_USAGE   2
+#define EXIT_ADDRESS 4
 
 static void add_host(platform_t *p, const ffl_host_info_t *info);
 static void add_worker(platform_t *p, const char *dc, const char *region,
 		       uint32_t n, const char *addr);
 static bool add_upstream(platform_t *p, const char *dc, const char *region,
 			 uint32_t n, uint32_t port);
-static bool add_dc(platform_t *p, const char *text, const char *addr,
-		   uint32_t *port);
+static ffl_status_t add_dc(platform_t *p, const char *text, const char *addr,
+			   uint32_t *port);
+static int add_dcs(platform_t *p, const struct arg_str *dcs, const char *addr,
+		   uint32_t port);
 static uint64_t query_number(const char *query, const char *name);
 static int serve_hosts(struct mg_connection *conn, void *platform);
 static int serve_faults(struct mg_connection *conn, void *platform);
@@ -108,8 +113,11 @@
 	u->slots = p->slots;
 	g_snprintf(threads, sizeof(threads), "%u", 2 * p->slots);
 	u->ctx = listen_on(info.addr, threads);
-	if (!u->ctx)
+	if (!u->ctx) {
+		fprintf(stderr, "ffl-platform: cannot listen on %s\n",
+			info.addr);
 		return false;
+	}
 	mg_set_request_handler(u->ctx, "**", standin_upstream, u);
 	g_ptr_array_add(p->upstreams, u);
 	ffl_copy(info.name, sizeof(info.name), u->name);
@@ -120,18 +128,40 @@
 }
 
 /* A data centre is NAME:REGION:WORKERS:UPSTREAMS. */
-static bool add_dc(platform_t *p, const char *text, const char *addr,
-		   uint32_t *port)
+static ffl_status_t add_dc(platform_t *p, const char *text, const char *addr,
+			   uint32_t *port)
 {
 	gchar **part = g_strsplit(text, ":", 0);
-	bool ok = g_strv_length(part) == 4;
+	bool whole = g_strv_length(part) == 4;
+	bool ok = whole;
 
 	for (uint32_t i = 0; ok && i < strtoul(part[2], NULL, 10); i++)
 		add_worker(p, part[0], part[1], i, addr);
 	for (uint32_t i = 0; ok && i < strtoul(part[3], NULL, 10); i++)
 		ok = add_upstream(p, part[0], part[1], i, (*port)++);
 	g_strfreev(part);
-	return ok;
+	if (!whole)
+		return FFL_INVALID;
+	return ok ? FFL_OK : FFL_SYSTEM;
+}
+
+/* Returns an exit code. */
+static int add_dcs(platform_t *p, const struct arg_str *dcs, const char *addr,
+		   uint32_t port)
+{
+	for (int i = 0; i < dcs->count; i++) {
+		switch (add_dc(p, dcs->sval[i], addr, &port)) {
+		case FFL_OK:
+			break;
+		case FFL_INVALID:
+			fprintf(stderr, "ffl-platform: bad data centre: %s\n",
+				dcs->sval[i]);
+			return EXIT_USAGE;
+		default:
+			return EXIT_ADDRESS;
+		}
+	}
+	return 0;
 }
 
 static uint64_t query_number(const char *query, const char *name)
@@ -292,10 +322,11 @@
 	const char *addr;
 	sigset_t set;
 	int sig;
+	int rc;
 
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "ffl-platform");
-		return 2;
+		return EXIT_USAGE;
 	}
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
@@ -313,21 +344,17 @@
 	p.slots = slots->count ? (uint32_t)slots->ival[0] : SLOTS;
 	if (p.slots < 1 || p.slots > SLOTS_MAX) {
 		fprintf(stderr, "ffl-platform: 1 to %d slots\n", SLOTS_MAX);
-		return 2;
+		return EXIT_USAGE;
 	}
 	addr = listen->count ? listen->sval[0] : "127.0.0.1:7100";
 	next_port = port->count ? (uint32_t)port->ival[0] : 7200;
-	for (int i = 0; i < dcs->count; i++) {
-		if (!add_dc(&p, dcs->sval[i], addr, &next_port)) {
-			fprintf(stderr, "ffl-platform: bad data centre: %s\n",
-				dcs->sval[i]);
-			return 2;
-		}
-	}
+	rc = add_dcs(&p, dcs, addr, next_port);
+	if (rc)
+		return rc;
 	ctx = listen_on(addr, THREADS);
 	if (!ctx) {
 		fprintf(stderr, "ffl-platform: cannot listen on %s\n", addr);
-		return 4;
+		return EXIT_ADDRESS;
 	}
 	mg_set_request_handler(ctx, "/v1/log", standin_log, &p);
 	mg_set_request_handler(ctx, "/v1/hosts", serve_hosts, &p);
--- a/tests/product.sh
+++ b/tests/product.sh
@@ -45,4 +45,16 @@
 	 grep -q 'd.ini:5.*twice' $DIR/found && grep -q 'd.ini:7.*unit' $DIR/found && grep -q 'required' $DIR/found"
 check "and as JSON" bash -c \
 	"$FFL --json check-config $DIR/d.ini | jq -e 'map(select(.line == 7 and .key == \"timeout\")) | length == 1'"
+# Two stand-ins, as two demos on one machine start them.
+PLATFORM_PORT=${PORT:-16800}
+platform() { "$BUILD/ffl-platform" --listen=127.0.0.1:$((PLATFORM_PORT + $1)) \
+	--upstreams=$((PLATFORM_PORT + 2)) --dc=altiplano-1:altiplano:1:1; }
+platform 0 >"$DIR/first" 2>&1 &
+FIRST=$!
+for _ in $(seq 100); do grep -q ready "$DIR/first" && break; sleep 0.1; done
+platform 1 >"$DIR/second" 2>&1
+check "a port that is taken is named" grep -q \
+	"cannot listen on 127.0.0.1:$((PLATFORM_PORT + 2))" "$DIR/second"
+kill -TERM "$FIRST"
+wait "$FIRST"
 echo "1..$N"
