--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -5,12 +5,9 @@
 
 /** Placement is thought over at least so often while something waits. */
 #define REPLAN_MS 100
-/** And at most so often: 1% of the time in which urgent work starts. */
-#define PLAN_MIN_MS 20
 
 static void adopt(ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms);
 static void settle_flows(ffl_dispatch_t *d, uint64_t now_ms);
-static bool plan_due(const ffl_dispatch_t *d, uint64_t now_ms);
 
 void ffl_dispatch_note(ffl_dispatch_t *d, const char *event,
 		       const char *subject, const char *fmt, ...)
@@ -164,18 +161,6 @@
 	}
 }
 
-/* What is placed while a batch is on its way to the log waits for the next
- * one anyway. */
-static bool plan_due(const ffl_dispatch_t *d, uint64_t now_ms)
-{
-	uint64_t since_ms = now_ms - d->planned_ms;
-
-	if (since_ms >= REPLAN_MS)
-		return true;
-	return d->replan && since_ms >= PLAN_MIN_MS &&
-	       d->recorded + 1 >= d->next_batch;
-}
-
 void ffl_dispatch_step(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms,
 		       bool may_start, bool may_hold, GArray *orders)
 {
@@ -184,7 +169,7 @@
 	d->may_hold = may_hold;
 	settle_flows(d, now_ms);
 	ffl_watch_runs(d, now_ms);
-	if (may_start && plan_due(d, now_ms)) {
+	if (may_start && (d->replan || now_ms - d->planned_ms >= REPLAN_MS)) {
 		d->replan = false;
 		d->planned_ms = now_ms;
 		d->plans++;
