A peer's state is no sign of life of the members that it names

Cause, traced: the first host to reach the log again tells its offset; the deputy, still in back-off, takes that host's state, and loading it sets every member as heard now. The dead leader counts as alive for 2 s more, and the next renews too late: its leases of 6 s have ended.

Change: members that were known keep when they were heard.

Ruled out: the record of a renewal that is read late (no change of it altered the trace).

--- a/include/fireflyledge/member.h
+++ b/include/fireflyledge/member.h
@@ -75,6 +75,8 @@
 void ffl_members_save(const ffl_members_t *ms, GByteArray *out);
 ffl_status_t ffl_members_load(ffl_members_t *ms, ffl_bytes_t in,
 			      size_t *used_bytes, uint64_t now_ms);
+/** Keeps when each member that was known before was heard. */
+void ffl_members_carry(ffl_members_t *ms, const ffl_members_t *from);
 /**
  * Tells whether this host stands first to act for its cell's leader, which
  * is not alive as far as this host can tell.
--- a/lib/member/member_save.c
+++ b/lib/member/member_save.c
@@ -34,6 +34,19 @@
 	ffl_save_array(&cell_schema, ms->cells, out);
 }
 
+/* A state of a peer is no sign of life of those that it names. */
+void ffl_members_carry(ffl_members_t *ms, const ffl_members_t *from)
+{
+	for (guint i = 0; i < ms->members->len; i++) {
+		ffl_member_t *m = &g_array_index(ms->members, ffl_member_t, i);
+		const ffl_member_t *known =
+			ffl_members_find(from, m->join.member);
+
+		if (known)
+			m->heard_ms = known->heard_ms;
+	}
+}
+
 /* Whoever is registered is taken to have been heard now. */
 ffl_status_t ffl_members_load(ffl_members_t *ms, ffl_bytes_t in,
 			      size_t *used_bytes, uint64_t now_ms)
--- a/tests/member_test.c
+++ b/tests/member_test.c
@@ -17,6 +17,7 @@
 
 static void test_row(gconstpointer data);
 static void test_expired(void);
+static void test_dies_in_short_outage(void);
 
 static const row_t rows[] = {
 	{ "log-up/leader-well", FAULT__MAX, FAULT__MAX, false },
@@ -73,6 +74,38 @@
 	world_finish(&w);
 }
 
+/* The log comes back while a leader that died in its outage is not replaced
+ * yet: the next one renews before the leases end. */
+static void test_dies_in_short_outage(void)
+{
+	for (uint32_t out_ms = 500; out_ms <= 3500; out_ms += 250) {
+		gang_watch_t watch;
+		faults_t faults;
+		world_t w;
+
+		world_init(&w, out_ms, 3, 4, 1);
+		gang_watch_init(&watch, &w);
+		watch.no_cuts = true;
+		faults_init(&faults, &w, &watch);
+		world_run(&w, 1000);
+		g_assert_true(world_customer(&w, 0, "rocio", "token"));
+		faults_run(&faults, START_MS);
+		gang_watch_submit(&w, 0, 16, RUN_MS, "");
+		faults_run(&faults, 5000);
+		g_assert_cmpint(world_leader(&w), >=, 0);
+		faults_add(&faults, FAULT_OUTAGE, 0, out_ms);
+		faults_run(&faults, out_ms / 4);
+		faults_add(&faults, FAULT_KILL, (uint32_t)world_leader(&w), 0);
+		faults_run(&faults, WATCH_MS);
+		g_test_message("outage of %u ms: %s", out_ms,
+			       watch.fault ? watch.fault : "whole");
+		g_assert_cmpstr(watch.fault, ==, NULL);
+		faults_finish(&faults);
+		gang_watch_finish(&watch);
+		world_finish(&w);
+	}
+}
+
 /* A dead member's registration expires by one record that all read alike. */
 static void test_expired(void)
 {
@@ -99,5 +132,7 @@
 		g_free(path);
 	}
 	g_test_add_func("/member/expired", test_expired);
+	g_test_add_func("/member/leader-dies-in-a-short-outage",
+			test_dies_in_short_outage);
 	return g_test_run();
 }
