An append of a job waits as long as the log lets one wait

Cause: after 0.9 s without an answer a host appended the same job again, while the first still waited for its turn: a third of what the log took went to repetitions.

Change: 2.5 s for appends to the jobs' topic; the log lets one wait 2 s and then takes it. A record whose answer is lost is found by reading, as before.

Test: node/slow-log-takes-an-append-once: 44 records of 29 jobs before, 33 of 33 now. The stand-in takes appends one at a time there, and answers no call whose answer it has lost (it refused a late one, which node/lost-then-refused met once appends waited longer).

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -4,12 +4,14 @@
 #include "fakes/site_int.h"
 
 /** One way to the log and to a worker, and the workers' reports. */
-#define LOG_MS	      4
-#define WORKER_MS     3
-#define REPORT_MS     1500
-#define TICK_MS	      50
-#define LATE_LEAST_MS 2000
-#define PAGE_MOST     4
+#define LOG_MS 4
+/** An append that would wait longer is refused. */
+#define APPEND_WAIT_MS 2000
+#define WORKER_MS      3
+#define REPORT_MS      1500
+#define TICK_MS	       50
+#define LATE_LEAST_MS  2000
+#define PAGE_MOST      4
 /** Times of the adviser. */
 #define ADVICE_MS	30
 #define ADVICE_EACH_MS	2
@@ -39,6 +41,7 @@
 	char ticket[FFL_TICKET_BYTES];
 	uint64_t until_ms; /**< a waiting read is answered then */
 	bool no_answer;
+	bool queued; /**< an append whose turn has come */
 	ffl_node_event_t ev;
 } event_t;
 
@@ -64,6 +67,7 @@
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, event_t *e, event_t *back);
+static bool queue_append(site_t *s, const event_t *e);
 static void ask(site_t *s, uint32_t host, uint32_t job, ffl_ask_t what);
 static site_job_t *new_job(site_t *s, uint32_t work_ms);
 
@@ -412,18 +416,46 @@
 	decode_records(s, call->topic, out);
 }
 
+/* Appends wait for their turn; false where too much waits already. */
+static bool queue_append(site_t *s, const event_t *e)
+{
+	uint64_t *free_ms = &s->append_free_ms[e->act.store.topic];
+	event_t *turn;
+
+	*free_ms = MAX(*free_ms, s->now_ms);
+	if (*free_ms - s->now_ms > APPEND_WAIT_MS)
+		return false;
+	*free_ms += s->append_ms;
+	turn = event_new(EVENT_STORE, *free_ms, e->host, e->life);
+	turn->act = e->act;
+	g_ptr_array_ref(turn->act.store.writes);
+	turn->queued = true;
+	push(s, turn);
+	return true;
+}
+
 static void on_store(site_t *s, event_t *e)
 {
 	const ffl_act_store_t *call = &e->act.store;
 	const site_host_t *h = &s->hosts[e->host];
+	bool full = false;
 	event_t *back;
 
+	if (e->act.kind == FFL_NODE_ACT_APPEND && s->append_ms && !e->queued) {
+		if (queue_append(s, e))
+			return;
+		full = true;
+	}
 	if (s->now_ms < h->cut_until || s->now_ms < s->silent_until)
 		return;
 	back = event_new(EVENT_STORE_BACK,
 			 s->now_ms + LOG_MS + s->far_ms[e->host], e->host,
 			 e->life);
-	if (s->now_ms < s->down_until) {
+	if (full || s->now_ms < s->down_until) {
+		if (e->no_answer) {
+			event_free(back);
+			return;
+		}
 		back->ev.kind = FFL_NODE_EV_STORE;
 		back->ev.store.call = call->call;
 		back->ev.store.outcome = FFL_STORE_REFUSED;
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -76,7 +76,10 @@
 	uint64_t silent_until; /**< the log does not answer before */
 	uint64_t lost_until;   /**< answers of writes are lost before */
 	uint64_t late_until;   /**< orders are carried out late before */
-	uint32_t worker_ms;    /**< one way to a worker */
+	uint32_t append_ms; /**< a topic takes one append at a time, for so long
+			     */
+	uint64_t append_free_ms[FFL_TOPIC__MAX]; /**< when the last one ends */
+	uint32_t worker_ms;			 /**< one way to a worker */
 	uint32_t lost_percent;
 	uint32_t late_percent;
 	uint64_t version; /**< of the configuration */
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -99,7 +99,7 @@
 	act->store.topic = FFL_TOPIC_JOBS;
 	act->store.call = ffl_node_call(n);
 	act->store.at = FFL_AT_ANY;
-	act->store.timeout_ms = APPEND_TIMEOUT_MS;
+	act->store.timeout_ms = SHARED_APPEND_TIMEOUT_MS;
 	act->store.writes = g_ptr_array_new_with_free_func(ffl_write_free);
 	return act;
 }
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -18,6 +18,9 @@
 
 /** Deadline of an append: a slow log, and a way between regions. */
 #define APPEND_TIMEOUT_MS 900
+/** The same where many hosts append: the log lets one wait 2 s for its turn
+ * and then takes it, and one sent again would wait beside it. */
+#define SHARED_APPEND_TIMEOUT_MS 2500
 
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind);
 /** Opens an unconditional append to the jobs' topic, without records yet. */
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -420,6 +420,23 @@
 	g_assert_true(s->jobs[job].refused);
 }
 
+/* What waits for its turn at a slow log is not sent a second time. */
+static void slow_log_takes_once(site_t *s)
+{
+	const keyed_log_t *jobs = &s->topics[FFL_TOPIC_JOBS];
+
+	s->append_ms = 250;
+	for (uint32_t i = 0; i < 36; i++) {
+		site_submit(s, i % 3, 1, 1, 100, false);
+		site_run(s, 100);
+	}
+	s->append_ms = 0;
+	site_run(s, 4000);
+	g_test_message("records %u of %d jobs", (unsigned)jobs->end,
+		       g_tree_nnodes(jobs->newest));
+	g_assert_cmpuint(jobs->end, ==, (uint64_t)g_tree_nnodes(jobs->newest));
+}
+
 /* Progress grows with tasks and hosts: only a host that is to lead reads it. */
 static void followers_skip_progress(site_t *s)
 {
@@ -485,6 +502,7 @@
 	{ "serves-at-once", serves_at_once },
 	{ "held-while-busy", held_while_busy },
 	{ "refused-in-time", refused_in_time },
+	{ "slow-log-takes-an-append-once", slow_log_takes_once },
 	{ "followers-skip-progress", followers_skip_progress },
 	{ "larger-host-leads", larger_host_leads },
 };
