Who is to lead stands in claim.c; one append of a topic, one heartbeat figure

Change: lead.c (a leader's appends) and claim.c (who is seen to lead, when this host claims); ffl_node_append(); FFL_LEAD_BEAT_MS, FFL_KNOWN_MS. One start of a world in tests/member_test.c. No behaviour.

--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -2,55 +2,26 @@
 
 #include "lib/node/node_int.h"
 
-/** A leader shows that it lives so often. */
-#define HEARTBEAT_MS 400
 /** After a write was sent, it proves authority for so long. */
 #define AUTHORITY_MS 1300
-/** A silent leader is replaced after this: authority and its margin. */
-#define TAKEOVER_MS 1800
-/** The log must have answered well for so long before silence counts. */
-#define WELL_MS 900
-/** Hosts of one size claim one after the other within this time. */
-#define CLAIM_SPREAD_MS 300
-/** A host of half the size waits so much longer, so that the claim of a larger
- * one is seen before: its reading of the progress, and an append. */
-#define SIZE_STEP_MS 200
-/** So many of a host's own round trips to the log are waited for too: each
- * start takes two of its leader's, each takeover as many as its pages. */
-#define WAYS 16
-/** Size that hosts compare with where no leader was seen yet: a core. */
-#define SIZE_USUAL_MILLI 1000
-/** A leader of less than half the size of another host is asked to resign so
- * long after either of them came. */
-#define OUTGROWN_MS 2000
 /** Time before an append is repeated. */
 #define REPEAT_MS 120
-/** What is known of jobs and workers must be as young as this to start. */
-#define KNOWN_MS 2200
 /** A leader without the log extends leases for so long; then what runs
  * outlasts the log's outage by one lease. */
 #define HOLD_ON_MS 3000
 /** After this it gives up: every lease that it gave has ended. */
 #define GIVE_UP_MS 12000
+
 static void send_append(ffl_node_t *n);
 static void open_append(ffl_node_t *n, bool claim, bool resigned);
 static void add_batch(ffl_node_t *n);
-static uint32_t claim_wait_ms(const ffl_node_t *n);
-static bool may_lead(const ffl_node_t *n);
-static void load_progress(ffl_node_t *n);
-static void give_way(ffl_node_t *n, const char *why);
-static void ask_to_resign(ffl_node_t *n);
 static void claim(ffl_node_t *n);
-static bool knows_jobs(const ffl_node_t *n);
-static bool may_claim(ffl_node_t *n);
-static void drop_append(ffl_node_t *n);
 static void append_stands(ffl_node_t *n, uint64_t offset);
 static void check_append(ffl_node_t *n);
 static void take_append(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void lose(ffl_node_t *n, const char *why);
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void become_leader(ffl_node_t *n, uint64_t offset);
-static void step_down(ffl_node_t *n, const char *why);
 static void drive_leader(ffl_node_t *n);
 
 void ffl_lead_init(ffl_node_t *n)
@@ -60,66 +31,10 @@
 
 void ffl_lead_finish(ffl_node_t *n)
 {
-	drop_append(n);
+	ffl_lead_drop_append(n);
 	g_ptr_array_free(n->lead.flows, TRUE);
 }
 
-void ffl_lead_seen(ffl_node_t *n, const ffl_lead_record_t *r, bool alive)
-{
-	ffl_lead_t *l = &n->lead;
-
-	if (l->leading && alive && r->token > l->token)
-		step_down(n, "another leads");
-	if (l->leading || r->token < l->holder_token)
-		return;
-	if (strcmp(l->holder, r->holder) != 0 || l->holder_life != r->life) {
-		ffl_node_note(n, "leader-seen", r->holder,
-			      "token=%" PRIu64 " size=%u resigned=%d", r->token,
-			      r->size_milli, r->resigned);
-		l->since_ms = n->now_ms;
-	}
-	ffl_copy(l->holder, sizeof(l->holder), r->holder);
-	l->holder_life = r->life;
-	l->holder_token = r->token;
-	l->holder_size = r->size_milli;
-	l->largest_size = MAX(l->largest_size, r->size_milli);
-	l->resigned = r->resigned;
-	if (!alive)
-		return;
-	l->seen_ms = n->now_ms;
-	if (l->loading && !l->writes && !r->resigned && r->life != n->life)
-		give_way(n, "another leads");
-}
-
-/* Among the newest records it tells who led; a later leader than the one that
- * was known, or a record read after them, shows one that lives. */
-void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec)
-{
-	ffl_lead_record_t r;
-
-	if (!ffl_lead_decode(rec->value, &r))
-		return;
-	if (!r.token)
-		r.token = rec->offset + 1;
-	ffl_lead_seen(n, &r,
-		      n->tails[FFL_TOPIC_RUNS].synced ||
-			      r.token > n->lead.holder_token);
-}
-
-void ffl_lead_wanted(ffl_node_t *n, uint32_t size_milli)
-{
-	ffl_lead_t *l = &n->lead;
-
-	l->wanted_ms = n->now_ms;
-	l->largest_size = MAX(l->largest_size, size_milli);
-	if (!l->leading || l->resign || size_milli < 2 * n->opt.size_milli ||
-	    n->now_ms - l->since_ms < OUTGROWN_MS)
-		return;
-	l->resign = true;
-	ffl_node_note(n, "leader-outgrown", n->opt.name, "size=%u by=%u",
-		      n->opt.size_milli, size_milli);
-}
-
 bool ffl_lead_may_hold(const ffl_node_t *n)
 {
 	return n->lead.leading && n->now_ms - n->lead.proved_ms <= HOLD_ON_MS;
@@ -131,11 +46,11 @@
 
 	return l->leading && !n->stop_ms && !l->resign &&
 	       n->now_ms - l->proved_ms <= AUTHORITY_MS &&
-	       ffl_tail_fresh(n, FFL_TOPIC_JOBS, KNOWN_MS) &&
-	       ffl_tail_fresh(n, FFL_TOPIC_WORKERS, KNOWN_MS);
+	       ffl_tail_fresh(n, FFL_TOPIC_JOBS, FFL_KNOWN_MS) &&
+	       ffl_tail_fresh(n, FFL_TOPIC_WORKERS, FFL_KNOWN_MS);
 }
 
-static void drop_append(ffl_node_t *n)
+void ffl_lead_drop_append(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
 
@@ -189,105 +104,6 @@
 	}
 }
 
-/* Progress is known of no job whose specification has not been read: an end
- * that a worker lists would find no run. */
-static bool knows_jobs(const ffl_node_t *n)
-{
-	const ffl_tail_t *jobs = &n->tails[FFL_TOPIC_JOBS];
-
-	if (!jobs->synced || n->now_ms - jobs->fresh_ms > KNOWN_MS)
-		return false;
-	return !g_hash_table_size(n->flows.early) ||
-	       jobs->fresh_ms > n->tails[FFL_TOPIC_RUNS].changed_ms;
-}
-
-/* Larger hosts come first, then those near the log, each in its own time. */
-static uint32_t claim_wait_ms(const ffl_node_t *n)
-{
-	const ffl_lead_t *l = &n->lead;
-	uint32_t size =
-		n->opt.size_milli ? n->opt.size_milli : SIZE_USUAL_MILLI;
-	uint32_t usual = l->largest_size ? l->largest_size : SIZE_USUAL_MILLI;
-	uint32_t wait_ms = (uint32_t)(ffl_hash(n->opt.name, strlen(n->opt.name),
-					       l->holder_life) %
-				      CLAIM_SPREAD_MS) +
-			   WAYS * l->way_ms;
-
-	for (; 2 * size <= usual; size *= 2)
-		wait_ms += SIZE_STEP_MS;
-	return wait_ms;
-}
-
-/* Tells whether the log is known well enough to lead. */
-static bool may_lead(const ffl_node_t *n)
-{
-	const ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
-
-	return !n->stop_ms && t->synced && n->has_routes && t->well_ms &&
-	       n->now_ms >= n->lead.retry_ms &&
-	       t->fresh_ms + KNOWN_MS >= n->now_ms;
-}
-
-/* Tells whether nobody leads, as far as this host can know. */
-static bool may_claim(ffl_node_t *n)
-{
-	const ffl_lead_t *l = &n->lead;
-	uint32_t wait_ms = TAKEOVER_MS + claim_wait_ms(n);
-
-	if (!may_lead(n))
-		return false;
-	if (strcmp(l->holder, n->opt.name) == 0 && l->holder_life != n->life)
-		return true;
-	if (!l->holder[0] || l->resigned)
-		wait_ms = claim_wait_ms(n);
-	else if (n->now_ms - n->tails[FFL_TOPIC_STATES].well_ms < WELL_MS)
-		return false;
-	return n->now_ms - l->seen_ms >= wait_ms;
-}
-
-static void load_progress(ffl_node_t *n)
-{
-	ffl_node_note(n, "leader-loading", n->opt.name,
-		      "before=%s silent_ms=%" PRIu64, n->lead.holder,
-		      n->now_ms - n->lead.seen_ms);
-	n->lead.loading = true;
-	ffl_flows_reset_progress(&n->flows);
-	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
-}
-
-/* Another host leads: what was read of the progress is not needed. */
-static void give_way(ffl_node_t *n, const char *why)
-{
-	ffl_lead_t *l = &n->lead;
-
-	ffl_node_note(n, "leader-not", n->opt.name, "why=%s", why);
-	drop_append(n);
-	l->loading = false;
-	l->seen_ms = n->now_ms;
-	l->retry_ms = n->now_ms + CLAIM_SPREAD_MS;
-	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
-	ffl_flows_reset_progress(&n->flows);
-	ffl_flows_close_published(&n->flows);
-}
-
-static void ask_to_resign(ffl_node_t *n)
-{
-	ffl_lead_t *l = &n->lead;
-	const ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
-	uint32_t wait_ms = OUTGROWN_MS + claim_wait_ms(n);
-
-	if (!may_lead(n) || !l->holder[0] || l->resigned || !l->holder_size ||
-	    n->opt.size_milli < 2 * l->holder_size ||
-	    n->now_ms - l->since_ms < wait_ms ||
-	    n->now_ms - t->well_ms < wait_ms ||
-	    (l->wanted_ms && n->now_ms - l->wanted_ms < wait_ms))
-		return;
-	l->wanted_ms = n->now_ms;
-	ffl_node_note(n, "leader-wanted", n->opt.name, "size=%u of=%u",
-		      n->opt.size_milli, l->holder_size);
-	ffl_publish_want(n);
-}
-
 static void claim(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
@@ -330,13 +146,13 @@
 }
 
 /* What was changed but not recorded must not be believed any more. */
-static void step_down(ffl_node_t *n, const char *why)
+void ffl_lead_step_down(ffl_node_t *n, const char *why)
 {
 	ffl_lead_t *l = &n->lead;
 
 	ffl_node_note(n, "leader-ended", n->opt.name,
 		      "token=%" PRIu64 " why=%s", l->token, why);
-	drop_append(n);
+	ffl_lead_drop_append(n);
 	ffl_dispatch_yield(&n->dispatch);
 	ffl_flows_reset_progress(&n->flows);
 	ffl_flows_close_published(&n->flows);
@@ -345,7 +161,7 @@
 	l->leading = false;
 	l->holder[0] = '\0';
 	l->seen_ms = n->now_ms;
-	l->retry_ms = n->now_ms + CLAIM_SPREAD_MS;
+	l->retry_ms = n->now_ms + FFL_CLAIM_SPREAD_MS;
 }
 
 static void append_stands(ffl_node_t *n, uint64_t offset)
@@ -367,11 +183,11 @@
 	}
 	if (l->batch)
 		ffl_dispatch_recorded(&n->dispatch, l->batch);
-	drop_append(n);
+	ffl_lead_drop_append(n);
 	if (was_claim)
 		become_leader(n, offset);
 	else if (l->resigning)
-		step_down(n, "resigned");
+		ffl_lead_step_down(n, "resigned");
 }
 
 /* The answer was lost, or the topic ends elsewhere: what stands there? */
@@ -401,7 +217,7 @@
 	default:
 		l->retry_ms = n->now_ms + REPEAT_MS;
 		if (l->claim && reply->outcome == FFL_STORE_REFUSED)
-			give_way(n, "claim refused");
+			ffl_claim_give_way(n, "claim refused");
 		return;
 	}
 }
@@ -409,9 +225,9 @@
 static void lose(ffl_node_t *n, const char *why)
 {
 	if (n->lead.leading)
-		step_down(n, why);
+		ffl_lead_step_down(n, why);
 	else
-		give_way(n, why);
+		ffl_claim_give_way(n, why);
 }
 
 static void take_check(ffl_node_t *n, const ffl_store_reply_t *reply)
@@ -458,11 +274,11 @@
 	ffl_lead_t *l = &n->lead;
 
 	if (n->dispatch.fenced) {
-		step_down(n, "fenced by a worker");
+		ffl_lead_step_down(n, "fenced by a worker");
 		return;
 	}
 	if (n->now_ms - l->proved_ms > GIVE_UP_MS) {
-		step_down(n, "no word from the log");
+		ffl_lead_step_down(n, "no word from the log");
 		return;
 	}
 	if (l->call || l->check)
@@ -473,7 +289,7 @@
 		return;
 	}
 	if (!l->resign && !n->dispatch.dirty &&
-	    n->now_ms - l->last_ms < HEARTBEAT_MS)
+	    n->now_ms - l->last_ms < FFL_LEAD_BEAT_MS)
 		return;
 	open_append(n, false, l->resign);
 	if (n->dispatch.dirty)
@@ -498,12 +314,6 @@
 			send_append(n);
 		return;
 	}
-	if (!may_claim(n)) {
-		ask_to_resign(n);
-		return;
-	}
-	if (!l->loading)
-		load_progress(n);
-	else if (n->tails[FFL_TOPIC_RUNS].synced && knows_jobs(n))
+	if (ffl_claim_due(n))
 		claim(n);
 }
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -92,18 +92,24 @@
 	g_free(w);
 }
 
-ffl_node_act_t *ffl_jobs_append(ffl_node_t *n)
+ffl_node_act_t *ffl_node_append(ffl_node_t *n, ffl_topic_t topic,
+				uint32_t timeout_ms)
 {
 	ffl_node_act_t *act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
 
-	act->store.topic = FFL_TOPIC_JOBS;
+	act->store.topic = topic;
 	act->store.call = ffl_node_call(n);
 	act->store.at = FFL_AT_ANY;
-	act->store.timeout_ms = SHARED_APPEND_TIMEOUT_MS;
+	act->store.timeout_ms = timeout_ms;
 	act->store.writes = g_ptr_array_new_with_free_func(ffl_write_free);
 	return act;
 }
 
+ffl_node_act_t *ffl_jobs_append(ffl_node_t *n)
+{
+	return ffl_node_append(n, FFL_TOPIC_JOBS, SHARED_APPEND_TIMEOUT_MS);
+}
+
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind)
 {
 	ffl_node_act_t *act;
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -23,7 +23,10 @@
 #define SHARED_APPEND_TIMEOUT_MS 2500
 
 ffl_node_act_t *ffl_node_act(ffl_node_t *n, ffl_node_act_kind_t kind);
-/** Opens an unconditional append to the jobs' topic, without records yet. */
+/** Opens an unconditional append, without records yet. */
+ffl_node_act_t *ffl_node_append(ffl_node_t *n, ffl_topic_t topic,
+				uint32_t timeout_ms);
+/** The same to the jobs' topic. */
 ffl_node_act_t *ffl_jobs_append(ffl_node_t *n);
 void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
 		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
@@ -72,10 +75,30 @@
 void ffl_publish_drop(ffl_node_t *n, const char *id);
 
 /* lead.c */
+
+/** A leader shows that it lives so often. */
+#define FFL_LEAD_BEAT_MS 400
+/** What is known of jobs and workers must be as young as this to lead. */
+#define FFL_KNOWN_MS 2200
+
 void ffl_lead_init(ffl_node_t *n);
 void ffl_lead_finish(ffl_node_t *n);
 void ffl_lead_drive(ffl_node_t *n);
 bool ffl_lead_take(ffl_node_t *n, const ffl_store_reply_t *reply);
+/** Tells whether new runs may be started now. */
+bool ffl_lead_may_start(const ffl_node_t *n);
+/** Tells whether leases may be extended now. */
+bool ffl_lead_may_hold(const ffl_node_t *n);
+/** Ends this host's leadership. */
+void ffl_lead_step_down(ffl_node_t *n, const char *why);
+/** Forgets the append of leadership that is on its way. */
+void ffl_lead_drop_append(ffl_node_t *n);
+
+/* claim.c */
+
+/** Hosts of one size claim one after the other within this time. */
+#define FFL_CLAIM_SPREAD_MS 300
+
 /** A record of leadership. */
 typedef struct {
 	char holder[FFL_NAME_BYTES];
@@ -92,10 +115,11 @@
 void ffl_lead_record(ffl_node_t *n, const ffl_store_record_t *rec);
 /** Takes that a host of a size asks to lead. */
 void ffl_lead_wanted(ffl_node_t *n, uint32_t size_milli);
-/** Tells whether new runs may be started now. */
-bool ffl_lead_may_start(const ffl_node_t *n);
-/** Tells whether leases may be extended now. */
-bool ffl_lead_may_hold(const ffl_node_t *n);
+/** Looks whether this host is to lead, and reads what it needs for that;
+ * returns whether it is to claim now. */
+bool ffl_claim_due(ffl_node_t *n);
+/** Leaves it to another host that leads. */
+void ffl_claim_give_way(ffl_node_t *n, const char *why);
 
 /* lead_record.c */
 /** Writes a record of this host's leadership. */
--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -5,8 +5,6 @@
 /** States that change within this time share an append: under half of the age
  * that the answer to a look may have. */
 #define GATHER_MS 25
-/** The leader shows that it lives so often. */
-#define HEARTBEAT_MS 400
 /** Records of one append; a new leader may have many to write. */
 #define RECORDS_MAX 256
 
@@ -30,14 +28,7 @@
 
 static ffl_node_act_t *states_append(ffl_node_t *n)
 {
-	ffl_node_act_t *act = ffl_node_act(n, FFL_NODE_ACT_APPEND);
-
-	act->store.topic = FFL_TOPIC_STATES;
-	act->store.call = ffl_node_call(n);
-	act->store.at = FFL_AT_ANY;
-	act->store.timeout_ms = APPEND_TIMEOUT_MS;
-	act->store.writes = g_ptr_array_new_with_free_func(ffl_write_free);
-	return act;
+	return ffl_node_append(n, FFL_TOPIC_STATES, APPEND_TIMEOUT_MS);
 }
 
 /* A state is published once its progress is on the log. */
@@ -84,7 +75,7 @@
 	g_ptr_array_add(writes, ffl_lead_write(n, n->lead.token, false));
 	add_states(n, writes);
 	add_drops(n, writes);
-	if (writes->len > 1 || n->now_ms - p->sent_ms >= HEARTBEAT_MS) {
+	if (writes->len > 1 || n->now_ms - p->sent_ms >= FFL_LEAD_BEAT_MS) {
 		ffl_node_act_t *act = states_append(n);
 
 		g_ptr_array_unref(act->store.writes);
--- a/tests/member_test.c
+++ b/tests/member_test.c
@@ -15,6 +15,8 @@
 	bool replaced;	     /**< another member leads afterwards */
 } row_t;
 
+static void start(world_t *w, gang_watch_t *watch, faults_t *faults,
+		  uint64_t seed);
 static void test_row(gconstpointer data);
 static void test_expired(void);
 static void test_dies_in_short_outage(void);
@@ -31,6 +33,18 @@
 	{ "log-up/leader-leaves", FAULT__MAX, FAULT_STOP, true },
 };
 
+static void start(world_t *w, gang_watch_t *watch, faults_t *faults,
+		  uint64_t seed)
+{
+	world_init(w, seed, 3, 4, 1);
+	gang_watch_init(watch, w);
+	watch->no_cuts = true;
+	faults_init(faults, w, watch);
+	world_run(w, 1000);
+	g_assert_true(world_customer(w, 0, "rocio", "token"));
+	faults_run(faults, START_MS);
+}
+
 /* In every row the gang that runs goes on whole and ends once. */
 static void test_row(gconstpointer data)
 {
@@ -43,13 +57,7 @@
 	int leader;
 	world_t w;
 
-	world_init(&w, 1, 3, 4, 1);
-	gang_watch_init(&watch, &w);
-	watch.no_cuts = true;
-	faults_init(&faults, &w, &watch);
-	world_run(&w, 1000);
-	g_assert_true(world_customer(&w, 0, "rocio", "token"));
-	faults_run(&faults, START_MS);
+	start(&w, &watch, &faults, 1);
 	id = gang_watch_submit(&w, 0, 16, RUN_MS, "");
 	g_array_append_val(submits, id);
 	faults_run(&faults, 5000);
@@ -83,13 +91,7 @@
 		faults_t faults;
 		world_t w;
 
-		world_init(&w, out_ms, 3, 4, 1);
-		gang_watch_init(&watch, &w);
-		watch.no_cuts = true;
-		faults_init(&faults, &w, &watch);
-		world_run(&w, 1000);
-		g_assert_true(world_customer(&w, 0, "rocio", "token"));
-		faults_run(&faults, START_MS);
+		start(&w, &watch, &faults, out_ms);
 		gang_watch_submit(&w, 0, 16, RUN_MS, "");
 		faults_run(&faults, 5000);
 		g_assert_cmpint(world_leader(&w), >=, 0);
