The test of a taken port leaves no stand-in behind

Change: the function replaces its shell by the stand-in, and that the first is ready is a check of its own.

--- a/tests/product.sh
+++ b/tests/product.sh
@@ -47,12 +47,13 @@
 	"$FFL --json check-config $DIR/d.ini | jq -e 'map(select(.line == 7 and .key == \"timeout\")) | length == 1'"
 # Two stand-ins, as two demos on one machine start them.
 PLATFORM_PORT=${PORT:-16800}
-platform() { "$BUILD/ffl-platform" --listen=127.0.0.1:$((PLATFORM_PORT + $1)) \
+platform() { exec "$BUILD/ffl-platform" --listen=127.0.0.1:$((PLATFORM_PORT + $1)) \
 	--upstreams=$((PLATFORM_PORT + 2)) --dc=altiplano-1:altiplano:1:1; }
 platform 0 >"$DIR/first" 2>&1 &
 FIRST=$!
 for _ in $(seq 100); do grep -q ready "$DIR/first" && break; sleep 0.1; done
-platform 1 >"$DIR/second" 2>&1
+(platform 1) >"$DIR/second" 2>&1
+check "the first stand-in is ready" grep -q ready "$DIR/first"
 check "a port that is taken is named" grep -q \
 	"cannot listen on 127.0.0.1:$((PLATFORM_PORT + 2))" "$DIR/second"
 kill -TERM "$FIRST"
