--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -134,9 +134,9 @@
 	GHashTable *runners;	/**< ffl_runner_t by id */
 	GPtrArray *runs;	/**< of ffl_run_t */
 	GHashTable *flow_runs;	/**< of GPtrArray of these, by flow */
-	GPtrArray *listed;	/**< of listed ffl_runner_t, by id; see below */
+	GPtrArray *listed;	/**< of listed ffl_runner_t, by id */
 	GPtrArray *racks;	/**< of ffl_rack_t, of the listed */
-	bool racks_known;	/**< both are up to date */
+	bool racks_known;	/**< these two are up to date */
 	GHashTable *calls;	/**< of open orders by number */
 	GHashTable *guaranteed; /**< GPUs by customer, borrowed; may be NULL */
 	uint64_t token;		/**< 0 while not leading */
@@ -147,7 +147,6 @@
 	bool dirty;
 	bool replan;	     /**< something changed that placement depends on */
 	uint64_t planned_ms; /**< when placement was last thought over */
-	uint64_t plans;	     /**< times that it was */
 	uint64_t gpus_all;   /**< of workers that stay, in this pass */
 	uint64_t gpus_free;  /**< of these, without a run */
 	GHashTable *learned; /**< mean time of a run in ms, by queue */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -172,7 +172,6 @@
 	if (may_start && (d->replan || now_ms - d->planned_ms >= REPLAN_MS)) {
 		d->replan = false;
 		d->planned_ms = now_ms;
-		d->plans++;
 		ffl_place(d, now_ms, wall_ms);
 	}
 	if (may_start)
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -20,7 +20,6 @@
 static void apply_worker(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec);
-static void apply_state(ffl_node_t *n, const ffl_store_record_t *rec);
 static bool wanted(const ffl_node_t *n, const ffl_tail_t *t);
 static void ask_page(ffl_node_t *n, ffl_tail_t *t);
 static void ask_read(ffl_node_t *n, ffl_tail_t *t);
@@ -36,9 +35,11 @@
 static void pace(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
-	[FFL_TOPIC_CONFIG] = apply_config, [FFL_TOPIC_WORKERS] = apply_worker,
-	[FFL_TOPIC_JOBS] = apply_job,	   [FFL_TOPIC_RUNS] = apply_run,
-	[FFL_TOPIC_STATES] = apply_state,
+	[FFL_TOPIC_CONFIG] = apply_config,
+	[FFL_TOPIC_WORKERS] = apply_worker,
+	[FFL_TOPIC_JOBS] = apply_job,
+	[FFL_TOPIC_RUNS] = apply_run,
+	[FFL_TOPIC_STATES] = ffl_publish_record,
 };
 
 void ffl_tails_init(ffl_node_t *n)
@@ -158,11 +159,6 @@
 			      "offset=%" PRIu64, rec->offset);
 }
 
-static void apply_state(ffl_node_t *n, const ffl_store_record_t *rec)
-{
-	ffl_publish_record(n, rec);
-}
-
 /* The leader knows the progress that it wrote, and a host that does not lead
  * needs none; only the leader needs the list of workers. */
 static bool wanted(const ffl_node_t *n, const ffl_tail_t *t)
