dispatch: log lines tell incarnations and sendings apart

Change: run-ordered names the worker's incarnation and how often the order was sent; worker-restarted both incarnations; reply-outdated is new. No decision changes.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -116,6 +116,7 @@
 	uint32_t recent_load;	      /**< see ffl_run_report_t */
 	uint32_t limit_percent;	      /**< speed limit that it is to have */
 	uint32_t acked_limit_percent; /**< limit that its worker has accepted */
+	uint32_t sendings;   /**< start orders sent for it by this leader */
 	bool start_in_doubt; /**< a start order timed out, may still act */
 	bool stopping;	     /**< to be stopped */
 	uint64_t stop_accepted_ms; /**< when the worker accepted the stop */
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -307,6 +307,11 @@
 	w->calls--;
 	if (reply->outcome == FFL_REPLY_FENCED)
 		d->fenced = true;
+	if (reply->born_ms && reply->born_ms < w->entry.born_ms)
+		ffl_dispatch_note(d, "reply-outdated", w->entry.id,
+				  "order=%s born=%" PRId64 " now=%" PRId64,
+				  ffl_order_kind_name(call->kind),
+				  reply->born_ms, w->entry.born_ms);
 	if (reply->born_ms && w->entry.born_ms &&
 	    reply->born_ms > w->entry.born_ms) {
 		entry = w->entry;
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -144,6 +144,7 @@
 		run->state = FFL_RUN_SENT;
 		d->starts++;
 	}
+	run->sendings++;
 	order = new_order(d, orders, FFL_ORDER_START, run->worker, run, now_ms);
 	order->spec = run->flow->spec.spec;
 	order->checkpoint = task->checkpoint;
@@ -151,13 +152,15 @@
 		ffl_dispatch_worker_grant_lease(d, run->worker, now_ms);
 	order->ticket = ffl_advice_ticket(d, run);
 	order->timeout_ms = START_TIMEOUT_MS;
-	ffl_dispatch_note(
-		d, "run-ordered", order->task,
-		"run=%u worker=%s rack=%s priority=%u waited_ms=%" PRIu64
-		" resumed=%d data_rack=%s gpus=%u",
-		run->run, run->worker->entry.id, run->worker->entry.rack,
-		run->flow->spec.priority, now_ms - run->flow->first_seen_ms,
-		task->checkpoint != NULL, step->rack, step->gpus);
+	ffl_dispatch_note(d, "run-ordered", order->task,
+			  "run=%u worker=%s born=%" PRId64
+			  " sending=%u rack=%s priority=%u waited_ms=%" PRIu64
+			  " resumed=%d data_rack=%s gpus=%u",
+			  run->run, run->worker->entry.id,
+			  run->worker->entry.born_ms, run->sendings,
+			  run->worker->entry.rack, run->flow->spec.priority,
+			  now_ms - run->flow->first_seen_ms,
+			  task->checkpoint != NULL, step->rack, step->gpus);
 }
 
 static void send_stop(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -169,8 +169,10 @@
 	if (w->entry.born_ms && w->entry.born_ms != entry->born_ms) {
 		if (entry->born_ms < w->entry.born_ms)
 			return;
-		ffl_dispatch_note(d, "worker-restarted", entry->id, "runs=%u",
-				  w->runs->len);
+		ffl_dispatch_note(d, "worker-restarted", entry->id,
+				  "runs=%u born=%" PRId64 " before=%" PRId64,
+				  w->runs->len, entry->born_ms,
+				  w->entry.born_ms);
 		ffl_dispatch_worker_end_incarnation(d, w, true, now_ms);
 	}
 	if (entry->draining && !w->entry.draining)
