fakes: an order names its worker by id, whatever its incarnation

Cause: the simulated worker refused an order for another incarnation, which nothing on the platform's wire tells it (X-Expect-Instance carries the id; only reports and entries carry the start time). Tests and fuzzers therefore never played what PROTOCOL.md allows. Change: orders are carried out whatever incarnation they were meant for, and only reports tell the incarnation.

--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -191,6 +191,7 @@
 			 uint64_t now_ms, const task_hooks_t *hooks,
 			 ffl_arena_t *arena, ffl_reply_t *out)
 {
+	out->born_ms = w->born_ms;
 	task_worker_extend_lease(w, order, now_ms);
 	while (w->ended->len) {
 		ffl_run_report_t *row = g_ptr_array_index(w->ended, 0);
@@ -297,11 +298,6 @@
 	memset(out, 0, sizeof(*out));
 	out->call = order->call;
 	out->clock_ms = task_worker_clock(w, now_ms);
-	out->born_ms = w->born_ms;
-	if (order->born_ms && order->born_ms != w->born_ms) {
-		out->outcome = FFL_REPLY_OTHER_INCARNATION;
-		return;
-	}
 	if (order->token < w->token) {
 		out->outcome = FFL_REPLY_FENCED;
 		return;
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -2,9 +2,11 @@
  * @file task_worker.h
  * @brief Simulated worker that runs tasks under a lease.
  *
- * It numbers the ends of runs, checks fencing tokens and incarnations, and
- * keeps its lease by its own clock. The members of a gang may be on several
- * workers; task_hooks_t.count_present counts them.
+ * It numbers the ends of runs, checks fencing tokens and keeps its lease by its
+ * own clock. As on the platform, an order names its worker by id alone, and
+ * only reports and entries tell the incarnation: an order that was sent to an
+ * earlier incarnation is carried out by the present one. The members of a gang
+ * may be on several workers; task_hooks_t.count_present counts them.
  */
 #ifndef FFL_TASK_WORKER_H
 #define FFL_TASK_WORKER_H
