dispatch: a restarted worker's report under a higher token settles its runs

Cause: a worker that starts again under its id carries out orders that were meant for its earlier incarnation, also ones that are under way for seconds; it has seen no token and has no record of stopped runs. The leader took every run without an order in doubt for ended as soon as it heard of the restart, and placed its task elsewhere. A doubt was cleared by the answer to a repeated order, and unknown to the next leader. Replies of the earlier incarnation moved the present one's numbers of ends and its clock. Incarnations were ordered by start times, which a clock that is set back reverses; an entry of another writer ended a live worker's runs. Class: a belief about one incarnation applied to another. Change: after a restart no run is given up or placed again until the new incarnation has reported under a token above that of all orders to the earlier one: what it lists runs, nothing else does or can start. The token is the end of the leader's newest append, below the next leader's token. Open calls to the earlier incarnation are dropped with the restart. Start times tell incarnations apart, not their order; an entry is ignored if the worker may have reported after it was written. A lease by a clock that the worker itself has not told counts as the longest one. Why it works: a worker does nothing for a token below the highest that it has seen, so after that report no earlier order can take effect.

--- a/bench/dispatch_bench.c
+++ b/bench/dispatch_bench.c
@@ -150,7 +150,8 @@
 		w->entry.capacity =
 			(ffl_resources_t){ CPU_MILLI, MEM_MB, GPUS };
 		w->runs = g_array_new(FALSE, TRUE, sizeof(run_t));
-		ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms);
+		ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms,
+					   b->now_ms);
 	}
 }
 
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -59,7 +59,16 @@
 	uint32_t calls;		/**< orders that have not been answered yet */
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
 	uint64_t clock_ms;	/**< last reading of the worker's own clock */
+	bool clock_reported;	/**< clock_ms is its own, not from the list */
 	uint64_t leases_end_ms; /**< all leases given have ended by then */
+	/** When a report told its incarnation; 0: known from the list or from
+	 * the log only. */
+	uint64_t born_reported_ms;
+	uint64_t token; /**< fencing token of orders to it; 0: none sent yet */
+	/** An earlier incarnation was sent orders with this token. The next
+	 * order waits for a higher one, which fences them. */
+	bool token_outdated;
+	bool fence_due; /**< restarted and has not reported since */
 	/** Highest number of an end that was processed; the ends up to it are
 	 * recorded with batch ack_batch. */
 	uint64_t end_seen;
@@ -155,7 +164,7 @@
 	GHashTable *calls; /**< unanswered orders by call number */
 	/** Guaranteed GPUs by customer; borrowed, may be NULL. */
 	GHashTable *guaranteed;
-	uint64_t token;		  /**< fencing token; 0 while not leader */
+	uint64_t token; /**< highest fencing token of this leader; 0: none */
 	uint64_t leader_since_ms; /**< when it became leader */
 	uint64_t next_call;
 	uint64_t next_batch;	 /**< batch that collects further changes */
@@ -193,11 +202,23 @@
 /** Stops leading. Runs on workers are not stopped. */
 void ffl_dispatch_step_down(ffl_dispatch_t *d);
 
-/** Adds or updates a worker from its entry in the worker list. An entry of an
- * incarnation older than the known one is ignored. */
+/**
+ * Raises the fencing token. The offsets of a leader's appends are below the
+ * next leader's token, so each may serve as a token.
+ */
+void ffl_dispatch_raise_token(ffl_dispatch_t *d, uint64_t token);
+
+/**
+ * Adds or updates a worker from its entry in the worker list. An entry of
+ * another incarnation is ignored if the worker may have reported the known one
+ * after the entry was written.
+ *
+ * @param written_after_ms time after which the entry was certainly written; 0
+ *                         if not known
+ */
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
 				const ffl_worker_entry_t *entry,
-				uint64_t now_ms);
+				uint64_t written_after_ms, uint64_t now_ms);
 /**
  * Handles the removal of a worker from the worker list.
  *
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -55,8 +55,7 @@
 	uint64_t call; /**< number that the reply carries */
 	ffl_name_t worker;
 	char addr[FFL_ADDR_BYTES];
-	uint64_t token;	 /**< fencing token */
-	int64_t born_ms; /**< incarnation that the order is meant for */
+	uint64_t token; /**< fencing token */
 	char task[FFL_TASK_NAME_BYTES];
 	uint32_t run;
 	const char *spec;
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -79,12 +79,7 @@
 		run->batch = 0;
 		run->state = FFL_RUN_ADOPTED;
 		run->acked_limit_percent = LIMIT_UNKNOWN;
-		/* If the known entry is newer than the run, the worker has
-		 * restarted since; if it is older, the entry is stale. */
-		if (w->entry.born_ms > task->born_ms)
-			ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL,
-				       now_ms);
-		else
+		if (!w->entry.born_ms)
 			w->entry.born_ms = task->born_ms;
 	}
 }
@@ -138,12 +133,23 @@
 		w->renew_ms = 0;
 		w->missed_renewals = 0;
 		w->leases_end_ms = 0;
+		w->clock_reported = false;
+		w->born_reported_ms = 0;
+		w->token = 0;
+		w->token_outdated = false;
+		w->fence_due = false;
 		w->quarantined_until_ms = 0;
 		w->reserved_until_ms = 0;
 	}
 	d->dirty = false;
 }
 
+void ffl_dispatch_raise_token(ffl_dispatch_t *d, uint64_t token)
+{
+	if (d->token)
+		d->token = MAX(d->token, token);
+}
+
 void ffl_dispatch_request_placement(ffl_dispatch_t *d)
 {
 	d->replan = true;
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -67,15 +67,18 @@
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
-/**
- * Ends the runs of an incarnation that no longer exists.
- *
- * @param same_id whether a new incarnation under this id may receive orders
- *                that were sent to the old one
- */
-void ffl_dispatch_worker_end_incarnation(ffl_dispatch_t *d,
-					 ffl_dispatch_worker_t *w, bool same_id,
-					 uint64_t now_ms);
+/** Ends the runs of a worker that has left, or whose address another one has
+ * taken: no order can reach it any more. */
+void ffl_dispatch_worker_end_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+				  uint64_t now_ms);
+/** Handles a new incarnation under the id of a worker. It may have carried out,
+ * or may still carry out, orders for the one before. */
+void ffl_dispatch_worker_restart(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+				 int64_t born_ms, uint64_t now_ms);
+/** Assigns the fencing token of the orders to a worker; returns false if none
+ * may be sent yet. */
+bool ffl_dispatch_worker_assign_token(const ffl_dispatch_t *d,
+				      ffl_dispatch_worker_t *w);
 void ffl_dispatch_worker_count_success(ffl_dispatch_worker_t *w);
 /** Counts a failure of a job's run and quarantines the worker if it has
  * failed several jobs in a row. */
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -26,6 +26,10 @@
 			      const ffl_reply_t *reply, uint64_t now_ms);
 static void handle_throttle_reply(ffl_dispatch_t *d, ffl_open_call_t *call,
 				  const ffl_reply_t *reply, uint64_t now_ms);
+static void handle_replaced(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			    uint64_t now_ms);
+static bool accept_incarnation(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			       const ffl_reply_t *reply, uint64_t now_ms);
 static void accept_late_success(ffl_dispatch_t *d,
 				const ffl_run_report_t *report);
 static void handle_ended_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -197,6 +201,7 @@
 		return;
 	}
 	w->missed_renewals = 0;
+	w->fence_due = false;
 	w->renew_ms = now_ms;
 	w->acked_sent = MAX(w->acked_sent, call->acked);
 	handle_ended_runs(d, w, reply, now_ms);
@@ -292,11 +297,40 @@
 		run->retry_ms = now_ms + RESEND_MS;
 }
 
+/* Another worker has the address. That proves nothing of runs that were started
+ * under an earlier entry, with another address. */
+static void handle_replaced(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			    uint64_t now_ms)
+{
+	if (!w->runs->len || w->fence_due)
+		return;
+	ffl_dispatch_note(d, "worker-replaced", w->entry.id, "runs=%u",
+			  w->runs->len);
+	ffl_dispatch_worker_end_runs(d, w, now_ms);
+}
+
+/* Returns false if the reply is another incarnation's than the known one. That
+ * incarnation is known from then on, and its orders are renewed. */
+static bool accept_incarnation(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			       const ffl_reply_t *reply, uint64_t now_ms)
+{
+	if (!reply->born_ms)
+		return true;
+	if (w->entry.born_ms && w->entry.born_ms != reply->born_ms) {
+		ffl_dispatch_worker_restart(d, w, reply->born_ms, now_ms);
+		w->born_reported_ms = now_ms;
+		return false;
+	}
+	w->entry.born_ms = reply->born_ms;
+	w->born_reported_ms = now_ms;
+	w->clock_reported = reply->clock_ms != 0;
+	return true;
+}
+
 void ffl_dispatch_handle_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
 			       uint64_t now_ms)
 {
 	ffl_open_call_t *call = g_hash_table_lookup(d->calls, &reply->call);
-	ffl_worker_entry_t entry;
 	ffl_dispatch_worker_t *w;
 
 	if (ffl_advice_handle_reply(d, reply, now_ms))
@@ -307,23 +341,12 @@
 	w->calls--;
 	if (reply->outcome == FFL_REPLY_FENCED)
 		d->fenced = true;
-	if (reply->born_ms && reply->born_ms < w->entry.born_ms)
-		ffl_dispatch_note(d, "reply-outdated", w->entry.id,
-				  "order=%s born=%" PRId64 " now=%" PRId64,
-				  ffl_order_kind_name(call->kind),
-				  reply->born_ms, w->entry.born_ms);
-	if (reply->born_ms && w->entry.born_ms &&
-	    reply->born_ms > w->entry.born_ms) {
-		entry = w->entry;
-		entry.born_ms = reply->born_ms;
-		ffl_dispatch_update_worker(d, &entry, now_ms);
-	}
-	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION && w->runs->len) {
-		ffl_dispatch_note(d, "worker-replaced", w->entry.id, "runs=%u",
-				  w->runs->len);
-		ffl_dispatch_worker_end_incarnation(d, w, false, now_ms);
-	}
-	ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
+	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
+		handle_replaced(d, w, now_ms);
+	else if (!accept_incarnation(d, w, reply, now_ms))
+		return;
+	else
+		ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
 	resolve_tasks(d, reply->running, reply->running_count);
 	resolve_tasks(d, reply->ended, reply->ended_count);
 	reply_handlers[call->kind](d, call, reply, now_ms);
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -19,7 +19,8 @@
 			      ffl_order_kind_t kind, ffl_dispatch_worker_t *w,
 			      ffl_run_t *run, uint64_t now_ms);
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
-static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms);
+static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			uint64_t now_ms);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms);
 static void send_start(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
@@ -61,8 +62,7 @@
 	memset(order, 0, sizeof(*order));
 	order->kind = kind;
 	order->call = open_call(d, kind, w, run, now_ms);
-	order->token = d->token;
-	order->born_ms = w->entry.born_ms;
+	order->token = w->token;
 	ffl_copy(order->worker, sizeof(order->worker), w->entry.id);
 	ffl_copy(order->addr, sizeof(order->addr), w->entry.addr);
 	if (!run)
@@ -83,13 +83,17 @@
 	return overlap ? 2 : 1;
 }
 
-static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms)
+static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			uint64_t now_ms)
 {
 	bool has_sent_run = false;
 
 	if (w->renewals_open >= renewals_max(w, now_ms) ||
-	    now_ms < w->renew_ms || !w->entry.addr[0])
+	    now_ms < w->renew_ms || !w->entry.addr[0] ||
+	    !ffl_dispatch_worker_assign_token(d, w))
 		return false;
+	if (w->fence_due && w->listed)
+		return true;
 	if (w->acked > w->acked_sent || (w->missed_renewals && w->listed))
 		return true;
 	for (guint i = 0; i < w->runs->len && !has_sent_run; i++) {
@@ -195,7 +199,9 @@
 		ffl_run_finish(d, run, FFL_RUN_END_STOPPED, NULL, now_ms);
 		return;
 	}
-	if (run->call || now_ms < run->retry_ms || !run->worker->entry.addr[0])
+	if (run->call || now_ms < run->retry_ms ||
+	    !run->worker->entry.addr[0] ||
+	    !ffl_dispatch_worker_assign_token(d, run->worker))
 		return;
 	if (run->stopping) {
 		send_stop(d, run, orders, now_ms);
@@ -232,7 +238,7 @@
 		ffl_dispatch_worker_t *w = value;
 
 		ffl_watch_worker(d, w, now_ms);
-		if (renewal_due(w, now_ms))
+		if (renewal_due(d, w, now_ms))
 			send_renewal(d, w, orders, now_ms);
 	}
 }
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -15,6 +15,9 @@
 /** Margin for timers and network delay when waiting for leases to end. */
 #define EXPIRE_SLACK_MS 150
 
+static uint64_t lease_end_ms(uint64_t lease_ms, uint64_t now_ms);
+static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
+static void forget_incarnation(ffl_dispatch_worker_t *w);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     uint64_t list_followed_ms, uint64_t now_ms);
 
@@ -82,6 +85,13 @@
 	w->clock_read_ms = now_ms;
 }
 
+/* Returns the time at which a lease has ended on the slowest clock. */
+static uint64_t lease_end_ms(uint64_t lease_ms, uint64_t now_ms)
+{
+	return now_ms + lease_ms * PERCENT / CLOCK_SLOW_PERCENT +
+	       EXPIRE_SLACK_MS;
+}
+
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 ffl_dispatch_worker_t *w,
 					 uint64_t now_ms)
@@ -94,8 +104,11 @@
 	if (!w->clock_read_ms)
 		return 0;
 	ahead_ms = now_ms - w->clock_read_ms + lease_ms;
-	end_ms = w->clock_read_ms + ahead_ms * PERCENT / CLOCK_SLOW_PERCENT +
-		 EXPIRE_SLACK_MS;
+	end_ms = lease_end_ms(ahead_ms, w->clock_read_ms);
+	/* The clock in an entry may be an earlier incarnation's; the worker
+	 * then grants its longest lease. */
+	if (!w->clock_reported)
+		end_ms = MAX(end_ms, lease_end_ms(d->opt.lease_max_ms, now_ms));
 	w->leases_end_ms = MAX(w->leases_end_ms, end_ms);
 	return w->clock_ms + ahead_ms;
 }
@@ -124,56 +137,104 @@
 			  QUARANTINE_MS);
 }
 
-/* No run of the old incarnation exists any more. A start order that is still
- * in flight may reach the new incarnation under the same id, so such a run is
- * stopped there before its task is placed again. */
-void ffl_dispatch_worker_end_incarnation(ffl_dispatch_t *d,
-					 ffl_dispatch_worker_t *w, bool same_id,
-					 uint64_t now_ms)
+static void forget_incarnation(ffl_dispatch_worker_t *w)
+{
+	w->end_seen = 0;
+	w->acked = 0;
+	w->acked_sent = 0;
+	w->ack_batch = 0;
+	w->clock_read_ms = 0;
+	w->clock_reported = false;
+	w->missed_renewals = 0;
+	w->fail_streak = 0;
+	w->has_succeeded = false;
+}
+
+void ffl_dispatch_worker_end_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+				  uint64_t now_ms)
+{
+	for (guint i = w->runs->len; i-- > 0;) {
+		if (i < w->runs->len)
+			ffl_run_finish(d, g_ptr_array_index(w->runs, i),
+				       FFL_RUN_END_LEASE_EXPIRED, NULL, now_ms);
+	}
+	forget_incarnation(w);
+	w->leases_end_ms = 0;
+}
+
+static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w)
 {
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((ffl_open_call_t *)value)->worker == w)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Any order that has been sent may have been carried out by the new
+ * incarnation, or may still be. Its report under a higher token settles which:
+ * what is listed there runs, nothing else does or can. */
+void ffl_dispatch_worker_restart(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+				 int64_t born_ms, uint64_t now_ms)
+{
+	ffl_dispatch_note(d, "worker-restarted", w->entry.id,
+			  "runs=%u born=%" PRId64 " before=%" PRId64
+			  " token=%" PRIu64,
+			  w->runs->len, born_ms, w->entry.born_ms, w->token);
+	drop_calls(d, w);
+	w->calls = 0;
+	w->renewals_open = 0;
+	w->renew_ms = 0;
 	for (guint i = w->runs->len; i-- > 0;) {
 		ffl_run_t *run;
 
 		if (i >= w->runs->len)
 			continue;
 		run = g_ptr_array_index(w->runs, i);
-		if (same_id && (run->call || run->start_in_doubt)) {
-			run->state = FFL_RUN_SENT;
-			run->stop_accepted_ms = 0;
-			ffl_run_request_stop(d, run, "restarted");
-		} else {
-			ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL,
+		run->call = 0;
+		if (run->state == FFL_RUN_PLANNED) {
+			ffl_run_finish(d, run, FFL_RUN_END_STOPPED, NULL,
 				       now_ms);
+			continue;
 		}
+		run->state = FFL_RUN_ADOPTED;
+		run->stop_accepted_ms = 0;
+		run->acked_limit_percent = LIMIT_UNKNOWN;
 	}
-	w->end_seen = 0;
-	w->acked = 0;
-	w->acked_sent = 0;
-	w->ack_batch = 0;
-	w->clock_read_ms = 0;
-	w->leases_end_ms = w->runs->len
-				   ? now_ms + d->opt.lease_max_ms * PERCENT /
-						      CLOCK_SLOW_PERCENT
-				   : 0;
-	w->missed_renewals = 0;
-	w->fail_streak = 0;
-	w->has_succeeded = false;
+	forget_incarnation(w);
+	w->leases_end_ms = MAX(w->leases_end_ms,
+			       lease_end_ms(d->opt.lease_max_ms, now_ms));
+	w->entry.born_ms = born_ms;
+	w->token_outdated = w->token != 0;
+	w->fence_due = true;
+	d->replan = true;
+}
+
+bool ffl_dispatch_worker_assign_token(const ffl_dispatch_t *d,
+				      ffl_dispatch_worker_t *w)
+{
+	if (w->token_outdated && d->token <= w->token)
+		return false;
+	if (w->token_outdated || !w->token)
+		w->token = d->token;
+	w->token_outdated = false;
+	return true;
 }
 
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
 				const ffl_worker_entry_t *entry,
-				uint64_t now_ms)
+				uint64_t written_after_ms, uint64_t now_ms)
 {
 	ffl_dispatch_worker_t *w = ffl_dispatch_worker_get(d, entry->id);
 
 	if (w->entry.born_ms && w->entry.born_ms != entry->born_ms) {
-		if (entry->born_ms < w->entry.born_ms)
+		if (written_after_ms < w->born_reported_ms)
 			return;
-		ffl_dispatch_note(d, "worker-restarted", entry->id,
-				  "runs=%u born=%" PRId64 " before=%" PRId64,
-				  w->runs->len, entry->born_ms,
-				  w->entry.born_ms);
-		ffl_dispatch_worker_end_incarnation(d, w, true, now_ms);
+		ffl_dispatch_worker_restart(d, w, entry->born_ms, now_ms);
+		w->born_reported_ms = 0;
 	}
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
@@ -224,7 +285,7 @@
 			  w->runs->len, w->entry.draining,
 			  now_ms - w->listed_ms, left);
 	if (left)
-		ffl_dispatch_worker_end_incarnation(d, w, false, now_ms);
+		ffl_dispatch_worker_end_runs(d, w, now_ms);
 	if (!w->runs->len && !w->calls)
 		g_hash_table_remove(d->workers, id);
 }
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -199,6 +199,7 @@
 	}
 	if (l->batch)
 		ffl_dispatch_confirm_batch(&n->dispatch, l->batch);
+	ffl_dispatch_raise_token(&n->dispatch, end);
 	ffl_lead_discard_append(n);
 	if (was_claim)
 		become_leader(n, offset);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -119,7 +119,10 @@
 	}
 	if (t->paging)
 		g_hash_table_add(t->paged_keys, g_strdup(rec->key));
-	ffl_dispatch_update_worker(&n->dispatch, rec->worker, n->now_ms);
+	/* Whatever a read brings was written after the topic had last been read
+	 * to its end. */
+	ffl_dispatch_update_worker(&n->dispatch, rec->worker,
+				   t->paging ? 0 : t->caught_up_ms, n->now_ms);
 }
 
 static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec)
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -109,7 +109,8 @@
 			(ffl_resources_t){ CPU_MILLI, MEM_MB, GPUS };
 		w->rate_percent = RATE_USUAL_PERCENT;
 		w->runs = g_array_new(FALSE, TRUE, sizeof(sim_run_t));
-		ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms);
+		ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms,
+					   b->now_ms);
 	}
 }
 
@@ -603,7 +604,7 @@
 		w = find_worker(&b, flow->tasks[0].worker);
 		w->entry.draining = true;
 		w->entry.drain_left_ms = 5000;
-		ffl_dispatch_update_worker(&b.d, &w->entry, b.now_ms);
+		ffl_dispatch_update_worker(&b.d, &w->entry, b.now_ms, b.now_ms);
 		run_for_ms(&b, 1500);
 		g_assert_cmpuint(flow->tasks[0].run, ==, cases[i].run);
 		test_bed_finish(&b);
@@ -646,7 +647,8 @@
 	test_bed_init(&b, 4);
 	for (uint32_t i = 2; i < 4; i++) {
 		ffl_copy(b.workers[i].entry.rack, sizeof(ffl_name_t), "r2");
-		ffl_dispatch_update_worker(&b.d, &b.workers[i].entry, b.now_ms);
+		ffl_dispatch_update_worker(&b.d, &b.workers[i].entry, b.now_ms,
+					   b.now_ms);
 	}
 	g_hash_table_insert(b.guaranteed, "ponds", GUINT_TO_POINTER(32));
 	b.work_ms = 20000;
--- /dev/null
+++ b/tests/incarnation_test.c
@@ -0,0 +1,356 @@
+/** @file Tests of the dispatcher with workers that start again under their id,
+ * answered order by order. */
+#include <string.h>
+
+#include "fireflyledge/dispatch.h"
+
+#define STEP_MS 50
+#define LEAD_MS 1000
+/** Incarnations of a worker, and their addresses. */
+#define BORN_A 100
+#define BORN_B 200
+#define ADDR_A "10.0.0.1:80"
+#define ADDR_B "10.0.0.2:80"
+/** Clock of the first incarnation; the second one's starts anew. */
+#define CLOCK_A	     900000
+#define CLOCK_B	     1000
+#define LEASE_MAX_MS 10000
+
+/** A leader whose orders are answered by the test. */
+typedef struct {
+	ffl_flows_t flows;
+	ffl_dispatch_t d;
+	ffl_flow_t *flow;
+	GArray *orders; /**< of ffl_order_t, all that were sent */
+	GPtrArray *changed;
+	uint64_t now_ms;
+} bed_t;
+
+typedef struct {
+	const char *name;
+	void (*run)(bed_t *b);
+} test_case_t;
+
+static void bed_init(bed_t *b)
+{
+	const ffl_dispatch_options_t opt = {
+		.lease_max_ms = LEASE_MAX_MS,
+		.stop_max_ms = 400,
+		.gang_wait_ms = 3000,
+		.reclaim_ms = 2900,
+		.spread_percent = 300,
+		.heartbeat_ms = 1500,
+		.early_ms = 250,
+	};
+
+	memset(b, 0, sizeof(*b));
+	ffl_flows_init(&b->flows);
+	ffl_dispatch_init(&b->d, &opt, &b->flows);
+	b->orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
+	b->changed = g_ptr_array_new();
+	b->now_ms = LEAD_MS;
+	ffl_dispatch_become_leader(&b->d, 1, 0, b->now_ms);
+}
+
+static void bed_finish(bed_t *b)
+{
+	g_ptr_array_free(b->changed, TRUE);
+	g_array_free(b->orders, TRUE);
+	ffl_dispatch_finish(&b->d);
+	ffl_flows_finish(&b->flows);
+}
+
+static void list_worker(bed_t *b, const char *id, const char *addr,
+			int64_t born_ms)
+{
+	ffl_worker_entry_t entry = {
+		.born_ms = born_ms,
+		.clock_ms = born_ms == BORN_A ? CLOCK_A : CLOCK_B,
+		.capacity = { 32000, 65536, 8 },
+	};
+
+	ffl_copy(entry.id, sizeof(entry.id), id);
+	ffl_copy(entry.addr, sizeof(entry.addr), addr);
+	ffl_copy(entry.service, sizeof(entry.service), "survey");
+	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
+}
+
+static void submit(bed_t *b)
+{
+	ffl_flow_spec_t spec;
+	ffl_err_t err;
+
+	ffl_flow_spec_init(&spec);
+	ffl_copy(spec.id, sizeof(spec.id), "00000000000000aa");
+	ffl_copy(spec.queue, sizeof(spec.queue), "checks");
+	ffl_copy(spec.service, sizeof(spec.service), "survey");
+	ffl_copy(spec.customer, sizeof(spec.customer), "ponds");
+	spec.attempts_max = 2;
+	spec.stretch_milli = 3000;
+	spec.objective_base_ms = 1000;
+	spec.spec = g_strdup("s");
+	spec.steps_count = 1;
+	spec.steps = g_new0(ffl_step_t, 1);
+	spec.steps[0] = (ffl_step_t){ .tasks = 1,
+				      .gpus = 8,
+				      .cpu_milli = 8000,
+				      .mem_mb = 8000,
+				      .estimate_ms = 20000 };
+	g_assert_cmpint(ffl_flow_spec_validate(&spec, &err), ==, FFL_OK);
+	b->flow = ffl_flows_add(&b->flows, &spec, 1);
+	ffl_dispatch_request_placement(&b->d);
+}
+
+/* The log takes every batch at once. */
+static void wait_ms(bed_t *b, uint32_t ms)
+{
+	for (uint32_t i = 0; i < ms; i += STEP_MS) {
+		b->now_ms += STEP_MS;
+		ffl_dispatch_step(&b->d, b->now_ms, b->now_ms, true, true,
+				  b->orders);
+		g_ptr_array_set_size(b->changed, 0);
+		ffl_dispatch_confirm_batch(
+			&b->d, ffl_dispatch_take_batch(&b->d, b->changed));
+		ffl_dispatch_raise_token(&b->d, b->now_ms);
+	}
+}
+
+/* Returns the last order of a kind to a worker, or NULL. */
+static const ffl_order_t *find_order(const bed_t *b, ffl_order_kind_t kind,
+				     const char *worker)
+{
+	for (guint i = b->orders->len; i-- > 0;) {
+		const ffl_order_t *order =
+			&g_array_index(b->orders, ffl_order_t, i);
+
+		if (order->kind == kind && strcmp(order->worker, worker) == 0)
+			return order;
+	}
+	return NULL;
+}
+
+/* Answers the last order of a kind. A report may list a run or an end of the
+ * task; beside the end of another run, run 1 goes on. */
+static void answer(bed_t *b, ffl_order_kind_t kind, const char *worker,
+		   ffl_reply_t reply, const ffl_run_report_t *report)
+{
+	const ffl_order_t *order = find_order(b, kind, worker);
+	ffl_run_report_t running = { .run = 1 };
+	ffl_run_report_t ended = { 0 };
+
+	g_assert_nonnull(order);
+	reply.call = order->call;
+	ffl_task_name(b->flow, 0, running.task);
+	if (report && report->number) {
+		ended = *report;
+		ffl_task_name(b->flow, 0, ended.task);
+		reply.ended = &ended;
+		reply.ended_count = 1;
+	}
+	reply.running = &running;
+	reply.running_count = report && (!report->number || report->run != 1);
+	ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
+}
+
+/* Starts the task on w0, without an answer; w1 is there for another run. */
+static void start_on_w0(bed_t *b)
+{
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	submit(b);
+	wait_ms(b, 2 * STEP_MS);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w0"));
+	list_worker(b, "w1", ADDR_B, BORN_A);
+}
+
+static void run_on_w0(bed_t *b)
+{
+	const ffl_run_report_t running = { .run = 1 };
+
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	wait_ms(b, STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &running);
+	wait_ms(b, STEP_MS);
+}
+
+static void assert_not_placed_again(bed_t *b, uint32_t ms)
+{
+	for (uint32_t i = 0; i < ms; i += STEP_MS) {
+		wait_ms(b, STEP_MS);
+		g_assert_null(find_order(b, FFL_ORDER_START, "w1"));
+	}
+	g_assert_cmpuint(b->flow->tasks[0].run, ==, 1);
+}
+
+/* The worker was replaced by its next incarnation before the order came. */
+static void order_reaches_next_incarnation(bed_t *b)
+{
+	const ffl_run_report_t running = { .run = 1, .percent = 1 };
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_B },
+	       NULL);
+	wait_ms(b, STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	assert_not_placed_again(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	assert_not_placed_again(b, 2000);
+}
+
+/* An unanswered order may reach the next incarnation until that has reported
+ * under a higher token. */
+static void late_order_after_restart(bed_t *b)
+{
+	uint64_t token;
+
+	start_on_w0(b);
+	token = find_order(b, FFL_ORDER_START, "w0")->token;
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	assert_not_placed_again(b, 300);
+	wait_ms(b, 600);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->token, >, token);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B }, NULL);
+	wait_ms(b, 200);
+	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
+}
+
+/* The sending that was answered is not the one that is still under way. */
+static void answered_order_sent_twice(bed_t *b)
+{
+	uint64_t token;
+
+	start_on_w0(b);
+	token = find_order(b, FFL_ORDER_START, "w0")->token;
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	wait_ms(b, 200);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	assert_not_placed_again(b, 300);
+	wait_ms(b, STEP_MS);
+	g_assert_cmpuint(b->d.token, >, token);
+}
+
+/* The numbers of the earlier incarnation's ends are not those of the present
+ * one. */
+static void reply_of_earlier_incarnation(bed_t *b)
+{
+	const ffl_run_report_t stopped = { .run = 9,
+					   .number = 50,
+					   .end = FFL_RUN_END_STOPPED };
+	const ffl_run_report_t done = { .run = 1,
+					.number = 1,
+					.end = FFL_RUN_END_DONE };
+
+	run_on_w0(b);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &stopped);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B }, &done);
+	wait_ms(b, 200);
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_DONE);
+}
+
+/* A lease for the earlier incarnation's clock would be the longest one. */
+static void clock_of_earlier_incarnation(bed_t *b)
+{
+	run_on_w0(b);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, NULL);
+	wait_ms(b, 2 * STEP_MS);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, <=,
+			 CLOCK_B + LEASE_MAX_MS);
+}
+
+/* A worker's clock may have been set back between two of its starts. */
+static void restart_with_earlier_start_time(bed_t *b)
+{
+	const ffl_run_report_t done = { .run = 1,
+					.number = 1,
+					.end = FFL_RUN_END_DONE };
+	const ffl_run_report_t stopped = { .run = 9,
+					   .number = 50,
+					   .end = FFL_RUN_END_STOPPED };
+	const ffl_reply_t report = { .clock_ms = CLOCK_B,
+				     .born_ms = BORN_A - 1 };
+
+	run_on_w0(b);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &stopped);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &done);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &done);
+	wait_ms(b, 200);
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_DONE);
+}
+
+/* Another writer's record under the id of a live worker. */
+static void entry_of_another_writer(bed_t *b)
+{
+	run_on_w0(b);
+	list_worker(b, "w0", "10.0.0.9:80", BORN_B);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	assert_not_placed_again(b, 1500);
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	assert_not_placed_again(b, 2 * STEP_MS);
+	g_assert_cmpstr(find_order(b, FFL_ORDER_RENEW, "w0")->addr, ==, ADDR_A);
+}
+
+/* The next leader does not know which orders of the one before are under way.
+ */
+static void restart_unknown_to_next_leader(bed_t *b)
+{
+	run_on_w0(b);
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	assert_not_placed_again(b, 1500);
+}
+
+static const test_case_t cases[] = {
+	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
+	{ "late-order-after-restart", late_order_after_restart },
+	{ "answered-order-sent-twice", answered_order_sent_twice },
+	{ "reply-of-earlier-incarnation", reply_of_earlier_incarnation },
+	{ "clock-of-earlier-incarnation", clock_of_earlier_incarnation },
+	{ "restart-with-earlier-start-time", restart_with_earlier_start_time },
+	{ "entry-of-another-writer", entry_of_another_writer },
+	{ "restart-unknown-to-next-leader", restart_unknown_to_next_leader },
+};
+
+static void test_case(gconstpointer data)
+{
+	bed_t b;
+
+	bed_init(&b);
+	((const test_case_t *)data)->run(&b);
+	bed_finish(&b);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *path = g_strdup_printf("/incarnation/%s", cases[i].name);
+
+		g_test_add_data_func(path, &cases[i], test_case);
+		g_free(path);
+	}
+	return g_test_run();
+}
