dispatch: a worker has left only if its entry was written lately

Cause: a draining worker whose entry goes has left, unless the entry went for three heartbeats of silence. The silence was counted from when the leader read the entry, not from when it was written: a leader that is suspended, slow or new reads late, took a worker that is only cut off from the log for one that has left, and placed its tasks again beside the live runs.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -52,10 +52,11 @@
 /** State that the leader keeps of a worker. */
 typedef struct {
 	ffl_worker_entry_t entry;
-	bool listed;		/**< present in the worker list */
-	uint64_t listed_ms;	/**< when its entry was last read */
-	ffl_resources_t used;	/**< by the runs placed on it */
-	GPtrArray *runs;	/**< of ffl_run_t *, not owned */
+	bool listed;		   /**< present in the worker list */
+	uint64_t listed_ms;	   /**< when its entry was last read */
+	uint64_t written_after_ms; /**< its entry was written later than this */
+	ffl_resources_t used;	   /**< by the runs placed on it */
+	GPtrArray *runs;	   /**< of ffl_run_t *, not owned */
 	uint32_t calls;		/**< orders that have not been answered yet */
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
 	uint64_t clock_ms;	/**< last reading of the worker's own clock */
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -244,6 +244,7 @@
 	w->entry = *entry;
 	w->listed = true;
 	w->listed_ms = now_ms;
+	w->written_after_ms = written_after_ms;
 	if (!w->clock_read_ms || now_ms - w->clock_read_ms > CLOCK_FRESH_MS)
 		ffl_dispatch_worker_set_clock(w, entry->clock_ms, now_ms);
 	d->replan = true;
@@ -251,8 +252,9 @@
 
 /* Tells a worker that has left from one that went silent. An entry is removed
  * when its worker leaves, or after SILENCE_HEARTBEATS missed heartbeats. If the
- * worker was draining and its entry was updated more recently than that, it
- * has left and nothing runs there any more. */
+ * worker was draining and its entry was written more recently than that, it
+ * has left and nothing runs there any more. When the entry was read does not
+ * count: a host that was suspended reads late. */
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     uint64_t list_followed_ms, uint64_t now_ms)
 {
@@ -260,7 +262,7 @@
 		(uint64_t)d->opt.heartbeat_ms * SILENCE_HEARTBEATS;
 
 	return w->entry.draining && list_followed_ms > silence_ms &&
-	       now_ms - w->listed_ms <
+	       now_ms - w->written_after_ms <
 		       (uint64_t)d->opt.heartbeat_ms * (SILENCE_HEARTBEATS - 1);
 }
 
@@ -281,9 +283,11 @@
 	w->listed = false;
 	left = has_left(d, w, list_followed_ms, now_ms);
 	ffl_dispatch_note(d, "worker-gone", id,
-			  "runs=%u draining=%d heard_ms=%" PRIu64 " left=%d",
+			  "runs=%u draining=%d heard_ms=%" PRIu64
+			  " silent_max_ms=%" PRIu64 " left=%d",
 			  w->runs->len, w->entry.draining,
-			  now_ms - w->listed_ms, left);
+			  now_ms - w->listed_ms, now_ms - w->written_after_ms,
+			  left);
 	if (left)
 		ffl_dispatch_worker_end_runs(d, w, now_ms);
 	if (!w->runs->len && !w->calls)
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -75,6 +75,22 @@
 	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
 }
 
+/* The entry of a draining worker was written some time before it is read. */
+static void list_draining(bed_t *b, uint32_t written_before_ms)
+{
+	ffl_worker_entry_t entry = { .draining = true,
+				     .drain_left_ms = 60000,
+				     .born_ms = BORN_A,
+				     .clock_ms = CLOCK_A,
+				     .capacity = { 32000, 65536, 8 } };
+
+	ffl_copy(entry.id, sizeof(entry.id), "w0");
+	ffl_copy(entry.addr, sizeof(entry.addr), ADDR_A);
+	ffl_copy(entry.service, sizeof(entry.service), "survey");
+	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms - written_before_ms,
+				   b->now_ms);
+}
+
 static void submit(bed_t *b)
 {
 	ffl_flow_spec_t spec;
@@ -323,6 +339,27 @@
 	assert_not_placed_again(b, 1500);
 }
 
+/* A draining worker that is only cut off from the log, as seen by a leader that
+ * read its last entry late, still runs its tasks. */
+static void silent_worker_read_late(bed_t *b)
+{
+	run_on_w0(b);
+	list_draining(b, 2500);
+	wait_ms(b, 2000);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	assert_not_placed_again(b, 1000);
+}
+
+static void left_worker_is_not_waited_out(bed_t *b)
+{
+	run_on_w0(b);
+	list_draining(b, 500);
+	wait_ms(b, 2000);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	wait_ms(b, 200);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -332,6 +369,8 @@
 	{ "restart-with-earlier-start-time", restart_with_earlier_start_time },
 	{ "entry-of-another-writer", entry_of_another_writer },
 	{ "restart-unknown-to-next-leader", restart_unknown_to_next_leader },
+	{ "silent-worker-read-late", silent_worker_read_late },
+	{ "left-worker-is-not-waited-out", left_worker_is_not_waited_out },
 };
 
 static void test_case(gconstpointer data)
