node: a new leader waits out leases from its claim, not from the last state

Cause: a new leader took an earlier leader's authority to end with the last state that it had read of it. A worker that the new leader cannot reach was given up while its lease lasted, and its tasks started again. Class: when something was heard is taken for when it was so. Change: the earlier leader's last append is taken to come just before the claim, and the clock's slowness and the slack count as for the leader's own leases (ffl_lease_end_ms).

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -462,7 +462,8 @@
 		full = true;
 	}
 	if (s->now_ms < h->log_cut_until_ms ||
-	    s->now_ms < s->log_silent_until_ms)
+	    s->now_ms < s->log_silent_until_ms ||
+	    (h->topics_cut >> call->topic & 1))
 		return;
 	reply_event = event_new(EVENT_STORE_BACK,
 				s->now_ms + LOG_MS + s->log_extra_ms[e->host],
@@ -592,7 +593,7 @@
 	       strcmp(s->workers[index].id, e->act.order.worker) != 0)
 		index++;
 	if (index == s->workers_count || !s->workers[index].alive ||
-	    s->worker_cut[index])
+	    s->worker_cut[index] || (s->hosts_cut[index] >> e->host & 1))
 		return;
 	if (!e->no_answer && e->act.order.kind != FFL_ORDER_RENEW &&
 	    s->now_ms < s->orders_late_until_ms &&
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -27,8 +27,9 @@
 	bool exited;
 	uint64_t incarnation; /**< number of this start; replies to earlier ones
 				 are dropped */
-	uint64_t frozen_until_ms;   /**< suspended: gets no events before */
-	uint64_t log_cut_until_ms;  /**< cannot reach the log before */
+	uint64_t frozen_until_ms;  /**< suspended: gets no events before */
+	uint64_t log_cut_until_ms; /**< cannot reach the log before */
+	uint32_t topics_cut; /**< topics that it cannot reach, a bit each */
 	uint64_t jobs_lag_until_ms; /**< gets no new job records before */
 	uint64_t ticked_ms;	    /**< time of the last tick */
 	uint64_t restart_ms;	    /**< when it starts again; 0: never */
@@ -68,6 +69,8 @@
 	site_host_t hosts[SITE_HOSTS_MAX];
 	task_worker_t workers[SITE_WORKERS_MAX];
 	bool worker_cut[SITE_WORKERS_MAX]; /**< cut off from all hosts */
+	/** Hosts that cannot reach the worker, a bit each. */
+	uint32_t hosts_cut[SITE_WORKERS_MAX];
 	keyed_log_t topics[FFL_TOPIC__MAX];
 	ffl_arena_t arena;
 	GQueue events; /**< of event_t, by due time */
--- a/fakes/site_faults.c
+++ b/fakes/site_faults.c
@@ -79,6 +79,7 @@
 		site_host_t *h = &s->hosts[i];
 
 		h->log_cut_until_ms = 0;
+		h->topics_cut = 0;
 		if (!h->alive && !h->restart_ms)
 			h->restart_ms = s->now_ms;
 	}
@@ -86,6 +87,7 @@
 		task_worker_t *w = &s->workers[i];
 
 		s->worker_cut[i] = false;
+		s->hosts_cut[i] = 0;
 		w->hangs = false;
 		w->draining = false;
 		if (!w->alive)
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -87,9 +87,9 @@
 void ffl_dispatch_become_leader(ffl_dispatch_t *d, uint64_t token,
 				uint64_t last_lease_ms, uint64_t now_ms)
 {
-	uint64_t leases_end_ms = last_lease_ms + (uint64_t)d->opt.lease_max_ms *
-							 LEASE_PERCENT /
-							 CLOCK_SLOW_PERCENT;
+	uint64_t leases_end_ms = ffl_lease_end_ms(
+		(uint64_t)d->opt.lease_max_ms * LEASE_PERCENT / PERCENT,
+		last_lease_ms);
 	GHashTableIter iter;
 	gpointer value;
 
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -55,6 +55,9 @@
 			    const ffl_resources_t *amount);
 /** Returns the part of a worker's capacity that no run uses. */
 ffl_resources_t ffl_dispatch_worker_available(const ffl_dispatch_worker_t *w);
+/** Returns the time at which a lease given now has ended on the slowest clock.
+ */
+uint64_t ffl_lease_end_ms(uint64_t lease_ms, uint64_t now_ms);
 /**
  * Grants a lease from now on and moves leases_end_ms accordingly.
  *
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -15,7 +15,6 @@
 /** Margin for timers and network delay when waiting for leases to end. */
 #define EXPIRE_SLACK_MS 150
 
-static uint64_t lease_end_ms(uint64_t lease_ms, uint64_t now_ms);
 static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
@@ -85,8 +84,7 @@
 	w->clock_read_ms = now_ms;
 }
 
-/* Returns the time at which a lease has ended on the slowest clock. */
-static uint64_t lease_end_ms(uint64_t lease_ms, uint64_t now_ms)
+uint64_t ffl_lease_end_ms(uint64_t lease_ms, uint64_t now_ms)
 {
 	return now_ms + lease_ms * PERCENT / CLOCK_SLOW_PERCENT +
 	       EXPIRE_SLACK_MS;
@@ -104,11 +102,12 @@
 	if (!w->clock_read_ms)
 		return 0;
 	ahead_ms = now_ms - w->clock_read_ms + lease_ms;
-	end_ms = lease_end_ms(ahead_ms, w->clock_read_ms);
+	end_ms = ffl_lease_end_ms(ahead_ms, w->clock_read_ms);
 	/* The clock in an entry may be an earlier incarnation's; the worker
 	 * then grants its longest lease. */
 	if (!w->clock_reported)
-		end_ms = MAX(end_ms, lease_end_ms(d->opt.lease_max_ms, now_ms));
+		end_ms = MAX(end_ms,
+			     ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
 	w->leases_end_ms = MAX(w->leases_end_ms, end_ms);
 	return w->clock_ms + ahead_ms;
 }
@@ -206,7 +205,7 @@
 	}
 	forget_incarnation(w);
 	w->leases_end_ms = MAX(w->leases_end_ms,
-			       lease_end_ms(d->opt.lease_max_ms, now_ms));
+			       ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -131,11 +131,12 @@
 	ffl_lead_t *l = &n->lead;
 	bool has_ended =
 		l->holder_resigned || strcmp(l->holder, n->opt.name) == 0;
-	/* Unless it is known to have ended, the earlier leader may have gone on
-	 * extending leases after it was last seen. */
+	/* Unless it is known to have ended, the earlier leader may go on
+	 * extending leases. Its last append precedes this claim. When it was
+	 * last seen says less: its appends to the topic of states may be late
+	 * or lost. */
 	uint64_t last_lease_ms =
-		has_ended ? n->now_ms
-			  : l->holder_seen_ms + LEASE_EXTENSION_MAX_MS;
+		has_ended ? n->now_ms : l->sent_ms + LEASE_EXTENSION_MAX_MS;
 
 	if (l->holder_seen_ms)
 		ffl_node_measure(n, FFL_LATENCY_TAKEOVER,
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -20,6 +20,7 @@
 static const ffl_flow_t *find_job_at_leader(const site_t *s, uint32_t job);
 static void test_scenario(gconstpointer data);
 static void test_last_ends(void);
+static void test_superseded_leader_extends(void);
 static void test_near_host_leads(void);
 
 static void assert_no_fault(const site_t *s)
@@ -574,6 +575,46 @@
 	}
 }
 
+/* A leader whose states are late is superseded while it still writes runs, and
+ * extends leases for longer than its last state tells. */
+static void test_superseded_leader_extends(void)
+{
+	for (uint32_t i = 0; i < 12; i++) {
+		uint32_t index = 0;
+		uint32_t leader;
+		uint32_t next;
+		site_t s;
+
+		site_init(&s, 1 + i, 3, 4);
+		site_run(&s, START_MS);
+		leader = (uint32_t)site_leader(&s);
+		site_submit(&s, leader, 1, 8, 30000, false);
+		site_run(&s, 1000);
+		while (!s.workers[index].runs->len)
+			index++;
+		s.hosts_cut[index] = ~(1U << leader);
+		s.hosts[leader].topics_cut = 1U << FFL_TOPIC_STATES;
+		do {
+			site_run(&s, SITE_STEP_MS);
+			for (next = 0; next < 3; next++) {
+				if (next != leader &&
+				    s.hosts[next].node.lead.leading)
+					break;
+			}
+		} while (next == 3);
+		site_worker_drain(&s, index);
+		s.hosts[leader].log_cut_until_ms = s.now_ms + 30000;
+		s.hosts[next].topics_cut = 1U << FFL_TOPIC_WORKERS;
+		while (s.hosts[next].node.dispatch.runs->len)
+			site_run(&s, SITE_STEP_MS);
+		s.hosts[next].topics_cut = 0;
+		site_run(&s, 6000);
+		site_settle(&s, RECOVERY_MS);
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
 /* Of hosts of equal size, one with a short delay to the log leads. */
 static void test_near_host_leads(void)
 {
@@ -611,6 +652,8 @@
 		g_free(path);
 	}
 	g_test_add_func("/node/last-ends", test_last_ends);
+	g_test_add_func("/node/superseded-leader-extends-leases",
+			test_superseded_leader_extends);
 	g_test_add_func("/node/near-host-leads", test_near_host_leads);
 	return g_test_run();
 }
