dispatch: an order that was not sent grants no lease

Cause: a start in doubt is sent again until it is answered, and each sending moved the end of the leases that are waited out, whether or not it left the host. A worker that is gone refuses the connection, so its runs were never given up. Change: a sending that has not left the host is told apart (NOT_SENT) and counts for nothing, for starts and renewals alike. A repeated start carries the lease of the first one. A start that never left ends its run at once. A worker that is off the list is sent no start; one in doubt is settled by a stop.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -61,7 +61,9 @@
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
 	uint64_t clock_ms;	/**< last reading of the worker's own clock */
 	bool clock_reported;	/**< clock_ms is its own, not from the list */
-	uint64_t leases_end_ms; /**< all leases given have ended by then */
+	/** All leases that it may have been given have ended by then; those of
+	 * unanswered orders not counted. */
+	uint64_t leases_end_ms;
 	/** When a report told its incarnation; 0: known from the list or from
 	 * the log only. */
 	uint64_t born_reported_ms;
@@ -126,9 +128,14 @@
 	uint32_t recent_load;	      /**< see ffl_run_report_t */
 	uint32_t limit_percent;	      /**< speed limit that it is to have */
 	uint32_t acked_limit_percent; /**< limit that its worker has accepted */
-	uint32_t sendings;   /**< start orders sent for it by this leader */
-	bool start_in_doubt; /**< a start order timed out, may still act */
-	bool stopping;	     /**< to be stopped */
+	uint32_t sendings; /**< start orders made for it by this leader */
+	/** End of the lease in its start orders, by the worker's clock; the
+	 * same in each, so that a repeated order can be waited out. 0: none
+	 * yet. */
+	uint64_t lease_until_ms;
+	uint64_t lease_end_ms; /**< the same by this host's clock, at latest */
+	bool start_in_doubt;   /**< a start order timed out, may still act */
+	bool stopping;	       /**< to be stopped */
 	uint64_t stop_accepted_ms; /**< when the worker accepted the stop */
 	const char *stop_reason;   /**< static string, for the log */
 	uint64_t stop_cost; /**< work lost if its gang is stopped; scratch */
@@ -182,9 +189,11 @@
 	bool fenced;	/**< a worker has seen a later leader's token */
 	ffl_note_fn_t note;
 	ffl_latency_fn_t measure;
-	void *note_user;    /**< argument of note and measure */
-	uint64_t starts;    /**< runs started */
-	uint64_t preempted; /**< runs preempted */
+	void *note_user;		  /**< argument of note and measure */
+	uint64_t starts;		  /**< runs started */
+	uint64_t preempted;		  /**< runs preempted */
+	uint64_t repeats[FFL_REPLY__MAX]; /**< repeated start orders by outcome
+					   */
 } ffl_dispatch_t;
 
 void ffl_dispatch_init(ffl_dispatch_t *d, const ffl_dispatch_options_t *opt,
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -80,7 +80,8 @@
 	FFL_REPLY_INVALID,	 /**< the worker could not parse the order */
 	FFL_REPLY_UNHEALTHY,	 /**< the worker has not acted on the order */
 	FFL_REPLY_OTHER_INCARNATION, /**< another incarnation answered */
-	FFL_REPLY_UNKNOWN,	     /**< no answer: may still be carried out */
+	FFL_REPLY_NOT_SENT, /**< the order has certainly not left this host */
+	FFL_REPLY_UNKNOWN,  /**< no answer: may still be carried out */
 	FFL_REPLY__MAX
 } ffl_reply_outcome_t;
 
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -3,6 +3,7 @@
  * @brief Gauges and event counters in the Prometheus text format.
  */
 #include <pthread.h>
+#include <string.h>
 
 #include "jobd/jobd.h"
 
@@ -50,6 +51,7 @@
 	pthread_mutex_t lock;
 	GHashTable *events; /**< count by name of event */
 	uint64_t gauges[GAUGE__MAX];
+	uint64_t repeats[FFL_REPLY__MAX];
 } metrics;
 
 void jobd_metrics_init(void)
@@ -94,6 +96,7 @@
 	pthread_mutex_lock(&metrics.lock);
 	for (uint32_t i = 0; i < GAUGE__MAX; i++)
 		metrics.gauges[i] = values[i];
+	memcpy(metrics.repeats, n->dispatch.repeats, sizeof(metrics.repeats));
 	pthread_mutex_unlock(&metrics.lock);
 }
 
@@ -119,6 +122,15 @@
 		g_string_append_printf(
 			out, "ffl_jobd_events_total{event=\"%s\"} %zu\n",
 			(const char *)key, GPOINTER_TO_SIZE(value));
+	g_string_append(out, "# HELP ffl_jobd_repeated_starts_total start "
+			     "orders that were sent before, by outcome\n"
+			     "# TYPE ffl_jobd_repeated_starts_total counter\n");
+	for (uint32_t i = 0; i < FFL_REPLY__MAX; i++)
+		g_string_append_printf(
+			out,
+			"ffl_jobd_repeated_starts_total{outcome=\"%s\"} "
+			"%" PRIu64 "\n",
+			ffl_reply_outcome_name(i), metrics.repeats[i]);
 	pthread_mutex_unlock(&metrics.lock);
 	jobd_hist_format(out);
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -27,8 +27,9 @@
 	ffl_dispatch_worker_t *worker;
 	ffl_run_t *run; /**< NULL for a renew order, or if the run is gone */
 	uint64_t sent_ms;
-	uint64_t acked;	  /**< as in the order */
-	uint32_t percent; /**< speed limit in the order */
+	uint64_t lease_end_ms; /**< of the lease in the order; 0: none */
+	uint64_t acked;	       /**< as in the order */
+	uint32_t percent;      /**< speed limit in the order */
 } ffl_open_call_t;
 
 /** Passes an event to the caller's log; the text is cut at
@@ -59,14 +60,15 @@
  */
 uint64_t ffl_lease_end_ms(uint64_t lease_ms, uint64_t now_ms);
 /**
- * Grants a lease from now on and moves leases_end_ms accordingly.
+ * Works out a lease from now on.
  *
+ * @param end_ms receives the time at which it has certainly ended
  * @return end of the lease by the worker's clock, in ms; 0 if its clock is
  *         not known
  */
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
-					 ffl_dispatch_worker_t *w,
-					 uint64_t now_ms);
+					 const ffl_dispatch_worker_t *w,
+					 uint64_t now_ms, uint64_t *end_ms);
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
--- a/lib/dispatch/order.c
+++ b/lib/dispatch/order.c
@@ -19,6 +19,7 @@
 	[FFL_REPLY_INVALID] = "invalid",
 	[FFL_REPLY_UNHEALTHY] = "unhealthy",
 	[FFL_REPLY_OTHER_INCARNATION] = "other-life",
+	[FFL_REPLY_NOT_SENT] = "not-sent",
 	[FFL_REPLY_UNKNOWN] = "unknown",
 };
 
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -37,6 +37,7 @@
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_reported(const ffl_run_t *run, const ffl_reply_t *reply);
+static bool is_start_over(const ffl_run_t *run, uint64_t at_ms);
 static void resolve_tasks(const ffl_dispatch_t *d, ffl_run_report_t *reports,
 			  uint32_t count);
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -160,6 +161,14 @@
 						&reports[i].task_index);
 }
 
+/* Returns true if no start order for a run could still be carried out at a
+ * time. */
+static bool is_start_over(const ffl_run_t *run, uint64_t at_ms)
+{
+	return run->state == FFL_RUN_SENT && !run->call && run->lease_end_ms &&
+	       run->lease_end_ms < at_ms;
+}
+
 /* Ends the runs that a report does not list although they were known to be on
  * the worker before the report was requested. */
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -174,6 +183,7 @@
 			continue;
 		run = g_ptr_array_index(w->runs, i);
 		was_there = run->state == FFL_RUN_ADOPTED ||
+			    is_start_over(run, sent_ms) ||
 			    (run->state == FFL_RUN_RUNNING &&
 			     run->running_ms < sent_ms) ||
 			    (run->stop_accepted_ms &&
@@ -217,6 +227,8 @@
 {
 	ffl_dispatch_worker_t *w = run->worker;
 	char name[FFL_TASK_NAME_BYTES];
+	bool is_unhealthy = reply->outcome == FFL_REPLY_UNHEALTHY ||
+			    reply->outcome == FFL_REPLY_NOT_SENT;
 
 	ffl_task_name(run->flow, run->task, name);
 	ffl_dispatch_note(d, "start-refused", name,
@@ -227,9 +239,8 @@
 	else
 		w->quarantined_until_ms =
 			MAX(w->quarantined_until_ms,
-			    now_ms + (reply->outcome == FFL_REPLY_UNHEALTHY
-					      ? UNHEALTHY_QUARANTINE_MS
-					      : REFUSED_QUARANTINE_MS));
+			    now_ms + (is_unhealthy ? UNHEALTHY_QUARANTINE_MS
+						   : REFUSED_QUARANTINE_MS));
 	if (run->start_in_doubt || reply->outcome == FFL_REPLY_STALE_RUN) {
 		/* An earlier start order may have been carried out. */
 		ffl_run_request_stop(d, run, "refused");
@@ -246,6 +257,8 @@
 	if (!run)
 		return;
 	run->call = 0;
+	if (run->sendings > 1)
+		d->repeats[reply->outcome]++;
 	if (reply->outcome == FFL_REPLY_OK) {
 		run->start_in_doubt = false;
 		if (run->state != FFL_RUN_RUNNING) {
@@ -259,7 +272,8 @@
 		}
 		return;
 	}
-	if (reply->outcome == FFL_REPLY_UNKNOWN) {
+	if (reply->outcome == FFL_REPLY_UNKNOWN ||
+	    (reply->outcome == FFL_REPLY_NOT_SENT && run->start_in_doubt)) {
 		run->start_in_doubt = true;
 		run->retry_ms = now_ms + RESEND_MS;
 		return;
@@ -341,6 +355,8 @@
 	w->calls--;
 	if (reply->outcome == FFL_REPLY_FENCED)
 		d->fenced = true;
+	if (reply->outcome != FFL_REPLY_NOT_SENT)
+		w->leases_end_ms = MAX(w->leases_end_ms, call->lease_end_ms);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
 		handle_replaced(d, w, now_ms);
 	else if (!accept_incarnation(d, w, reply, now_ms))
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -12,15 +12,17 @@
  * are not in the log yet. */
 #define RENEW_REPEAT_MS 200
 
-static uint64_t open_call(ffl_dispatch_t *d, ffl_order_kind_t kind,
-			  ffl_dispatch_worker_t *w, ffl_run_t *run,
-			  uint64_t now_ms);
+static ffl_open_call_t *open_call(ffl_dispatch_t *d, ffl_order_kind_t kind,
+				  ffl_dispatch_worker_t *w, ffl_run_t *run,
+				  uint64_t now_ms);
 static ffl_order_t *new_order(ffl_dispatch_t *d, GArray *orders,
 			      ffl_order_kind_t kind, ffl_dispatch_worker_t *w,
 			      ffl_run_t *run, uint64_t now_ms);
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			uint64_t now_ms);
+static void set_lease(ffl_dispatch_t *d, ffl_order_t *order, uint64_t until_ms,
+		      uint64_t end_ms);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms);
 static void send_start(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
@@ -32,9 +34,9 @@
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms);
 
-static uint64_t open_call(ffl_dispatch_t *d, ffl_order_kind_t kind,
-			  ffl_dispatch_worker_t *w, ffl_run_t *run,
-			  uint64_t now_ms)
+static ffl_open_call_t *open_call(ffl_dispatch_t *d, ffl_order_kind_t kind,
+				  ffl_dispatch_worker_t *w, ffl_run_t *run,
+				  uint64_t now_ms)
 {
 	ffl_open_call_t *call = g_new0(ffl_open_call_t, 1);
 
@@ -48,20 +50,21 @@
 	if (run)
 		run->call = call->call;
 	g_hash_table_insert(d->calls, &call->call, call);
-	return call->call;
+	return call;
 }
 
 static ffl_order_t *new_order(ffl_dispatch_t *d, GArray *orders,
 			      ffl_order_kind_t kind, ffl_dispatch_worker_t *w,
 			      ffl_run_t *run, uint64_t now_ms)
 {
+	ffl_open_call_t *call = open_call(d, kind, w, run, now_ms);
 	ffl_order_t *order;
 
 	g_array_set_size(orders, orders->len + 1);
 	order = &g_array_index(orders, ffl_order_t, orders->len - 1);
 	memset(order, 0, sizeof(*order));
 	order->kind = kind;
-	order->call = open_call(d, kind, w, run, now_ms);
+	order->call = call->call;
 	order->token = w->token;
 	ffl_copy(order->worker, sizeof(order->worker), w->entry.id);
 	ffl_copy(order->addr, sizeof(order->addr), w->entry.addr);
@@ -106,6 +109,16 @@
 	return !w->ack_batch || now_ms >= w->renew_ms + RENEW_REPEAT_MS;
 }
 
+/* The lease counts as given until the order is known not to have been sent. */
+static void set_lease(ffl_dispatch_t *d, ffl_order_t *order, uint64_t until_ms,
+		      uint64_t end_ms)
+{
+	ffl_open_call_t *call = g_hash_table_lookup(d->calls, &order->call);
+
+	order->until_ms = until_ms;
+	call->lease_end_ms = end_ms;
+}
+
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms)
 {
@@ -113,6 +126,8 @@
 		new_order(d, orders, FFL_ORDER_RENEW, w, NULL, now_ms);
 	bool stopping = false;
 	bool adopted = false;
+	uint64_t until_ms;
+	uint64_t end_ms;
 
 	for (guint i = 0; i < w->runs->len; i++) {
 		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
@@ -123,8 +138,11 @@
 	order->acked = w->acked;
 	/* An unresponsive worker's lease is not extended, so that its runs can
 	 * be given up when it ends. A worker without runs needs no lease. */
-	if (w->runs->len && !w->missed_renewals && d->may_renew)
-		order->until_ms = ffl_dispatch_worker_grant_lease(d, w, now_ms);
+	if (w->runs->len && !w->missed_renewals && d->may_renew) {
+		until_ms =
+			ffl_dispatch_worker_grant_lease(d, w, now_ms, &end_ms);
+		set_lease(d, order, until_ms, end_ms);
+	}
 	if (w->runs->len && !w->missed_renewals && !adopted &&
 	    w->clock_read_ms && !w->ack_batch)
 		order->wait_ms = stopping ? d->opt.stop_max_ms
@@ -152,8 +170,10 @@
 	order = new_order(d, orders, FFL_ORDER_START, run->worker, run, now_ms);
 	order->spec = run->flow->spec.spec;
 	order->checkpoint = task->checkpoint;
-	order->until_ms =
-		ffl_dispatch_worker_grant_lease(d, run->worker, now_ms);
+	if (!run->lease_until_ms)
+		run->lease_until_ms = ffl_dispatch_worker_grant_lease(
+			d, run->worker, now_ms, &run->lease_end_ms);
+	set_lease(d, order, run->lease_until_ms, run->lease_end_ms);
 	order->ticket = ffl_advice_ticket(d, run);
 	order->timeout_ms = START_TIMEOUT_MS;
 	ffl_dispatch_note(d, "run-ordered", order->task,
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -18,6 +18,9 @@
 static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
 			     uint64_t now_ms);
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run);
+static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run);
+static uint64_t leases_end_ms(const ffl_dispatch_t *d,
+			      const ffl_dispatch_worker_t *w);
 static void stop_cancelled(ffl_dispatch_t *d);
 
 /* Returns the time that a run still needs: from its own rate if that is known,
@@ -75,6 +78,16 @@
 				      : HANG_MS);
 }
 
+/* A worker that is off the list is sent no start, only a stop for a start that
+ * it may have carried out. */
+static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run)
+{
+	if (run->worker->listed || run->stopping ||
+	    (run->state != FFL_RUN_PLANNED && run->state != FFL_RUN_SENT))
+		return;
+	ffl_run_request_stop(d, run, "unlisted");
+}
+
 /* Stops a hung run so that it is started elsewhere, and counts the failure
  * against its worker. */
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
@@ -84,6 +97,7 @@
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
 	evacuate(d, run, now_ms);
+	withdraw_start(d, run);
 	if (run->state != FFL_RUN_RUNNING || run->stopping ||
 	    step->runs_until_cancelled)
 		return;
@@ -119,12 +133,32 @@
 	}
 }
 
+/* Returns the end of all leases that a worker may have, those of unanswered
+ * orders included. */
+static uint64_t leases_end_ms(const ffl_dispatch_t *d,
+			      const ffl_dispatch_worker_t *w)
+{
+	uint64_t end_ms = w->leases_end_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->calls);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ffl_open_call_t *call = value;
+
+		if (call->worker == w)
+			end_ms = MAX(end_ms, call->lease_end_ms);
+	}
+	return end_ms;
+}
+
 void ffl_watch_worker(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      uint64_t now_ms)
 {
 	bool unreachable = w->missed_renewals || !w->entry.addr[0];
 
-	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms)
+	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms ||
+	    now_ms < leases_end_ms(d, w))
 		return;
 	ffl_dispatch_note(d, "worker-lost", w->entry.id, "runs=%u silent=%u",
 			  w->runs->len, w->missed_renewals);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -91,24 +91,23 @@
 }
 
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
-					 ffl_dispatch_worker_t *w,
-					 uint64_t now_ms)
+					 const ffl_dispatch_worker_t *w,
+					 uint64_t now_ms, uint64_t *end_ms)
 {
 	uint64_t lease_ms =
 		(uint64_t)d->opt.lease_max_ms * LEASE_PERCENT / PERCENT;
 	uint64_t ahead_ms;
-	uint64_t end_ms;
 
+	*end_ms = 0;
 	if (!w->clock_read_ms)
 		return 0;
 	ahead_ms = now_ms - w->clock_read_ms + lease_ms;
-	end_ms = ffl_lease_end_ms(ahead_ms, w->clock_read_ms);
+	*end_ms = ffl_lease_end_ms(ahead_ms, w->clock_read_ms);
 	/* The clock in an entry may be an earlier incarnation's; the worker
 	 * then grants its longest lease. */
 	if (!w->clock_reported)
-		end_ms = MAX(end_ms,
-			     ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
-	w->leases_end_ms = MAX(w->leases_end_ms, end_ms);
+		*end_ms = MAX(*end_ms,
+			      ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
 	return w->clock_ms + ahead_ms;
 }
 
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -1,5 +1,5 @@
 /** @file Tests of the dispatcher with workers that start again under their id,
- * answered order by order. */
+ * leave or refuse connections, answered order by order. */
 #include <string.h>
 
 #include "fireflyledge/dispatch.h"
@@ -15,6 +15,9 @@
 #define CLOCK_A	     900000
 #define CLOCK_B	     1000
 #define LEASE_MAX_MS 10000
+/** A run that cannot be asked for is given up after the longest lease on the
+ * slowest clock, a call's time-out and the time of a step or two. */
+#define GIVE_UP_MS (LEASE_MAX_MS * 100 / 98 + 1600 + 500)
 
 /** A leader whose orders are answered by the test. */
 typedef struct {
@@ -339,6 +342,82 @@
 	assert_not_placed_again(b, 1500);
 }
 
+/* Refuses all connections to w0 for some time. Returns how long it took until
+ * the task was ordered on w1. */
+static uint32_t refuse_until_placed(bed_t *b, uint32_t ms)
+{
+	ffl_reply_t reply = { .outcome = FFL_REPLY_NOT_SENT };
+
+	for (uint32_t at_ms = 0; at_ms < ms; at_ms += STEP_MS) {
+		wait_ms(b, STEP_MS);
+		for (guint i = 0; i < b->orders->len; i++) {
+			const ffl_order_t *order =
+				&g_array_index(b->orders, ffl_order_t, i);
+
+			reply.call = order->call;
+			if (strcmp(order->worker, "w0") == 0)
+				ffl_dispatch_handle_reply(&b->d, &reply,
+							  b->now_ms);
+		}
+		if (find_order(b, FFL_ORDER_START, "w1"))
+			return at_ms;
+	}
+	return ms;
+}
+
+/* A start in doubt at a worker that has gone must not be granted a new lease by
+ * each order that never left. */
+static void refused_starts_hold_task(bed_t *b)
+{
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	wait_ms(b, 500);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	g_assert_cmpuint(refuse_until_placed(b, 2 * GIVE_UP_MS), <, GIVE_UP_MS);
+}
+
+/* The same on a worker that is still listed. */
+static void refused_starts_of_listed_worker(bed_t *b)
+{
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	g_assert_cmpuint(refuse_until_placed(b, 2 * GIVE_UP_MS), <, GIVE_UP_MS);
+}
+
+/* A doubt is waited out, however often later orders were not sent. */
+static void refused_starts_end_no_doubt(bed_t *b)
+{
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	g_assert_cmpuint(refuse_until_placed(b, 2 * GIVE_UP_MS), >=,
+			 LEASE_MAX_MS);
+}
+
+static void unsent_start_waits_for_lease(bed_t *b)
+{
+	start_on_w0(b);
+	g_assert_cmpuint(refuse_until_placed(b, GIVE_UP_MS), <, 500);
+}
+
+static void unlisted_worker_is_sent_starts(bed_t *b)
+{
+	guint sent;
+
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	sent = b->orders->len;
+	wait_ms(b, 1000);
+	g_assert_nonnull(find_order(b, FFL_ORDER_STOP, "w0"));
+	for (guint i = sent; i < b->orders->len; i++)
+		g_assert_cmpint(g_array_index(b->orders, ffl_order_t, i).kind,
+				!=, FFL_ORDER_START);
+}
+
 /* A draining worker that is only cut off from the log, as seen by a leader that
  * read its last entry late, still runs its tasks. */
 static void silent_worker_read_late(bed_t *b)
@@ -369,6 +448,11 @@
 	{ "restart-with-earlier-start-time", restart_with_earlier_start_time },
 	{ "entry-of-another-writer", entry_of_another_writer },
 	{ "restart-unknown-to-next-leader", restart_unknown_to_next_leader },
+	{ "refused-starts-hold-task", refused_starts_hold_task },
+	{ "refused-starts-of-listed-worker", refused_starts_of_listed_worker },
+	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
+	{ "unsent-start-waits-for-lease", unsent_start_waits_for_lease },
+	{ "unlisted-worker-is-sent-starts", unlisted_worker_is_sent_starts },
 	{ "silent-worker-read-late", silent_worker_read_late },
 	{ "left-worker-is-not-waited-out", left_worker_is_not_waited_out },
 };
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -136,6 +136,7 @@
 	{ "other life", 1, 421, "{}", FFL_REPLY_OTHER_INCARNATION },
 	{ "unhealthy", 1, 503, "", FFL_REPLY_UNHEALTHY },
 	{ "no answer", 1, 0, "", FFL_REPLY_UNKNOWN },
+	{ "not sent", 0, 0, "", FFL_REPLY_NOT_SENT },
 };
 
 /** The value of a worker's entry, and whether it must be accepted. */
