dispatch: a worker that is off the list gets no lease

Cause: a worker whose entry is gone but that still answers had its leases extended for good; the issue asks that no order extends work there. Change: renewals to it only ask for its report, so its runs end by the lease or by themselves. Figures: incarnation/unlisted-worker-is-extended fails before, passes now.

--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -136,9 +136,10 @@
 		adopted |= run->state == FFL_RUN_ADOPTED;
 	}
 	order->acked = w->acked;
-	/* An unresponsive worker's lease is not extended, so that its runs can
-	 * be given up when it ends. A worker without runs needs no lease. */
-	if (w->runs->len && !w->missed_renewals && d->may_renew) {
+	/* The lease of a worker that does not answer, or is off the list, is
+	 * not extended, so that its runs can be given up when it ends. A worker
+	 * without runs needs no lease. */
+	if (w->runs->len && w->listed && !w->missed_renewals && d->may_renew) {
 		until_ms =
 			ffl_dispatch_worker_grant_lease(d, w, now_ms, &end_ms);
 		set_lease(d, order, until_ms, end_ms);
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -418,6 +418,17 @@
 				!=, FFL_ORDER_START);
 }
 
+static void unlisted_worker_is_extended(bed_t *b)
+{
+	run_on_w0(b);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &(ffl_run_report_t){ .run = 1 });
+	wait_ms(b, STEP_MS);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, ==, 0);
+}
+
 /* A draining worker that is only cut off from the log, as seen by a leader that
  * read its last entry late, still runs its tasks. */
 static void silent_worker_read_late(bed_t *b)
@@ -453,6 +464,7 @@
 	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
 	{ "unsent-start-waits-for-lease", unsent_start_waits_for_lease },
 	{ "unlisted-worker-is-sent-starts", unlisted_worker_is_sent_starts },
+	{ "unlisted-worker-is-extended", unlisted_worker_is_extended },
 	{ "silent-worker-read-late", silent_worker_read_late },
 	{ "left-worker-is-not-waited-out", left_worker_is_not_waited_out },
 };
