node: the leader repairs a state that a late append has overwritten

Cause: states are appended without a condition. An append without an answer may be carried out seconds later, after a newer one; the newest record of the key then holds the earlier state. Hosts that read both keep the later one, the leader among them, so nobody wrote it again. Class: a sending is taken to have had its effect when it was sent. Change: each host remembers the offset of a job's newest state record and whether it holds another state than the published one; the leader publishes again if so.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -133,9 +133,13 @@
 	uint32_t placed_count; /**< tasks that are placed */
 	ffl_task_t *tasks;
 	uint32_t tasks_count;
-	ffl_flow_state_t visible_state;	  /**< that callers are told: follows
-					   * only from records on the log */
-	ffl_flow_state_t published_state; /**< in the topic of states */
+	ffl_flow_state_t visible_state; /**< that callers are told: follows
+					 * only from records on the log */
+	/** State that was published or read, the one of the highest rank. */
+	ffl_flow_state_t published_state;
+	uint64_t state_offset; /**< of its newest known state record */
+	/** That record holds another state: a late append came after it. */
+	bool state_outdated;
 	/* Used by the leader only. */
 	ffl_flow_state_t batch_state; /**< recorded by the append in flight */
 	uint64_t dirty_batch; /**< last batch that must record its progress; 0:
--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -11,7 +11,9 @@
 static ffl_node_act_t *states_append(ffl_node_t *n);
 static void add_states(ffl_node_t *n, GPtrArray *writes);
 static void add_state_drops(ffl_node_t *n, GPtrArray *writes);
-static void apply_written_states(ffl_node_t *n);
+static void apply_written_states(ffl_node_t *n, uint64_t offset);
+static ffl_flow_t *record_state(ffl_node_t *n, const char *id,
+				ffl_flow_state_t state, uint64_t offset);
 static void apply_state(ffl_node_t *n, const ffl_store_record_t *rec);
 
 void ffl_publish_init(ffl_node_t *n)
@@ -45,7 +47,8 @@
 		ffl_write_t *w;
 		guint8 state = (guint8)flow->visible_state;
 
-		if (flow->visible_state == flow->published_state)
+		if (flow->visible_state == flow->published_state &&
+		    !flow->state_outdated)
 			continue;
 		w = ffl_write_new(KEY_STATE, flow->spec.id);
 		g_byte_array_append(w->value, &state, sizeof(state));
@@ -91,7 +94,7 @@
 	g_ptr_array_unref(writes);
 }
 
-static void apply_written_states(ffl_node_t *n)
+static void apply_written_states(ffl_node_t *n, uint64_t offset)
 {
 	const GPtrArray *writes = n->lead.publish.writes;
 
@@ -99,12 +102,29 @@
 		const ffl_write_t *w = g_ptr_array_index(writes, i);
 
 		if (w->key[0] == KEY_STATE && w->value->len)
-			ffl_flows_apply_state(
-				&n->flows, w->key + 1,
-				(ffl_flow_state_t)w->value->data[0]);
+			record_state(n, w->key + 1,
+				     (ffl_flow_state_t)w->value->data[0],
+				     offset + i);
 	}
 }
 
+/* An append without an answer may be carried out after newer ones. A host that
+ * starts then reads its state alone, so the leader writes the right one anew.
+ */
+static ffl_flow_t *record_state(ffl_node_t *n, const char *id,
+				ffl_flow_state_t state, uint64_t offset)
+{
+	ffl_flow_t *flow;
+
+	ffl_flows_apply_state(&n->flows, id, state);
+	flow = ffl_flows_find(&n->flows, id);
+	if (!flow || offset < flow->state_offset)
+		return flow;
+	flow->state_offset = offset;
+	flow->state_outdated = state != flow->published_state;
+	return flow;
+}
+
 /* States of a failed append are sent again by the next one: they still differ
  * from the published states. */
 bool ffl_publish_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
@@ -115,7 +135,7 @@
 		return false;
 	p->call = 0;
 	if (reply->outcome == FFL_STORE_OK)
-		apply_written_states(n);
+		apply_written_states(n, reply->first);
 	g_clear_pointer(&p->writes, g_ptr_array_unref);
 	return true;
 }
@@ -135,8 +155,8 @@
 			      "offset=%" PRIu64, rec->offset);
 		return;
 	}
-	ffl_flows_apply_state(&n->flows, id, (ffl_flow_state_t)state);
-	ffl_publish_close_flow(n, ffl_flows_find(&n->flows, id));
+	ffl_publish_close_flow(
+		n, record_state(n, id, (ffl_flow_state_t)state, rec->offset));
 }
 
 void ffl_publish_close_flow(ffl_node_t *n, ffl_flow_t *flow)
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -496,6 +496,28 @@
 	g_assert_cmpuint(find_job_at_leader(s, job)->tasks[0].run, ==, 1);
 }
 
+/* An append of a state is carried out after a newer one; a host that starts
+ * reads the newest record only. */
+static void late_state_hides_end(site_t *s)
+{
+	const uint8_t running = FFL_FLOW_RUNNING;
+	uint32_t host = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job = site_submit(s, host, 1, 1, 300, false);
+	char key[32];
+
+	site_run(s, 2000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 1);
+	g_snprintf(key, sizeof(key), "s%s", s->jobs[job].id);
+	keyed_log_put(&s->topics[FFL_TOPIC_STATES], key, &running,
+		      sizeof(running));
+	site_run(s, 1000);
+	site_kill(s, host, 100);
+	site_run(s, 3000);
+	site_query(s, host, job);
+	site_run(s, 200);
+	g_assert_cmpint(s->jobs[job].reported_state, ==, FFL_FLOW_COMPLETED);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -526,6 +548,7 @@
 	{ "slow-log-takes-an-append-once", slow_log_takes_once },
 	{ "followers-skip-progress", followers_skip_progress },
 	{ "larger-host-leads", larger_host_leads },
+	{ "late-state-hides-end", late_state_hides_end },
 };
 
 static void test_scenario(gconstpointer data)
