--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -450,6 +450,154 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
 }
 
+/* The numbers of the earlier incarnation's ends must not be acknowledged to one
+ * that has not reported yet. */
+static void end_acknowledged_unseen(bed_t *b)
+{
+	const ffl_run_report_t stopped = { .run = 9,
+					   .number = 50,
+					   .end = FFL_RUN_END_STOPPED };
+
+	start_on_w0(b);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &stopped);
+	wait_ms(b, 2 * STEP_MS);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 50);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	wait_ms(b, 500);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 0);
+}
+
+/* A worker that has left may be back under its id before a late order comes. */
+static void left_worker_with_late_start(bed_t *b)
+{
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	list_draining(b, 500);
+	wait_ms(b, 500);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	assert_not_placed_again(b, 300);
+}
+
+/* A report tells of a run that had been given up; it is being stopped. */
+static void known_run_placed_again(bed_t *b)
+{
+	const ffl_run_report_t running = { .run = 1 };
+
+	run_on_w0(b);
+	ffl_dispatch_worker_t *w = g_hash_table_lookup(b->d.workers, "w0");
+
+	w->quarantined_until_ms = b->now_ms + 60000;
+	ffl_dispatch_remove_worker(&b->d, "w1", 60000, b->now_ms);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, NULL);
+	g_assert_cmpuint(b->d.runs->len, ==, 0);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B },
+	       &running);
+	g_assert_cmpuint(b->d.runs->len, ==, 1);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	assert_not_placed_again(b, 300);
+}
+
+/* A host that leads again knows the address that a worker had before. */
+static void replaced_at_stale_address(bed_t *b)
+{
+	run_on_w0(b);
+	ffl_dispatch_step_down(&b->d);
+	ffl_flow_task_set_state(b->flow, 0, FFL_TASK_WAITING);
+	ffl_flow_task_place(b->flow, 0, 1, "w0", BORN_B);
+	b->now_ms += 60000;
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	g_array_set_size(b->orders, 0);
+	wait_ms(b, 2 * STEP_MS);
+	if (find_order(b, FFL_ORDER_RENEW, "w0"))
+		answer(b, FFL_ORDER_RENEW, "w0",
+		       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION },
+		       NULL);
+	list_worker(b, "w0", "10.0.0.7:80", BORN_B);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	assert_not_placed_again(b, 500);
+}
+
+/* The next incarnation may be of another kind; only its own entry tells. */
+static void entry_of_earlier_incarnation(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+
+	run_on_w0(b);
+	ffl_dispatch_remove_worker(&b->d, "w1", 60000, b->now_ms);
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	g_array_set_size(b->orders, 0);
+	wait_ms(b, 400);
+	g_assert_null(find_order(b, FFL_ORDER_START, "w0"));
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	wait_ms(b, 200);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w0"));
+}
+
+/* A lease by a clock from the list would have to be waited out as the longest
+ * one. */
+static void lease_before_first_report(bed_t *b)
+{
+	const ffl_run_report_t running = { .run = 1 };
+
+	run_on_w0(b);
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	g_array_set_size(b->orders, 0);
+	wait_ms(b, STEP_MS);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, ==, 0);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &running);
+	wait_ms(b, STEP_MS);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
+}
+
+/* One packet that is lost while connecting is no reason to start elsewhere. */
+static void one_unsent_start_moves_task(bed_t *b)
+{
+	start_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_NOT_SENT }, NULL);
+	assert_not_placed_again(b, 300);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	assert_not_placed_again(b, 300);
+}
+
+/* A worker that reports, but does not answer a start until its lease is over,
+ * is told to stop the run before the task is placed again. */
+static void unanswered_start_never_settled(bed_t *b)
+{
+	start_on_w0(b);
+	for (uint32_t i = 0; i < GIVE_UP_MS; i += 200) {
+		answer(b, FFL_ORDER_START, "w0",
+		       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+		answer(b, FFL_ORDER_RENEW, "w0",
+		       (ffl_reply_t){ .clock_ms = CLOCK_A + i,
+				      .born_ms = BORN_A },
+		       NULL);
+		wait_ms(b, 200);
+	}
+	answer(b, FFL_ORDER_STOP, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	wait_ms(b, 700);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, NULL);
+	wait_ms(b, 200);
+	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -467,6 +615,14 @@
 	{ "unlisted-worker-is-extended", unlisted_worker_is_extended },
 	{ "silent-worker-read-late", silent_worker_read_late },
 	{ "left-worker-is-not-waited-out", left_worker_is_not_waited_out },
+	{ "end-acknowledged-unseen", end_acknowledged_unseen },
+	{ "left-worker-with-late-start", left_worker_with_late_start },
+	{ "known-run-placed-again", known_run_placed_again },
+	{ "replaced-at-stale-address", replaced_at_stale_address },
+	{ "entry-of-earlier-incarnation", entry_of_earlier_incarnation },
+	{ "lease-before-first-report", lease_before_first_report },
+	{ "one-unsent-start-moves-task", one_unsent_start_moves_task },
+	{ "unanswered-start-never-settled", unanswered_start_never_settled },
 };
 
 static void test_case(gconstpointer data)
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -9,6 +9,8 @@
 #define START_MS    3000
 #define WORK_MS	    2000
 #define RECOVERY_MS 60000
+/** Time in which the leader has read and answered a worker's next report. */
+#define REPORT_READ_MS 2500
 
 /** A scenario, usually of one fault, run with several seeds. */
 typedef struct {
@@ -20,7 +22,15 @@
 static const ffl_flow_t *find_job_at_leader(const site_t *s, uint32_t job);
 static void test_scenario(gconstpointer data);
 static void test_last_ends(void);
+static uint32_t start_reached_by_leader_only(site_t *s, uint64_t seed,
+					     uint32_t *leader);
+static uint32_t await_other_leader(site_t *s, uint32_t leader);
+static void await_given_up(site_t *s, uint32_t worker, uint32_t next);
 static void test_superseded_leader_extends(void);
+static void test_settled_append_renews(void);
+static void test_resigned_leader_extends(void);
+static void test_unlisted_worker_returns(void);
+static void test_quick_restarts(void);
 static void test_near_host_leads(void);
 
 static void assert_no_fault(const site_t *s)
@@ -598,41 +608,192 @@
 	}
 }
 
+/* Starts a long run on a worker that only the leader can reach; returns the
+ * worker. */
+static uint32_t start_reached_by_leader_only(site_t *s, uint64_t seed,
+					     uint32_t *leader)
+{
+	uint32_t index = 0;
+
+	site_init(s, seed, 3, 4);
+	site_run(s, START_MS);
+	*leader = (uint32_t)site_leader(s);
+	site_submit(s, *leader, 1, 8, 30000, false);
+	site_run(s, 1000);
+	while (!s->workers[index].runs->len)
+		index++;
+	s->hosts_cut[index] = ~(1U << *leader);
+	return index;
+}
+
+static uint32_t await_other_leader(site_t *s, uint32_t leader)
+{
+	for (;;) {
+		site_run(s, SITE_STEP_MS);
+		for (uint32_t i = 0; i < s->hosts_count; i++) {
+			if (i != leader && s->hosts[i].node.lead.leading)
+				return i;
+		}
+	}
+}
+
+/* The next leader cannot ask the worker, and places the task elsewhere once it
+ * takes the leases for ended. */
+static void await_given_up(site_t *s, uint32_t worker, uint32_t next)
+{
+	site_worker_drain(s, worker);
+	s->hosts[next].topics_cut = 1U << FFL_TOPIC_WORKERS;
+	while (s->hosts[next].node.dispatch.runs->len)
+		site_run(s, SITE_STEP_MS);
+	s->hosts[next].topics_cut = 0;
+	site_run(s, 6000);
+}
+
 /* A leader whose states are late is superseded while it still writes runs, and
  * extends leases for longer than its last state tells. */
 static void test_superseded_leader_extends(void)
 {
 	for (uint32_t i = 0; i < 12; i++) {
-		uint32_t index = 0;
 		uint32_t leader;
 		uint32_t next;
+		uint32_t index;
+		site_t s;
+
+		index = start_reached_by_leader_only(&s, 1 + i, &leader);
+		s.hosts[leader].topics_cut = 1U << FFL_TOPIC_STATES;
+		next = await_other_leader(&s, leader);
+		s.hosts[leader].log_cut_until_ms = s.now_ms + 30000;
+		await_given_up(&s, index, next);
+		site_settle(&s, RECOVERY_MS);
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
+/* The reply to an append is lost, and the leader learns that it succeeded when
+ * another host leads. */
+static void test_settled_append_renews(void)
+{
+	for (uint32_t i = 0; i < 48; i++) {
+		uint64_t end;
+		uint32_t leader;
+		site_t s;
+
+		start_reached_by_leader_only(&s, 1 + i, &leader);
+		site_run(&s, i * 130 % 1500);
+		end = s.topics[FFL_TOPIC_RUNS].end;
+		s.append_lost_until_ms = s.now_ms + 60000;
+		s.lost_percent = 100;
+		while (s.topics[FFL_TOPIC_RUNS].end == end)
+			site_run(&s, SITE_STEP_MS);
+		s.append_lost_until_ms = 0;
+		s.hosts[leader].log_cut_until_ms =
+			s.now_ms + 6000 + i * 37 % 2400;
+		site_run(&s, 25000);
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
+/* The record of a resignation is on the log, but the reply to it is lost. */
+static void test_resigned_leader_extends(void)
+{
+	for (uint32_t i = 0; i < 48; i++) {
+		uint64_t end;
+		uint32_t leader;
+		uint32_t index;
+		uint32_t next;
+		site_t s;
+
+		index = start_reached_by_leader_only(&s, 1 + i, &leader);
+		site_run(&s, i * 130 % 1500);
+		site_stop(&s, leader);
+		while (!s.hosts[leader].node.lead.resigning)
+			site_run(&s, SITE_STEP_MS);
+		end = s.topics[FFL_TOPIC_RUNS].end;
+		s.append_lost_until_ms = s.now_ms + 60000;
+		s.lost_percent = 100;
+		while (s.hosts[leader].node.lead.leading &&
+		       s.topics[FFL_TOPIC_RUNS].end == end)
+			site_run(&s, SITE_STEP_MS);
+		s.append_lost_until_ms = 0;
+		s.hosts[leader].log_cut_until_ms = s.now_ms + 60000;
+		next = await_other_leader(&s, leader);
+		await_given_up(&s, index, next);
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
+/* A worker without runs is gone from the list, and back under its id before the
+ * second sending of a start comes. */
+static void test_unlisted_worker_returns(void)
+{
+	for (uint32_t i = 0; i < 24; i++) {
+		const task_worker_t *w;
+		uint32_t index = 0;
 		site_t s;
 
 		site_init(&s, 1 + i, 3, 4);
 		site_run(&s, START_MS);
-		leader = (uint32_t)site_leader(&s);
-		site_submit(&s, leader, 1, 8, 30000, false);
-		site_run(&s, 1000);
-		while (!s.workers[index].runs->len)
-			index++;
-		s.hosts_cut[index] = ~(1U << leader);
-		s.hosts[leader].topics_cut = 1U << FFL_TOPIC_STATES;
-		do {
+		s.orders_late_until_ms = s.now_ms + 450;
+		s.late_percent = 100;
+		site_submit(&s, 0, 1, 8, 500, false);
+		while (!s.workers[index].runs->len) {
+			site_run(&s, SITE_STEP_MS);
+			index = (index + 1) % s.workers_count;
+		}
+		site_run(&s, 800);
+		w = &s.workers[index];
+		site_worker_crash(&s, index);
+		while (w->listed)
 			site_run(&s, SITE_STEP_MS);
-			for (next = 0; next < 3; next++) {
-				if (next != leader &&
-				    s.hosts[next].node.lead.leading)
-					break;
+		site_run(&s, 600);
+		site_worker_boot(&s, index);
+		site_run(&s, REPORT_READ_MS);
+		g_assert_cmpuint(w->token, >,
+				 s.hosts[site_leader(&s)].node.lead.token);
+		site_finish(&s);
+	}
+}
+
+/* Workers crash and start again under their id within seconds. */
+static void test_quick_restarts(void)
+{
+	for (uint32_t i = 0; i < 60; i++) {
+		uint64_t boot_ms[4] = { 0 };
+		uint64_t crash_ms;
+		uint64_t submit_ms;
+		site_t s;
+
+		site_init(&s, 1 + i, 3, 4);
+		site_run(&s, START_MS);
+		crash_ms = s.now_ms + 1000;
+		submit_ms = s.now_ms;
+		for (uint32_t step = 0; step < 4000; step++) {
+			uint32_t w = (uint32_t)ffl_rng_below(&s.rng, 4);
+
+			if (s.now_ms >= submit_ms) {
+				site_submit(&s, 0, 1 + w % 3, 4,
+					    ffl_rng_below(&s.rng, 2) ? 300
+								     : WORK_MS,
+					    false);
+				submit_ms = s.now_ms + 300 +
+					    ffl_rng_below(&s.rng, 1500);
+			}
+			if (s.now_ms >= crash_ms) {
+				site_worker_crash(&s, w);
+				boot_ms[w] = s.now_ms + 100 +
+					     ffl_rng_below(&s.rng, 3000);
+				crash_ms = s.now_ms + 500 +
+					   ffl_rng_below(&s.rng, 3000);
+			}
+			for (w = 0; w < 4; w++) {
+				if (s.now_ms >= boot_ms[w])
+					site_worker_boot(&s, w);
 			}
-		} while (next == 3);
-		site_worker_drain(&s, index);
-		s.hosts[leader].log_cut_until_ms = s.now_ms + 30000;
-		s.hosts[next].topics_cut = 1U << FFL_TOPIC_WORKERS;
-		while (s.hosts[next].node.dispatch.runs->len)
 			site_run(&s, SITE_STEP_MS);
-		s.hosts[next].topics_cut = 0;
-		site_run(&s, 6000);
-		site_settle(&s, RECOVERY_MS);
+		}
 		assert_no_fault(&s);
 		site_finish(&s);
 	}
@@ -677,6 +838,13 @@
 	g_test_add_func("/node/last-ends", test_last_ends);
 	g_test_add_func("/node/superseded-leader-extends-leases",
 			test_superseded_leader_extends);
+	g_test_add_func("/node/settled-append-renews-authority",
+			test_settled_append_renews);
+	g_test_add_func("/node/resigned-leader-extends-leases",
+			test_resigned_leader_extends);
+	g_test_add_func("/node/unlisted-worker-returns-unfenced",
+			test_unlisted_worker_returns);
+	g_test_add_func("/node/quick-restarts", test_quick_restarts);
 	g_test_add_func("/node/near-host-leads", test_near_host_leads);
 	return g_test_run();
 }
