dispatch: ends are not acknowledged to an incarnation that has not listed them

What callers saw: TWICE, a start after a run's success was noted, with quick restarts under one id and without any late order. Cause: each renewal repeated the highest acknowledged number. A worker that restarted unseen, carried out a start and ended it as its number 1 forgot that end by the number of its earlier incarnation; the leader never read it. Change: an acknowledgement is sent until one renewal that carries it has been answered, and not after a missed answer. new_order() returns the open call, so that leases and acknowledgements are set without another look-up.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -27,9 +27,11 @@
 	ffl_dispatch_worker_t *worker;
 	ffl_run_t *run; /**< NULL for a renew order, or if the run is gone */
 	uint64_t sent_ms;
-	uint64_t lease_end_ms; /**< of the lease in the order; 0: none */
-	uint64_t acked;	       /**< as in the order */
-	uint32_t percent;      /**< speed limit in the order */
+	/** End of the lease in the order; 0: none. It counts as given until the
+	 * order is known not to have been sent. */
+	uint64_t lease_end_ms;
+	uint64_t acked;	  /**< as in the order */
+	uint32_t percent; /**< speed limit in the order */
 } ffl_open_call_t;
 
 /** Passes an event to the caller's log; the text is cut at
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -17,12 +17,12 @@
 				  uint64_t now_ms);
 static ffl_order_t *new_order(ffl_dispatch_t *d, GArray *orders,
 			      ffl_order_kind_t kind, ffl_dispatch_worker_t *w,
-			      ffl_run_t *run, uint64_t now_ms);
+			      ffl_run_t *run, uint64_t now_ms,
+			      ffl_open_call_t **call);
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			uint64_t now_ms);
-static void set_lease(ffl_dispatch_t *d, ffl_order_t *order, uint64_t until_ms,
-		      uint64_t end_ms);
+static uint64_t acked_to_send(const ffl_dispatch_worker_t *w);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms);
 static void send_start(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
@@ -45,7 +45,6 @@
 	call->worker = w;
 	call->run = run;
 	call->sent_ms = now_ms;
-	call->acked = w->acked;
 	w->calls++;
 	if (run)
 		run->call = call->call;
@@ -55,16 +54,17 @@
 
 static ffl_order_t *new_order(ffl_dispatch_t *d, GArray *orders,
 			      ffl_order_kind_t kind, ffl_dispatch_worker_t *w,
-			      ffl_run_t *run, uint64_t now_ms)
+			      ffl_run_t *run, uint64_t now_ms,
+			      ffl_open_call_t **call)
 {
-	ffl_open_call_t *call = open_call(d, kind, w, run, now_ms);
 	ffl_order_t *order;
 
+	*call = open_call(d, kind, w, run, now_ms);
 	g_array_set_size(orders, orders->len + 1);
 	order = &g_array_index(orders, ffl_order_t, orders->len - 1);
 	memset(order, 0, sizeof(*order));
 	order->kind = kind;
-	order->call = call->call;
+	order->call = (*call)->call;
 	order->token = w->token;
 	ffl_copy(order->worker, sizeof(order->worker), w->entry.id);
 	ffl_copy(order->addr, sizeof(order->addr), w->entry.addr);
@@ -109,25 +109,21 @@
 	return !w->ack_batch || now_ms >= w->renew_ms + RENEW_REPEAT_MS;
 }
 
-/* The lease counts as given until the order is known not to have been sent. */
-static void set_lease(ffl_dispatch_t *d, ffl_order_t *order, uint64_t until_ms,
-		      uint64_t end_ms)
+/* Ends are acknowledged to the incarnation that listed them: not after a missed
+ * answer, as the worker may have restarted, and not more than once. */
+static uint64_t acked_to_send(const ffl_dispatch_worker_t *w)
 {
-	ffl_open_call_t *call = g_hash_table_lookup(d->calls, &order->call);
-
-	order->until_ms = until_ms;
-	call->lease_end_ms = end_ms;
+	return w->acked > w->acked_sent && !w->missed_renewals ? w->acked : 0;
 }
 
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms)
 {
+	ffl_open_call_t *call;
 	ffl_order_t *order =
-		new_order(d, orders, FFL_ORDER_RENEW, w, NULL, now_ms);
+		new_order(d, orders, FFL_ORDER_RENEW, w, NULL, now_ms, &call);
 	bool stopping = false;
 	bool adopted = false;
-	uint64_t until_ms;
-	uint64_t end_ms;
 
 	for (guint i = 0; i < w->runs->len; i++) {
 		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
@@ -135,15 +131,13 @@
 		stopping |= run->stop_accepted_ms != 0;
 		adopted |= run->state == FFL_RUN_ADOPTED;
 	}
-	order->acked = w->acked;
+	order->acked = call->acked = acked_to_send(w);
 	/* The lease of a worker that does not answer, or is off the list, is
 	 * not extended, so that its runs can be given up when it ends. A worker
 	 * without runs needs no lease. */
-	if (w->runs->len && w->listed && !w->missed_renewals && d->may_renew) {
-		until_ms =
-			ffl_dispatch_worker_grant_lease(d, w, now_ms, &end_ms);
-		set_lease(d, order, until_ms, end_ms);
-	}
+	if (w->runs->len && w->listed && !w->missed_renewals && d->may_renew)
+		order->until_ms = ffl_dispatch_worker_grant_lease(
+			d, w, now_ms, &call->lease_end_ms);
 	if (w->runs->len && !w->missed_renewals && !adopted &&
 	    w->clock_read_ms && !w->ack_batch)
 		order->wait_ms = stopping ? d->opt.stop_max_ms
@@ -161,6 +155,7 @@
 	const ffl_task_t *task = &run->flow->tasks[run->task];
 	const ffl_step_t *step =
 		&run->flow->spec.steps[ffl_flow_step_of(run->flow, run->task)];
+	ffl_open_call_t *call;
 	ffl_order_t *order;
 
 	if (run->state == FFL_RUN_PLANNED) {
@@ -168,13 +163,15 @@
 		d->starts++;
 	}
 	run->sendings++;
-	order = new_order(d, orders, FFL_ORDER_START, run->worker, run, now_ms);
+	order = new_order(d, orders, FFL_ORDER_START, run->worker, run, now_ms,
+			  &call);
 	order->spec = run->flow->spec.spec;
 	order->checkpoint = task->checkpoint;
 	if (!run->lease_until_ms)
 		run->lease_until_ms = ffl_dispatch_worker_grant_lease(
 			d, run->worker, now_ms, &run->lease_end_ms);
-	set_lease(d, order, run->lease_until_ms, run->lease_end_ms);
+	order->until_ms = run->lease_until_ms;
+	call->lease_end_ms = run->lease_end_ms;
 	order->ticket = ffl_advice_ticket(d, run);
 	order->timeout_ms = START_TIMEOUT_MS;
 	ffl_dispatch_note(d, "run-ordered", order->task,
@@ -191,8 +188,9 @@
 static void send_stop(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
 		      uint64_t now_ms)
 {
-	ffl_order_t *order =
-		new_order(d, orders, FFL_ORDER_STOP, run->worker, run, now_ms);
+	ffl_open_call_t *call;
+	ffl_order_t *order = new_order(d, orders, FFL_ORDER_STOP, run->worker,
+				       run, now_ms, &call);
 
 	order->timeout_ms = STOP_TIMEOUT_MS;
 	ffl_dispatch_note(d, "run-stopped", order->task,
@@ -204,9 +202,9 @@
 static void send_throttle(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
 			  uint64_t now_ms)
 {
+	ffl_open_call_t *call;
 	ffl_order_t *order = new_order(d, orders, FFL_ORDER_THROTTLE,
-				       run->worker, run, now_ms);
-	ffl_open_call_t *call = g_hash_table_lookup(d->calls, &order->call);
+				       run->worker, run, now_ms, &call);
 
 	call->percent = run->limit_percent;
 	order->percent = run->limit_percent;
