node: an append is settled as a success only if the topic ends with it

Cause: a leader whose append got no answer and then 'the topic ends elsewhere' read its own record and counted the append as a success, with authority from the last sending. Another host may have claimed behind that record by then; the earlier leader extended leases and sent starts beside it until its next append failed. Change: the reading must also show that the topic ends with the append; otherwise leadership is lost.

--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -209,7 +209,9 @@
 }
 
 /* The topic does not end where expected: this append may have succeeded with
- * its reply lost, or another host has written. Reads the record there. */
+ * its reply lost, or another host has written. Reads the record there, and
+ * whether the topic goes on behind the append: then another host has claimed
+ * since. */
 static void check_append(ffl_node_t *n)
 {
 	ffl_node_act_t *act = ffl_node_add_act(n, FFL_NODE_ACT_READ);
@@ -267,7 +269,8 @@
 	    strcmp(reply->records[0].key, KEY_LEAD) == 0 &&
 	    ffl_lead_decode(reply->records[0].value, &r) &&
 	    r.incarnation == n->incarnation &&
-	    r.append_number == l->append_number) {
+	    r.append_number == l->append_number &&
+	    reply->end <= l->expected_end + l->writes->len) {
 		append_succeeded(n, l->expected_end);
 		return;
 	}
