node: a leader that has sent its resignation extends no leases

Cause: the next leader takes a leader whose resignation it reads for ended. If the reply to that append is lost, the earlier one does not know, and went on extending leases for up to 3 s. Change: no lease is extended from the resignation's sending on; starts already end then.

--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -41,9 +41,11 @@
 	g_ptr_array_free(n->lead.flows, TRUE);
 }
 
+/* The next leader takes a host whose resignation it reads for one that has
+ * ended, also if the reply to that append is lost. */
 bool ffl_lead_may_extend_leases(const ffl_node_t *n)
 {
-	return n->lead.leading &&
+	return n->lead.leading && !n->lead.resigning &&
 	       n->now_ms - n->lead.authority_ms <= LEASE_EXTENSION_MAX_MS;
 }
 
