dispatch: a task with a known run is not placed again

Cause: a run that the leader had given up and that a worker reports is stopped, but its task waits, and was placed again while the stop was under way. The lease of such a run was not known either: a worker that then fell silent was given up at once. Change: a task is placed only if the leader knows of no run of it; an unknown run counts as having the longest lease.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -99,6 +99,7 @@
 	char *worker;	     /**< worker that it is placed on, else NULL */
 	int64_t born_ms;     /**< incarnation of that worker */
 	char *checkpoint;    /**< newest checkpoint, or NULL */
+	uint32_t live_runs;  /**< runs of it that the leader knows of */
 } ffl_task_t;
 
 /** Rate of progress of a step's tasks, converted to a worker of usual speed, in
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -26,6 +26,7 @@
 				const ffl_place_request_t *req);
 static bool has_waiting_tasks(const ffl_place_request_t *req);
 static void place_step(ffl_dispatch_t *d, ffl_place_request_t *req);
+static bool may_place(const ffl_task_t *task);
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void place_tasks(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void report_queue_latency(ffl_dispatch_t *d,
@@ -154,6 +155,13 @@
 	       ffl_choose_gang_workers(d, req, ffl_listed_workers(d), chosen);
 }
 
+/* A run that was given up, and that a worker reports all the same, has to be
+ * stopped first. */
+static bool may_place(const ffl_task_t *task)
+{
+	return task->state == FFL_TASK_WAITING && !task->live_runs;
+}
+
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req)
 {
 	uint32_t tasks = req->step->tasks;
@@ -165,7 +173,7 @@
 	for (uint32_t i = 0; i < tasks; i++) {
 		const ffl_task_t *task = &req->flow->tasks[req->first + i];
 
-		if (task->state != FFL_TASK_WAITING) {
+		if (!may_place(task)) {
 			g_free(chosen);
 			return;
 		}
@@ -209,7 +217,7 @@
 		ffl_task_t *task = &req->flow->tasks[req->first + i];
 		ffl_dispatch_worker_t *w;
 
-		if (task->state != FFL_TASK_WAITING)
+		if (!may_place(task))
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -119,6 +119,9 @@
 			/* A run without a record must not continue. */
 			run = ffl_run_add(d, report->flow, report->task_index,
 					  report->run, w, now_ms);
+			w->leases_end_ms = MAX(
+				w->leases_end_ms,
+				ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
 			run->stopping = true;
 			run->stop_reason = "unknown";
 		}
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -35,8 +35,12 @@
 void ffl_runs_clear(ffl_dispatch_t *d)
 {
 	g_hash_table_remove_all(d->runs_by_flow);
-	for (guint i = 0; i < d->runs->len; i++)
-		g_free(g_ptr_array_index(d->runs, i));
+	for (guint i = 0; i < d->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(d->runs, i);
+
+		run->flow->tasks[run->task].live_runs--;
+		g_free(run);
+	}
 	g_ptr_array_set_size(d->runs, 0);
 }
 
@@ -55,6 +59,7 @@
 	added->placed_ms = now_ms;
 	added->limit_percent = PERCENT;
 	added->acked_limit_percent = PERCENT;
+	flow->tasks[task].live_runs++;
 	ffl_resources_add(&w->used, &added->resources);
 	g_ptr_array_add(w->runs, added);
 	g_ptr_array_add(d->runs, added);
@@ -119,6 +124,7 @@
 		if (call)
 			call->run = NULL;
 	}
+	run->flow->tasks[run->task].live_runs--;
 	ffl_resources_subtract(&run->worker->used, &run->resources);
 	g_ptr_array_remove_fast(run->worker->runs, run);
 	g_ptr_array_remove_fast(d->runs, run);
