--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -71,7 +71,9 @@
 	/** An earlier incarnation was sent orders with this token. The next
 	 * order waits for a higher one, which fences them. */
 	bool token_outdated;
-	bool fence_due; /**< restarted and has not reported since */
+	/** Restarted or newly listed, and has not reported since: earlier
+	 * orders may still be carried out. */
+	bool fence_due;
 	/** Highest number of an end that was processed; the ends up to it are
 	 * recorded with batch ack_batch. */
 	uint64_t end_seen;
