dispatch: a start in doubt outlives its worker's departure

Cause: all runs of a draining worker that has left were ended at once, also one whose start was not answered. Back under its id within seconds, the worker may carry that order out. Change: such a run is waited out like that of a worker that is silent, or settled by the report of the worker when it is back.

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -17,6 +17,8 @@
 
 static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
+static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			     uint64_t now_ms);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     uint64_t list_followed_ms, uint64_t now_ms);
 
@@ -251,6 +253,24 @@
 	d->replan = true;
 }
 
+/* Ends the runs of a worker that has left. A start in doubt is waited out: the
+ * worker may be back under its id before that order comes. */
+static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			     uint64_t now_ms)
+{
+	for (guint i = w->runs->len; i-- > 0;) {
+		ffl_run_t *run;
+
+		if (i >= w->runs->len)
+			continue;
+		run = g_ptr_array_index(w->runs, i);
+		if (!run->start_in_doubt &&
+		    (run->state != FFL_RUN_SENT || !run->call))
+			ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL,
+				       now_ms);
+	}
+}
+
 /* Tells a worker that has left from one that went silent. An entry is removed
  * when its worker leaves, or after SILENCE_HEARTBEATS missed heartbeats. If the
  * worker was draining and its entry was written more recently than that, it
@@ -290,7 +310,7 @@
 			  now_ms - w->listed_ms, now_ms - w->written_after_ms,
 			  left);
 	if (left)
-		ffl_dispatch_worker_end_runs(d, w, now_ms);
+		end_settled_runs(d, w, now_ms);
 	if (!w->runs->len && !w->calls)
 		g_hash_table_remove(d->workers, id);
 }
