dispatch: a host that leads again forgets workers that it knew

Cause: a host kept workers' entries, addresses and clocks from an earlier term. Leading again, it asked at an old address before it had read the list; another worker that has the address by now answered for itself, and all adopted runs were taken for ended. Change: what is known of workers ends with the term. Learned speeds go too, as for any other successor; ffl_dispatch_unlist_all() is not needed any more.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -238,9 +238,6 @@
  */
 void ffl_dispatch_remove_worker(ffl_dispatch_t *d, const char *id,
 				uint64_t list_followed_ms, uint64_t now_ms);
-/** Marks all workers as not listed, before the list is read from scratch. */
-void ffl_dispatch_unlist_all(ffl_dispatch_t *d);
-
 /** Handles the reply to an order; a reply to an unknown call is ignored. */
 void ffl_dispatch_handle_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
 			       uint64_t now_ms);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -94,7 +94,6 @@
 	gpointer value;
 
 	ffl_dispatch_step_down(d);
-	ffl_dispatch_unlist_all(d);
 	d->token = token;
 	d->leader_since_ms = now_ms;
 	d->fenced = false;
@@ -109,38 +108,16 @@
 	d->replan = true;
 }
 
+/* What is known of workers is forgotten too: they may restart, and change their
+ * addresses, under the leaders that follow. */
 void ffl_dispatch_step_down(ffl_dispatch_t *d)
 {
-	GHashTableIter iter;
-	gpointer value;
-
 	d->token = 0;
 	ffl_advice_reset(&d->advice);
 	g_hash_table_remove_all(d->calls);
 	ffl_runs_clear(d);
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_dispatch_worker_t *w = value;
-
-		g_ptr_array_set_size(w->runs, 0);
-		memset(&w->used, 0, sizeof(w->used));
-		w->calls = 0;
-		w->end_seen = 0;
-		w->acked = 0;
-		w->acked_sent = 0;
-		w->ack_batch = 0;
-		w->renewals_open = 0;
-		w->renew_ms = 0;
-		w->missed_renewals = 0;
-		w->leases_end_ms = 0;
-		w->clock_reported = false;
-		w->born_reported_ms = 0;
-		w->token = 0;
-		w->token_outdated = false;
-		w->fence_due = false;
-		w->quarantined_until_ms = 0;
-		w->reserved_until_ms = 0;
-	}
+	ffl_racks_invalidate(d);
+	g_hash_table_remove_all(d->workers);
 	d->dirty = false;
 }
 
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -314,14 +314,3 @@
 	if (!w->runs->len && !w->calls)
 		g_hash_table_remove(d->workers, id);
 }
-
-void ffl_dispatch_unlist_all(ffl_dispatch_t *d)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	ffl_racks_invalidate(d);
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((ffl_dispatch_worker_t *)value)->listed = false;
-}
