dispatch: nothing is placed by an entry of an earlier incarnation

Cause: when a report told of a restart, the entry of the earlier incarnation went on to tell the worker's service, labels, capacity and drain; the next incarnation may be of another kind. Change: nothing is placed there until an entry of the present incarnation has been read; the earlier one's drain does not count.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -53,6 +53,7 @@
 typedef struct {
 	ffl_worker_entry_t entry;
 	bool listed;		   /**< present in the worker list */
+	bool entry_outdated;	   /**< entry is an earlier incarnation's */
 	uint64_t listed_ms;	   /**< when its entry was last read */
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -62,8 +62,9 @@
 	const ffl_step_t *step = req->step;
 	bool labelled = !step->label[0];
 
-	if (!w->listed || w->entry.draining || w->missed_renewals ||
-	    !w->clock_read_ms || req->now_ms < w->quarantined_until_ms ||
+	if (!w->listed || w->entry_outdated || w->entry.draining ||
+	    w->missed_renewals || !w->clock_read_ms ||
+	    req->now_ms < w->quarantined_until_ms ||
 	    strcmp(w->entry.service, req->flow->spec.service) != 0)
 		return false;
 	if (!req->guaranteed && ffl_dispatch_worker_is_reserved(w, req))
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -336,6 +336,8 @@
 	if (w->entry.born_ms && w->entry.born_ms != reply->born_ms) {
 		ffl_dispatch_worker_restart(d, w, reply->born_ms, now_ms);
 		w->born_reported_ms = now_ms;
+		w->entry_outdated = true;
+		w->entry.draining = false;
 		return false;
 	}
 	w->entry.born_ms = reply->born_ms;
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -245,6 +245,7 @@
 	if (!w->listed || strcmp(w->entry.rack, entry->rack) != 0)
 		ffl_racks_invalidate(d);
 	w->entry = *entry;
+	w->entry_outdated = false;
 	w->listed = true;
 	w->listed_ms = now_ms;
 	w->written_after_ms = written_after_ms;
