dispatch: no lease is extended before a worker has told its clock

Cause: a new leader's first renewal carried a lease by the clock in the list. Change: the first renewal only asks; the next one, a round trip later, carries the lease. A report's clock counts with or without a start time in it.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -215,6 +215,7 @@
 	}
 	w->missed_renewals = 0;
 	w->fence_due = false;
+	w->clock_reported = reply->clock_ms != 0;
 	w->renew_ms = now_ms;
 	w->acked_sent = MAX(w->acked_sent, call->acked);
 	handle_ended_runs(d, w, reply, now_ms);
@@ -342,7 +343,6 @@
 	}
 	w->entry.born_ms = reply->born_ms;
 	w->born_reported_ms = now_ms;
-	w->clock_reported = reply->clock_ms != 0;
 	return true;
 }
 
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -134,8 +134,10 @@
 	order->acked = call->acked = acked_to_send(w);
 	/* The lease of a worker that does not answer, or is off the list, is
 	 * not extended, so that its runs can be given up when it ends. A worker
-	 * without runs needs no lease. */
-	if (w->runs->len && w->listed && !w->missed_renewals && d->may_renew)
+	 * without runs needs no lease. By a clock from the list it might be the
+	 * longest one. */
+	if (w->runs->len && w->listed && w->clock_reported &&
+	    !w->missed_renewals && d->may_renew)
 		order->until_ms = ffl_dispatch_worker_grant_lease(
 			d, w, now_ms, &call->lease_end_ms);
 	if (w->runs->len && !w->missed_renewals && !adopted &&
