dispatch: an unsent start is tried again, an unanswered one is stopped

Cause: a start that certainly was not sent ended its run at once and kept its worker from work for 1.5 s. On a lossy link, or while the client's thread runs late, one lost packet is enough for that; gangs were broken by it. A start that got no answer until its lease was over was ended once a report did not list it, which holds only if a worker refuses every start whose lease is past; the protocol does not say so. Change: three unsent starts in a row end a run. A start whose lease is over is settled by a stop, which no late start survives.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -8,6 +8,9 @@
  * doubled for each miss in a row, up to this many times. */
 #define RENEW_BACKOFF_MS      200
 #define BACKOFF_DOUBLINGS_MAX 3
+/** Start orders that are tried if none is sent. A lost packet delays a
+ * connection beyond the deadline of one. */
+#define UNSENT_STARTS_MAX 3
 /** Time for which nothing is placed on a worker that refused a start, or could
  * not act on it. */
 #define REFUSED_QUARANTINE_MS	400
@@ -37,7 +40,6 @@
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_reported(const ffl_run_t *run, const ffl_reply_t *reply);
-static bool is_start_over(const ffl_run_t *run, uint64_t at_ms);
 static void resolve_tasks(const ffl_dispatch_t *d, ffl_run_report_t *reports,
 			  uint32_t count);
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -164,14 +166,6 @@
 						&reports[i].task_index);
 }
 
-/* Returns true if no start order for a run could still be carried out at a
- * time. */
-static bool is_start_over(const ffl_run_t *run, uint64_t at_ms)
-{
-	return run->state == FFL_RUN_SENT && !run->call && run->lease_end_ms &&
-	       run->lease_end_ms < at_ms;
-}
-
 /* Ends the runs that a report does not list although they were known to be on
  * the worker before the report was requested. */
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -186,7 +180,6 @@
 			continue;
 		run = g_ptr_array_index(w->runs, i);
 		was_there = run->state == FFL_RUN_ADOPTED ||
-			    is_start_over(run, sent_ms) ||
 			    (run->state == FFL_RUN_RUNNING &&
 			     run->running_ms < sent_ms) ||
 			    (run->stop_accepted_ms &&
@@ -276,9 +269,10 @@
 		}
 		return;
 	}
+	run->start_in_doubt |= reply->outcome == FFL_REPLY_UNKNOWN;
 	if (reply->outcome == FFL_REPLY_UNKNOWN ||
-	    (reply->outcome == FFL_REPLY_NOT_SENT && run->start_in_doubt)) {
-		run->start_in_doubt = true;
+	    (reply->outcome == FFL_REPLY_NOT_SENT &&
+	     (run->start_in_doubt || run->sendings < UNSENT_STARTS_MAX))) {
 		run->retry_ms = now_ms + RESEND_MS;
 		return;
 	}
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -18,7 +18,7 @@
 static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
 			     uint64_t now_ms);
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run);
-static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run);
+static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t leases_end_ms(const ffl_dispatch_t *d,
 			      const ffl_dispatch_worker_t *w);
 static void stop_cancelled(ffl_dispatch_t *d);
@@ -78,14 +78,17 @@
 				      : HANG_MS);
 }
 
-/* A worker that is off the list is sent no start, only a stop for a start that
- * it may have carried out. */
-static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run)
+/* A worker that is off the list, or has not answered a start until its lease is
+ * over, is sent no start, only a stop for one that it may have carried out. */
+static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
-	if (run->worker->listed || run->stopping ||
+	if (run->stopping ||
 	    (run->state != FFL_RUN_PLANNED && run->state != FFL_RUN_SENT))
 		return;
-	ffl_run_request_stop(d, run, "unlisted");
+	if (!run->worker->listed)
+		ffl_run_request_stop(d, run, "unlisted");
+	else if (run->lease_end_ms && now_ms >= run->lease_end_ms)
+		ffl_run_request_stop(d, run, "unanswered");
 }
 
 /* Stops a hung run so that it is started elsewhere, and counts the failure
@@ -97,7 +100,7 @@
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
 	evacuate(d, run, now_ms);
-	withdraw_start(d, run);
+	withdraw_start(d, run, now_ms);
 	if (run->state != FFL_RUN_RUNNING || run->stopping ||
 	    step->runs_until_cancelled)
 		return;
