jobd: a call that has waited past its deadline is not sent

Cause: the client's thread started whatever was queued. On a host that was suspended or that runs late, orders that were decided seconds ago were still sent over a cached connection, and then given up at once: in doubt for no reason. Change: such a call ends as one that was not sent.

--- a/jobd/client.c
+++ b/jobd/client.c
@@ -58,6 +58,7 @@
 			long connects);
 static void complete_call(jobd_client_t *c, CURL *easy, CURLcode code);
 static void set_headers(call_t *call, CURL *easy);
+static uint64_t deadline_ms(const call_t *call);
 static void start_call(jobd_client_t *c, call_t *call);
 static bool start_queued_calls(jobd_client_t *c);
 static void complete_finished_calls(jobd_client_t *c);
@@ -237,19 +238,31 @@
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
 				 (long)call->http.body->len);
 	}
-	call->deadline_ms = call->enqueued_ms + call->http.timeout_ms;
+	call->deadline_ms = deadline_ms(call);
 	curl_multi_add_handle(c->multi, easy);
 	g_ptr_array_add(c->active_handles, easy);
 }
 
+static uint64_t deadline_ms(const call_t *call)
+{
+	return call->enqueued_ms + call->http.timeout_ms;
+}
+
 /* A call that is queued after the last pop ends the next wait: its wake-up
- * comes after sleeping was set. Returns true if any call was started. */
+ * comes after sleeping was set. A call that has waited past its deadline, as on
+ * a host that was suspended, is not sent. Returns true if any call was started.
+ */
 static bool start_queued_calls(jobd_client_t *c)
 {
 	call_t *call;
 	bool any_started = false;
 
 	while ((call = ffl_ring_pop(&c->calls, 0))) {
+		if (jobd_boottime_ms() >= deadline_ms(call)) {
+			post_result(c, call, 0);
+			call_free(call);
+			continue;
+		}
 		start_call(c, call);
 		any_started = true;
 	}
