dispatch: the adviser's answer counts for the incarnation asked about

Cause: deny_asked() recorded the incarnation known when the answer was handled. If a worker started again while the call was open, a denial of its earlier incarnation barred the present one for good (a denied worker is never asked about again), and a ticket of the earlier one was sent to the present one, which refuses it. Change: the incarnations are kept with the call. Figures: incarnation_test, before: denial-of-earlier-incarnation 'find_order(b, FFL_ORDER_ADVISE, "")' should not be NULL; ticket-of-earlier-incarnation 'find_order(b, FFL_ORDER_START, "w0")' should be NULL.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -160,6 +160,7 @@
 	uint64_t retry_ms;		/**< no call before */
 	char step[FFL_TASK_NAME_BYTES]; /**< step that the call is about */
 	GPtrArray *asked_workers;	/**< ids of the workers in the call */
+	GArray *asked_born_ms; /**< of int64_t: their incarnations then */
 } ffl_advice_t;
 
 /** The dispatcher. */
--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -68,12 +68,14 @@
 	a->steps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 (GDestroyNotify)g_hash_table_destroy);
 	a->asked_workers = g_ptr_array_new_with_free_func(g_free);
+	a->asked_born_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 }
 
 void ffl_advice_finish(ffl_advice_t *a)
 {
 	g_hash_table_destroy(a->steps);
 	g_ptr_array_free(a->asked_workers, TRUE);
+	g_array_free(a->asked_born_ms, TRUE);
 }
 
 void ffl_advice_reset(ffl_advice_t *a)
@@ -155,10 +157,14 @@
 	}
 	g_array_sort(found, compare_free_gpus);
 	g_ptr_array_set_size(d->advice.asked_workers, 0);
-	for (guint i = 0; i < MIN(found->len, ASK_MAX); i++)
-		g_ptr_array_add(d->advice.asked_workers,
-				g_strdup(g_array_index(found, candidate_t, i)
-						 .worker->entry.id));
+	g_array_set_size(d->advice.asked_born_ms, 0);
+	for (guint i = 0; i < MIN(found->len, ASK_MAX); i++) {
+		const ffl_worker_entry_t *entry =
+			&g_array_index(found, candidate_t, i).worker->entry;
+
+		g_ptr_array_add(d->advice.asked_workers, g_strdup(entry->id));
+		g_array_append_val(d->advice.asked_born_ms, entry->born_ms);
+	}
 	g_array_free(found, TRUE);
 }
 
@@ -199,11 +205,9 @@
 {
 	for (guint i = 0; i < d->advice.asked_workers->len; i++) {
 		const char *id = g_ptr_array_index(d->advice.asked_workers, i);
-		const ffl_dispatch_worker_t *w =
-			g_hash_table_lookup(d->workers, id);
 		advice_t *a = g_new0(advice_t, 1);
 
-		a->born_ms = w ? w->entry.born_ms : 0;
+		a->born_ms = g_array_index(d->advice.asked_born_ms, int64_t, i);
 		g_hash_table_replace(known, g_strdup(id), a);
 	}
 }
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -44,6 +44,7 @@
 		.spread_percent = 300,
 		.heartbeat_ms = 1500,
 		.early_ms = 250,
+		.adviser_addr = "adviser",
 	};
 
 	memset(b, 0, sizeof(*b));
@@ -601,6 +602,49 @@
 	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
 }
 
+/* Submits a task that needs a ticket; w0 is the only worker. */
+static void submit_for_advice(bed_t *b)
+{
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	submit(b);
+	b->flow->spec.needs_tickets = true;
+	wait_ms(b, 2 * STEP_MS);
+	g_assert_nonnull(find_order(b, FFL_ORDER_ADVISE, ""));
+}
+
+static void answer_advise(bed_t *b, bool allowed)
+{
+	ffl_ticket_t ticket = { .worker = "w0", .ticket = "t" };
+	ffl_reply_t reply = { .call = find_order(b, FFL_ORDER_ADVISE, "")->call,
+			      .tickets = &ticket,
+			      .tickets_count = allowed,
+			      .valid_ms = 3000 };
+
+	g_array_set_size(b->orders, 0);
+	ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
+	wait_ms(b, 300);
+}
+
+/* A denial of the earlier incarnation must not bar the present one for good. */
+static void denial_of_earlier_incarnation(bed_t *b)
+{
+	submit_for_advice(b);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	answer_advise(b, false);
+	g_assert_nonnull(find_order(b, FFL_ORDER_ADVISE, ""));
+}
+
+static void ticket_of_earlier_incarnation(bed_t *b)
+{
+	submit_for_advice(b);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	answer_advise(b, true);
+	g_assert_null(find_order(b, FFL_ORDER_START, "w0"));
+	g_assert_nonnull(find_order(b, FFL_ORDER_ADVISE, ""));
+	answer_advise(b, true);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w0"));
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -626,6 +670,8 @@
 	{ "lease-before-first-report", lease_before_first_report },
 	{ "one-unsent-start-moves-task", one_unsent_start_moves_task },
 	{ "unanswered-start-never-settled", unanswered_start_never_settled },
+	{ "denial-of-earlier-incarnation", denial_of_earlier_incarnation },
+	{ "ticket-of-earlier-incarnation", ticket_of_earlier_incarnation },
 };
 
 static void test_case(gconstpointer data)
