dispatch: no advice is kept for a job that was closed during the call

A job that is handed in again under the id of one that was cancelled while the adviser was asked for it is placed on no worker that was denied to the one before. Beside it, a table stayed for each such job. Cause: the tables of a job go when it is closed; the answer to the call that was open then made a new one, which nothing removed before the next leader. Change: closing a job makes the open call's answer void. The call itself stays open, as the adviser takes one at a time. Figures: incarnation_test, before: denial-of-earlier-job 'find_order(b, FFL_ORDER_ADVISE, "")' should not be NULL.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -157,10 +157,11 @@
 	uint64_t call;	   /**< number of the open call; 0: none */
 	bool pending;	   /**< a call is to be made */
 	uint64_t sent_ms;
-	uint64_t retry_ms;		/**< no call before */
-	char step[FFL_TASK_NAME_BYTES]; /**< step that the call is about */
-	GPtrArray *asked_workers;	/**< ids of the workers in the call */
-	GArray *asked_born_ms; /**< of int64_t: their incarnations then */
+	uint64_t retry_ms; /**< no call before */
+	/** Step that the call is about; "" if its job was closed since. */
+	char step[FFL_TASK_NAME_BYTES];
+	GPtrArray *asked_workers; /**< ids of the workers in the call */
+	GArray *asked_born_ms;	  /**< of int64_t: their incarnations then */
 } ffl_advice_t;
 
 /** The dispatcher. */
--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -245,6 +245,8 @@
 		a->retry_ms = now_ms + RETRY_MS;
 		return true;
 	}
+	if (!a->step[0])
+		return true;
 	known = step_advice(d, a->step);
 	if (!known) {
 		known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -267,6 +269,10 @@
 		for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
 			step_name(flow, k, s, step);
 			g_hash_table_remove(d->advice.steps, step);
+			if (strcmp(d->advice.step, step) == 0) {
+				d->advice.step[0] = '\0';
+				d->advice.pending = false;
+			}
 		}
 	}
 }
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -645,6 +645,21 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w0"));
 }
 
+/* A job that was cancelled while its call was open leaves no denials for a job
+ * that is handed in later under its id. */
+static void denial_of_earlier_job(bed_t *b)
+{
+	submit_for_advice(b);
+	ffl_flows_cancel(&b->flows, b->flow->spec.id);
+	wait_ms(b, 2 * STEP_MS);
+	answer_advise(b, false);
+	ffl_flows_remove(&b->flows, "00000000000000aa");
+	submit(b);
+	b->flow->spec.needs_tickets = true;
+	wait_ms(b, 300);
+	g_assert_nonnull(find_order(b, FFL_ORDER_ADVISE, ""));
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -672,6 +687,7 @@
 	{ "unanswered-start-never-settled", unanswered_start_never_settled },
 	{ "denial-of-earlier-incarnation", denial_of_earlier_incarnation },
 	{ "ticket-of-earlier-incarnation", ticket_of_earlier_incarnation },
+	{ "denial-of-earlier-job", denial_of_earlier_job },
 };
 
 static void test_case(gconstpointer data)
