dispatch: progress is measured by the clock of the worker that reports it

Cause: the time at which a report was handled was taken for the time at which it was made. A leader that was suspended, or short of its processor, for a second or more took a run for hung whose report had merely waited to be read; that also counts as a failure of the worker. The next report then came soon after the late one and gave a rate far too high, against which the run counted as slow until its end. A report that was overtaken by a later one set the progress back. Change: hang detection and rates use clock_ms of the reply. An overtaken report is ignored for progress. A worker that starts again starts all of this anew.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -119,13 +119,18 @@
 	uint64_t batch; /**< batch that records its placement in the log */
 	uint64_t call;	/**< order that is not answered yet; 0: none */
 	uint64_t placed_ms;
-	uint64_t retry_ms;	 /**< no further order before */
-	uint64_t running_ms;	 /**< when it was first known to run */
-	uint64_t progress_ms;	 /**< when its progress last changed */
-	uint64_t seen_ms;	 /**< when it was last reported */
+	uint64_t retry_ms;   /**< no further order before */
+	uint64_t running_ms; /**< when it was first known to run */
+	uint64_t seen_ms;    /**< when it was last reported */
+	/** The same by its worker's clock, which tells when a report was made,
+	 * however late it is read; 0: not known. */
+	uint64_t report_clock_ms;
+	/** When its progress last changed, by its worker's clock. */
+	uint64_t progress_clock_ms;
 	uint32_t percent;	 /**< progress */
 	uint32_t sample_percent; /**< progress when the rate window began */
-	uint64_t sample_ms;	 /**< when the rate window began; 0: none yet */
+	/** When the rate window began, by its worker's clock; 0: none yet. */
+	uint64_t sample_clock_ms;
 	uint32_t rate; /**< newest rate, in thousandths of a percent a second */
 	uint32_t best_rate;	      /**< highest rate measured so far */
 	uint32_t recent_load;	      /**< see ffl_run_report_t */
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -114,12 +114,17 @@
 /** Returns the rate that a run has while its worker is not slowed down, in
  * thousandths of a percent a second; 0 if not known. */
 uint64_t ffl_run_expected_rate(const ffl_dispatch_t *d, const ffl_run_t *run);
-/** Starts a window over which a run's rate is measured. */
+/** Starts a window over which a run's rate is measured, at a time by its
+ * worker's clock. */
 void ffl_run_begin_rate_window(ffl_run_t *run, uint32_t percent,
-			       uint64_t now_ms);
-/** Updates a run's rate, and its worker's speed, from reported progress. */
+			       uint64_t clock_ms);
+/**
+ * Updates a run's rate, and its worker's speed, from reported progress.
+ *
+ * @param clock_ms when the report was made, by the worker's clock
+ */
 void ffl_run_sample_rate(ffl_dispatch_t *d, ffl_run_t *run, uint32_t percent,
-			 uint64_t now_ms);
+			 uint64_t clock_ms, uint64_t now_ms);
 
 /* disruption.c */
 
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -37,6 +37,9 @@
 				const ffl_run_report_t *report);
 static void handle_ended_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			      const ffl_reply_t *reply, uint64_t now_ms);
+static void update_progress(ffl_dispatch_t *d, ffl_run_t *run,
+			    const ffl_run_report_t *report, uint64_t clock_ms,
+			    uint64_t now_ms);
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_reported(const ffl_run_t *run, const ffl_reply_t *reply);
@@ -105,6 +108,27 @@
 	d->dirty = true;
 }
 
+/* Reports may overtake each other; an older one tells nothing new. */
+static void update_progress(ffl_dispatch_t *d, ffl_run_t *run,
+			    const ffl_run_report_t *report, uint64_t clock_ms,
+			    uint64_t now_ms)
+{
+	if (clock_ms && clock_ms < run->report_clock_ms)
+		return;
+	run->recent_load = report->recent_load;
+	if (clock_ms) {
+		run->report_clock_ms = clock_ms;
+		ffl_run_sample_rate(d, run, report->percent, clock_ms, now_ms);
+		if (report->percent != run->percent || !run->progress_clock_ms)
+			run->progress_clock_ms = clock_ms;
+	}
+	run->percent = report->percent;
+	if (report->checkpoint[0] &&
+	    run->flow->tasks[run->task].run == run->run)
+		ffl_flow_task_set_checkpoint(run->flow, run->task,
+					     report->checkpoint);
+}
+
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				const ffl_reply_t *reply, uint64_t now_ms)
 {
@@ -130,19 +154,10 @@
 		if (run->state != FFL_RUN_RUNNING) {
 			run->state = FFL_RUN_RUNNING;
 			run->running_ms = now_ms;
-			run->progress_ms = now_ms;
+			run->progress_clock_ms = reply->clock_ms;
 		}
 		run->seen_ms = now_ms;
-		run->recent_load = report->recent_load;
-		ffl_run_sample_rate(d, run, report->percent, now_ms);
-		if (report->percent != run->percent) {
-			run->percent = report->percent;
-			run->progress_ms = now_ms;
-		}
-		if (report->checkpoint[0] &&
-		    run->flow->tasks[run->task].run == run->run)
-			ffl_flow_task_set_checkpoint(run->flow, run->task,
-						     report->checkpoint);
+		update_progress(d, run, report, reply->clock_ms, now_ms);
 	}
 }
 
@@ -263,9 +278,10 @@
 						    now_ms - run->placed_ms);
 			run->state = FFL_RUN_RUNNING;
 			run->running_ms = now_ms;
-			run->progress_ms = now_ms;
+			run->progress_clock_ms = reply->clock_ms;
 			if (!run->flow->tasks[run->task].checkpoint)
-				ffl_run_begin_rate_window(run, 0, now_ms);
+				ffl_run_begin_rate_window(run, 0,
+							  reply->clock_ms);
 		}
 		return;
 	}
--- a/lib/dispatch/speed.c
+++ b/lib/dispatch/speed.c
@@ -155,26 +155,26 @@
 }
 
 void ffl_run_begin_rate_window(ffl_run_t *run, uint32_t percent,
-			       uint64_t now_ms)
+			       uint64_t clock_ms)
 {
 	run->sample_percent = percent;
-	run->sample_ms = now_ms;
+	run->sample_clock_ms = clock_ms;
 }
 
 void ffl_run_sample_rate(ffl_dispatch_t *d, ffl_run_t *run, uint32_t percent,
-			 uint64_t now_ms)
+			 uint64_t clock_ms, uint64_t now_ms)
 {
-	uint64_t window_ms = now_ms - run->sample_ms;
+	uint64_t window_ms = clock_ms - run->sample_clock_ms;
 
-	if (!run->sample_ms || percent < run->sample_percent) {
-		ffl_run_begin_rate_window(run, percent, now_ms);
+	if (!run->sample_clock_ms || percent < run->sample_percent) {
+		ffl_run_begin_rate_window(run, percent, clock_ms);
 		return;
 	}
 	if (percent >= PERCENT || window_ms < WINDOW_MS)
 		return;
 	run->rate = (uint32_t)((percent - run->sample_percent) * MILLI * MILLI /
 			       window_ms);
-	ffl_run_begin_rate_window(run, percent, now_ms);
+	ffl_run_begin_rate_window(run, percent, clock_ms);
 	run->best_rate = MAX(run->best_rate, run->rate);
 	check_slow(d, run, now_ms);
 	if (!ffl_dispatch_worker_is_slow(run->worker, now_ms) && run->rate)
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -68,8 +68,8 @@
 
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run)
 {
-	uint64_t stalled_ms =
-		run->seen_ms - MIN(run->seen_ms, run->progress_ms);
+	uint64_t stalled_ms = run->report_clock_ms -
+			      MIN(run->report_clock_ms, run->progress_clock_ms);
 
 	if (run->worker->missed_renewals || run->percent >= PERCENT)
 		return false;
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -203,6 +203,11 @@
 		run->state = FFL_RUN_ADOPTED;
 		run->stop_accepted_ms = 0;
 		run->acked_limit_percent = LIMIT_UNKNOWN;
+		run->report_clock_ms = 0;
+		run->progress_clock_ms = 0;
+		run->sample_clock_ms = 0;
+		run->rate = 0;
+		run->best_rate = 0;
 	}
 	forget_incarnation(w);
 	w->leases_end_ms = MAX(w->leases_end_ms,
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -660,6 +660,67 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_ADVISE, ""));
 }
 
+/* Hands in a report of run 1 that its worker made after some time of running.
+ */
+static void report_progress(bed_t *b, uint32_t ran_ms, uint32_t percent)
+{
+	const ffl_order_t *order = find_order(b, FFL_ORDER_RENEW, "w0");
+	ffl_run_report_t running = { .run = 1, .percent = percent };
+	const ffl_reply_t reply = { .call = order->call,
+				    .born_ms = BORN_A,
+				    .clock_ms = CLOCK_A + ran_ms,
+				    .running = &running,
+				    .running_count = 1 };
+
+	ffl_task_name(b->flow, 0, running.task);
+	ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
+	wait_ms(b, STEP_MS);
+}
+
+/* A host that was suspended reads late what a worker reported in time. */
+static void late_report_is_no_hang(bed_t *b)
+{
+	run_on_w0(b);
+	report_progress(b, 500, 1);
+	b->now_ms += 5000;
+	report_progress(b, 800, 1);
+	g_assert_null(find_order(b, FFL_ORDER_STOP, "w0"));
+}
+
+static void run_without_progress_hangs(bed_t *b)
+{
+	run_on_w0(b);
+	for (uint32_t ms = 500; ms < 5000; ms += 500) {
+		wait_ms(b, 500 - STEP_MS);
+		report_progress(b, ms, 1);
+	}
+	g_assert_nonnull(find_order(b, FFL_ORDER_STOP, "w0"));
+}
+
+/* A rate of reports that were read late is no measure for later ones. */
+static void late_report_is_no_rate(bed_t *b)
+{
+	const ffl_dispatch_worker_t *w;
+
+	run_on_w0(b);
+	for (uint32_t i = 2; i <= 6; i++) {
+		char id[FFL_NAME_BYTES];
+
+		g_snprintf(id, sizeof(id), "x%u", i);
+		list_worker(b, id, ADDR_B, BORN_A);
+	}
+	wait_ms(b, 1000);
+	report_progress(b, 1000, 5);
+	b->now_ms += 2900;
+	report_progress(b, 2000, 10);
+	b->now_ms += 650;
+	report_progress(b, 4600, 23);
+	b->now_ms += 950;
+	report_progress(b, 5600, 28);
+	w = g_hash_table_lookup(b->d.workers, "w0");
+	g_assert_cmpuint(w->slow_until_ms, ==, 0);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -688,6 +749,9 @@
 	{ "denial-of-earlier-incarnation", denial_of_earlier_incarnation },
 	{ "ticket-of-earlier-incarnation", ticket_of_earlier_incarnation },
 	{ "denial-of-earlier-job", denial_of_earlier_job },
+	{ "late-report-is-no-hang", late_report_is_no_hang },
+	{ "run-without-progress-hangs", run_without_progress_hangs },
+	{ "late-report-is-no-rate", late_report_is_no_rate },
 };
 
 static void test_case(gconstpointer data)
