node: a job that was removed while the host could not read is forgotten

Cause: a host whose place in the topic of jobs has expired reads the newest record of each key instead. A removed key is not among them, and the host kept the job, with the state of before. If it came to lead, the job had no progress and was started from its first task. Change: after the last page, jobs that no page named are forgotten, as is done for workers. A leader that reads the removal of a job with runs has been superseded and steps down (no test).

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -237,7 +237,7 @@
 	uint64_t healthy_since_ms;
 	uint32_t failures;	   /**< consecutive failed reads */
 	uint64_t failing_since_ms; /**< when the first of them failed */
-	GHashTable *paged_keys;	   /**< workers seen in the pages so far */
+	GHashTable *paged_keys;	   /**< workers or jobs in the pages so far */
 } ffl_tail_t;
 
 /** A request that waits for the log before it can be answered. */
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -36,6 +36,8 @@
 			   const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t);
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
+static void remove_job(ffl_node_t *n, const char *id);
+static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t);
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
@@ -125,19 +127,32 @@
 				   t->paging ? 0 : t->caught_up_ms, n->now_ms);
 }
 
+static void remove_job(ffl_node_t *n, const char *id)
+{
+	const ffl_flow_t *flow = ffl_flows_find(&n->flows, id);
+
+	/* A leader removes only jobs without runs. */
+	if (n->lead.leading && flow && flow->placed_count)
+		ffl_lead_step_down(n, "a job with runs was removed");
+	if (n->lead.leading)
+		ffl_publish_add_drop(n, id);
+	ffl_flows_remove(&n->flows, id);
+}
+
 static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec)
 {
+	ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
 	const char *id = rec->key + 1;
 	ffl_flow_spec_t spec;
 
 	if (!rec->value.size_bytes) {
 		if (rec->key[0] != KEY_SPEC)
 			return;
-		if (n->lead.leading)
-			ffl_publish_add_drop(n, id);
-		ffl_flows_remove(&n->flows, id);
+		remove_job(n, id);
 		return;
 	}
+	if (t->paging && rec->key[0] == KEY_SPEC)
+		g_hash_table_add(t->paged_keys, g_strdup(id));
 	if (rec->key[0] == KEY_CANCEL) {
 		ffl_flows_cancel(&n->flows, id);
 		ffl_dispatch_request_placement(&n->dispatch);
@@ -267,6 +282,25 @@
 	g_ptr_array_free(gone, TRUE);
 }
 
+/* Jobs that are known but not in the pages were removed in the part of the log
+ * that was not read. Those handed in again since are read after the pages. */
+static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t)
+{
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, n->flows.by_id);
+	while (g_hash_table_iter_next(&iter, &id, NULL)) {
+		if (!g_hash_table_contains(t->paged_keys, id))
+			g_ptr_array_add(gone, g_strdup(id));
+	}
+	for (guint i = 0; i < gone->len; i++)
+		remove_job(n, g_ptr_array_index(gone, i));
+	g_ptr_array_free(gone, TRUE);
+	g_hash_table_remove_all(t->paged_keys);
+}
+
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t)
 {
 	t->paging = false;
@@ -274,6 +308,8 @@
 	t->caught_up_ms = MAX(t->caught_up_ms, t->paging_since_ms);
 	if (t->topic == FFL_TOPIC_WORKERS)
 		drop_unlisted(n, t);
+	if (t->topic == FFL_TOPIC_JOBS)
+		drop_removed_jobs(n, t);
 	if (t->topic == FFL_TOPIC_STATES && !n->lead.holder_seen_ms)
 		n->lead.holder_seen_ms = n->now_ms;
 	ffl_node_note(n, "topic-synced", ffl_topic_name(t->topic),
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -528,6 +528,35 @@
 	g_assert_cmpint(s->jobs[job].reported_state, ==, FFL_FLOW_COMPLETED);
 }
 
+/* A host that was cut off until the log no longer had what it missed must not
+ * lead with a job that has been removed. */
+static void removal_forgotten(site_t *s)
+{
+	uint32_t other = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job = site_submit(s, 0, 4, 2, WORK_MS, true);
+
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].node.opt.keep_ended_ms = 10000;
+	site_run(s, 400);
+	g_assert_nonnull(
+		ffl_flows_find(&s->hosts[other].node.flows, s->jobs[job].id));
+	s->hosts[other].log_cut_until_ms = s->now_ms + 105000;
+	site_run(s, 100000);
+	g_assert_null(find_job_at_leader(s, job));
+	s->jobs[job].accepted = false;
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		keyed_log_trim_history(&s->topics[i]);
+	site_run(s, 10000);
+	g_assert_null(
+		ffl_flows_find(&s->hosts[other].node.flows, s->jobs[job].id));
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		if (i != other)
+			site_kill(s, i, 20000);
+	}
+	site_run(s, 10000);
+	g_assert_cmpint(site_leader(s), ==, other);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -559,6 +588,7 @@
 	{ "followers-skip-progress", followers_skip_progress },
 	{ "larger-host-leads", larger_host_leads },
 	{ "late-state-hides-end", late_state_hides_end },
+	{ "removal-forgotten", removal_forgotten },
 };
 
 static void test_scenario(gconstpointer data)
