flow: what a term removed from the log is not taken for removed by the next

Cause: a leader notes when it removes the progress of an ended job, and removes the specification 5 s later. The note outlived its term. If the first removal did not reach the log, the next term of the same host removed the specification alone, and the progress stayed in the log for good. Change: the note goes with the rest of a term's knowledge. Figures: node/removal-of-earlier-term, before: assertion failed (g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest) == 1): (2 == 1).

--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -311,6 +311,7 @@
 		flow->progress_offset = 0;
 		flow->dirty_batch = 0;
 		flow->ended_ms = 0;
+		flow->dropped_ms = 0;
 		g_ptr_array_add(flows->open, flow);
 		for (uint32_t i = 0; i < flow->tasks_count; i++)
 			task_clear(&flow->tasks[i]);
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -557,6 +557,36 @@
 	g_assert_cmpint(site_leader(s), ==, other);
 }
 
+/* A leader's removal of progress that did not reach the log must not let its
+ * next term remove the specification alone. */
+static void removal_of_earlier_term(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t job = site_submit(s, leader, 4, 2, WORK_MS, true);
+	const ffl_flow_t *flow;
+
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].node.opt.keep_ended_ms = 10000;
+	site_run(s, 1000);
+	flow = find_job_at_leader(s, job);
+	for (uint32_t i = 0; i < 100000 && !flow->dropped_ms; i += SITE_STEP_MS)
+		site_run(s, SITE_STEP_MS);
+	g_assert_cmpuint(flow->dropped_ms, !=, 0);
+	s->hosts[leader].log_cut_until_ms = s->now_ms + 14000;
+	site_run(s, 20000);
+	g_assert_cmpint(site_leader(s), !=, (int)leader);
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		if (i != leader)
+			site_kill(s, i, 120000);
+	}
+	site_run(s, 20000);
+	g_assert_cmpint(site_leader(s), ==, (int)leader);
+	site_run(s, 90000);
+	s->jobs[job].accepted = false;
+	g_assert_null(find_job_at_leader(s, job));
+	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest), ==, 1);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -589,6 +619,7 @@
 	{ "larger-host-leads", larger_host_leads },
 	{ "late-state-hides-end", late_state_hides_end },
 	{ "removal-forgotten", removal_forgotten },
+	{ "removal-of-earlier-term", removal_of_earlier_term },
 };
 
 static void test_scenario(gconstpointer data)
