dispatch: a worker that starts again is not judged by its earlier incarnation

Cause: a restart cleared the failures of a worker, but not the quarantine that came of them, nor its learnt speed, its slowness and the speed limit of best-effort runs, which then rose from 0 by a tenth with each report. The next incarnation may be of another kind. Change: all of them go with the incarnation. Figures: incarnation_test, before: quarantine-of-earlier-incarnation 'find_order(b, FFL_ORDER_START, "w0")' should not be NULL; speed-limit-of-earlier-incarnation assertion failed (w->limit_percent == 100): (0 == 100).

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -148,6 +148,10 @@
 	w->missed_renewals = 0;
 	w->fail_streak = 0;
 	w->has_succeeded = false;
+	w->quarantined_until_ms = 0;
+	w->speed_milli = 0;
+	w->slow_until_ms = 0;
+	w->limit_percent = PERCENT;
 }
 
 void ffl_dispatch_worker_end_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
