node: records of an earlier job are not kept for a later one of its id

Cause: a host that reads a cancellation or a state of a job that it does not know keeps it until the specification comes. A cancellation was kept although the log removed it, as happens when a job is removed between two pages. Both were kept when the topic was read anew after its place had expired, so a removal in the part that was not read went unseen. Change: the removal of a cancellation or a specification drops what was kept; reading a topic anew begins without any. Figures: node_test, before: cancel-of-earlier-job, cancel-removal-forgotten and state-removal-forgotten each 'assertion failed (g_hash_table_size( s->jobs[job].completed) == 4): (0 == 4)'; state-of-earlier-job passes before and after.

--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -146,9 +146,9 @@
 	ffl_flow_spec_t spec;
 
 	if (!rec->value.size_bytes) {
-		if (rec->key[0] != KEY_SPEC)
-			return;
-		remove_job(n, id);
+		g_hash_table_remove(n->flows.early_cancels, id);
+		if (rec->key[0] == KEY_SPEC)
+			remove_job(n, id);
 		return;
 	}
 	if (t->paging && rec->key[0] == KEY_SPEC)
@@ -206,6 +206,11 @@
 		t->paging_since_ms = n->now_ms;
 		t->after_key[0] = '\0';
 		g_hash_table_remove_all(t->paged_keys);
+		/* The pages bring again what is still in the log. */
+		if (t->topic == FFL_TOPIC_JOBS)
+			g_hash_table_remove_all(n->flows.early_cancels);
+		if (t->topic == FFL_TOPIC_STATES)
+			g_hash_table_remove_all(n->flows.early_states);
 	}
 	act->store.topic = t->topic;
 	act->store.call = t->call = ffl_node_next_call(n);
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -587,6 +587,60 @@
 	g_assert_cmpint(g_tree_nnodes(s->topics[FFL_TOPIC_RUNS].newest), ==, 1);
 }
 
+/* A host that starts reads a record of a job whose specification is removed
+ * before that is read. Once the record is removed too, it must not count for a
+ * later job of the id. The host reads the removal, or is cut off until the log
+ * no longer has it. */
+static void record_of_earlier_job(site_t *s, ffl_topic_t topic, char kind,
+				  char value, bool forgotten)
+{
+	uint32_t other = ((uint32_t)site_leader(s) + 1) % 3;
+	char key[FFL_RECORD_KEY_BYTES];
+	uint32_t job;
+
+	g_snprintf(key, sizeof(key), "%c%016x", kind,
+		   (s->jobs_count + 1) * 0x9e37u);
+	keyed_log_put(&s->topics[topic], key, &value, 1);
+	site_kill(s, other, 100);
+	site_run(s, 300);
+	if (forgotten)
+		s->hosts[other].log_cut_until_ms = s->now_ms + 4000;
+	site_run(s, 1000);
+	keyed_log_put(&s->topics[topic], key, NULL, 0);
+	if (forgotten)
+		keyed_log_trim_history(&s->topics[topic]);
+	site_run(s, 8000);
+	site_kill(s, (other + 2) % 3, 20000);
+	job = site_submit(s, (other + 1) % 3, 4, 2, WORK_MS, true);
+	g_assert_cmpstr(s->jobs[job].id, ==, key + 1);
+	site_run(s, 100);
+	site_kill(s, (other + 1) % 3, 20000);
+	site_run(s, 15000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 4);
+}
+
+static void cancel_of_earlier_job(site_t *s)
+{
+	record_of_earlier_job(s, FFL_TOPIC_JOBS, 'c', '1', false);
+}
+
+static void cancel_removal_forgotten(site_t *s)
+{
+	record_of_earlier_job(s, FFL_TOPIC_JOBS, 'c', '1', true);
+}
+
+static void state_of_earlier_job(site_t *s)
+{
+	record_of_earlier_job(s, FFL_TOPIC_STATES, 's', FFL_FLOW_COMPLETED,
+			      false);
+}
+
+static void state_removal_forgotten(site_t *s)
+{
+	record_of_earlier_job(s, FFL_TOPIC_STATES, 's', FFL_FLOW_COMPLETED,
+			      true);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -620,6 +674,10 @@
 	{ "late-state-hides-end", late_state_hides_end },
 	{ "removal-forgotten", removal_forgotten },
 	{ "removal-of-earlier-term", removal_of_earlier_term },
+	{ "cancel-of-earlier-job", cancel_of_earlier_job },
+	{ "cancel-removal-forgotten", cancel_removal_forgotten },
+	{ "state-of-earlier-job", state_of_earlier_job },
+	{ "state-removal-forgotten", state_removal_forgotten },
 };
 
 static void test_scenario(gconstpointer data)
