platform: an entry names a worker only by an IPv4 address and a port

What callers saw: with one odd entry among the workers' a host sent orders to addresses that are none, tasks were started again and again there, and text of an id got into the headers of orders. No process ended. Cause: the address of an entry was taken as any text and went into the URL of each order as it was: port 0 or 99999, a host name (which is then resolved), a path, a user. The id went into X-Expect-Instance with whatever bytes it had. A capacity of 4,294,967,295 was accepted, so the share of free GPUs, which the headroom for guaranteed work depends on, was meaningless. Change: an entry names a worker only if its address is four decimal numbers and a port of 1 to 65535, its id is printable ASCII without spaces, it names a service, and its numbers are whole and within bounds (16,384 cores, 128 TiB, 4,096 GPUs). Any other is passed over alone; worker-unreadable says which part. The stand-in's workers have an address each instead of a path, and POST /entry writes a record among theirs.

--- a/fuzz/decode_fuzz.c
+++ b/fuzz/decode_fuzz.c
@@ -29,7 +29,11 @@
 	"\"has_more\":false,\"end_offset\":5}",
 	"{\"running\":[[\"a.0.0.1\",1,\"\",3]],\"finished\":[[1,\"a.0.0.1\","
 	"1,\"done\",\"\"]]}",
-	"{\"address\":\"a:1\",\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
+	"{\"address\":\"10.0.0.9:1\",\"service\":\"s\",\"state\":\"ready\","
+	"\"capacity\":{\"cpu\":1}}",
+	"{\"address\":\"",
+	"10.0.0.9:1",
+	"\",\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}",
 	"{\"offset\":1,\"end_offset\":2}",
 	"{",
 	"}",
@@ -51,6 +55,7 @@
 static const char *decode_job(ffl_bytes_t body);
 static const char *decode_store(part_t part, ffl_bytes_t body);
 static const char *decode_progress(ffl_bytes_t body);
+static const char *decode_entry(ffl_bytes_t body, ffl_arena_t *arena);
 
 const fuzz_target_t fuzz_target = { "decode", 2, run };
 
@@ -143,6 +148,19 @@
 	return fault;
 }
 
+static const char *decode_entry(ffl_bytes_t body, ffl_arena_t *arena)
+{
+	const char *problem;
+	const ffl_worker_entry_t *entry =
+		ffl_pf_worker_entry_decode("i-1", body, arena, &problem);
+
+	if (!entry)
+		return problem ? NULL : "an entry is refused without a reason";
+	return strspn(entry->addr, "0123456789.:") == strlen(entry->addr)
+		       ? NULL
+		       : "an address that is not a number";
+}
+
 static const char *run(const uint8_t *ops, size_t op_count, GString *trace)
 {
 	part_t part = op_count ? (part_t)(ops[0] % PART__MAX) : PART_JOB;
@@ -159,7 +177,7 @@
 	else if (part == PART_CONFIG && ffl_pf_config_decode(body, &routes))
 		ffl_routes_finish(&routes);
 	else if (part == PART_ENTRY)
-		ffl_pf_worker_entry_decode("i-1", body, &arena);
+		fault = decode_entry(body, &arena);
 	else if (part == PART_SPEC &&
 		 ffl_flow_spec_decode(body, &spec) == FFL_OK)
 		ffl_flow_spec_finish(&spec);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -55,6 +55,7 @@
 	ffl_bytes_t value;	    /**< empty if the key was removed */
 	ffl_routes_t *routes;	    /**< decoded configuration, or NULL */
 	ffl_worker_entry_t *worker; /**< decoded worker entry, or NULL */
+	const char *problem; /**< why there is none: a static word, or NULL */
 } ffl_store_record_t;
 
 /** A reply of the log. */
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -115,7 +115,9 @@
 		return;
 	}
 	if (!rec->worker) {
-		ffl_node_note(n, "worker-unreadable", rec->key, "bytes=%zu",
+		ffl_node_note(n, "worker-unreadable", rec->key,
+			      "problem=%s bytes=%zu",
+			      rec->problem ? rec->problem : "-",
 			      rec->value.size_bytes);
 		return;
 	}
--- a/site/main.c
+++ b/site/main.c
@@ -22,6 +22,7 @@
 static int serve_fault(struct mg_connection *conn, void *site);
 static int serve_state(struct mg_connection *conn, void *site);
 static void *advance_workers(void *arg);
+static char *list_addresses(const site_http_t *s);
 static bool run_server(site_http_t *s);
 
 /** Handlers by path; the patterns are those of CivetWeb. */
@@ -33,7 +34,10 @@
 	{ "/-/log-append$", site_http_serve_append },
 	{ "/-/log-read$", site_http_serve_read },
 	{ "/-/log-newest$", site_http_serve_newest },
-	{ "/w*/-/*", site_http_serve_order },
+	{ "/-/hold$", site_http_serve_order },
+	{ "/-/pace$", site_http_serve_order },
+	{ "/-/run-*$", site_http_serve_order },
+	{ "/entry$", site_http_serve_entry },
 	{ "/config$", serve_config },
 	{ "/fault$", serve_fault },
 	{ "/state$", serve_state },
@@ -204,17 +208,32 @@
 	return NULL;
 }
 
+/* Returns the addresses of the log and of each worker, separated by commas. */
+static char *list_addresses(const site_http_t *s)
+{
+	GString *out = g_string_new(s->addr);
+	char addr[FFL_ADDR_BYTES];
+
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		site_http_worker_addr(s, i, addr);
+		g_string_append_printf(out, ",%s", addr);
+	}
+	return g_string_free(out, FALSE);
+}
+
 static bool run_server(site_http_t *s)
 {
+	char *addresses = list_addresses(s);
 	const char *options[] = {
-		"listening_ports",	 s->addr, "num_threads", THREADS,
-		"enable_keep_alive",	 "yes",	  "tcp_nodelay", "1",
-		"keep_alive_timeout_ms", "10000", NULL
+		"listening_ports",	 addresses, "num_threads", THREADS,
+		"enable_keep_alive",	 "yes",	    "tcp_nodelay", "1",
+		"keep_alive_timeout_ms", "10000",   NULL
 	};
 	struct mg_callbacks callbacks = { 0 };
 	struct mg_context *ctx = mg_start(&callbacks, s, options);
 	pthread_t thread;
 
+	g_free(addresses);
 	if (!ctx)
 		return false;
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++)
--- a/site/site.h
+++ b/site/site.h
@@ -78,10 +78,17 @@
 
 /** Describes tasks to the workers by their specifications. */
 extern const task_hooks_t site_http_hooks;
-/** Serves an order to a worker. */
+/** Formats the address of a worker: one of the loopback network, with the port
+ * of the stand-in. */
+void site_http_worker_addr(const site_http_t *s, uint32_t index,
+			   char out[FFL_ADDR_BYTES]);
+/** Serves an order to a worker; the address called tells which. */
 int site_http_serve_order(struct mg_connection *conn, void *site);
 /** Serves a question to the adviser: it allows every worker but the first. */
 int site_http_serve_advice(struct mg_connection *conn, void *site);
+/** Appends the body to the list of workers under the id in the query, as
+ * another writer would. */
+int site_http_serve_entry(struct mg_connection *conn, void *site);
 /** Appends the record of each worker to the log. Called with the lock held. */
 void site_http_publish_workers(site_http_t *s);
 
--- a/site/worker.c
+++ b/site/worker.c
@@ -21,8 +21,8 @@
 static void ignore_end(void *user, task_worker_t *w,
 		       const ffl_run_report_t *row);
 static uint32_t tasks_present(void *user, const task_run_t *run);
-static bool decode_order(const char *uri, const json_t *doc, ffl_order_t *out,
-			 task_worker_t **worker, site_http_t *s);
+static task_worker_t *find_worker(site_http_t *s, struct mg_connection *conn);
+static bool decode_order(const char *uri, const json_t *doc, ffl_order_t *out);
 static json_t *encode_runs(const ffl_reply_t *reply, bool ended);
 static void send_reply(struct mg_connection *conn, const ffl_reply_t *reply);
 static bool has_unacked_end(const task_worker_t *w, uint64_t acked);
@@ -86,17 +86,33 @@
 	return 1;
 }
 
-static bool decode_order(const char *uri, const json_t *doc, ffl_order_t *out,
-			 task_worker_t **worker, site_http_t *s)
+void site_http_worker_addr(const site_http_t *s, uint32_t index,
+			   char out[FFL_ADDR_BYTES])
+{
+	g_snprintf(out, FFL_ADDR_BYTES, "127.0.1.%u%s", index + 1,
+		   strrchr(s->addr, ':'));
+}
+
+/* Each worker has an address of its own. */
+static task_worker_t *find_worker(site_http_t *s, struct mg_connection *conn)
+{
+	const char *host = mg_get_header(conn, "Host");
+	char addr[FFL_ADDR_BYTES];
+
+	for (uint32_t i = 0; host && i < s->worker_count; i++) {
+		site_http_worker_addr(s, i, addr);
+		if (strcmp(addr, host) == 0)
+			return &s->workers[i];
+	}
+	return NULL;
+}
+
+static bool decode_order(const char *uri, const json_t *doc, ffl_order_t *out)
 {
 	const char *task = json_string_value(json_object_get(doc, "task"));
 	const char *slash = strrchr(uri, '/');
-	uint32_t index;
 
 	memset(out, 0, sizeof(*out));
-	if (sscanf(uri, "/w%u/-/", &index) != 1 || index >= s->worker_count)
-		return false;
-	*worker = &s->workers[index];
 	while (out->kind < FFL_ORDER__MAX &&
 	       strcmp(order_names[out->kind], slash + 1) != 0)
 		out->kind++;
@@ -224,7 +240,7 @@
 	const char *uri = mg_get_request_info(conn)->local_uri;
 	const char *expected = mg_get_header(conn, "X-Expect-Instance");
 	GByteArray *body = g_byte_array_new();
-	task_worker_t *w = NULL;
+	task_worker_t *w = find_worker(s, conn);
 	uint64_t until_ms = site_http_now_ms();
 	ffl_reply_t reply;
 	ffl_order_t order;
@@ -233,7 +249,7 @@
 
 	site_http_read_body(conn, body);
 	doc = json_loadb((const char *)body->data, body->len, 0, NULL);
-	if (!decode_order(uri, doc, &order, &w, s)) {
+	if (!w || !decode_order(uri, doc, &order)) {
 		site_http_send(conn, 400, "", 0);
 	} else if (!w->alive) {
 		site_http_send(conn, 503, "", 0);
@@ -266,6 +282,29 @@
 	return 1;
 }
 
+int site_http_serve_entry(struct mg_connection *conn, void *site)
+{
+	site_http_t *s = site;
+	const char *query = mg_get_request_info(conn)->query_string;
+	char id[FFL_RECORD_KEY_BYTES];
+	GByteArray *body = g_byte_array_new();
+
+	if (!query ||
+	    mg_get_var(query, strlen(query), "id", id, sizeof(id)) < 0 ||
+	    !site_http_read_body(conn, body)) {
+		site_http_send(conn, 400, "", 0);
+	} else {
+		pthread_mutex_lock(&s->lock);
+		keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], id, body->data,
+			      body->len);
+		pthread_cond_broadcast(&s->changed);
+		pthread_mutex_unlock(&s->lock);
+		site_http_send(conn, 200, "", 0);
+	}
+	g_byte_array_unref(body);
+	return 1;
+}
+
 void site_http_publish_workers(site_http_t *s)
 {
 	for (uint32_t i = 0; i < s->worker_count; i++) {
@@ -281,7 +320,7 @@
 			w->listed = false;
 			continue;
 		}
-		g_snprintf(addr, sizeof(addr), "%s/w%u", s->addr, i);
+		site_http_worker_addr(s, i, addr);
 		doc = json_pack(
 			"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I}",
 			"service", "survey", "address", addr, "zone", "norte",
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -1,8 +1,12 @@
 /** @file Tests of the encoding and decoding of platform messages. */
+#include <pthread.h>
 #include <string.h>
 
 #include "platform/platform.h"
 
+/** Stack of a thread that decodes: an eighth of the default. */
+#define STACK_BYTES (1 << 20)
+
 /** The body of a submitted job and the problem that decoding must report; NULL
  * if the body is valid. */
 typedef struct {
@@ -152,6 +156,18 @@
 	"\"state\":\"" state "\"," CAPACITY                              \
 	",\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":5,\"born\":7}"
 
+#define ENTRY_OF(addr, capacity, more)                                \
+	"{\"service\":\"s\",\"address\":\"" addr "\",\"zone\":\"z\"," \
+	"\"state\":\"ready\"," capacity                               \
+	",\"labels\":[\"a\",\"r1-3\"],\"born\":7" more "}"
+#define AT(addr)   ENTRY_OF(addr, CAPACITY, "")
+#define WITH(more) ENTRY_OF("10.0.0.9:80", CAPACITY, "," more)
+#define ROOM(cpu, mem, gpu)                                      \
+	ENTRY_OF("10.0.0.9:80",                                  \
+		 "\"capacity\":{\"cpu\":" cpu ",\"mem_mb\":" mem \
+		 ",\"gpu\":" gpu "}",                            \
+		 "")
+
 static const entry_case_t entry_cases[] = {
 	{ "ready", ENTRY("ready"), true },
 	{ "draining", ENTRY("draining"), true },
@@ -159,24 +175,101 @@
 	{ "no JSON", "\xff\xfe", false },
 	{ "no address", "{\"service\":\"s\",\"state\":\"ready\"," CAPACITY "}",
 	  false },
-	{ "no room", "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"}",
+	{ "no room",
+	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "\"state\":\"ready\"}",
 	  false },
 	{ "room is text",
-	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\","
-	  "\"capacity\":{\"cpu\":\"many\"}}",
+	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "\"state\":\"ready\",\"capacity\":{\"cpu\":\"many\"}}",
 	  false },
 	{ "labels are numbers",
-	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," CAPACITY
-	  ",\"labels\":[1]}",
+	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "\"state\":\"ready\"," CAPACITY ",\"labels\":[1]}",
+	  false },
+	{ "list", "[]", false },
+	{ "empty object", "{}", false },
+	{ "key twice", WITH("\"state\":\"ready\""), false },
+	{ "more after the end", ENTRY("ready") "]", false },
+	{ "text not in UTF-8", WITH("\"version\":\"\xc3\x28\""), false },
+	{ "text with a NUL", WITH("\"version\":\"a\\u0000b\""), false },
+	{ "half a surrogate", WITH("\"version\":\"\\ud800\""), false },
+	{ "number of 20 digits", WITH("\"sequence\":99999999999999999999"),
+	  false },
+	{ "real too large", WITH("\"sequence\":1e400"), false },
+	{ "other fields", WITH("\"slots\":-7,\"cold\":[[{}]]"), true },
+	{ "no service",
+	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," CAPACITY "}",
+	  false },
+	{ "drain negative", WITH("\"drain_remaining_ms\":-1"), false },
+	{ "drain too long", WITH("\"drain_remaining_ms\":4294967296"), false },
+	{ "drain is a fraction", WITH("\"drain_remaining_ms\":0.5"), false },
+	{ "cores in full", ROOM("16000.0", "32768", "8"), true },
+	{ "cores in part", ROOM("16000.5", "32768", "8"), false },
+	{ "cores negative", ROOM("-1", "32768", "8"), false },
+	{ "cores true", ROOM("true", "32768", "8"), false },
+	{ "cores absurd", ROOM("4294967295", "32768", "8"), false },
+	{ "cores over 32 bits", ROOM("4294967296", "32768", "8"), false },
+	{ "memory absurd", ROOM("16000", "4294967295", "8"), false },
+	{ "gpus absurd", ROOM("16000", "32768", "4294967295"), false },
+	{ "gpus over 64 bits", ROOM("16000", "32768", "1e30"), false },
+	{ "highest port", AT("10.0.0.9:65535"), true },
+	{ "port 0", AT("10.0.0.9:0"), false },
+	{ "port 65536", AT("10.0.0.9:65536"), false },
+	{ "port 99999", AT("10.0.0.9:99999"), false },
+	{ "port of 20 digits", AT("10.0.0.9:18446744073709551696"), false },
+	{ "port signed", AT("10.0.0.9:+80"), false },
+	{ "port negative", AT("10.0.0.9:-80"), false },
+	{ "port with a space", AT("10.0.0.9: 80"), false },
+	{ "port with zeros", AT("10.0.0.9:080"), false },
+	{ "port in hex", AT("10.0.0.9:0x50"), false },
+	{ "port empty", AT("10.0.0.9:"), false },
+	{ "no port", AT("10.0.0.9"), false },
+	{ "only a port", AT(":80"), false },
+	{ "address of the host itself", AT("0.0.0.0:80"), false },
+	{ "part over 255", AT("10.0.0.256:80"), false },
+	{ "three parts", AT("10.0.9:80"), false },
+	{ "one number", AT("167772169:80"), false },
+	{ "host name", AT("worker-9:80"), false },
+	{ "IPv6", AT("[::1]:80"), false },
+	{ "bracket open", AT("[::1"), false },
+	{ "path", AT("10.0.0.9:80/x"), false },
+	{ "question", AT("10.0.0.9:80?x=1"), false },
+	{ "user", AT("a@10.0.0.9:80"), false },
+	{ "host after a user", AT("10.0.0.9:80@10.0.0.8:80"), false },
+	{ "scheme", AT("http://10.0.0.9:80"), false },
+	{ "space", AT("a b"), false },
+	{ "line ends", AT("10.0.0.9:80\\r\\nX-A: b"), false },
+	{ "too long", AT("10.0.0.9:80000000000000000000000000000000000000000"),
 	  false },
 };
 
+/** The id of a worker, and whether its entry must be accepted. */
+typedef struct {
+	const char *id;
+	bool valid;
+} id_case_t;
+
+static const id_case_t id_cases[] = {
+	{ "i-1", true },
+	{ "", false },
+	{ "i 1", false },
+	{ "i-1\r\nX-Fencing: 9", false },
+	{ "i-\xc3\xa9", false },
+	{ "i-\xff", false },
+	{ "01234567890123456789012345678901234567890123456", true },
+	{ "012345678901234567890123456789012345678901234567", false },
+};
+
 static ffl_bytes_t bytes_of(const char *text);
 static void test_jobs(void);
 static void test_validate(void);
 static void test_appends(void);
 static void test_starts(void);
 static void test_entries(void);
+static void test_entry_ids(void);
+static void *decode_nested(void *depth);
+static void test_entry_nested_deeply(void);
 static void test_records(void);
 static void test_renew_reply(void);
 static void test_config(void);
@@ -281,13 +374,15 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
 		const entry_case_t *c = &entry_cases[i];
 		const ffl_worker_entry_t *entry;
+		const char *problem;
 		ffl_arena_t arena;
 
 		g_test_message("%s", c->name);
 		ffl_arena_init(&arena);
 		entry = ffl_pf_worker_entry_decode("i-1", bytes_of(c->value),
-						   &arena);
+						   &arena, &problem);
 		g_assert_cmpint(entry != NULL, ==, c->valid);
+		g_assert_cmpint(problem == NULL, ==, c->valid);
 		if (entry) {
 			g_assert_cmpstr(entry->rack, ==, "r1-3");
 			g_assert_cmpint(entry->born_ms, ==, 7);
@@ -297,6 +392,72 @@
 	}
 }
 
+/* An id goes into a header of every order. */
+static void test_entry_ids(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(id_cases); i++) {
+		const id_case_t *c = &id_cases[i];
+		const char *problem;
+		ffl_arena_t arena;
+
+		ffl_arena_init(&arena);
+		g_assert_cmpint(ffl_pf_worker_entry_decode(
+					c->id, bytes_of(ENTRY("ready")), &arena,
+					&problem) != NULL,
+				==, c->valid);
+		ffl_arena_finish(&arena);
+	}
+}
+
+static void *decode_nested(void *depth)
+{
+	GString *text = g_string_new(WITH("\"version\":"));
+	const char *problem;
+	ffl_arena_t arena;
+	bool usable;
+
+	g_string_truncate(text, text->len - 1);
+	for (int i = 0; i < GPOINTER_TO_INT(depth); i++)
+		g_string_append(text, i % 2 ? "{\"a\":" : "[");
+	g_string_append(text, "1");
+	for (int i = GPOINTER_TO_INT(depth); i-- > 0;)
+		g_string_append_c(text, i % 2 ? '}' : ']');
+	g_string_append_c(text, '}');
+	ffl_arena_init(&arena);
+	usable = ffl_pf_worker_entry_decode(
+		"i-1", (ffl_bytes_t){ (const uint8_t *)text->str, text->len },
+		&arena, &problem);
+	ffl_arena_finish(&arena);
+	g_string_free(text, TRUE);
+	return GINT_TO_POINTER(usable);
+}
+
+/* An entry nested as deeply as a record can hold does not end the process. */
+static void test_entry_nested_deeply(void)
+{
+	static const struct {
+		int depth;
+		bool valid;
+	} cases[] = {
+		{ 10, true }, { 2000, true }, { 2049, false }, { 100000, false }
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		pthread_attr_t attr;
+		pthread_t thread;
+		void *usable;
+
+		pthread_attr_init(&attr);
+		pthread_attr_setstacksize(&attr, STACK_BYTES);
+		g_assert_cmpint(pthread_create(&thread, &attr, decode_nested,
+					       GINT_TO_POINTER(cases[i].depth)),
+				==, 0);
+		pthread_join(thread, &usable);
+		pthread_attr_destroy(&attr);
+		g_assert_cmpint(GPOINTER_TO_INT(usable), ==, cases[i].valid);
+	}
+}
+
 /* Framed records are decoded; a record that is cut off is left out, and one
  * whose key length is too large gets the key "?". */
 static void test_records(void)
@@ -547,6 +708,9 @@
 	g_test_add_func("/platform/appends", test_appends);
 	g_test_add_func("/platform/starts", test_starts);
 	g_test_add_func("/platform/entries", test_entries);
+	g_test_add_func("/platform/entry-ids", test_entry_ids);
+	g_test_add_func("/platform/entry-nested-deeply",
+			test_entry_nested_deeply);
 	g_test_add_func("/platform/records", test_records);
 	g_test_add_func("/platform/hold", test_renew_reply);
 	g_test_add_func("/platform/advice", test_advice);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -6,7 +6,7 @@
 DIR=$(mktemp -d)
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
-echo 1..25
+echo 1..28
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -72,6 +72,28 @@
 	\"tenants\":[{\"name\":\"ponds\",\"api_keys\":[\"k1\"],
 	\"guaranteed\":{\"gpu\":8}}]}"
 }
+entry() { curl -sf -X POST "http://$SITE/entry?id=$1" --data-binary @-; }
+odd_address() {
+	entry "$1" <<JSON
+{"service":"survey","address":"$2","zone":"norte","state":"ready",
+"capacity":{"cpu":4000,"mem_mb":4000,"gpu":1},"labels":["a","r1"],
+"clock_ms":9,"born":9}
+JSON
+}
+# The list of workers has these until the end; the workers' own follow.
+odd_entries() {
+	head -c 200000 /dev/zero | tr '\0' '[' | entry odd-deep
+	echo '{"capacity":{"gpu":99999999999999999999}}' | entry odd-large
+	odd_address odd-port 127.0.1.1:99999
+	odd_address odd-zero 127.0.1.1:0
+	odd_address odd-name nowhere.example:80
+	odd_address odd%20space%0D%0AX-Odd:1 "$SITE"
+	odd_address odd-path "$SITE/x"
+	head -c 200000 /dev/zero | entry w00
+}
+ODD_USED='worker=odd|"call-failed".*(nowhere|:99999|:0/|/x/)'
+odd_seen() { grep -hE '"worker-unreadable"' "$DIR"/host*.log |
+	jq .subject | sort -u | wc -l; }
 JOB='{"spec":"work=300","steps":[{"count":3,"gpu":1,"cpu":1000}]}'
 LONG='{"spec":"work=20000","steps":[{"count":2,"gpu":1,"cpu":1000}]}'
 FAILS='{"spec":"work=100 fails","steps":[{"count":1,"gpu":1}]}'
@@ -122,6 +144,21 @@
 call DELETE 2 /lining/00000000000000a4 -H "$KEY" >/dev/null
 check "a cancelled job is stopped" wait_for 100 \
 	'[ "$(curl -s http://$SITE/state | jq .running)" = 0 ]'
+submit 1 00000000000000a8 "${LONG/20000/60000}" >/dev/null
+wait_for 100 '[ "$(state 1 00000000000000a8)" = running ]'
+odd_entries
+submit 1 00000000000000a9 "$JOB" >/dev/null
+check "a job completes while odd entries are among those of the workers" \
+	wait_for 100 '[ "$(state 2 00000000000000a9)" = completed ]'
+check "odd entries are told of, and no order goes to their addresses" \
+	wait_for 50 '[ "$(odd_seen)" = 8 ] &&
+	! grep -E "$ODD_USED" "$DIR"/host*.log'
+check "they end neither a run nor the hosts" bash -c \
+	"kill -0 $(cat "$DIR/host1.pid") && kill -0 $(cat "$DIR/host2.pid") &&
+	[ \$(curl -s http://$SITE/state | jq .running) = 2 ] &&
+	! grep -E worker-restarted $DIR/host*.log"
+call DELETE 2 /lining/00000000000000a8 -H "$KEY" >/dev/null
+wait_for 100 '[ "$(curl -s http://$SITE/state | jq .running)" = 0 ]'
 start_host 3 "[lines]
 per_second = 1"
 wait_for 100 "ready 3"
