platform: an odd key neither hides the page it is on nor ends the reading

One record whose key has a NUL, or is not UTF-8, made a host refuse each page that held it, again and again. Cause: a page was parsed as a whole, and jansson takes neither NUL nor half a surrogate nor bytes that are not UTF-8. A record with a key of over 63 bytes was left out of its page, so a page of only such ended the reading although more followed, and workers not listed yet were dropped. The last key went into the query of the next page as it was: with a space or a line end the call was never sent, with & or # it asked for another page. In a read, a key with NUL counted as the text before it, so it could change or remove another worker, and an empty key was taken as an id. Change: what is no text in a page becomes U+FFFD. The key to go on by may have 255 bytes and is escaped. Pages that cannot be gone on from end without dropping what they did not list.

--- a/fakes/keyed_log.c
+++ b/fakes/keyed_log.c
@@ -155,4 +155,6 @@
 	out->records =
 		ffl_arena_alloc(arena, (max + 1) * sizeof(*out->records));
 	g_tree_foreach(log->newest, add_to_page, &page);
+	if (out->count)
+		out->last_key = out->records[out->count - 1].key;
 }
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -33,6 +33,8 @@
 
 /** Size of a record's key in bytes, with its terminator. */
 #define FFL_RECORD_KEY_BYTES 64
+/** Size of the longest key that other writers may use, with its terminator. */
+#define FFL_CURSOR_BYTES 256
 /** Value of ffl_act_store_t.expected_end in an unconditional append. */
 #define FFL_ANY_END UINT64_MAX
 
@@ -51,10 +53,10 @@
 /** A record that was read. Values in the platform's format are decoded. */
 typedef struct {
 	uint64_t offset;
-	char key[FFL_RECORD_KEY_BYTES];
-	ffl_bytes_t value;	    /**< empty if the key was removed */
-	ffl_routes_t *routes;	    /**< decoded configuration, or NULL */
-	ffl_worker_entry_t *worker; /**< decoded worker entry, or NULL */
+	char key[FFL_RECORD_KEY_BYTES]; /**< "?" if it cannot be read */
+	ffl_bytes_t value;		/**< empty if the key was removed */
+	ffl_routes_t *routes;		/**< decoded configuration, or NULL */
+	ffl_worker_entry_t *worker;	/**< decoded worker entry, or NULL */
 	const char *problem; /**< why there is none: a static word, or NULL */
 } ffl_store_record_t;
 
@@ -66,6 +68,9 @@
 			 * first record */
 	uint64_t end;	/**< end of the topic: offset of its next record */
 	bool more;	/**< page of newest records: more keys follow */
+	/** Page: its last key by which the next page can be asked for, or NULL.
+	 */
+	const char *last_key;
 	ffl_store_record_t *records;
 	uint32_t count;
 } ffl_store_reply_t;
@@ -158,8 +163,8 @@
 	uint64_t from;	  /**< READ: first offset */
 	uint32_t wait_ms; /**< READ: how long to wait for a record */
 	uint32_t timeout_ms;
-	char after_key[FFL_RECORD_KEY_BYTES]; /**< NEWEST: last key of the
-					       * page before, or "" */
+	char after_key[FFL_CURSOR_BYTES]; /**< NEWEST: last key of the page
+					   * before, or "" */
 	uint64_t expected_end; /**< APPEND: fail unless the topic ends here;
 				* FFL_ANY_END: no condition */
 	GPtrArray *writes;     /**< of ffl_write_t; a reference */
@@ -223,7 +228,7 @@
 	bool synced; /**< all pages have been read */
 	bool paging;
 	uint64_t paging_since_ms; /**< when the first page was requested */
-	char after_key[FFL_RECORD_KEY_BYTES]; /**< last key read in pages */
+	char after_key[FFL_CURSOR_BYTES]; /**< last key read in pages */
 	uint64_t next; /**< offset of the next record to read */
 	bool next_known;
 	uint64_t call; /**< read in flight; 0: none */
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -34,7 +34,7 @@
 static void record_rtt(ffl_node_t *n, uint64_t sent_ms);
 static void handle_failure(ffl_node_t *n, ffl_tail_t *t,
 			   const ffl_store_reply_t *reply);
-static void finish_pages(ffl_node_t *n, ffl_tail_t *t);
+static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all);
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
 static void remove_job(ffl_node_t *n, const char *id);
 static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t);
@@ -308,19 +308,20 @@
 	g_hash_table_remove_all(t->paged_keys);
 }
 
-static void finish_pages(ffl_node_t *n, ffl_tail_t *t)
+/* Without all pages, nothing is known of what they did not list. */
+static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all)
 {
 	t->paging = false;
 	t->synced = true;
 	t->caught_up_ms = MAX(t->caught_up_ms, t->paging_since_ms);
-	if (t->topic == FFL_TOPIC_WORKERS)
+	if (t->topic == FFL_TOPIC_WORKERS && all)
 		drop_unlisted(n, t);
-	if (t->topic == FFL_TOPIC_JOBS)
+	if (t->topic == FFL_TOPIC_JOBS && all)
 		drop_removed_jobs(n, t);
 	if (t->topic == FFL_TOPIC_STATES && !n->lead.holder_seen_ms)
 		n->lead.holder_seen_ms = n->now_ms;
 	ffl_node_note(n, "topic-synced", ffl_topic_name(t->topic),
-		      "next=%" PRIu64, t->next);
+		      "next=%" PRIu64 " all=%d", t->next, all);
 }
 
 /* The pages together are not a snapshot. Reading therefore goes on from the
@@ -337,12 +338,11 @@
 	t->last_record_ms = n->now_ms;
 	for (uint32_t i = 0; i < reply->count; i++)
 		appliers[t->topic](n, &reply->records[i]);
-	if (reply->more && reply->count) {
-		ffl_copy(t->after_key, sizeof(t->after_key),
-			 reply->records[reply->count - 1].key);
+	if (reply->more && reply->last_key &&
+	    strcmp(reply->last_key, t->after_key) != 0 &&
+	    ffl_copy(t->after_key, sizeof(t->after_key), reply->last_key))
 		return;
-	}
-	finish_pages(n, t);
+	finish_pages(n, t, !reply->more);
 }
 
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count)
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -641,6 +641,76 @@
 			      true);
 }
 
+/* Returns the call of the last action of a kind for the topic of
+ * configurations, or NULL. */
+static const ffl_act_store_t *find_config_call(const GArray *acts,
+					       ffl_node_act_kind_t kind)
+{
+	for (guint i = acts->len; i-- > 0;) {
+		const ffl_node_act_t *act =
+			&g_array_index(acts, ffl_node_act_t, i);
+
+		if (act->kind == kind && act->store.topic == FFL_TOPIC_CONFIG)
+			return &act->store;
+	}
+	return NULL;
+}
+
+/* Pages whose keys cannot be read must neither repeat for ever nor end the
+ * reading. */
+static void test_pages_of_odd_keys(void)
+{
+	static const struct {
+		const char *name;
+		const char *last_key;
+		ffl_node_act_kind_t next;
+	} pages[] = {
+		{ "plain", "i-1", FFL_NODE_ACT_NEWEST },
+		{ "longer than a record's", KEY_100, FFL_NODE_ACT_NEWEST },
+		{ "the same again", KEY_100, FFL_NODE_ACT_READ },
+		{ "none", NULL, FFL_NODE_ACT_READ },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+		const ffl_node_options_t opt = { .name = "host-0" };
+		GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+		ffl_store_record_t odd = { .key = "?" };
+		uint64_t now_ms = 1000;
+		ffl_node_t n;
+
+		g_test_message("%s", pages[i].name);
+		ffl_node_init(&n, &opt);
+		ffl_node_drive(&n, now_ms, now_ms, acts);
+		for (size_t k = i == 2 ? 1 : i; k <= i; k++) {
+			ffl_node_event_t ev = { .kind = FFL_NODE_EV_STORE,
+						.now_ms = ++now_ms,
+						.wall_ms = now_ms };
+
+			ev.store.call =
+				find_config_call(acts, FFL_NODE_ACT_NEWEST)
+					->call;
+			ev.store.end = 9;
+			ev.store.more = true;
+			ev.store.last_key = pages[k].last_key;
+			ev.store.records = &odd;
+			ev.store.count = 1;
+			g_array_set_size(acts, 0);
+			ffl_node_step(&n, &ev, acts);
+		}
+		g_assert_nonnull(find_config_call(acts, pages[i].next));
+		if (pages[i].next == FFL_NODE_ACT_NEWEST)
+			g_assert_cmpstr(find_config_call(acts, pages[i].next)
+						->after_key,
+					==, pages[i].last_key);
+		else
+			g_assert_cmpuint(
+				find_config_call(acts, pages[i].next)->from, ==,
+				9);
+		ffl_node_finish(&n);
+		g_array_free(acts, TRUE);
+	}
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -965,5 +1035,6 @@
 			test_unlisted_worker_returns);
 	g_test_add_func("/node/quick-restarts", test_quick_restarts);
 	g_test_add_func("/node/near-host-leads", test_near_host_leads);
+	g_test_add_func("/node/pages-of-odd-keys", test_pages_of_odd_keys);
 	return g_test_run();
 }
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -271,6 +271,10 @@
 static void *decode_nested(void *depth);
 static void test_entry_nested_deeply(void);
 static void test_records(void);
+static void test_odd_keys_in_page(void);
+static void test_empty_page(void);
+static void test_odd_keys_in_query(void);
+static void test_odd_keys_in_read(void);
 static void test_renew_reply(void);
 static void test_config(void);
 static void test_round_trip(void);
@@ -487,6 +491,166 @@
 	ffl_arena_finish(&arena);
 }
 
+#define ITEM(key)   "{\"key\":\"" key "\",\"value\":\"YQ==\",\"offset\":4}"
+#define PAGE(items) "{\"items\":[" items "],\"has_more\":true,\"end_offset\":9}"
+#define KEY_63	    "012345678901234567890123456789012345678901234567890123456789012"
+
+/* One odd key must neither hide the others of its page nor end the reading. */
+static void test_odd_keys_in_page(void)
+{
+	static const struct {
+		const char *name;
+		const char *body;
+		uint32_t count;
+		const char *last_key;
+	} cases[] = {
+		{ "plain", PAGE(ITEM("i-1") "," ITEM("i-2")), 2, "i-2" },
+		{ "empty", PAGE(""), 0, NULL },
+		{ "longest key", PAGE(ITEM("i-1") "," ITEM(KEY_63)), 2,
+		  KEY_63 },
+		{ "key too long", PAGE(ITEM("i-1") "," ITEM(KEY_63 "3")), 2,
+		  KEY_63 "3" },
+		{ "all too long", PAGE(ITEM(KEY_63 "3") "," ITEM(KEY_63 "4")),
+		  2, KEY_63 "4" },
+		{ "key with NUL", PAGE(ITEM("i\\u0000") "," ITEM("i-2")), 2,
+		  "i-2" },
+		{ "key with NUL at the end",
+		  PAGE(ITEM("i-1") "," ITEM("i\\u0000")), 2, "i-1" },
+		{ "key not in UTF-8", PAGE(ITEM("\xff") "," ITEM("i-2")), 2,
+		  "i-2" },
+		{ "half a surrogate", PAGE(ITEM("\\udcff") "," ITEM("i-2")), 2,
+		  "i-2" },
+		{ "escaped backslash", PAGE(ITEM("\\\\udcff") "," ITEM("\xff")),
+		  2, "\\udcff" },
+		{ "no key", PAGE("{\"value\":\"YQ==\",\"offset\":4}"), 1,
+		  NULL },
+		{ "key is a number",
+		  PAGE("{\"key\":7,\"value\":\"YQ==\",\"offset\":4}"), 1,
+		  NULL },
+		{ "no value", PAGE("{\"key\":\"i-1\",\"offset\":4}"), 1,
+		  "i-1" },
+		{ "value not in base64",
+		  PAGE("{\"key\":\"i-1\",\"value\":\"%%\",\"offset\":4}"), 1,
+		  "i-1" },
+		{ "offset negative",
+		  PAGE("{\"key\":\"i-1\",\"value\":\"YQ==\",\"offset\":-1}"), 1,
+		  "i-1" },
+		{ "no object", PAGE("7," ITEM("i-2")), 2, "i-2" },
+	};
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_NEWEST,
+				     .topic = FFL_TOPIC_WORKERS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_pf_result_t result = { 1, 200, bytes_of(cases[i].body) };
+		ffl_store_reply_t reply;
+		ffl_arena_t arena;
+
+		g_test_message("%s", cases[i].name);
+		ffl_arena_init(&arena);
+		ffl_pf_store_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, FFL_STORE_OK);
+		g_assert_cmpuint(reply.count, ==, cases[i].count);
+		g_assert_cmpstr(reply.last_key, ==, cases[i].last_key);
+		for (uint32_t k = 0; k < reply.count; k++)
+			g_assert_null(reply.records[k].worker);
+		ffl_arena_finish(&arena);
+	}
+}
+
+/* A response without a body has no bytes to point at. */
+static void test_empty_page(void)
+{
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_NEWEST,
+				     .topic = FFL_TOPIC_WORKERS };
+	ffl_pf_result_t result = { 1, 200, { NULL, 0 } };
+	ffl_store_reply_t reply;
+	ffl_arena_t arena;
+
+	ffl_arena_init(&arena);
+	ffl_pf_store_reply_decode(&context, &result, &arena, &reply);
+	g_assert_cmpint(reply.outcome, ==, FFL_STORE_UNKNOWN);
+	ffl_arena_finish(&arena);
+}
+
+/* The last key of a page goes into the query of the next one. */
+static void test_odd_keys_in_query(void)
+{
+	static const struct {
+		const char *key;
+		const char *query;
+	} cases[] = {
+		{ "", "" },
+		{ "i-1", "&depends_on=i-1" },
+		{ "i 1", "&depends_on=i%201" },
+		{ "i&from=0#%", "&depends_on=i%26from%3D0%23%25" },
+		{ "\r\n", "&depends_on=%0D%0A" },
+		{ "\xc3\xa9", "&depends_on=%C3%A9" },
+	};
+	ffl_node_act_t act = { .kind = FFL_NODE_ACT_NEWEST };
+	ffl_pf_call_t call;
+
+	act.store.topic = FFL_TOPIC_WORKERS;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *url = g_strconcat("http://10.0.0.1:80/-/log-newest?topic="
+					"keyed.servers&part=0",
+					cases[i].query, NULL);
+
+		ffl_copy(act.store.after_key, sizeof(act.store.after_key),
+			 cases[i].key);
+		ffl_pf_store_call_encode("10.0.0.1:80", &act, &call);
+		g_assert_cmpstr(call.url, ==, url);
+		g_free(url);
+	}
+	memset(act.store.after_key, '%', sizeof(act.store.after_key) - 1);
+	act.store.after_key[sizeof(act.store.after_key) - 1] = '\0';
+	ffl_pf_store_call_encode("255.255.255.255:65535", &act, &call);
+	g_assert_true(g_str_has_suffix(call.url, "%25%25"));
+	g_assert_cmpuint(strlen(call.url), >,
+			 3 * (sizeof(act.store.after_key) - 1));
+}
+
+/* Keys that cannot be read in full are no worker's: neither another's entry nor
+ * the removal of one. */
+static void test_odd_keys_in_read(void)
+{
+	static const struct {
+		const char *name;
+		const char *key;
+		uint8_t key_bytes;
+		const char *expected;
+	} cases[] = {
+		{ "plain", "i-1", 3, "i-1" },
+		{ "empty", "", 0, "?" },
+		{ "NUL at the end", "i-1\0", 4, "?" },
+		{ "not in UTF-8", "i-\xff", 3, "?" },
+		{ "NUL inside", "i-1\0x", 5, "?" },
+		{ "longest", KEY_63, 63, KEY_63 },
+		{ "too long", KEY_63 "3", 64, "?" },
+	};
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_READ,
+				     .topic = FFL_TOPIC_WORKERS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint8_t body[128] = {
+			[19] = cases[i].key_bytes + 2, [20] = cases[i].key_bytes
+		};
+		ffl_pf_result_t result = { 1, 200, { body, 22 } };
+		ffl_store_reply_t reply;
+		ffl_arena_t arena;
+
+		memcpy(body + 21, cases[i].key, cases[i].key_bytes);
+		result.body.size_bytes += cases[i].key_bytes;
+		g_test_message("%s", cases[i].name);
+		ffl_arena_init(&arena);
+		ffl_pf_store_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpuint(reply.count, ==, 1);
+		g_assert_cmpstr(reply.records[0].key, ==, cases[i].expected);
+		g_assert_cmpuint(reply.records[0].value.size_bytes, >, 0);
+		g_assert_null(reply.records[0].worker);
+		ffl_arena_finish(&arena);
+	}
+}
+
 /* Malformed rows of a report are skipped; the others count. */
 static void test_renew_reply(void)
 {
@@ -712,6 +876,10 @@
 	g_test_add_func("/platform/entry-nested-deeply",
 			test_entry_nested_deeply);
 	g_test_add_func("/platform/records", test_records);
+	g_test_add_func("/platform/odd-keys-in-page", test_odd_keys_in_page);
+	g_test_add_func("/platform/empty-page", test_empty_page);
+	g_test_add_func("/platform/odd-keys-in-query", test_odd_keys_in_query);
+	g_test_add_func("/platform/odd-keys-in-read", test_odd_keys_in_read);
 	g_test_add_func("/platform/hold", test_renew_reply);
 	g_test_add_func("/platform/advice", test_advice);
 	g_test_add_func("/platform/pace", test_throttle_call);
