--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -11,6 +11,10 @@
 #define RECOVERY_MS 60000
 /** Time in which the leader has read and answered a worker's next report. */
 #define REPORT_READ_MS 2500
+/** A key longer than those of the hosts' own records. */
+#define KEY_100                                              \
+	"01234567890123456789012345678901234567890123456789" \
+	"01234567890123456789012345678901234567890123456789"
 
 /** A scenario, usually of one fault, run with several seeds. */
 typedef struct {
