dispatch: what answers at another address proves nothing of a worker's runs

An entry of another writer gives a live worker's id and start with the address of something else, which responds that it is not that worker (421). Cause: a 421 ended all runs of the worker, unless its start had changed. Their tasks were ordered on other workers while the runs went on; also when the response came after the worker's own entry was back. Change: an entry with another address counts as a restart, so the runs are settled by a report there or by their leases, and calls to the address before are dropped.

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -17,6 +17,8 @@
 
 static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
+static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
+				 const ffl_worker_entry_t *entry);
 static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     uint64_t now_ms);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
@@ -233,13 +235,23 @@
 	return true;
 }
 
+/* An entry with another address counts as a restart too: what answers there
+ * proves nothing of the runs at the address before. */
+static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
+				 const ffl_worker_entry_t *entry)
+{
+	if (w->entry.born_ms && w->entry.born_ms != entry->born_ms)
+		return true;
+	return w->entry.addr[0] && strcmp(w->entry.addr, entry->addr) != 0;
+}
+
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
 				const ffl_worker_entry_t *entry,
 				uint64_t written_after_ms, uint64_t now_ms)
 {
 	ffl_dispatch_worker_t *w = ffl_dispatch_worker_get(d, entry->id);
 
-	if (w->entry.born_ms && w->entry.born_ms != entry->born_ms) {
+	if (is_other_incarnation(w, entry)) {
 		if (written_after_ms < w->born_reported_ms)
 			return;
 		ffl_dispatch_worker_restart(d, w, entry->born_ms, now_ms);
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -763,6 +763,64 @@
 	g_assert_cmpuint(w->limit_percent, ==, 100);
 }
 
+/* A record with a true start and another's address: what answers there proves
+ * nothing of the runs at the address before. */
+static void entry_with_address_of_another(bed_t *b)
+{
+	ffl_run_report_t running = { .run = 1 };
+	ffl_reply_t late = { .clock_ms = CLOCK_A,
+			     .running = &running,
+			     .running_count = 1 };
+
+	run_on_w0(b);
+	late.call = find_order(b, FFL_ORDER_RENEW, "w0")->call;
+	ffl_task_name(b->flow, 0, running.task);
+	list_worker(b, "w0", "10.0.0.9:80", BORN_A);
+	wait_ms(b, 2 * STEP_MS);
+	ffl_dispatch_handle_reply(&b->d, &late, b->now_ms);
+	wait_ms(b, STEP_MS);
+	g_assert_cmpstr(find_order(b, FFL_ORDER_RENEW, "w0")->addr, ==,
+			"10.0.0.9:80");
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	assert_not_placed_again(b, 1500);
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	assert_not_placed_again(b, 2 * STEP_MS);
+}
+
+/* The answer comes after the worker's own entry is back. */
+static void late_answer_of_another_address(bed_t *b)
+{
+	const ffl_order_t *order;
+
+	run_on_w0(b);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &(ffl_run_report_t){ .run = 1 });
+	list_worker(b, "w0", "10.0.0.9:80", BORN_A);
+	wait_ms(b, 400);
+	order = find_order(b, FFL_ORDER_RENEW, "w0");
+	g_assert_cmpstr(order->addr, ==, "10.0.0.9:80");
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	assert_not_placed_again(b, 500);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &(ffl_run_report_t){ .run = 1 });
+	assert_not_placed_again(b, 1500);
+}
+
+/* Another worker has the address for good: the runs are given up as before. */
+static void address_taken_by_another(bed_t *b)
+{
+	run_on_w0(b);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	wait_ms(b, 4 * STEP_MS);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -798,6 +856,9 @@
 	  quarantine_of_earlier_incarnation },
 	{ "speed-limit-of-earlier-incarnation",
 	  speed_limit_of_earlier_incarnation },
+	{ "entry-with-address-of-another", entry_with_address_of_another },
+	{ "late-answer-of-another-address", late_answer_of_another_address },
+	{ "address-taken-by-another", address_taken_by_another },
 };
 
 static void test_case(gconstpointer data)
