dispatch: an entry that gives no start tells of no restart

What callers saw: nothing was seen. By test, one record of another writer without born under the id of a live worker, and the worker's own that follows, each counted as a restart: orders under way were dropped, planned runs stopped, and the leader had to claim again for a higher fencing token. Cause: a missing start was compared as 0. Change: an entry without a start keeps the one that is known.

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -236,11 +236,13 @@
 }
 
 /* An entry with another address counts as a restart too: what answers there
- * proves nothing of the runs at the address before. */
+ * proves nothing of the runs at the address before. One of another writer may
+ * lack the start time, which tells nothing. */
 static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
 				 const ffl_worker_entry_t *entry)
 {
-	if (w->entry.born_ms && w->entry.born_ms != entry->born_ms)
+	if (w->entry.born_ms && entry->born_ms &&
+	    w->entry.born_ms != entry->born_ms)
 		return true;
 	return w->entry.addr[0] && strcmp(w->entry.addr, entry->addr) != 0;
 }
@@ -250,11 +252,12 @@
 				uint64_t written_after_ms, uint64_t now_ms)
 {
 	ffl_dispatch_worker_t *w = ffl_dispatch_worker_get(d, entry->id);
+	int64_t born_ms = entry->born_ms ? entry->born_ms : w->entry.born_ms;
 
 	if (is_other_incarnation(w, entry)) {
 		if (written_after_ms < w->born_reported_ms)
 			return;
-		ffl_dispatch_worker_restart(d, w, entry->born_ms, now_ms);
+		ffl_dispatch_worker_restart(d, w, born_ms, now_ms);
 		w->born_reported_ms = 0;
 	}
 	/* It may have been on the list before, under orders of this leader. */
@@ -266,6 +269,7 @@
 	if (!w->listed || strcmp(w->entry.rack, entry->rack) != 0)
 		ffl_racks_invalidate(d);
 	w->entry = *entry;
+	w->entry.born_ms = born_ms;
 	w->entry_outdated = false;
 	w->listed = true;
 	w->listed_ms = now_ms;
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -821,6 +821,30 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
 }
 
+/* A record without its start tells of no restart, which a higher token would
+ * follow. */
+static void entry_without_start_time(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_run_report_t running = { .run = 1 };
+	const int64_t starts[] = { 0, BORN_A, BORN_B };
+	uint64_t token;
+
+	run_on_w0(b);
+	token = find_order(b, FFL_ORDER_RENEW, "w0")->token;
+	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+		list_worker(b, "w0", ADDR_A, starts[i]);
+		wait_ms(b, 4 * STEP_MS);
+		answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+		wait_ms(b, 4 * STEP_MS);
+		if (starts[i] != BORN_B)
+			g_assert_cmpuint(
+				find_order(b, FFL_ORDER_RENEW, "w0")->token, ==,
+				token);
+	}
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->token, >, token);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -859,6 +883,7 @@
 	{ "entry-with-address-of-another", entry_with_address_of_another },
 	{ "late-answer-of-another-address", late_answer_of_another_address },
 	{ "address-taken-by-another", address_taken_by_another },
+	{ "entry-without-start-time", entry_without_start_time },
 };
 
 static void test_case(gconstpointer data)
