platform: a report with odd numbers neither hides a run nor is one without clock

A run whose percentage is no number was left out of its worker's report and so ended here as missing, while it ran. A 200 with {}, [] or no clock from whatever has the address of an odd entry counted as a report that nothing runs. Numbers such as 1e300 were cast to 64 bits, which C leaves undefined, and fractions were cut: an end 58.5 counted as 58. Cause: rows were decoded with a cast of their own, and any JSON was a report.

--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -276,6 +276,9 @@
 static void test_odd_keys_in_query(void);
 static void test_odd_keys_in_read(void);
 static void test_renew_reply(void);
+static void test_odd_numbers_in_report(void);
+static void test_odd_numbers_of_ends(void);
+static void test_no_report(void);
 static void test_config(void);
 static void test_round_trip(void);
 
@@ -679,6 +682,132 @@
 	ffl_arena_finish(&arena);
 }
 
+/* A number that is none must not make a run that is listed count as missing. */
+static void test_odd_numbers_in_report(void)
+{
+	static const struct {
+		const char *running;
+		uint32_t count;
+		uint32_t percent;
+		uint32_t recent;
+	} cases[] = {
+		{ "[\"a.0.1.17\",2,\"\",41,350]", 1, 41, 350 },
+		{ "[\"a.0.1.17\",2,\"\",41.9,12.5]", 1, 41, 12 },
+		{ "[\"a.0.1.17\",2,\"\",1e300,1e300]", 1, 100, UINT32_MAX },
+		{ "[\"a.0.1.17\",2,\"\",9223372036854775807,5]", 1, 100, 5 },
+		{ "[\"a.0.1.17\",2,\"\",-1,-1]", 1, 0, 0 },
+		{ "[\"a.0.1.17\",2,\"\",\"x\",{}]", 1, 0, 0 },
+		{ "[\"a.0.1.17\",2.0,null,null]", 1, 0, 0 },
+		{ "[\"a.0.1.17\",2.5,\"\",41]", 0, 0, 0 },
+		{ "[\"a.0.1.17\",4294967298,\"\",41]", 0, 0, 0 },
+		{ "[\"a.0.1.17\",1e300,\"\",41]", 0, 0, 0 },
+		{ "[\"a.0.1.17\",-2,\"\",41]", 0, 0, 0 },
+		{ "[\"a.0.1.17\",true,\"\",41]", 0, 0, 0 },
+		{ "{\"a.0.1.17\":2}", 0, 0, 0 },
+	};
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_ORDER,
+				     .order = FFL_ORDER_RENEW };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *body = g_strdup_printf(
+			"{\"clock_ms\":5,\"running\":[%s]}", cases[i].running);
+		ffl_pf_result_t result = { 1, 200, bytes_of(body) };
+		ffl_arena_t arena;
+		ffl_reply_t reply;
+
+		g_test_message("%s", cases[i].running);
+		ffl_arena_init(&arena);
+		ffl_pf_worker_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, FFL_REPLY_OK);
+		g_assert_cmpuint(reply.running_count, ==, cases[i].count);
+		if (reply.running_count) {
+			g_assert_cmpuint(reply.running[0].run, ==, 2);
+			g_assert_cmpuint(reply.running[0].percent, ==,
+					 cases[i].percent);
+			g_assert_cmpuint(reply.running[0].recent_load, ==,
+					 cases[i].recent);
+		}
+		ffl_arena_finish(&arena);
+		g_free(body);
+	}
+}
+
+/* The number of an end, and its run, are whole and in range. */
+static void test_odd_numbers_of_ends(void)
+{
+	static const struct {
+		const char *ended;
+		uint32_t count;
+	} cases[] = {
+		{ "[58,\"a.0.1.9\",2,\"done\",\"\"]", 1 },
+		{ "[58.0,\"a.0.1.9\",2.0,\"done\",\"\"]", 1 },
+		{ "[58.5,\"a.0.1.9\",2,\"done\",\"\"]", 0 },
+		{ "[-58,\"a.0.1.9\",2,\"done\",\"\"]", 0 },
+		{ "[1e300,\"a.0.1.9\",2,\"done\",\"\"]", 0 },
+		{ "[9223372036854775807,\"a.0.1.9\",2,\"done\",\"\"]", 0 },
+		{ "[\"58\",\"a.0.1.9\",2,\"done\",\"\"]", 0 },
+		{ "[58,\"a.0.1.9\",2.5,\"done\",\"\"]", 0 },
+		{ "[58,\"a.0.1.9\",4294967298,\"done\",\"\"]", 0 },
+	};
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_ORDER,
+				     .order = FFL_ORDER_RENEW };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *body = g_strdup_printf(
+			"{\"clock_ms\":5,\"finished\":[%s]}", cases[i].ended);
+		ffl_pf_result_t result = { 1, 200, bytes_of(body) };
+		ffl_arena_t arena;
+		ffl_reply_t reply;
+
+		g_test_message("%s", cases[i].ended);
+		ffl_arena_init(&arena);
+		ffl_pf_worker_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, FFL_REPLY_OK);
+		g_assert_cmpuint(reply.ended_count, ==, cases[i].count);
+		ffl_arena_finish(&arena);
+		g_free(body);
+	}
+}
+
+/* What is no report of a worker does not say that nothing runs there. */
+static void test_no_report(void)
+{
+	static const struct {
+		const char *body;
+		ffl_reply_outcome_t outcome;
+	} cases[] = {
+		{ "{\"clock_ms\":5}", FFL_REPLY_OK },
+		{ "{\"clock_ms\":5,\"running\":[],\"finished\":[]}",
+		  FFL_REPLY_OK },
+		{ "{\"clock_ms\":5,\"running\":null,\"finished\":null}",
+		  FFL_REPLY_OK },
+		{ "{}", FFL_REPLY_UNKNOWN },
+		{ "[]", FFL_REPLY_UNKNOWN },
+		{ "{\"running\":[],\"finished\":[]}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":-1}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":1e300}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":9223372036854775807}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":99999999999999999999}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":\"5\"}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":5,\"running\":{}}", FFL_REPLY_UNKNOWN },
+		{ "{\"clock_ms\":5,\"finished\":7}", FFL_REPLY_UNKNOWN },
+	};
+	ffl_pf_context_t context = { .kind = FFL_NODE_ACT_ORDER,
+				     .order = FFL_ORDER_RENEW };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_pf_result_t result = { 1, 200, bytes_of(cases[i].body) };
+		ffl_arena_t arena;
+		ffl_reply_t reply;
+
+		g_test_message("%s", cases[i].body);
+		ffl_arena_init(&arena);
+		ffl_pf_worker_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpint(reply.outcome, ==, cases[i].outcome);
+		ffl_arena_finish(&arena);
+	}
+}
+
 /* Answers of the adviser, the call to it, and a start order with its ticket. */
 static void test_advice(void)
 {
@@ -698,6 +827,16 @@
 		{ "odd rows", 200,
 		  "{\"allowed\":[[\"i-1\"],7,[\"i-2\",\"c\"]],\"valid_ms\":1}",
 		  FFL_REPLY_OK, 1 },
+		{ "valid for too long", 200,
+		  "{\"allowed\":[],\"valid_ms\":4294967296}", FFL_REPLY_UNKNOWN,
+		  0 },
+		{ "valid for a fraction", 200,
+		  "{\"allowed\":[],\"valid_ms\":0.5}", FFL_REPLY_UNKNOWN, 0 },
+		{ "valid for less than nothing", 200,
+		  "{\"allowed\":[],\"valid_ms\":-1}", FFL_REPLY_UNKNOWN, 0 },
+		{ "number over 64 bits", 200,
+		  "{\"allowed\":[],\"valid_ms\":99999999999999999999}",
+		  FFL_REPLY_UNKNOWN, 0 },
 		{ "no list", 200, "{\"valid_ms\":1}", FFL_REPLY_UNKNOWN, 0 },
 		{ "odd time", 200, "{\"allowed\":[],\"valid_ms\":-1}",
 		  FFL_REPLY_UNKNOWN, 0 },
@@ -881,6 +1020,11 @@
 	g_test_add_func("/platform/odd-keys-in-query", test_odd_keys_in_query);
 	g_test_add_func("/platform/odd-keys-in-read", test_odd_keys_in_read);
 	g_test_add_func("/platform/hold", test_renew_reply);
+	g_test_add_func("/platform/odd-numbers-in-report",
+			test_odd_numbers_in_report);
+	g_test_add_func("/platform/odd-numbers-of-ends",
+			test_odd_numbers_of_ends);
+	g_test_add_func("/platform/no-report", test_no_report);
 	g_test_add_func("/platform/advice", test_advice);
 	g_test_add_func("/platform/pace", test_throttle_call);
 	g_test_add_func("/platform/config", test_config);
