--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -845,6 +845,35 @@
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->token, >, token);
 }
 
+/* A record that gives a live worker another capacity. */
+static void entry_with_odd_capacity(bed_t *b)
+{
+	const ffl_resources_t capacities[] = {
+		{ 0, 0, 0 },
+		{ 1, 1, 1 },
+		{ UINT32_MAX, UINT32_MAX, UINT32_MAX },
+	};
+	const ffl_run_report_t running = { .run = 1 };
+
+	run_on_w0(b);
+	for (size_t i = 0; i < G_N_ELEMENTS(capacities); i++) {
+		ffl_worker_entry_t entry = { .id = "w0",
+					     .addr = ADDR_A,
+					     .service = "survey",
+					     .born_ms = BORN_A,
+					     .capacity = capacities[i] };
+
+		ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
+		ffl_dispatch_request_placement(&b->d);
+		assert_not_placed_again(b, 400);
+		answer(b, FFL_ORDER_RENEW, "w0",
+		       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+		       &running);
+	}
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	assert_not_placed_again(b, 400);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -884,6 +913,7 @@
 	{ "late-answer-of-another-address", late_answer_of_another_address },
 	{ "address-taken-by-another", address_taken_by_another },
 	{ "entry-without-start-time", entry_without_start_time },
+	{ "entry-with-odd-capacity", entry_with_odd_capacity },
 };
 
 static void test_case(gconstpointer data)
