fakes: handle a simulated site's orders in a file of their own

Change: what happens to an order at a worker or the adviser is in site_orders.c; nothing behaves differently.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -6,83 +6,44 @@
 /** One-way delay to the log. */
 #define LOG_MS 4
 /** Longest wait of an append in the queue of its topic; else it is refused. */
-#define APPEND_WAIT_MS	  2000
-#define WORKER_MS	  3    /* one-way delay */
-#define REPORT_MS	  1500 /* between reports of a worker */
-#define TICK_MS		  50
-#define LATE_ORDER_MIN_MS 2000
-#define PAGE_RECORDS_MAX  4
-/** Reply time of the adviser, also for each worker asked about. */
-#define ADVICE_MS	30
-#define ADVICE_EACH_MS	2
-#define TICKET_VALID_MS 3000
+#define APPEND_WAIT_MS	 2000
+#define WORKER_MS	 3    /* one-way delay */
+#define REPORT_MS	 1500 /* between reports of a worker */
+#define TICK_MS		 50
+#define PAGE_RECORDS_MAX 4
 /** Longer than any run: the oracle queries all jobs at the end. */
 #define KEEP_ENDED_MS 3600000
 #define PERCENT	      100
 #define PER_GPU	      1000
 
-typedef enum {
-	EVENT_STORE,	   /**< a call arrives at the log */
-	EVENT_STORE_BACK,  /**< its answer arrives at the host */
-	EVENT_WORKER,	   /**< an order arrives at a worker */
-	EVENT_WORKER_BACK, /**< its answer arrives */
-	EVENT_TIMEOUT,	   /**< a host gives up on a call */
-	EVENT__MAX
-} event_kind_t;
-
-/** A scheduled event. */
-typedef struct {
-	event_kind_t kind;
-	uint64_t due_ms;
-	uint32_t host;
-	uint64_t incarnation;
-	ffl_node_act_t act; /**< spec and ticket are copied below */
-	char *spec;
-	char ticket[FFL_TICKET_BYTES];
-	uint64_t until_ms; /**< when a waiting call is answered */
-	bool no_answer;
-	bool queued; /**< an append that has waited in the queue */
-	ffl_node_event_t ev;
-} event_t;
-
-typedef void (*event_fn_t)(site_t *s, event_t *e);
-
-static void on_store(site_t *s, event_t *e);
-static void on_store_back(site_t *s, event_t *e);
-static bool waits_for_end(site_t *s, event_t *e, task_worker_t *w);
-static void on_worker(site_t *s, event_t *e);
-static void on_timeout(site_t *s, event_t *e);
-static void event_free(event_t *e);
-static event_t *event_new(event_kind_t kind, uint64_t due_ms, uint32_t host,
-			  uint64_t incarnation);
+typedef void (*event_fn_t)(site_t *s, site_event_t *e);
+
+static void on_store(site_t *s, site_event_t *e);
+static void on_store_back(site_t *s, site_event_t *e);
+static void on_timeout(site_t *s, site_event_t *e);
 static gint compare_due(gconstpointer a, gconstpointer b, gpointer user);
-static void schedule(site_t *s, event_t *e);
-static char *call_key(bool order, uint32_t host, uint64_t incarnation,
-		      uint64_t call);
-static bool is_denied(const site_t *s, const char *step, uint32_t worker);
-static void serve_advice(site_t *s, uint32_t host, const ffl_order_t *order);
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
 static void record_response(site_t *s, const ffl_act_response_t *response);
 static void boot_host(site_t *s, uint32_t host);
 static void report_workers(site_t *s);
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
-static void serve_store(site_t *s, event_t *e, event_t *reply_event);
-static bool queue_append(site_t *s, const event_t *e);
+static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event);
+static bool queue_append(site_t *s, const site_event_t *e);
 static void send_request(site_t *s, uint32_t host, uint32_t job,
 			 ffl_request_kind_t what);
 static site_job_t *new_job(site_t *s, uint32_t work_ms);
 
 static const event_fn_t handlers[EVENT__MAX] = {
-	[EVENT_STORE] = on_store,     [EVENT_STORE_BACK] = on_store_back,
-	[EVENT_WORKER] = on_worker,   [EVENT_WORKER_BACK] = on_store_back,
+	[EVENT_STORE] = on_store,	    [EVENT_STORE_BACK] = on_store_back,
+	[EVENT_WORKER] = site_handle_order, [EVENT_WORKER_BACK] = on_store_back,
 	[EVENT_TIMEOUT] = on_timeout,
 };
 
-static event_t *event_new(event_kind_t kind, uint64_t due_ms, uint32_t host,
-			  uint64_t incarnation)
+site_event_t *site_event_new(site_event_kind_t kind, uint64_t due_ms,
+			     uint32_t host, uint64_t incarnation)
 {
-	event_t *e = g_new0(event_t, 1);
+	site_event_t *e = g_new0(site_event_t, 1);
 
 	e->kind = kind;
 	e->due_ms = due_ms;
@@ -91,7 +52,7 @@
 	return e;
 }
 
-static void event_free(event_t *e)
+void site_event_free(site_event_t *e)
 {
 	if (e->act.kind == FFL_NODE_ACT_APPEND && e->act.store.writes)
 		g_ptr_array_unref(e->act.store.writes);
@@ -101,13 +62,13 @@
 
 static gint compare_due(gconstpointer a, gconstpointer b, gpointer user)
 {
-	const event_t *x = a;
-	const event_t *y = b;
+	const site_event_t *x = a;
+	const site_event_t *y = b;
 
 	return x->due_ms < y->due_ms ? -1 : x->due_ms > y->due_ms;
 }
 
-static void schedule(site_t *s, event_t *e)
+void site_schedule(site_t *s, site_event_t *e)
 {
 	GList *at = s->events.tail;
 
@@ -117,69 +78,13 @@
 	g_queue_insert_after(&s->events, at, e);
 }
 
-static char *call_key(bool order, uint32_t host, uint64_t incarnation,
-		      uint64_t call)
+char *site_call_key(bool order, uint32_t host, uint64_t incarnation,
+		    uint64_t call)
 {
 	return g_strdup_printf("%d/%u/%" PRIu64 "/%" PRIu64, order, host,
 			       incarnation, call);
 }
 
-void site_make_ticket(const char *step, const task_worker_t *w,
-		      char out[FFL_TICKET_BYTES])
-{
-	g_snprintf(out, FFL_TICKET_BYTES, "%s/%s/%" PRId64, step, w->id,
-		   w->born_ms);
-}
-
-/* Denies one worker to a step that needs at most half of the accelerators. */
-static bool is_denied(const site_t *s, const char *step, uint32_t worker)
-{
-	uint32_t index = 0;
-	const site_job_t *job = site_find_job((site_t *)s, step, &index);
-	const ffl_step_t *st;
-
-	if (!job || index >= job->spec.steps_count)
-		return true;
-	st = &job->spec.steps[index];
-	return st->tasks * st->gpus * 2 <= s->workers_count * 8 &&
-	       g_str_hash(step) % s->workers_count == worker;
-}
-
-static void serve_advice(site_t *s, uint32_t host, const ffl_order_t *order)
-{
-	event_t *reply_event =
-		event_new(EVENT_WORKER_BACK,
-			  s->now_ms + ADVICE_MS +
-				  order->asked_workers->len * ADVICE_EACH_MS,
-			  host, s->hosts[host].incarnation);
-	ffl_reply_t *reply = &reply_event->ev.worker;
-
-	reply_event->ev.kind = FFL_NODE_EV_WORKER;
-	reply->call = order->call;
-	reply->valid_ms = TICKET_VALID_MS;
-	reply->tickets =
-		ffl_arena_alloc(&s->arena, (order->asked_workers->len + 1) *
-						   sizeof(*reply->tickets));
-	for (uint32_t i = 0; i < s->workers_count; i++) {
-		task_worker_t *w = &s->workers[i];
-		ffl_ticket_t *t = &reply->tickets[reply->tickets_count];
-		bool asked = false;
-
-		for (guint k = 0; k < order->asked_workers->len && !asked; k++)
-			asked = strcmp(g_ptr_array_index(order->asked_workers,
-							 k),
-				       w->id) == 0;
-		if (!asked || is_denied(s, order->task, i))
-			continue;
-		ffl_copy(t->worker, sizeof(t->worker), w->id);
-		site_make_ticket(order->task, w, t->ticket);
-		reply->tickets_count++;
-	}
-	g_hash_table_add(s->open, call_key(true, host, reply_event->incarnation,
-					   order->call));
-	schedule(s, reply_event);
-}
-
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act)
 {
 	bool order = act->kind == FFL_NODE_ACT_ORDER;
@@ -187,13 +92,13 @@
 	uint64_t call = order ? act->order.call : act->store.call;
 	uint32_t timeout_ms =
 		order ? act->order.timeout_ms : act->store.timeout_ms;
-	event_t *e =
-		event_new(order ? EVENT_WORKER : EVENT_STORE,
-			  s->now_ms + (order ? s->worker_ms
-					     : LOG_MS + s->log_extra_ms[host]),
-			  host, incarnation);
-	event_t *timeout = event_new(EVENT_TIMEOUT, s->now_ms + timeout_ms,
-				     host, incarnation);
+	site_event_t *e = site_event_new(
+		order ? EVENT_WORKER : EVENT_STORE,
+		s->now_ms +
+			(order ? s->worker_ms : LOG_MS + s->log_extra_ms[host]),
+		host, incarnation);
+	site_event_t *timeout = site_event_new(
+		EVENT_TIMEOUT, s->now_ms + timeout_ms, host, incarnation);
 
 	e->act = *act;
 	if (order && act->order.ticket)
@@ -209,9 +114,10 @@
 		timeout->act.order.call = call;
 	else
 		timeout->act.store.call = call;
-	g_hash_table_add(s->open, call_key(order, host, incarnation, call));
-	schedule(s, e);
-	schedule(s, timeout);
+	g_hash_table_add(s->open,
+			 site_call_key(order, host, incarnation, call));
+	site_schedule(s, e);
+	site_schedule(s, timeout);
 }
 
 static void record_response(site_t *s, const ffl_act_response_t *response)
@@ -290,7 +196,7 @@
 		case FFL_NODE_ACT_ORDER:
 			if (act->kind == FFL_NODE_ACT_ORDER &&
 			    act->order.kind == FFL_ORDER_ADVISE)
-				serve_advice(s, host, &act->order);
+				site_serve_advice(s, host, &act->order);
 			else
 				send_act(s, host, act);
 			break;
@@ -409,7 +315,7 @@
 	}
 }
 
-static void serve_store(site_t *s, event_t *e, event_t *reply_event)
+static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event)
 {
 	const ffl_act_store_t *call = &e->act.store;
 	keyed_log_t *log = &s->topics[call->topic];
@@ -432,29 +338,29 @@
 }
 
 /* Queues an append; returns false if it would wait too long. */
-static bool queue_append(site_t *s, const event_t *e)
+static bool queue_append(site_t *s, const site_event_t *e)
 {
 	uint64_t *free_ms = &s->append_free_ms[e->act.store.topic];
-	event_t *turn;
+	site_event_t *turn;
 
 	*free_ms = MAX(*free_ms, s->now_ms);
 	if (*free_ms - s->now_ms > APPEND_WAIT_MS)
 		return false;
 	*free_ms += s->append_ms;
-	turn = event_new(EVENT_STORE, *free_ms, e->host, e->incarnation);
+	turn = site_event_new(EVENT_STORE, *free_ms, e->host, e->incarnation);
 	turn->act = e->act;
 	g_ptr_array_ref(turn->act.store.writes);
 	turn->queued = true;
-	schedule(s, turn);
+	site_schedule(s, turn);
 	return true;
 }
 
-static void on_store(site_t *s, event_t *e)
+static void on_store(site_t *s, site_event_t *e)
 {
 	const ffl_act_store_t *call = &e->act.store;
 	const site_host_t *h = &s->hosts[e->host];
 	bool full = false;
-	event_t *reply_event;
+	site_event_t *reply_event;
 
 	if (e->act.kind == FFL_NODE_ACT_APPEND && s->append_ms && !e->queued) {
 		if (queue_append(s, e))
@@ -465,18 +371,18 @@
 	    s->now_ms < s->log_silent_until_ms ||
 	    (h->topics_cut >> call->topic & 1))
 		return;
-	reply_event = event_new(EVENT_STORE_BACK,
-				s->now_ms + LOG_MS + s->log_extra_ms[e->host],
-				e->host, e->incarnation);
+	reply_event = site_event_new(
+		EVENT_STORE_BACK, s->now_ms + LOG_MS + s->log_extra_ms[e->host],
+		e->host, e->incarnation);
 	if (full || s->now_ms < s->log_down_until_ms) {
 		if (e->no_answer) {
-			event_free(reply_event);
+			site_event_free(reply_event);
 			return;
 		}
 		reply_event->ev.kind = FFL_NODE_EV_STORE;
 		reply_event->ev.store.call = call->call;
 		reply_event->ev.store.outcome = FFL_STORE_REFUSED;
-		schedule(s, reply_event);
+		site_schedule(s, reply_event);
 		return;
 	}
 	if ((e->act.kind == FFL_NODE_ACT_READ && s->now_ms < e->until_ms &&
@@ -485,21 +391,21 @@
 	     s->now_ms < h->jobs_lag_until_ms &&
 	     e->act.kind == FFL_NODE_ACT_READ)) {
 		/* Check again in the next step. */
-		event_t *again =
-			event_new(EVENT_STORE, s->now_ms + SITE_STEP_MS,
-				  e->host, e->incarnation);
+		site_event_t *again =
+			site_event_new(EVENT_STORE, s->now_ms + SITE_STEP_MS,
+				       e->host, e->incarnation);
 
 		again->act = e->act;
 		again->until_ms = e->until_ms;
-		schedule(s, again);
-		event_free(reply_event);
+		site_schedule(s, again);
+		site_event_free(reply_event);
 		return;
 	}
 	if (e->act.kind == FFL_NODE_ACT_APPEND &&
 	    s->now_ms < s->append_lost_until_ms &&
 	    ffl_rng_below(&s->rng, PERCENT) < s->lost_percent) {
 		if (!e->no_answer && ffl_rng_below(&s->rng, 2)) {
-			event_t *late = event_new(
+			site_event_t *late = site_event_new(
 				EVENT_STORE,
 				s->now_ms + 1000 + ffl_rng_below(&s->rng, 5000),
 				e->host, e->incarnation);
@@ -507,26 +413,26 @@
 			late->act = e->act;
 			g_ptr_array_ref(late->act.store.writes);
 			late->no_answer = true;
-			schedule(s, late);
+			site_schedule(s, late);
 		} else {
 			serve_store(s, e, reply_event);
 		}
-		event_free(reply_event);
+		site_event_free(reply_event);
 		return;
 	}
 	serve_store(s, e, reply_event);
 	if (e->no_answer)
-		event_free(reply_event);
+		site_event_free(reply_event);
 	else
-		schedule(s, reply_event);
+		site_schedule(s, reply_event);
 }
 
-static void on_store_back(site_t *s, event_t *e)
+static void on_store_back(site_t *s, site_event_t *e)
 {
 	site_host_t *h = &s->hosts[e->host];
 	bool order = e->ev.kind == FFL_NODE_EV_WORKER;
-	char *key = call_key(order, e->host, e->incarnation,
-			     order ? e->ev.worker.call : e->ev.store.call);
+	char *key = site_call_key(order, e->host, e->incarnation,
+				  order ? e->ev.worker.call : e->ev.store.call);
 	bool open = g_hash_table_remove(s->open, key);
 
 	g_free(key);
@@ -541,7 +447,7 @@
 	}
 }
 
-static void on_timeout(site_t *s, event_t *e)
+static void on_timeout(site_t *s, site_event_t *e)
 {
 	bool order = e->act.kind == FFL_NODE_ACT_ORDER;
 
@@ -557,88 +463,6 @@
 	on_store_back(s, e);
 }
 
-/* Returns true while a waiting renewal is delayed: until there
- * is an end that its sender has not acknowledged, or its wait is over. The
- * lease counts from the arrival of the order. */
-static bool waits_for_end(site_t *s, event_t *e, task_worker_t *w)
-{
-	const ffl_order_t *order = &e->act.order;
-	const ffl_run_report_t *last;
-
-	if (order->kind != FFL_ORDER_RENEW || !order->wait_ms ||
-	    order->token < w->token)
-		return false;
-	if (e->until_ms ? s->now_ms >= e->until_ms : false)
-		return false;
-	if (!e->until_ms)
-		task_worker_extend_lease(w, order, s->now_ms);
-	if (!w->ended->len)
-		return true;
-	last = g_ptr_array_index(w->ended, w->ended->len - 1);
-	return last->number <= order->acked;
-}
-
-static void on_worker(site_t *s, event_t *e)
-{
-	const task_hooks_t hooks = { s,
-				     site_plan_task,
-				     site_on_started,
-				     site_on_ended,
-				     site_on_acked,
-				     site_count_present };
-	event_t *reply_event;
-	uint32_t index = 0;
-
-	while (index < s->workers_count &&
-	       strcmp(s->workers[index].id, e->act.order.worker) != 0)
-		index++;
-	if (index == s->workers_count || !s->workers[index].alive ||
-	    s->worker_cut[index] || (s->hosts_cut[index] >> e->host & 1))
-		return;
-	if (!e->no_answer && e->act.order.kind != FFL_ORDER_RENEW &&
-	    s->now_ms < s->orders_late_until_ms &&
-	    ffl_rng_below(&s->rng, PERCENT) < s->late_percent) {
-		event_t *late = event_new(
-			EVENT_WORKER,
-			s->now_ms + LATE_ORDER_MIN_MS +
-				ffl_rng_below(&s->rng,
-					      LATE_ORDER_MAX_MS -
-						      LATE_ORDER_MIN_MS),
-			e->host, e->incarnation);
-
-		late->act = e->act;
-		late->spec = g_strdup(e->spec);
-		ffl_copy(late->ticket, sizeof(late->ticket), e->ticket);
-		late->no_answer = true;
-		schedule(s, late);
-		return;
-	}
-	if (waits_for_end(s, e, &s->workers[index])) {
-		event_t *again =
-			event_new(EVENT_WORKER, s->now_ms + SITE_STEP_MS,
-				  e->host, e->incarnation);
-
-		again->act = e->act;
-		again->no_answer = e->no_answer;
-		again->until_ms = e->until_ms
-					  ? e->until_ms
-					  : s->now_ms + e->act.order.wait_ms;
-		schedule(s, again);
-		return;
-	}
-	reply_event = event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms,
-				e->host, e->incarnation);
-	e->act.order.ticket = e->ticket;
-	s->order_worker = &s->workers[index];
-	reply_event->ev.kind = FFL_NODE_EV_WORKER;
-	task_worker_handle_order(&s->workers[index], &e->act.order, s->now_ms,
-				 &hooks, &s->arena, &reply_event->ev.worker);
-	if (e->no_answer)
-		event_free(reply_event);
-	else
-		schedule(s, reply_event);
-}
-
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers)
 {
 	memset(s, 0, sizeof(*s));
@@ -664,7 +488,7 @@
 
 void site_finish(site_t *s)
 {
-	event_t *e;
+	site_event_t *e;
 
 	while ((e = g_queue_pop_head(&s->events))) {
 		if (e->kind == EVENT_STORE_BACK) {
@@ -672,7 +496,7 @@
 			on_store_back(s, e);
 			s->hosts[e->host].alive = true;
 		}
-		event_free(e);
+		site_event_free(e);
 	}
 	for (uint32_t i = 0; i < s->hosts_count; i++)
 		ffl_node_finish(&s->hosts[i].node);
@@ -721,7 +545,7 @@
 	uint64_t end = s->now_ms + ms;
 
 	for (; s->now_ms < end; s->now_ms += SITE_STEP_MS) {
-		event_t *e;
+		site_event_t *e;
 
 		report_workers(s);
 		for (uint32_t i = 0; i < s->workers_count; i++) {
@@ -738,11 +562,11 @@
 			g_queue_pop_head(&s->events);
 			if (at_host && s->now_ms < frozen) {
 				e->due_ms = frozen + 1;
-				schedule(s, e);
+				site_schedule(s, e);
 				continue;
 			}
 			handlers[e->kind](s, e);
-			event_free(e);
+			site_event_free(e);
 		}
 		tick_hosts(s);
 	}
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -10,12 +10,49 @@
 /** Longest delay of an order that is delayed and never answered. */
 #define LATE_ORDER_MAX_MS 12000
 
+typedef enum {
+	EVENT_STORE,	   /**< a call arrives at the log */
+	EVENT_STORE_BACK,  /**< its answer arrives at the host */
+	EVENT_WORKER,	   /**< an order arrives at a worker */
+	EVENT_WORKER_BACK, /**< its answer arrives */
+	EVENT_TIMEOUT,	   /**< a host gives up on a call */
+	EVENT__MAX
+} site_event_kind_t;
+
+/** A scheduled event. */
+typedef struct {
+	site_event_kind_t kind;
+	uint64_t due_ms;
+	uint32_t host;
+	uint64_t incarnation;
+	ffl_node_act_t act; /**< spec and ticket are copied below */
+	char *spec;
+	char ticket[FFL_TICKET_BYTES];
+	uint64_t until_ms; /**< when a waiting call is answered */
+	bool no_answer;
+	bool queued; /**< an append that has waited in the queue */
+	ffl_node_event_t ev;
+} site_event_t;
+
 /* site.c */
+site_event_t *site_event_new(site_event_kind_t kind, uint64_t due_ms,
+			     uint32_t host, uint64_t incarnation);
+void site_event_free(site_event_t *e);
+void site_schedule(site_t *s, site_event_t *e);
+/** Returns the key of an open call in site_t.open, to be freed. */
+char *site_call_key(bool order, uint32_t host, uint64_t incarnation,
+		    uint64_t call);
 /** Delivers an event to a host and carries out the resulting actions. */
 void site_step_host(site_t *s, uint32_t host, ffl_node_event_t *ev);
+
+/* site_orders.c */
 /** Formats the ticket of a step for the current incarnation of a worker. */
 void site_make_ticket(const char *step, const task_worker_t *w,
 		      char out[FFL_TICKET_BYTES]);
+/** Schedules the reply of the adviser to a host. */
+void site_serve_advice(site_t *s, uint32_t host, const ffl_order_t *order);
+/** Handles an order that arrives at a worker. */
+void site_handle_order(site_t *s, site_event_t *e);
 
 /* site_oracle.c */
 /** Records a violated guarantee; only the first one is kept. */
--- /dev/null
+++ b/fakes/site_orders.c
@@ -0,0 +1,153 @@
+#include <string.h>
+
+#include "fakes/site_int.h"
+
+#define LATE_ORDER_MIN_MS 2000
+/** Reply time of the adviser, also for each worker asked about. */
+#define ADVICE_MS	30
+#define ADVICE_EACH_MS	2
+#define TICKET_VALID_MS 3000
+#define PERCENT		100
+
+static bool is_denied(const site_t *s, const char *step, uint32_t worker);
+static bool waits_for_end(site_t *s, site_event_t *e, task_worker_t *w);
+
+void site_make_ticket(const char *step, const task_worker_t *w,
+		      char out[FFL_TICKET_BYTES])
+{
+	g_snprintf(out, FFL_TICKET_BYTES, "%s/%s/%" PRId64, step, w->id,
+		   w->born_ms);
+}
+
+/* Denies one worker to a step that needs at most half of the accelerators. */
+static bool is_denied(const site_t *s, const char *step, uint32_t worker)
+{
+	uint32_t index = 0;
+	const site_job_t *job = site_find_job((site_t *)s, step, &index);
+	const ffl_step_t *st;
+
+	if (!job || index >= job->spec.steps_count)
+		return true;
+	st = &job->spec.steps[index];
+	return st->tasks * st->gpus * 2 <= s->workers_count * 8 &&
+	       g_str_hash(step) % s->workers_count == worker;
+}
+
+void site_serve_advice(site_t *s, uint32_t host, const ffl_order_t *order)
+{
+	site_event_t *reply_event = site_event_new(
+		EVENT_WORKER_BACK,
+		s->now_ms + ADVICE_MS +
+			order->asked_workers->len * ADVICE_EACH_MS,
+		host, s->hosts[host].incarnation);
+	ffl_reply_t *reply = &reply_event->ev.worker;
+
+	reply_event->ev.kind = FFL_NODE_EV_WORKER;
+	reply->call = order->call;
+	reply->valid_ms = TICKET_VALID_MS;
+	reply->tickets =
+		ffl_arena_alloc(&s->arena, (order->asked_workers->len + 1) *
+						   sizeof(*reply->tickets));
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		task_worker_t *w = &s->workers[i];
+		ffl_ticket_t *t = &reply->tickets[reply->tickets_count];
+		bool asked = false;
+
+		for (guint k = 0; k < order->asked_workers->len && !asked; k++)
+			asked = strcmp(g_ptr_array_index(order->asked_workers,
+							 k),
+				       w->id) == 0;
+		if (!asked || is_denied(s, order->task, i))
+			continue;
+		ffl_copy(t->worker, sizeof(t->worker), w->id);
+		site_make_ticket(order->task, w, t->ticket);
+		reply->tickets_count++;
+	}
+	g_hash_table_add(s->open,
+			 site_call_key(true, host, reply_event->incarnation,
+				       order->call));
+	site_schedule(s, reply_event);
+}
+
+/* Returns true while a waiting renewal is delayed: until there
+ * is an end that its sender has not acknowledged, or its wait is over. The
+ * lease counts from the arrival of the order. */
+static bool waits_for_end(site_t *s, site_event_t *e, task_worker_t *w)
+{
+	const ffl_order_t *order = &e->act.order;
+	const ffl_run_report_t *last;
+
+	if (order->kind != FFL_ORDER_RENEW || !order->wait_ms ||
+	    order->token < w->token)
+		return false;
+	if (e->until_ms ? s->now_ms >= e->until_ms : false)
+		return false;
+	if (!e->until_ms)
+		task_worker_extend_lease(w, order, s->now_ms);
+	if (!w->ended->len)
+		return true;
+	last = g_ptr_array_index(w->ended, w->ended->len - 1);
+	return last->number <= order->acked;
+}
+
+void site_handle_order(site_t *s, site_event_t *e)
+{
+	const task_hooks_t hooks = { s,
+				     site_plan_task,
+				     site_on_started,
+				     site_on_ended,
+				     site_on_acked,
+				     site_count_present };
+	site_event_t *reply_event;
+	uint32_t index = 0;
+
+	while (index < s->workers_count &&
+	       strcmp(s->workers[index].id, e->act.order.worker) != 0)
+		index++;
+	if (index == s->workers_count || !s->workers[index].alive ||
+	    s->worker_cut[index] || (s->hosts_cut[index] >> e->host & 1))
+		return;
+	if (!e->no_answer && e->act.order.kind != FFL_ORDER_RENEW &&
+	    s->now_ms < s->orders_late_until_ms &&
+	    ffl_rng_below(&s->rng, PERCENT) < s->late_percent) {
+		site_event_t *late = site_event_new(
+			EVENT_WORKER,
+			s->now_ms + LATE_ORDER_MIN_MS +
+				ffl_rng_below(&s->rng,
+					      LATE_ORDER_MAX_MS -
+						      LATE_ORDER_MIN_MS),
+			e->host, e->incarnation);
+
+		late->act = e->act;
+		late->spec = g_strdup(e->spec);
+		ffl_copy(late->ticket, sizeof(late->ticket), e->ticket);
+		late->no_answer = true;
+		site_schedule(s, late);
+		return;
+	}
+	if (waits_for_end(s, e, &s->workers[index])) {
+		site_event_t *again =
+			site_event_new(EVENT_WORKER, s->now_ms + SITE_STEP_MS,
+				       e->host, e->incarnation);
+
+		again->act = e->act;
+		again->no_answer = e->no_answer;
+		again->until_ms = e->until_ms
+					  ? e->until_ms
+					  : s->now_ms + e->act.order.wait_ms;
+		site_schedule(s, again);
+		return;
+	}
+	reply_event =
+		site_event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms,
+			       e->host, e->incarnation);
+	e->act.order.ticket = e->ticket;
+	s->order_worker = &s->workers[index];
+	reply_event->ev.kind = FFL_NODE_EV_WORKER;
+	task_worker_handle_order(&s->workers[index], &e->act.order, s->now_ms,
+				 &hooks, &s->arena, &reply_event->ev.worker);
+	if (e->no_answer)
+		site_event_free(reply_event);
+	else
+		site_schedule(s, reply_event);
+}
