fakes: workers of a simulated site restart, are replaced and refuse connections

Cause: a worker that was down never answered, its entry went within a report's time, renewals were never late, an address had one worker for ever, and a worker always came back. Change: an order goes to an address. Where the host is up and nobody listens it is refused at once (FFL_REPLY_NOT_SENT); another worker at the address answers OTHER_INCARNATION. A late order, now also a renewal with its acked_through, is carried out by whoever is there when it comes; a call that waits ends with its worker. New operations at the end of the fuzzer's list: exit, restart (also with the clock set back), replace and remove (its id and address are never used again). The number of operations changes what a byte means; there is no kept corpus of this target.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -8,7 +8,7 @@
 /** Longest wait of an append in the queue of its topic; else it is refused. */
 #define APPEND_WAIT_MS	 2000
 #define WORKER_MS	 3    /* one-way delay */
-#define REPORT_MS	 1500 /* between reports of a worker */
+#define SITE_REPORT_MS	 1500 /* between reports of a worker */
 #define TICK_MS		 50
 #define PAGE_RECORDS_MAX 4
 /** Longer than any run: the oracle queries all jobs at the end. */
@@ -25,7 +25,6 @@
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
 static void record_response(site_t *s, const ffl_act_response_t *response);
 static void boot_host(site_t *s, uint32_t host);
-static void report_workers(site_t *s);
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event);
@@ -235,7 +234,7 @@
 			      .gang_wait_ms = 3000,
 			      .reclaim_ms = 2900,
 			      .spread_percent = 300,
-			      .heartbeat_ms = REPORT_MS,
+			      .heartbeat_ms = SITE_REPORT_MS,
 			      .early_ms = 250 },
 	};
 
@@ -260,27 +259,6 @@
 		      strlen(text));
 }
 
-static void report_workers(site_t *s)
-{
-	for (uint32_t i = 0; i < s->workers_count; i++) {
-		task_worker_t *w = &s->workers[i];
-		ffl_worker_entry_t entry;
-
-		if (s->now_ms % REPORT_MS != i * SITE_STEP_MS)
-			continue;
-		if (!w->alive && w->listed) {
-			w->listed = false;
-			keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "",
-				      0);
-		}
-		if (!w->alive)
-			continue;
-		task_worker_fill_entry(w, s->now_ms, &entry);
-		keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, &entry,
-			      sizeof(entry));
-	}
-}
-
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply)
 {
@@ -482,6 +460,7 @@
 	s->workers_count = workers;
 	for (uint32_t i = 0; i < workers; i++)
 		task_worker_init(&s->workers[i], i, s->now_ms);
+	site_workers_init(s);
 	for (uint32_t i = 0; i < hosts; i++)
 		boot_host(s, i);
 }
@@ -510,6 +489,7 @@
 		g_hash_table_destroy(s->jobs[i].completed);
 		g_hash_table_destroy(s->jobs[i].failures);
 	}
+	site_workers_finish(s);
 	g_hash_table_destroy(s->open);
 	g_hash_table_destroy(s->jobs_by_call);
 	g_array_free(s->act_buf, TRUE);
@@ -547,7 +527,7 @@
 	for (; s->now_ms < end; s->now_ms += SITE_STEP_MS) {
 		site_event_t *e;
 
-		report_workers(s);
+		site_report_workers(s);
 		for (uint32_t i = 0; i < s->workers_count; i++) {
 			if (s->workers[i].alive)
 				task_worker_tick(&s->workers[i], s->now_ms,
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -19,6 +19,8 @@
 #define SITE_JOBS_MAX	 48
 /** Step of virtual time. */
 #define SITE_STEP_MS 10
+/** Time between reports of a worker. */
+#define SITE_REPORT_MS 1500
 
 /** An entry host. */
 typedef struct {
@@ -71,6 +73,15 @@
 	bool worker_cut[SITE_WORKERS_MAX]; /**< cut off from all hosts */
 	/** Hosts that cannot reach the worker, a bit each. */
 	uint32_t hosts_cut[SITE_WORKERS_MAX];
+	/** Workers that are removed, a bit each: one with a new id and address
+	 * boots in their place. */
+	uint32_t removed;
+	uint32_t new_workers;	  /**< workers with a new id so far */
+	GHashTable *reported_ms;  /**< time of the last report of each id that
+				     is listed */
+	GHashTable *silent_addrs; /**< addresses at which nothing answers; at
+				     others, where nobody listens, a connection
+				     is refused */
 	keyed_log_t topics[FFL_TOPIC__MAX];
 	ffl_arena_t arena;
 	GQueue events; /**< of event_t, by due time */
@@ -130,8 +141,20 @@
 void site_kill(site_t *s, uint32_t host, uint32_t restart_ms);
 /** Asks a host to stop cleanly. */
 void site_stop(site_t *s, uint32_t host);
+/** A worker loses its power: nothing answers at its address. */
 void site_worker_crash(site_t *s, uint32_t worker);
+/** A worker's process ends: its host refuses connections. */
+void site_worker_exit(site_t *s, uint32_t worker);
+/** Starts a worker that is down, under its id unless it was removed. */
 void site_worker_boot(site_t *s, uint32_t worker);
+/** A worker's process ends and starts again at once, under its id. With
+ * @p clock_back its start time lies before the one of the earlier incarnation.
+ */
+void site_worker_restart(site_t *s, uint32_t worker, bool clock_back);
+/** A worker's process ends and another worker takes its address at once. */
+void site_worker_replace(site_t *s, uint32_t worker);
+/** A worker's process ends for good: its id and address are not used again. */
+void site_worker_remove(site_t *s, uint32_t worker);
 void site_worker_drain(site_t *s, uint32_t worker);
 /** The worker exits and its entry is removed immediately. */
 void site_worker_leave(site_t *s, uint32_t worker);
--- a/fakes/site_faults.c
+++ b/fakes/site_faults.c
@@ -2,15 +2,6 @@
 
 #include "fakes/site_int.h"
 
-void site_worker_leave(site_t *s, uint32_t worker)
-{
-	task_worker_t *w = &s->workers[worker];
-
-	task_worker_crash(w);
-	w->listed = false;
-	keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, "", 0);
-}
-
 /* Requests that were pending at a killed host never get a reply. */
 void site_kill(site_t *s, uint32_t host, uint32_t restart_ms)
 {
@@ -43,24 +34,6 @@
 		site_step_host(s, host, &ev);
 }
 
-void site_worker_crash(site_t *s, uint32_t worker)
-{
-	if (s->workers[worker].alive)
-		task_worker_crash(&s->workers[worker]);
-}
-
-void site_worker_boot(site_t *s, uint32_t worker)
-{
-	if (!s->workers[worker].alive)
-		task_worker_boot(&s->workers[worker], s->now_ms,
-				 (int64_t)s->now_ms + 1);
-}
-
-void site_worker_drain(site_t *s, uint32_t worker)
-{
-	s->workers[worker].draining = true;
-}
-
 int site_leader(const site_t *s)
 {
 	for (uint32_t i = 0; i < s->hosts_count; i++) {
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -30,7 +30,9 @@
 	char ticket[FFL_TICKET_BYTES];
 	uint64_t until_ms; /**< when a waiting call is answered */
 	bool no_answer;
-	bool queued; /**< an append that has waited in the queue */
+	int64_t held_by_ms; /**< start time of the incarnation at which a call
+			       waits; 0: none yet */
+	bool queued;	    /**< an append that has waited in the queue */
 	ffl_node_event_t ev;
 } site_event_t;
 
@@ -54,6 +56,15 @@
 /** Handles an order that arrives at a worker. */
 void site_handle_order(site_t *s, site_event_t *e);
 
+/* site_workers.c */
+void site_workers_init(site_t *s);
+void site_workers_finish(site_t *s);
+/** Writes the entries that are due and removes those of silent workers. */
+void site_report_workers(site_t *s);
+/** Returns true if a connection to an address where no worker is up is refused
+ * at once; else nothing answers. */
+bool site_addr_refuses(const site_t *s, const char *addr);
+
 /* site_oracle.c */
 /** Records a violated guarantee; only the first one is kept. */
 void site_record_violation(site_t *s, const char *fault, const char *detail);
--- a/fakes/site_orders.c
+++ b/fakes/site_orders.c
@@ -11,6 +11,8 @@
 
 static bool is_denied(const site_t *s, const char *step, uint32_t worker);
 static bool waits_for_end(site_t *s, site_event_t *e, task_worker_t *w);
+static void fail_order(site_t *s, const site_event_t *e,
+		       ffl_reply_outcome_t outcome);
 
 void site_make_ticket(const char *step, const task_worker_t *w,
 		      char out[FFL_TICKET_BYTES])
@@ -90,6 +92,24 @@
 	return last->number <= order->acked;
 }
 
+/* Answers an order that no worker carries out. A call that had arrived, and
+ * one that is late, get no answer. */
+static void fail_order(site_t *s, const site_event_t *e,
+		       ffl_reply_outcome_t outcome)
+{
+	site_event_t *reply_event;
+
+	if (e->no_answer || e->held_by_ms)
+		return;
+	reply_event =
+		site_event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms,
+			       e->host, e->incarnation);
+	reply_event->ev.kind = FFL_NODE_EV_WORKER;
+	reply_event->ev.worker.call = e->act.order.call;
+	reply_event->ev.worker.outcome = outcome;
+	site_schedule(s, reply_event);
+}
+
 void site_handle_order(site_t *s, site_event_t *e)
 {
 	const task_hooks_t hooks = { s,
@@ -99,15 +119,22 @@
 				     site_on_acked,
 				     site_count_present };
 	site_event_t *reply_event;
+	task_worker_t *w;
 	uint32_t index = 0;
 
 	while (index < s->workers_count &&
-	       strcmp(s->workers[index].id, e->act.order.worker) != 0)
+	       (!s->workers[index].alive ||
+		strcmp(s->workers[index].addr, e->act.order.addr) != 0))
 		index++;
-	if (index == s->workers_count || !s->workers[index].alive ||
-	    s->worker_cut[index] || (s->hosts_cut[index] >> e->host & 1))
+	if (index == s->workers_count) {
+		if (site_addr_refuses(s, e->act.order.addr))
+			fail_order(s, e, FFL_REPLY_NOT_SENT);
+		return;
+	}
+	w = &s->workers[index];
+	if (s->worker_cut[index] || (s->hosts_cut[index] >> e->host & 1))
 		return;
-	if (!e->no_answer && e->act.order.kind != FFL_ORDER_RENEW &&
+	if (!e->no_answer && !e->until_ms &&
 	    s->now_ms < s->orders_late_until_ms &&
 	    ffl_rng_below(&s->rng, PERCENT) < s->late_percent) {
 		site_event_t *late = site_event_new(
@@ -125,13 +152,21 @@
 		site_schedule(s, late);
 		return;
 	}
-	if (waits_for_end(s, e, &s->workers[index])) {
+	/* A connection does not outlive the process at its end. */
+	if (e->held_by_ms && e->held_by_ms != w->born_ms)
+		return;
+	if (strcmp(w->id, e->act.order.worker) != 0) {
+		fail_order(s, e, FFL_REPLY_OTHER_INCARNATION);
+		return;
+	}
+	if (waits_for_end(s, e, w)) {
 		site_event_t *again =
 			site_event_new(EVENT_WORKER, s->now_ms + SITE_STEP_MS,
 				       e->host, e->incarnation);
 
 		again->act = e->act;
 		again->no_answer = e->no_answer;
+		again->held_by_ms = w->born_ms;
 		again->until_ms = e->until_ms
 					  ? e->until_ms
 					  : s->now_ms + e->act.order.wait_ms;
@@ -142,10 +177,10 @@
 		site_event_new(EVENT_WORKER_BACK, s->now_ms + s->worker_ms,
 			       e->host, e->incarnation);
 	e->act.order.ticket = e->ticket;
-	s->order_worker = &s->workers[index];
+	s->order_worker = w;
 	reply_event->ev.kind = FFL_NODE_EV_WORKER;
-	task_worker_handle_order(&s->workers[index], &e->act.order, s->now_ms,
-				 &hooks, &s->arena, &reply_event->ev.worker);
+	task_worker_handle_order(w, &e->act.order, s->now_ms, &hooks, &s->arena,
+				 &reply_event->ev.worker);
 	if (e->no_answer)
 		site_event_free(reply_event);
 	else
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -37,6 +37,7 @@
 
 typedef struct {
 	char id[16];
+	char addr[16];
 	bool alive;
 	bool listed;
 	bool draining;
--- a/fuzz/node_fuzz.c
+++ b/fuzz/node_fuzz.c
@@ -40,14 +40,20 @@
 	OP_HANG,
 	OP_DRAIN,
 	OP_CUT_WORKER,
+	OP_EXIT,
+	OP_RESTART,
+	OP_RESTART_BACK,
+	OP_REPLACE,
+	OP_REMOVE,
 	OP__MAX
 } op_t;
 
 static const char *const op_names[OP__MAX] = {
-	"submit",     "chain",	  "repeat",   "cancel", "look",
-	"kill",	      "kill-all", "stop",     "freeze", "cut",
-	"log-silent", "log-busy", "log-lost", "forget", "late",
-	"crash",      "boot",	  "hang",     "drain",	"cut-worker"
+	"submit",     "chain",	  "repeat",	  "cancel",  "look",
+	"kill",	      "kill-all", "stop",	  "freeze",  "cut",
+	"log-silent", "log-busy", "log-lost",	  "forget",  "late",
+	"crash",      "boot",	  "hang",	  "drain",   "cut-worker",
+	"exit",	      "restart",  "restart-back", "replace", "remove"
 };
 
 static const char *run(const uint8_t *ops, size_t op_count, GString *trace);
@@ -87,6 +93,14 @@
 		s->workers[worker].hangs = !s->workers[worker].hangs;
 	else if (op == OP_DRAIN)
 		site_worker_drain(s, worker);
+	else if (op == OP_EXIT)
+		site_worker_exit(s, worker);
+	else if (op == OP_RESTART || op == OP_RESTART_BACK)
+		site_worker_restart(s, worker, op == OP_RESTART_BACK);
+	else if (op == OP_REPLACE)
+		site_worker_replace(s, worker);
+	else if (op == OP_REMOVE)
+		site_worker_remove(s, worker);
 	else
 		s->worker_cut[worker] = !s->worker_cut[worker];
 }
