fakes: a task does not wait for long while there is room

Cause: the fuzzer saw a task that never starts only at the end of a run of 70 s without faults, so a wait of a minute for leases that nobody holds passed. Change: the oracle checks each 100 ms that no task whose turn has come waits for longer than the settings explain: the longest lease on the slowest clock with the leader's margin, the extension by an earlier leader, a quarantine, a renew order with its longest delay, three heartbeats: 25,054 ms here. Room is as in RULES.md (LOST): it fits twice on workers that are up, listed, reachable, not draining, not hung and not denied, of which under half is in use. Time counts while the log is up and the newest leader works and reaches it; orders may be lost, late or refused, and workers may do anything. Replaced check: 'started after its success was acknowledged' and 'after 2 acknowledged failures' no longer count a start by an order that was late and sent before the incarnation that carries it out had started, for 4,700 ms after that start (the next entry and a renew order; longer while the log, the leader or a link fails): another sending of the order has ended at the incarnation before, and no leader can stop the late one (PROTOCOL.md: a call without an answer may be carried out seconds later; ids do not tell incarnations). A leader that does not fence the new incarnation in that time is still caught, and 'two runs at the same time' has no such exception.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -100,6 +100,7 @@
 		EVENT_TIMEOUT, s->now_ms + timeout_ms, host, incarnation);
 
 	e->act = *act;
+	e->sent_ms = s->now_ms;
 	if (order && act->order.ticket)
 		ffl_copy(e->ticket, sizeof(e->ticket), act->order.ticket);
 	if (act->kind == FFL_NODE_ACT_APPEND)
@@ -549,6 +550,9 @@
 			site_event_free(e);
 		}
 		tick_hosts(s);
+		site_watch_waiting(s);
+		if (!site_is_calm(s))
+			s->disturbed_ms = s->now_ms;
 	}
 }
 
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -17,6 +17,8 @@
 #define SITE_HOSTS_MAX	 4
 #define SITE_WORKERS_MAX 8
 #define SITE_JOBS_MAX	 48
+/** Tasks of a job whose waiting times are checked. */
+#define SITE_WATCHED_TASKS 8
 /** Step of virtual time. */
 #define SITE_STEP_MS 10
 /** Time between reports of a worker. */
@@ -54,7 +56,9 @@
 	GHashTable *acked_done; /**< tasks whose success was acknowledged, by
 				   name */
 	GHashTable *completed; /**< tasks that have run successfully, by name */
-	GHashTable *failures;  /**< acknowledged failures by task name */
+	/** Since when each task waits while there is room; 0: it does not. */
+	uint64_t waits_ms[SITE_WATCHED_TASKS];
+	GHashTable *failures; /**< acknowledged failures by task name */
 } site_job_t;
 
 /** A simulated site; times are virtual. */
@@ -110,11 +114,15 @@
 	uint64_t actions;      /**< actions of all hosts so far */
 	uint64_t reads;	       /**< reads of the log by all hosts so far */
 	uint64_t topic_reads[FFL_TOPIC__MAX]; /**< reads so far, by topic */
+	uint64_t
+		disturbed_ms; /**< when a host, the log or a link last failed */
+	bool order_unfenced;  /**< see site_on_started() */
 	const task_worker_t
 		*order_worker;	       /**< worker that is handling an order */
 	char ticket[FFL_TICKET_BYTES]; /**< ticket that order_worker expects */
-	const char *violation;	       /**< first violation, or NULL */
-	char detail[160]; /**< job, step or task of the violation */
+	uint64_t watched_token; /**< of the leader in whose time tasks wait */
+	const char *violation;	/**< first violation, or NULL */
+	char detail[160];	/**< job, step or task of the violation */
 } site_t;
 
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers);
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -28,6 +28,7 @@
 	ffl_node_act_t act; /**< spec and ticket are copied below */
 	char *spec;
 	char ticket[FFL_TICKET_BYTES];
+	uint64_t sent_ms;  /**< when an order was sent */
 	uint64_t until_ms; /**< when a waiting call is answered */
 	bool no_answer;
 	int64_t held_by_ms; /**< start time of the incarnation at which a call
@@ -51,6 +52,8 @@
 /** Formats the ticket of a step for the current incarnation of a worker. */
 void site_make_ticket(const char *step, const task_worker_t *w,
 		      char out[FFL_TICKET_BYTES]);
+/** Returns true if the adviser denies a worker to a step. */
+bool site_is_denied(const site_t *s, const char *step, uint32_t worker);
 /** Schedules the reply of the adviser to a host. */
 void site_serve_advice(site_t *s, uint32_t host, const ffl_order_t *order);
 /** Handles an order that arrives at a worker. */
@@ -65,6 +68,13 @@
  * at once; else nothing answers. */
 bool site_addr_refuses(const site_t *s, const char *addr);
 
+/* site_waiting.c */
+/** Returns true while the log and the newest leader work and all orders are in
+ * time. */
+bool site_is_calm(const site_t *s);
+/** Records a violation if a task has waited for too long. */
+void site_watch_waiting(site_t *s);
+
 /* site_oracle.c */
 /** Records a violated guarantee; only the first one is kept. */
 void site_record_violation(site_t *s, const char *fault, const char *detail);
