request: a run that is granted after its caller has left is given back

Cause: the ask was on its way when the request was dropped. The owner granted a run that nobody was there to make; without an outcome the key counts as one that may have run. A deadline that passes in the same state does report one. Change: a request that awaits its grant reports that it did not run, whichever way it ends. Figures: host/caller-left-before-grant, before: assertion failed (a->http_status != 409): (409 != 409).

--- a/lib/request/request.c
+++ b/lib/request/request.c
@@ -247,7 +247,8 @@
 
 	if (!req || req->state == FFL_REQ_FORWARDED)
 		return;
-	if (req->key_granted)
+	/* The owner of the key may grant the run after this. */
+	if (req->key_granted || req->state == FFL_REQ_AWAITING_GRANT)
 		ffl_keyed_report_outcome(rs, req,
 					 req->may_have_run ? FFL_ONCE_UNKNOWN
 							   : FFL_ONCE_FREE,
