gang: a superseded leader's late judgement does not end a job

Cause: the end of a job carries the epoch of the leader that wrote it, but the fold applied it whoever led. An append that is not answered may be carried out seconds later, after the next leader's claim. A move of a job was checked so. Change: 'failed' and 'impossible' count only in the present epoch of the job's cell. Success and cancellation are true whoever reports them.

--- a/lib/gang/job.c
+++ b/lib/gang/job.c
@@ -23,7 +23,10 @@
 			const ffl_job_spec_t *spec, uint64_t now_ms);
 static void remove_open(ffl_gangs_t *g, ffl_job_t *job);
 static void add_to_history(ffl_gangs_t *g, ffl_job_t *job);
-static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end, uint64_t now_ms);
+static bool is_outdated_end(const ffl_members_t *ms, const ffl_job_t *job,
+			    const ffl_job_end_t *end);
+static void fold_end(ffl_gangs_t *g, const ffl_members_t *ms,
+		     const ffl_job_end_t *end, uint64_t now_ms);
 static void fold_move(ffl_gangs_t *g, const ffl_members_t *ms, uint64_t offset,
 		      const ffl_job_move_t *move, uint64_t now_ms);
 
@@ -169,11 +172,25 @@
 	g_hash_table_remove(g->by_id, job);
 }
 
-static void fold_end(ffl_gangs_t *g, const ffl_job_end_t *end, uint64_t now_ms)
+/* Returns true if an earlier leader has judged a job that the present leader of
+ * its cell may run. Its append may be carried out late. Success and
+ * cancellation stay true whoever reports them. */
+static bool is_outdated_end(const ffl_members_t *ms, const ffl_job_t *job,
+			    const ffl_job_end_t *end)
+{
+	const ffl_cell_t *c = ms ? ffl_members_find_cell(ms, job->cell) : NULL;
+
+	return c && c->epoch != end->epoch &&
+	       (end->end == FFL_END_FAILED || end->end == FFL_END_IMPOSSIBLE);
+}
+
+static void fold_end(ffl_gangs_t *g, const ffl_members_t *ms,
+		     const ffl_job_end_t *end, uint64_t now_ms)
 {
 	ffl_job_t *job = ffl_job_find(g, end->job);
 
-	if (!job || job->state == FFL_JOB_ENDED)
+	if (!job || job->state == FFL_JOB_ENDED ||
+	    is_outdated_end(ms, job, end))
 		return;
 	if (end->end == FFL_END_DONE && job->state == FFL_JOB_RUNNING)
 		ffl_learn_observe(&g->learn, &job->spec,
@@ -228,7 +245,7 @@
 			job->cancelled = true;
 		break;
 	case FFL_REC_JOB_END:
-		fold_end(g, &rec->job_end, now_ms);
+		fold_end(g, ms, &rec->job_end, now_ms);
 		break;
 	case FFL_REC_JOB_MOVE:
 		fold_move(g, ms, offset, &rec->job_move, now_ms);
--- a/tests/gang_test.c
+++ b/tests/gang_test.c
@@ -35,6 +35,24 @@
 static void test_duplicate(void);
 static void test_reclaim(void);
 static void test_guarantee_check(void);
+static void test_late_end(gconstpointer data);
+
+/** An end that is read after the cell's leader was replaced. */
+typedef struct {
+	const char *name;
+	ffl_end_t end;
+	bool by_present_leader;
+	bool ends; /**< the job has ended */
+} late_end_case_t;
+
+static const late_end_case_t late_end_cases[] = {
+	{ "late-failure", FFL_END_FAILED, false, false },
+	{ "late-refusal", FFL_END_IMPOSSIBLE, false, false },
+	{ "late-success", FFL_END_DONE, false, true },
+	{ "late-cancel", FFL_END_CANCELLED, false, true },
+	{ "failure", FFL_END_FAILED, true, true },
+	{ "refusal", FFL_END_IMPOSSIBLE, true, true },
+};
 
 static void setup(fake_cell_t *c)
 {
@@ -160,6 +178,55 @@
 	fake_cell_finish(&c);
 }
 
+/* An earlier leader's judgement of a job that the present one may run must not
+ * end it. */
+static void test_late_end(gconstpointer data)
+{
+	const late_end_case_t *lc = data;
+	const ffl_join_t self = { .member = 1, .dc = "d" };
+	const ffl_member_times_t times = { .suspect_ms = 1000 };
+	ffl_record_t rec = { .kind = FFL_REC_JOIN };
+	uint64_t epochs[2];
+	uint64_t offset = 1;
+	uint64_t job;
+	ffl_members_t ms;
+	ffl_gangs_t g;
+
+	ffl_members_init(&ms, &self, &times);
+	ffl_gangs_init(&g, 6000);
+	for (uint64_t member = 1; member <= 2; member++) {
+		rec.join = self;
+		rec.join.member = member;
+		ffl_members_fold(&ms, offset++, &rec, 1);
+	}
+	memset(&rec, 0, sizeof(rec));
+	rec.kind = FFL_REC_JOB;
+	ffl_copy(rec.job.customer, sizeof(rec.job.customer), "a");
+	ffl_copy(rec.job.name, sizeof(rec.job.name), "job");
+	ffl_copy(rec.job.dc, sizeof(rec.job.dc), "d");
+	job = offset++;
+	ffl_gangs_fold(&g, &ms, job, &rec, 1);
+	for (uint64_t i = 0; i < 2; i++) {
+		memset(&rec, 0, sizeof(rec));
+		rec.kind = FFL_REC_LEAD;
+		rec.lead.member = i + 1;
+		rec.lead.previous_epoch = i ? epochs[0] : 0;
+		ffl_copy(rec.lead.dc, sizeof(rec.lead.dc), "d");
+		epochs[i] = offset++;
+		ffl_members_fold(&ms, epochs[i], &rec, 1);
+	}
+	memset(&rec, 0, sizeof(rec));
+	rec.kind = FFL_REC_JOB_END;
+	rec.job_end.job = job;
+	rec.job_end.epoch = epochs[lc->by_present_leader];
+	rec.job_end.end = lc->end;
+	ffl_gangs_fold(&g, &ms, offset, &rec, 1);
+	g_assert_cmpint(ffl_gangs_find(&g, job)->state == FFL_JOB_ENDED, ==,
+			lc->ends);
+	ffl_gangs_finish(&g);
+	ffl_members_finish(&ms);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -168,5 +235,12 @@
 	g_test_add_func("/gang/duplicate", test_duplicate);
 	g_test_add_func("/gang/reclaim", test_reclaim);
 	g_test_add_func("/gang/check", test_guarantee_check);
+	for (size_t i = 0; i < G_N_ELEMENTS(late_end_cases); i++) {
+		char *path =
+			g_strdup_printf("/gang/end/%s", late_end_cases[i].name);
+
+		g_test_add_data_func(path, &late_end_cases[i], test_late_end);
+		g_free(path);
+	}
 	return g_test_run();
 }
--- a/tests/host_test.c
+++ b/tests/host_test.c
@@ -8,6 +8,7 @@
 static void test_gang(void);
 static void test_leader_replaced(void);
 static void test_lost_append_answer(void);
+static void test_caller_left_before_grant(void);
 
 static void test_change_reaches_all_hosts(void)
 {
