node: the state of an earlier job is not dropped from a later one of its id

Cause: a leader that reads the removal of a job drops its state with a later append, which may be one of its next term, or one that is carried out late. By then a job of that id may have been handed in again. In one append the drop even came after the new state. A host that starts afresh then finds no state, and the leader, which knew the state to be published, did not write it again. Change: no state of a job that is known is dropped; a drop that is read for one counts as a record of 'queued', so that the leader publishes again.

--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -63,7 +63,9 @@
 	while (drops->len && writes->len < APPEND_RECORDS_MAX) {
 		const char *id = g_ptr_array_index(drops, drops->len - 1);
 
-		g_ptr_array_add(writes, ffl_write_new(KEY_STATE, id));
+		/* A job of this id may have been handed in again. */
+		if (!ffl_flows_find(&n->flows, id))
+			g_ptr_array_add(writes, ffl_write_new(KEY_STATE, id));
 		g_ptr_array_set_size(drops, (gint)drops->len - 1);
 	}
 }
@@ -147,6 +149,8 @@
 
 	if (!rec->value.size_bytes) {
 		g_hash_table_remove(n->flows.early_states, id);
+		if (ffl_flows_find(&n->flows, id))
+			record_state(n, id, FFL_FLOW_QUEUED, rec->offset);
 		return;
 	}
 	state = rec->value.data[0];
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -715,6 +715,48 @@
 	}
 }
 
+/* The state of a job that was removed may be due to be dropped while a job of
+ * its id is handed in again, also since an earlier term. */
+static void late_drop_hides_state(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t other = (leader + 1) % 3;
+	uint32_t job = site_submit(s, 0, 4, 2, WORK_MS, true);
+
+	site_run(s, 100);
+	g_ptr_array_add(s->hosts[leader].node.lead.publish.dropped_ids,
+			g_strdup(s->jobs[job].id));
+	site_run(s, WORK_MS + 2000);
+	g_ptr_array_add(s->hosts[leader].node.lead.publish.dropped_ids,
+			g_strdup(s->jobs[job].id));
+	site_run(s, 1000);
+	site_kill(s, other, 100);
+	site_run(s, 2000);
+	g_assert_cmpint(
+		ffl_flows_find(&s->hosts[other].node.flows, s->jobs[job].id)
+			->visible_state,
+		==, FFL_FLOW_COMPLETED);
+}
+
+/* An append with the drop that was not answered is carried out late. */
+static void dropped_state_stays_away(site_t *s)
+{
+	uint32_t other = ((uint32_t)site_leader(s) + 1) % 3;
+	uint32_t job = site_submit(s, 0, 4, 2, WORK_MS, true);
+	char key[FFL_RECORD_KEY_BYTES];
+
+	site_run(s, WORK_MS + 2000);
+	g_snprintf(key, sizeof(key), "s%s", s->jobs[job].id);
+	keyed_log_put(&s->topics[FFL_TOPIC_STATES], key, NULL, 0);
+	site_run(s, 1000);
+	site_kill(s, other, 100);
+	site_run(s, 2000);
+	g_assert_cmpint(
+		ffl_flows_find(&s->hosts[other].node.flows, s->jobs[job].id)
+			->visible_state,
+		==, FFL_FLOW_COMPLETED);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -752,6 +794,8 @@
 	{ "cancel-removal-forgotten", cancel_removal_forgotten },
 	{ "state-of-earlier-job", state_of_earlier_job },
 	{ "state-removal-forgotten", state_removal_forgotten },
+	{ "late-drop-hides-state", late_drop_hides_state },
+	{ "dropped-state-stays-away", dropped_state_stays_away },
 };
 
 static void test_scenario(gconstpointer data)
