dispatch: the progress of a job that is being removed is not written again

Cause: a worker that was cut off for minutes reports a success, or a run, of a job whose progress was removed and whose specification goes 5 s later. The change put the progress back into the log, where nothing removed it any more. Change: a job that is being removed is put into no batch. Figures: incarnation_test, before: late-success-of-removed-job assertion failed (b->flow->dirty_batch == batch): (251 == 210).

--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -83,6 +83,9 @@
 
 void ffl_dispatch_mark_dirty(ffl_dispatch_t *d, ffl_flow_t *flow)
 {
+	/* Its progress is being removed from the log. */
+	if (flow->dropped_ms)
+		return;
 	flow->dirty_batch = d->next_batch;
 	d->dirty = true;
 	d->replan = true;
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -874,6 +874,37 @@
 	assert_not_placed_again(b, 400);
 }
 
+/* The progress of a job that is being removed must not be written again: it
+ * would count for a later job of the id. */
+static void late_success_of_removed_job(bed_t *b)
+{
+	const ffl_run_report_t done = { .run = 1,
+					.number = 1,
+					.end = FFL_RUN_END_DONE };
+	ffl_reply_t reply = { .outcome = FFL_REPLY_UNKNOWN };
+	uint64_t batch;
+
+	run_on_w0(b);
+	ffl_flows_cancel(&b->flows, b->flow->spec.id);
+	for (uint32_t ms = 0; b->flow->placed_count && ms < 2 * GIVE_UP_MS;
+	     ms += STEP_MS) {
+		wait_ms(b, STEP_MS);
+		for (guint i = 0; i < b->orders->len; i++) {
+			reply.call =
+				g_array_index(b->orders, ffl_order_t, i).call;
+			ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
+		}
+	}
+	g_assert_cmpuint(b->flow->placed_count, ==, 0);
+	b->flow->dropped_ms = b->now_ms;
+	batch = b->flow->dirty_batch;
+	g_array_set_size(b->orders, 0);
+	wait_ms(b, 2000);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, &done);
+	g_assert_cmpuint(b->flow->dirty_batch, ==, batch);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -914,6 +945,7 @@
 	{ "address-taken-by-another", address_taken_by_another },
 	{ "entry-without-start-time", entry_without_start_time },
 	{ "entry-with-odd-capacity", entry_with_odd_capacity },
+	{ "late-success-of-removed-job", late_success_of_removed_job },
 };
 
 static void test_case(gconstpointer data)
