platform: an entry without a zone or with a field of another type names no worker

Cause: the zone was optional, and slots, sequence and cold_remaining_ms, which are not used here, were not looked at. Change: the zone is needed, and those three are numbers where they are there. Their range is not checked: nothing depends on it.

--- a/fuzz/decode_fuzz.c
+++ b/fuzz/decode_fuzz.c
@@ -29,11 +29,13 @@
 	"\"has_more\":false,\"end_offset\":5}",
 	"{\"running\":[[\"a.0.0.1\",1,\"\",3]],\"finished\":[[1,\"a.0.0.1\","
 	"1,\"done\",\"\"]]}",
-	"{\"address\":\"10.0.0.9:1\",\"service\":\"s\",\"state\":\"ready\","
+	"{\"address\":\"10.0.0.9:1\",\"service\":\"s\",\"zone\":\"z\","
+	"\"state\":\"ready\","
 	"\"capacity\":{\"cpu\":1}}",
 	"{\"address\":\"",
 	"10.0.0.9:1",
-	"\",\"service\":\"s\",\"state\":\"ready\",\"capacity\":{}}",
+	"\",\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{"
+	"}}",
 	"{\"offset\":1,\"end_offset\":2}",
 	"{",
 	"}",
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -173,18 +173,19 @@
 	{ "draining", ENTRY("draining"), true },
 	{ "odd state", ENTRY("resting"), false },
 	{ "no JSON", "\xff\xfe", false },
-	{ "no address", "{\"service\":\"s\",\"state\":\"ready\"," CAPACITY "}",
+	{ "no address",
+	  "{\"zone\":\"z\",\"service\":\"s\",\"state\":\"ready\"," CAPACITY "}",
 	  false },
 	{ "no room",
-	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "{\"zone\":\"z\",\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 	  "\"state\":\"ready\"}",
 	  false },
 	{ "room is text",
-	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "{\"zone\":\"z\",\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 	  "\"state\":\"ready\",\"capacity\":{\"cpu\":\"many\"}}",
 	  false },
 	{ "labels are numbers",
-	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "{\"zone\":\"z\",\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 	  "\"state\":\"ready\"," CAPACITY ",\"labels\":[1]}",
 	  false },
 	{ "list", "[]", false },
@@ -198,8 +199,18 @@
 	  false },
 	{ "real too large", WITH("\"sequence\":1e400"), false },
 	{ "other fields", WITH("\"slots\":-7,\"cold\":[[{}]]"), true },
+	{ "slots are text", WITH("\"slots\":\"four\""), false },
+	{ "slots are a list", WITH("\"slots\":[4]"), false },
+	{ "cold for true", WITH("\"cold_remaining_ms\":true"), false },
+	{ "cold for a fraction", WITH("\"cold_remaining_ms\":0.5"), true },
+	{ "sequence is an object", WITH("\"sequence\":{}"), false },
+	{ "no zone",
+	  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+	  "\"state\":\"ready\"," CAPACITY "}",
+	  false },
 	{ "no service",
-	  "{\"address\":\"10.0.0.9:80\",\"state\":\"ready\"," CAPACITY "}",
+	  "{\"zone\":\"z\",\"address\":\"10.0.0.9:80\",\"state\":"
+	  "\"ready\"," CAPACITY "}",
 	  false },
 	{ "drain negative", WITH("\"drain_remaining_ms\":-1"), false },
 	{ "drain too long", WITH("\"drain_remaining_ms\":4294967296"), false },
