site: the stand-in tells a worker's start time only with its lists of runs

Cause: the stand-in put 'born' and both lists into every answer to an order, as 0 and empty where the order was no renewal. PROTOCOL.md has them only in what a worker says of itself and in lists of runs. X-Expect-Instance was compared with the id, as PROTOCOL.md says, already. Change: born, running and finished only in answers to renew orders.

--- a/site/worker.c
+++ b/site/worker.c
@@ -24,7 +24,8 @@
 static task_worker_t *find_worker(site_http_t *s, struct mg_connection *conn);
 static bool decode_order(const char *uri, const json_t *doc, ffl_order_t *out);
 static json_t *encode_runs(const ffl_reply_t *reply, bool ended);
-static void send_reply(struct mg_connection *conn, const ffl_reply_t *reply);
+static void send_reply(struct mg_connection *conn, const ffl_order_t *order,
+		       const ffl_reply_t *reply);
 static bool has_unacked_end(const task_worker_t *w, uint64_t acked);
 static void format_ticket(const char *task, const char *worker,
 			  char out[FFL_TICKET_BYTES]);
@@ -155,19 +156,24 @@
 	return rows;
 }
 
-static void send_reply(struct mg_connection *conn, const ffl_reply_t *reply)
+/* Only a list of runs tells the incarnation. */
+static void send_reply(struct mg_connection *conn, const ffl_order_t *order,
+		       const ffl_reply_t *reply)
 {
 	bool ok = reply->outcome == FFL_REPLY_OK;
 	json_t *doc =
-		json_pack("{s:I,s:I}", "clock_ms", (json_int_t)reply->clock_ms,
-			  "born", (json_int_t)reply->born_ms);
+		json_pack("{s:I}", "clock_ms", (json_int_t)reply->clock_ms);
 	char *text;
 
 	if (!ok && refusal_names[reply->outcome])
 		json_object_set_new(doc, "reason",
 				    json_string(refusal_names[reply->outcome]));
-	json_object_set_new(doc, "running", encode_runs(reply, false));
-	json_object_set_new(doc, "finished", encode_runs(reply, true));
+	if (ok && order->kind == FFL_ORDER_RENEW) {
+		json_object_set_new(doc, "born",
+				    json_integer((json_int_t)reply->born_ms));
+		json_object_set_new(doc, "running", encode_runs(reply, false));
+		json_object_set_new(doc, "finished", encode_runs(reply, true));
+	}
 	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	site_http_send(conn, ok ? 200 : 409, text, strlen(text));
@@ -274,7 +280,7 @@
 						 &site_http_hooks, &arena,
 						 &reply);
 		pthread_mutex_unlock(&s->lock);
-		send_reply(conn, &reply);
+		send_reply(conn, &order, &reply);
 		ffl_arena_finish(&arena);
 	}
 	json_decref(doc);
