dispatch: an odd entry that the next leader reads first ends no run

A new leader first reads of a worker by an entry of another writer, without start and with another address. What answers there is not that worker (421), and its runs were ended. Change: a worker that is first listed by an entry without a start time is asked for a report, and until then no 421 ends its runs. With a start that is right the address is believed: a worker that crashed during a change of leader is replaced at its address by another, and its runs need not wait for their leases.

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -260,8 +260,9 @@
 		ffl_dispatch_worker_restart(d, w, born_ms, now_ms);
 		w->born_reported_ms = 0;
 	}
-	/* It may have been on the list before, under orders of this leader. */
-	if (!w->listed && written_after_ms)
+	/* It may have been on the list before, under orders of this leader. An
+	 * entry without a start time may be another writer's. */
+	if (!w->listed && (written_after_ms || !entry->born_ms))
 		w->fence_due = true;
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -905,6 +905,35 @@
 	g_assert_cmpuint(b->flow->dirty_batch, ==, batch);
 }
 
+/* The host that leads next has not read an address of the worker before. */
+static void odd_entry_first_for_next_host(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_run_report_t running = { .run = 1 };
+
+	run_on_w0(b);
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	list_worker(b, "w0", "10.0.0.9:80", 0);
+	wait_ms(b, 2 * STEP_MS);
+	g_assert_cmpstr(find_order(b, FFL_ORDER_RENEW, "w0")->addr, ==,
+			"10.0.0.9:80");
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	assert_not_placed_again(b, 1000);
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	assert_not_placed_again(b, 1000);
+	g_assert_cmpstr(find_order(b, FFL_ORDER_RENEW, "w0")->addr, ==, ADDR_A);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	assert_not_placed_again(b, 500);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_OTHER_INCARNATION }, NULL);
+	wait_ms(b, 4 * STEP_MS);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -946,6 +975,7 @@
 	{ "entry-without-start-time", entry_without_start_time },
 	{ "entry-with-odd-capacity", entry_with_odd_capacity },
 	{ "late-success-of-removed-job", late_success_of_removed_job },
+	{ "odd-entry-first-for-next-host", odd_entry_first_for_next_host },
 };
 
 static void test_case(gconstpointer data)
