--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -564,6 +564,30 @@
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
 }
 
+/* A run that was given up has ended well; the one that followed must not go on,
+ * nor another one start. */
+static void success_of_superseded_run(bed_t *b)
+{
+	const ffl_run_report_t done = { .run = 1,
+					.number = 1,
+					.end = FFL_RUN_END_DONE };
+
+	run_on_w0(b);
+	list_draining(b, 500);
+	wait_ms(b, 2000);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	wait_ms(b, 200);
+	answer(b, FFL_ORDER_START, "w1", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	wait_ms(b, 300);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B }, &done);
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_DONE);
+	wait_ms(b, 200);
+	g_assert_nonnull(find_order(b, FFL_ORDER_STOP, "w1"));
+}
+
 /* One packet that is lost while connecting is no reason to start elsewhere. */
 static void one_unsent_start_moves_task(bed_t *b)
 {
@@ -957,6 +981,7 @@
 	{ "replaced-at-stale-address", replaced_at_stale_address },
 	{ "entry-of-earlier-incarnation", entry_of_earlier_incarnation },
 	{ "lease-before-first-report", lease_before_first_report },
+	{ "success-of-superseded-run", success_of_superseded_run },
 	{ "one-unsent-start-moves-task", one_unsent_start_moves_task },
 	{ "unanswered-start-never-settled", unanswered_start_never_settled },
 	{ "denial-of-earlier-incarnation", denial_of_earlier_incarnation },
