--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -397,6 +397,20 @@
 			 LEASE_MAX_MS);
 }
 
+static void unsent_renewal_extends_lease(bed_t *b)
+{
+	const ffl_dispatch_worker_t *w;
+	uint64_t end_ms;
+
+	run_on_w0(b);
+	w = g_hash_table_lookup(b->d.workers, "w0");
+	end_ms = w->leases_end_ms;
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_NOT_SENT }, NULL);
+	g_assert_cmpuint(w->leases_end_ms, ==, end_ms);
+}
+
 static void unsent_start_waits_for_lease(bed_t *b)
 {
 	start_on_w0(b);
@@ -970,6 +984,7 @@
 	{ "refused-starts-hold-task", refused_starts_hold_task },
 	{ "refused-starts-of-listed-worker", refused_starts_of_listed_worker },
 	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
+	{ "unsent-renewal-extends-lease", unsent_renewal_extends_lease },
 	{ "unsent-start-waits-for-lease", unsent_start_waits_for_lease },
 	{ "unlisted-worker-is-sent-starts", unlisted_worker_is_sent_starts },
 	{ "unlisted-worker-is-extended", unlisted_worker_is_extended },
