--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -403,6 +403,14 @@
 	uint64_t end_ms;
 
 	run_on_w0(b);
+	/* The lease of the start, by a clock from the list, is the longest. */
+	for (uint32_t i = 0; i < LEASE_MAX_MS; i += 1000) {
+		answer(b, FFL_ORDER_RENEW, "w0",
+		       (ffl_reply_t){ .clock_ms = CLOCK_A + i,
+				      .born_ms = BORN_A },
+		       &(ffl_run_report_t){ .run = 1, .percent = i / 1000 });
+		wait_ms(b, 1000);
+	}
 	w = g_hash_table_lookup(b->d.workers, "w0");
 	end_ms = w->leases_end_ms;
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
