Names and comments after a newcomer's reading

Cause: the fresh reader's list and a last reading of the change: near names of lease ends, a question with a side effect, a comment on adopted runs that had become untrue, a check that cannot hit. No decision changes.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -104,7 +104,9 @@
 	FFL_RUN_PLANNED, /**< not recorded in the log yet, or not sent yet */
 	FFL_RUN_SENT,	 /**< start order sent, no answer yet */
 	FFL_RUN_RUNNING,
-	FFL_RUN_ADOPTED, /**< ordered by an earlier leader, not reported yet */
+	/** Ordered by an earlier leader, or to an earlier incarnation of the
+	 * worker; not reported since. */
+	FFL_RUN_ADOPTED,
 	FFL_RUN__MAX
 } ffl_run_state_t;
 
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -257,8 +257,8 @@
 {
 	ffl_dispatch_worker_t *w = run->worker;
 	char name[FFL_TASK_NAME_BYTES];
-	bool is_unhealthy = reply->outcome == FFL_REPLY_UNHEALTHY ||
-			    reply->outcome == FFL_REPLY_NOT_SENT;
+	bool not_serving = reply->outcome == FFL_REPLY_UNHEALTHY ||
+			   reply->outcome == FFL_REPLY_NOT_SENT;
 
 	ffl_task_name(run->flow, run->task, name);
 	ffl_dispatch_note(d, "start-refused", name,
@@ -269,8 +269,8 @@
 	else
 		w->quarantined_until_ms =
 			MAX(w->quarantined_until_ms,
-			    now_ms + (is_unhealthy ? UNHEALTHY_QUARANTINE_MS
-						   : REFUSED_QUARANTINE_MS));
+			    now_ms + (not_serving ? UNHEALTHY_QUARANTINE_MS
+						  : REFUSED_QUARANTINE_MS));
 	if (run->start_in_doubt || reply->outcome == FFL_REPLY_STALE_RUN) {
 		/* An earlier start order may have been carried out. */
 		ffl_run_request_stop(d, run, "refused");
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -20,8 +20,7 @@
 			      ffl_run_t *run, uint64_t now_ms,
 			      ffl_open_call_t **call);
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
-static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
-			uint64_t now_ms);
+static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static uint64_t acked_to_send(const ffl_dispatch_worker_t *w);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms);
@@ -86,14 +85,12 @@
 	return overlap ? 2 : 1;
 }
 
-static bool renewal_due(const ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
-			uint64_t now_ms)
+static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms)
 {
 	bool has_sent_run = false;
 
 	if (w->renewals_open >= renewals_max(w, now_ms) ||
-	    now_ms < w->renew_ms || !w->entry.addr[0] ||
-	    !ffl_dispatch_worker_assign_token(d, w))
+	    now_ms < w->renew_ms || !w->entry.addr[0])
 		return false;
 	if (w->fence_due && w->listed)
 		return true;
@@ -259,7 +256,8 @@
 		ffl_dispatch_worker_t *w = value;
 
 		ffl_watch_worker(d, w, now_ms);
-		if (renewal_due(d, w, now_ms))
+		if (renewal_due(w, now_ms) &&
+		    ffl_dispatch_worker_assign_token(d, w))
 			send_renewal(d, w, orders, now_ms);
 	}
 }
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -19,8 +19,8 @@
 			     uint64_t now_ms);
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run);
 static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
-static uint64_t leases_end_ms(const ffl_dispatch_t *d,
-			      const ffl_dispatch_worker_t *w);
+static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
+				    const ffl_dispatch_worker_t *w);
 static void stop_cancelled(ffl_dispatch_t *d);
 
 /* Returns the time that a run still needs: from its own rate if that is known,
@@ -138,8 +138,8 @@
 
 /* Returns the end of all leases that a worker may have, those of unanswered
  * orders included. */
-static uint64_t leases_end_ms(const ffl_dispatch_t *d,
-			      const ffl_dispatch_worker_t *w)
+static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
+				    const ffl_dispatch_worker_t *w)
 {
 	uint64_t end_ms = w->leases_end_ms;
 	GHashTableIter iter;
@@ -161,7 +161,7 @@
 	bool unreachable = w->missed_renewals || !w->entry.addr[0];
 
 	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms ||
-	    now_ms < leases_end_ms(d, w))
+	    now_ms < latest_lease_end_ms(d, w))
 		return;
 	ffl_dispatch_note(d, "worker-lost", w->entry.id, "runs=%u silent=%u",
 			  w->runs->len, w->missed_renewals);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -182,7 +182,7 @@
 
 /* Any order that has been sent may have been carried out by the new
  * incarnation, or may still be. Its report under a higher token settles which:
- * what is listed there runs, nothing else does or can. */
+ * what is listed there runs, and it accepts no earlier order any more. */
 void ffl_dispatch_worker_restart(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				 int64_t born_ms, uint64_t now_ms)
 {
@@ -195,11 +195,8 @@
 	w->renewals_open = 0;
 	w->renew_ms = 0;
 	for (guint i = w->runs->len; i-- > 0;) {
-		ffl_run_t *run;
+		ffl_run_t *run = g_ptr_array_index(w->runs, i);
 
-		if (i >= w->runs->len)
-			continue;
-		run = g_ptr_array_index(w->runs, i);
 		run->call = 0;
 		if (run->state == FFL_RUN_PLANNED) {
 			ffl_run_finish(d, run, FFL_RUN_END_STOPPED, NULL,
