--- a/review/standin.c
+++ b/review/standin.c
@@ -31,7 +31,7 @@
 #define PAGE_RECORDS	 500
 #define HOLD_MAX_MS	 10000
 #define HOLD_WAIT_MAX_MS 2000
-#define DRAIN_MS	 4000
+#define LOST_MS		 5000
 #define STOP_MS		 120
 #define HEARTBEAT_MS	 1500
 #define ENDS_LISTED_MAX	 500
@@ -72,12 +72,14 @@
 	char id[16];
 	char addr[ADDR_BYTES];
 	const char *service;
+	const char *kind;
 	uint64_t born_ms;
+	uint64_t boot_ms;	/**< its clock starts then */
+	uint64_t down_until_ms; /**< crashed until then; 0: it is up */
+	uint64_t dead_before;	/**< channels that a crash has closed */
 	uint64_t token;
 	uint64_t until_ms; /**< by its own clock */
 	uint64_t last_end;
-	uint64_t leaves_ms; /**< drains until then; 0: it does not */
-	bool gone;
 	uint32_t cpu, mem, gpu; /**< free */
 	GPtrArray *runs;	/**< of run_t * */
 	GPtrArray *ends;	/**< of end_t *, not acknowledged */
@@ -92,12 +94,12 @@
 static uint64_t sequence;
 static uint64_t start_ms;
 static FILE *out;
+/** The answer to the next append to this topic after a run's end is lost. */
+static char losing[64];
 /** Channels opened before this one say nothing more. */
 static uint64_t silent_before;
 static uint64_t channel_count;
 
-static void publish_minions(void);
-
 static uint64_t now_ms(void)
 {
 	struct timespec ts;
@@ -106,9 +108,9 @@
 	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
 }
 
-static uint64_t minion_clock(void)
+static uint64_t minion_clock(const minion_t *m)
 {
-	return now_ms() - start_ms + FIRST_CLOCK_MS;
+	return now_ms() - m->boot_ms + FIRST_CLOCK_MS;
 }
 
 static void note(const char *fmt, ...)
@@ -132,13 +134,15 @@
 	pthread_cond_timedwait(&changed, &lock, &ts);
 }
 
+static uint64_t channel_number(const struct mg_connection *conn)
+{
+	return (uint64_t)(uintptr_t)mg_get_user_connection_data(conn);
+}
+
 /* A channel that went silent neither takes a request nor gives an answer. */
 static void stay_silent(const struct mg_connection *conn)
 {
-	uint64_t channel =
-		(uint64_t)(uintptr_t)mg_get_user_connection_data(conn);
-
-	while (channel <= silent_before)
+	while (channel_number(conn) <= silent_before)
 		usleep(50000);
 }
 
@@ -269,6 +273,15 @@
 	return *largest > RECORD_BYTES || body->len > CALL_BYTES ? -1 : count;
 }
 
+static bool has_end(void)
+{
+	for (uint32_t i = 0; i < minion_count; i++) {
+		if (minions[i].ends->len)
+			return true;
+	}
+	return false;
+}
+
 static int serve_append(struct mg_connection *conn, void *user)
 {
 	GByteArray *body = read_body(conn);
@@ -276,6 +289,7 @@
 	uint64_t largest;
 	char name[64];
 	uint64_t first;
+	bool lost = false;
 	uint64_t end;
 	topic_t *t;
 	int count;
@@ -306,6 +320,13 @@
 		}
 	}
 	end = t->records->len;
+	if (count > 0 && end > first && strcmp(name, losing) == 0 &&
+	    has_end()) {
+		lost = true;
+		losing[0] = '\0';
+		note("store: an append to %s is done and its answer is lost",
+		     name);
+	}
 	pthread_cond_broadcast(&changed);
 	pthread_mutex_unlock(&lock);
 	g_byte_array_unref(body);
@@ -313,6 +334,11 @@
 		answer(conn, 400, "", 0);
 		return 1;
 	}
+	if (lost) {
+		usleep(LOST_MS * 1000);
+		mg_disable_connection_keep_alive(conn);
+		return 1;
+	}
 	if (at != UINT64_MAX && at != first)
 		return answer_json(
 			conn, 412,
@@ -430,7 +456,7 @@
 
 	for (uint32_t i = 0; host && i < minion_count; i++) {
 		if (strcmp(minions[i].addr, host) == 0)
-			return minions[i].gone ? NULL : &minions[i];
+			return minions[i].down_until_ms ? NULL : &minions[i];
 	}
 	return NULL;
 }
@@ -480,7 +506,7 @@
 static void extend(minion_t *m, uint64_t until_ms)
 {
 	m->until_ms =
-		MAX(m->until_ms, MIN(until_ms, minion_clock() + HOLD_MAX_MS));
+		MAX(m->until_ms, MIN(until_ms, minion_clock(m) + HOLD_MAX_MS));
 }
 
 /* Returns the reason of a refusal, or NULL. */
@@ -498,7 +524,7 @@
 		extend(m, until);
 		return NULL;
 	}
-	if (until <= minion_clock())
+	if (until <= minion_clock(m))
 		return "late";
 	extend(m, until);
 	if (run <= past_run(m, task))
@@ -564,6 +590,21 @@
 	return rows;
 }
 
+/* Ends up to this number are forgotten. */
+static void forget_ends(minion_t *m, uint64_t acked)
+{
+	while (m->ends->len) {
+		const end_t *e = g_ptr_array_index(m->ends, 0);
+
+		if (e->number > acked)
+			return;
+		note("minion %s: end %" PRIu64 " (run %u of %s, %s) is taken "
+		     "note of",
+		     m->id, e->number, e->run, e->task, e->how);
+		g_ptr_array_remove_index(m->ends, 0);
+	}
+}
+
 static json_t *hold(minion_t *m, const json_t *doc)
 {
 	uint64_t acked = (uint64_t)json_integer_value(
@@ -574,13 +615,13 @@
 
 	extend(m,
 	       (uint64_t)json_integer_value(json_object_get(doc, "until_ms")));
-	while (m->ends->len &&
-	       ((end_t *)g_ptr_array_index(m->ends, 0))->number <= acked)
-		g_ptr_array_remove_index(m->ends, 0);
-	while (!m->ends->len && now_ms() < until_ms)
+	forget_ends(m, acked);
+	while (!m->ends->len && now_ms() < until_ms) {
 		wait_change(until_ms);
+		forget_ends(m, acked);
+	}
 	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms",
-			 (json_int_t)minion_clock(), "born",
+			 (json_int_t)minion_clock(m), "born",
 			 (json_int_t)m->born_ms, "running", list_running(m),
 			 "finished", list_ends(m));
 }
@@ -598,7 +639,8 @@
 
 	stay_silent(conn);
 	g_byte_array_unref(body);
-	if (!m || !json_is_object(doc)) {
+	if (!m || !json_is_object(doc) ||
+	    channel_number(conn) <= m->dead_before) {
 		/* Nobody is there: the channel is closed. */
 		mg_disable_connection_keep_alive(conn);
 		json_decref(doc);
@@ -625,7 +667,7 @@
 	}
 	if (!reply)
 		reply = json_pack("{s:I}", "clock_ms",
-				  (json_int_t)minion_clock());
+				  (json_int_t)minion_clock(m));
 	if (reason) {
 		json_object_set_new(reply, "reason", json_string(reason));
 		note("minion %s: %s of %s is refused: %s", m->id, uri + 3,
@@ -674,22 +716,27 @@
 	return 1;
 }
 
-/* The minions of a service drain, and leave DRAIN_MS later. */
-static int serve_drain(struct mg_connection *conn, void *user)
+static int serve_lose(struct mg_connection *conn, void *user)
 {
-	char name[64] = "";
-
-	parameter(conn, "service", name, sizeof(name));
 	pthread_mutex_lock(&lock);
-	for (uint32_t i = 0; i < minion_count; i++) {
-		minion_t *m = &minions[i];
+	parameter(conn, "topic", losing, sizeof(losing));
+	pthread_mutex_unlock(&lock);
+	answer(conn, 200, "", 0);
+	return 1;
+}
 
-		if (strcmp(m->service, name) != 0)
-			continue;
-		m->leaves_ms = now_ms() + DRAIN_MS;
-		note("minion %s: drains", m->id);
-	}
-	publish_minions();
+/* A minion crashes, and is back under its id after so many ms. */
+static int serve_crash(struct mg_connection *conn, void *user)
+{
+	minion_t *m = &minions[number(conn, "minion", 0) % MINIONS_MAX];
+
+	pthread_mutex_lock(&lock);
+	note("minion %s: crashes with %u runs", m->id, m->runs->len);
+	m->down_until_ms = now_ms() + number(conn, "ms", 0);
+	m->dead_before = channel_count;
+	g_ptr_array_set_size(m->runs, 0);
+	g_ptr_array_set_size(m->ends, 0);
+	g_hash_table_remove_all(m->past);
 	pthread_mutex_unlock(&lock);
 	answer(conn, 200, "", 0);
 	return 1;
@@ -705,8 +752,6 @@
 		json_int_t running = 0;
 		json_int_t gpu = 0;
 
-		if (minions[i].gone)
-			continue;
 		if (of) {
 			running = json_integer_value(
 				json_object_get(of, "running"));
@@ -723,57 +768,50 @@
 	return answer_json(conn, 200, doc);
 }
 
-static void publish_minions(void)
+static void publish_minion(minion_t *m)
 {
-	sequence++;
-	for (uint32_t i = 0; i < minion_count; i++) {
-		minion_t *m = &minions[i];
-		json_t *doc;
-		char *text;
-
-		if (m->gone)
-			continue;
-		doc = json_pack(
-			"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],"
-			"s:I,s:I,s:I}",
-			"service", m->service, "address", m->addr, "zone",
-			"norte", "version", "v1", "slots", 8, "state",
-			m->leaves_ms ? "draining" : "ready",
-			"cold_remaining_ms", 0, "capacity", "cpu", 32000,
-			"mem_mb", 65536, "gpu", 8, "labels", "a", "r1",
-			"clock_ms", (json_int_t)minion_clock(), "sequence",
-			(json_int_t)sequence, "born", (json_int_t)m->born_ms);
-		if (m->leaves_ms)
-			json_object_set_new(
-				doc, "drain_remaining_ms",
-				json_integer((json_int_t)(m->leaves_ms -
-							  MIN(m->leaves_ms,
-							      now_ms()))));
-		text = json_dumps(doc, JSON_COMPACT);
-		topic_append(topic_get("keyed.servers"), m->id, strlen(m->id),
-			     text, strlen(text));
-		free(text);
-		json_decref(doc);
-	}
+	json_t *doc = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],"
+		"s:I,s:I,s:I}",
+		"service", m->service, "address", m->addr, "zone", "norte",
+		"version", "v1", "slots", 8, "state", "ready",
+		"cold_remaining_ms", 0, "capacity", "cpu", 32000, "mem_mb",
+		65536, "gpu", 8, "labels", m->kind, "r1", "clock_ms",
+		(json_int_t)minion_clock(m), "sequence", (json_int_t)++sequence,
+		"born", (json_int_t)m->born_ms);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	topic_append(topic_get("keyed.servers"), m->id, strlen(m->id), text,
+		     strlen(text));
+	free(text);
+	json_decref(doc);
 	pthread_cond_broadcast(&changed);
 }
 
-/* What runs on a minion that leaves ends with it, and its entry goes. */
-static void leave(minion_t *m)
+/* A new life: it knows nothing of the one before. */
+static void boot(minion_t *m)
 {
-	note("minion %s: leaves, %u runs end with it", m->id, m->runs->len);
-	m->gone = true;
-	g_ptr_array_set_size(m->runs, 0);
-	topic_append(topic_get("keyed.servers"), m->id, strlen(m->id), "", 0);
-	pthread_cond_broadcast(&changed);
+	m->born_ms = (uint64_t)g_get_real_time() / 1000;
+	m->boot_ms = now_ms();
+	m->down_until_ms = 0;
+	m->token = 0;
+	m->until_ms = 0;
+	m->last_end = 0;
+	m->cpu = 32000;
+	m->mem = 65536;
+	m->gpu = 8;
 }
 
 static void tick_minion(minion_t *m)
 {
-	bool lapsed = minion_clock() > m->until_ms;
+	bool lapsed = minion_clock(m) > m->until_ms;
 
-	if (m->leaves_ms && !m->gone && now_ms() >= m->leaves_ms)
-		leave(m);
+	if (m->down_until_ms && now_ms() >= m->down_until_ms) {
+		boot(m);
+		note("minion %s: is back under its id, and knows nothing",
+		     m->id);
+		publish_minion(m);
+	}
 
 	for (guint i = m->runs->len; i-- > 0;) {
 		run_t *r = g_ptr_array_index(m->runs, i);
@@ -798,7 +836,10 @@
 			tick_minion(&minions[i]);
 		if (now_ms() - published_ms >= HEARTBEAT_MS) {
 			published_ms = now_ms();
-			publish_minions();
+			for (uint32_t i = 0; i < minion_count; i++) {
+				if (!minions[i].down_until_ms)
+					publish_minion(&minions[i]);
+			}
 		}
 		pthread_mutex_unlock(&lock);
 	}
@@ -813,10 +854,9 @@
 		g_snprintf(m->addr, sizeof(m->addr), "127.0.1.%u:%s",
 			   minion_count, port);
 		m->service = service;
-		m->born_ms = (uint64_t)g_get_real_time() / 1000;
-		m->cpu = 32000;
-		m->mem = 65536;
-		m->gpu = 8;
+		/* One of the minions is of a kind of its own. */
+		m->kind = minion_count == 1 ? "b" : "a";
+		boot(m);
 		m->runs = g_ptr_array_new();
 		m->ends = g_ptr_array_new();
 		m->past = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -840,7 +880,8 @@
 		{ "/-/pace$", serve_order },
 		{ "/config$", serve_config },
 		{ "/silence$", serve_silence },
-		{ "/drain$", serve_drain },
+		{ "/crash$", serve_crash },
+		{ "/lose$", serve_lose },
 		{ "/state$", serve_state },
 	};
 	struct mg_callbacks callbacks = { .init_connection = number_channel };
