dispatch: log reports of another incarnation and open acknowledgements

The log could not tell whether an end was lost because the leader dropped the report that listed it, or because the worker had forgotten it: nothing named the number that an order acknowledged. worker-restarted now has the highest number in orders that are not answered yet; report-dropped, new, has the order's number and how much the report listed.

The order that acknowledged end 1 of the incarnation before was open at the new one, which forgot its own end 1.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -31,7 +31,7 @@
 				  const ffl_reply_t *reply, uint64_t now_ms);
 static void handle_replaced(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			    uint64_t now_ms);
-static bool accept_incarnation(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+static bool accept_incarnation(ffl_dispatch_t *d, const ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms);
 static void accept_late_success(ffl_dispatch_t *d,
 				const ffl_run_report_t *report);
@@ -357,12 +357,19 @@
 
 /* Returns false if the reply is another incarnation's than the known one. That
  * incarnation is known from then on, and its orders are renewed. */
-static bool accept_incarnation(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+static bool accept_incarnation(ffl_dispatch_t *d, const ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms)
 {
+	ffl_dispatch_worker_t *w = call->worker;
+
 	if (!reply->born_ms)
 		return true;
 	if (w->entry.born_ms && w->entry.born_ms != reply->born_ms) {
+		ffl_dispatch_note(d, "report-dropped", w->entry.id,
+				  "acked=%" PRIu64 " running=%u ended=%u"
+				  " after_ms=%" PRIu64,
+				  call->acked, reply->running_count,
+				  reply->ended_count, now_ms - call->sent_ms);
 		ffl_dispatch_worker_restart(d, w, reply->born_ms, now_ms);
 		w->born_reported_ms = now_ms;
 		w->entry_outdated = true;
@@ -392,7 +399,7 @@
 		w->leases_end_ms = MAX(w->leases_end_ms, call->lease_end_ms);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
 		handle_replaced(d, w, now_ms);
-	else if (!accept_incarnation(d, w, reply, now_ms))
+	else if (!accept_incarnation(d, call, reply, now_ms))
 		return;
 	else
 		ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -15,7 +15,7 @@
 /** Margin for timers and network delay when waiting for leases to end. */
 #define EXPIRE_SLACK_MS 150
 
-static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
+static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
 static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
 				 const ffl_worker_entry_t *entry);
@@ -168,16 +168,24 @@
 	w->leases_end_ms = 0;
 }
 
-static void drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w)
+/* Drops the unanswered orders to a worker; returns the highest number up to
+ * which they acknowledge ends. */
+static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w)
 {
 	GHashTableIter iter;
 	gpointer value;
+	uint64_t acked = 0;
 
 	g_hash_table_iter_init(&iter, d->calls);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (((ffl_open_call_t *)value)->worker == w)
-			g_hash_table_iter_remove(&iter);
+		const ffl_open_call_t *call = value;
+
+		if (call->worker != w)
+			continue;
+		acked = MAX(acked, call->acked);
+		g_hash_table_iter_remove(&iter);
 	}
+	return acked;
 }
 
 /* Any order that has been sent may have been carried out by the new
@@ -186,11 +194,13 @@
 void ffl_dispatch_worker_restart(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				 int64_t born_ms, uint64_t now_ms)
 {
+	uint64_t acked = drop_calls(d, w);
+
 	ffl_dispatch_note(d, "worker-restarted", w->entry.id,
 			  "runs=%u born=%" PRId64 " before=%" PRId64
-			  " token=%" PRIu64,
-			  w->runs->len, born_ms, w->entry.born_ms, w->token);
-	drop_calls(d, w);
+			  " token=%" PRIu64 " acked=%" PRIu64,
+			  w->runs->len, born_ms, w->entry.born_ms, w->token,
+			  acked);
 	w->calls = 0;
 	w->renewals_open = 0;
 	w->renew_ms = 0;
