dispatch: acknowledge ends only where no other incarnation can have any

Cause: ends are numbered from 1 in each incarnation and an order cannot name one. The leader sent acknowledgements beside starts, so that an incarnation it did not know of yet could have an end of its own when an acknowledgement for the one before arrived, or while it waited there.

Change: an acknowledgement is sent once every run on the worker has been reported by the incarnation that listed the ends, does not wait there, and bars starts until its answer tells which incarnation it reached. After a lost answer the next orders carry a higher token; a refusal of an order under an earlier token of this leader no longer means that another host leads.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -82,6 +82,7 @@
 	uint64_t acked_sent; /**< value of acked that the worker has received */
 	uint64_t ack_batch; /**< batch that raises acked to end_seen; 0: none */
 	uint32_t renewals_open; /**< renew orders that are not answered yet */
+	uint32_t acks_open;	/**< of these, the ones that acknowledge ends */
 	/** No renew order is sent before this: when the last one was sent or
 	 * answered, or later while the worker does not answer. */
 	uint64_t renew_ms;
@@ -124,6 +125,7 @@
 	uint64_t retry_ms;   /**< no further order before */
 	uint64_t running_ms; /**< when it was first known to run */
 	uint64_t seen_ms;    /**< when it was last reported */
+	bool reported; /**< the known incarnation of its worker started it */
 	/** The same by its worker's clock, which tells when a report was made,
 	 * however late it is read; 0: not known. */
 	uint64_t report_clock_ms;
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -43,6 +43,8 @@
 			    uint64_t now_ms);
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				const ffl_reply_t *reply, uint64_t now_ms);
+static void mark_earlier_runs_reported(ffl_dispatch_worker_t *w,
+				       uint64_t requested_ms);
 static bool is_reported(const ffl_run_t *run, const ffl_reply_t *reply);
 static void resolve_tasks(const ffl_dispatch_t *d, ffl_run_report_t *reports,
 			  uint32_t count);
@@ -175,10 +177,25 @@
 			run->progress_clock_ms = reply->clock_ms;
 		}
 		run->seen_ms = now_ms;
+		run->reported = true;
 		update_progress(d, run, report, reply->clock_ms, now_ms);
 	}
 }
 
+/* A run that was answered before a report was requested has been started by
+ * the incarnation that reports, also if its end is not listed yet. */
+static void mark_earlier_runs_reported(ffl_dispatch_worker_t *w,
+				       uint64_t requested_ms)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(w->runs, i);
+
+		if (run->state == FFL_RUN_RUNNING &&
+		    run->running_ms < requested_ms)
+			run->reported = true;
+	}
+}
+
 static bool is_reported(const ffl_run_t *run, const ffl_reply_t *reply)
 {
 	for (uint32_t i = 0; i < reply->running_count; i++) {
@@ -232,7 +249,13 @@
 	ffl_dispatch_worker_t *w = call->worker;
 
 	w->renewals_open--;
+	if (call->acked)
+		w->acks_open--;
 	if (reply->outcome != FFL_REPLY_OK) {
+		/* It may reach the next incarnation after a start, unless that
+		 * has a higher token. */
+		if (call->acked && reply->outcome == FFL_REPLY_UNKNOWN)
+			w->token_outdated = true;
 		w->missed_renewals++;
 		w->renew_ms = now_ms +
 			      (RENEW_BACKOFF_MS << MIN(w->missed_renewals,
@@ -246,6 +269,7 @@
 	w->acked_sent = MAX(w->acked_sent, call->acked);
 	handle_ended_runs(d, w, reply, now_ms);
 	update_running_runs(d, w, reply, now_ms);
+	mark_earlier_runs_reported(w, call->sent_ms);
 	ffl_throttle_update(d, w);
 	/* If the list is full, the end of a missing run may follow later. */
 	if (reply->ended_count < REPORT_ENDS_MAX)
@@ -393,7 +417,8 @@
 		return;
 	w = call->worker;
 	w->calls--;
-	if (reply->outcome == FFL_REPLY_FENCED)
+	/* An order under an earlier token of this leader may be late. */
+	if (reply->outcome == FFL_REPLY_FENCED && call->token >= w->token)
 		d->fenced = true;
 	if (reply->outcome != FFL_REPLY_NOT_SENT)
 		w->leases_end_ms = MAX(w->leases_end_ms, call->lease_end_ms);
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -11,6 +11,9 @@
 /** Longest delay of the next renew order while ends that the worker reported
  * are not in the log yet. */
 #define RENEW_REPEAT_MS 200
+/** Delay of the next renew order while a run that has not been reported keeps
+ * ends from being acknowledged. */
+#define UNREPORTED_REPEAT_MS 50
 
 static ffl_open_call_t *open_call(ffl_dispatch_t *d, ffl_order_kind_t kind,
 				  ffl_dispatch_worker_t *w, ffl_run_t *run,
@@ -21,6 +24,8 @@
 			      ffl_open_call_t **call);
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms);
+static bool has_unreported_run(const ffl_dispatch_worker_t *w);
+static bool has_ends_to_acknowledge(const ffl_dispatch_worker_t *w);
 static uint64_t acked_to_send(const ffl_dispatch_worker_t *w);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			 GArray *orders, uint64_t now_ms);
@@ -64,7 +69,7 @@
 	memset(order, 0, sizeof(*order));
 	order->kind = kind;
 	order->call = (*call)->call;
-	order->token = w->token;
+	order->token = (*call)->token = w->token;
 	ffl_copy(order->worker, sizeof(order->worker), w->entry.id);
 	ffl_copy(order->addr, sizeof(order->addr), w->entry.addr);
 	if (!run)
@@ -94,8 +99,11 @@
 		return false;
 	if (w->fence_due && w->listed)
 		return true;
-	if (w->acked > w->acked_sent || (w->missed_renewals && w->listed))
+	if (w->missed_renewals && w->listed)
 		return true;
+	if (w->acked > w->acked_sent)
+		return !has_unreported_run(w) ||
+		       now_ms >= w->renew_ms + UNREPORTED_REPEAT_MS;
 	for (guint i = 0; i < w->runs->len && !has_sent_run; i++) {
 		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
 
@@ -106,11 +114,35 @@
 	return !w->ack_batch || now_ms >= w->renew_ms + RENEW_REPEAT_MS;
 }
 
-/* Ends are acknowledged to the incarnation that listed them: not after a missed
- * answer, as the worker may have restarted, and not more than once. */
+/* Returns true if a run was ordered that the known incarnation has not been
+ * seen to have: another one may have started it. */
+static bool has_unreported_run(const ffl_dispatch_worker_t *w)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
+
+		if ((run->state == FFL_RUN_SENT && !run->stop_accepted_ms) ||
+		    (run->state == FFL_RUN_RUNNING && !run->reported))
+			return true;
+	}
+	return false;
+}
+
+static bool has_ends_to_acknowledge(const ffl_dispatch_worker_t *w)
+{
+	return w->acked > w->acked_sent && !w->missed_renewals;
+}
+
+/* Ends are acknowledged by their number, which the worker's next incarnation
+ * would take for its own ends. So an acknowledgement is sent only while no
+ * other incarnation can have any, and no run is started until its answer tells
+ * which incarnation it reached. It is not repeated after a missed answer before
+ * the worker has reported again. */
 static uint64_t acked_to_send(const ffl_dispatch_worker_t *w)
 {
-	return w->acked > w->acked_sent && !w->missed_renewals ? w->acked : 0;
+	if (!has_ends_to_acknowledge(w) || has_unreported_run(w))
+		return 0;
+	return w->acked;
 }
 
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -129,6 +161,8 @@
 		adopted |= run->state == FFL_RUN_ADOPTED;
 	}
 	order->acked = call->acked = acked_to_send(w);
+	if (order->acked)
+		w->acks_open++;
 	/* The lease of a worker that does not answer, or is off the list, is
 	 * not extended, so that its runs can be given up when it ends. A worker
 	 * without runs needs no lease. By a clock from the list it might be the
@@ -137,8 +171,9 @@
 	    !w->missed_renewals && d->may_renew)
 		order->until_ms = ffl_dispatch_worker_grant_lease(
 			d, w, now_ms, &call->lease_end_ms);
+	/* While an order waits, it goes on acknowledging. */
 	if (w->runs->len && !w->missed_renewals && !adopted &&
-	    w->clock_read_ms && !w->ack_batch)
+	    w->clock_read_ms && !w->ack_batch && !has_ends_to_acknowledge(w))
 		order->wait_ms = stopping ? d->opt.stop_max_ms
 				 : ffl_dispatch_worker_has_objective(w)
 					 ? OBJECTIVE_REPORT_WAIT_MS
@@ -226,7 +261,9 @@
 		return;
 	}
 	if (run->state == FFL_RUN_PLANNED) {
-		if (may_start && run->batch <= d->recorded_batch)
+		if (may_start && run->batch <= d->recorded_batch &&
+		    !run->worker->acks_open &&
+		    !has_ends_to_acknowledge(run->worker))
 			send_start(d, run, orders, now_ms);
 		return;
 	}
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -203,6 +203,7 @@
 			  acked);
 	w->calls = 0;
 	w->renewals_open = 0;
+	w->acks_open = 0;
 	w->renew_ms = 0;
 	for (guint i = w->runs->len; i-- > 0;) {
 		ffl_run_t *run = g_ptr_array_index(w->runs, i);
@@ -214,6 +215,7 @@
 			continue;
 		}
 		run->state = FFL_RUN_ADOPTED;
+		run->reported = false;
 		run->stop_accepted_ms = 0;
 		run->acked_limit_percent = LIMIT_UNKNOWN;
 		run->report_clock_ms = 0;
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -980,6 +980,90 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
 }
 
+/* Run 1 has failed and the task is to be placed again. The end is acknowledged
+ * before another run starts, by an order that does not wait. */
+static void fail_run_on_w0(bed_t *b)
+{
+	const ffl_run_report_t failed = { .run = 1,
+					  .number = 1,
+					  .end = FFL_RUN_END_FAILED };
+
+	run_on_w0(b);
+	ffl_dispatch_remove_worker(&b->d, "w1", 60000, b->now_ms);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A },
+	       &failed);
+	g_array_set_size(b->orders, 0);
+	wait_ms(b, 300);
+	g_assert_null(find_order(b, FFL_ORDER_START, "w0"));
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 1);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->wait_ms, ==, 0);
+}
+
+/* An incarnation that the leader does not know yet takes an acknowledgement
+ * for its own ends, so it must not have any. */
+static void acknowledgement_to_next_incarnation(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+	uint64_t token;
+
+	fail_run_on_w0(b);
+	token = find_order(b, FFL_ORDER_RENEW, "w0")->token;
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	wait_ms(b, 300);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 0);
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	wait_ms(b, 300);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_START, "w0")->token, >, token);
+}
+
+/* An acknowledgement without an answer may still be carried out. */
+static void late_acknowledgement(bed_t *b)
+{
+	uint64_t token;
+
+	fail_run_on_w0(b);
+	token = find_order(b, FFL_ORDER_RENEW, "w0")->token;
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	wait_ms(b, 1000);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, NULL);
+	wait_ms(b, 300);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_A, .born_ms = BORN_A }, NULL);
+	wait_ms(b, 300);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_START, "w0")->token, >, token);
+}
+
+/* The incarnation that answered the start need not be the one that listed the
+ * end. */
+static void acknowledgement_after_unreported_start(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_run_report_t other = { .run = 9, .number = 50 };
+	const ffl_order_t *order;
+	ffl_run_report_t ended = other;
+	ffl_reply_t early = report;
+
+	start_on_w0(b);
+	order = find_order(b, FFL_ORDER_RENEW, "w0");
+	early.call = order->call;
+	early.ended = &ended;
+	early.ended_count = 1;
+	ffl_task_name(b->flow, 0, ended.task);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	ffl_dispatch_handle_reply(&b->d, &early, b->now_ms);
+	wait_ms(b, 300);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 0);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &other);
+	wait_ms(b, 300);
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 50);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -1024,6 +1108,11 @@
 	{ "entry-with-odd-capacity", entry_with_odd_capacity },
 	{ "late-success-of-removed-job", late_success_of_removed_job },
 	{ "odd-entry-first-for-next-host", odd_entry_first_for_next_host },
+	{ "acknowledgement-to-next-incarnation",
+	  acknowledgement_to_next_incarnation },
+	{ "late-acknowledgement", late_acknowledgement },
+	{ "acknowledgement-after-unreported-start",
+	  acknowledgement_after_unreported_start },
 };
 
 static void test_case(gconstpointer data)
