--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -24,6 +24,7 @@
 static void send_claim(ffl_node_t *n);
 static void append_succeeded(ffl_node_t *n, uint64_t offset);
 static void check_append(ffl_node_t *n);
+static void note_failed_append(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void handle_append_reply(ffl_node_t *n, const ffl_store_reply_t *reply);
 static void lose_leadership(ffl_node_t *n, const char *why);
 static void handle_check_reply(ffl_node_t *n, const ffl_store_reply_t *reply);
@@ -225,6 +226,27 @@
 	act->store.timeout_ms = APPEND_TIMEOUT_MS;
 }
 
+static void note_failed_append(ffl_node_t *n, const ffl_store_reply_t *reply)
+{
+	const GPtrArray *writes = n->lead.writes;
+	const ffl_write_t *largest = g_ptr_array_index(writes, 0);
+	uint64_t bytes = 0;
+
+	for (guint i = 0; i < writes->len; i++) {
+		const ffl_write_t *w = g_ptr_array_index(writes, i);
+
+		bytes += w->value->len;
+		if (w->value->len > largest->value->len)
+			largest = w;
+	}
+	ffl_node_note(n, "append-failed", largest->key,
+		      "outcome=%s number=%" PRIu64 " records=%u bytes=%" PRIu64
+		      " largest=%u after_ms=%" PRIu64,
+		      ffl_store_outcome_name(reply->outcome),
+		      n->lead.append_number, writes->len, bytes,
+		      largest->value->len, n->now_ms - n->lead.sent_ms);
+}
+
 static void handle_append_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
 	ffl_lead_t *l = &n->lead;
@@ -238,6 +260,7 @@
 		check_append(n);
 		return;
 	default:
+		note_failed_append(n, reply);
 		l->retry_ms = n->now_ms + APPEND_RETRY_MS;
 		if (l->is_claim && reply->outcome == FFL_STORE_REFUSED)
 			ffl_claim_abandon(n, "the log refused the claim");
