flow: write progress in records that the log takes

Cause: the progress of a job was one record with a row for each task. The log takes records of record_bytes and appends of call_bytes; neither acceptance nor the leader knew. A record that is refused holds back all progress in its append, which the leader repeats until it steps down, as the next leader does.

Change: progress is written in parts of 128 tasks, and of these only what changed; a batch is spread over appends; the log's limits are settings, and a job that they exclude is refused. Jobs of up to 128 tasks keep their key and form on the log. The fakes' log and ffl-site refuse what the platform refuses.

--- a/fakes/keyed_log.c
+++ b/fakes/keyed_log.c
@@ -18,6 +18,7 @@
 static void copy_record(ffl_store_record_t *out, const keyed_record_t *rec,
 			ffl_arena_t *arena);
 static gboolean add_to_page(gpointer key, gpointer value, gpointer user);
+static bool is_within_limits(const keyed_log_t *log, const GPtrArray *writes);
 
 static void keyed_record_free(void *data)
 {
@@ -45,6 +46,7 @@
 	log->history = g_ptr_array_new_with_free_func(keyed_record_free);
 	log->first = 0;
 	log->end = 0;
+	log->append_bytes_max = KEYED_LOG_APPEND_BYTES_MAX;
 	log->newest =
 		g_tree_new_full(compare_keys, NULL, NULL, keyed_record_free);
 }
@@ -80,9 +82,27 @@
 	append_record(log, key, value, size_bytes);
 }
 
+static bool is_within_limits(const keyed_log_t *log, const GPtrArray *writes)
+{
+	uint64_t total = 0;
+
+	for (guint i = 0; i < writes->len; i++) {
+		const ffl_write_t *w = g_ptr_array_index(writes, i);
+		uint64_t bytes =
+			FFL_RECORD_FRAME_BYTES + strlen(w->key) + w->value->len;
+
+		if (bytes > KEYED_LOG_RECORD_BYTES_MAX)
+			return false;
+		total += bytes;
+	}
+	return total <= log->append_bytes_max;
+}
+
 ffl_store_outcome_t keyed_log_append(keyed_log_t *log, uint64_t at,
 				     const GPtrArray *writes, uint64_t *offset)
 {
+	if (!is_within_limits(log, writes))
+		return FFL_STORE_UNKNOWN;
 	if (at != FFL_ANY_END && at != log->end)
 		return FFL_STORE_MOVED;
 	*offset = log->end;
--- a/fakes/keyed_log.h
+++ b/fakes/keyed_log.h
@@ -9,6 +9,11 @@
 #include "fireflyledge/arena.h"
 #include "fireflyledge/node.h"
 
+/** Limits of the platform's log: a record with its key, and, unless the log
+ * sets another one, an append with all lengths. */
+#define KEYED_LOG_RECORD_BYTES_MAX 262144
+#define KEYED_LOG_APPEND_BYTES_MAX 2097152
+
 /** A stored record. */
 typedef struct {
 	uint64_t offset;
@@ -22,6 +27,7 @@
 	uint64_t first;	  /**< lowest offset in history */
 	uint64_t end;	  /**< offset of the next record */
 	GTree *newest;	  /**< keyed_record_t by key, in the order of keys */
+	uint64_t append_bytes_max;
 } keyed_log_t;
 
 void keyed_log_init(keyed_log_t *log);
@@ -32,7 +38,9 @@
  * @param at expected end of the log, or FFL_ANY_END
  * @param writes of ffl_write_t
  * @param offset set to the offset of the first record
- * @return FFL_STORE_OK, or FFL_STORE_MOVED where @p at is not the end
+ * @return FFL_STORE_OK, FFL_STORE_MOVED where @p at is not the end, or
+ *         FFL_STORE_UNKNOWN where a limit is exceeded: the platform names no
+ *         status for that
  */
 ffl_store_outcome_t keyed_log_append(keyed_log_t *log, uint64_t at,
 				     const GPtrArray *writes, uint64_t *offset);
--- a/fakes/site.c
+++ b/fakes/site.c
@@ -155,7 +155,8 @@
 		job->reported_state = response->state;
 		if (response->state == FFL_FLOW_COMPLETED &&
 		    g_hash_table_size(job->completed) <
-			    job->spec.tasks_per_occurrence)
+			    job->spec.tasks_per_occurrence *
+				    MAX(job->spec.occurrences, 1))
 			site_record_violation(
 				s, "reported as completed with a task not done",
 				job->id);
@@ -229,6 +230,8 @@
 		.stop_drain_ms = 4800,
 		.keep_ended_ms = KEEP_ENDED_MS,
 		.size_milli = s->size_milli[host],
+		.record_bytes_max = KEYED_LOG_RECORD_BYTES_MAX,
+		.append_bytes_max = KEYED_LOG_APPEND_BYTES_MAX,
 		.dispatch = { .adviser_addr = "adviser",
 			      .lease_max_ms = 10000,
 			      .stop_max_ms = 400,
@@ -620,6 +623,30 @@
 	return s->jobs_count - 1;
 }
 
+uint32_t site_submit_repeated(site_t *s, uint32_t host, uint32_t occurrences,
+			      uint64_t interval_ms, uint32_t work_ms)
+{
+	site_job_t *job;
+
+	if (s->jobs_count == SITE_JOBS_MAX)
+		return s->jobs_count - 1;
+	job = new_job(s, work_ms);
+	job->spec.steps_count = 1;
+	job->spec.steps = g_new0(ffl_step_t, 1);
+	job->spec.tasks_per_occurrence = 1;
+	job->spec.occurrences = occurrences;
+	job->spec.timed = true;
+	job->spec.start_at_ms = s->wall_ms + s->now_ms;
+	job->spec.interval_ms = interval_ms;
+	job->spec.steps[0] = (ffl_step_t){ .tasks = 1,
+					   .cpu_milli = PER_GPU,
+					   .mem_mb = PER_GPU,
+					   .gpus = 1,
+					   .estimate_ms = work_ms };
+	site_resubmit(s, host, s->jobs_count - 1);
+	return s->jobs_count - 1;
+}
+
 static void send_request(site_t *s, uint32_t host, uint32_t job,
 			 ffl_request_kind_t what)
 {
@@ -642,6 +669,10 @@
 	ev.request.deadline_ms = 3000;
 	if (what == FFL_REQUEST_SUBMIT) {
 		spec.spec = g_strdup(j->spec.spec);
+		spec.occurrences = j->spec.occurrences;
+		spec.timed = j->spec.timed;
+		spec.start_at_ms = j->spec.start_at_ms;
+		spec.interval_ms = j->spec.interval_ms;
 		spec.steps_count = j->spec.steps_count;
 		spec.steps =
 			g_memdup2(j->spec.steps,
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -144,6 +144,10 @@
 /** Submits a job of two steps, the second of which depends on the first;
  * otherwise like site_submit(). */
 uint32_t site_submit_chain(site_t *s, uint32_t host, uint32_t work_ms);
+/** Submits a job of one task that starts now and is repeated at an interval;
+ * otherwise like site_submit(). */
+uint32_t site_submit_repeated(site_t *s, uint32_t host, uint32_t occurrences,
+			      uint64_t interval_ms, uint32_t work_ms);
 /** Submits a job again under the same id. */
 void site_resubmit(site_t *s, uint32_t host, uint32_t job);
 void site_cancel(site_t *s, uint32_t host, uint32_t job);
--- a/fuzz/decode_fuzz.c
+++ b/fuzz/decode_fuzz.c
@@ -143,7 +143,7 @@
 	ffl_flow_spec_validate(&spec, &err);
 	ffl_flows_init(&flows);
 	flow = ffl_flows_add(&flows, &spec, 1);
-	ffl_flow_progress_decode(body, flow);
+	ffl_flow_progress_decode(body, flow, 0);
 	if (flow->done_count + flow->placed_count > flow->tasks_count)
 		fault = "more tasks than there are";
 	ffl_flows_finish(&flows);
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -26,6 +26,15 @@
 #define FFL_FLOW_STEPS_MAX 64
 /** Most tasks of a flow over all its occurrences. */
 #define FFL_FLOW_TASKS_MAX 65536
+/** Most tasks in one record of progress. The progress of a flow with more tasks
+ * has several parts, each in a record of its own. */
+#define FFL_PROGRESS_TASKS_MAX 128
+/** Most bytes of the progress of one task, and of the rest of a record. */
+#define FFL_PROGRESS_TASK_BYTES_MAX  333
+#define FFL_PROGRESS_FRAME_BYTES_MAX 16
+/** Size of the name of a part: the flow's id, and from the second part on a dot
+ * and its number. */
+#define FFL_PROGRESS_NAME_BYTES (FFL_FLOW_ID_BYTES + 11)
 /** Longest checkpoint, in bytes; a longer one is ignored. */
 #define FFL_CHECKPOINT_BYTES_MAX 255
 
@@ -110,6 +119,13 @@
 	uint32_t max;  /**< over the tasks */
 } ffl_step_rate_t;
 
+/** What is known of the record of a part of a flow's progress. */
+typedef struct {
+	bool known;	 /**< read, or written by this host */
+	uint64_t offset; /**< older records are ignored */
+	uint64_t sum;	 /**< hash of what was last written; 0: nothing */
+} ffl_progress_part_t;
+
 /** State of a flow. */
 typedef enum {
 	FFL_FLOW_QUEUED,
@@ -125,8 +141,9 @@
 	ffl_flow_spec_t spec;
 	uint64_t spec_offset; /**< offset of its specification; orders flows by
 			       * age */
-	uint64_t progress_offset; /**< older records of progress are ignored */
-	bool has_progress;	  /**< progress has been read or written */
+	ffl_progress_part_t *parts;
+	uint32_t parts_count;
+	bool has_progress; /**< progress has been read or written */
 	bool cancelled;
 	bool started; /**< a task has been placed at some time */
 	bool failed;
@@ -160,7 +177,7 @@
 typedef struct {
 	GHashTable *by_id; /**< owns the flows */
 	GPtrArray *open; /**< of ffl_flow_t *: flows not closed, oldest first */
-	GHashTable *early_progress; /**< records of progress, by id */
+	GHashTable *early_progress; /**< records of progress, by part */
 	GHashTable *early_states;   /**< published states, by id */
 	GHashTable *early_cancels;  /**< set of ids that were cancelled */
 } ffl_flows_t;
@@ -184,11 +201,27 @@
  * @return FFL_OK, or FFL_INVALID with @p out empty */
 ffl_status_t ffl_flow_spec_decode(ffl_bytes_t in, ffl_flow_spec_t *out);
 
-/** Appends the encoded progress of a flow to @p out. */
-void ffl_flow_progress_encode(const ffl_flow_t *flow, GByteArray *out);
-/** Decodes progress and replaces that of @p flow.
+/** Writes the name of a part of a flow's progress to @p out. */
+void ffl_flow_progress_name(const ffl_flow_t *flow, uint32_t part,
+			    char out[FFL_PROGRESS_NAME_BYTES]);
+/** Appends an encoded part of a flow's progress to @p out. */
+void ffl_flow_progress_encode(const ffl_flow_t *flow, uint32_t part,
+			      GByteArray *out);
+/**
+ * Encodes a part of a flow's progress if that has changed since the last call.
+ *
+ * @param out replaced
+ * @return false if it has not changed, or no task has progress
+ */
+bool ffl_flow_progress_encode_changed(ffl_flow_t *flow, uint32_t part,
+				      GByteArray *out);
+/** Decodes a part and replaces that of @p flow. The first part of a record that
+ * an earlier version wrote has all tasks.
  * @return FFL_OK, or FFL_INVALID with @p flow unchanged */
-ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow);
+ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow,
+				      uint32_t part);
+/** Returns the size of the largest record of progress that a flow may have. */
+uint32_t ffl_flow_progress_bytes_max(const ffl_flow_spec_t *spec);
 
 void ffl_flows_init(ffl_flows_t *flows);
 void ffl_flows_finish(ffl_flows_t *flows);
@@ -199,13 +232,14 @@
 ffl_flow_t *ffl_flows_add(ffl_flows_t *flows, ffl_flow_spec_t *spec,
 			  uint64_t offset);
 /**
- * Applies a progress record from the log, unless newer progress is known, and
- * closes the flow if it has ended.
+ * Applies a progress record from the log, unless a newer one of the same part
+ * is known.
  *
+ * @param name of the part, see ffl_flow_progress_name()
  * @return FFL_OK; FFL_NOT_FOUND if the flow is not known yet and the record was
  *         kept for it; FFL_INVALID if the record is malformed
  */
-ffl_status_t ffl_flows_apply_progress(ffl_flows_t *flows, const char *id,
+ffl_status_t ffl_flows_apply_progress(ffl_flows_t *flows, const char *name,
 				      ffl_bytes_t value, uint64_t offset);
 /** Marks a flow as cancelled, also one that is not known yet. */
 void ffl_flows_cancel(ffl_flows_t *flows, const char *id);
@@ -218,7 +252,8 @@
 /** Closes the flows whose published state is final. */
 void ffl_flows_close_published(ffl_flows_t *flows);
 /** On a new leader, makes the state that follows from the progress visible, and
- * closes the ended flows whose progress has left the log. */
+ * closes the flows that have ended, also those whose progress has left the log.
+ */
 void ffl_flows_adopt_progress(ffl_flows_t *flows);
 /** Returns true if a state is final: completed, failed or cancelled. */
 bool ffl_flow_state_is_final(ffl_flow_state_t state);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -31,6 +31,9 @@
 	FFL_TOPIC__MAX
 } ffl_topic_t;
 
+/** Bytes of a record in an append besides its key and value: the lengths of the
+ * record and of its key. */
+#define FFL_RECORD_FRAME_BYTES 5
 /** Size of a record's key in bytes, with its terminator. */
 #define FFL_RECORD_KEY_BYTES 64
 /** Size of the longest key that other writers may use, with its terminator. */
@@ -218,6 +221,8 @@
 	uint32_t keep_ended_ms;	  /**< how long an ended job can be queried */
 	uint32_t size_milli;	  /**< processor, in thousandths of a core; 0:
 				   * not known */
+	uint32_t record_bytes_max; /**< largest record that the log takes */
+	uint32_t append_bytes_max; /**< largest append that it takes */
 	ffl_dispatch_options_t dispatch;
 } ffl_node_options_t;
 
@@ -298,10 +303,12 @@
 	uint64_t sent_ms;      /**< when it was sent */
 	uint64_t expected_end; /**< its condition: end of the topic */
 	uint32_t count;	       /**< unused */
-	uint64_t batch;	       /**< batch that it records; 0: none */
+	uint64_t batch;	       /**< batch that is being recorded; 0: none */
 	GPtrArray *writes;   /**< its records, kept until its outcome is known;
 			      * NULL: none */
-	GPtrArray *flows;    /**< flows whose progress it records */
+	GPtrArray *flows;    /**< flows whose progress the batch records */
+	GPtrArray *unsent;   /**< records of the batch, of ffl_write_t, that the
+			      * next appends are to hold */
 	uint64_t check_call; /**< read in flight that finds out whether it
 			      * succeeded; 0: none */
 	uint64_t retry_ms;   /**< no retry and no new claim before */
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -34,6 +34,8 @@
 	uint32_t threads; /**< callers' requests served concurrently */
 	uint32_t body_bytes;
 	char log_addr[FFL_ADDR_BYTES];
+	uint32_t record_bytes;
+	uint32_t append_bytes;
 	char adviser_addr[FFL_ADDR_BYTES]; /**< "": there is no adviser */
 	uint32_t lines_per_s;
 	uint32_t lease_max_ms;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -7,6 +7,10 @@
 static void set_checkpoint(ffl_task_t *task, const char *checkpoint);
 static bool is_valid_id(const char *id);
 static int compare_age(const void *a, const void *b);
+static void adopt_early_progress(ffl_flows_t *flows, ffl_flow_t *flow);
+static bool parse_progress_name(const char *name, char id[FFL_FLOW_ID_BYTES],
+				uint32_t *part);
+static void close_if_ended(ffl_flows_t *flows, ffl_flow_t *flow);
 static bool step_equal(const ffl_step_t *a, const ffl_step_t *b);
 
 static const char *const state_names[FFL_FLOW__MAX] = {
@@ -121,6 +125,7 @@
 	for (uint32_t i = 0; i < flow->tasks_count; i++)
 		task_clear(&flow->tasks[i]);
 	g_free(flow->tasks);
+	g_free(flow->parts);
 	g_free(flow->rates);
 	ffl_flow_spec_finish(&flow->spec);
 	g_free(flow);
@@ -153,13 +158,34 @@
 	return g_hash_table_lookup(flows->by_id, id);
 }
 
+/* Applies the records of progress that were read before the specification. */
+static void adopt_early_progress(ffl_flows_t *flows, ffl_flow_t *flow)
+{
+	for (uint32_t i = 0; i < flow->parts_count; i++) {
+		char name[FFL_PROGRESS_NAME_BYTES];
+		const void *data;
+		GBytes *early;
+		gsize size;
+
+		ffl_flow_progress_name(flow, i, name);
+		early = g_hash_table_lookup(flows->early_progress, name);
+		if (!early)
+			continue;
+		data = g_bytes_get_data(early, &size);
+		if (ffl_flow_progress_decode((ffl_bytes_t){ data, size }, flow,
+					     i) == FFL_OK) {
+			flow->parts[i].known = true;
+			flow->has_progress = true;
+		}
+		g_hash_table_remove(flows->early_progress, name);
+	}
+}
+
 ffl_flow_t *ffl_flows_add(ffl_flows_t *flows, ffl_flow_spec_t *spec,
 			  uint64_t offset)
 {
 	ffl_flow_t *flow = ffl_flows_find(flows, spec->id);
 	ffl_flow_state_t state;
-	GBytes *early;
-	gsize size;
 
 	if (flow) {
 		ffl_flow_spec_finish(spec);
@@ -172,17 +198,12 @@
 	flow->tasks_count =
 		flow->spec.tasks_per_occurrence * flow->spec.occurrences;
 	flow->tasks = g_new0(ffl_task_t, flow->tasks_count);
+	flow->parts_count = (flow->tasks_count + FFL_PROGRESS_TASKS_MAX - 1) /
+			    FFL_PROGRESS_TASKS_MAX;
+	flow->parts = g_new0(ffl_progress_part_t, flow->parts_count);
 	g_hash_table_insert(flows->by_id, flow->spec.id, flow);
 	g_ptr_array_add(flows->open, flow);
-	early = g_hash_table_lookup(flows->early_progress, flow->spec.id);
-	if (early) {
-		const void *data = g_bytes_get_data(early, &size);
-
-		if (ffl_flow_progress_decode((ffl_bytes_t){ data, size },
-					     flow) == FFL_OK)
-			flow->has_progress = true;
-		g_hash_table_remove(flows->early_progress, flow->spec.id);
-	}
+	adopt_early_progress(flows, flow);
 	if (g_hash_table_remove(flows->early_cancels, flow->spec.id))
 		ffl_flows_cancel(flows, flow->spec.id);
 	state = (ffl_flow_state_t)GPOINTER_TO_UINT(
@@ -231,28 +252,52 @@
 		open && flow->cancelled ? FFL_FLOW_CANCELLED : recorded;
 }
 
-ffl_status_t ffl_flows_apply_progress(ffl_flows_t *flows, const char *id,
+static bool parse_progress_name(const char *name, char id[FFL_FLOW_ID_BYTES],
+				uint32_t *part)
+{
+	size_t id_bytes = strcspn(name, ".");
+	guint64 n = 0;
+
+	if (id_bytes >= FFL_FLOW_ID_BYTES)
+		return false;
+	memcpy(id, name, id_bytes);
+	id[id_bytes] = '\0';
+	if (name[id_bytes] &&
+	    !g_ascii_string_to_unsigned(name + id_bytes + 1, 10, 1, UINT32_MAX,
+					&n, NULL))
+		return false;
+	*part = (uint32_t)n;
+	return true;
+}
+
+ffl_status_t ffl_flows_apply_progress(ffl_flows_t *flows, const char *name,
 				      ffl_bytes_t value, uint64_t offset)
 {
-	ffl_flow_t *flow = ffl_flows_find(flows, id);
+	char id[FFL_FLOW_ID_BYTES];
+	ffl_progress_part_t *p;
 	ffl_status_t status;
+	ffl_flow_t *flow;
+	uint32_t part;
 
+	if (!parse_progress_name(name, id, &part))
+		return FFL_INVALID;
+	flow = ffl_flows_find(flows, id);
 	if (!flow) {
-		g_hash_table_replace(flows->early_progress, g_strdup(id),
+		g_hash_table_replace(flows->early_progress, g_strdup(name),
 				     g_bytes_new(value.data, value.size_bytes));
 		return FFL_NOT_FOUND;
 	}
-	if (flow->has_progress && offset <= flow->progress_offset)
+	if (part >= flow->parts_count)
+		return FFL_INVALID;
+	p = &flow->parts[part];
+	if (p->known && offset <= p->offset)
 		return FFL_OK;
-	status = ffl_flow_progress_decode(value, flow);
+	status = ffl_flow_progress_decode(value, flow, part);
 	if (status != FFL_OK)
 		return status;
+	p->known = true;
+	p->offset = offset;
 	flow->has_progress = true;
-	flow->progress_offset = offset;
-	if (ffl_flow_ended(flow) && !flow->placed_count) {
-		ffl_flow_set_visible_state(flow, ffl_flow_state(flow));
-		ffl_flows_close(flows, flow);
-	}
 	return FFL_OK;
 }
 
@@ -271,6 +316,12 @@
 	}
 }
 
+static void close_if_ended(ffl_flows_t *flows, ffl_flow_t *flow)
+{
+	if (ffl_flow_ended(flow) && !flow->placed_count)
+		ffl_flows_close(flows, flow);
+}
+
 /* Progress is removed from the log before the specification. A flow without
  * progress whose published state is final has ended and must not start
  * again. */
@@ -279,10 +330,12 @@
 	for (guint i = flows->open->len; i-- > 0;) {
 		ffl_flow_t *flow = g_ptr_array_index(flows->open, i);
 
-		if (flow->has_progress)
+		if (flow->has_progress) {
 			ffl_flow_set_visible_state(flow, ffl_flow_state(flow));
-		else if (ffl_flow_state_is_final(flow->published_state))
+			close_if_ended(flows, flow);
+		} else if (ffl_flow_state_is_final(flow->published_state)) {
 			g_ptr_array_remove_index(flows->open, i);
+		}
 	}
 }
 
@@ -308,7 +361,8 @@
 		ffl_flow_t *flow = value;
 
 		flow->has_progress = false;
-		flow->progress_offset = 0;
+		memset(flow->parts, 0,
+		       flow->parts_count * sizeof(*flow->parts));
 		flow->dirty_batch = 0;
 		flow->ended_ms = 0;
 		flow->dropped_ms = 0;
--- a/lib/flow/flow_record.c
+++ b/lib/flow/flow_record.c
@@ -37,8 +37,13 @@
 static void read_step(fields_t *f, ffl_step_t *out);
 static void read_spec(fields_t *f, ffl_flow_spec_t *out);
 static void read_task(fields_t *f, ffl_task_t *out);
-static bool read_tasks(fields_t *f, ffl_task_t *out, uint32_t count);
-static void replace_tasks(ffl_flow_t *flow, ffl_task_t *tasks);
+static ffl_task_t *read_tasks(fields_t *f, uint32_t *count);
+static void free_tasks(ffl_task_t *tasks, uint32_t count);
+static void replace_tasks(ffl_flow_t *flow, uint32_t first, ffl_task_t *tasks,
+			  uint32_t count);
+static uint32_t part_first(uint32_t part);
+static uint32_t part_count(const ffl_flow_t *flow, uint32_t part);
+static bool has_part_progress(const ffl_flow_t *flow, uint32_t part);
 
 static int write_bytes(void *user, const char *buf, size_t size_bytes)
 {
@@ -289,8 +294,72 @@
 	pack_string(pk, task->checkpoint);
 }
 
-void ffl_flow_progress_encode(const ffl_flow_t *flow, GByteArray *out)
+static uint32_t part_first(uint32_t part)
 {
+	return part * FFL_PROGRESS_TASKS_MAX;
+}
+
+static uint32_t part_count(const ffl_flow_t *flow, uint32_t part)
+{
+	return MIN(flow->tasks_count - part_first(part),
+		   FFL_PROGRESS_TASKS_MAX);
+}
+
+uint32_t ffl_flow_progress_bytes_max(const ffl_flow_spec_t *spec)
+{
+	uint32_t tasks = spec->tasks_per_occurrence * spec->occurrences;
+
+	return FFL_PROGRESS_FRAME_BYTES_MAX +
+	       MIN(tasks, FFL_PROGRESS_TASKS_MAX) * FFL_PROGRESS_TASK_BYTES_MAX;
+}
+
+void ffl_flow_progress_name(const ffl_flow_t *flow, uint32_t part,
+			    char out[FFL_PROGRESS_NAME_BYTES])
+{
+	if (part)
+		g_snprintf(out, FFL_PROGRESS_NAME_BYTES, "%s.%u", flow->spec.id,
+			   part);
+	else
+		ffl_copy(out, FFL_PROGRESS_NAME_BYTES, flow->spec.id);
+}
+
+static bool has_part_progress(const ffl_flow_t *flow, uint32_t part)
+{
+	const ffl_task_t *tasks = &flow->tasks[part_first(part)];
+	uint32_t count = part_count(flow, part);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (tasks[i].state != FFL_TASK_WAITING || tasks[i].run ||
+		    tasks[i].failures)
+			return true;
+	}
+	return false;
+}
+
+bool ffl_flow_progress_encode_changed(ffl_flow_t *flow, uint32_t part,
+				      GByteArray *out)
+{
+	ffl_progress_part_t *p = &flow->parts[part];
+	uint64_t sum;
+
+	/* The first part also tells that the flow has no progress yet. */
+	if (part && !p->known && !has_part_progress(flow, part))
+		return false;
+	g_byte_array_set_size(out, 0);
+	ffl_flow_progress_encode(flow, part, out);
+	sum = ffl_hash(out->data, out->len, PROGRESS_VERSION);
+	if (p->sum == sum)
+		return false;
+	p->sum = sum;
+	p->known = true;
+	return true;
+}
+
+void ffl_flow_progress_encode(const ffl_flow_t *flow, uint32_t part,
+			      GByteArray *out)
+{
+	uint32_t first = part_first(part);
+	uint32_t count = part_count(flow, part);
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, write_bytes);
@@ -298,8 +367,8 @@
 	msgpack_pack_uint8(&pk, PROGRESS_VERSION);
 	msgpack_pack_uint8(&pk, flow->failed);
 	msgpack_pack_uint8(&pk, flow->started);
-	msgpack_pack_array(&pk, flow->tasks_count);
-	for (uint32_t i = 0; i < flow->tasks_count; i++)
+	msgpack_pack_array(&pk, count);
+	for (uint32_t i = first; i < first + count; i++)
 		pack_task(&pk, &flow->tasks[i]);
 }
 
@@ -322,44 +391,59 @@
 		g_clear_pointer(&out->worker, g_free);
 }
 
-static bool read_tasks(fields_t *f, ffl_task_t *out, uint32_t count)
+static void free_tasks(ffl_task_t *tasks, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		g_free(tasks[i].worker);
+		g_free(tasks[i].checkpoint);
+	}
+	g_free(tasks);
+}
+
+static ffl_task_t *read_tasks(fields_t *f, uint32_t *count)
 {
 	fields_t rows = read_array(f);
+	ffl_task_t *tasks;
 
-	if (f->bad || rows.left != count)
-		return false;
-	for (uint32_t i = 0; i < count; i++) {
+	*count = rows.left;
+	if (f->bad || rows.left > FFL_FLOW_TASKS_MAX)
+		return NULL;
+	tasks = g_new0(ffl_task_t, rows.left);
+	for (uint32_t i = 0; i < *count && !f->bad; i++) {
 		fields_t row = read_array(&rows);
 
-		read_task(&row, &out[i]);
-		if (row.bad)
-			return false;
+		read_task(&row, &tasks[i]);
+		f->bad = row.bad;
 	}
-	return true;
+	return tasks;
 }
 
-static void replace_tasks(ffl_flow_t *flow, ffl_task_t *tasks)
+static void replace_tasks(ffl_flow_t *flow, uint32_t first, ffl_task_t *tasks,
+			  uint32_t count)
 {
-	flow->done_count = 0;
-	flow->placed_count = 0;
-	for (uint32_t i = 0; i < flow->tasks_count; i++) {
-		g_free(flow->tasks[i].worker);
-		g_free(flow->tasks[i].checkpoint);
-		flow->tasks[i] = tasks[i];
-		flow->done_count += tasks[i].state == FFL_TASK_DONE;
-		flow->placed_count += tasks[i].state == FFL_TASK_PLACED;
+	for (uint32_t i = 0; i < count; i++) {
+		ffl_task_t *task = &flow->tasks[first + i];
+
+		flow->done_count -= task->state == FFL_TASK_DONE;
+		flow->placed_count -= task->state == FFL_TASK_PLACED;
+		g_free(task->worker);
+		g_free(task->checkpoint);
+		*task = tasks[i];
+		flow->done_count += task->state == FFL_TASK_DONE;
+		flow->placed_count += task->state == FFL_TASK_PLACED;
 	}
 	g_free(tasks);
 }
 
-ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow)
+ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow,
+				      uint32_t part)
 {
-	ffl_task_t *tasks = g_new0(ffl_task_t, flow->tasks_count);
-	msgpack_unpacked msg;
 	fields_t f = { NULL, 0, true };
+	ffl_task_t *tasks = NULL;
+	msgpack_unpacked msg;
 	bool failed = false;
 	bool started = false;
-	bool ok = false;
+	uint32_t count = 0;
 
 	msgpack_unpacked_init(&msg);
 	if (unpack(&msg, in)) {
@@ -368,19 +452,23 @@
 			f.bad = true;
 		failed = read_bool(&f);
 		started = read_bool(&f);
-		ok = read_tasks(&f, tasks, flow->tasks_count);
+		tasks = read_tasks(&f, &count);
 	}
 	msgpack_unpacked_destroy(&msg);
-	if (!ok) {
-		for (uint32_t i = 0; i < flow->tasks_count; i++) {
-			g_free(tasks[i].worker);
-			g_free(tasks[i].checkpoint);
-		}
-		g_free(tasks);
+	if (f.bad || !tasks ||
+	    (count != part_count(flow, part) &&
+	     (part || count != flow->tasks_count))) {
+		if (tasks)
+			free_tasks(tasks, count);
 		return FFL_INVALID;
 	}
-	flow->failed = failed;
-	flow->started = started;
-	replace_tasks(flow, tasks);
+	if (!part) {
+		flow->failed = failed;
+		flow->started = started;
+	}
+	replace_tasks(flow, part_first(part), tasks, count);
+	/* Parts that were written as one record have to be written anew. */
+	for (uint32_t i = 0; i < flow->parts_count && !part; i++)
+		flow->parts[i].known |= count == flow->tasks_count;
 	return FFL_OK;
 }
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -19,8 +19,15 @@
 #define QUOTED(text)   #text
 
 static void send_append(ffl_node_t *n);
-static void open_append(ffl_node_t *n, bool is_claim, bool resigned);
-static void add_batch(ffl_node_t *n);
+static void open_append(ffl_node_t *n, bool is_claim);
+static void close_append(ffl_node_t *n);
+static void announce_resignation(ffl_node_t *n);
+static void encode_progress(ffl_flow_t *flow, GPtrArray *writes);
+static void open_batch(ffl_node_t *n);
+static guint next_job_records(const GPtrArray *writes, uint64_t *bytes);
+static void fill_append(ffl_node_t *n);
+static void confirm_batch(ffl_node_t *n);
+static void close_batch(ffl_node_t *n);
 static void send_claim(ffl_node_t *n);
 static void append_succeeded(ffl_node_t *n, uint64_t offset);
 static void check_append(ffl_node_t *n);
@@ -34,12 +41,14 @@
 void ffl_lead_init(ffl_node_t *n)
 {
 	n->lead.flows = g_ptr_array_new();
+	n->lead.unsent = g_ptr_array_new_with_free_func(ffl_write_free);
 }
 
 void ffl_lead_finish(ffl_node_t *n)
 {
 	ffl_lead_discard_append(n);
 	g_ptr_array_free(n->lead.flows, TRUE);
+	g_ptr_array_free(n->lead.unsent, TRUE);
 }
 
 /* The next leader takes a host whose resignation it reads for one that has
@@ -62,20 +71,31 @@
 				     FFL_LEAD_STALENESS_MAX_MS);
 }
 
-void ffl_lead_discard_append(ffl_node_t *n)
+static void close_append(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
 
 	if (l->writes)
 		g_ptr_array_unref(l->writes);
 	l->writes = NULL;
-	g_ptr_array_set_size(l->flows, 0);
 	l->call = 0;
 	l->check_call = 0;
-	l->batch = 0;
 	l->is_claim = false;
 }
 
+static void close_batch(ffl_node_t *n)
+{
+	g_ptr_array_set_size(n->lead.unsent, 0);
+	g_ptr_array_set_size(n->lead.flows, 0);
+	n->lead.batch = 0;
+}
+
+void ffl_lead_discard_append(ffl_node_t *n)
+{
+	close_append(n);
+	close_batch(n);
+}
+
 static void send_append(ffl_node_t *n)
 {
 	ffl_node_act_t *act = ffl_node_add_act(n, FFL_NODE_ACT_APPEND);
@@ -89,7 +109,7 @@
 	l->sent_ms = n->now_ms;
 }
 
-static void open_append(ffl_node_t *n, bool is_claim, bool resigned)
+static void open_append(ffl_node_t *n, bool is_claim)
 {
 	ffl_lead_t *l = &n->lead;
 
@@ -97,22 +117,94 @@
 	l->append_number++;
 	l->writes = g_ptr_array_new_with_free_func(ffl_write_free);
 	g_ptr_array_add(l->writes,
-			ffl_lead_encode(n, is_claim ? 0 : l->token, resigned));
-	l->resigning = resigned;
+			ffl_lead_encode(n, is_claim ? 0 : l->token, false));
+	l->resigning = false;
+}
+
+static void announce_resignation(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+
+	ffl_write_free(g_ptr_array_index(l->writes, 0));
+	g_ptr_array_index(l->writes, 0) = ffl_lead_encode(n, l->token, true);
+	l->resigning = true;
+}
+
+static void encode_progress(ffl_flow_t *flow, GPtrArray *writes)
+{
+	GByteArray *value = g_byte_array_new();
+	char name[FFL_PROGRESS_NAME_BYTES];
+	ffl_write_t *w;
+
+	for (uint32_t i = 0; i < flow->parts_count; i++) {
+		if (!ffl_flow_progress_encode_changed(flow, i, value))
+			continue;
+		ffl_flow_progress_name(flow, i, name);
+		w = ffl_write_new(KEY_PROGRESS, name);
+		g_byte_array_append(w->value, value->data, value->len);
+		g_ptr_array_add(writes, w);
+	}
+	g_byte_array_unref(value);
 }
 
-static void add_batch(ffl_node_t *n)
+static void open_batch(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
 
 	l->batch = ffl_dispatch_take_batch(&n->dispatch, l->flows);
 	for (guint i = 0; i < l->flows->len; i++) {
 		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
-		ffl_write_t *w = ffl_write_new(KEY_PROGRESS, flow->spec.id);
 
-		ffl_flow_progress_encode(flow, w->value);
 		flow->batch_state = ffl_flow_state(flow);
-		g_ptr_array_add(l->writes, w);
+		encode_progress(flow, l->unsent);
+	}
+}
+
+/* Returns the number of records at the start of the batch that hold the
+ * progress of one job, and their size. */
+static guint next_job_records(const GPtrArray *writes, uint64_t *bytes)
+{
+	const ffl_write_t *first = g_ptr_array_index(writes, 0);
+	guint count = 0;
+
+	*bytes = 0;
+	while (count < writes->len) {
+		const ffl_write_t *w = g_ptr_array_index(writes, count);
+
+		/* The type, the job's id and perhaps the number of a part. */
+		if (strncmp(w->key, first->key, FFL_FLOW_ID_BYTES) != 0)
+			break;
+		*bytes += ffl_write_bytes(w);
+		count++;
+	}
+	return count;
+}
+
+/* Moves what fits of the batch into the append. The records of a job stay
+ * together unless they exceed an append by themselves. */
+static void fill_append(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+	uint64_t left = ffl_node_append_bytes_max(n);
+
+	left -= MIN(left, ffl_write_bytes(g_ptr_array_index(l->writes, 0)));
+	while (l->unsent->len) {
+		bool empty = l->writes->len == 1;
+		uint64_t bytes;
+		guint count = next_job_records(l->unsent, &bytes);
+
+		if (bytes > left && !empty)
+			return;
+		while (count--) {
+			ffl_write_t *w = g_ptr_array_index(l->unsent, 0);
+
+			bytes = ffl_write_bytes(w);
+			if (bytes > left && l->writes->len > 1)
+				return;
+			g_ptr_array_add(l->writes, w);
+			g_ptr_array_steal_index(l->unsent, 0);
+			left -= MIN(left, bytes);
+		}
 	}
 }
 
@@ -124,7 +216,7 @@
 		      "at=%" PRIu64 " before=%s silent_ms=%" PRIu64,
 		      n->tails[FFL_TOPIC_RUNS].next, l->holder,
 		      n->now_ms - l->holder_seen_ms);
-	open_append(n, true, false);
+	open_append(n, true);
 	l->expected_end = n->tails[FFL_TOPIC_RUNS].next;
 	send_append(n);
 }
@@ -184,27 +276,35 @@
 	l->retry_ms = n->now_ms + FFL_CLAIM_SPREAD_MS;
 }
 
-static void append_succeeded(ffl_node_t *n, uint64_t offset)
+static void confirm_batch(ffl_node_t *n)
 {
 	ffl_lead_t *l = &n->lead;
-	uint64_t end = offset + l->writes->len;
-	bool was_claim = l->is_claim;
 
-	l->authority_ms = l->sent_ms;
-	l->last_append_ms = n->now_ms;
-	l->expected_end = end;
-	n->tails[FFL_TOPIC_RUNS].next = end;
 	for (guint i = 0; i < l->flows->len; i++) {
 		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
 
 		ffl_flow_set_visible_state(flow, flow->batch_state);
 		flow->has_progress = true;
-		flow->progress_offset = end;
 	}
 	if (l->batch)
 		ffl_dispatch_confirm_batch(&n->dispatch, l->batch);
+	close_batch(n);
+}
+
+static void append_succeeded(ffl_node_t *n, uint64_t offset)
+{
+	ffl_lead_t *l = &n->lead;
+	uint64_t end = offset + l->writes->len;
+	bool was_claim = l->is_claim;
+
+	l->authority_ms = l->sent_ms;
+	l->last_append_ms = n->now_ms;
+	l->expected_end = end;
+	n->tails[FFL_TOPIC_RUNS].next = end;
+	if (!l->unsent->len)
+		confirm_batch(n);
 	ffl_dispatch_raise_token(&n->dispatch, end);
-	ffl_lead_discard_append(n);
+	close_append(n);
 	if (was_claim)
 		become_leader(n, offset);
 	else if (l->resigning)
@@ -337,14 +437,18 @@
 			send_append(n);
 		return;
 	}
-	if (!l->resign_requested && !n->dispatch.dirty &&
+	if (!l->batch && n->dispatch.dirty)
+		open_batch(n);
+	if (!l->resign_requested && !l->batch &&
 	    n->now_ms - l->last_append_ms < FFL_LEAD_HEARTBEAT_MS)
 		return;
-	open_append(n, false, l->resign_requested);
-	if (n->dispatch.dirty)
-		add_batch(n);
+	open_append(n, false);
+	if (l->batch)
+		fill_append(n);
 	else
 		ffl_prune(n);
+	if (l->resign_requested && !l->unsent->len)
+		announce_resignation(n);
 	send_append(n);
 }
 
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -101,6 +101,16 @@
 	g_free(w);
 }
 
+uint64_t ffl_write_bytes(const ffl_write_t *w)
+{
+	return FFL_RECORD_FRAME_BYTES + strlen(w->key) + w->value->len;
+}
+
+uint64_t ffl_node_append_bytes_max(const ffl_node_t *n)
+{
+	return MIN(n->opt.append_bytes_max, APPEND_BYTES_MAX);
+}
+
 ffl_node_act_t *ffl_node_add_append(ffl_node_t *n, ffl_topic_t topic,
 				    uint32_t timeout_ms)
 {
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -14,6 +14,8 @@
 #define KEY_STATE    's'
 /** Key of a leadership record. */
 #define KEY_LEAD "lead"
+/** Largest leadership record. */
+#define LEAD_RECORD_BYTES_MAX 128
 /** Key of the record by which a larger host asks the leader to resign. */
 #define KEY_RESIGN_REQUEST "want"
 
@@ -25,6 +27,10 @@
  * would queue beside the first attempt. */
 #define SHARED_APPEND_TIMEOUT_MS 2500
 
+/** Most bytes of one append, whatever the log allows: a slow link takes longer
+ * than APPEND_TIMEOUT_MS for more. */
+#define APPEND_BYTES_MAX (256U << 10)
+
 /* node.c */
 /** Adds an empty action to the output of this step; valid until the next one
  * is added. */
@@ -50,6 +56,10 @@
 /** Allocates a record with an empty value. Its key is @p kind followed by
  * @p id, or @p id alone if @p kind is '\0'. */
 ffl_write_t *ffl_write_new(char kind, const char *id);
+/** Returns the size of a record in an append. */
+uint64_t ffl_write_bytes(const ffl_write_t *w);
+/** Returns the most bytes that one append may have. */
+uint64_t ffl_node_append_bytes_max(const ffl_node_t *n);
 /** Frees an ffl_write_t. */
 void ffl_write_free(void *data);
 
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -1,7 +1,7 @@
 #include "lib/node/node_int.h"
 
-/** Interval between searches for ended jobs, and how many of them one search
- * removes at most. */
+/** Interval between searches for ended jobs, and the number of records after
+ * which one search removes no further job. */
 #define PRUNE_INTERVAL_MS 2000
 #define DROPS_MAX	  64
 /** How much longer an ended job is kept than it must be shown, as its caller
@@ -12,6 +12,7 @@
 #define SPEC_DROP_DELAY_MS 5000
 
 static bool is_prunable(const ffl_flow_t *flow);
+static void drop_progress(ffl_node_t *n, const ffl_flow_t *flow);
 static void add_progress_drops(ffl_node_t *n);
 static void drop_specs(ffl_node_t *n);
 
@@ -21,18 +22,32 @@
 	       !flow->placed_count;
 }
 
+/* All parts go in one append: without the first part, the job would start
+ * again. */
+static void drop_progress(ffl_node_t *n, const ffl_flow_t *flow)
+{
+	char name[FFL_PROGRESS_NAME_BYTES];
+
+	for (uint32_t i = 0; i < flow->parts_count; i++) {
+		if (i && !flow->parts[i].known)
+			continue;
+		ffl_flow_progress_name(flow, i, name);
+		g_ptr_array_add(n->lead.writes,
+				ffl_write_new(KEY_PROGRESS, name));
+	}
+}
+
 /* Removes the progress of jobs that ended long ago. Their specifications are
  * removed later, so that no progress is left without a specification. */
 static void add_progress_drops(ffl_node_t *n)
 {
 	uint64_t keep_ms =
 		(uint64_t)n->opt.keep_ended_ms + KEEP_ENDED_MARGIN_MS;
-	uint32_t count = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (count < DROPS_MAX &&
+	while (n->lead.writes->len < DROPS_MAX &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_flow_t *flow = value;
 
@@ -42,10 +57,8 @@
 			flow->ended_ms = n->now_ms;
 		if (n->now_ms - flow->ended_ms < keep_ms)
 			continue;
-		g_ptr_array_add(n->lead.writes,
-				ffl_write_new(KEY_PROGRESS, flow->spec.id));
+		drop_progress(n, flow);
 		flow->dropped_ms = n->now_ms;
-		count++;
 	}
 }
 
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -51,6 +51,8 @@
 			    ffl_response_kind_t kind);
 static bool resolve_pending(ffl_node_t *n, guint index);
 static bool expire_pending(ffl_node_t *n, guint index);
+static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
+		     const ffl_pending_t *p);
 static void send_appends(ffl_node_t *n);
 static uint32_t appends_in_flight(const ffl_node_t *n);
 
@@ -103,6 +105,18 @@
 	return !customer || strcmp(flow->spec.customer, customer) == 0;
 }
 
+/* A job whose records the log would refuse can never be served. */
+static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
+		     const ffl_pending_t *p)
+{
+	uint64_t bytes = MAX(p->record->len, ffl_flow_progress_bytes_max(spec));
+
+	/* Beside it an append holds a record of leadership. */
+	return bytes + FFL_RECORD_KEY_BYTES <= n->opt.record_bytes_max &&
+	       bytes + LEAD_RECORD_BYTES_MAX + 2 * FFL_RECORD_KEY_BYTES <=
+		       n->opt.append_bytes_max;
+}
+
 static void handle_submit(ffl_node_t *n, ffl_request_t *req,
 			  const ffl_route_t *route, const char *customer,
 			  const char *id)
@@ -149,6 +163,11 @@
 	p = add_pending(n, req, id);
 	p->record = g_byte_array_new();
 	ffl_flow_spec_encode(spec, p->record);
+	if (fits_log(n, spec, p))
+		return;
+	ffl_copy(respond(n, req->call, FFL_RESPONSE_INVALID)->problem,
+		 FFL_REASON_BYTES, "the job exceeds a record of the log");
+	g_ptr_array_remove(n->pending, p);
 }
 
 /* Returns true if a query received at received_ms can be answered without
@@ -390,6 +409,7 @@
  * more. */
 static void send_appends(ffl_node_t *n)
 {
+	uint64_t left = ffl_node_append_bytes_max(n);
 	ffl_node_act_t *act = NULL;
 
 	if (appends_in_flight(n) >= APPENDS_IN_FLIGHT_MAX)
@@ -400,12 +420,17 @@
 
 		if (!p->record || p->append_call || n->now_ms < p->retry_ms)
 			continue;
-		if (!act)
-			act = ffl_node_add_jobs_append(n);
 		w = ffl_write_new(p->kind == FFL_REQUEST_SUBMIT ? KEY_SPEC
 								: KEY_CANCEL,
 				  p->id);
 		g_byte_array_append(w->value, p->record->data, p->record->len);
+		if (act && ffl_write_bytes(w) > left) {
+			ffl_write_free(w);
+			return;
+		}
+		if (!act)
+			act = ffl_node_add_jobs_append(n);
+		left -= MIN(left, ffl_write_bytes(w));
 		g_ptr_array_add(act->store.writes, w);
 		p->append_call = act->store.call;
 		if (act->store.writes->len >= APPEND_RECORDS_MAX)
--- a/site/log.c
+++ b/site/log.c
@@ -171,6 +171,10 @@
 		mg_disable_connection_keep_alive(conn);
 		return 1;
 	}
+	if (outcome == FFL_STORE_UNKNOWN) {
+		site_http_send(conn, 400, "", 0);
+		return 1;
+	}
 	send_json(conn, outcome == FFL_STORE_OK ? 200 : 412,
 		  json_pack("{s:I,s:I}", "offset", (json_int_t)offset,
 			    "end_offset", (json_int_t)end));
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -757,6 +757,62 @@
 		==, FFL_FLOW_COMPLETED);
 }
 
+/* A job whose progress exceeds a record of the log must not keep the progress
+ * of other jobs out of the log. */
+static void progress_exceeds_record(site_t *s)
+{
+	uint32_t large = site_submit_repeated(s, 0, 43200, 1500, 300);
+	const ffl_flow_t *flow;
+	uint32_t job;
+
+	site_run(s, 2000);
+	g_assert_true(s->jobs[large].accepted);
+	job = site_submit(s, 1, 2, 2, 300, false);
+	site_run(s, 2000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 2);
+	site_kill(s, (uint32_t)site_leader(s), 1000);
+	site_run(s, 10000);
+	flow = find_job_at_leader(s, large);
+	g_assert_cmpuint(flow->done_count, >=, 6);
+	g_assert_cmpuint(flow->tasks[0].run, ==, 1);
+	site_cancel(s, (uint32_t)site_leader(s), large);
+	site_run(s, 1000);
+}
+
+/* The progress and the specifications of many jobs at once exceed an append. */
+static void batch_exceeds_append(site_t *s)
+{
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		s->topics[i].append_bytes_max = 700;
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].node.opt.append_bytes_max = 700;
+	for (uint32_t i = 0; i < 30; i++)
+		site_submit(s, i % 3, 1, 1, 300, false);
+	site_run(s, 8000);
+	for (uint32_t i = 0; i < 30; i++)
+		g_assert_cmpuint(g_hash_table_size(s->jobs[i].completed), ==,
+				 1);
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+		s->topics[i].append_bytes_max = KEYED_LOG_APPEND_BYTES_MAX;
+}
+
+/* A job is refused at once if the log would not take its progress. */
+static void job_exceeds_record(site_t *s)
+{
+	uint32_t fits;
+	uint32_t large;
+
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].node.opt.record_bytes_max = 1024;
+	fits = site_submit(s, 0, 2, 1, 300, false);
+	large = site_submit(s, 0, 4, 1, 300, false);
+	site_run(s, 3000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[fits].completed), ==, 2);
+	g_assert_false(s->jobs[large].accepted);
+	g_assert_null(
+		ffl_flows_find(&s->hosts[0].node.flows, s->jobs[large].id));
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -796,6 +852,9 @@
 	{ "state-removal-forgotten", state_removal_forgotten },
 	{ "late-drop-hides-state", late_drop_hides_state },
 	{ "dropped-state-stays-away", dropped_state_stays_away },
+	{ "progress-exceeds-record", progress_exceeds_record },
+	{ "batch-exceeds-append", batch_exceeds_append },
+	{ "job-exceeds-record", job_exceeds_record },
 };
 
 static void test_scenario(gconstpointer data)
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -273,6 +273,7 @@
 };
 
 static ffl_bytes_t bytes_of(const char *text);
+static void test_progress_parts(void);
 static void test_jobs(void);
 static void test_validate(void);
 static void test_appends(void);
@@ -997,7 +998,7 @@
 	ffl_flow_task_place(flow, 0, 1, "i-1", 17);
 	ffl_flow_task_set_checkpoint(flow, 0, "00b");
 	g_byte_array_set_size(bytes, 0);
-	ffl_flow_progress_encode(flow, bytes);
+	ffl_flow_progress_encode(flow, 0, bytes);
 	ffl_flow_task_set_state(flow, 0, FFL_TASK_DONE);
 	g_assert_cmpint(ffl_flows_apply_progress(
 				&flows, "5c0e7a21d94b36f8",
@@ -1014,10 +1015,78 @@
 	g_byte_array_unref(bytes);
 }
 
+/* The largest record of progress stays within its stated size, and the parts of
+ * a large job are read in any order. */
+static void test_progress_parts(void)
+{
+	GByteArray *parts[3];
+	char checkpoint[FFL_CHECKPOINT_BYTES_MAX + 1];
+	ffl_name_t worker;
+	ffl_flow_spec_t spec;
+	ffl_flows_t flows[2];
+	ffl_flow_t *flow[2];
+	ffl_err_t err;
+
+	memset(checkpoint, 'c', sizeof(checkpoint) - 1);
+	checkpoint[sizeof(checkpoint) - 1] = '\0';
+	memset(worker, 'w', sizeof(worker) - 1);
+	worker[sizeof(worker) - 1] = '\0';
+	for (uint32_t i = 0; i < 2; i++) {
+		ffl_flow_spec_init(&spec);
+		ffl_copy(spec.id, sizeof(spec.id), "5c0e7a21d94b36f8");
+		spec.spec = g_strdup("s");
+		spec.steps_count = 1;
+		spec.steps = g_new0(ffl_step_t, 1);
+		spec.steps[0].tasks = 2 * FFL_PROGRESS_TASKS_MAX + 1;
+		g_assert_cmpint(ffl_flow_spec_validate(&spec, &err), ==,
+				FFL_OK);
+		ffl_flows_init(&flows[i]);
+		flow[i] = ffl_flows_add(&flows[i], &spec, 1);
+	}
+	for (uint32_t i = 0; i < flow[0]->tasks_count; i++) {
+		ffl_flow_task_place(flow[0], i, UINT32_MAX, worker, INT64_MAX);
+		ffl_flow_task_set_checkpoint(flow[0], i, checkpoint);
+		flow[0]->tasks[i].failures = UINT32_MAX;
+		flow[0]->tasks[i].failed_run = UINT32_MAX;
+	}
+	g_assert_cmpuint(flow[0]->parts_count, ==, 3);
+	for (uint32_t i = 3; i-- > 0;) {
+		char name[FFL_PROGRESS_NAME_BYTES];
+
+		parts[i] = g_byte_array_new();
+		g_assert_true(
+			ffl_flow_progress_encode_changed(flow[0], i, parts[i]));
+		g_assert_cmpuint(parts[i]->len, <=,
+				 ffl_flow_progress_bytes_max(&flow[0]->spec));
+		ffl_flow_progress_name(flow[0], i, name);
+		g_assert_cmpint(
+			ffl_flows_apply_progress(
+				&flows[1], name,
+				(ffl_bytes_t){ parts[i]->data, parts[i]->len },
+				9 - i),
+			==, FFL_OK);
+		g_assert_false(
+			ffl_flow_progress_encode_changed(flow[0], i, parts[i]));
+		g_byte_array_unref(parts[i]);
+	}
+	g_assert_cmpuint(flow[1]->placed_count, ==, flow[1]->tasks_count);
+	g_assert_true(flow[1]->started);
+	for (uint32_t i = 0; i < flow[1]->tasks_count; i++)
+		g_assert_cmpstr(flow[1]->tasks[i].checkpoint, ==, checkpoint);
+	g_assert_cmpint(ffl_flows_apply_progress(&flows[1],
+						 "5c0e7a21d94b36f8.3",
+						 (ffl_bytes_t){ NULL, 0 }, 20),
+			==, FFL_INVALID);
+	ffl_flows_finish(&flows[0]);
+	ffl_flows_finish(&flows[1]);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/jobs", test_jobs);
+	g_test_add_func("/platform/progress-exceeds-record",
+			test_progress_parts);
 	g_test_add_func("/platform/validate", test_validate);
 	g_test_add_func("/platform/appends", test_appends);
 	g_test_add_func("/platform/starts", test_starts);
