config: log a version that cannot be read

A version that did not decode was dropped without a line, so that three causes looked alike: the version is not read, not decoded, or in force but its long names match nothing. config-unreadable has the part, offset and size.

--- a/fuzz/decode_fuzz.c
+++ b/fuzz/decode_fuzz.c
@@ -176,7 +176,7 @@
 	ffl_arena_init(&arena);
 	if (part == PART_JOB)
 		fault = decode_job(body);
-	else if (part == PART_CONFIG && ffl_pf_config_decode(body, &routes))
+	else if (part == PART_CONFIG && !ffl_pf_config_decode(body, &routes))
 		ffl_routes_finish(&routes);
 	else if (part == PART_ENTRY)
 		fault = decode_entry(body, &arena);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -86,8 +86,15 @@
  * never decreases. */
 static void apply_config(ffl_node_t *n, const ffl_store_record_t *rec)
 {
-	if (!rec->routes)
+	if (!rec->routes) {
+		/* The topic has records of other keys, too. */
+		if (rec->problem)
+			ffl_node_note(n, "config-unreadable", rec->key,
+				      "problem=%s offset=%" PRIu64 " bytes=%zu",
+				      rec->problem, rec->offset,
+				      rec->value.size_bytes);
 		return;
+	}
 	if (n->has_routes && rec->routes->version <= n->routes.version)
 		return;
 	ffl_routes_finish(&n->routes);
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -931,18 +931,23 @@
 		"\"period_ms\":2,\"valid_ms\":3000}}],"
 		"\"tenants\":[{\"name\":\"t\","
 		"\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":12}}]}";
-	static const char *const bad[] = { "",
-					   "[]",
-					   "{}",
-					   "{\"version\":-1}",
-					   "{\"version\":\"x\"}",
-					   "{\"version\":1,\"routes\":[7]}",
-					   "{\"version\":1,\"tenants\":[{"
-					   "\"api_keys\":[1]}]}" };
+	static const struct {
+		const char *text;
+		const char *problem;
+	} bad[] = {
+		{ "", "json" },
+		{ "[]", "json" },
+		{ "{}", "version" },
+		{ "{\"version\":-1}", "version" },
+		{ "{\"version\":\"x\"}", "version" },
+		{ "{\"version\":1,\"routes\":[7]}", "routes" },
+		{ "{\"version\":1,\"tenants\":[{\"api_keys\":[1]}]}",
+		  "tenants" },
+	};
 	const ffl_route_t *route;
 	ffl_routes_t routes;
 
-	g_assert_true(ffl_pf_config_decode(bytes_of(good), &routes));
+	g_assert_null(ffl_pf_config_decode(bytes_of(good), &routes));
 	g_assert_cmpuint(routes.version, ==, 7);
 	route = ffl_routes_match(&routes, "n.e:80", "/p/q/1");
 	g_assert_cmpstr(route->queue, ==, "q");
@@ -956,7 +961,9 @@
 	g_assert_null(ffl_routes_customer(&routes, "k3"));
 	ffl_routes_finish(&routes);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
-		g_assert_false(ffl_pf_config_decode(bytes_of(bad[i]), &routes));
+		g_assert_cmpstr(
+			ffl_pf_config_decode(bytes_of(bad[i].text), &routes),
+			==, bad[i].problem);
 }
 
 /* A specification and its progress decode to what was encoded; a truncated
