--- a/include/fireflyledge/routes.h
+++ b/include/fireflyledge/routes.h
@@ -10,14 +10,11 @@
 
 #include "fireflyledge/types.h"
 
-/** Size of a path prefix or host name in bytes, with its terminator. */
-#define FFL_PREFIX_BYTES 128
-
 /** A queue, and the host and path at which requests for it arrive. */
 typedef struct {
 	ffl_name_t queue;
-	char host[FFL_PREFIX_BYTES];   /**< host name; "": any */
-	char prefix[FFL_PREFIX_BYTES]; /**< path prefix; the job id follows */
+	char *host;   /**< host name; "": any */
+	char *prefix; /**< path prefix; the job id follows */
 	ffl_name_t service;
 	uint32_t priority;     /**< 0 is the highest */
 	uint32_t attempts_max; /**< failed runs of a task before its job fails;
@@ -34,11 +31,13 @@
 /** One version of the configuration. */
 typedef struct {
 	uint64_t version;
-	GArray *routes;		/**< of ffl_route_t */
+	GArray *routes;		/**< of ffl_route_t, owns their strings */
 	GHashTable *keys;	/**< customer's name by API key */
 	GHashTable *guaranteed; /**< number of GPUs by customer's name */
 } ffl_routes_t;
 
+/** Frees the strings of a route. */
+void ffl_route_clear(void *route);
 void ffl_routes_init(ffl_routes_t *routes);
 void ffl_routes_finish(ffl_routes_t *routes);
 /**
--- a/lib/node/routes.c
+++ b/lib/node/routes.c
@@ -4,10 +4,19 @@
 
 static bool host_matches(const ffl_route_t *route, const char *host);
 
+void ffl_route_clear(void *data)
+{
+	ffl_route_t *route = data;
+
+	g_clear_pointer(&route->host, g_free);
+	g_clear_pointer(&route->prefix, g_free);
+}
+
 void ffl_routes_init(ffl_routes_t *routes)
 {
 	routes->version = 0;
 	routes->routes = g_array_new(FALSE, TRUE, sizeof(ffl_route_t));
+	g_array_set_clear_func(routes->routes, ffl_route_clear);
 	routes->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	routes->guaranteed =
