load: count the steps that wait, by why

A job that waits beside free workers left no trace of the reason. The load line of a leader now counts the steps of the last placement pass for which there was no room, that were not tried as one that needs less had no room, and that leave room to guaranteed work.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -173,6 +173,14 @@
 	GArray *asked_born_ms;	  /**< of int64_t: their incarnations then */
 } ffl_advice_t;
 
+/** Why a step that may run has waiting tasks after a placement pass. */
+typedef enum {
+	FFL_WAIT_ROOM,	   /**< no worker has enough resources */
+	FFL_WAIT_SKIPPED,  /**< as one that demands less found no room */
+	FFL_WAIT_HEADROOM, /**< leaves resources to guaranteed work */
+	FFL_WAIT__MAX
+} ffl_wait_t;
+
 /** The dispatcher. */
 typedef struct {
 	ffl_dispatch_options_t opt;
@@ -204,6 +212,7 @@
 	ffl_note_fn_t note;
 	ffl_latency_fn_t measure;
 	void *note_user;		  /**< argument of note and measure */
+	uint32_t waiting[FFL_WAIT__MAX];  /**< steps, in the last pass */
 	uint64_t starts;		  /**< runs started */
 	uint64_t preempted;		  /**< runs preempted */
 	uint64_t repeats[FFL_REPLY__MAX]; /**< repeated start orders by outcome
--- a/jobd/load.c
+++ b/jobd/load.c
@@ -68,7 +68,8 @@
 		   "leading=%d of_ms=%" PRIu64 " core_us=%" PRIu64
 		   " client_us=%" PRIu64 " late_ms=%" PRIu64
 		   " events=%u drives=%u calls=%u connects=%u sent=%" PRIu64
-		   " received=%" PRIu64 " runs=%u open=%u",
+		   " received=%" PRIu64
+		   " runs=%u open=%u no_room=%u skipped=%u headroom=%u",
 		   n->lead.leading, period_ms,
 		   atomic_exchange(&load.busy_us[JOBD_THREAD_CORE], 0),
 		   atomic_exchange(&load.busy_us[JOBD_THREAD_CLIENT], 0),
@@ -77,7 +78,10 @@
 		   atomic_exchange(&load.connects, 0),
 		   atomic_exchange(&load.sent_bytes, 0),
 		   atomic_exchange(&load.received_bytes, 0),
-		   n->dispatch.runs->len, n->flows.open->len);
+		   n->dispatch.runs->len, n->flows.open->len,
+		   n->dispatch.waiting[FFL_WAIT_ROOM],
+		   n->dispatch.waiting[FFL_WAIT_SKIPPED],
+		   n->dispatch.waiting[FFL_WAIT_HEADROOM]);
 	jobd_line("load", n->opt.name, text);
 }
 
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -290,15 +290,22 @@
 	if (!has_waiting_tasks(req) ||
 	    !ffl_flow_step_ready(req->flow, req->occurrence, req->step_index))
 		return;
-	if (!req->guaranteed &&
-	    (ffl_is_infeasible(d, req) || must_leave_headroom(d, req)))
+	if (!req->guaranteed && ffl_is_infeasible(d, req)) {
+		d->waiting[FFL_WAIT_SKIPPED]++;
 		return;
+	}
+	if (!req->guaranteed && must_leave_headroom(d, req)) {
+		d->waiting[FFL_WAIT_HEADROOM]++;
+		return;
+	}
 	if (req->step->gang)
 		place_gang(d, req);
 	else
 		place_tasks(d, req);
-	if (has_waiting_tasks(req))
-		ffl_advice_request(d, req);
+	if (!has_waiting_tasks(req))
+		return;
+	d->waiting[FFL_WAIT_ROOM]++;
+	ffl_advice_request(d, req);
 }
 
 static void place_flow(ffl_dispatch_t *d, ffl_flow_t *flow, bool guaranteed,
@@ -339,6 +346,7 @@
 	}
 	ffl_count_free_gpus(d);
 	g_array_set_size(d->infeasible, 0);
+	memset(d->waiting, 0, sizeof(d->waiting));
 	g_ptr_array_sort(ranked, compare_rank);
 	mark_guaranteed(d, ranked, guaranteed_flows);
 	for (int pass = 0; pass < 2; pass++) {
