dispatch: a full service bars no work of another one

Cause: a step that demands at least as much as one that found no room in the pass is not tried. What failed was kept without the service in which it was looked for, so that it counted for all services.

Change: the service is part of the demand.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -181,6 +181,7 @@
 /** Resource demand that could not be met in the current pass. */
 typedef struct {
 	ffl_resources_t resources; /**< of one task */
+	const char *service;
 	const char *label;
 	const char *rack; /**< "": tried in any rack */
 	uint32_t tasks;
--- a/lib/dispatch/infeasible.c
+++ b/lib/dispatch/infeasible.c
@@ -7,6 +7,7 @@
 static ffl_demand_t demand_of(const ffl_place_request_t *req)
 {
 	ffl_demand_t demand = { .resources = ffl_step_resources(req->step),
+				.service = req->flow->spec.service,
 				.label = req->step->label,
 				.rack = req->step->rack,
 				.tasks = req->step->gang ? req->step->tasks : 1,
@@ -31,7 +32,8 @@
 		const ffl_demand_t *failed =
 			&g_array_index(d->infeasible, ffl_demand_t, i);
 
-		if (ffl_resources_fit(&demand.resources, &failed->resources) &&
+		if (strcmp(failed->service, demand.service) == 0 &&
+		    ffl_resources_fit(&demand.resources, &failed->resources) &&
 		    demand.tasks >= failed->tasks &&
 		    demand.gang == failed->gang &&
 		    (one_rack || !failed->one_rack) &&
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -724,6 +724,56 @@
 	}
 }
 
+/* Moves a worker to another service and rack. */
+static void move_worker(test_bed_t *b, uint32_t worker, const char *service,
+			const char *rack)
+{
+	ffl_worker_entry_t *entry = &b->workers[worker].entry;
+
+	ffl_copy(entry->service, sizeof(entry->service), service);
+	ffl_copy(entry->rack, sizeof(entry->rack), rack);
+	ffl_dispatch_update_worker(&b->d, entry, b->now_ms, b->now_ms);
+}
+
+/* A step that finds no room in one service keeps no step of another service
+ * waiting, whatever else they have in common. */
+static void test_full_service_bars_idle(void)
+{
+	static const ffl_step_t steps[] = {
+		{ .tasks = 2, .gpus = 1 },
+		{ .tasks = 1, .gpus = 8 },
+		{ .tasks = 2, .gpus = 1, .gang = true },
+		{ .tasks = 2, .gpus = 1, .gang = true, .same_rack = true },
+		{ .tasks = 2, .gpus = 1, .rack = "r1" },
+		{ .tasks = 2, .gpus = 1, .runs_until_cancelled = true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		ffl_flow_t *waits;
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		test_bed_init(&b, 4);
+		move_worker(&b, 2, "fitting", "r1");
+		move_worker(&b, 3, "fitting", "r1");
+		submit(&b, "full", 1,
+		       (ffl_step_t){ .tasks = 16,
+				     .gpus = 1,
+				     .runs_until_cancelled = true });
+		run_for_ms(&b, 200);
+		waits = submit(&b, "waits", 1, steps[i]);
+		waits->spec_offset = 1;
+		flow = submit(&b, "idle", 1, steps[i]);
+		ffl_copy(flow->spec.service, sizeof(flow->spec.service),
+			 "fitting");
+		flow->spec_offset = 2;
+		run_for_ms(&b, 300);
+		g_assert_false(waits->started);
+		g_assert_true(flow->started);
+		test_bed_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -743,5 +793,7 @@
 	g_test_add_func("/dispatch/guarantee-skips",
 			test_guarantee_skips_large);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
+	g_test_add_func("/dispatch/full-service-bars-idle-one",
+			test_full_service_bars_idle);
 	return g_test_run();
 }
