dispatch: a step bound to its data's rack bars none that may run elsewhere

A step that has waited long enough to run elsewhere was not tried while another one was still waiting for the rack.

Change: a search that failed in a rack counts only for steps that are limited to the rack too.

Before: /dispatch/full-rack-bars-remote-work fails, the older job is not started with half of the GPUs free. After: dispatch tests pass.

--- a/lib/dispatch/infeasible.c
+++ b/lib/dispatch/infeasible.c
@@ -25,8 +25,8 @@
 bool ffl_is_infeasible(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
 	ffl_demand_t demand = demand_of(req);
-	bool one_rack = req->step->gang && req->step->same_rack &&
-			!ffl_allows_remote(d, req);
+	bool local = !ffl_allows_remote(d, req);
+	bool one_rack = req->step->gang && req->step->same_rack && local;
 
 	for (guint i = 0; i < d->infeasible->len; i++) {
 		const ffl_demand_t *failed =
@@ -41,7 +41,7 @@
 		    (!failed->label[0] ||
 		     strcmp(failed->label, demand.label) == 0) &&
 		    (!failed->rack[0] ||
-		     strcmp(failed->rack, demand.rack) == 0))
+		     (local && strcmp(failed->rack, demand.rack) == 0)))
 			return true;
 	}
 	return false;
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -774,6 +774,38 @@
 	}
 }
 
+/* A step that may only run close to its data keeps none waiting that may run
+ * elsewhere by now. */
+static void test_full_rack_bars_remote(void)
+{
+	static const ffl_step_t steps[] = {
+		{ .tasks = 2, .gpus = 1, .rack = "r1" },
+		{ .tasks = 2, .gpus = 1, .rack = "r1", .gang = true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		ffl_flow_t *later;
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		test_bed_init(&b, 2);
+		move_worker(&b, 1, "survey", "r2");
+		submit(&b, "full", 1,
+		       (ffl_step_t){ .tasks = 8,
+				     .gpus = 1,
+				     .rack = "r1",
+				     .runs_until_cancelled = true });
+		run_for_ms(&b, 500);
+		flow = submit(&b, "first", 2, steps[i]);
+		run_for_ms(&b, b.work_ms / 4);
+		later = submit(&b, "later", 1, steps[i]);
+		run_for_ms(&b, b.work_ms / 4 + 300);
+		g_assert_false(later->started);
+		g_assert_true(flow->started);
+		test_bed_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -795,5 +827,7 @@
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	g_test_add_func("/dispatch/full-service-bars-idle-one",
 			test_full_service_bars_idle);
+	g_test_add_func("/dispatch/full-rack-bars-remote-work",
+			test_full_rack_bars_remote);
 	return g_test_run();
 }
