dispatch: count free GPUs by service

Cause: the share of free GPUs, below which jobs with slack leave room to guaranteed work and above which a step may run away from its data, was taken over the workers of all services, though a step runs on those of one.

Change: it is counted for each service.

Before: /dispatch/headroom-of-other-service fails: a job of an idle service with 8 of all 40 GPUs waits for its slack to pass while another service is full. After: dispatch, incarnation and node tests pass.

--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -153,22 +153,41 @@
 {
 	const GPtrArray *listed = ffl_listed_workers(d);
 
-	d->gpus_total = 0;
-	d->gpus_free = 0;
+	g_hash_table_remove_all(d->gpus);
 	for (guint i = 0; i < listed->len; i++) {
 		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
+		ffl_gpu_count_t *count =
+			g_hash_table_lookup(d->gpus, w->entry.service);
 
 		if (w->entry.draining)
 			continue;
-		d->gpus_total += w->entry.capacity.gpus;
-		d->gpus_free += ffl_dispatch_worker_available(w).gpus;
+		if (!count) {
+			count = g_new0(ffl_gpu_count_t, 1);
+			g_hash_table_insert(d->gpus, g_strdup(w->entry.service),
+					    count);
+		}
+		count->total += w->entry.capacity.gpus;
+		count->free += ffl_dispatch_worker_available(w).gpus;
 	}
 }
 
-uint32_t ffl_free_gpus_percent(const ffl_dispatch_t *d)
+void ffl_take_free_gpus(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
-	return d->gpus_total
-		       ? (uint32_t)(d->gpus_free * PERCENT / d->gpus_total)
+	ffl_gpu_count_t *count =
+		g_hash_table_lookup(d->gpus, req->flow->spec.service);
+
+	if (count)
+		count->free -= MIN(count->free, req->step->gpus);
+}
+
+uint32_t ffl_free_gpus_percent(const ffl_dispatch_t *d,
+			       const ffl_place_request_t *req)
+{
+	const ffl_gpu_count_t *count =
+		g_hash_table_lookup(d->gpus, req->flow->spec.service);
+
+	return count && count->total
+		       ? (uint32_t)(count->free * PERCENT / count->total)
 		       : PERCENT;
 }
 
@@ -188,7 +207,7 @@
 						 PERCENT)
 		return true;
 	if (req->flow->spec.priority > 0 &&
-	    ffl_free_gpus_percent(d) >= REMOTE_FREE_PERCENT)
+	    ffl_free_gpus_percent(d, req) >= REMOTE_FREE_PERCENT)
 		return waited >= run_ms * REMOTE_WAIT_PERCENT / PERCENT;
 	return waited >= more_ms;
 }
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -47,6 +47,8 @@
 					 g_free);
 	d->mean_run_ms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	d->gpus =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->infeasible = g_array_new(FALSE, TRUE, sizeof(ffl_demand_t));
 	ffl_advice_init(&d->advice);
 	d->next_batch = 1;
@@ -59,6 +61,7 @@
 	g_hash_table_destroy(d->runs_by_flow);
 	ffl_racks_finish(d);
 	g_hash_table_destroy(d->mean_run_ms);
+	g_hash_table_destroy(d->gpus);
 	g_array_free(d->infeasible, TRUE);
 	ffl_advice_finish(&d->advice);
 	g_hash_table_destroy(d->calls);
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -247,10 +247,14 @@
 			     ffl_dispatch_worker_t **chosen);
 /** Returns true if a step may run away from its data or spread over racks. */
 bool ffl_allows_remote(const ffl_dispatch_t *d, const ffl_place_request_t *req);
-/** Counts the free GPUs at the start of a placement pass. */
+/** Counts the free GPUs of each service at the start of a placement pass. */
 void ffl_count_free_gpus(ffl_dispatch_t *d);
-/** Returns the share of GPUs that are free, in percent. */
-uint32_t ffl_free_gpus_percent(const ffl_dispatch_t *d);
+/** Counts the GPUs of a task that was placed as used. */
+void ffl_take_free_gpus(ffl_dispatch_t *d, const ffl_place_request_t *req);
+/** Returns the share of the GPUs of a step's service that are free, in percent.
+ */
+uint32_t ffl_free_gpus_percent(const ffl_dispatch_t *d,
+			       const ffl_place_request_t *req);
 
 /* throttle.c */
 
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -134,7 +134,7 @@
 	ffl_flow_task_place(req->flow, task, run, w->entry.id,
 			    w->entry.born_ms);
 	ffl_run_add(d, req->flow, task, run, w, req->now_ms);
-	d->gpus_free -= MIN(d->gpus_free, req->step->gpus);
+	ffl_take_free_gpus(d, req);
 	ffl_dispatch_mark_dirty(d, req->flow);
 }
 
@@ -272,7 +272,7 @@
 {
 	uint32_t headroom = ffl_rank_headroom_percent(req->flow);
 
-	return headroom && ffl_free_gpus_percent(d) < headroom &&
+	return headroom && ffl_free_gpus_percent(d, req) < headroom &&
 	       ffl_rank_has_slack(d, req->flow, req->now_ms);
 }
 
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -806,6 +806,25 @@
 	}
 }
 
+/* A job with slack leaves room to guaranteed work of its own service only. */
+static void test_headroom_of_other_service(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 5);
+	move_worker(&b, 4, "fitting", "r1");
+	submit(&b, "full", 1,
+	       (ffl_step_t){
+		       .tasks = 32, .gpus = 1, .runs_until_cancelled = true });
+	run_for_ms(&b, 500);
+	flow = submit(&b, "idle", 2, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	ffl_copy(flow->spec.service, sizeof(flow->spec.service), "fitting");
+	run_for_ms(&b, 300);
+	g_assert_true(flow->started);
+	test_bed_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -829,5 +848,7 @@
 			test_full_service_bars_idle);
 	g_test_add_func("/dispatch/full-rack-bars-remote-work",
 			test_full_rack_bars_remote);
+	g_test_add_func("/dispatch/headroom-of-other-service",
+			test_headroom_of_other_service);
 	return g_test_run();
 }
