--- a/fakes/site.c
+++ b/fakes/site.c
@@ -124,6 +124,8 @@
 		1;
 	site_job_t *job;
 
+	if (response->call == s->asked_call)
+		s->answer = *response;
 	if (index >= s->jobs_count)
 		return;
 	job = &s->jobs[index];
@@ -288,8 +290,18 @@
 		route.priority = 0;
 		route.needs_tickets = s->tickets_required;
 		g_array_append_val(rec->routes->routes, route);
-		g_hash_table_replace(rec->routes->keys, g_strdup("key"),
+		ffl_copy(route.queue, sizeof(route.queue), "open");
+		route.host = g_strdup("");
+		route.prefix = g_strdup("/open/");
+		route.priority = 1;
+		route.needs_tickets = false;
+		route.open_to_all = true;
+		g_array_append_val(rec->routes->routes, route);
+		g_hash_table_replace(rec->routes->keys, g_strdup(SITE_KEY),
 				     g_strdup("ponds"));
+		g_hash_table_replace(rec->routes->keys,
+				     g_strdup(SITE_OTHER_KEY),
+				     g_strdup("tailors"));
 		g_hash_table_replace(rec->routes->guaranteed, g_strdup("ponds"),
 				     GUINT_TO_POINTER(16));
 	}
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -19,6 +19,10 @@
 #define SITE_JOBS_MAX	 48
 /** Tasks of a job whose waiting times are checked. */
 #define SITE_WATCHED_TASKS 8
+/** API keys of two customers. The queues /lining/ and /dew/ need one, /open/
+ * does not. */
+#define SITE_KEY       "key"
+#define SITE_OTHER_KEY "key-2"
 /** Step of virtual time. */
 #define SITE_STEP_MS 10
 /** Time between reports of a worker. */
@@ -126,8 +130,10 @@
 		*order_worker;	       /**< worker that is handling an order */
 	char ticket[FFL_TICKET_BYTES]; /**< ticket that order_worker expects */
 	uint64_t watched_token; /**< of the leader in whose time tasks wait */
-	const char *violation;	/**< first violation, or NULL */
-	char detail[160];	/**< job, step or task of the violation */
+	uint64_t asked_call;	/**< last request of site_ask() */
+	ffl_act_response_t answer; /**< to it; call 0: none yet */
+	const char *violation;	   /**< first violation, or NULL */
+	char detail[160];	   /**< job, step or task of the violation */
 } site_t;
 
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers);
@@ -154,6 +160,18 @@
 /** Queries the state of a job at a host. */
 void site_query(site_t *s, uint32_t host, uint32_t job);
 
+/**
+ * Sends a request with any path and key to a host and runs until it is
+ * answered. The oracle does not know of it.
+ *
+ * @param key API key: SITE_KEY, SITE_OTHER_KEY or ""
+ * @param gpus of the single task of a submission
+ * @return the answer; its call is 0 if none came within the caller's deadline
+ */
+const ffl_act_response_t *site_ask(site_t *s, uint32_t host,
+				   ffl_request_kind_t kind, const char *path,
+				   const char *key, uint32_t gpus);
+
 /** Kills a host, which starts again @p restart_ms later. */
 void site_kill(site_t *s, uint32_t host, uint32_t restart_ms);
 /** Asks a host to stop cleanly. */
--- a/fakes/site_requests.c
+++ b/fakes/site_requests.c
@@ -5,6 +5,8 @@
 
 /** Thousandths of a core, and MB, that a task takes for each of its GPUs. */
 #define PER_GPU 1000
+/** How long a caller waits for an answer. */
+#define DEADLINE_MS 3000
 
 static site_job_t *new_job(site_t *s, uint32_t work_ms);
 static site_job_t *new_single_step_job(site_t *s, uint32_t tasks, uint32_t gpus,
@@ -109,8 +111,8 @@
 	ev.request.kind = what;
 	ev.request.host = "ponds.example";
 	ev.request.path = path;
-	ev.request.key = "key";
-	ev.request.deadline_ms = 3000;
+	ev.request.key = SITE_KEY;
+	ev.request.deadline_ms = DEADLINE_MS;
 	if (what == FFL_REQUEST_SUBMIT) {
 		spec.spec = g_strdup(j->spec.spec);
 		spec.occurrences = j->spec.occurrences;
@@ -149,3 +151,32 @@
 {
 	send_request(s, host, job, FFL_REQUEST_QUERY);
 }
+
+const ffl_act_response_t *site_ask(site_t *s, uint32_t host,
+				   ffl_request_kind_t kind, const char *path,
+				   const char *key, uint32_t gpus)
+{
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_REQUEST };
+	ffl_flow_spec_t spec = { .spec = g_strdup("spec"), .steps_count = 1 };
+
+	spec.steps = g_new0(ffl_step_t, 1);
+	spec.steps[0] = (ffl_step_t){ .tasks = 1,
+				      .cpu_milli = gpus * PER_GPU,
+				      .mem_mb = gpus * PER_GPU,
+				      .gpus = gpus };
+	ev.request.call = ++s->next_call;
+	ev.request.kind = kind;
+	ev.request.host = "ponds.example";
+	ev.request.path = path;
+	ev.request.key = key;
+	ev.request.deadline_ms = DEADLINE_MS;
+	ev.request.spec = kind == FFL_REQUEST_SUBMIT ? &spec : NULL;
+	s->asked_call = ev.request.call;
+	s->answer.call = 0;
+	site_step_host(s, host, &ev);
+	for (uint32_t ms = 0; !s->answer.call && ms < DEADLINE_MS;
+	     ms += SITE_STEP_MS)
+		site_run(s, SITE_STEP_MS);
+	ffl_flow_spec_finish(&spec);
+	return &s->answer;
+}
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -182,6 +182,8 @@
 	GHashTable *early_cancels;  /**< set of ids that were cancelled */
 } ffl_flows_t;
 
+/** Returns true if an id is 16 hexadecimal digits. */
+bool ffl_flow_id_is_valid(const char *id);
 void ffl_flow_spec_init(ffl_flow_spec_t *spec);
 void ffl_flow_spec_finish(ffl_flow_spec_t *spec);
 
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -106,10 +106,10 @@
 	FFL_RESPONSE_STATE,   /**< state of a job */
 	FFL_RESPONSE_PENDING, /**< number of jobs that wait in a queue */
 	FFL_RESPONSE_CANCELLED,
-	FFL_RESPONSE_GONE, /**< no such job */
+	FFL_RESPONSE_GONE, /**< no such job in this queue that is the
+			    * caller's */
 	FFL_RESPONSE_NO_ROUTE,
-	FFL_RESPONSE_NO_KEY,	/**< missing or unknown API key */
-	FFL_RESPONSE_NOT_YOURS, /**< the job is another customer's */
+	FFL_RESPONSE_NO_KEY, /**< missing or unknown API key */
 	FFL_RESPONSE_INVALID,
 	FFL_RESPONSE_CONFLICT, /**< the id belongs to a different job */
 	FFL_RESPONSE_NO_METHOD,
@@ -256,6 +256,8 @@
 	uint64_t call; /**< number of the request */
 	ffl_request_kind_t kind;
 	char id[FFL_FLOW_ID_BYTES];
+	ffl_name_t queue;     /**< through which the request came */
+	ffl_name_t customer;  /**< whose key it carries; "": none */
 	uint64_t deadline_ms; /**< when it must be answered */
 	uint64_t received_ms;
 	uint64_t append_call; /**< append in flight with its record; 0: none */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -5,7 +5,6 @@
 static void flow_free(void *data);
 static void task_clear(ffl_task_t *task);
 static void set_checkpoint(ffl_task_t *task, const char *checkpoint);
-static bool is_valid_id(const char *id);
 static int compare_age(const void *a, const void *b);
 static void adopt_early_progress(ffl_flows_t *flows, ffl_flow_t *flow);
 static bool parse_progress_name(const char *name, char id[FFL_FLOW_ID_BYTES],
@@ -45,7 +44,7 @@
 	memset(spec, 0, sizeof(*spec));
 }
 
-static bool is_valid_id(const char *id)
+bool ffl_flow_id_is_valid(const char *id)
 {
 	return strlen(id) == FFL_FLOW_ID_BYTES - 1 &&
 	       strspn(id, "0123456789abcdefABCDEF") == FFL_FLOW_ID_BYTES - 1;
@@ -55,7 +54,7 @@
 {
 	uint64_t tasks = 0;
 
-	if (!is_valid_id(spec->id))
+	if (!ffl_flow_id_is_valid(spec->id))
 		return ffl_err_set(err, FFL_INVALID,
 				   "the id is not 16 hexadecimal digits");
 	if (!spec->spec || strlen(spec->spec) > FFL_FLOW_SPEC_BYTES_MAX)
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -52,7 +52,6 @@
 	[FFL_RESPONSE_GONE] = "gone",
 	[FFL_RESPONSE_NO_ROUTE] = "no-route",
 	[FFL_RESPONSE_NO_KEY] = "no-key",
-	[FFL_RESPONSE_NOT_YOURS] = "not-yours",
 	[FFL_RESPONSE_INVALID] = "invalid",
 	[FFL_RESPONSE_CONFLICT] = "conflict",
 	[FFL_RESPONSE_NO_METHOD] = "no-method",
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -45,8 +45,10 @@
 static ffl_act_response_t *respond(ffl_node_t *n, uint64_t call,
 				   ffl_response_kind_t kind);
 static ffl_pending_t *add_pending(ffl_node_t *n, const ffl_request_t *req,
-				  const char *id);
-static bool may_access(const ffl_flow_t *flow, const char *customer);
+				  const ffl_route_t *route,
+				  const char *customer, const char *id);
+static const ffl_flow_t *find_owned(const ffl_node_t *n, const char *id,
+				    const char *queue, const char *customer);
 static void respond_pending(ffl_node_t *n, guint index,
 			    ffl_response_kind_t kind);
 static bool resolve_pending(ffl_node_t *n, guint index);
@@ -83,8 +85,10 @@
 	return &act->response;
 }
 
+/* The caller has checked that the id is valid. */
 static ffl_pending_t *add_pending(ffl_node_t *n, const ffl_request_t *req,
-				  const char *id)
+				  const ffl_route_t *route,
+				  const char *customer, const char *id)
 {
 	ffl_pending_t *p = g_new0(ffl_pending_t, 1);
 	uint32_t wait_ms =
@@ -93,6 +97,8 @@
 	p->call = req->call;
 	p->kind = req->kind;
 	ffl_copy(p->id, sizeof(p->id), id);
+	ffl_copy(p->queue, sizeof(p->queue), route->queue);
+	ffl_copy(p->customer, sizeof(p->customer), customer ? customer : "");
 	p->received_ms = n->now_ms;
 	p->deadline_ms = n->now_ms + MAX(wait_ms, 2 * RESPONSE_MARGIN_MS) -
 			 RESPONSE_MARGIN_MS;
@@ -100,9 +106,18 @@
 	return p;
 }
 
-static bool may_access(const ffl_flow_t *flow, const char *customer)
+/* Returns the job that a request may read and cancel, or NULL. A job that came
+ * without a customer belongs to everybody who may use its queue. */
+static const ffl_flow_t *find_owned(const ffl_node_t *n, const char *id,
+				    const char *queue, const char *customer)
 {
-	return !customer || strcmp(flow->spec.customer, customer) == 0;
+	const ffl_flow_t *flow = ffl_flows_find(&n->flows, id);
+
+	if (!flow || strcmp(flow->spec.queue, queue) != 0 ||
+	    (flow->spec.customer[0] &&
+	     strcmp(flow->spec.customer, customer ? customer : "") != 0))
+		return NULL;
+	return flow;
 }
 
 /* A job whose records the log would refuse can never be served. */
@@ -160,7 +175,7 @@
 				: FFL_RESPONSE_CONFLICT);
 		return;
 	}
-	p = add_pending(n, req, id);
+	p = add_pending(n, req, route, customer, id);
 	p->record = g_byte_array_new();
 	ffl_flow_spec_encode(spec, p->record);
 	if (fits_log(n, spec, p))
@@ -193,17 +208,19 @@
 			ffl_flows_queued_count(&n->flows, route->queue);
 		return;
 	}
-	flow = ffl_flows_find(&n->flows, id);
+	if (!ffl_flow_id_is_valid(id)) {
+		respond(n, req->call, FFL_RESPONSE_GONE);
+		return;
+	}
+	flow = find_owned(n, id, route->queue, customer);
 	if (!flow) {
-		add_pending(n, req, id);
+		add_pending(n, req, route, customer, id);
 		ffl_tail_peek(n, FFL_TOPIC_JOBS);
-	} else if (!may_access(flow, customer)) {
-		respond(n, req->call, FFL_RESPONSE_NOT_YOURS);
 	} else if (is_state_current(n, flow, n->now_ms)) {
 		respond(n, req->call, FFL_RESPONSE_STATE)->state =
 			flow->visible_state;
 	} else {
-		add_pending(n, req, id);
+		add_pending(n, req, route, customer, id);
 		ffl_tail_peek(n, FFL_TOPIC_STATES);
 	}
 }
@@ -212,18 +229,16 @@
 			  const ffl_route_t *route, const char *customer,
 			  const char *id)
 {
-	const ffl_flow_t *flow = ffl_flows_find(&n->flows, id);
-
 	if (!id[0]) {
 		respond(n, req->call, FFL_RESPONSE_NO_METHOD);
 		return;
 	}
-	if (flow && !may_access(flow, customer)) {
-		respond(n, req->call, FFL_RESPONSE_NOT_YOURS);
+	if (!ffl_flow_id_is_valid(id)) {
+		respond(n, req->call, FFL_RESPONSE_GONE);
 		return;
 	}
-	add_pending(n, req, id);
-	if (!flow)
+	add_pending(n, req, route, customer, id);
+	if (!find_owned(n, id, route->queue, customer))
 		ffl_tail_peek(n, FFL_TOPIC_JOBS);
 }
 
@@ -318,7 +333,7 @@
 			    ffl_response_kind_t kind)
 {
 	const ffl_pending_t *p = g_ptr_array_index(n->pending, index);
-	const ffl_flow_t *flow = ffl_flows_find(&n->flows, p->id);
+	const ffl_flow_t *flow = find_owned(n, p->id, p->queue, p->customer);
 	ffl_act_response_t *act = respond(n, p->call, kind);
 
 	if (kind == FFL_RESPONSE_STATE && flow)
@@ -339,7 +354,7 @@
 static bool resolve_pending(ffl_node_t *n, guint index)
 {
 	ffl_pending_t *p = g_ptr_array_index(n->pending, index);
-	const ffl_flow_t *flow = ffl_flows_find(&n->flows, p->id);
+	const ffl_flow_t *flow = find_owned(n, p->id, p->queue, p->customer);
 	bool current = n->tails[FFL_TOPIC_JOBS].synced &&
 		       n->tails[FFL_TOPIC_JOBS].caught_up_ms >= p->received_ms;
 
