--- a/fakes/site.c
+++ b/fakes/site.c
@@ -124,10 +124,12 @@
 		1;
 	site_job_t *job;
 
-	if (response->call == s->asked_call)
-		s->answer = *response;
-	if (index >= s->jobs_count)
+	if (index >= s->jobs_count) {
+		g_hash_table_insert(s->answers,
+				    GSIZE_TO_POINTER(response->call),
+				    g_memdup2(response, sizeof(*response)));
 		return;
+	}
 	job = &s->jobs[index];
 	switch (response->kind) {
 	case FFL_RESPONSE_ACCEPTED:
@@ -467,6 +469,7 @@
 	s->act_buf = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
 	s->open = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->jobs_by_call = g_hash_table_new(NULL, NULL);
+	s->answers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->settled_runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->repeated_runs =
@@ -510,6 +513,7 @@
 	site_workers_finish(s);
 	g_hash_table_destroy(s->open);
 	g_hash_table_destroy(s->jobs_by_call);
+	g_hash_table_destroy(s->answers);
 	g_hash_table_destroy(s->settled_runs);
 	g_hash_table_destroy(s->repeated_runs);
 	g_array_free(s->act_buf, TRUE);
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -130,10 +130,10 @@
 		*order_worker;	       /**< worker that is handling an order */
 	char ticket[FFL_TICKET_BYTES]; /**< ticket that order_worker expects */
 	uint64_t watched_token; /**< of the leader in whose time tasks wait */
-	uint64_t asked_call;	/**< last request of site_ask() */
-	ffl_act_response_t answer; /**< to it; call 0: none yet */
-	const char *violation;	   /**< first violation, or NULL */
-	char detail[160];	   /**< job, step or task of the violation */
+	GHashTable *answers;	/**< ffl_act_response_t by call, to requests of
+				 * site_send() */
+	const char *violation;	/**< first violation, or NULL */
+	char detail[160];	/**< job, step or task of the violation */
 } site_t;
 
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers);
@@ -161,16 +161,18 @@
 void site_query(site_t *s, uint32_t host, uint32_t job);
 
 /**
- * Sends a request with any path and key to a host and runs until it is
- * answered. The oracle does not know of it.
+ * Sends a request with any path and key to a host. The oracle does not know of
+ * it.
  *
  * @param key API key: SITE_KEY, SITE_OTHER_KEY or ""
  * @param gpus of the single task of a submission
- * @return the answer; its call is 0 if none came within the caller's deadline
+ * @return number of the request
  */
-const ffl_act_response_t *site_ask(site_t *s, uint32_t host,
-				   ffl_request_kind_t kind, const char *path,
-				   const char *key, uint32_t gpus);
+uint64_t site_send(site_t *s, uint32_t host, ffl_request_kind_t kind,
+		   const char *path, const char *key, uint32_t gpus);
+/** Runs until a request is answered; the answer is NULL if none comes within
+ * the caller's deadline. */
+const ffl_act_response_t *site_answer(site_t *s, uint64_t call);
 
 /** Kills a host, which starts again @p restart_ms later. */
 void site_kill(site_t *s, uint32_t host, uint32_t restart_ms);
--- a/fakes/site_requests.c
+++ b/fakes/site_requests.c
@@ -152,9 +152,8 @@
 	send_request(s, host, job, FFL_REQUEST_QUERY);
 }
 
-const ffl_act_response_t *site_ask(site_t *s, uint32_t host,
-				   ffl_request_kind_t kind, const char *path,
-				   const char *key, uint32_t gpus)
+uint64_t site_send(site_t *s, uint32_t host, ffl_request_kind_t kind,
+		   const char *path, const char *key, uint32_t gpus)
 {
 	ffl_node_event_t ev = { .kind = FFL_NODE_EV_REQUEST };
 	ffl_flow_spec_t spec = { .spec = g_strdup("spec"), .steps_count = 1 };
@@ -171,12 +170,19 @@
 	ev.request.key = key;
 	ev.request.deadline_ms = DEADLINE_MS;
 	ev.request.spec = kind == FFL_REQUEST_SUBMIT ? &spec : NULL;
-	s->asked_call = ev.request.call;
-	s->answer.call = 0;
 	site_step_host(s, host, &ev);
-	for (uint32_t ms = 0; !s->answer.call && ms < DEADLINE_MS;
-	     ms += SITE_STEP_MS)
-		site_run(s, SITE_STEP_MS);
 	ffl_flow_spec_finish(&spec);
-	return &s->answer;
+	return ev.request.call;
+}
+
+const ffl_act_response_t *site_answer(site_t *s, uint64_t call)
+{
+	const ffl_act_response_t *answer = NULL;
+	uint64_t until_ms = s->now_ms + DEADLINE_MS;
+
+	while (!(answer = g_hash_table_lookup(s->answers,
+					      GSIZE_TO_POINTER(call))) &&
+	       s->now_ms < until_ms)
+		site_run(s, SITE_STEP_MS);
+	return answer;
 }
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -35,6 +35,9 @@
 /** Size of the name of a part: the flow's id, and from the second part on a dot
  * and its number. */
 #define FFL_PROGRESS_NAME_BYTES (FFL_FLOW_ID_BYTES + 11)
+/** Size of the name of a specification on the log: the flow's id, a dot and a
+ * hash of its owner. */
+#define FFL_SPEC_NAME_BYTES (FFL_FLOW_ID_BYTES + 9)
 /** Longest checkpoint, in bytes; a longer one is ignored. */
 #define FFL_CHECKPOINT_BYTES_MAX 255
 
@@ -141,6 +144,8 @@
 	ffl_flow_spec_t spec;
 	uint64_t spec_offset; /**< offset of its specification; orders flows by
 			       * age */
+	/** Under which its specification stands on the log. */
+	char spec_name[FFL_SPEC_NAME_BYTES];
 	ffl_progress_part_t *parts;
 	uint32_t parts_count;
 	bool has_progress; /**< progress has been read or written */
@@ -180,6 +185,9 @@
 	GHashTable *early_progress; /**< records of progress, by part */
 	GHashTable *early_states;   /**< published states, by id */
 	GHashTable *early_cancels;  /**< set of ids that were cancelled */
+	/** Names of specifications on the log whose ids belong to an earlier
+	 * owner; a set. */
+	GHashTable *rivals;
 } ffl_flows_t;
 
 /** Returns true if an id is 16 hexadecimal digits. */
@@ -197,6 +205,15 @@
  * is a retry of the first. */
 bool ffl_flow_spec_equal(const ffl_flow_spec_t *a, const ffl_flow_spec_t *b);
 
+/** Returns true if two specifications came by one queue and customer, to whom
+ * the id belongs. */
+bool ffl_flow_spec_same_owner(const ffl_flow_spec_t *a,
+			      const ffl_flow_spec_t *b);
+/** Writes the name of a specification on the log to @p out; of two owners of
+ * an id each has a name of its own. */
+void ffl_flow_spec_name(const ffl_flow_spec_t *spec,
+			char out[FFL_SPEC_NAME_BYTES]);
+
 /** Appends the encoded specification to @p out. */
 void ffl_flow_spec_encode(const ffl_flow_spec_t *spec, GByteArray *out);
 /** Decodes and validates a specification.
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -256,14 +256,18 @@
 	uint64_t call; /**< number of the request */
 	ffl_request_kind_t kind;
 	char id[FFL_FLOW_ID_BYTES];
-	ffl_name_t queue;     /**< through which the request came */
-	ffl_name_t customer;  /**< whose key it carries; "": none */
-	uint64_t deadline_ms; /**< when it must be answered */
+	ffl_name_t queue;    /**< through which the request came */
+	ffl_name_t customer; /**< whose key it carries; "": none */
+	char spec_name[FFL_SPEC_NAME_BYTES]; /**< of a submission */
+	uint64_t deadline_ms;		     /**< when it must be answered */
 	uint64_t received_ms;
-	uint64_t append_call; /**< append in flight with its record; 0: none */
-	bool maybe_written;   /**< an earlier append had an unknown outcome */
-	uint64_t retry_ms;    /**< no append before */
-	GByteArray *record;   /**< value to append, or NULL */
+	uint64_t append_call;  /**< append in flight with its record; 0: none */
+	uint32_t append_index; /**< of its record in that append */
+	bool written;	       /**< its record is on the log */
+	uint64_t offset;       /**< of that record */
+	bool maybe_written;    /**< an earlier append had an unknown outcome */
+	uint64_t retry_ms;     /**< no append before */
+	GByteArray *record;    /**< value to append, or NULL */
 } ffl_pending_t;
 
 /** A request that is held until the host can serve it. */
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -101,7 +101,7 @@
 {
 	if (a->steps_count != b->steps_count ||
 	    a->occurrences != b->occurrences || strcmp(a->spec, b->spec) != 0 ||
-	    strcmp(a->queue, b->queue) != 0)
+	    !ffl_flow_spec_same_owner(a, b))
 		return false;
 	for (uint32_t i = 0; i < a->steps_count; i++) {
 		if (!step_equal(&a->steps[i], &b->steps[i]))
@@ -110,6 +110,23 @@
 	return true;
 }
 
+bool ffl_flow_spec_same_owner(const ffl_flow_spec_t *a,
+			      const ffl_flow_spec_t *b)
+{
+	return strcmp(a->queue, b->queue) == 0 &&
+	       strcmp(a->customer, b->customer) == 0;
+}
+
+void ffl_flow_spec_name(const ffl_flow_spec_t *spec,
+			char out[FFL_SPEC_NAME_BYTES])
+{
+	uint64_t hash = ffl_hash(spec->queue, strlen(spec->queue), 0);
+
+	hash = ffl_hash(spec->customer, strlen(spec->customer), hash);
+	g_snprintf(out, FFL_SPEC_NAME_BYTES, "%s.%08" PRIx32, spec->id,
+		   (uint32_t)hash);
+}
+
 static void task_clear(ffl_task_t *task)
 {
 	g_free(task->worker);
@@ -141,6 +158,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	flows->early_states =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	flows->rivals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void ffl_flows_finish(ffl_flows_t *flows)
@@ -150,6 +169,7 @@
 	g_hash_table_destroy(flows->early_progress);
 	g_hash_table_destroy(flows->early_cancels);
 	g_hash_table_destroy(flows->early_states);
+	g_hash_table_destroy(flows->rivals);
 }
 
 ffl_flow_t *ffl_flows_find(const ffl_flows_t *flows, const char *id)
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -173,6 +173,20 @@
 /** Decodes a leadership record; returns false if it is malformed. */
 bool ffl_lead_decode(ffl_bytes_t in, ffl_lead_record_t *out);
 
+/* jobs.c */
+
+/** Number of records after which a search for records to remove ends. */
+#define FFL_DROPS_MAX 64
+
+/** Applies a record of the topic of jobs: a specification, a cancellation or
+ * the removal of one. */
+void ffl_jobs_apply_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Forgets a job that has left the log. */
+void ffl_jobs_remove(ffl_node_t *n, const char *id);
+/** As leader, removes specifications whose ids belong to an earlier owner;
+ * repeated until their removal is read. */
+void ffl_jobs_drop_rivals(ffl_node_t *n);
+
 /* prune.c */
 /** Removes jobs that ended long ago from the log. Called with the leader's
  * heartbeats; does nothing most times, as it visits every job. */
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -1,9 +1,7 @@
 #include "lib/node/node_int.h"
 
-/** Interval between searches for ended jobs, and the number of records after
- * which one search removes no further job. */
+/** Interval between searches for ended jobs. */
 #define PRUNE_INTERVAL_MS 2000
-#define DROPS_MAX	  64
 /** How much longer an ended job is kept than it must be shown, as its caller
  * may retry a request seconds later. */
 #define KEEP_ENDED_MARGIN_MS 60000
@@ -47,7 +45,7 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (n->lead.writes->len < DROPS_MAX &&
+	while (n->lead.writes->len < FFL_DROPS_MAX &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_flow_t *flow = value;
 
@@ -83,8 +81,8 @@
 		g_ptr_array_add(act->store.writes,
 				ffl_write_new(KEY_CANCEL, flow->spec.id));
 		g_ptr_array_add(act->store.writes,
-				ffl_write_new(KEY_SPEC, flow->spec.id));
-		if (act->store.writes->len >= 2 * DROPS_MAX)
+				ffl_write_new(KEY_SPEC, flow->spec_name));
+		if (act->store.writes->len >= 2 * FFL_DROPS_MAX)
 			return;
 	}
 }
@@ -95,6 +93,7 @@
 		return;
 	n->lead.pruned_ms = n->now_ms;
 	ffl_publish_drop_orphans(n);
+	ffl_jobs_drop_rivals(n);
 	drop_specs(n);
 	add_progress_drops(n);
 }
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -51,12 +51,15 @@
 				    const char *queue, const char *customer);
 static void respond_pending(ffl_node_t *n, guint index,
 			    ffl_response_kind_t kind);
+static bool resolve_submission(ffl_node_t *n, guint index);
 static bool resolve_pending(ffl_node_t *n, guint index);
 static bool expire_pending(ffl_node_t *n, guint index);
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 		     const ffl_pending_t *p);
 static void send_appends(ffl_node_t *n);
 static uint32_t appends_in_flight(const ffl_node_t *n);
+static ffl_write_t *new_write(const ffl_pending_t *p);
+static void handle_written(ffl_node_t *n, guint index, uint64_t first);
 
 static const handler_fn_t request_handlers[FFL_REQUEST__MAX] = {
 	[FFL_REQUEST_SUBMIT] = handle_submit,
@@ -176,6 +179,7 @@
 		return;
 	}
 	p = add_pending(n, req, route, customer, id);
+	ffl_flow_spec_name(spec, p->spec_name);
 	p->record = g_byte_array_new();
 	ffl_flow_spec_encode(spec, p->record);
 	if (fits_log(n, spec, p))
@@ -349,6 +353,25 @@
 	g_ptr_array_remove_index(n->pending, index);
 }
 
+/* An id belongs to the owner whose record comes first. A submission is accepted
+ * only when all records before its own are known. */
+static bool resolve_submission(ffl_node_t *n, guint index)
+{
+	const ffl_pending_t *p = g_ptr_array_index(n->pending, index);
+	const ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
+	bool first = p->written && t->synced && t->next >= p->offset;
+
+	if (find_owned(n, p->id, p->queue, p->customer))
+		respond_pending(n, index, FFL_RESPONSE_ACCEPTED);
+	else if (ffl_flows_find(&n->flows, p->id))
+		respond_pending(n, index, FFL_RESPONSE_CONFLICT);
+	else if (first)
+		respond_pending(n, index, FFL_RESPONSE_ACCEPTED);
+	else
+		return false;
+	return true;
+}
+
 /* Responds if the records read so far allow it; returns true if so. Otherwise,
  * for a cancellation of a job that is still open, prepares the record. */
 static bool resolve_pending(ffl_node_t *n, guint index)
@@ -358,11 +381,8 @@
 	bool current = n->tails[FFL_TOPIC_JOBS].synced &&
 		       n->tails[FFL_TOPIC_JOBS].caught_up_ms >= p->received_ms;
 
-	if (p->kind == FFL_REQUEST_SUBMIT) {
-		if (flow)
-			respond_pending(n, index, FFL_RESPONSE_ACCEPTED);
-		return flow != NULL;
-	}
+	if (p->kind == FFL_REQUEST_SUBMIT)
+		return resolve_submission(n, index);
 	if (!flow) {
 		if (current)
 			respond_pending(n, index, FFL_RESPONSE_GONE);
@@ -420,6 +440,16 @@
 	return open;
 }
 
+static ffl_write_t *new_write(const ffl_pending_t *p)
+{
+	ffl_write_t *w = p->kind == FFL_REQUEST_SUBMIT
+				 ? ffl_write_new(KEY_SPEC, p->spec_name)
+				 : ffl_write_new(KEY_CANCEL, p->id);
+
+	g_byte_array_append(w->value, p->record->data, p->record->len);
+	return w;
+}
+
 /* The records that wait share an append, which is sent without waiting for
  * more. */
 static void send_appends(ffl_node_t *n)
@@ -433,12 +463,10 @@
 		ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 		ffl_write_t *w;
 
-		if (!p->record || p->append_call || n->now_ms < p->retry_ms)
+		if (!p->record || p->append_call || p->written ||
+		    n->now_ms < p->retry_ms)
 			continue;
-		w = ffl_write_new(p->kind == FFL_REQUEST_SUBMIT ? KEY_SPEC
-								: KEY_CANCEL,
-				  p->id);
-		g_byte_array_append(w->value, p->record->data, p->record->len);
+		w = new_write(p);
 		if (act && ffl_write_bytes(w) > left) {
 			ffl_write_free(w);
 			return;
@@ -448,11 +476,26 @@
 		left -= MIN(left, ffl_write_bytes(w));
 		g_ptr_array_add(act->store.writes, w);
 		p->append_call = act->store.call;
+		p->append_index = act->store.writes->len - 1;
 		if (act->store.writes->len >= APPEND_RECORDS_MAX)
 			return;
 	}
 }
 
+/* A cancellation stands wherever its record lies. */
+static void handle_written(ffl_node_t *n, guint index, uint64_t first)
+{
+	ffl_pending_t *p = g_ptr_array_index(n->pending, index);
+
+	p->written = true;
+	p->maybe_written = true;
+	p->offset = first + p->append_index;
+	if (p->kind == FFL_REQUEST_CANCEL)
+		respond_pending(n, index, FFL_RESPONSE_CANCELLED);
+	else if (!resolve_submission(n, index))
+		ffl_tail_peek(n, FFL_TOPIC_JOBS);
+}
+
 bool ffl_request_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
 	bool found = false;
@@ -466,10 +509,7 @@
 		p->append_call = 0;
 		p->retry_ms = n->now_ms + APPEND_RETRY_MS;
 		if (reply->outcome == FFL_STORE_OK)
-			respond_pending(n, i,
-					p->kind == FFL_REQUEST_SUBMIT
-						? FFL_RESPONSE_ACCEPTED
-						: FFL_RESPONSE_CANCELLED);
+			handle_written(n, i, reply->first);
 		else if (reply->outcome == FFL_STORE_UNKNOWN)
 			p->maybe_written = true;
 		else if (!p->maybe_written && p->kind == FFL_REQUEST_SUBMIT &&
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -22,7 +22,6 @@
 
 static void apply_config(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_worker(ffl_node_t *n, const ffl_store_record_t *rec);
-static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec);
 static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec);
 static bool is_topic_needed(const ffl_node_t *n, const ffl_tail_t *t);
 static void send_page_read(ffl_node_t *n, ffl_tail_t *t);
@@ -36,14 +35,13 @@
 			   const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all);
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
-static void remove_job(ffl_node_t *n, const char *id);
 static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t);
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
 	[FFL_TOPIC_CONFIG] = apply_config,
 	[FFL_TOPIC_WORKERS] = apply_worker,
-	[FFL_TOPIC_JOBS] = apply_job,
+	[FFL_TOPIC_JOBS] = ffl_jobs_apply_record,
 	[FFL_TOPIC_RUNS] = apply_run,
 	[FFL_TOPIC_STATES] = ffl_publish_apply_record,
 };
@@ -136,46 +134,6 @@
 				   t->paging ? 0 : t->caught_up_ms, n->now_ms);
 }
 
-static void remove_job(ffl_node_t *n, const char *id)
-{
-	const ffl_flow_t *flow = ffl_flows_find(&n->flows, id);
-
-	/* A leader removes only jobs without runs. */
-	if (n->lead.leading && flow && flow->placed_count)
-		ffl_lead_step_down(n, "a job with runs was removed");
-	if (n->lead.leading)
-		ffl_publish_add_drop(n, id);
-	ffl_flows_remove(&n->flows, id);
-}
-
-static void apply_job(ffl_node_t *n, const ffl_store_record_t *rec)
-{
-	ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
-	const char *id = rec->key + 1;
-	ffl_flow_spec_t spec;
-
-	if (!rec->value.size_bytes) {
-		g_hash_table_remove(n->flows.early_cancels, id);
-		if (rec->key[0] == KEY_SPEC)
-			remove_job(n, id);
-		return;
-	}
-	if (t->paging && rec->key[0] == KEY_SPEC)
-		g_hash_table_add(t->paged_keys, g_strdup(id));
-	if (rec->key[0] == KEY_CANCEL) {
-		ffl_flows_cancel(&n->flows, id);
-		ffl_dispatch_request_placement(&n->dispatch);
-		return;
-	}
-	if (ffl_flow_spec_decode(rec->value, &spec) != FFL_OK) {
-		ffl_node_note(n, "job-unreadable", rec->key, "offset=%" PRIu64,
-			      rec->offset);
-		return;
-	}
-	ffl_publish_close_flow(n, ffl_flows_add(&n->flows, &spec, rec->offset));
-	ffl_dispatch_request_placement(&n->dispatch);
-}
-
 static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec)
 {
 	if (strcmp(rec->key, KEY_LEAD) == 0) {
@@ -216,8 +174,10 @@
 		t->after_key[0] = '\0';
 		g_hash_table_remove_all(t->paged_keys);
 		/* The pages bring again what is still in the log. */
-		if (t->topic == FFL_TOPIC_JOBS)
+		if (t->topic == FFL_TOPIC_JOBS) {
 			g_hash_table_remove_all(n->flows.early_cancels);
+			g_hash_table_remove_all(n->flows.rivals);
+		}
 		if (t->topic == FFL_TOPIC_STATES)
 			g_hash_table_remove_all(n->flows.early_states);
 	}
@@ -310,7 +270,7 @@
 			g_ptr_array_add(gone, g_strdup(id));
 	}
 	for (guint i = 0; i < gone->len; i++)
-		remove_job(n, g_ptr_array_index(gone, i));
+		ffl_jobs_remove(n, g_ptr_array_index(gone, i));
 	g_ptr_array_free(gone, TRUE);
 	g_hash_table_remove_all(t->paged_keys);
 }
--- a/tests/access_test.c
+++ b/tests/access_test.c
@@ -60,9 +60,9 @@
 };
 
 static bool is_customer(const char *key);
-static ffl_response_kind_t ask_kind(site_t *s, ffl_request_kind_t kind,
-				    const char *prefix, const char *key,
-				    const char *id);
+static ffl_response_kind_t ask_kind(site_t *s, uint32_t host,
+				    ffl_request_kind_t kind, const char *prefix,
+				    const char *key, const char *id);
 static ffl_response_kind_t expect_kind(const owner_row_t *owner, job_case_t job,
 				       ffl_request_kind_t kind,
 				       const queue_row_t *queue,
@@ -72,23 +72,24 @@
 			  ffl_request_kind_t kind, const queue_row_t *queue,
 			  const char *key, const name_row_t *name);
 static void test_own_jobs_only(gconstpointer data);
+static void check_owner(const site_t *s, const char *customer);
+static void test_one_id_two_customers(void);
 
 static bool is_customer(const char *key)
 {
 	return strcmp(key, SITE_KEY) == 0 || strcmp(key, SITE_OTHER_KEY) == 0;
 }
 
-/* Host 1 is asked; jobs are handed in at host 0. */
-static ffl_response_kind_t ask_kind(site_t *s, ffl_request_kind_t kind,
-				    const char *prefix, const char *key,
-				    const char *id)
+static ffl_response_kind_t ask_kind(site_t *s, uint32_t host,
+				    ffl_request_kind_t kind, const char *prefix,
+				    const char *key, const char *id)
 {
 	char *path = g_strconcat(prefix, id, NULL);
 	const ffl_act_response_t *answer =
-		site_ask(s, 1, kind, path, key, GPUS);
+		site_answer(s, site_send(s, host, kind, path, key, GPUS));
 
 	g_free(path);
-	g_assert_cmpuint(answer->call, !=, 0);
+	g_assert_nonnull(answer);
 	return answer->kind;
 }
 
@@ -110,27 +111,23 @@
 
 static void prepare_job(site_t *s, const owner_row_t *owner, job_case_t job)
 {
-	char *path = g_strconcat(owner->prefix, JOB_ID, NULL);
-
 	site_run(s, START_MS);
 	if (job == JOB_READ_LATER)
 		s->hosts[1].jobs_lag_until_ms = s->now_ms + READ_MS;
 	if (job != JOB_UNKNOWN)
-		g_assert_cmpint(site_ask(s, 0, FFL_REQUEST_SUBMIT, path,
-					 owner->key, GPUS)
-					->kind,
+		g_assert_cmpint(ask_kind(s, 0, FFL_REQUEST_SUBMIT,
+					 owner->prefix, owner->key, JOB_ID),
 				==, FFL_RESPONSE_ACCEPTED);
 	if (job == JOB_CANCELLED)
-		g_assert_cmpint(site_ask(s, 0, FFL_REQUEST_CANCEL, path,
-					 owner->key, GPUS)
-					->kind,
+		g_assert_cmpint(ask_kind(s, 0, FFL_REQUEST_CANCEL,
+					 owner->prefix, owner->key, JOB_ID),
 				==, FFL_RESPONSE_CANCELLED);
 	if (job != JOB_READ_LATER)
 		site_run(s, READ_MS);
-	g_free(path);
 }
 
-/* There are no workers, so that the job ends only if it is cancelled. */
+/* Host 1 is asked; the job is handed in at host 0. There are no workers, so
+ * that the job ends only if it is cancelled. */
 static void check_request(const owner_row_t *owner, job_case_t job,
 			  ffl_request_kind_t kind, const queue_row_t *queue,
 			  const char *key, const name_row_t *name)
@@ -143,7 +140,7 @@
 
 	site_init(&s, 1, 2, 0);
 	prepare_job(&s, owner, job);
-	answered = ask_kind(&s, kind, queue->prefix, key, name->id);
+	answered = ask_kind(&s, 1, kind, queue->prefix, key, name->id);
 	if (answered != expected)
 		g_test_message("owner %s, job %d, kind %d: %s%s with key '%s'",
 			       owner->name, job, kind, queue->prefix, name->id,
@@ -182,6 +179,57 @@
 	}
 }
 
+static void check_owner(const site_t *s, const char *customer)
+{
+	for (uint32_t i = 0; i < s->hosts_count; i++) {
+		const ffl_flow_t *flow =
+			ffl_flows_find(&s->hosts[i].node.flows, JOB_ID);
+
+		g_assert_nonnull(flow);
+		g_assert_cmpstr(flow->spec.customer, ==, customer);
+	}
+}
+
+/* Two customers hand in one id at two hosts before either host has read the
+ * other's record. One of them is accepted; its job is the one that every host
+ * knows, also after all have started anew from the log's newest records. */
+static void test_one_id_two_customers(void)
+{
+	static const char *const customers[] = { "ponds", "tailors" };
+
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		uint64_t calls[2];
+		ffl_response_kind_t kinds[2];
+		uint32_t winner;
+		site_t s;
+
+		site_init(&s, seed, 3, 0);
+		site_run(&s, START_MS + (uint32_t)seed * SITE_STEP_MS);
+		for (uint32_t c = 0; c < 2; c++) {
+			uint32_t host = 1 + (c + (uint32_t)seed) % 2;
+
+			s.hosts[host].jobs_lag_until_ms = s.now_ms + READ_MS;
+			calls[c] = site_send(&s, host, FFL_REQUEST_SUBMIT,
+					     "/lining/" JOB_ID, keys[c], GPUS);
+		}
+		for (uint32_t c = 0; c < 2; c++)
+			kinds[c] = site_answer(&s, calls[c])->kind;
+		winner = kinds[0] == FFL_RESPONSE_ACCEPTED ? 0 : 1;
+		g_assert_cmpint(kinds[winner], ==, FFL_RESPONSE_ACCEPTED);
+		g_assert_cmpint(kinds[!winner], ==, FFL_RESPONSE_CONFLICT);
+		check_owner(&s, customers[winner]);
+		/* The earlier record is the first page's in half of the seeds.
+		 */
+		for (uint32_t i = 0; i < s.hosts_count; i++)
+			site_kill(&s, i, 100);
+		site_run(&s, 3 * START_MS);
+		check_owner(&s, customers[winner]);
+		g_assert_cmpint(g_tree_nnodes(s.topics[FFL_TOPIC_JOBS].newest),
+				==, 1);
+		site_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -193,5 +241,7 @@
 		g_test_add_data_func(path, &owners[i], test_own_jobs_only);
 		g_free(path);
 	}
+	g_test_add_func("/access/accepted-job-lost-to-anothers-of-its-id",
+			test_one_id_two_customers);
 	return g_test_run();
 }
