--- a/daemon/client.c
+++ b/daemon/client.c
@@ -2,6 +2,7 @@
 #include <curl/curl.h>
 
 #include "daemon/daemon.h"
+#include "fireflyledge/connage.h"
 #include "fireflyledge/platform.h"
 
 /** Sizes, times in milliseconds and limits. */
@@ -37,6 +38,7 @@
 	ffld_t *d;
 	ffl_ring_t calls; /**< of call_t */
 	CURLM *multi;
+	ffl_connage_t ages;
 	GPtrArray *idle;   /**< of CURL *, kept for reuse */
 	GPtrArray *active; /**< of CURL *, each with a call in progress */
 	pthread_t thread;
@@ -192,11 +194,18 @@
 static void finish_call(ffld_client_t *c, CURL *easy, CURLcode code)
 {
 	ffl_box_t *box;
+	char addr[FFL_ADDR_BYTES];
 	call_t *call;
 	long http_status = 0;
+	long connects = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
+	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
+	if (code == CURLE_OPERATION_TIMEDOUT && !connects) {
+		ffl_connage_addr(call->url, addr, sizeof(addr));
+		ffl_connage_doubt(&c->ages, addr, ffld_now_ms());
+	}
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_remove_fast(c->active, easy);
 	g_ptr_array_add(c->idle, easy);
@@ -211,7 +220,11 @@
 	CURL *easy = c->idle->len ? g_ptr_array_remove_index(c->idle,
 							     c->idle->len - 1)
 				  : curl_easy_init();
+	char addr[FFL_ADDR_BYTES];
+	ffl_conn_choice_t choice;
 
+	ffl_connage_addr(call->url, addr, sizeof(addr));
+	choice = ffl_connage_choose(&c->ages, addr, ffld_now_ms());
 	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, call->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
@@ -219,6 +232,9 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, (long)choice.fresh);
+	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+			 (long)choice.life_max_s);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_reply);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, c->headers);
@@ -264,6 +280,7 @@
 	c->multi = curl_multi_init();
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
 			  (long)CONNECTIONS_MAX);
+	ffl_connage_init(&c->ages);
 	c->idle = g_ptr_array_new();
 	c->active = g_ptr_array_new();
 	c->headers =
@@ -301,6 +318,7 @@
 	g_ptr_array_free(c->idle, TRUE);
 	curl_multi_cleanup(c->multi);
 	curl_slist_free_all(c->headers);
+	ffl_connage_finish(&c->ages);
 	ffl_ring_finish(&c->calls);
 	g_free(c);
 }
--- a/jobd/client.c
+++ b/jobd/client.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <curl/curl.h>
 
+#include "fireflyledge/connage.h"
 #include "jobd/jobd.h"
 #include "jobd/sockets.h"
 
@@ -40,6 +41,7 @@
 	ffl_ring_t calls; /**< of call_t */
 	CURLM *multi;
 	jobd_sockets_t sockets;
+	ffl_connage_t ages;
 	GPtrArray *idle_handles;   /**< of CURL * */
 	GPtrArray *active_handles; /**< of CURL *, in progress */
 	uint64_t checked_ms;	   /**< last check of deadlines */
@@ -56,9 +58,12 @@
 static void observe_latency(const call_t *call);
 static void log_failure(const call_t *call, CURL *easy, CURLcode code,
 			long connects);
+static void doubt_connections(jobd_client_t *c, const call_t *call);
 static void complete_call(jobd_client_t *c, CURL *easy, CURLcode code);
 static void set_headers(call_t *call, CURL *easy);
 static uint64_t deadline_ms(const call_t *call);
+static void choose_connection(const jobd_client_t *c, const call_t *call,
+			      CURL *easy);
 static void start_call(jobd_client_t *c, call_t *call);
 static bool start_queued_calls(jobd_client_t *c);
 static void complete_finished_calls(jobd_client_t *c);
@@ -173,6 +178,20 @@
 	jobd_line("call-failed", peer ? peer : "-", text);
 }
 
+static void doubt_connections(jobd_client_t *c, const call_t *call)
+{
+	char addr[FFL_ADDR_BYTES];
+	char text[FFL_REASON_BYTES];
+
+	ffl_connage_addr(call->http.url, addr, sizeof(addr));
+	ffl_connage_doubt(&c->ages, addr, jobd_boottime_ms());
+	g_snprintf(text, sizeof(text), "after_ms=%" PRIu64 " timeout_ms=%u",
+		   jobd_boottime_ms() - call->enqueued_ms,
+		   call->http.timeout_ms);
+	jobd_metrics_count_event("connections-doubted");
+	jobd_line("connections-doubted", addr, text);
+}
+
 static void complete_call(jobd_client_t *c, CURL *easy, CURLcode code)
 {
 	call_t *call;
@@ -188,6 +207,8 @@
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	else
 		log_failure(call, easy, code, connects);
+	if (code == CURLE_OPERATION_TIMEDOUT && !connects)
+		doubt_connections(c, call);
 	curl_multi_remove_handle(c->multi, easy);
 	g_ptr_array_remove_fast(c->active_handles, easy);
 	g_ptr_array_add(c->idle_handles, easy);
@@ -212,6 +233,19 @@
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
+static void choose_connection(const jobd_client_t *c, const call_t *call,
+			      CURL *easy)
+{
+	char addr[FFL_ADDR_BYTES];
+	ffl_conn_choice_t choice;
+
+	ffl_connage_addr(call->http.url, addr, sizeof(addr));
+	choice = ffl_connage_choose(&c->ages, addr, jobd_boottime_ms());
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, (long)choice.fresh);
+	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+			 (long)choice.life_max_s);
+}
+
 static void start_call(jobd_client_t *c, call_t *call)
 {
 	CURL *easy =
@@ -230,6 +264,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, count_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	choose_connection(c, call, easy);
 	set_headers(call, easy);
 	if (call->http.post) {
 		curl_easy_setopt(easy, CURLOPT_POST, 1L);
@@ -329,6 +364,7 @@
 	c->multi = curl_multi_init();
 	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS,
 			  (long)CACHED_CONNECTIONS_MAX);
+	ffl_connage_init(&c->ages);
 	c->idle_handles = g_ptr_array_new();
 	c->active_handles = g_ptr_array_new();
 	if (!jobd_sockets_init(&c->sockets, c->multi)) {
@@ -369,6 +405,7 @@
 	g_ptr_array_free(c->idle_handles, TRUE);
 	curl_multi_cleanup(c->multi);
 	jobd_sockets_finish(&c->sockets);
+	ffl_connage_finish(&c->ages);
 	ffl_ring_finish(&c->calls);
 	g_free(c);
 }
--- a/site/main.c
+++ b/site/main.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdatomic.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,16 +9,20 @@
 
 #include "site/site.h"
 
-#define MS_PER_S  1000
-#define NS_PER_MS 1000000
+#define MS_PER_S	 1000
+#define SILENCE_CHECK_MS 50
+#define NS_PER_MS	 1000000
 /** Interval between two updates of the workers' records in the log. */
-#define PUBLISH_MS  500
-#define READ_BYTES  16384
-#define THREADS	    "64"
+#define PUBLISH_MS 500
+#define READ_BYTES 16384
+/** One for each connection that callers keep open. */
+#define THREADS	    "320"
 #define STATE_BYTES 160
 /** Pieces that a response sent slowly is divided into. */
 #define PIECE_COUNT 16
 
+static int number_connection(const struct mg_connection *conn, void **data);
+static int begin_request(struct mg_connection *conn);
 static int serve_config(struct mg_connection *conn, void *site);
 static int serve_fault(struct mg_connection *conn, void *site);
 static int serve_state(struct mg_connection *conn, void *site);
@@ -25,6 +30,11 @@
 static char *list_addresses(const site_http_t *s);
 static bool run_server(site_http_t *s);
 
+/** Connections that were opened, and how many of the first of them went silent.
+ */
+static _Atomic uint64_t conn_count;
+static _Atomic uint64_t silent_count;
+
 /** Handlers by path; the patterns are those of CivetWeb. */
 static const struct {
 	const char *path;
@@ -60,9 +70,31 @@
 	pthread_cond_timedwait(&s->changed, &s->lock, &ts);
 }
 
+static int number_connection(const struct mg_connection *conn, void **data)
+{
+	*data = GSIZE_TO_POINTER(atomic_fetch_add(&conn_count, 1) + 1);
+	return 0;
+}
+
+void site_http_stay_silent(const struct mg_connection *conn)
+{
+	const struct timespec pause = { 0, SILENCE_CHECK_MS * NS_PER_MS };
+
+	while (GPOINTER_TO_SIZE(mg_get_user_connection_data(conn)) <=
+	       atomic_load(&silent_count))
+		nanosleep(&pause, NULL);
+}
+
+static int begin_request(struct mg_connection *conn)
+{
+	site_http_stay_silent(conn);
+	return 0;
+}
+
 void site_http_send(struct mg_connection *conn, int status, const void *body,
 		    size_t size_bytes)
 {
+	site_http_stay_silent(conn);
 	mg_printf(conn, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n\r\n", status,
 		  mg_get_response_code_text(conn, status), size_bytes);
 	if (size_bytes)
@@ -121,7 +153,8 @@
  * lost: the next n appends take effect without a response;
  * slow: a page of newest records takes n ms to send;
  * forget: the log drops its history, but not the newest records;
- * crash, drain: worker n.
+ * crash, drain: worker n;
+ * silence: connections that are open, also this one, carry nothing any more.
  */
 static int serve_fault(struct mg_connection *conn, void *site)
 {
@@ -152,6 +185,8 @@
 		keyed_log_trim_history(&s->topics[i]);
 	pthread_mutex_unlock(&s->lock);
 	site_http_send(conn, 200, "", 0);
+	if (strcmp(kind, "silence") == 0)
+		atomic_store(&silent_count, atomic_load(&conn_count));
 	return 1;
 }
 
@@ -166,8 +201,8 @@
 		running += s->workers[i].runs->len;
 	g_snprintf(text, sizeof(text),
 		   "{\"running\":%u,\"starts\":%" PRIu64 ",\"advised\":%" PRIu64
-		   "}",
-		   running, s->starts, s->advice_calls);
+		   ",\"renewal_gap_ms\":%" PRIu64 "}",
+		   running, s->starts, s->advice_calls, s->renewal_gap_ms);
 	pthread_mutex_unlock(&s->lock);
 	site_http_send(conn, 200, text, strlen(text));
 	return 1;
@@ -229,7 +264,8 @@
 		"enable_keep_alive",	 "yes",	    "tcp_nodelay", "1",
 		"keep_alive_timeout_ms", "10000",   NULL
 	};
-	struct mg_callbacks callbacks = { 0 };
+	struct mg_callbacks callbacks = { .init_connection = number_connection,
+					  .begin_request = begin_request };
 	struct mg_context *ctx = mg_start(&callbacks, s, options);
 	pthread_t thread;
 
--- a/site/site.h
+++ b/site/site.h
@@ -31,13 +31,20 @@
 	bool log_down;		     /**< the log rejects every call */
 	uint32_t newest_send_ms; /**< of a page of newest records; 0: at once */
 	uint64_t starts;	 /**< start orders received */
-	uint64_t advice_calls;	 /**< calls to the adviser */
+	uint64_t
+		renewed_ms[SITE_HTTP_WORKERS_MAX]; /**< last renewal; 0: none */
+	uint64_t renewal_gap_ms;   /**< longest time between two of a worker */
+	uint64_t advice_calls;	   /**< calls to the adviser */
 	uint64_t duplicate_starts; /**< unused */
 	GHashTable *gangs;	   /**< unused */
 } site_http_t;
 
 /* main.c */
 
+/** Blocks while @p conn is one of the connections that went silent; other
+ * connections pass. */
+void site_http_stay_silent(const struct mg_connection *conn);
+
 /** Returns the time of the monotonic clock. */
 uint64_t site_http_now_ms(void);
 /** Sends a response. */
--- a/site/worker.c
+++ b/site/worker.c
@@ -10,6 +10,10 @@
 /** Word in a specification: its workers demand a ticket of the adviser, which
  * never allows the first worker. */
 #define SPEC_ADVISED "advised"
+/** Also that it takes no GPU, and so little that a worker holds many of it. */
+#define SPEC_SMALL "small"
+#define SMALL_CPU  10
+#define SMALL_MEM  1
 /** How long a ticket is valid, as the adviser states it. */
 #define TICKET_MS 3000
 /** Resources of every task: the stand-in does not decode its job's. */
@@ -27,6 +31,7 @@
 static void send_reply(struct mg_connection *conn, const ffl_order_t *order,
 		       const ffl_reply_t *reply);
 static bool has_unacked_end(const task_worker_t *w, uint64_t acked);
+static void record_renewal(site_http_t *s, const task_worker_t *w);
 static void format_ticket(const char *task, const char *worker,
 			  char out[FFL_TICKET_BYTES]);
 
@@ -69,7 +74,9 @@
 	out->fails = strstr(current_spec, SPEC_FAILS) != NULL;
 	out->ticket =
 		strstr(current_spec, SPEC_ADVISED) ? current_ticket : NULL;
-	out->resources = (ffl_resources_t){ TASK_CPU, TASK_MEM, 1 };
+	out->resources = strstr(current_spec, SPEC_SMALL)
+				 ? (ffl_resources_t){ SMALL_CPU, SMALL_MEM, 0 }
+				 : (ffl_resources_t){ TASK_CPU, TASK_MEM, 1 };
 	return true;
 }
 
@@ -240,6 +247,16 @@
 	return 1;
 }
 
+static void record_renewal(site_http_t *s, const task_worker_t *w)
+{
+	uint64_t *last_ms = &s->renewed_ms[w - s->workers];
+	uint64_t now_ms = site_http_now_ms();
+
+	if (*last_ms && w->runs->len)
+		s->renewal_gap_ms = MAX(s->renewal_gap_ms, now_ms - *last_ms);
+	*last_ms = now_ms;
+}
+
 int site_http_serve_order(struct mg_connection *conn, void *site)
 {
 	site_http_t *s = site;
@@ -269,6 +286,8 @@
 		if (!current_spec)
 			current_spec = "";
 		s->starts += order.kind == FFL_ORDER_START;
+		if (order.kind == FFL_ORDER_RENEW)
+			record_renewal(s, w);
 		format_ticket(order.task, w->id, current_ticket);
 		task_worker_handle_order(w, &order, site_http_now_ms(),
 					 &site_http_hooks, &arena, &reply);
