--- a/fakes/site.c
+++ b/fakes/site.c
@@ -138,6 +138,9 @@
 	case FFL_RESPONSE_BUSY:
 		job->refused = true;
 		break;
+	case FFL_RESPONSE_CONFLICT:
+		job->conflict = true;
+		break;
 	case FFL_RESPONSE_UNKNOWN:
 		job->outcome_unknown = true;
 		break;
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -46,11 +46,12 @@
 /** A submitted job, as its caller and the oracle know it. */
 typedef struct {
 	char id[FFL_FLOW_ID_BYTES];
-	ffl_flow_spec_t spec;  /**< submitted specification */
-	uint32_t work_ms;      /**< work of each task */
-	bool fails;	       /**< each run fails */
-	bool accepted;	       /**< a submission was accepted */
-	bool refused;	       /**< a submission was refused */
+	ffl_flow_spec_t spec; /**< submitted specification */
+	uint32_t work_ms;     /**< work of each task */
+	bool fails;	      /**< each run fails */
+	bool accepted;	      /**< a submission was accepted */
+	bool refused;	      /**< a submission was refused */
+	bool conflict; /**< the id was said to belong to a different job */
 	bool outcome_unknown;  /**< a submission got no definite reply */
 	uint64_t cancelled_ms; /**< when a cancellation was confirmed; 0: never
 				*/
@@ -113,6 +114,7 @@
 	uint32_t worker_ms;    /**< one-way delay to a worker */
 	uint32_t lost_percent; /**< share of appends whose reply is lost */
 	uint32_t late_percent; /**< share of orders that are delayed */
+	uint32_t spec_bytes;   /**< length of the text of new jobs; 0: short */
 	uint64_t version;      /**< of the configuration */
 	bool tickets_required; /**< the top-priority queue needs tickets */
 	uint64_t actions;      /**< actions of all hosts so far */
--- a/fakes/site_requests.c
+++ b/fakes/site_requests.c
@@ -20,7 +20,8 @@
 
 	g_snprintf(job->id, sizeof(job->id), "%016x", s->jobs_count * 0x9e37u);
 	job->work_ms = work_ms;
-	job->spec.spec = g_strdup("spec");
+	job->spec.spec = s->spec_bytes ? g_strnfill(s->spec_bytes, 'x')
+				       : g_strdup("spec");
 	job->acked_done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	job->completed =
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -92,6 +92,9 @@
 	uint32_t tasks_per_occurrence;
 	ffl_step_t *steps;
 	char *spec; /**< text for the workers, not interpreted here */
+	/** Hash of that text if it was dropped, as the job has ended; 0: the
+	 * text is there. */
+	uint64_t text_sum;
 } ffl_flow_spec_t;
 
 /** State of a task. */
@@ -242,6 +245,15 @@
 /** Returns the size of the largest record of progress that a flow may have. */
 uint32_t ffl_flow_progress_bytes_max(const ffl_flow_spec_t *spec);
 
+/** Replaces the text for the workers by its hash. No run of the job may be
+ * started any more. */
+void ffl_flow_spec_drop_text(ffl_flow_spec_t *spec);
+/** Appends the encoded specification of a job that has ended, without the text
+ * for the workers. */
+void ffl_flow_spec_encode_ended(const ffl_flow_spec_t *spec, GByteArray *out);
+/** Returns true if runs of a flow's tasks are known to the leader. */
+bool ffl_flow_has_runs(const ffl_flow_t *flow);
+
 void ffl_flows_init(ffl_flows_t *flows);
 void ffl_flows_finish(ffl_flows_t *flows);
 /** Returns the flow with an id, or NULL. */
@@ -289,8 +301,8 @@
 /** Makes a state visible that is on the log. A flow that is queued or running
  * there but cancelled becomes visible as cancelled. */
 void ffl_flow_set_visible_state(ffl_flow_t *flow, ffl_flow_state_t recorded);
-/** Returns true if a flow is completed, failed or cancelled; tasks may still be
- * placed. */
+/** Returns true if a flow is completed, failed or cancelled, also if only its
+ * specification tells so; tasks may still be placed. */
 bool ffl_flow_ended(const ffl_flow_t *flow);
 /** Returns the step of a task; @p task counts over all occurrences. */
 uint32_t ffl_flow_step_of(const ffl_flow_t *flow, uint32_t task);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -233,6 +233,8 @@
 	bool synced; /**< all pages have been read */
 	bool paging;
 	uint64_t paging_since_ms; /**< when the first page was requested */
+	uint32_t paged_records;	  /**< in the pages so far */
+	uint64_t paged_bytes;	  /**< of their values */
 	char after_key[FFL_CURSOR_BYTES]; /**< last key read in pages */
 	uint64_t next; /**< offset of the next record to read */
 	bool next_known;
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -11,6 +11,7 @@
 				uint32_t *part);
 static void close_if_ended(ffl_flows_t *flows, ffl_flow_t *flow);
 static bool step_equal(const ffl_step_t *a, const ffl_step_t *b);
+static uint64_t text_sum(const ffl_flow_spec_t *spec);
 
 static const char *const state_names[FFL_FLOW__MAX] = {
 	[FFL_FLOW_QUEUED] = "queued",	    [FFL_FLOW_RUNNING] = "running",
@@ -97,10 +98,34 @@
 	       strcmp(a->rack, b->rack) == 0 && strcmp(a->label, b->label) == 0;
 }
 
+/* Never 0, which stands for a text that is there. */
+static uint64_t text_sum(const ffl_flow_spec_t *spec)
+{
+	return spec->text_sum ? spec->text_sum
+			      : ffl_hash(spec->spec, strlen(spec->spec), 0) | 1;
+}
+
+void ffl_flow_spec_drop_text(ffl_flow_spec_t *spec)
+{
+	spec->text_sum = text_sum(spec);
+	g_free(spec->spec);
+	spec->spec = g_strdup("");
+}
+
+void ffl_flow_spec_encode_ended(const ffl_flow_spec_t *spec, GByteArray *out)
+{
+	char none[] = "";
+	ffl_flow_spec_t ended = *spec;
+
+	ended.text_sum = text_sum(spec);
+	ended.spec = none;
+	ffl_flow_spec_encode(&ended, out);
+}
+
 bool ffl_flow_spec_equal(const ffl_flow_spec_t *a, const ffl_flow_spec_t *b)
 {
 	if (a->steps_count != b->steps_count ||
-	    a->occurrences != b->occurrences || strcmp(a->spec, b->spec) != 0 ||
+	    a->occurrences != b->occurrences || text_sum(a) != text_sum(b) ||
 	    !ffl_flow_spec_same_owner(a, b))
 		return false;
 	for (uint32_t i = 0; i < a->steps_count; i++) {
@@ -438,10 +463,19 @@
 
 bool ffl_flow_ended(const ffl_flow_t *flow)
 {
-	return flow->cancelled || flow->failed ||
+	return flow->cancelled || flow->failed || flow->spec.text_sum ||
 	       flow->done_count == flow->tasks_count;
 }
 
+bool ffl_flow_has_runs(const ffl_flow_t *flow)
+{
+	for (uint32_t i = 0; i < flow->tasks_count; i++) {
+		if (flow->tasks[i].live_runs)
+			return true;
+	}
+	return false;
+}
+
 uint32_t ffl_flow_step_of(const ffl_flow_t *flow, uint32_t task)
 {
 	uint32_t index = task % flow->spec.tasks_per_occurrence;
--- a/lib/flow/flow_record.c
+++ b/lib/flow/flow_record.c
@@ -9,7 +9,7 @@
 #define PROGRESS_VERSION 1
 /** Number of fields that each array must have. */
 #define SPEC_FIELDS	    15
-#define SPEC_FIELDS_WRITTEN 16 /**< with needs_tickets, added later */
+#define SPEC_FIELDS_WRITTEN 17 /**< needs_tickets, text_sum came later */
 #define STEP_FIELDS	    18
 #define PROGRESS_FIELDS	    4
 #define TASK_FIELDS	    7
@@ -106,6 +106,7 @@
 	for (uint32_t i = 0; i < spec->steps_count; i++)
 		pack_step(&pk, &spec->steps[i]);
 	msgpack_pack_uint8(&pk, spec->needs_tickets);
+	msgpack_pack_uint64(&pk, spec->text_sum);
 }
 
 /* Measures the input first, so that a record cannot make the unpacker allocate
@@ -261,6 +262,7 @@
 		f->bad = f->bad || step.bad;
 	}
 	out->needs_tickets = f->left && read_bool(f);
+	out->text_sum = f->left ? read_u64(f) : 0;
 }
 
 ffl_status_t ffl_flow_spec_decode(ffl_bytes_t in, ffl_flow_spec_t *out)
--- a/lib/node/jobs.c
+++ b/lib/node/jobs.c
@@ -91,6 +91,9 @@
 			replace_flow(n, flow, spec, name, offset);
 		else
 			add_rival(n, flow, name);
+	} else if (spec->text_sum && !flow->spec.text_sum &&
+		   !ffl_flow_has_runs(flow)) {
+		ffl_flow_spec_drop_text(&flow->spec);
 	}
 	ffl_publish_close_flow(n, ffl_flows_find(&n->flows, flow->spec.id));
 	ffl_dispatch_request_placement(&n->dispatch);
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -443,9 +443,8 @@
 	    n->now_ms - l->last_append_ms < FFL_LEAD_HEARTBEAT_MS)
 		return;
 	open_append(n, false);
-	if (l->batch)
-		fill_append(n);
-	else
+	fill_append(n);
+	if (!l->unsent->len)
 		ffl_prune(n);
 	if (l->resign_requested && !l->unsent->len)
 		announce_resignation(n);
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -188,8 +188,9 @@
 void ffl_jobs_drop_rivals(ffl_node_t *n);
 
 /* prune.c */
-/** Removes jobs that ended long ago from the log. Called with the leader's
- * heartbeats; does nothing most times, as it visits every job. */
+/** Removes jobs that ended long ago from the log, and the texts of those that
+ * have ended. Called with each append of the leader before it is sent; does
+ * nothing most times, as it visits every job. */
 void ffl_prune(ffl_node_t *n);
 
 /* requests.c */
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -5,6 +5,8 @@
 /** How much longer an ended job is kept than it must be shown, as its caller
  * may retry a request seconds later. */
 #define KEEP_ENDED_MARGIN_MS 60000
+/** Most texts that are dropped by one append. */
+#define TEXT_DROPS_MAX 256
 /** Delay between the removal of a job's progress and that of its
  * specification. */
 #define SPEC_DROP_DELAY_MS 5000
@@ -13,6 +15,9 @@
 static void drop_progress(ffl_node_t *n, const ffl_flow_t *flow);
 static void add_progress_drops(ffl_node_t *n);
 static void drop_specs(ffl_node_t *n);
+static bool has_room(const ffl_node_t *n);
+static bool is_text_needed(const ffl_flow_t *flow);
+static void drop_texts(ffl_node_t *n);
 
 static bool is_prunable(const ffl_flow_t *flow)
 {
@@ -39,13 +44,14 @@
  * removed later, so that no progress is left without a specification. */
 static void add_progress_drops(ffl_node_t *n)
 {
+	guint drops_end = n->lead.writes->len + FFL_DROPS_MAX;
 	uint64_t keep_ms =
 		(uint64_t)n->opt.keep_ended_ms + KEEP_ENDED_MARGIN_MS;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (n->lead.writes->len < FFL_DROPS_MAX &&
+	while (n->lead.writes->len < drops_end &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_flow_t *flow = value;
 
@@ -87,13 +93,65 @@
 	}
 }
 
+static bool is_text_needed(const ffl_flow_t *flow)
+{
+	return !is_prunable(flow) || flow->state_outdated ||
+	       !ffl_flow_state_is_final(flow->published_state) ||
+	       ffl_flow_has_runs(flow);
+}
+
+/* A host that starts reads the specifications of all jobs on the log, most of
+ * which have ended; all hosts that start together share the link between
+ * regions. Without an answer the records are written again, until they have
+ * been read. */
+static void drop_texts(ffl_node_t *n)
+{
+	ffl_node_act_t *act = NULL;
+	uint64_t left = ffl_node_append_bytes_max(n);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, n->flows.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ffl_flow_t *flow = value;
+		ffl_write_t *w;
+
+		if (flow->spec.text_sum || flow->dropped_ms ||
+		    is_text_needed(flow))
+			continue;
+		w = ffl_write_new(KEY_SPEC, flow->spec_name);
+		ffl_flow_spec_encode_ended(&flow->spec, w->value);
+		if (ffl_write_bytes(w) > left) {
+			ffl_write_free(w);
+			return;
+		}
+		left -= ffl_write_bytes(w);
+		if (!act)
+			act = ffl_node_add_jobs_append(n);
+		g_ptr_array_add(act->store.writes, w);
+		if (act->store.writes->len >= TEXT_DROPS_MAX)
+			return;
+	}
+}
+
+/* The removals take at most the other half of the append. */
+static bool has_room(const ffl_node_t *n)
+{
+	uint64_t bytes = 0;
+
+	for (guint i = 0; i < n->lead.writes->len; i++)
+		bytes += ffl_write_bytes(g_ptr_array_index(n->lead.writes, i));
+	return bytes <= ffl_node_append_bytes_max(n) / 2;
+}
+
 void ffl_prune(ffl_node_t *n)
 {
-	if (n->now_ms - n->lead.pruned_ms < PRUNE_INTERVAL_MS)
+	if (n->now_ms - n->lead.pruned_ms < PRUNE_INTERVAL_MS || !has_room(n))
 		return;
 	n->lead.pruned_ms = n->now_ms;
 	ffl_publish_drop_orphans(n);
 	ffl_jobs_drop_rivals(n);
 	drop_specs(n);
+	drop_texts(n);
 	add_progress_drops(n);
 }
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -171,6 +171,8 @@
 	if (!t->paging) {
 		t->paging = true;
 		t->paging_since_ms = n->now_ms;
+		t->paged_records = 0;
+		t->paged_bytes = 0;
 		t->after_key[0] = '\0';
 		g_hash_table_remove_all(t->paged_keys);
 		/* The pages bring again what is still in the log. */
@@ -288,7 +290,10 @@
 	if (t->topic == FFL_TOPIC_STATES && !n->lead.holder_seen_ms)
 		n->lead.holder_seen_ms = n->now_ms;
 	ffl_node_note(n, "topic-synced", ffl_topic_name(t->topic),
-		      "next=%" PRIu64 " all=%d", t->next, all);
+		      "next=%" PRIu64 " all=%d records=%u bytes=%" PRIu64
+		      " took_ms=%" PRIu64,
+		      t->next, all, t->paged_records, t->paged_bytes,
+		      n->now_ms - t->paging_since_ms);
 }
 
 /* The pages together are not a snapshot. Reading therefore goes on from the
@@ -303,8 +308,11 @@
 		t->next_known = true;
 	}
 	t->last_record_ms = n->now_ms;
-	for (uint32_t i = 0; i < reply->count; i++)
+	t->paged_records += reply->count;
+	for (uint32_t i = 0; i < reply->count; i++) {
+		t->paged_bytes += reply->records[i].value.size_bytes;
 		appliers[t->topic](n, &reply->records[i]);
+	}
 	if (reply->more && reply->last_key &&
 	    strcmp(reply->last_key, t->after_key) != 0 &&
 	    ffl_copy(t->after_key, sizeof(t->after_key), reply->last_key))
