--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -71,6 +71,9 @@
 /** Handles a reply to a read of a followed topic; returns false if @p reply
  * answers another call. */
 bool ffl_tails_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply);
+/** After a call that the log has carried out, makes the reads that failed
+ * before due at once. */
+void ffl_tails_log_answered(ffl_node_t *n);
 /** Discards the read position; the topic is read again, beginning with the
  * newest record of each key. */
 void ffl_tail_restart(ffl_tail_t *t);
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -54,6 +54,7 @@
 static bool resolve_submission(ffl_node_t *n, guint index);
 static bool resolve_pending(ffl_node_t *n, guint index);
 static bool expire_pending(ffl_node_t *n, guint index);
+static bool is_outage_known(const ffl_node_t *n);
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 		     const ffl_pending_t *p);
 static void send_appends(ffl_node_t *n);
@@ -123,6 +124,25 @@
 	return flow;
 }
 
+/* Answers for outages of the log, when requests would be held one after the
+ * other although none can be accepted soon. Returns true if the log has failed
+ * for longer than a request is held and another request waits for it: that one
+ * notices the end of the outage within APPEND_RETRY_MS. */
+static bool is_outage_known(const ffl_node_t *n)
+{
+	const ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
+
+	if (!t->failures || n->now_ms - t->failing_since_ms < HOLD_MAX_MS)
+		return false;
+	for (guint i = 0; i < n->pending->len; i++) {
+		const ffl_pending_t *p = g_ptr_array_index(n->pending, i);
+
+		if (p->record)
+			return true;
+	}
+	return n->held->len > 0;
+}
+
 /* A job whose records the log would refuse can never be served. */
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 		     const ffl_pending_t *p)
@@ -178,6 +198,10 @@
 				: FFL_RESPONSE_CONFLICT);
 		return;
 	}
+	if (is_outage_known(n)) {
+		respond(n, req->call, FFL_RESPONSE_BUSY);
+		return;
+	}
 	p = add_pending(n, req, route, customer, id);
 	ffl_flow_spec_name(spec, p->spec_name);
 	p->record = g_byte_array_new();
@@ -264,7 +288,8 @@
 {
 	ffl_held_t *h;
 
-	if (n->stop_began_ms || n->held->len >= HELD_MAX) {
+	if (n->stop_began_ms || n->held->len >= HELD_MAX ||
+	    is_outage_known(n)) {
 		respond(n, req->call, FFL_RESPONSE_BUSY);
 		return;
 	}
@@ -508,13 +533,15 @@
 		found = true;
 		p->append_call = 0;
 		p->retry_ms = n->now_ms + APPEND_RETRY_MS;
-		if (reply->outcome == FFL_STORE_OK)
+		if (reply->outcome == FFL_STORE_OK) {
+			ffl_tails_log_answered(n);
 			handle_written(n, i, reply->first);
-		else if (reply->outcome == FFL_STORE_UNKNOWN)
+		} else if (reply->outcome == FFL_STORE_UNKNOWN) {
 			p->maybe_written = true;
-		else if (!p->maybe_written && p->kind == FFL_REQUEST_SUBMIT &&
-			 n->now_ms - p->received_ms >= HOLD_MAX_MS)
+		} else if (!p->maybe_written && p->kind == FFL_REQUEST_SUBMIT &&
+			   n->now_ms - p->received_ms >= HOLD_MAX_MS) {
 			respond_pending(n, i, FFL_RESPONSE_BUSY);
+		}
 	}
 	return found;
 }
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -198,7 +198,9 @@
 	act->store.topic = t->topic;
 	act->store.call = t->call = ffl_node_next_call(n);
 	act->store.from = t->next;
-	act->store.wait_ms = t->topic == FFL_TOPIC_WORKERS ? 0 : READ_WAIT_MS;
+	/* After a failure, whether the log is back matters most. */
+	act->store.wait_ms =
+		t->topic == FFL_TOPIC_WORKERS || t->failures ? 0 : READ_WAIT_MS;
 	act->store.timeout_ms = act->store.wait_ms + READ_SLACK_MS;
 	t->sent_ms = n->now_ms;
 }
@@ -376,6 +378,16 @@
 	t->due_ms = n->now_ms + ffl_node_backoff_ms(n, t->failures);
 }
 
+void ffl_tails_log_answered(ffl_node_t *n)
+{
+	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
+		ffl_tail_t *t = &n->tails[i];
+
+		if (t->failures)
+			t->due_ms = MIN(t->due_ms, n->now_ms);
+	}
+}
+
 bool ffl_tails_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
 	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
@@ -385,6 +397,7 @@
 			t->peek_call = 0;
 			if (reply->outcome != FFL_STORE_OK)
 				return true;
+			ffl_tails_log_answered(n);
 			record_rtt(n, t->peek_sent_ms);
 			handle_read(n, t, reply, t->peek_sent_ms);
 			return true;
@@ -396,10 +409,12 @@
 			handle_failure(n, t, reply);
 			return true;
 		}
-		if (t->failures)
+		if (t->failures) {
 			ffl_node_note(n, "store-regained",
 				      ffl_topic_name(t->topic), "failures=%u",
 				      t->failures);
+			ffl_tails_log_answered(n);
+		}
 		t->failures = 0;
 		if (!t->healthy_since_ms)
 			t->healthy_since_ms = t->sent_ms;
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -454,6 +454,28 @@
 	g_assert_true(s->jobs[job].refused);
 }
 
+/* In an outage that lasts, callers are refused at once and can try elsewhere or
+ * come again; one of them waits and is accepted as the log returns. */
+static void refused_at_once(site_t *s)
+{
+	uint32_t first;
+	uint32_t second;
+
+	s->log_down_until_ms = s->now_ms + 3000;
+	site_run(s, 2400);
+	first = site_submit(s, 0, 1, 1, WORK_MS, false);
+	site_run(s, SITE_STEP_MS);
+	second = site_submit(s, 0, 1, 1, WORK_MS, false);
+	g_assert_false(s->jobs[first].refused);
+	g_assert_true(s->jobs[second].refused);
+	site_run(s, 800);
+	g_assert_true(s->jobs[first].accepted);
+	site_resubmit(s, 0, second);
+	site_run(s, 200);
+	g_assert_true(s->jobs[second].accepted);
+	s->jobs[second].refused = false;
+}
+
 /* Returns true for a specification as it was handed in, and false for what the
  * leader writes of a job that has ended. */
 static bool is_submission(const keyed_record_t *rec)
@@ -912,6 +934,7 @@
 	{ "serves-at-once", serves_at_once },
 	{ "held-while-busy", held_while_log_refuses },
 	{ "refused-in-time", refused_in_time },
+	{ "held-in-a-known-outage", refused_at_once },
 	{ "slow-log-takes-an-append-once", slow_log_takes_once },
 	{ "followers-skip-progress", followers_skip_progress },
 	{ "larger-host-leads", larger_host_leads },
