requests: an answer tells of work that ended before the question came

Cause: callers ask when their work ends. The worker's report, the record of the end and the record of the state take 30 to 80 ms more, so that nearly each such question was answered with "running", and the caller asked again 250 ms later.

Change: a question about a job that runs is answered from what is known 80 ms after it came, or at once when the end is known; the states are read at once, as before, and again then. The leader publishes an end without waiting for the interval between two appends.

Before: node/end-told-when-asked fails, "running" on the first host. After: node, platform, dispatch and incarnation tests pass; node/running-told-when-asked holds the answer for a job that goes on to 150 ms.

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -285,6 +285,8 @@
 	GPtrArray *writes;	/**< its records, of ffl_write_t */
 	GPtrArray *dropped_ids; /**< jobs that left the log; their states are to
 				 * be removed */
+	bool final_waits;	/**< a final state is to be published, for which
+				 * callers wait */
 } ffl_publish_t;
 
 /** Leadership: what this host knows of the leader, and its own claim and
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -284,6 +284,8 @@
 		ffl_flow_t *flow = g_ptr_array_index(l->flows, i);
 
 		ffl_flow_set_visible_state(flow, flow->batch_state);
+		l->publish.final_waits |=
+			ffl_flow_state_is_final(flow->visible_state);
 		flow->has_progress = true;
 	}
 	if (l->batch)
--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -76,7 +76,7 @@
 	GPtrArray *writes;
 
 	if (!n->lead.leading || p->call ||
-	    n->now_ms - p->sent_ms < PUBLISH_GATHER_MS)
+	    (n->now_ms - p->sent_ms < PUBLISH_GATHER_MS && !p->final_waits))
 		return;
 	writes = g_ptr_array_new_with_free_func(ffl_write_free);
 	g_ptr_array_add(writes, ffl_lead_encode(n, n->lead.token, false));
@@ -91,6 +91,7 @@
 		p->writes = g_ptr_array_ref(writes);
 		p->call = act->store.call;
 		p->sent_ms = n->now_ms;
+		p->final_waits = false;
 		return;
 	}
 	g_ptr_array_unref(writes);
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -23,6 +23,9 @@
  * QUERY_WAIT_MAX_MS. */
 #define QUERY_AGE_MAX_MS  60
 #define QUERY_WAIT_MAX_MS 250
+/** The end of a run reaches the topic of states within this: the worker's
+ * report, an append to each of two topics, and the interval between appends. */
+#define QUERY_SETTLE_MS 80
 
 typedef void (*handler_fn_t)(ffl_node_t *n, ffl_request_t *req,
 			     const ffl_route_t *route, const char *customer,
@@ -37,8 +40,11 @@
 static void handle_cancel(ffl_node_t *n, ffl_request_t *req,
 			  const ffl_route_t *route, const char *customer,
 			  const char *id);
+static uint64_t known_since_ms(const ffl_flow_t *flow, uint64_t received_ms);
 static bool is_state_current(const ffl_node_t *n, const ffl_flow_t *flow,
 			     uint64_t received_ms);
+static void read_state(ffl_node_t *n, const ffl_flow_t *flow,
+		       uint64_t received_ms);
 static void serve_request(ffl_node_t *n, ffl_request_t *req);
 static void hold_request(ffl_node_t *n, ffl_request_t *req);
 static void drive_held(ffl_node_t *n);
@@ -213,16 +219,45 @@
 	g_ptr_array_remove(n->pending, p);
 }
 
+/* Callers ask as soon as their work has ended, when the records of that end are
+ * still under way. A job that runs may have ended before the query came, unless
+ * what is known is newer by QUERY_SETTLE_MS. */
+static uint64_t known_since_ms(const ffl_flow_t *flow, uint64_t received_ms)
+{
+	return flow->visible_state == FFL_FLOW_RUNNING
+		       ? received_ms + QUERY_SETTLE_MS
+		       : received_ms - QUERY_AGE_MAX_MS;
+}
+
 /* Returns true if a query received at received_ms can be answered without
  * reading further: a final state never changes, and the leader wrote all other
  * states itself. */
 static bool is_state_current(const ffl_node_t *n, const ffl_flow_t *flow,
 			     uint64_t received_ms)
 {
+	uint64_t then_ms = known_since_ms(flow, received_ms);
+
+	if (ffl_flow_state_is_final(flow->visible_state))
+		return true;
+	if (n->now_ms < then_ms)
+		return n->tails[FFL_TOPIC_STATES].failures > 0;
 	return n->lead.leading ||
-	       ffl_flow_state_is_final(flow->visible_state) ||
-	       ffl_tail_is_current(n, FFL_TOPIC_STATES,
-				   received_ms - QUERY_AGE_MAX_MS);
+	       ffl_tail_is_current(n, FFL_TOPIC_STATES, then_ms);
+}
+
+/* Reads the states at once, as the end may be on the log already, and again
+ * when a job that runs is to be answered for. */
+static void read_state(ffl_node_t *n, const ffl_flow_t *flow,
+		       uint64_t received_ms)
+{
+	uint64_t then_ms = known_since_ms(flow, received_ms);
+
+	if (n->lead.leading)
+		return;
+	if (n->now_ms >= then_ms ||
+	    !ffl_tail_is_current(n, FFL_TOPIC_STATES,
+				 received_ms - QUERY_AGE_MAX_MS))
+		ffl_tail_peek(n, FFL_TOPIC_STATES);
 }
 
 static void handle_query(ffl_node_t *n, ffl_request_t *req,
@@ -249,7 +284,7 @@
 			flow->visible_state;
 	} else {
 		add_pending(n, req, route, customer, id);
-		ffl_tail_peek(n, FFL_TOPIC_STATES);
+		read_state(n, flow, n->now_ms);
 	}
 }
 
@@ -418,7 +453,7 @@
 	if (p->kind == FFL_REQUEST_QUERY) {
 		if (!is_state_current(n, flow, p->received_ms) &&
 		    n->now_ms - p->received_ms < QUERY_WAIT_MAX_MS) {
-			ffl_tail_peek(n, FFL_TOPIC_STATES);
+			read_state(n, flow, p->received_ms);
 			return false;
 		}
 		respond_pending(n, index, FFL_RESPONSE_STATE);
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -402,6 +402,46 @@
 	g_assert_cmpint(s->jobs[job].reported_state, ==, FFL_FLOW_COMPLETED);
 }
 
+/* Runs until the work of a job of one task has ended on its worker. */
+static uint32_t run_until_work_ends(site_t *s, uint32_t host)
+{
+	uint32_t job = site_submit(s, host, 1, 1, WORK_MS, false);
+
+	while (!g_hash_table_size(s->jobs[job].completed))
+		site_run(s, SITE_STEP_MS);
+	s->jobs[job].reported_state = FFL_FLOW_QUEUED;
+	return job;
+}
+
+/* Callers ask at the moment at which their work ends, and are told of its end
+ * by that answer. */
+static void end_told_when_asked(site_t *s)
+{
+	for (uint32_t host = 0; host < 3; host++) {
+		uint32_t job = run_until_work_ends(s, host);
+
+		site_query(s, host, job);
+		site_run(s, 150);
+		g_assert_cmpint(s->jobs[job].reported_state, ==,
+				FFL_FLOW_COMPLETED);
+	}
+}
+
+/* While a job runs on, the answer is not held back beyond that. */
+static void running_told_when_asked(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 1, 1, WORK_MS, false);
+
+	site_run(s, WORK_MS / 2);
+	for (uint32_t host = 0; host < 3; host++) {
+		s->jobs[job].reported_state = FFL_FLOW_QUEUED;
+		site_query(s, host, job);
+		site_run(s, 150);
+		g_assert_cmpint(s->jobs[job].reported_state, ==,
+				FFL_FLOW_RUNNING);
+	}
+}
+
 /* A call to a host that has just started is held until the host is ready,
  * rather than refused. */
 static void held_while_starting(site_t *s)
@@ -930,6 +970,8 @@
 	{ "led-before", leader_again },
 	{ "advised", leader_lost_with_tickets },
 	{ "followers-read-seldom", followers_read_seldom },
+	{ "end-told-when-asked", end_told_when_asked },
+	{ "running-told-when-asked", running_told_when_asked },
 	{ "held-while-starting", held_while_starting },
 	{ "serves-at-once", serves_at_once },
 	{ "held-while-busy", held_while_log_refuses },
