dispatch: a worker that fails a run at once is left out after the first

Cause: a worker was quarantined after failures of two jobs in a row, then used again fully after 4 s. While a seventh of the workers fails all that it starts, within 0.1 s, a gang of ten meets one at most attempts: its two or three attempts were gone within a second.

Change: trust.c. A run that fails within 0.4 s of its order tells of its worker, which is left out at once, and is on probation afterwards: tried with one single task that has attempts left, until that is at work. At most three workers for a job and a quarter of all. Guaranteed work that may wait no longer takes a worker on probation.

Before: dispatch/failed-at-once and dispatch/probation fail (the job has failed; two tasks start on the worker). After: dispatch, incarnation and node tests pass.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -90,8 +90,12 @@
 	uint32_t fail_streak;	  /**< failures in a row; a job counts once */
 	const ffl_flow_t *fail_flow; /**< job of the last counted failure */
 	bool has_succeeded; /**< a run succeeded since the last failure */
+	uint64_t failed_ms; /**< when a run last failed there */
 	uint64_t quarantined_until_ms; /**< nothing is placed there before */
-	uint64_t reserved_until_ms;    /**< only guaranteed work before */
+	/** On probation before, once its quarantine is over: tried with little.
+	 */
+	uint64_t probation_until_ms;
+	uint64_t reserved_until_ms; /**< only guaranteed work before */
 	/** Job that the reservation is for; compared, never dereferenced. */
 	const ffl_flow_t *reserved_for;
 	ffl_resources_t reserved; /**< share of the worker that is reserved */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -6,9 +6,6 @@
  * close to its data may run elsewhere after this share of its run time. */
 #define REMOTE_FREE_PERCENT 40
 #define REMOTE_WAIT_PERCENT 50
-/** Guaranteed work may run elsewhere after this share of the time in which it
- * has to start, rather than start late. */
-#define GUARANTEED_REMOTE_PERCENT 50
 /** Penalty for a worker that had a failure or is not in the data's rack, in
  * GPUs left over. */
 #define PENALTY_GPUS 64
@@ -64,7 +61,7 @@
 
 	if (!w->listed || w->entry_outdated || w->entry.draining ||
 	    w->missed_renewals || !w->clock_read_ms ||
-	    req->now_ms < w->quarantined_until_ms ||
+	    !ffl_trust_allows(w, req) ||
 	    strcmp(w->entry.service, req->flow->spec.service) != 0)
 		return false;
 	if (!req->guaranteed && ffl_dispatch_worker_is_reserved(w, req))
@@ -202,9 +199,7 @@
 
 	if (!req->step->rack[0] && !req->step->same_rack)
 		return true;
-	if (req->guaranteed && waited >= (uint64_t)d->opt.reclaim_ms *
-						 GUARANTEED_REMOTE_PERCENT /
-						 PERCENT)
+	if (req->must_start)
 		return true;
 	if (req->flow->spec.priority > 0 &&
 	    ffl_free_gpus_percent(d, req) >= REMOTE_FREE_PERCENT)
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -87,12 +87,18 @@
  * may be sent yet. */
 bool ffl_dispatch_worker_assign_token(const ffl_dispatch_t *d,
 				      ffl_dispatch_worker_t *w);
-void ffl_dispatch_worker_count_success(ffl_dispatch_worker_t *w);
-/** Counts a failure of a job's run and quarantines the worker if it has
- * failed several jobs in a row. */
-void ffl_dispatch_worker_count_failure(ffl_dispatch_t *d,
-				       ffl_dispatch_worker_t *w,
-				       const ffl_flow_t *flow, uint64_t now_ms);
+/* trust.c */
+
+/** Forgets what is known of a worker's failures. */
+void ffl_trust_reset(ffl_dispatch_worker_t *w);
+void ffl_trust_count_success(ffl_dispatch_worker_t *w);
+/** Counts a run that was reported at work. */
+void ffl_trust_count_work(ffl_dispatch_worker_t *w, const ffl_run_t *run,
+			  uint64_t now_ms);
+/** Counts a failed run, and quarantines its worker if it seems to be at fault.
+ */
+void ffl_trust_count_failure(ffl_dispatch_t *d, ffl_run_t *run,
+			     uint64_t now_ms);
 
 /* rack.c */
 
@@ -201,6 +207,7 @@
 	bool guaranteed; /**< within its customer's guarantee */
 	bool local_only; /**< only in the data's rack, gang in one rack */
 	bool skip_slow;	 /**< not on slow workers */
+	bool must_start; /**< guaranteed work that may wait no longer */
 } ffl_place_request_t;
 
 /** Returns the resources that each task of a step takes. */
@@ -213,6 +220,11 @@
 bool ffl_is_infeasible(ffl_dispatch_t *d, const ffl_place_request_t *req);
 void ffl_add_infeasible(ffl_dispatch_t *d, const ffl_place_request_t *req);
 
+/** Returns true if a step may be placed on a worker after what has failed
+ * there. */
+bool ffl_trust_allows(const ffl_dispatch_worker_t *w,
+		      const ffl_place_request_t *req);
+
 /* choose.c */
 
 /** Returns true if a step may run on a worker, not counting tickets and free
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -4,6 +4,9 @@
 
 /** Time that it takes for the end of a stopped run to be reported. */
 #define PREEMPT_SLACK_MS 150
+/** Share of the time in which guaranteed work has to start, in percent, in
+ * which it may wait for better workers. */
+#define CHOOSY_PERCENT 50
 
 static int compare_rank(const void *a, const void *b);
 static void mark_guaranteed(ffl_dispatch_t *d, GPtrArray *ranked,
@@ -24,6 +27,7 @@
 find_worker(ffl_dispatch_t *d, ffl_place_request_t *req, bool allow_remote);
 static bool must_leave_headroom(ffl_dispatch_t *d,
 				const ffl_place_request_t *req);
+static bool must_start(const ffl_dispatch_t *d, const ffl_place_request_t *req);
 static bool has_waiting_tasks(const ffl_place_request_t *req);
 static void place_step(ffl_dispatch_t *d, ffl_place_request_t *req);
 static bool may_place(const ffl_task_t *task);
@@ -276,6 +280,15 @@
 	       ffl_rank_has_slack(d, req->flow, req->now_ms);
 }
 
+static bool must_start(const ffl_dispatch_t *d, const ffl_place_request_t *req)
+{
+	uint64_t waited_ms = req->now_ms - req->flow->first_seen_ms;
+
+	return req->guaranteed &&
+	       waited_ms * PERCENT >=
+		       (uint64_t)d->opt.reclaim_ms * CHOOSY_PERCENT;
+}
+
 static bool has_waiting_tasks(const ffl_place_request_t *req)
 {
 	for (uint32_t i = 0; i < req->step->tasks; i++) {
@@ -298,6 +311,7 @@
 		d->waiting[FFL_WAIT_HEADROOM]++;
 		return;
 	}
+	req->must_start = must_start(d, req);
 	if (req->step->gang)
 		place_gang(d, req);
 	else
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -177,6 +177,7 @@
 			run->progress_clock_ms = reply->clock_ms;
 		}
 		run->seen_ms = now_ms;
+		ffl_trust_count_work(w, run, now_ms);
 		run->reported = true;
 		update_progress(d, run, report, reply->clock_ms, now_ms);
 	}
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -150,7 +150,7 @@
 		if (flow->tasks[i].state != FFL_TASK_DONE)
 			ffl_flow_task_set_state(flow, i, FFL_TASK_DONE);
 	}
-	ffl_dispatch_worker_count_success(run->worker);
+	ffl_trust_count_success(run->worker);
 	ffl_rank_record_run(d, run, now_ms);
 }
 
@@ -163,7 +163,7 @@
 	uint32_t first;
 
 	ffl_flow_gang_range(flow, run->task, &first, &count);
-	ffl_dispatch_worker_count_failure(d, run->worker, flow, now_ms);
+	ffl_trust_count_failure(d, run, now_ms);
 	if (flow->tasks[first].failed_run == run->run)
 		return;
 	flow->tasks[first].failed_run = run->run;
@@ -203,7 +203,7 @@
 		ffl_flow_task_set_state(flow, run->task, FFL_TASK_WAITING);
 		flow->retry_ms = now_ms + RETRY_MS;
 	} else if (end == FFL_RUN_END_DONE) {
-		ffl_dispatch_worker_count_success(run->worker);
+		ffl_trust_count_success(run->worker);
 	}
 	if (end != FFL_RUN_END_DONE) {
 		const GPtrArray *runs = ffl_runs_of_flow(d, flow);
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -95,9 +95,7 @@
  * against its worker. */
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
-	const ffl_flow_t *flow = run->flow;
-	const ffl_step_t *step =
-		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
+	const ffl_step_t *step = ffl_run_step(run);
 
 	evacuate(d, run, now_ms);
 	withdraw_start(d, run, now_ms);
@@ -106,7 +104,7 @@
 		return;
 	if (!is_hung(d, run))
 		return;
-	ffl_dispatch_worker_count_failure(d, run->worker, flow, now_ms);
+	ffl_trust_count_failure(d, run, now_ms);
 	ffl_run_request_stop(d, run, "hangs");
 }
 
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -2,11 +2,6 @@
 
 #include "lib/dispatch/dispatch_int.h"
 
-/** Failures in a row, of runs of different jobs, that quarantine a worker. */
-#define FAIL_STREAK_MAX 2
-/** Duration of a quarantine: as long as the shortest of the worker faults that
- * end by themselves. */
-#define QUARANTINE_MS 4000
 /** The clock reading of a list entry is used only if no other reading is newer
  * than this. */
 #define CLOCK_FRESH_MS 5000
@@ -115,30 +110,6 @@
 	return w->clock_ms + ahead_ms;
 }
 
-void ffl_dispatch_worker_count_success(ffl_dispatch_worker_t *w)
-{
-	w->fail_streak = 0;
-	w->has_succeeded = true;
-	w->quarantined_until_ms = 0;
-}
-
-void ffl_dispatch_worker_count_failure(ffl_dispatch_t *d,
-				       ffl_dispatch_worker_t *w,
-				       const ffl_flow_t *flow, uint64_t now_ms)
-{
-	w->has_succeeded = false;
-	if (w->fail_streak && w->fail_flow == flow)
-		return;
-	w->fail_streak++;
-	w->fail_flow = flow;
-	if (w->fail_streak < FAIL_STREAK_MAX)
-		return;
-	w->quarantined_until_ms = now_ms + QUARANTINE_MS;
-	ffl_dispatch_note(d, "worker-quarantined", w->entry.id,
-			  "failures=%u for_ms=%d", w->fail_streak,
-			  QUARANTINE_MS);
-}
-
 static void forget_incarnation(ffl_dispatch_worker_t *w)
 {
 	w->end_seen = 0;
@@ -148,9 +119,7 @@
 	w->clock_read_ms = 0;
 	w->clock_reported = false;
 	w->missed_renewals = 0;
-	w->fail_streak = 0;
-	w->has_succeeded = false;
-	w->quarantined_until_ms = 0;
+	ffl_trust_reset(w);
 	w->speed_milli = 0;
 	w->slow_until_ms = 0;
 	w->limit_percent = PERCENT;
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -24,6 +24,7 @@
 	uint64_t work;	     /**< progress so far; WORK when finished */
 	uint64_t end_number; /**< 1 for the first run to end here; 0: running */
 	bool stopped;
+	bool failed;
 	uint64_t stop_at_ms;   /**< when its stop completes; 0: not stopped */
 	uint32_t pace_percent; /**< as last throttled to */
 } sim_run_t;
@@ -33,6 +34,7 @@
 	ffl_worker_entry_t entry;
 	uint32_t rate_percent; /**< speed in percent of a usual worker's */
 	bool hangs;	       /**< its runs make no progress */
+	bool fails;	       /**< it fails all that it starts, at once */
 	GArray *runs;	       /**< of sim_run_t */
 	uint64_t ended;	       /**< number of runs that have ended */
 	uint32_t starts;
@@ -57,6 +59,7 @@
 	uint32_t stop_ms;	    /**< time that a stop takes */
 	uint32_t base_tail_ms; /**< tail latency without best-effort tasks */
 	uint32_t best_effort_tail_ms; /**< added by each at full pace */
+	const ffl_flow_t *poison;     /**< each run of this job fails at once */
 } test_bed_t;
 
 static void test_bed_init(test_bed_t *b, uint32_t workers);
@@ -69,6 +72,7 @@
 static bool ticket_matches(const ffl_order_t *order);
 static uint32_t tail_ms(const test_bed_t *b, const sim_worker_t *w);
 static void answer_order(test_bed_t *b, const ffl_order_t *order);
+static bool fails_everywhere(const test_bed_t *b, const char *name);
 static bool runs_until_cancelled(const test_bed_t *b, const char *name);
 static void advance_runs(test_bed_t *b);
 static void run_for_ms(test_bed_t *b, uint32_t ms);
@@ -239,6 +243,7 @@
 
 	if (order->kind == FFL_ORDER_START) {
 		ffl_copy(run.task, sizeof(run.task), order->task);
+		run.failed = w->fails || fails_everywhere(b, order->task);
 		g_array_append_val(w->runs, run);
 		w->starts++;
 		w->starts_with_ticket += ticket_matches(order);
@@ -266,7 +271,9 @@
 		ffl_copy(row->task, sizeof(row->task), r->task);
 		row->run = r->run;
 		row->number = r->end_number;
-		row->end = r->stopped ? FFL_RUN_END_STOPPED : FFL_RUN_END_DONE;
+		row->end = r->failed	? FFL_RUN_END_FAILED
+			   : r->stopped ? FFL_RUN_END_STOPPED
+					: FFL_RUN_END_DONE;
 		row->percent = (uint32_t)(r->work * 100 / WORK);
 		row->recent_load = tail_ms(b, w);
 		reply.ended_count += has_ended;
@@ -275,6 +282,13 @@
 	ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
 }
 
+static bool fails_everywhere(const test_bed_t *b, const char *name)
+{
+	uint32_t task;
+
+	return b->poison == ffl_task_find(&b->flows, name, &task) && b->poison;
+}
+
 static bool runs_until_cancelled(const test_bed_t *b, const char *name)
 {
 	uint32_t task;
@@ -295,7 +309,9 @@
 			if (r->stop_at_ms && !r->end_number &&
 			    b->now_ms >= r->stop_at_ms)
 				r->end_number = ++w->ended;
-			if (r->stop_at_ms || w->hangs)
+			if (r->failed && !r->end_number)
+				r->end_number = ++w->ended;
+			if (r->stop_at_ms || w->hangs || r->failed)
 				continue;
 			r->work += (uint64_t)STEP_MS * WORK * w->rate_percent /
 				   RATE_USUAL_PERCENT / b->work_ms;
@@ -825,12 +841,109 @@
 	test_bed_finish(&b);
 }
 
+/* A worker that fails what it starts at once is left out after the first
+ * failure, so that a job with two attempts does not lose both there, although
+ * no other worker has room. */
+static void test_failed_at_once(void)
+{
+	static const struct {
+		const char *name;
+		ffl_step_t step;
+	} cases[] = {
+		{ "single", { .tasks = 1, .gpus = 8 } },
+		{ "gang", { .tasks = 2, .gpus = 8, .gang = true } },
+		{ "tight",
+		  { .tasks = 2, .gpus = 8, .gang = true, .same_rack = true } },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *busy;
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 6);
+		b.workers[5].fails = true;
+		busy = submit(
+			&b, "busy", 0,
+			(ffl_step_t){ .tasks = cases[i].step.tasks == 1 ? 5 : 4,
+				      .gpus = 8 });
+		run_for_ms(&b, 100);
+		g_assert_cmpuint(busy->done_count, ==, 0);
+		flow = submit(&b, "new", 1, cases[i].step);
+		run_for_ms(&b, 10000);
+		g_assert_cmpint(ffl_flow_state(flow), ==, FFL_FLOW_COMPLETED);
+		test_bed_finish(&b);
+	}
+}
+
+/* A job whose runs fail at once everywhere leaves out no more than three
+ * workers. */
+static void test_hopeless_job(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 12);
+	b.poison =
+		submit(&b, "poison", 2, (ffl_step_t){ .tasks = 12, .gpus = 8 });
+	run_for_ms(&b, 1000);
+	g_assert_true(b.poison->failed);
+	flow = submit(&b, "new", 1,
+		      (ffl_step_t){ .tasks = 9, .gpus = 8, .gang = true });
+	run_for_ms(&b, 1000);
+	g_assert_cmpuint(flow->placed_count, ==, 9);
+	test_bed_finish(&b);
+}
+
+/* A worker that was left out is tried with a single task first, not with a
+ * gang; once that is at work, all is placed there again. */
+static void test_probation(void)
+{
+	static const struct {
+		const char *name;
+		bool still_fails;
+		ffl_step_t step;
+		uint32_t starts; /* on the worker, by the step's job */
+	} cases[] = {
+		{ "gang, sound",
+		  false,
+		  { .tasks = 2, .gpus = 4, .gang = true },
+		  0 },
+		{ "tasks, sound", false, { .tasks = 2, .gpus = 4 }, 2 },
+		{ "tasks, failing", true, { .tasks = 2, .gpus = 4 }, 1 },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 4);
+		b.work_ms = 8000;
+		b.workers[0].fails = true;
+		submit(&b, "first", 1, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		submit(&b, "rest", 1, (ffl_step_t){ .tasks = 3, .gpus = 8 });
+		run_for_ms(&b, 500);
+		g_assert_cmpuint(b.workers[0].starts, ==, 1);
+		b.workers[0].fails = cases[i].still_fails;
+		b.workers[0].starts = 0;
+		run_for_ms(&b, 3700);
+		submit(&b, "new", 1, cases[i].step);
+		run_for_ms(&b, 2500);
+		g_assert_cmpuint(b.workers[0].starts, ==, cases[i].starts);
+		test_bed_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_worker_avoided);
 	g_test_add_func("/dispatch/hang-known", test_hang_detected);
+	g_test_add_func("/dispatch/failed-at-once", test_failed_at_once);
+	g_test_add_func("/dispatch/hopeless-job", test_hopeless_job);
+	g_test_add_func("/dispatch/probation", test_probation);
 	g_test_add_func("/dispatch/max-unavailable", test_max_unavailable);
 	g_test_add_func("/dispatch/until-cancelled-placed",
 			test_until_cancelled_placed);
