dispatch: what waits or is stopped is what costs callers least

The operators' wish: when there is too little room, what is delayed or turned away should be what costs callers least, by its priority, its deadline and its work.

Cause: jobs of one tier and priority went by age, so that a wide job held up all small ones that came after it; and the run was stopped that had worked least, whatever that meant for its job's deadline or priority: a restarted gang was stopped again and again.

Change: cost.c. Within tier and priority the job of least work goes first, in classes of a factor of four.

Before: dispatch/order-of-waiting and dispatch/choice-of-victim fail. After: dispatch, incarnation and node tests pass.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -172,7 +172,10 @@
 			       * none */
 	uint64_t first_seen_ms;
 	uint32_t tier;	   /**< value to the customer, in a ranking of flows */
-	uint64_t retry_ms; /**< no placement is tried before */
+	uint64_t limit_ms; /**< duration that meets its objective */
+	uint64_t path_ms;  /**< least duration of what is left of it */
+	uint32_t work_class;	  /**< of its work; 0 if that does not matter */
+	uint64_t retry_ms;	  /**< no placement is tried before */
 	uint64_t next_preempt_ms; /**< nothing is preempted for it before */
 	uint32_t failed_at_once;  /**< runs that failed before they worked */
 	uint64_t ended_ms; /**< when it was first seen to have ended; 0: not */
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -336,8 +336,10 @@
 /** Updates the mean duration of a queue's runs from a run that succeeded. */
 void ffl_rank_record_run(ffl_dispatch_t *d, const ffl_run_t *run,
 			 uint64_t now_ms);
-ffl_tier_t ffl_rank_tier(const ffl_dispatch_t *d, const ffl_flow_t *flow,
-			 uint64_t now_ms);
+/** Returns the value of a flow that ends at a time after it was first seen. */
+ffl_tier_t ffl_rank_tier_at(const ffl_flow_t *flow, uint64_t end_ms);
+/** Works out by what a flow is ranked. */
+void ffl_rank_flow(const ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms);
 /** Returns true if a flow meets its objective even if it waits. */
 bool ffl_rank_has_slack(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 			uint64_t now_ms);
@@ -345,6 +347,23 @@
  * percent. */
 uint32_t ffl_rank_headroom_percent(const ffl_flow_t *flow);
 
+/* cost.c */
+
+/** Returns the class of the work that a flow needs in all: each class is four
+ * times the one before; 0 for first priority, where it does not matter. */
+uint32_t ffl_cost_class(const ffl_flow_t *flow);
+/** Returns the work of a run, in core-milliseconds, that is lost if it is
+ * stopped. */
+uint64_t ffl_cost_lost_work(const ffl_run_t *run, uint64_t now_ms);
+/** Returns what callers lose if a run is stopped besides that work: what its
+ * job's being late is worth, in core-milliseconds. */
+uint64_t ffl_cost_of_lateness(const ffl_dispatch_t *d, const ffl_run_t *run,
+			      uint64_t now_ms);
+/** Returns the weight of a priority that may be preempted. */
+uint32_t ffl_cost_weight(const ffl_flow_t *flow);
+/** Returns a step's cores, with the GPUs counted as such. */
+uint32_t ffl_cost_cores(const ffl_step_t *step);
+
 /* preempt.c */
 
 /**
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -59,6 +59,8 @@
 		return x->tier < y->tier ? -1 : 1;
 	if (x->spec.priority != y->spec.priority)
 		return x->spec.priority < y->spec.priority ? -1 : 1;
+	if (x->work_class != y->work_class)
+		return x->work_class < y->work_class ? -1 : 1;
 	if (x->spec_offset != y->spec_offset)
 		return x->spec_offset < y->spec_offset ? -1 : 1;
 	return 0;
@@ -355,7 +357,7 @@
 
 		if (ffl_flow_ended(flow))
 			continue;
-		flow->tier = ffl_rank_tier(d, flow, now_ms);
+		ffl_rank_flow(d, flow, now_ms);
 		g_ptr_array_add(ranked, flow);
 	}
 	ffl_count_free_gpus(d);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -2,12 +2,6 @@
 
 #include "lib/dispatch/dispatch_int.h"
 
-/** Number of cores that a GPU counts as when lost work is compared. */
-#define GPU_CORES  8
-#define CORE_MILLI 1000
-/** Most work that counts as lost when a run that writes checkpoints is
- * stopped. */
-#define SAVED_LOSS_MAX_MS 1000
 /** Freed resources stay reserved for guaranteed work for this long beyond the
  * longest time that a stop takes. */
 #define RESERVE_SLACK_MS 600
@@ -34,8 +28,6 @@
 
 static bool is_preemptible(const ffl_run_t *run);
 static bool may_preempt(const plan_t *plan, const ffl_run_t *run);
-static uint32_t core_equivalents(const ffl_step_t *step);
-static uint64_t lost_work(const ffl_run_t *run, uint64_t now_ms);
 static void set_gang_stop_cost(ffl_dispatch_t *d, ffl_run_t *run,
 			       uint64_t now_ms);
 static void update_stop_costs(ffl_dispatch_t *d, uint64_t now_ms);
@@ -61,37 +53,22 @@
 	return !run->stopping && run->flow->spec.priority > 0;
 }
 
-static uint32_t core_equivalents(const ffl_step_t *step)
-{
-	return step->gpus * GPU_CORES + step->cpu_milli / CORE_MILLI;
-}
-
-/* Returns the work that is lost if a run is stopped, in core-milliseconds. */
-static uint64_t lost_work(const ffl_run_t *run, uint64_t now_ms)
-{
-	const ffl_step_t *step = ffl_run_step(run);
-	uint64_t cores = core_equivalents(step);
-	uint64_t ran_ms = now_ms - run->placed_ms;
-
-	if (step->writes_checkpoints)
-		ran_ms = MIN(ran_ms, SAVED_LOSS_MAX_MS);
-	return cores * ran_ms + 1;
-}
-
 /* A gang is stopped as a whole, so stopping any of its runs costs the work of
- * all of them. */
+ * all of them, and what its job's being late costs. */
 static void set_gang_stop_cost(ffl_dispatch_t *d, ffl_run_t *run,
 			       uint64_t now_ms)
 {
 	const GPtrArray *runs = ffl_runs_of_flow(d, run->flow);
-	uint64_t total = lost_work(run, now_ms);
+	uint64_t total = ffl_cost_lost_work(run, now_ms);
 
 	for (guint i = 0; ffl_run_step(run)->gang && i < runs->len; i++) {
 		const ffl_run_t *other = g_ptr_array_index(runs, i);
 
 		if (other != run && ffl_run_same_gang(run, other))
-			total += lost_work(other, now_ms);
+			total += ffl_cost_lost_work(other, now_ms);
 	}
+	total += ffl_cost_of_lateness(d, run, now_ms);
+	total *= ffl_cost_weight(run->flow);
 	run->stop_cost = total;
 	for (guint i = 0; ffl_run_step(run)->gang && i < runs->len; i++) {
 		ffl_run_t *other = g_ptr_array_index(runs, i);
@@ -300,7 +277,7 @@
 {
 	const ffl_place_request_t *req = plan->req;
 	uint64_t own_work =
-		(uint64_t)core_equivalents(req->step) * req->step->tasks *
+		(uint64_t)ffl_cost_cores(req->step) * req->step->tasks *
 		ffl_rank_expected_run_ms(d, req->flow, req->step_index);
 
 	return req->guaranteed ||
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -103,17 +103,22 @@
 	return false;
 }
 
-ffl_tier_t ffl_rank_tier(const ffl_dispatch_t *d, const ffl_flow_t *flow,
-			 uint64_t now_ms)
+ffl_tier_t ffl_rank_tier_at(const ffl_flow_t *flow, uint64_t end_ms)
 {
-	uint64_t limit_ms = objective_ms(d, flow);
-	uint64_t end_ms =
-		now_ms - flow->first_seen_ms + critical_path_ms(d, flow, true);
-
-	if (flow->spec.timed || is_long_running(flow) || end_ms <= limit_ms)
+	if (flow->spec.timed || is_long_running(flow) ||
+	    end_ms <= flow->limit_ms)
 		return FFL_TIER_ON_TIME;
-	return end_ms <= LATE_FACTOR * limit_ms ? FFL_TIER_LATE
-						: FFL_TIER_WORTHLESS;
+	return end_ms <= LATE_FACTOR * flow->limit_ms ? FFL_TIER_LATE
+						      : FFL_TIER_WORTHLESS;
+}
+
+void ffl_rank_flow(const ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms)
+{
+	flow->limit_ms = objective_ms(d, flow);
+	flow->path_ms = critical_path_ms(d, flow, true);
+	flow->tier = ffl_rank_tier_at(flow, now_ms - flow->first_seen_ms +
+						    flow->path_ms);
+	flow->work_class = ffl_cost_class(flow);
 }
 
 bool ffl_rank_has_slack(const ffl_dispatch_t *d, const ffl_flow_t *flow,
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -935,12 +935,97 @@
 	}
 }
 
+/* When room is short, the job goes first that needs the least of it, unless
+ * another one has priority or could not be in time after waiting. */
+static void test_order_of_waiting(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t early_tasks, late_tasks;
+		uint32_t early_priority, late_priority;
+		uint32_t early_stretch_milli, late_stretch_milli;
+		bool late_first;
+	} cases[] = {
+		{ "less work first", 8, 1, 2, 2, 9000, 9000, true },
+		{ "about the same work: by age", 3, 2, 2, 2, 9000, 9000,
+		  false },
+		{ "priority before work", 8, 1, 1, 2, 9000, 9000, false },
+		{ "in time before work", 8, 1, 2, 2, 9000, 0, false },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *early;
+		ffl_flow_t *late;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 1);
+		submit(&b, "busy", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		run_for_ms(&b, 500);
+		early = submit(&b, "early", cases[i].early_priority,
+			       (ffl_step_t){ .tasks = cases[i].early_tasks,
+					     .gpus = 8 });
+		early->spec.stretch_milli = cases[i].early_stretch_milli;
+		run_for_ms(&b, 500);
+		late = submit(&b, "late", cases[i].late_priority,
+			      (ffl_step_t){ .tasks = cases[i].late_tasks,
+					    .gpus = 8 });
+		late->spec.stretch_milli = cases[i].late_stretch_milli;
+		run_for_ms(&b, 4000);
+		g_assert_true(late->started == cases[i].late_first);
+		g_assert_true(early->started == !cases[i].late_first);
+		test_bed_finish(&b);
+	}
+}
+
+/* The run is stopped that costs callers least: the work that is lost, more
+ * where its job gets late by it, and more with priority. */
+static void test_choice_of_victim(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t priority[2];
+		uint32_t stretch_milli[2];
+		uint32_t victim;
+	} cases[] = {
+		{ "least work lost", { 2, 2 }, { 9000, 9000 }, 1 },
+		{ "one would be late", { 2, 2 }, { 9000, 1000 }, 0 },
+		{ "one is worth nothing", { 2, 2 }, { 9000, 0 }, 1 },
+		{ "one has priority", { 2, 1 }, { 9000, 9000 }, 0 },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flows[2];
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 2);
+		for (uint32_t k = 0; k < 2; k++) {
+			flows[k] =
+				submit(&b, k ? "second" : "first",
+				       cases[i].priority[k],
+				       (ffl_step_t){ .tasks = 1, .gpus = 8 });
+			flows[k]->spec.stretch_milli =
+				cases[i].stretch_milli[k];
+			run_for_ms(&b, 500);
+		}
+		run_for_ms(&b, 500);
+		submit(&b, "urgent", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		run_for_ms(&b, 1000);
+		g_assert_cmpuint(flows[cases[i].victim]->placed_count, ==, 0);
+		g_assert_cmpuint(flows[!cases[i].victim]->placed_count, ==, 1);
+		test_bed_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_worker_avoided);
 	g_test_add_func("/dispatch/hang-known", test_hang_detected);
+	g_test_add_func("/dispatch/order-of-waiting", test_order_of_waiting);
+	g_test_add_func("/dispatch/choice-of-victim", test_choice_of_victim);
 	g_test_add_func("/dispatch/failed-at-once", test_failed_at_once);
 	g_test_add_func("/dispatch/hopeless-job", test_hopeless_job);
 	g_test_add_func("/dispatch/probation", test_probation);
