dispatch: moving off draining workers is not called evacuation

The platform's operators evacuate data centres, which is to come and another matter: there nothing new starts and what runs goes on. Renames evacuate() to leave_draining(), its stop reason "evacuated" to "drained" and its test to dispatch/moved-off-draining; no behaviour changes.

tests/dispatch_test: 16 tests pass, before and after.

--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -13,7 +13,7 @@
 /** A draining worker often stays a little longer than announced. */
 #define DRAIN_OVERRUN_MS 1500
 
-static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static void leave_draining(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
 			     uint64_t now_ms);
@@ -43,7 +43,7 @@
 /* Stops a run that would outlast its draining worker, while its state can still
  * be saved. Tasks that run until cancelled are stopped as soon as their step
  * allows it. */
-static void evacuate(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
+static void leave_draining(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	const ffl_worker_entry_t *entry = &run->worker->entry;
 	uint32_t step = ffl_flow_step_of(run->flow, run->task);
@@ -54,7 +54,7 @@
 		return;
 	if (run->flow->spec.steps[step].runs_until_cancelled) {
 		if (ffl_step_allows_disruption(d, run, NULL))
-			ffl_run_request_stop(d, run, "evacuated");
+			ffl_run_request_stop(d, run, "drained");
 		return;
 	}
 	left_ms = entry->drain_left_ms > left_ms
@@ -63,7 +63,7 @@
 	if (!saves)
 		left_ms += DRAIN_OVERRUN_MS;
 	if (left_ms < remaining_ms(d, run, now_ms))
-		ffl_run_request_stop(d, run, "evacuated");
+		ffl_run_request_stop(d, run, "drained");
 }
 
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run)
@@ -99,7 +99,7 @@
 	const ffl_step_t *step =
 		&flow->spec.steps[ffl_flow_step_of(flow, run->task)];
 
-	evacuate(d, run, now_ms);
+	leave_draining(d, run, now_ms);
 	withdraw_start(d, run, now_ms);
 	if (run->state != FFL_RUN_RUNNING || run->stopping ||
 	    step->runs_until_cancelled)
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -580,7 +580,7 @@
 /* A run is moved off a draining worker when its own progress shows that it
  * would not end in time, even if the estimate from its queue says otherwise;
  * one that ends in time stays. */
-static void test_evacuated(void)
+static void test_moved_off_draining(void)
 {
 	static const struct {
 		uint32_t rate_percent;
@@ -837,7 +837,8 @@
 	g_test_add_func("/dispatch/advice", test_advice);
 	g_test_add_func("/dispatch/no-adviser", test_no_adviser);
 	g_test_add_func("/dispatch/pace", test_pace);
-	g_test_add_func("/dispatch/evacuated", test_evacuated);
+	g_test_add_func("/dispatch/moved-off-draining",
+			test_moved_off_draining);
 	g_test_add_func("/dispatch/concurrent-preemptions",
 			test_concurrent_preemptions);
 	g_test_add_func("/dispatch/reclaim-spreads", test_reclaim_spreads);
