--- a/fakes/site.c
+++ b/fakes/site.c
@@ -230,6 +230,7 @@
 		.seed = ffl_rng_next(&s->rng),
 		.config_apply_ms = 2500,
 		.config_skew_ms = 5000,
+		.evacuate_ms = SITE_EVACUATE_MS,
 		.stop_drain_ms = 4800,
 		.keep_ended_ms = KEEP_ENDED_MS,
 		.size_milli = s->size_milli[host],
@@ -283,6 +284,11 @@
 						     sizeof(*rec->worker));
 		if (topic != FFL_TOPIC_CONFIG)
 			continue;
+		if (site_evacuated_dc(rec->key) < SITE_DCS) {
+			rec->evacuated_dc =
+				site_dc_name(site_evacuated_dc(rec->key));
+			continue;
+		}
 		rec->routes = ffl_arena_alloc(&s->arena, sizeof(*rec->routes));
 		ffl_routes_init(rec->routes);
 		rec->routes->version = rec->offset + 1;
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -17,12 +17,15 @@
 #define SITE_HOSTS_MAX	 4
 #define SITE_WORKERS_MAX 8
 #define SITE_JOBS_MAX	 48
+#define SITE_DCS	 2
 /** Tasks of a job whose waiting times are checked. */
 #define SITE_WATCHED_TASKS 8
 /** API keys of two customers. The queues /lining/ and /dew/ need one, /open/
  * does not. */
 #define SITE_KEY       "key"
 #define SITE_OTHER_KEY "key-2"
+/** By when nothing may be started in an evacuated data centre. */
+#define SITE_EVACUATE_MS 5000
 /** Step of virtual time. */
 #define SITE_STEP_MS 10
 /** Time between reports of a worker. */
@@ -85,6 +88,9 @@
 	/** Workers that are removed, a bit each: one with a new id and address
 	 * boots in their place. */
 	uint32_t removed;
+	/** When each data centre was evacuated; 0: it is not. Worker i is in
+	 * the data centre i % SITE_DCS. */
+	uint64_t evacuated_ms[SITE_DCS];
 	uint32_t new_workers;	  /**< workers with a new id so far */
 	GHashTable *reported_ms;  /**< time of the last report of each id that
 				     is listed */
@@ -127,6 +133,7 @@
 				      again, see site_on_started() */
 	bool order_outdated; /**< an earlier incarnation has reported under a
 				higher token */
+	bool order_late;     /**< the order was delayed on its way */
 	bool order_unfenced; /**< see site_on_started() */
 	const task_worker_t
 		*order_worker;	       /**< worker that is handling an order */
@@ -145,6 +152,9 @@
 /** Writes a new version of the configuration to its topic. */
 void site_write_config(site_t *s);
 
+/** Evacuates a data centre, or takes its evacuation back. */
+void site_evacuate(site_t *s, uint32_t dc, bool evacuated);
+
 /** Submits a job of one step to a host; returns its index. At SITE_JOBS_MAX
  * jobs it sends nothing and returns the last index. */
 uint32_t site_submit(site_t *s, uint32_t host, uint32_t tasks, uint32_t gpus,
--- a/fakes/site_faults.c
+++ b/fakes/site_faults.c
@@ -69,6 +69,10 @@
 		if (!w->alive)
 			site_worker_boot(s, i);
 	}
+	for (uint32_t i = 0; i < SITE_DCS; i++) {
+		if (s->evacuated_ms[i])
+			site_evacuate(s, i, false);
+	}
 	site_run(s, ms);
 	/* A host that starts knows only what the log says. */
 	site_kill(s, site_leader(s) == 0 ? s->hosts_count - 1 : 0, 0);
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -64,6 +64,10 @@
 void site_workers_finish(site_t *s);
 /** Writes the entries that are due and removes those of silent workers. */
 void site_report_workers(site_t *s);
+/** Returns the index of the data centre of an evacuation's key, or SITE_DCS. */
+uint32_t site_evacuated_dc(const char *key);
+/** Returns the name of a data centre. */
+const char *site_dc_name(uint32_t dc);
 /** Returns true if a connection to an address where no worker is up is refused
  * at once; else nothing answers. */
 bool site_addr_refuses(const site_t *s, const char *addr);
--- a/fakes/site_oracle.c
+++ b/fakes/site_oracle.c
@@ -6,6 +6,7 @@
 /** Time after a confirmed cancellation from which no task may start. */
 #define CANCEL_GRACE_MS 3000
 
+static bool is_barred(const site_t *s, const task_worker_t *w);
 static char *run_key(const char *task, uint32_t run);
 static bool is_repeated(const site_t *s, const task_run_t *run);
 static bool note_repeated(site_t *s, const task_run_t *run);
@@ -96,6 +97,16 @@
 	return repeated;
 }
 
+/* Returns true if the data centre of a worker has been evacuated for so long
+ * that no run may start there, by an order that was not delayed. */
+static bool is_barred(const site_t *s, const task_worker_t *w)
+{
+	uint64_t evacuated_ms = s->evacuated_ms[(w - s->workers) % SITE_DCS];
+
+	return evacuated_ms && !s->order_late &&
+	       s->now_ms > evacuated_ms + SITE_EVACUATE_MS;
+}
+
 void site_on_started(void *user, task_worker_t *w, const task_run_t *run)
 {
 	site_t *s = user;
@@ -132,6 +143,10 @@
 		site_record_violation(
 			s, "a task was started after 2 acknowledged failures",
 			run->task);
+	if (is_barred(s, w))
+		site_record_violation(
+			s, "a task was started in an evacuated data centre",
+			run->task);
 	if (job->refused && !job->accepted && !job->outcome_unknown)
 		site_record_violation(s, "a refused job was started",
 				      run->task);
--- a/fakes/site_orders.c
+++ b/fakes/site_orders.c
@@ -181,6 +181,7 @@
 			       e->host, e->incarnation);
 	e->act.order.ticket = e->ticket;
 	s->order_worker = w;
+	s->order_late = e->no_answer;
 	s->order_outdated = e->act.order.token < w->reported_token;
 	s->order_unfenced =
 		e->no_answer && e->sent_ms < w->boot_ms &&
--- a/fakes/site_waiting.c
+++ b/fakes/site_waiting.c
@@ -83,8 +83,8 @@
 	const uint64_t *at = g_hash_table_lookup(s->reported_ms, w->id);
 
 	return w->alive && at && *at >= w->boot_ms && !w->draining &&
-	       !w->hangs && !s->worker_cut[worker] &&
-	       !(s->hosts_cut[worker] >> leader & 1);
+	       !s->evacuated_ms[worker % SITE_DCS] && !w->hangs &&
+	       !s->worker_cut[worker] && !(s->hosts_cut[worker] >> leader & 1);
 }
 
 static bool has_room(const site_t *s, const site_job_t *job, uint32_t step,
--- a/fakes/site_workers.c
+++ b/fakes/site_workers.c
@@ -7,10 +7,50 @@
 /** How far a clock that jumps sets back the start time of an incarnation. */
 #define CLOCK_BACK_MS 4987
 
+/** Key that evacuates a data centre, before its name. */
+#define EVACUATE_PREFIX "evacuate/"
+/** What the operators write under it. */
+#define EVACUATE_VALUE "{}"
+
+static const char *const dc_names[SITE_DCS] = { "norte", "sur" };
+
 static void remove_entry(site_t *s, const char *id);
 
+const char *site_dc_name(uint32_t dc)
+{
+	return dc_names[dc];
+}
+
+uint32_t site_evacuated_dc(const char *key)
+{
+	uint32_t dc = 0;
+
+	if (!g_str_has_prefix(key, EVACUATE_PREFIX))
+		return SITE_DCS;
+	key += strlen(EVACUATE_PREFIX);
+	while (dc < SITE_DCS && strcmp(dc_names[dc], key) != 0)
+		dc++;
+	return dc;
+}
+
+void site_evacuate(site_t *s, uint32_t dc, bool evacuated)
+{
+	char *key = g_strconcat(EVACUATE_PREFIX, dc_names[dc], NULL);
+
+	keyed_log_put(&s->topics[FFL_TOPIC_CONFIG], key, EVACUATE_VALUE,
+		      evacuated ? strlen(EVACUATE_VALUE) : 0);
+	g_free(key);
+	if (!evacuated)
+		s->evacuated_ms[dc] = 0;
+	else if (!s->evacuated_ms[dc])
+		s->evacuated_ms[dc] = s->now_ms;
+}
+
 void site_workers_init(site_t *s)
 {
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		ffl_copy(s->workers[i].dc, sizeof(s->workers[i].dc),
+			 dc_names[i % SITE_DCS]);
 	s->reported_ms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->silent_addrs =
--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -42,6 +42,7 @@
 	memset(w, 0, sizeof(*w));
 	g_snprintf(w->id, sizeof(w->id), "w%02u", index);
 	ffl_copy(w->addr, sizeof(w->addr), w->id);
+	ffl_copy(w->dc, sizeof(w->dc), "norte");
 	w->runs = g_ptr_array_new_with_free_func(g_free);
 	w->ended = g_ptr_array_new_with_free_func(g_free);
 	w->lapsed = g_ptr_array_new_with_free_func(g_free);
@@ -314,7 +315,7 @@
 	ffl_copy(out->id, sizeof(out->id), w->id);
 	ffl_copy(out->addr, sizeof(out->addr), w->addr);
 	ffl_copy(out->service, sizeof(out->service), "survey");
-	ffl_copy(out->dc, sizeof(out->dc), "norte");
+	ffl_copy(out->dc, sizeof(out->dc), w->dc);
 	ffl_copy(out->rack, sizeof(out->rack), "r1");
 	out->draining = w->draining;
 	out->born_ms = w->born_ms;
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -38,6 +38,7 @@
 typedef struct {
 	char id[16];
 	char addr[16];
+	char dc[16]; /**< its data centre */
 	bool alive;
 	bool listed;
 	bool draining;
--- a/fuzz/node_fuzz.c
+++ b/fuzz/node_fuzz.c
@@ -2,7 +2,8 @@
  * Hosts on a log service that die, freeze, leave, are cut off or see the log
  * fail in every way, with workers that crash, hang, leave and carry orders
  * out late: nothing accepted is lost, nothing done runs again, no two runs of
- * a task at once, no refused or cancelled job runs, and everything ends.
+ * a task at once, no refused or cancelled job runs, nothing starts in
+ * a data centre that was evacuated, and everything ends.
  */
 #include <string.h>
 
@@ -18,7 +19,7 @@
 #define HEAL_MS	      70000
 #define OPS_MAX	      32
 
-/** Operations: the first byte of each chooses one. */
+/** Operations: the first byte of each chooses one, see op_of(). */
 typedef enum {
 	OP_SUBMIT,
 	OP_CHAIN,
@@ -45,18 +46,26 @@
 	OP_RESTART_BACK,
 	OP_REPLACE,
 	OP_REMOVE,
+	OP_EVACUATE,
+	OP_TAKE_BACK,
 	OP__MAX
 } op_t;
 
+/** First bytes from this one on choose among the operations from OP_EVACUATE
+ * on, lower ones among those before it. */
+#define EVACUATE_BYTE 250
+
 static const char *const op_names[OP__MAX] = {
 	"submit",     "chain",	  "repeat",	  "cancel",  "look",
 	"kill",	      "kill-all", "stop",	  "freeze",  "cut",
 	"log-silent", "log-busy", "log-lost",	  "forget",  "late",
 	"crash",      "boot",	  "hang",	  "drain",   "cut-worker",
-	"exit",	      "restart",  "restart-back", "replace", "remove"
+	"exit",	      "restart",  "restart-back", "replace", "remove",
+	"evacuate",   "take-back"
 };
 
 static const char *run(const uint8_t *ops, size_t op_count, GString *trace);
+static op_t op_of(uint8_t byte);
 static bool strikes_all(op_t op, uint8_t arg);
 static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time);
 static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms);
@@ -106,6 +115,13 @@
 		s->worker_cut[worker] = !s->worker_cut[worker];
 }
 
+static op_t op_of(uint8_t byte)
+{
+	if (byte < EVACUATE_BYTE)
+		return (op_t)(byte % OP_EVACUATE);
+	return (op_t)(OP_EVACUATE + byte % (OP__MAX - OP_EVACUATE));
+}
+
 /* Half of the restarts, exits and boots strike all workers. */
 static bool strikes_all(op_t op, uint8_t arg)
 {
@@ -150,6 +166,8 @@
 	} else if (op == OP_LATE) {
 		s->orders_late_until_ms = s->now_ms + ms;
 		s->late_percent = arg % 60;
+	} else if (op >= OP_EVACUATE) {
+		site_evacuate(s, arg % SITE_DCS, op == OP_EVACUATE);
 	} else if (op >= OP_CRASH) {
 		for (uint32_t i = 0; i < WORKERS; i++) {
 			if (i == arg % WORKERS || strikes_all(op, arg))
@@ -173,7 +191,7 @@
 	site_run(&s, START_MS);
 	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.violation; i++) {
 		const uint8_t *b = &ops[3 * i];
-		op_t op = (op_t)(b[0] % OP__MAX);
+		op_t op = op_of(b[0]);
 
 		if (trace)
 			g_string_append_printf(
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -35,6 +35,10 @@
 /** Records a latency, in ms. */
 typedef void (*ffl_latency_fn_t)(void *user, ffl_latency_t what, uint64_t ms);
 
+/** Longest time from a decision to start a run until its worker has the order:
+ * the order's deadline, and as much again for the leader's own backlog. */
+#define FFL_START_REACH_MS 800
+
 /** Limits and figures set by the deployment. */
 typedef struct {
 	uint32_t lease_max_ms; /**< longest lease that workers grant */
@@ -54,6 +58,7 @@
 	ffl_worker_entry_t entry;
 	bool listed;		   /**< present in the worker list */
 	bool entry_outdated;	   /**< entry is an earlier incarnation's */
+	bool evacuated;		   /**< its data centre is being evacuated */
 	uint64_t listed_ms;	   /**< when its entry was last read */
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
@@ -159,7 +164,7 @@
 	GPtrArray *workers; /**< of ffl_dispatch_worker_t *, by id */
 } ffl_rack_t;
 
-/** GPUs of a service's workers that are not draining. */
+/** GPUs of a service's workers that are neither draining nor evacuated. */
 typedef struct {
 	uint64_t total;
 	uint64_t free;
@@ -200,6 +205,8 @@
 	GHashTable *calls; /**< unanswered orders by call number */
 	/** Guaranteed GPUs by customer; borrowed, may be NULL. */
 	GHashTable *guaranteed;
+	/** Evacuated data centres by name; borrowed, may be NULL. */
+	GHashTable *evacuated;
 	uint64_t token; /**< highest fencing token of this leader; 0: none */
 	uint64_t leader_since_ms; /**< when it became leader */
 	uint64_t next_call;
@@ -268,6 +275,22 @@
 void ffl_dispatch_handle_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
 			       uint64_t now_ms);
 
+/** What an evacuation concerns. */
+typedef struct {
+	uint32_t workers; /**< listed workers of the data centre */
+	uint32_t runs;	  /**< runs on its workers */
+} ffl_evacuation_t;
+
+/**
+ * Handles a change of ffl_dispatch_t.evacuated. Nothing new is started on the
+ * workers of an evacuated data centre; what runs there goes on.
+ *
+ * @param dc name of the data centre that was added or removed
+ * @param out receives what the change concerns
+ */
+void ffl_dispatch_update_evacuated(ffl_dispatch_t *d, const char *dc,
+				   ffl_evacuation_t *out);
+
 /** Requests a placement pass in the next step, as a job was added or
  * cancelled. */
 void ffl_dispatch_request_placement(ffl_dispatch_t *d);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -60,6 +60,9 @@
 	ffl_bytes_t value;		/**< empty if the key was removed */
 	ffl_routes_t *routes;		/**< decoded configuration, or NULL */
 	ffl_worker_entry_t *worker;	/**< decoded worker entry, or NULL */
+	/** Data centre that this record evacuates, or no longer if it has no
+	 * value; NULL: it is about none. Its key may be "?" then. */
+	const char *evacuated_dc;
 	const char *problem; /**< why there is none: a static word, or NULL */
 } ffl_store_record_t;
 
@@ -217,6 +220,8 @@
 				   * force */
 	uint32_t config_skew_ms;  /**< extra time for that while the log is
 				   * unreliable */
+	uint32_t evacuate_ms;	  /**< by when nothing may be started in an
+				   * evacuated data centre */
 	uint32_t stop_drain_ms;	  /**< longest duration of a planned stop */
 	uint32_t keep_ended_ms;	  /**< how long an ended job can be queried */
 	uint32_t size_milli;	  /**< processor, in thousandths of a core; 0:
@@ -250,7 +255,8 @@
 	uint64_t healthy_since_ms;
 	uint32_t failures;	   /**< consecutive failed reads */
 	uint64_t failing_since_ms; /**< when the first of them failed */
-	GHashTable *paged_keys;	   /**< workers or jobs in the pages so far */
+	/** Workers, jobs or evacuated data centres in the pages so far. */
+	GHashTable *paged_keys;
 } ffl_tail_t;
 
 /** A request that waits for the log before it can be answered. */
@@ -336,6 +342,9 @@
 	ffl_dispatch_t dispatch;
 	ffl_routes_t routes;
 	bool has_routes;
+	/** Offset of the record that evacuates it, as uint64_t, by the name of
+	 * each evacuated data centre. */
+	GHashTable *evacuations;
 	ffl_tail_t tails[FFL_TOPIC__MAX];
 	ffl_lead_t lead;
 	GPtrArray *pending; /**< of ffl_pending_t */
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -47,6 +47,7 @@
 	uint32_t cross_rack_second_ms;
 	uint32_t config_apply_ms;
 	uint32_t config_skew_ms;
+	uint32_t evacuate_ms;
 	uint32_t keep_ended_ms;
 	uint32_t grace_ms;
 	uint32_t processor_milli; /**< thousandths of each core */
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -37,6 +37,7 @@
 				    (uint64_t)g_get_real_time());
 	opt->config_apply_ms = s->config_apply_ms;
 	opt->config_skew_ms = s->config_skew_ms;
+	opt->evacuate_ms = s->evacuate_ms;
 	opt->keep_ended_ms = s->keep_ended_ms;
 	opt->size_milli = s->processor_milli * s->cores;
 	opt->record_bytes_max = s->record_bytes;
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -63,7 +63,7 @@
 	bool labelled = !step->label[0];
 
 	if (!w->listed || w->entry_outdated || w->entry.draining ||
-	    w->missed_renewals || !w->clock_read_ms ||
+	    w->evacuated || w->missed_renewals || !w->clock_read_ms ||
 	    req->now_ms < w->quarantined_until_ms ||
 	    strcmp(w->entry.service, req->flow->spec.service) != 0)
 		return false;
@@ -159,7 +159,7 @@
 		ffl_gpu_count_t *count =
 			g_hash_table_lookup(d->gpus, w->entry.service);
 
-		if (w->entry.draining)
+		if (w->entry.draining || w->evacuated)
 			continue;
 		if (!count) {
 			count = g_new0(ffl_gpu_count_t, 1);
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -7,6 +7,9 @@
 
 #include "fireflyledge/dispatch.h"
 
+/** Deadline of a start order. It covers both ways between regions and the
+ * worker's processing. */
+#define START_TIMEOUT_MS 400
 /** Length of a lease, in percent of the longest that workers grant. The rest
  * gives the next leader time to adopt the runs. */
 #define LEASE_PERCENT 65
@@ -138,6 +141,12 @@
 bool ffl_step_allows_disruption(const ffl_dispatch_t *d, const ffl_run_t *run,
 				GHashTable *stopping);
 
+/* evacuation.c */
+
+/** Works out whether a worker's data centre is being evacuated. */
+void ffl_dispatch_worker_set_evacuated(const ffl_dispatch_t *d,
+				       ffl_dispatch_worker_t *w);
+
 /* run.c */
 
 /** Adds a run and takes its resources from the worker. */
@@ -302,7 +311,7 @@
 /* watch.c */
 
 /** Stops runs that are cancelled, hang, or would not end before their
- * draining worker leaves. */
+ * draining worker leaves, and takes back those that are not to be started. */
 void ffl_watch_runs(ffl_dispatch_t *d, uint64_t now_ms);
 /** Ends the runs of an unreachable worker once all its leases are over. */
 void ffl_watch_worker(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -2,9 +2,7 @@
 
 #include "lib/dispatch/dispatch_int.h"
 
-/** Deadlines of orders. They cover both ways between regions and the worker's
- * processing. */
-#define START_TIMEOUT_MS    400
+/** Deadlines of other orders, as START_TIMEOUT_MS. */
 #define STOP_TIMEOUT_MS	    400
 #define THROTTLE_TIMEOUT_MS 400
 #define RENEW_SLACK_MS	    600
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -14,6 +14,7 @@
 #define DRAIN_OVERRUN_MS 1500
 
 static void leave_draining(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static bool is_start_barred(const ffl_run_t *run);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
 			     uint64_t now_ms);
@@ -78,8 +79,18 @@
 				      : HANG_MS);
 }
 
-/* A worker that is off the list, or has not answered a start until its lease is
- * over, is sent no start, only a stop for one that it may have carried out. */
+/* Returns true if the data centre is evacuated before a start was ordered, or
+ * after its order was not answered. An order on its way is not called back: if
+ * the answer tells that the run has begun, it goes on. */
+static bool is_start_barred(const ffl_run_t *run)
+{
+	return run->worker->evacuated &&
+	       (run->state == FFL_RUN_PLANNED || !run->call);
+}
+
+/* A worker that is off the list, is evacuated, or has not answered a start
+ * until its lease is over, is sent no start, only a stop for one that it may
+ * have carried out. */
 static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	if (run->stopping ||
@@ -87,6 +98,8 @@
 		return;
 	if (!run->worker->listed)
 		ffl_run_request_stop(d, run, "unlisted");
+	else if (is_start_barred(run))
+		ffl_run_request_stop(d, run, "evacuated");
 	else if (run->lease_end_ms && now_ms >= run->lease_end_ms)
 		ffl_run_request_stop(d, run, "unanswered");
 }
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -280,6 +280,7 @@
 		ffl_racks_invalidate(d);
 	w->entry = *entry;
 	w->entry.born_ms = born_ms;
+	ffl_dispatch_worker_set_evacuated(d, w);
 	w->entry_outdated = false;
 	w->listed = true;
 	w->listed_ms = now_ms;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -68,7 +68,8 @@
 	       ffl_tail_is_caught_up(n, FFL_TOPIC_JOBS,
 				     FFL_LEAD_STALENESS_MAX_MS) &&
 	       ffl_tail_is_caught_up(n, FFL_TOPIC_WORKERS,
-				     FFL_LEAD_STALENESS_MAX_MS);
+				     FFL_LEAD_STALENESS_MAX_MS) &&
+	       ffl_evacuations_may_start(n);
 }
 
 static void close_append(ffl_node_t *n)
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -193,6 +193,7 @@
 	n->dispatch.measure = ffl_node_measure;
 	n->dispatch.note_user = n;
 	ffl_routes_init(&n->routes);
+	ffl_evacuations_init(n);
 	ffl_tails_init(n);
 	ffl_lead_init(n);
 	ffl_publish_init(n);
@@ -211,6 +212,7 @@
 	ffl_tails_finish(n);
 	ffl_dispatch_finish(&n->dispatch);
 	ffl_flows_finish(&n->flows);
+	ffl_evacuations_finish(n);
 	ffl_routes_finish(&n->routes);
 }
 
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -88,6 +88,21 @@
 bool ffl_tail_is_caught_up(const ffl_node_t *n, ffl_topic_t topic,
 			   uint32_t age_ms);
 
+/* evacuation.c */
+void ffl_evacuations_init(ffl_node_t *n);
+void ffl_evacuations_finish(ffl_node_t *n);
+/** Applies a record by which an evacuation begins or ends. */
+void ffl_evacuations_apply_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Ends the evacuations whose records are not in the pages of the newest
+ * records of the configuration's topic. */
+void ffl_evacuations_drop_unlisted(ffl_node_t *n);
+/** Returns true if an evacuation that this host does not know of allows a run
+ * that is started now. */
+bool ffl_evacuations_may_start(const ffl_node_t *n);
+/** Returns how long a read of the configuration's topic may wait for records,
+ * of @p most_ms. */
+uint32_t ffl_evacuations_wait_ms(const ffl_node_t *n, uint32_t most_ms);
+
 /* publish.c */
 void ffl_publish_init(ffl_node_t *n);
 void ffl_publish_finish(ffl_node_t *n);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -84,6 +84,10 @@
  * never decreases. */
 static void apply_config(ffl_node_t *n, const ffl_store_record_t *rec)
 {
+	if (rec->evacuated_dc) {
+		ffl_evacuations_apply_record(n, rec);
+		return;
+	}
 	if (!rec->routes) {
 		/* The topic has records of other keys, too. */
 		if (rec->problem)
@@ -201,6 +205,9 @@
 	/* After a failure, whether the log is back matters most. */
 	act->store.wait_ms =
 		t->topic == FFL_TOPIC_WORKERS || t->failures ? 0 : READ_WAIT_MS;
+	if (t->topic == FFL_TOPIC_CONFIG)
+		act->store.wait_ms =
+			ffl_evacuations_wait_ms(n, act->store.wait_ms);
 	act->store.timeout_ms = act->store.wait_ms + READ_SLACK_MS;
 	t->sent_ms = n->now_ms;
 }
@@ -287,6 +294,8 @@
 	t->caught_up_ms = MAX(t->caught_up_ms, t->paging_since_ms);
 	if (t->topic == FFL_TOPIC_WORKERS && all)
 		drop_unlisted(n, t);
+	if (t->topic == FFL_TOPIC_CONFIG && all)
+		ffl_evacuations_drop_unlisted(n);
 	if (t->topic == FFL_TOPIC_JOBS && all)
 		drop_removed_jobs(n, t);
 	if (t->topic == FFL_TOPIC_STATES && !n->lead.holder_seen_ms)
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -38,6 +38,7 @@
 	uint32_t starts;
 	uint32_t starts_with_ticket; /**< with the right ticket */
 	bool denied;		     /**< the adviser grants no ticket for it */
+	bool loses_starts; /**< start orders are lost on their way to it */
 } sim_worker_t;
 
 /** The dispatcher of a leader, with a store that never fails and workers that
@@ -46,6 +47,7 @@
 	ffl_flows_t flows;
 	ffl_dispatch_t d;
 	GHashTable *guaranteed; /**< customer to its guaranteed GPUs */
+	GHashTable *evacuated;	/**< names of evacuated data centres */
 	sim_worker_t workers[WORKERS_MAX];
 	uint32_t workers_count;
 	uint32_t work_ms; /**< run time of each task on a usual worker */
@@ -92,6 +94,8 @@
 	b->guaranteed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
 	b->d.guaranteed = b->guaranteed;
+	b->evacuated = g_hash_table_new(g_str_hash, g_str_equal);
+	b->d.evacuated = b->evacuated;
 	b->now_ms = LEAD_MS;
 	b->work_ms = 4000;
 	b->valid_ms = 3000;
@@ -103,6 +107,8 @@
 		ffl_copy(w->entry.addr, sizeof(w->entry.addr), w->entry.id);
 		ffl_copy(w->entry.service, sizeof(w->entry.service), "survey");
 		ffl_copy(w->entry.rack, sizeof(w->entry.rack), "r1");
+		ffl_copy(w->entry.dc, sizeof(w->entry.dc),
+			 i % 2 ? "sur" : "norte");
 		w->entry.born_ms = 1;
 		w->entry.clock_ms = b->now_ms;
 		w->entry.capacity =
@@ -121,6 +127,7 @@
 	ffl_dispatch_finish(&b->d);
 	ffl_flows_finish(&b->flows);
 	g_hash_table_destroy(b->guaranteed);
+	g_hash_table_destroy(b->evacuated);
 }
 
 /* Returns the lowest pace of the runs on the first worker, in percent. */
@@ -237,6 +244,12 @@
 			      .ended = ended };
 	sim_run_t run = { .run = order->run, .pace_percent = 100 };
 
+	if (order->kind == FFL_ORDER_START && w->loses_starts) {
+		w->starts++;
+		reply.outcome = FFL_REPLY_UNKNOWN;
+		ffl_dispatch_handle_reply(&b->d, &reply, b->now_ms);
+		return;
+	}
 	if (order->kind == FFL_ORDER_START) {
 		ffl_copy(run.task, sizeof(run.task), order->task);
 		g_array_append_val(w->runs, run);
@@ -825,6 +838,219 @@
 	test_bed_finish(&b);
 }
 
+/* Evacuates a data centre, or takes its evacuation back. */
+static void evacuate(test_bed_t *b, const char *dc, bool evacuated)
+{
+	ffl_evacuation_t concerned;
+
+	if (evacuated)
+		g_hash_table_add(b->evacuated, (char *)dc);
+	else
+		g_hash_table_remove(b->evacuated, dc);
+	ffl_dispatch_update_evacuated(&b->d, dc, &concerned);
+	g_assert_cmpuint(
+		concerned.workers, ==,
+		(b->workers_count + (strcmp(dc, b->workers[0].entry.dc) == 0)) /
+			2);
+}
+
+/* While the first of two workers is evacuated, nothing new is started there,
+ * whatever had been decided; what runs goes on. */
+static void test_evacuation(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t before_ms; /* from the submission to the evacuation */
+		ffl_step_t step;
+		bool loses_starts;
+		bool both;	 /* the other worker is evacuated too */
+		uint32_t starts; /* at the first worker, while evacuated */
+		uint32_t others; /* at the other one */
+		uint32_t run;	 /* of the first task then */
+		uint32_t after;	 /* starts at both, once taken back */
+	} cases[] = {
+		{ "not placed yet",
+		  0,
+		  { .tasks = 1, .gpus = 8 },
+		  false,
+		  false,
+		  0,
+		  1,
+		  1,
+		  1 },
+		{ "too many for the rest",
+		  0,
+		  { .tasks = 2, .gpus = 8 },
+		  false,
+		  false,
+		  0,
+		  1,
+		  1,
+		  2 },
+		{ "all evacuated",
+		  0,
+		  { .tasks = 2, .gpus = 8 },
+		  false,
+		  true,
+		  0,
+		  0,
+		  0,
+		  2 },
+		{ "planned, not sent",
+		  STEP_MS,
+		  { .tasks = 1, .gpus = 8 },
+		  false,
+		  false,
+		  0,
+		  1,
+		  2,
+		  1 },
+		{ "planned gang",
+		  STEP_MS,
+		  { .tasks = 2, .gpus = 8, .gang = true },
+		  false,
+		  false,
+		  0,
+		  0,
+		  1,
+		  2 },
+		{ "sent, not answered",
+		  2 * STEP_MS,
+		  { .tasks = 1, .gpus = 8 },
+		  true,
+		  false,
+		  1,
+		  1,
+		  2,
+		  2 },
+		{ "running",
+		  200,
+		  { .tasks = 1, .gpus = 8 },
+		  false,
+		  false,
+		  1,
+		  0,
+		  1,
+		  1 },
+		{ "runs until cancelled",
+		  200,
+		  { .tasks = 1, .gpus = 8, .runs_until_cancelled = true },
+		  false,
+		  false,
+		  1,
+		  0,
+		  1,
+		  1 },
+		{ "gang at work",
+		  200,
+		  { .tasks = 2, .gpus = 8, .gang = true },
+		  false,
+		  false,
+		  1,
+		  1,
+		  1,
+		  2 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 2);
+		b.workers[0].loses_starts = cases[i].loses_starts;
+		flow = submit(&b, "one", 1, cases[i].step);
+		run_for_ms(&b, cases[i].before_ms);
+		evacuate(&b, "norte", true);
+		if (cases[i].both)
+			evacuate(&b, "sur", true);
+		run_for_ms(&b, 2500);
+		g_assert_cmpuint(b.workers[0].starts, ==, cases[i].starts);
+		g_assert_cmpuint(b.workers[1].starts, ==, cases[i].others);
+		g_assert_cmpuint(flow->tasks[0].run, ==, cases[i].run);
+		g_assert_cmpuint(b.preempted, ==, 0);
+		b.workers[0].loses_starts = false;
+		evacuate(&b, "norte", false);
+		if (cases[i].both)
+			evacuate(&b, "sur", false);
+		/* One step decides, the next one starts what it recorded. */
+		run_for_ms(&b, 2 * STEP_MS);
+		g_assert_cmpuint(b.workers[0].starts + b.workers[1].starts, ==,
+				 cases[i].after);
+		g_assert_cmpuint(b.preempted, ==, 0);
+		test_bed_finish(&b);
+	}
+}
+
+/* The data centre counts in which a worker is by its newest entry. */
+static void test_evacuation_of_entry(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 1);
+	evacuate(&b, "sur", true);
+	ffl_copy(b.workers[0].entry.dc, sizeof(ffl_name_t), "sur");
+	ffl_dispatch_update_worker(&b.d, &b.workers[0].entry, b.now_ms,
+				   b.now_ms);
+	flow = submit(&b, "one", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+	run_for_ms(&b, 500);
+	g_assert_false(flow->started);
+	ffl_copy(b.workers[0].entry.dc, sizeof(ffl_name_t), "norte");
+	ffl_dispatch_update_worker(&b.d, &b.workers[0].entry, b.now_ms,
+				   b.now_ms);
+	run_for_ms(&b, 200);
+	g_assert_true(flow->started);
+	test_bed_finish(&b);
+}
+
+/* A guarantee is met in the other data centre, where work is preempted for it
+ * though there is room in the evacuated one. */
+static void test_evacuation_reclaims(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 2);
+	b.work_ms = 20000;
+	g_hash_table_insert(b.guaranteed, "ponds", GUINT_TO_POINTER(8));
+	evacuate(&b, "norte", true);
+	submit(&b, "low", 1,
+	       (ffl_step_t){
+		       .tasks = 8, .gpus = 1, .runs_until_cancelled = true });
+	run_for_ms(&b, 500);
+	g_assert_cmpuint(b.workers[1].starts, ==, 8);
+	flow = submit(&b, "urgent", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+	run_for_ms(&b, 2900);
+	g_assert_true(flow->started);
+	g_assert_cmpuint(b.preempted, ==, 8);
+	g_assert_cmpuint(b.workers[0].starts, ==, 0);
+	test_bed_finish(&b);
+}
+
+/* Room in an evacuated data centre is no room that a job with slack leaves
+ * free. */
+static void test_evacuation_headroom(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 2);
+	evacuate(&b, "norte", true);
+	submit(&b, "most", 1,
+	       (ffl_step_t){
+		       .tasks = 7, .gpus = 1, .runs_until_cancelled = true });
+	run_for_ms(&b, 500);
+	g_assert_cmpuint(b.workers[1].starts, ==, 7);
+	flow = submit(&b, "idle", 2, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	run_for_ms(&b, 300);
+	g_assert_false(flow->started);
+	evacuate(&b, "norte", false);
+	run_for_ms(&b, 200);
+	g_assert_true(flow->started);
+	test_bed_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -839,6 +1065,13 @@
 	g_test_add_func("/dispatch/pace", test_pace);
 	g_test_add_func("/dispatch/moved-off-draining",
 			test_moved_off_draining);
+	g_test_add_func("/dispatch/evacuation", test_evacuation);
+	g_test_add_func("/dispatch/evacuation-of-entry",
+			test_evacuation_of_entry);
+	g_test_add_func("/dispatch/evacuation-reclaims",
+			test_evacuation_reclaims);
+	g_test_add_func("/dispatch/evacuation-headroom",
+			test_evacuation_headroom);
 	g_test_add_func("/dispatch/concurrent-preemptions",
 			test_concurrent_preemptions);
 	g_test_add_func("/dispatch/reclaim-spreads", test_reclaim_spreads);
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -11,6 +11,9 @@
 #define RECOVERY_MS 60000
 /** Time in which the leader has read and answered a worker's next report. */
 #define REPORT_READ_MS 2500
+/** Time in which each host has read a new record of the configuration's topic.
+ */
+#define CONFIG_READ_MS 1500
 /** A key longer than those of the hosts' own records. */
 #define KEY_100                                              \
 	"01234567890123456789012345678901234567890123456789" \
@@ -907,6 +910,266 @@
 					     s->jobs[job].id));
 }
 
+/* Returns the number of runs on the workers of a data centre. */
+static uint32_t count_runs_in(const site_t *s, uint32_t dc)
+{
+	uint32_t runs = 0;
+
+	for (uint32_t i = dc; i < s->workers_count; i += SITE_DCS)
+		runs += s->workers[i].runs->len;
+	return runs;
+}
+
+/* What runs in a data centre goes on when that is evacuated; what waits then is
+ * placed elsewhere, and there again at once when it is taken back. */
+static void evacuated(site_t *s)
+{
+	uint32_t before = site_submit(s, 0, 4, 8, 3 * WORK_MS, false);
+
+	site_run(s, 1000);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 2);
+	site_evacuate(s, 0, true);
+	site_submit(s, 1, 4, 8, 2 * WORK_MS, false);
+	site_run(s, 3 * WORK_MS);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[before].completed), ==, 4);
+	for (uint32_t i = 0; i < 4; i++)
+		g_assert_cmpuint(find_job_at_leader(s, before)->tasks[i].run,
+				 ==, 1);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 0);
+	g_assert_cmpuint(count_runs_in(s, 1), ==, 2);
+	site_evacuate(s, 0, false);
+	site_run(s, 300);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 2);
+}
+
+/* The next leader knows of the evacuation too, and of its end. */
+static void evacuated_leader_lost(site_t *s)
+{
+	int leader = site_leader(s);
+	uint32_t job;
+
+	site_evacuate(s, 0, true);
+	site_run(s, SITE_STEP_MS);
+	site_kill(s, (uint32_t)leader, 30000);
+	site_run(s, 500);
+	job = site_submit(s, ((uint32_t)leader + 1) % 3, 4, 8, 2 * WORK_MS,
+			  false);
+	site_run(s, 6000);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 0);
+	g_assert_cmpuint(count_runs_in(s, 1), ==, 2);
+	leader = site_leader(s);
+	site_evacuate(s, 0, false);
+	site_kill(s, (uint32_t)leader, 500);
+	site_run(s, 9000);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 4);
+}
+
+/* Cuts all hosts off from the topic of configurations while its history is
+ * dropped. */
+static void evacuate_unseen(site_t *s, bool evacuated)
+{
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].topics_cut = 1U << FFL_TOPIC_CONFIG;
+	site_run(s, CONFIG_READ_MS);
+	site_evacuate(s, 0, evacuated);
+	keyed_log_trim_history(&s->topics[FFL_TOPIC_CONFIG]);
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		s->hosts[i].topics_cut = 0;
+	site_run(s, 2 * CONFIG_READ_MS);
+}
+
+/* The newest records tell of an evacuation, and by its absence of its end. */
+static void evacuation_forgotten(site_t *s)
+{
+	uint32_t job;
+
+	evacuate_unseen(s, true);
+	job = site_submit(s, 0, 4, 8, WORK_MS, false);
+	site_run(s, 1000);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 0);
+	g_assert_cmpuint(count_runs_in(s, 1), ==, 2);
+	evacuate_unseen(s, false);
+	site_run(s, WORK_MS);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 4);
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		g_assert_cmpuint(
+			g_hash_table_size(s->hosts[i].node.evacuations), ==, 0);
+}
+
+/* A leader that may not know of an evacuation starts nothing. */
+static void evacuation_unknown_to_leader(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t job;
+
+	s->hosts[leader].topics_cut = 1U << FFL_TOPIC_CONFIG;
+	site_run(s, 2 * CONFIG_READ_MS);
+	site_evacuate(s, 0, true);
+	site_run(s, SITE_EVACUATE_MS);
+	g_assert_cmpint(site_leader(s), ==, (int)leader);
+	job = site_submit(s, (leader + 1) % 3, 4, 4, 3 * WORK_MS, false);
+	site_run(s, 3000);
+	g_assert_true(s->jobs[job].accepted);
+	g_assert_cmpuint(count_runs_in(s, 0) + count_runs_in(s, 1), ==, 0);
+	s->hosts[leader].topics_cut = 0;
+	site_run(s, 2 * CONFIG_READ_MS);
+	g_assert_cmpuint(count_runs_in(s, 0), ==, 0);
+	g_assert_cmpuint(count_runs_in(s, 1), ==, 4);
+}
+
+/* A leader that knows the topic of configurations to within the bound goes on
+ * starting runs. */
+static void config_read_late(site_t *s)
+{
+	uint32_t leader = (uint32_t)site_leader(s);
+
+	s->hosts[leader].topics_cut = 1U << FFL_TOPIC_CONFIG;
+	site_run(s, CONFIG_READ_MS);
+	site_submit(s, (leader + 1) % 3, 4, 4, WORK_MS, false);
+	site_run(s, 500);
+	g_assert_cmpuint(count_runs_in(s, 0) + count_runs_in(s, 1), ==, 4);
+}
+
+/** A reply to a read of the topic of configurations, and the data centres that
+ * are evacuated after it. */
+typedef struct {
+	char kind; /**< 'p': last page, 'm': another one, 'r': records,
+		    * 'x': the history is gone, 'f': failed */
+	const char *records;   /**< "NAME+OFFSET" or "NAME-OFFSET", by spaces */
+	const char *evacuated; /**< names in order, by spaces */
+} config_reply_t;
+
+#define CONFIG_REPLIES_MAX 8
+
+/* Makes a record of "NAME+OFFSET"; @p dc receives its name. */
+static void make_evacuation(const char *text, ffl_name_t dc,
+			    ffl_store_record_t *out)
+{
+	size_t n = strcspn(text, "+-");
+
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(dc, text, n + 1);
+	ffl_copy(out->key, sizeof(out->key), "?");
+	out->evacuated_dc = dc;
+	out->offset = g_ascii_strtoull(text + n + 1, NULL, 10);
+	out->value = text[n] == '+' ? (ffl_bytes_t){ (const uint8_t *)"{}", 2 }
+				    : (ffl_bytes_t){ NULL, 0 };
+}
+
+static void answer_config(ffl_node_t *n, const config_reply_t *reply,
+			  uint64_t now_ms, GArray *acts)
+{
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_STORE,
+				.now_ms = now_ms,
+				.wall_ms = now_ms };
+	bool page = reply->kind == 'p' || reply->kind == 'm';
+	char **texts = g_strsplit(reply->records, " ", -1);
+	ffl_store_record_t records[CONFIG_REPLIES_MAX];
+	ffl_name_t names[CONFIG_REPLIES_MAX];
+	const ffl_act_store_t *call = find_config_call(
+		acts, page ? FFL_NODE_ACT_NEWEST : FFL_NODE_ACT_READ);
+
+	g_assert_nonnull(call);
+	ev.store.call = call->call;
+	ev.store.end = 10;
+	ev.store.more = reply->kind == 'm';
+	ev.store.last_key = "m";
+	ev.store.outcome = reply->kind == 'x'	? FFL_STORE_EXPIRED
+			   : reply->kind == 'f' ? FFL_STORE_UNKNOWN
+						: FFL_STORE_OK;
+	ev.store.records = records;
+	for (uint32_t i = 0; texts[i]; i++) {
+		make_evacuation(texts[i], names[i], &records[i]);
+		ev.store.end = MAX(ev.store.end, records[i].offset + 1);
+		ev.store.count++;
+	}
+	if (page)
+		ev.store.end = 10;
+	ffl_node_acts_clear(acts);
+	ffl_node_step(n, &ev, acts);
+	g_strfreev(texts);
+}
+
+static char *join_evacuated(const ffl_node_t *n)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(n->evacuations),
+				   (GCompareFunc)strcmp);
+	GString *text = g_string_new(NULL);
+
+	for (GList *l = names; l; l = l->next)
+		g_string_append_printf(text, "%s%s", text->len ? " " : "",
+				       (const char *)l->data);
+	g_list_free(names);
+	return g_string_free(text, FALSE);
+}
+
+/* The set of evacuated data centres follows the records of the log, in whatever
+ * order pages and reads bring them. */
+static void test_evacuation_records(void)
+{
+	static const struct {
+		const char *name;
+		config_reply_t replies[CONFIG_REPLIES_MAX];
+	} cases[] = {
+		{ "by reads",
+		  { { 'p', "", "" },
+		    { 'r', "a+10", "a" },
+		    { 'r', "b+11 a-12", "b" },
+		    { 'r', "b+13", "b" },
+		    { 'r', "b-14", "" } } },
+		{ "by pages", { { 'm', "a+3", "a" }, { 'p', "b+4", "a b" } } },
+		{ "taken back while the topic was not read",
+		  { { 'p', "a+3 b+4", "a b" },
+		    { 'x', "", "a b" },
+		    { 'm', "b+4", "a b" },
+		    { 'p', "", "b" } } },
+		{ "taken back between two pages",
+		  { { 'm', "a+3", "a" },
+		    { 'p', "", "a" },
+		    { 'r', "a-10", "" } } },
+		{ "taken back and asked again between two pages",
+		  { { 'm', "", "" },
+		    { 'p', "a+12", "a" },
+		    { 'r', "a+10", "a" },
+		    { 'r', "a-11", "a" },
+		    { 'r', "a+12", "a" },
+		    { 'r', "a-13", "" } } },
+		{ "taken back after a page that tells so",
+		  { { 'p', "", "" }, { 'r', "a+10 a-11", "" } } },
+		{ "pages that end early drop none",
+		  { { 'p', "a+3", "a" },
+		    { 'x', "", "a" },
+		    { 'm', "b+4", "a b" },
+		    { 'm', "b+4", "a b" },
+		    { 'r', "a-10", "b" } } },
+		{ "reads that fail",
+		  { { 'p', "a+3", "a" }, { 'f', "", "a" } } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_node_options_t opt = { .name = "host-0",
+						 .evacuate_ms = 5000 };
+		GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+		uint64_t now_ms = 1000;
+		ffl_node_t n;
+
+		g_test_message("%s", cases[i].name);
+		ffl_node_init(&n, &opt);
+		ffl_node_drive(&n, now_ms, now_ms, acts);
+		for (const config_reply_t *r = cases[i].replies; r->kind; r++) {
+			char *names;
+
+			answer_config(&n, r, ++now_ms, acts);
+			names = join_evacuated(&n);
+			g_assert_cmpstr(names, ==, r->evacuated);
+			g_free(names);
+		}
+		ffl_node_acts_clear(acts);
+		ffl_node_finish(&n);
+		g_array_free(acts, TRUE);
+	}
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -952,6 +1215,11 @@
 	{ "job-exceeds-record", job_exceeds_record },
 	{ "busy-leader-drops-nothing", busy_leader_drops_ended },
 	{ "texts-of-ended-jobs-read-at-start", texts_of_ended_jobs_read },
+	{ "evacuated", evacuated },
+	{ "evacuated-leader-lost", evacuated_leader_lost },
+	{ "evacuation-forgotten", evacuation_forgotten },
+	{ "evacuation-unknown-to-leader", evacuation_unknown_to_leader },
+	{ "config-read-late", config_read_late },
 };
 
 static void test_scenario(gconstpointer data)
@@ -1239,6 +1507,7 @@
 			test_unlisted_worker_returns);
 	g_test_add_func("/node/quick-restarts", test_quick_restarts);
 	g_test_add_func("/node/near-host-leads", test_near_host_leads);
+	g_test_add_func("/node/evacuation-records", test_evacuation_records);
 	g_test_add_func("/node/pages-of-odd-keys", test_pages_of_odd_keys);
 	return g_test_run();
 }
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -281,6 +281,7 @@
 static void test_entry_ids(void);
 static void *decode_nested(void *depth);
 static void test_entry_nested_deeply(void);
+static char *long_name(size_t bytes, char last);
 static void test_records(void);
 static void test_odd_keys_in_page(void);
 static void test_empty_page(void);
@@ -510,6 +511,165 @@
 #define PAGE(items) "{\"items\":[" items "],\"has_more\":true,\"end_offset\":9}"
 #define KEY_63	    "012345678901234567890123456789012345678901234567890123456789012"
 
+/* Appends a record as the log frames it. */
+static void append_record(GByteArray *to, const char *key, const char *value)
+{
+	guint8 lengths[5] = { 0, 0, 0, 0, (guint8)strlen(key) };
+	guint size = 1 + (guint)(strlen(key) + strlen(value));
+
+	lengths[2] = (guint8)(size >> 8);
+	lengths[3] = (guint8)size;
+	g_byte_array_append(to, lengths, sizeof(lengths));
+	g_byte_array_append(to, (const guint8 *)key, (guint)strlen(key));
+	g_byte_array_append(to, (const guint8 *)value, (guint)strlen(value));
+}
+
+/* A record that evacuates a data centre is told by its key, of any length;
+ * whether it evacuates it or takes that back, by whether it has a value. It
+ * names the data centre as the entries of its workers do. */
+static void test_evacuations(void)
+{
+	static const char odd[] = "\xff\xfe{";
+	static const struct {
+		const char *name;
+		const char *key; /* "": evacuate/ and a name of bytes */
+		size_t bytes;
+		const char *value;
+		ffl_topic_t topic;
+		const char *dc; /* NULL: none; "": the long name */
+	} cases[] = {
+		{ "usual", "evacuate/norte", 0, "{}", FFL_TOPIC_CONFIG,
+		  "norte" },
+		{ "taken back", "evacuate/norte", 0, "", FFL_TOPIC_CONFIG,
+		  "norte" },
+		{ "other value", "evacuate/norte", 0, "false", FFL_TOPIC_CONFIG,
+		  "norte" },
+		{ "value not text", "evacuate/norte", 0, odd, FFL_TOPIC_CONFIG,
+		  "norte" },
+		{ "characters that are escaped", "evacuate/a \\\"\xc3\xa9/b%20",
+		  0, "{}", FFL_TOPIC_CONFIG, "a \\\"\xc3\xa9/b%20" },
+		{ "longest key of a record", "", 54, "{}", FFL_TOPIC_CONFIG,
+		  "" },
+		{ "longer key", "", 55, "{}", FFL_TOPIC_CONFIG, "" },
+		{ "longest key", "", 246, "{}", FFL_TOPIC_CONFIG, "" },
+		{ "longest key taken back", "", 246, "", FFL_TOPIC_CONFIG, "" },
+		{ "no name", "evacuate/", 0, "{}", FFL_TOPIC_CONFIG, NULL },
+		{ "another key", "evacuated/norte", 0, "{}", FFL_TOPIC_CONFIG,
+		  NULL },
+		{ "another topic", "evacuate/norte", 0, "{}", FFL_TOPIC_WORKERS,
+		  NULL },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *name = cases[i].bytes ? long_name(cases[i].bytes, 'z')
+					    : g_strdup("-");
+		char *key = cases[i].key[0]
+				    ? g_strdup(cases[i].key)
+				    : g_strconcat("evacuate/", name, NULL);
+		json_t *doc = json_pack(
+			"{s:s,s:s,s:s,s:{}}", "service", "s", "address",
+			"10.0.0.9:80", "zone",
+			cases[i].dc && cases[i].dc[0] ? cases[i].dc : name,
+			"capacity");
+		GByteArray *read = g_byte_array_new();
+		char *value = g_base64_encode((const guchar *)cases[i].value,
+					      strlen(cases[i].value));
+		json_t *page = json_pack("{s:[{s:s,s:s,s:i}],s:b,s:i}", "items",
+					 "key", key, "value", value, "offset",
+					 7, "has_more", 0, "end_offset", 9);
+		char *texts[2] = { NULL, json_dumps(page, 0) };
+		ffl_arena_t arena;
+
+		g_test_message("%s", cases[i].name);
+		ffl_arena_init(&arena);
+		g_byte_array_set_size(read, 16);
+		memset(read->data, 0, 16);
+		append_record(read, "config", "x");
+		append_record(read, key, cases[i].value);
+		append_record(read, "config", "x");
+		for (uint32_t k = 0; k < 2; k++) {
+			ffl_pf_context_t context = {
+				.kind = k ? FFL_NODE_ACT_NEWEST
+					  : FFL_NODE_ACT_READ,
+				.topic = cases[i].topic,
+				.from = 6
+			};
+			ffl_pf_result_t result = { 1, 200, { 0 } };
+			const ffl_store_record_t *rec;
+			ffl_worker_entry_t *entry;
+			ffl_store_reply_t reply;
+			const char *problem;
+			char *text;
+
+			result.body =
+				k ? bytes_of(texts[1])
+				  : (ffl_bytes_t){ read->data, read->len };
+			ffl_pf_store_reply_decode(&context, &result, &arena,
+						  &reply);
+			g_assert_cmpint(reply.outcome, ==, FFL_STORE_OK);
+			g_assert_cmpuint(reply.count, ==, k ? 1 : 3);
+			rec = &reply.records[k ? 0 : 1];
+			g_assert_cmpuint(rec->offset, ==, 7);
+			if (!cases[i].dc) {
+				g_assert_null(rec->evacuated_dc);
+				ffl_pf_store_reply_finish(&reply);
+				continue;
+			}
+			json_object_set_new(doc, "state", json_string("ready"));
+			text = json_dumps(doc, 0);
+			entry = ffl_pf_worker_entry_decode(
+				"i-1", bytes_of(text), &arena, &problem);
+			g_assert_cmpstr(problem, ==, NULL);
+			g_assert_cmpstr(rec->evacuated_dc, ==, entry->dc);
+			/* A page lists no key without a value. */
+			g_assert_true(k || (rec->value.size_bytes != 0) ==
+						   (cases[i].value[0] != '\0'));
+			g_assert_null(rec->routes);
+			g_free(text);
+			ffl_pf_store_reply_finish(&reply);
+		}
+		ffl_arena_finish(&arena);
+		json_decref(doc);
+		json_decref(page);
+		g_byte_array_unref(read);
+		free(texts[1]);
+		g_free(value);
+		g_free(name);
+		g_free(key);
+	}
+}
+
+/* In a page, the record of an evacuation counts although its value cannot be
+ * read. */
+static void test_evacuations_in_page(void)
+{
+	static const char *const items[] = {
+		"{\"key\":\"evacuate/norte\",\"offset\":4}",
+		"{\"key\":\"evacuate/norte\",\"value\":7,\"offset\":4}",
+		"{\"key\":\"evacuate/norte\",\"value\":\"%%\",\"offset\":4}",
+		"{\"key\":\"evacuate\\/nort\\u0065\",\"value\":\"e30=\","
+		"\"offset\":4}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(items); i++) {
+		ffl_pf_context_t context = { .kind = FFL_NODE_ACT_NEWEST,
+					     .topic = FFL_TOPIC_CONFIG };
+		char *text = g_strdup_printf(PAGE("%s"), items[i]);
+		ffl_pf_result_t result = { 1, 200, bytes_of(text) };
+		ffl_store_reply_t reply;
+		ffl_arena_t arena;
+
+		ffl_arena_init(&arena);
+		ffl_pf_store_reply_decode(&context, &result, &arena, &reply);
+		g_assert_cmpuint(reply.count, ==, 1);
+		g_assert_cmpstr(reply.records[0].evacuated_dc, ==, "norte");
+		g_assert_cmpuint(reply.records[0].offset, ==, 4);
+		g_assert_cmpuint(reply.records[0].value.size_bytes, >, 0);
+		ffl_arena_finish(&arena);
+		g_free(text);
+	}
+}
+
 /* One odd key must neither hide the others of its page nor end the reading. */
 static void test_odd_keys_in_page(void)
 {
@@ -1187,6 +1347,9 @@
 	g_test_add_func("/platform/entry-nested-deeply",
 			test_entry_nested_deeply);
 	g_test_add_func("/platform/records", test_records);
+	g_test_add_func("/platform/evacuations", test_evacuations);
+	g_test_add_func("/platform/evacuations-in-page",
+			test_evacuations_in_page);
 	g_test_add_func("/platform/odd-keys-in-page", test_odd_keys_in_page);
 	g_test_add_func("/platform/empty-page", test_empty_page);
 	g_test_add_func("/platform/odd-keys-in-query", test_odd_keys_in_query);
