--- a/tests/site.sh
+++ b/tests/site.sh
@@ -7,7 +7,7 @@
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
 . scripts/hosts.sh
-echo 1..28
+echo 1..31
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -39,6 +39,12 @@
 	\"tenants\":[{\"name\":\"ponds\",\"api_keys\":[\"k1\"],
 	\"guaranteed\":{\"gpu\":8}}]}"
 }
+# Evacuates the data centre of all workers, or takes that back: an empty value.
+evacuate() {
+	printf "\\0\\0\\0\\x$(printf %x $((15 + ${#1})))\\x0eevacuate/norte%s" "$1" |
+		curl -sf -X POST --data-binary @- \
+			"http://$SITE/-/log-append?topic=keyed.op&part=0" >/dev/null
+}
 entry() { curl -sf -X POST "http://$SITE/entry?id=$1" --data-binary @-; }
 odd_address() {
 	entry "$1" <<JSON
@@ -164,6 +170,19 @@
 	"$DIR/body")" = 200completed ]'
 check "the adviser was asked once for its step" \
 	[ "$(curl -s "http://$SITE/state" | jq .advised)" = 1 ]
+submit 1 00000000000000c1 '{"spec":"work=2000","steps":[{"count":1,"gpu":1}]}' \
+	>/dev/null
+wait_for 100 '[ "$(curl -s http://$SITE/state | jq .running)" = 1 ]'
+evacuate '{}'
+wait_for 50 'grep -q evacuation-began "$DIR/host$(leader).log"'
+submit 1 00000000000000c2 "$JOB" >/dev/null
+check "what runs in an evacuated data centre goes on" wait_for 100 \
+	'[ "$(state 1 00000000000000c1)" = completed ]'
+check "nothing new has started there" \
+	[ "$(state 1 00000000000000c2)" = queued ]
+evacuate ''
+check "it starts once the evacuation is taken back" wait_for 100 \
+	'[ "$(state 1 00000000000000c2)" = completed ]'
 curl -s "http://$SITE/fault?kind=lost&n=1" >/dev/null
 check "a job is accepted though the log's answer is lost" \
 	[ "$(submit 1 00000000000000a5 "$JOB")" = 200 ]
