evacuation: a bound under 1.5 s is taken too

A deployment may set a bound shorter than what a start and the reads need; the host refused such settings. Now half of a short bound is left to the reads, down to 200 ms. Nothing changes at bounds of 1.6 s and above.

No test runs a short bound.

--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -63,7 +63,7 @@
 	ROW("bounds", "config_skew", FFL_SET_DURATION, config_skew_ms, 0,
 	    600000, "5s",
 	    "extension of config_apply while the log is unstable"),
-	ROW("bounds", "evacuate", FFL_SET_DURATION, evacuate_ms, 1500, 600000,
+	ROW("bounds", "evacuate", FFL_SET_DURATION, evacuate_ms, 200, 600000,
 	    "5s",
 	    "time after which nothing is started in an evacuated data centre"),
 	ROW("bounds", "keep_ended", FFL_SET_DURATION, keep_ended_ms, 0,
--- a/lib/node/evacuation.c
+++ b/lib/node/evacuation.c
@@ -91,14 +91,15 @@
 }
 
 /* All records that were written before caught_up_ms are known. A run that is
- * started now begins on its worker within FFL_START_REACH_MS. */
+ * started now begins on its worker within FFL_START_REACH_MS. Of a bound that
+ * leaves too little beside that, half is for the reads. */
 bool ffl_evacuations_may_start(const ffl_node_t *n)
 {
 	uint32_t bound_ms = n->opt.evacuate_ms;
 
-	return ffl_tail_is_caught_up(n, FFL_TOPIC_CONFIG,
-				     bound_ms -
-					     MIN(bound_ms, FFL_START_REACH_MS));
+	return ffl_tail_is_caught_up(
+		n, FFL_TOPIC_CONFIG,
+		bound_ms - MIN(bound_ms / 2, FFL_START_REACH_MS));
 }
 
 uint32_t ffl_evacuations_wait_ms(const ffl_node_t *n, uint32_t most_ms)
