jobs: a job's age outlives the leader

Cause: a job's age counted from when its leader first saw it. After each change of leader all jobs were new: what had waited until its slack was gone waited as long again, and what was late counted as in time.

Change: the age counts from when the host read the job's record. A host that starts reads jobs that others know for longer, in pages; there it counts from the time of acceptance by the hosts' clocks, for a minute at most.

Before: node/age-outlives-leaders fails, seen first 7.2 s after it was submitted. After: node, dispatch and incarnation tests pass.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -170,7 +170,8 @@
 	ffl_flow_state_t batch_state; /**< recorded by the append in flight */
 	uint64_t dirty_batch; /**< last batch that must record its progress; 0:
 			       * none */
-	uint64_t first_seen_ms;
+	uint64_t first_seen_ms; /**< when this host learned of it, or earlier if
+				 * others had accepted it before */
 	uint32_t tier;	   /**< value to the customer, in a ranking of flows */
 	uint64_t limit_ms; /**< duration that meets its objective */
 	uint64_t path_ms;  /**< least duration of what is left of it */
--- a/lib/node/jobs.c
+++ b/lib/node/jobs.c
@@ -2,6 +2,11 @@
 
 #include "lib/node/node_int.h"
 
+/** Largest age of a job that is taken from the hosts' clocks: about what jobs
+ * that wait are worth anything for. */
+#define PAGED_AGE_MAX_MS 60000
+
+static uint64_t first_seen_ms(const ffl_node_t *n, const ffl_flow_spec_t *spec);
 static void remove_spec(ffl_node_t *n, const char *name, const char *id);
 static bool has_rival(const ffl_node_t *n, const char *id);
 static void add_spec(ffl_node_t *n, ffl_flow_spec_t *spec, const char *name,
@@ -61,11 +66,25 @@
 		      flow->spec_name, flow->spec.queue, flow->spec.customer);
 }
 
+/* Deadlines count from here, also under a later leader. A host that starts
+ * reads jobs that others have known for longer, and has only the clocks to go
+ * by. */
+static uint64_t first_seen_ms(const ffl_node_t *n, const ffl_flow_spec_t *spec)
+{
+	uint64_t age_ms = 0;
+
+	if (n->tails[FFL_TOPIC_JOBS].paging && spec->accepted_ms < n->wall_ms)
+		age_ms = MIN(n->wall_ms - spec->accepted_ms, PAGED_AGE_MAX_MS);
+	return n->now_ms - MIN(n->now_ms - 1, age_ms);
+}
+
 static ffl_flow_t *add_flow(ffl_node_t *n, ffl_flow_spec_t *spec,
 			    const char *name, uint64_t offset)
 {
+	uint64_t seen_ms = first_seen_ms(n, spec);
 	ffl_flow_t *flow = ffl_flows_add(&n->flows, spec, offset);
 
+	flow->first_seen_ms = seen_ms;
 	ffl_copy(flow->spec_name, sizeof(flow->spec_name), name);
 	return flow;
 }
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -405,6 +405,26 @@
 	g_assert_cmpint(s->jobs[job].reported_state, ==, FFL_FLOW_COMPLETED);
 }
 
+/* A job's age is not forgotten when the leader is lost: also the next leader
+ * knows by when it has to be done. With all hosts lost, their clocks tell. */
+static void age_outlives_leaders(site_t *s)
+{
+	uint32_t job = site_submit(s, 0, 1, 1, 60000, false);
+	uint64_t submitted_ms = s->now_ms;
+
+	for (uint32_t lost = 1; lost <= 3; lost += 2) {
+		const ffl_flow_t *flow;
+
+		site_run(s, 8000);
+		for (uint32_t i = 0; i < lost; i++)
+			site_kill(s, ((uint32_t)site_leader(s) + i) % 3, 100);
+		while (site_leader(s) < 0)
+			site_run(s, SITE_STEP_MS);
+		flow = find_job_at_leader(s, job);
+		g_assert_cmpuint(flow->first_seen_ms, <, submitted_ms + 1000);
+	}
+}
+
 /* Runs until the work of a job of one task has ended on its worker. */
 static uint32_t run_until_work_ends(site_t *s, uint32_t host)
 {
@@ -1234,6 +1254,7 @@
 	{ "advised", leader_lost_with_tickets },
 	{ "followers-read-seldom", followers_read_seldom },
 	{ "end-told-when-asked", end_told_when_asked },
+	{ "age-outlives-leaders", age_outlives_leaders },
 	{ "running-told-when-asked", running_told_when_asked },
 	{ "held-while-starting", held_while_starting },
 	{ "serves-at-once", serves_at_once },
