fakes: a paused host may still have submissions to come

The check ends its wait as soon as no host has an open job or unread records. A submission that came to a host while it was paused is neither, so that the wait ended at once; the job ran its 30 s from when the host woke (at 46 s of virtual time) and was still running at 76 s, when the check looked. No host was at fault.

Change: a paused host is not idle. The check itself is as strict as before: the wait only gets longer, up to the same 240 s.

Before: echo Jyc2ACc2AP8AAA== | base64 -d >f; build/fuzz/member f fails each time.

--- a/fakes/gang_watch.c
+++ b/fakes/gang_watch.c
@@ -219,8 +219,11 @@
 	for (uint32_t i = 0; i < w->host_count; i++) {
 		const ffl_host_t *h = &w->hosts[i].host;
 
+		/* What came to a paused host while it slept is still to come.
+		 */
 		if (w->hosts[i].alive &&
-		    (h->gangs.open->len || h->logc.next_offset < end ||
+		    (w->hosts[i].paused_until_ms > w->now_ms ||
+		     h->gangs.open->len || h->logc.next_offset < end ||
 		     !h->caught_up || !ffl_logc_idle(&h->logc)))
 			return false;
 	}
