--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,7 @@
 	-fno-sanitize-recover=undefined
 FUZZ_TARGETS := $(patsubst fuzz/%_fuzz.c,%,$(sort $(wildcard fuzz/*_fuzz.c)))
 FUZZ_OBJS := $(patsubst %.c,$(BUILD)/fuzz/%.o,$(LIB_SRCS) \
-	$(sort $(wildcard fakes/*.c platform/*.c)) fuzz/fuzz.c $(sort $(wildcard fuzz/*_oracle.c)))
+	$(sort $(wildcard fakes/*.c platform/*.c)) fuzz/fuzz.c $(sort $(wildcard fuzz/*_oracle.c fuzz/*_ops.c)))
 TARGET ?= config
 SEED ?= 1
 RUNS ?= 2000
@@ -127,7 +127,7 @@
 
 # The fuzz targets with seeded random input in place of libFuzzer: for
 # coverage, and where only gcc is at hand.
-ORACLE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard fuzz/*_oracle.c)))
+ORACLE_OBJS := $(patsubst %.c,$(BUILD)/%.o,$(sort $(wildcard fuzz/*_oracle.c fuzz/*_ops.c)))
 DRIVERS := $(FUZZ_TARGETS:%=$(BUILD)/drive/%)
 
 $(BUILD)/drive/%: $(BUILD)/fuzz/%_fuzz.o $(BUILD)/fuzz/drive.o $(ORACLE_OBJS) $(FAKE_OBJS) \
--- a/fakes/site.c
+++ b/fakes/site.c
@@ -28,6 +28,7 @@
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event);
 static bool queue_append(site_t *s, const site_event_t *e);
+static uint32_t log_index(const site_event_t *e);
 
 static const event_fn_t handlers[EVENT__MAX] = {
 	[EVENT_STORE] = on_store,	    [EVENT_STORE_BACK] = on_store_back,
@@ -235,6 +236,7 @@
 		.size_milli = s->size_milli[host],
 		.record_bytes_max = KEYED_LOG_RECORD_BYTES_MAX,
 		.append_bytes_max = KEYED_LOG_APPEND_BYTES_MAX,
+		.partitions = s->partitions,
 		.dispatch = { .adviser_addr = "adviser",
 			      .lease_max_ms = 10000,
 			      .stop_max_ms = 400,
@@ -315,7 +317,7 @@
 static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event)
 {
 	const ffl_act_store_t *call = &e->act.store;
-	keyed_log_t *log = &s->topics[call->topic];
+	keyed_log_t *log = &s->topics[log_index(e)];
 	ffl_store_reply_t *out = &reply_event->ev.store;
 
 	reply_event->ev.kind = FFL_NODE_EV_STORE;
@@ -334,10 +336,15 @@
 	decode_records(s, call->topic, out);
 }
 
+static uint32_t log_index(const site_event_t *e)
+{
+	return ffl_tail_index(e->act.store.topic, e->act.store.part);
+}
+
 /* Queues an append; returns false if it would wait too long. */
 static bool queue_append(site_t *s, const site_event_t *e)
 {
-	uint64_t *free_ms = &s->append_free_ms[e->act.store.topic];
+	uint64_t *free_ms = &s->append_free_ms[log_index(e)];
 	site_event_t *turn;
 
 	*free_ms = MAX(*free_ms, s->now_ms);
@@ -366,12 +373,13 @@
 	}
 	if (s->now_ms < h->log_cut_until_ms ||
 	    s->now_ms < s->log_silent_until_ms ||
-	    (h->topics_cut >> call->topic & 1))
+	    (h->topics_cut >> log_index(e) & 1))
 		return;
 	reply_event = site_event_new(
 		EVENT_STORE_BACK, s->now_ms + LOG_MS + s->log_extra_ms[e->host],
 		e->host, e->incarnation);
-	if (full || s->now_ms < s->log_down_until_ms) {
+	if (full || s->now_ms < s->log_down_until_ms ||
+	    s->now_ms < s->part_down_until_ms[log_index(e)]) {
 		if (e->no_answer) {
 			site_event_free(reply_event);
 			return;
@@ -383,7 +391,7 @@
 		return;
 	}
 	if ((e->act.kind == FFL_NODE_ACT_READ && s->now_ms < e->until_ms &&
-	     call->from >= s->topics[call->topic].end) ||
+	     call->from >= s->topics[log_index(e)].end) ||
 	    (call->topic == FFL_TOPIC_JOBS &&
 	     s->now_ms < h->jobs_lag_until_ms &&
 	     e->act.kind == FFL_NODE_ACT_READ)) {
@@ -460,9 +468,25 @@
 	on_store_back(s, e);
 }
 
+bool site_is_part_down(const site_t *s)
+{
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++) {
+		if (s->now_ms < s->part_down_until_ms[i])
+			return true;
+	}
+	return false;
+}
+
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers)
+{
+	site_init_spread(s, seed, hosts, workers, 1);
+}
+
+void site_init_spread(site_t *s, uint64_t seed, uint32_t hosts,
+		      uint32_t workers, uint32_t partitions)
 {
 	memset(s, 0, sizeof(*s));
+	s->partitions = partitions;
 	s->now_ms = 100000;
 	s->worker_ms = WORKER_MS;
 	s->wall_ms = 1700000000000;
@@ -477,7 +501,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->repeated_runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++)
 		keyed_log_init(&s->topics[i]);
 	site_write_config(s);
 	s->hosts_count = hosts;
@@ -505,7 +529,7 @@
 		ffl_node_finish(&s->hosts[i].node);
 	for (uint32_t i = 0; i < s->workers_count; i++)
 		task_worker_finish(&s->workers[i]);
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++)
 		keyed_log_finish(&s->topics[i]);
 	for (uint32_t i = 0; i < s->jobs_count; i++) {
 		ffl_flow_spec_finish(&s->jobs[i].spec);
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -14,7 +14,7 @@
 #include "fakes/task_worker.h"
 
 /** Limits of a site. */
-#define SITE_HOSTS_MAX	 4
+#define SITE_HOSTS_MAX	 12
 #define SITE_WORKERS_MAX 8
 #define SITE_JOBS_MAX	 48
 /** Tasks of a job whose waiting times are checked. */
@@ -37,7 +37,8 @@
 				 are dropped */
 	uint64_t frozen_until_ms;  /**< suspended: gets no events before */
 	uint64_t log_cut_until_ms; /**< cannot reach the log before */
-	uint32_t topics_cut; /**< topics that it cannot reach, a bit each */
+	uint32_t topics_cut; /**< partitions of topics that it cannot reach, a
+				bit each by ffl_tail_index() */
 	uint64_t jobs_lag_until_ms; /**< gets no new job records before */
 	uint64_t ticked_ms;	    /**< time of the last tick */
 	uint64_t restart_ms;	    /**< when it starts again; 0: never */
@@ -91,7 +92,8 @@
 	GHashTable *silent_addrs; /**< addresses at which nothing answers; at
 				     others, where nobody listens, a connection
 				     is refused */
-	keyed_log_t topics[FFL_TOPIC__MAX];
+	uint32_t partitions;	  /**< that hosts which start are told; 0: 1 */
+	keyed_log_t topics[FFL_TAILS_MAX]; /**< by ffl_tail_index() */
 	ffl_arena_t arena;
 	GQueue events; /**< of event_t, by due time */
 	uint64_t next_event;
@@ -101,16 +103,18 @@
 	site_job_t jobs[SITE_JOBS_MAX];
 	uint32_t jobs_count;
 	uint64_t next_call;
-	GHashTable *jobs_by_call;      /**< job index + 1, by call */
-	uint64_t log_down_until_ms;    /**< the log refuses all calls before */
+	GHashTable *jobs_by_call;   /**< job index + 1, by call */
+	uint64_t log_down_until_ms; /**< the log refuses all calls before */
+	uint64_t part_down_until_ms[FFL_TAILS_MAX]; /**< a partition refuses
+						       them before */
 	uint64_t log_silent_until_ms;  /**< the log does not reply before */
 	uint64_t append_lost_until_ms; /**< replies to appends may be lost
 					  before */
 	uint64_t orders_late_until_ms; /**< orders may be delayed before */
-	uint32_t append_ms; /**< duration of an append; a topic handles one at a
-			       time; 0: no limit */
-	uint64_t append_free_ms[FFL_TOPIC__MAX]; /**< end of the last append, by
-						    topic */
+	uint32_t append_ms; /**< duration of an append; a partition handles one
+			       at a time; 0: no limit */
+	uint64_t append_free_ms[FFL_TAILS_MAX]; /**< end of the last append, by
+						   partition */
 	uint32_t worker_ms;    /**< one-way delay to a worker */
 	uint32_t lost_percent; /**< share of appends whose reply is lost */
 	uint32_t late_percent; /**< share of orders that are delayed */
@@ -139,6 +143,11 @@
 } site_t;
 
 void site_init(site_t *s, uint64_t seed, uint32_t hosts, uint32_t workers);
+/** Like site_init(), with a log of several partitions a topic. */
+void site_init_spread(site_t *s, uint64_t seed, uint32_t hosts,
+		      uint32_t workers, uint32_t partitions);
+/** Returns true if a partition of the log refuses all calls. */
+bool site_is_part_down(const site_t *s);
 void site_finish(site_t *s);
 /** Advances virtual time by @p ms. */
 void site_run(site_t *s, uint32_t ms);
--- a/fakes/site_faults.c
+++ b/fakes/site_faults.c
@@ -51,6 +51,7 @@
 	s->log_down_until_ms = 0;
 	s->log_silent_until_ms = 0;
 	s->append_lost_until_ms = 0;
+	memset(s->part_down_until_ms, 0, sizeof(s->part_down_until_ms));
 	for (uint32_t i = 0; i < s->hosts_count; i++) {
 		site_host_t *h = &s->hosts[i];
 
--- a/fakes/site_waiting.c
+++ b/fakes/site_waiting.c
@@ -45,7 +45,8 @@
 
 	if (s->now_ms < s->log_down_until_ms ||
 	    s->now_ms < s->log_silent_until_ms ||
-	    s->now_ms < s->append_lost_until_ms || s->append_ms)
+	    s->now_ms < s->append_lost_until_ms || s->append_ms ||
+	    site_is_part_down(s))
 		return -1;
 	for (uint32_t i = 0; i < s->hosts_count; i++) {
 		h = &s->hosts[i];
--- /dev/null
+++ b/fuzz/node_ops.c
@@ -0,0 +1,213 @@
+/** @file Operations on a simulated site, see node_ops.h. */
+#include <string.h>
+
+#include "fakes/site.h"
+#include "fuzz/fuzz.h"
+#include "fuzz/node_ops.h"
+
+#define HOSTS	3
+#define WORKERS 4
+/** Times of one unit of an operation's last byte. */
+#define RUN_UNIT_MS   20U
+#define FAULT_UNIT_MS 50U
+#define START_MS      3000
+#define HEAL_MS	      70000
+#define OPS_MAX	      32
+/** With several partitions one in so many runs has a slow log. */
+#define SLOW_APPENDS 5
+#define APPEND_MS    60
+
+/** Operations: the first byte of each chooses one. */
+typedef enum {
+	OP_SUBMIT,
+	OP_CHAIN,
+	OP_REPEAT,
+	OP_CANCEL,
+	OP_LOOK,
+	OP_KILL,
+	OP_KILL_ALL,
+	OP_STOP,
+	OP_FREEZE,
+	OP_CUT,
+	OP_LOG_SILENT,
+	OP_LOG_BUSY,
+	OP_LOG_LOST,
+	OP_FORGET,
+	OP_LATE,
+	OP_CRASH,
+	OP_BOOT,
+	OP_HANG,
+	OP_DRAIN,
+	OP_CUT_WORKER,
+	OP_EXIT,
+	OP_RESTART,
+	OP_RESTART_BACK,
+	OP_REPLACE,
+	OP_REMOVE,
+	OP__MAX
+} op_t;
+
+static const char *const op_names[OP__MAX] = {
+	"submit",     "chain",	  "repeat",	  "cancel",  "look",
+	"kill",	      "kill-all", "stop",	  "freeze",  "cut",
+	"log-silent", "log-busy", "log-lost",	  "forget",  "late",
+	"crash",      "boot",	  "hang",	  "drain",   "cut-worker",
+	"exit",	      "restart",  "restart-back", "replace", "remove"
+};
+
+static bool strikes_all(op_t op, uint8_t arg);
+static void apply_part(site_t *s, op_t op, uint8_t arg, uint32_t ms);
+static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time);
+static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms);
+static void apply_worker(site_t *s, op_t op, uint32_t worker);
+
+static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms)
+{
+	int leader = site_leader(s);
+
+	/* Half of the faults strike the leader. */
+	if (ms / FAULT_UNIT_MS % 2 && leader >= 0)
+		host = (uint32_t)leader;
+	if (op == OP_KILL)
+		site_kill(s, host, ms);
+	else if (op == OP_STOP)
+		site_stop(s, host);
+	else if (op == OP_FREEZE)
+		s->hosts[host].frozen_until_ms = s->now_ms + ms;
+	else if (op == OP_CUT)
+		s->hosts[host].log_cut_until_ms = s->now_ms + ms;
+	else
+		for (uint32_t i = 0; i < HOSTS; i++)
+			site_kill(s, i, ms / 4);
+}
+
+static void apply_worker(site_t *s, op_t op, uint32_t worker)
+{
+	if (op == OP_CRASH)
+		site_worker_crash(s, worker);
+	else if (op == OP_BOOT)
+		site_worker_boot(s, worker);
+	else if (op == OP_HANG)
+		s->workers[worker].hangs = !s->workers[worker].hangs;
+	else if (op == OP_DRAIN)
+		site_worker_drain(s, worker);
+	else if (op == OP_EXIT)
+		site_worker_exit(s, worker);
+	else if (op == OP_RESTART || op == OP_RESTART_BACK)
+		site_worker_restart(s, worker, op == OP_RESTART_BACK);
+	else if (op == OP_REPLACE)
+		site_worker_replace(s, worker);
+	else if (op == OP_REMOVE)
+		site_worker_remove(s, worker);
+	else
+		s->worker_cut[worker] = !s->worker_cut[worker];
+}
+
+/* Half of the restarts, exits and boots strike all workers. */
+static bool strikes_all(op_t op, uint8_t arg)
+{
+	return (op == OP_BOOT || op == OP_EXIT || op == OP_RESTART ||
+		op == OP_RESTART_BACK) &&
+	       arg / 4 % 2;
+}
+
+/* Faults of one partition, and hosts that start with another number of them. */
+static void apply_part(site_t *s, op_t op, uint8_t arg, uint32_t ms)
+{
+	uint32_t index =
+		ffl_tail_index(FFL_TOPIC_JOBS, arg / 2 % FFL_JOBS_PARTS_MAX);
+
+	if (op == OP_LOG_BUSY && arg % 2)
+		s->part_down_until_ms[index] = s->now_ms + ms;
+	else if (op == OP_FORGET && arg % 2)
+		keyed_log_trim_history(&s->topics[index]);
+	else if (op == OP_KILL || op == OP_KILL_ALL)
+		s->partitions = 1 + arg / HOSTS % (FFL_JOBS_PARTS_MAX + 1);
+}
+
+static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time)
+{
+	static const uint32_t works_ms[] = { 300, 2000, 6000 };
+	uint32_t host = arg % HOSTS;
+	uint32_t ms = time * FAULT_UNIT_MS;
+	uint32_t job = s->jobs_count ? arg / HOSTS % s->jobs_count : 0;
+
+	if (op == OP_SUBMIT) {
+		job = site_submit(s, host, 1 + arg / 3 % 4, 1 << arg / 16 % 4,
+				  works_ms[arg / 12 % 3], arg / 64 % 2);
+		if (arg > 240 && !s->jobs[job].accepted)
+			s->jobs[job].fails = true;
+	} else if (op == OP_CHAIN) {
+		site_submit_chain(s, host, works_ms[arg / 12 % 3]);
+	} else if (op < OP_KILL && s->jobs_count) {
+		if (op == OP_REPEAT)
+			site_resubmit(s, host, job);
+		else if (op == OP_CANCEL)
+			site_cancel(s, host, job);
+		else
+			site_query(s, host, job);
+	} else if (op >= OP_KILL && op <= OP_CUT) {
+		apply_host(s, op, host, ms);
+	} else if (op == OP_LOG_SILENT) {
+		s->log_silent_until_ms = s->now_ms + ms / 2;
+	} else if (op == OP_LOG_BUSY) {
+		s->log_down_until_ms = s->now_ms + ms / 2;
+	} else if (op == OP_LOG_LOST) {
+		s->append_lost_until_ms = s->now_ms + ms;
+		s->lost_percent = arg % 100;
+	} else if (op == OP_FORGET) {
+		for (uint32_t i = 0; i < FFL_TAILS_MAX; i++)
+			keyed_log_trim_history(&s->topics[i]);
+	} else if (op == OP_LATE) {
+		s->orders_late_until_ms = s->now_ms + ms;
+		s->late_percent = arg % 60;
+	} else if (op >= OP_CRASH) {
+		for (uint32_t i = 0; i < WORKERS; i++) {
+			if (i == arg % WORKERS || strikes_all(op, arg))
+				apply_worker(s, op, i);
+		}
+		/* Its runs are sent before the restart is known. */
+		if (strikes_all(op, arg) && arg / 8 % 2)
+			site_submit(s, host, WORKERS, 4 << arg / 16 % 2,
+				    works_ms[0], false);
+	}
+	site_run(s, time * RUN_UNIT_MS);
+}
+
+const char *node_ops_run(const uint8_t *ops, size_t op_count, GString *trace,
+			 bool spread)
+{
+	const char *fault;
+	site_t s;
+
+	site_init_spread(&s, 1 + op_count, HOSTS, WORKERS,
+			 spread ? 1 + op_count % FFL_JOBS_PARTS_MAX : 1);
+	s.tickets_required = op_count % 2;
+	s.append_ms = spread && op_count % SLOW_APPENDS == 0 ? APPEND_MS : 0;
+	site_run(&s, START_MS);
+	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.violation; i++) {
+		const uint8_t *b = &ops[3 * i];
+		op_t op = (op_t)(b[0] % OP__MAX);
+		bool one_part = spread && b[1] % 2 &&
+				(op == OP_LOG_BUSY || op == OP_FORGET);
+
+		if (trace)
+			g_string_append_printf(
+				trace, "%" PRIu64 " { %s, %u, %u },\n",
+				s.now_ms, op_names[op], b[1], b[2]);
+		if (spread)
+			apply_part(&s, op, b[1], b[2] * FAULT_UNIT_MS);
+		if (one_part)
+			site_run(&s, b[2] * RUN_UNIT_MS);
+		else
+			apply(&s, op, b[1], b[2]);
+	}
+	s.append_ms = 0;
+	site_settle(&s, HEAL_MS);
+	fault = s.violation;
+	if (trace && fault)
+		g_string_append_printf(trace, "%s: %s\n", fault, s.detail);
+	fuzz_steps(op_count + s.actions);
+	site_finish(&s);
+	return fault;
+}
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -213,7 +213,10 @@
 	GArray *infeasible; /**< of ffl_demand_t: did not fit in this pass */
 	ffl_advice_t advice;
 	bool may_renew; /**< leases may be extended */
-	bool fenced;	/**< a worker has seen a later leader's token */
+	/** Partitions of jobs, a bit each, of which newer records may not be
+	 * known: no run of a flow there is started, as it may be cancelled. */
+	uint32_t unread_parts;
+	bool fenced; /**< a worker has seen a later leader's token */
 	ffl_note_fn_t note;
 	ffl_latency_fn_t measure;
 	void *note_user;		  /**< argument of note and measure */
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -145,8 +145,12 @@
 /** A flow and its progress. */
 typedef struct {
 	ffl_flow_spec_t spec;
-	uint64_t spec_offset; /**< offset of its specification; orders flows by
-			       * age */
+	uint64_t spec_offset; /**< offset of its specification in its partition
+			       */
+	uint32_t spec_part;   /**< partition in which it was first read */
+	uint32_t spec_parts;  /**< partitions in which it stands, a bit each */
+	uint64_t age_ms; /**< orders flows of several partitions, the lowest is
+			  * the oldest; spec_offset orders those of one value */
 	/** Under which its specification stands on the log. */
 	char spec_name[FFL_SPEC_NAME_BYTES];
 	ffl_progress_part_t *parts;
@@ -187,9 +191,9 @@
 	GPtrArray *open; /**< of ffl_flow_t *: flows not closed, oldest first */
 	GHashTable *early_progress; /**< records of progress, by part */
 	GHashTable *early_states;   /**< published states, by id */
-	GHashTable *early_cancels;  /**< set of ids that were cancelled */
-	/** Names of specifications on the log whose ids belong to an earlier
-	 * owner; a set. */
+	GHashTable *early_cancels;  /**< partition of the cancellation, by id */
+	/** Specifications on the log whose ids belong to an earlier owner: the
+	 * partition by the specification's name. */
 	GHashTable *rivals;
 } ffl_flows_t;
 
@@ -272,8 +276,9 @@
  */
 ffl_status_t ffl_flows_apply_progress(ffl_flows_t *flows, const char *name,
 				      ffl_bytes_t value, uint64_t offset);
-/** Marks a flow as cancelled, also one that is not known yet. */
-void ffl_flows_cancel(ffl_flows_t *flows, const char *id);
+/** Marks a flow as cancelled, also one that is not known yet.
+ * @param part partition that holds the cancellation */
+void ffl_flows_cancel(ffl_flows_t *flows, const char *id, uint32_t part);
 /** Applies a state from the topic of states, also to a flow that is not known
  * yet. A state that precedes the flow's published one is ignored. */
 void ffl_flows_apply_state(ffl_flows_t *flows, const char *id,
@@ -286,6 +291,8 @@
  * closes the flows that have ended, also those whose progress has left the log.
  */
 void ffl_flows_adopt_progress(ffl_flows_t *flows);
+/** Compares the ages of two flows, negative if @p x is older. */
+int ffl_flow_compare_age(const ffl_flow_t *x, const ffl_flow_t *y);
 /** Returns true if a state is final: completed, failed or cancelled. */
 bool ffl_flow_state_is_final(ffl_flow_state_t state);
 /** Removes and frees a flow, if it is known. */
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -31,6 +31,13 @@
 	FFL_TOPIC__MAX
 } ffl_topic_t;
 
+/** Most partitions that the topic of jobs is spread over. Each adds reads at
+ * all hosts; a partition takes one append after the other. */
+#define FFL_JOBS_PARTS_MAX 4
+/** Number of read positions: one for each topic, and one for each further
+ * partition of the topic of jobs. */
+#define FFL_TAILS_MAX (FFL_TOPIC__MAX + FFL_JOBS_PARTS_MAX - 1)
+
 /** Bytes of a record in an append besides its key and value: the lengths of the
  * record and of its key. */
 #define FFL_RECORD_FRAME_BYTES 5
@@ -163,6 +170,7 @@
 typedef struct {
 	uint64_t call;
 	ffl_topic_t topic;
+	uint32_t part;	  /**< partition of the topic */
 	uint64_t from;	  /**< READ: first offset */
 	uint32_t wait_ms; /**< READ: how long to wait for a record */
 	uint32_t timeout_ms;
@@ -223,14 +231,17 @@
 				   * not known */
 	uint32_t record_bytes_max; /**< largest record that the log takes */
 	uint32_t append_bytes_max; /**< largest append that it takes */
+	uint32_t partitions;	   /**< of a topic of the log; 0: 1 */
 	ffl_dispatch_options_t dispatch;
 } ffl_node_options_t;
 
-/** Read position in a followed topic. A topic is first read in pages of the
- * newest record of each key, then from an offset on. */
+/** Read position in a partition of a followed topic. It is first read in pages
+ * of the newest record of each key, then from an offset on. */
 typedef struct {
 	ffl_topic_t topic;
-	bool synced; /**< all pages have been read */
+	uint32_t part;
+	bool synced;	 /**< all pages have been read */
+	bool was_synced; /**< they have been, at some time */
 	bool paging;
 	uint64_t paging_since_ms; /**< when the first page was requested */
 	uint32_t paged_records;	  /**< in the pages so far */
@@ -243,6 +254,7 @@
 	uint64_t peek_call; /**< read in flight that does not wait; 0: none */
 	uint64_t peek_sent_ms;
 	uint64_t due_ms;	 /**< when the next read may be sent */
+	bool probing;		 /**< the next read does not wait */
 	uint64_t caught_up_ms;	 /**< all records written before are known */
 	uint64_t last_record_ms; /**< when a record was last read */
 	/** When the first read after the last failure was sent; 0: the last
@@ -260,6 +272,7 @@
 	char id[FFL_FLOW_ID_BYTES];
 	ffl_name_t queue;    /**< through which the request came */
 	ffl_name_t customer; /**< whose key it carries; "": none */
+	uint32_t part;	     /**< partition of its job's records */
 	char spec_name[FFL_SPEC_NAME_BYTES]; /**< of a submission */
 	uint64_t deadline_ms;		     /**< when it must be answered */
 	uint64_t received_ms;
@@ -322,6 +335,7 @@
 	uint64_t retry_ms;   /**< no retry and no new claim before */
 	uint64_t last_append_ms; /**< when the last append succeeded */
 	uint64_t pruned_ms;	 /**< when ended jobs were last searched for */
+	uint32_t prunings;	 /**< number of these searches */
 	bool resign_requested;	 /**< resign with the next append */
 	bool resigning;		 /**< the append in flight announces it */
 	uint64_t append_number;	 /**< number of this host's newest append */
@@ -336,7 +350,13 @@
 	ffl_dispatch_t dispatch;
 	ffl_routes_t routes;
 	bool has_routes;
-	ffl_tail_t tails[FFL_TOPIC__MAX];
+	/** By topic, its partition 0; then the further ones of the topic of
+	 * jobs. */
+	ffl_tail_t tails[FFL_TAILS_MAX];
+	uint32_t jobs_read;  /**< partitions of jobs that are read */
+	uint32_t jobs_parts; /**< partitions over which jobs are spread */
+	uint32_t jobs_parts_logged; /**< that number on the log; 0: none */
+	uint64_t jobs_probed_ms; /**< when all of them were last read at once */
 	ffl_lead_t lead;
 	GPtrArray *pending; /**< of ffl_pending_t */
 	GPtrArray *held;    /**< of ffl_held_t */
@@ -367,6 +387,12 @@
 /** Clears @p acts and frees what its actions own. */
 void ffl_node_acts_clear(GArray *acts);
 
+/** Returns the index of a partition's read position in ffl_node_t.tails; only
+ * the topic of jobs has partitions besides 0. */
+uint32_t ffl_tail_index(ffl_topic_t topic, uint32_t part);
+/** Returns the time before which all records of jobs are known, in all
+ * partitions over which jobs are spread. */
+uint64_t ffl_node_jobs_caught_up_ms(const ffl_node_t *n);
 const char *ffl_topic_name(uint32_t topic);
 const char *ffl_response_kind_name(uint32_t kind);
 const char *ffl_store_outcome_name(uint32_t outcome);
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -36,6 +36,7 @@
 	char log_addr[FFL_ADDR_BYTES];
 	uint32_t record_bytes;
 	uint32_t append_bytes;
+	uint32_t partitions;
 	char adviser_addr[FFL_ADDR_BYTES]; /**< "": there is no adviser */
 	uint32_t lines_per_s;
 	uint32_t lease_max_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -41,6 +41,7 @@
 	opt->size_milli = s->processor_milli * s->cores;
 	opt->record_bytes_max = s->record_bytes;
 	opt->append_bytes_max = s->append_bytes;
+	opt->partitions = s->partitions;
 	opt->stop_drain_ms = s->grace_ms > 2 * STOP_MARGIN_MS
 				     ? s->grace_ms - STOP_MARGIN_MS
 				     : s->grace_ms / 2;
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -82,8 +82,7 @@
 		[GAUGE_CONFIG_VERSION] = n->routes.version,
 		[GAUGE_CONFIG_AGE] =
 			n->now_ms - tails[FFL_TOPIC_CONFIG].caught_up_ms,
-		[GAUGE_JOBS_AGE] =
-			n->now_ms - tails[FFL_TOPIC_JOBS].caught_up_ms,
+		[GAUGE_JOBS_AGE] = n->now_ms - ffl_node_jobs_caught_up_ms(n),
 		[GAUGE_JOBS] = g_hash_table_size(n->flows.by_id),
 		[GAUGE_JOBS_OPEN] = n->flows.open->len,
 		[GAUGE_RUNS] = n->dispatch.runs->len,
--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -39,6 +39,8 @@
 	    "256KB", "largest record that the log takes"),
 	ROW("log", "append", FFL_SET_SIZE, append_bytes, 4096, 1U << 30, "2MB",
 	    "largest append that the log takes"),
+	ROW("log", "partitions", FFL_SET_COUNT, partitions, 1, 1000000, "1",
+	    "partitions that a topic of the log has"),
 	ROW("adviser", "address", FFL_SET_ADDRESS, adviser_addr, 0, 0, "",
 	    "address of the service that says which workers may run a step"),
 	ROW("lines", "per_second", FFL_SET_COUNT, lines_per_s, 1, 100000, "400",
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -55,9 +55,7 @@
 		return x->tier < y->tier ? -1 : 1;
 	if (x->spec.priority != y->spec.priority)
 		return x->spec.priority < y->spec.priority ? -1 : 1;
-	if (x->spec_offset != y->spec_offset)
-		return x->spec_offset < y->spec_offset ? -1 : 1;
-	return 0;
+	return ffl_flow_compare_age(x, y);
 }
 
 /* Returns the number of GPUs that a flow's largest step needs at once. */
@@ -355,7 +353,8 @@
 			bool first =
 				g_hash_table_contains(guaranteed_flows, flow);
 
-			if (first != (pass == 0) || now_ms < flow->retry_ms)
+			if (first != (pass == 0) || now_ms < flow->retry_ms ||
+			    (flow->spec_parts & d->unread_parts))
 				continue;
 			place_flow(d, flow, first, now_ms, wall_ms);
 		}
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -260,6 +260,7 @@
 		send_stop(d, run, orders, now_ms);
 		return;
 	}
+	may_start = may_start && !(run->flow->spec_parts & d->unread_parts);
 	if (run->state == FFL_RUN_PLANNED) {
 		if (may_start && run->batch <= d->recorded_batch &&
 		    !run->worker->acks_open &&
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -249,7 +249,7 @@
 	g_ptr_array_add(flows->open, flow);
 	adopt_early_progress(flows, flow);
 	if (g_hash_table_remove(flows->early_cancels, flow->spec.id))
-		ffl_flows_cancel(flows, flow->spec.id);
+		ffl_flows_cancel(flows, flow->spec.id, 0);
 	state = (ffl_flow_state_t)GPOINTER_TO_UINT(
 		g_hash_table_lookup(flows->early_states, flow->spec.id));
 	g_hash_table_remove(flows->early_states, flow->spec.id);
@@ -257,12 +257,13 @@
 	return flow;
 }
 
-void ffl_flows_cancel(ffl_flows_t *flows, const char *id)
+void ffl_flows_cancel(ffl_flows_t *flows, const char *id, uint32_t part)
 {
 	ffl_flow_t *flow = ffl_flows_find(flows, id);
 
 	if (!flow) {
-		g_hash_table_add(flows->early_cancels, g_strdup(id));
+		g_hash_table_replace(flows->early_cancels, g_strdup(id),
+				     GUINT_TO_POINTER(part));
 		return;
 	}
 	flow->cancelled = true;
@@ -388,6 +389,13 @@
 	const ffl_flow_t *x = *(ffl_flow_t *const *)a;
 	const ffl_flow_t *y = *(ffl_flow_t *const *)b;
 
+	return ffl_flow_compare_age(x, y);
+}
+
+int ffl_flow_compare_age(const ffl_flow_t *x, const ffl_flow_t *y)
+{
+	if (x->age_ms != y->age_ms)
+		return x->age_ms < y->age_ms ? -1 : 1;
 	return x->spec_offset < y->spec_offset
 		       ? -1
 		       : x->spec_offset > y->spec_offset;
--- a/lib/node/claim.c
+++ b/lib/node/claim.c
@@ -24,6 +24,7 @@
  * of the log became healthy. */
 #define RESIGN_REQUEST_WAIT_MS 2000
 
+static bool is_rest_read(const ffl_node_t *n);
 static bool knows_all_jobs(const ffl_node_t *n);
 static uint32_t claim_wait_ms(const ffl_node_t *n);
 static bool may_lead(const ffl_node_t *n);
@@ -92,18 +93,32 @@
 		      n->opt.size_milli, size_milli);
 }
 
+/* Returns true if the partitions of jobs are read, except for some that fail
+ * alone: the leader starts nothing of those. */
+static bool is_rest_read(const ffl_node_t *n)
+{
+	uint32_t unread = ffl_node_unread_parts(n);
+
+	if (unread == (1U << n->jobs_parts) - 1)
+		return false;
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		if ((unread >> i & 1) &&
+		    !n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)].failures)
+			return false;
+	}
+	return true;
+}
+
 /* Returns true if the specification of every job that has progress has been
  * read. Without it, the end of a run that a worker reports would match no
  * run. */
 static bool knows_all_jobs(const ffl_node_t *n)
 {
-	const ffl_tail_t *jobs = &n->tails[FFL_TOPIC_JOBS];
-
-	if (!jobs->synced ||
-	    n->now_ms - jobs->caught_up_ms > FFL_LEAD_STALENESS_MAX_MS)
+	if (!ffl_node_knows_jobs(n) || !is_rest_read(n))
 		return false;
 	return !g_hash_table_size(n->flows.early_progress) ||
-	       jobs->caught_up_ms > n->tails[FFL_TOPIC_RUNS].last_record_ms;
+	       ffl_node_jobs_caught_up_ms(n) >
+		       n->tails[FFL_TOPIC_RUNS].last_record_ms;
 }
 
 /* Returns how long this host waits before it claims. Larger hosts come first,
@@ -164,6 +179,7 @@
 	n->lead.loading = true;
 	ffl_flows_reset_progress(&n->flows);
 	ffl_tail_restart(&n->tails[FFL_TOPIC_RUNS]);
+	ffl_tails_probe_jobs(n);
 }
 
 /* Another host leads, so the progress that was read is discarded. */
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -31,6 +31,7 @@
 static void drive_ready(ffl_node_t *n);
 static void drive_stop(ffl_node_t *n);
 static uint32_t config_age_max_ms(const ffl_node_t *n);
+static bool can_route(const ffl_node_t *n);
 
 static const event_fn_t handlers[FFL_NODE_EV__MAX] = {
 	[FFL_NODE_EV_TICK] = on_tick,	  [FFL_NODE_EV_STORE] = on_store,
@@ -123,9 +124,58 @@
 	return act;
 }
 
-ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n)
+ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n, uint32_t part)
 {
-	return ffl_node_add_append(n, FFL_TOPIC_JOBS, SHARED_APPEND_TIMEOUT_MS);
+	ffl_node_act_t *act = ffl_node_add_append(n, FFL_TOPIC_JOBS,
+						  SHARED_APPEND_TIMEOUT_MS);
+
+	act->store.part = part;
+	return act;
+}
+
+uint32_t ffl_tail_index(ffl_topic_t topic, uint32_t part)
+{
+	return part ? (uint32_t)FFL_TOPIC__MAX + part - 1 : topic;
+}
+
+ffl_tail_t *ffl_node_jobs_tail(ffl_node_t *n, uint32_t part)
+{
+	return &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
+}
+
+bool ffl_node_knows_jobs(const ffl_node_t *n)
+{
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		if (!n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)].synced)
+			return false;
+	}
+	return true;
+}
+
+uint32_t ffl_node_unread_parts(const ffl_node_t *n)
+{
+	uint32_t unread = 0;
+
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		const ffl_tail_t *t =
+			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+
+		if (!t->synced ||
+		    n->now_ms - t->caught_up_ms > FFL_LEAD_STALENESS_MAX_MS)
+			unread |= 1U << i;
+	}
+	return unread;
+}
+
+uint64_t ffl_node_jobs_caught_up_ms(const ffl_node_t *n)
+{
+	uint64_t oldest_ms = UINT64_MAX;
+
+	for (uint32_t i = 0; i < n->jobs_parts; i++)
+		oldest_ms = MIN(oldest_ms,
+				n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)]
+					.caught_up_ms);
+	return oldest_ms;
 }
 
 ffl_node_act_t *ffl_node_add_act(ffl_node_t *n, ffl_node_act_kind_t kind)
@@ -193,6 +243,8 @@
 	n->dispatch.measure = ffl_node_measure;
 	n->dispatch.note_user = n;
 	ffl_routes_init(&n->routes);
+	n->jobs_read = CLAMP(opt->partitions, 1, FFL_JOBS_PARTS_MAX);
+	n->jobs_parts = 1;
 	ffl_tails_init(n);
 	ffl_lead_init(n);
 	ffl_publish_init(n);
@@ -219,13 +271,31 @@
 	return n->opt.config_apply_ms + n->opt.config_skew_ms / 2;
 }
 
-bool ffl_node_can_serve(const ffl_node_t *n)
+static bool can_route(const ffl_node_t *n)
 {
-	return n->has_routes && n->tails[FFL_TOPIC_JOBS].synced &&
-	       n->tails[FFL_TOPIC_STATES].synced &&
+	return n->has_routes && n->tails[FFL_TOPIC_STATES].synced &&
 	       ffl_tail_is_caught_up(n, FFL_TOPIC_CONFIG, config_age_max_ms(n));
 }
 
+bool ffl_node_can_serve(const ffl_node_t *n)
+{
+	return can_route(n) && ffl_node_knows_jobs(n);
+}
+
+/* A job may stand in another partition than its id names, if it is older than
+ * the number of partitions; so all must have been read once. */
+bool ffl_node_can_serve_part(const ffl_node_t *n, uint32_t part)
+{
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		const ffl_tail_t *t =
+			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+
+		if (!t->was_synced || (i == part && !t->synced))
+			return false;
+	}
+	return can_route(n);
+}
+
 static void on_tick(ffl_node_t *n, ffl_node_event_t *ev)
 {
 }
@@ -264,6 +334,7 @@
 	if (!n->lead.leading)
 		return;
 	g_array_set_size(n->orders, 0);
+	n->dispatch.unread_parts = ffl_node_unread_parts(n);
 	ffl_dispatch_step(&n->dispatch, n->now_ms, n->wall_ms,
 			  ffl_lead_may_start_runs(n),
 			  ffl_lead_may_extend_leases(n), n->orders);
@@ -273,13 +344,21 @@
 }
 
 /* A host that cannot reach the log reports itself as not ready, so that the
- * load balancer sends callers to other hosts at once. */
+ * load balancer sends callers to other hosts at once. A partition that fails
+ * alone fails for all hosts. */
 static bool is_cut_off(const ffl_node_t *n)
 {
-	const ffl_tail_t *jobs = &n->tails[FFL_TOPIC_JOBS];
+	uint64_t since_ms = n->now_ms;
 
-	return jobs->failures &&
-	       n->now_ms - jobs->failing_since_ms > LOG_CUT_OFF_MS;
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		const ffl_tail_t *t =
+			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+
+		if (!t->failures)
+			return false;
+		since_ms = MIN(since_ms, t->failing_since_ms);
+	}
+	return n->now_ms - since_ms > LOG_CUT_OFF_MS;
 }
 
 static void drive_ready(ffl_node_t *n)
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -16,6 +16,10 @@
 #define KEY_LEAD "lead"
 /** Largest leadership record. */
 #define LEAD_RECORD_BYTES_MAX 128
+/** Key of the record that tells over how many partitions jobs are spread: one
+ * byte, in partition 0 of the topic of jobs. Without it jobs are in that one.
+ */
+#define KEY_PARTITIONS "parts"
 /** Key of the record by which a larger host asks the leader to resign. */
 #define KEY_RESIGN_REQUEST "want"
 
@@ -38,8 +42,16 @@
 /** Adds an unconditional append to @p topic; the caller adds the records. */
 ffl_node_act_t *ffl_node_add_append(ffl_node_t *n, ffl_topic_t topic,
 				    uint32_t timeout_ms);
-/** Adds an unconditional append to the topic of jobs, which all hosts write. */
-ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n);
+/** Adds an unconditional append to a partition of the topic of jobs, which all
+ * hosts write. */
+ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n, uint32_t part);
+/** Returns the read position in a partition of the topic of jobs. */
+ffl_tail_t *ffl_node_jobs_tail(ffl_node_t *n, uint32_t part);
+/** Returns true if all partitions over which jobs are spread have been read. */
+bool ffl_node_knows_jobs(const ffl_node_t *n);
+/** Returns the partitions of jobs, a bit each, of which records older than
+ * FFL_LEAD_STALENESS_MAX_MS may not be known. */
+uint32_t ffl_node_unread_parts(const ffl_node_t *n);
 /** Adds a log line; @p fmt formats its text. */
 void ffl_node_note(ffl_node_t *n, const char *event, const char *subject,
 		   const char *fmt, ...) __attribute__((format(printf, 4, 5)));
@@ -51,8 +63,11 @@
  * @p failures times in a row, which must be at least 1. */
 uint32_t ffl_node_backoff_ms(ffl_node_t *n, uint32_t failures);
 /** Returns true if configuration, jobs and states are known and the
- * configuration is recent enough to answer requests. */
+ * configuration is recent enough to answer all requests. */
 bool ffl_node_can_serve(const ffl_node_t *n);
+/** Like ffl_node_can_serve() for requests that need one partition of jobs;
+ * another one may be read anew. */
+bool ffl_node_can_serve_part(const ffl_node_t *n, uint32_t part);
 /** Allocates a record with an empty value. Its key is @p kind followed by
  * @p id, or @p id alone if @p kind is '\0'. */
 ffl_write_t *ffl_write_new(char kind, const char *id);
@@ -78,7 +93,10 @@
  * newest record of each key. */
 void ffl_tail_restart(ffl_tail_t *t);
 /** Reads new records without waiting for any, beside the read that waits. */
-void ffl_tail_peek(ffl_node_t *n, ffl_topic_t topic);
+void ffl_tail_peek(ffl_node_t *n, ffl_tail_t *t);
+/** Reads all partitions of jobs at once, in place of the reads that wait there.
+ */
+void ffl_tails_probe_jobs(ffl_node_t *n);
 /** Returns true if no further read is needed to answer a request that came at
  * @p then_ms: all records written before then are known, a read sent before
  * then is waiting for records, or the log is failing anyway. */
@@ -97,7 +115,8 @@
  * another call. */
 bool ffl_publish_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply);
 /** Applies a record that was read from the topic of states. */
-void ffl_publish_apply_record(ffl_node_t *n, const ffl_store_record_t *rec);
+void ffl_publish_apply_record(ffl_node_t *n, ffl_tail_t *t,
+			      const ffl_store_record_t *rec);
 /** Announces to all hosts that the leader with @p token has resigned. */
 void ffl_publish_resignation(ffl_node_t *n, uint64_t token);
 /** Asks the current leader to resign in favour of this host. */
@@ -181,9 +200,32 @@
 /** Number of records after which a search for records to remove ends. */
 #define FFL_DROPS_MAX 64
 
+/** Appends to the topic of jobs that are being filled, one a partition. */
+typedef struct {
+	GPtrArray *writes[FFL_JOBS_PARTS_MAX]; /**< of ffl_write_t; NULL: no
+						* append yet */
+	uint64_t calls[FFL_JOBS_PARTS_MAX];
+	uint32_t count; /**< records in all of them */
+} ffl_jobs_batch_t;
+
+/** Adds a record to the append to its partition, which is added if need be;
+ * takes @p w. */
+void ffl_jobs_batch_add(ffl_node_t *n, ffl_jobs_batch_t *b, uint32_t part,
+			ffl_write_t *w);
+/** Returns the partition that the records of a job belong to. */
+uint32_t ffl_jobs_part(const ffl_node_t *n, const char *id);
+/** As leader, spreads jobs over all partitions that are read, once they are
+ * known to be there; repeated until that is read. */
+void ffl_jobs_spread(ffl_node_t *n);
+/** Forgets what is known of a partition's cancellations and rivals, which its
+ * pages bring again. */
+void ffl_jobs_begin_pages(ffl_node_t *n, uint32_t part);
+/** Removes the jobs of a partition that its pages did not list. */
+void ffl_jobs_drop_unlisted(ffl_node_t *n, const ffl_tail_t *t);
 /** Applies a record of the topic of jobs: a specification, a cancellation or
  * the removal of one. */
-void ffl_jobs_apply_record(ffl_node_t *n, const ffl_store_record_t *rec);
+void ffl_jobs_apply_record(ffl_node_t *n, ffl_tail_t *t,
+			   const ffl_store_record_t *rec);
 /** Forgets a job that has left the log. */
 void ffl_jobs_remove(ffl_node_t *n, const char *id);
 /** As leader, removes specifications whose ids belong to an earlier owner;
--- a/lib/node/prune.c
+++ b/lib/node/prune.c
@@ -14,10 +14,10 @@
 static bool is_prunable(const ffl_flow_t *flow);
 static void drop_progress(ffl_node_t *n, const ffl_flow_t *flow);
 static void add_progress_drops(ffl_node_t *n);
-static void drop_specs(ffl_node_t *n);
+static void drop_specs(ffl_node_t *n, uint32_t part);
 static bool has_room(const ffl_node_t *n);
 static bool is_text_needed(const ffl_flow_t *flow);
-static void drop_texts(ffl_node_t *n);
+static void drop_texts(ffl_node_t *n, uint32_t part);
 
 static bool is_prunable(const ffl_flow_t *flow)
 {
@@ -68,9 +68,9 @@
 
 /* A removal whose reply is lost is repeated after SPEC_DROP_DELAY_MS, as the
  * job is still known then. */
-static void drop_specs(ffl_node_t *n)
+static void drop_specs(ffl_node_t *n, uint32_t part)
 {
-	ffl_node_act_t *act = NULL;
+	ffl_jobs_batch_t batch = { .count = 0 };
 	GHashTableIter iter;
 	gpointer value;
 
@@ -78,17 +78,21 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_flow_t *flow = value;
 
-		if (!flow->dropped_ms ||
+		if (!flow->dropped_ms || flow->spec_part != part ||
 		    n->now_ms - flow->dropped_ms < SPEC_DROP_DELAY_MS)
 			continue;
-		if (!act)
-			act = ffl_node_add_jobs_append(n);
 		flow->dropped_ms = n->now_ms;
-		g_ptr_array_add(act->store.writes,
+		for (uint32_t i = 0; i < FFL_JOBS_PARTS_MAX; i++) {
+			if (!(flow->spec_parts >> i & 1))
+				continue;
+			ffl_jobs_batch_add(
+				n, &batch, i,
 				ffl_write_new(KEY_CANCEL, flow->spec.id));
-		g_ptr_array_add(act->store.writes,
+			ffl_jobs_batch_add(
+				n, &batch, i,
 				ffl_write_new(KEY_SPEC, flow->spec_name));
-		if (act->store.writes->len >= 2 * FFL_DROPS_MAX)
+		}
+		if (batch.count >= 2 * FFL_DROPS_MAX)
 			return;
 	}
 }
@@ -104,9 +108,9 @@
  * which have ended; all hosts that start together share the link between
  * regions. Without an answer the records are written again, until they have
  * been read. */
-static void drop_texts(ffl_node_t *n)
+static void drop_texts(ffl_node_t *n, uint32_t part)
 {
-	ffl_node_act_t *act = NULL;
+	ffl_jobs_batch_t batch = { .count = 0 };
 	uint64_t left = ffl_node_append_bytes_max(n);
 	GHashTableIter iter;
 	gpointer value;
@@ -117,7 +121,7 @@
 		ffl_write_t *w;
 
 		if (flow->spec.text_sum || flow->dropped_ms ||
-		    is_text_needed(flow))
+		    flow->spec_part != part || is_text_needed(flow))
 			continue;
 		w = ffl_write_new(KEY_SPEC, flow->spec_name);
 		ffl_flow_spec_encode_ended(&flow->spec, w->value);
@@ -126,10 +130,8 @@
 			return;
 		}
 		left -= ffl_write_bytes(w);
-		if (!act)
-			act = ffl_node_add_jobs_append(n);
-		g_ptr_array_add(act->store.writes, w);
-		if (act->store.writes->len >= TEXT_DROPS_MAX)
+		ffl_jobs_batch_add(n, &batch, flow->spec_part, w);
+		if (batch.count >= TEXT_DROPS_MAX)
 			return;
 	}
 }
@@ -144,14 +146,20 @@
 	return bytes <= ffl_node_append_bytes_max(n) / 2;
 }
 
+/* One partition at a time: each append wakes the readers of its partition at
+ * all hosts. */
 void ffl_prune(ffl_node_t *n)
 {
+	uint32_t part = n->lead.prunings % n->jobs_parts;
+
 	if (n->now_ms - n->lead.pruned_ms < PRUNE_INTERVAL_MS || !has_room(n))
 		return;
 	n->lead.pruned_ms = n->now_ms;
+	n->lead.prunings++;
+	ffl_jobs_spread(n);
 	ffl_publish_drop_orphans(n);
 	ffl_jobs_drop_rivals(n);
-	drop_specs(n);
-	drop_texts(n);
+	drop_specs(n, part);
+	drop_texts(n, part);
 	add_progress_drops(n);
 }
--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -178,7 +178,7 @@
 	GHashTableIter iter;
 	gpointer id;
 
-	if (n->tails[FFL_TOPIC_JOBS].caught_up_ms <=
+	if (ffl_node_jobs_caught_up_ms(n) <=
 	    n->tails[FFL_TOPIC_STATES].last_record_ms)
 		return;
 	g_hash_table_iter_init(&iter, n->flows.early_states);
@@ -187,7 +187,8 @@
 	g_hash_table_remove_all(n->flows.early_states);
 }
 
-void ffl_publish_apply_record(ffl_node_t *n, const ffl_store_record_t *rec)
+void ffl_publish_apply_record(ffl_node_t *n, ffl_tail_t *t,
+			      const ffl_store_record_t *rec)
 {
 	ffl_lead_record_t r;
 
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -8,8 +8,11 @@
 #define RESPONSE_MARGIN_MS 300
 /** Delay before a failed append is retried. */
 #define APPEND_RETRY_MS 100
-/** Most appends in flight at once, and most records in one. */
+/** Most appends in flight at once, over all partitions and at least to one, and
+ * most records in one. A second one to a partition passes one without answer.
+ */
 #define APPENDS_IN_FLIGHT_MAX 4
+#define APPENDS_TO_PART_MIN   2
 #define APPEND_RECORDS_MAX    64
 /** When a refused caller is told to retry; by then another host serves it. */
 #define RETRY_AFTER_MS 1000
@@ -54,11 +57,15 @@
 static bool resolve_submission(ffl_node_t *n, guint index);
 static bool resolve_pending(ffl_node_t *n, guint index);
 static bool expire_pending(ffl_node_t *n, guint index);
-static bool is_outage_known(const ffl_node_t *n);
+static bool is_outage_known(const ffl_node_t *n, uint32_t part);
+static bool has_failed_long(const ffl_node_t *n, uint32_t part);
+static ffl_tail_t *jobs_tail_of(ffl_node_t *n, const char *id);
+static bool is_any_outage_known(const ffl_node_t *n);
+static bool can_serve_request(const ffl_node_t *n, const ffl_request_t *req);
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 		     const ffl_pending_t *p);
 static void send_appends(ffl_node_t *n);
-static uint32_t appends_in_flight(const ffl_node_t *n);
+static void count_appends_in_flight(const ffl_node_t *n, uint32_t *open);
 static ffl_write_t *new_write(const ffl_pending_t *p);
 static void handle_written(ffl_node_t *n, guint index, uint64_t first);
 
@@ -101,6 +108,7 @@
 	p->call = req->call;
 	p->kind = req->kind;
 	ffl_copy(p->id, sizeof(p->id), id);
+	p->part = ffl_jobs_part(n, id);
 	ffl_copy(p->queue, sizeof(p->queue), route->queue);
 	ffl_copy(p->customer, sizeof(p->customer), customer ? customer : "");
 	p->received_ms = n->now_ms;
@@ -124,25 +132,44 @@
 	return flow;
 }
 
-/* Answers for outages of the log, when requests would be held one after the
- * other although none can be accepted soon. Returns true if the log has failed
- * for longer than a request is held and another request waits for it: that one
- * notices the end of the outage within APPEND_RETRY_MS. */
-static bool is_outage_known(const ffl_node_t *n)
+static ffl_tail_t *jobs_tail_of(ffl_node_t *n, const char *id)
+{
+	return ffl_node_jobs_tail(n, ffl_jobs_part(n, id));
+}
+
+static bool has_failed_long(const ffl_node_t *n, uint32_t part)
 {
-	const ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
+	const ffl_tail_t *t = &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
 
-	if (!t->failures || n->now_ms - t->failing_since_ms < HOLD_MAX_MS)
+	return t->failures && n->now_ms - t->failing_since_ms >= HOLD_MAX_MS;
+}
+
+/* Answers for outages of the log, when requests would be held one after the
+ * other although none can be accepted soon. Returns true if a partition has
+ * failed for longer than a request is held and another request waits for it:
+ * that one notices the end of the outage within APPEND_RETRY_MS. */
+static bool is_outage_known(const ffl_node_t *n, uint32_t part)
+{
+	if (!has_failed_long(n, part))
 		return false;
 	for (guint i = 0; i < n->pending->len; i++) {
 		const ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 
-		if (p->record)
+		if (p->record && p->part == part)
 			return true;
 	}
 	return n->held->len > 0;
 }
 
+static bool is_any_outage_known(const ffl_node_t *n)
+{
+	for (uint32_t i = 0; i < n->jobs_parts; i++) {
+		if (is_outage_known(n, i))
+			return true;
+	}
+	return false;
+}
+
 /* A job whose records the log would refuse can never be served. */
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 		     const ffl_pending_t *p)
@@ -198,7 +225,7 @@
 				: FFL_RESPONSE_CONFLICT);
 		return;
 	}
-	if (is_outage_known(n)) {
+	if (is_outage_known(n, ffl_jobs_part(n, id))) {
 		respond(n, req->call, FFL_RESPONSE_BUSY);
 		return;
 	}
@@ -243,13 +270,13 @@
 	flow = find_owned(n, id, route->queue, customer);
 	if (!flow) {
 		add_pending(n, req, route, customer, id);
-		ffl_tail_peek(n, FFL_TOPIC_JOBS);
+		ffl_tail_peek(n, jobs_tail_of(n, id));
 	} else if (is_state_current(n, flow, n->now_ms)) {
 		respond(n, req->call, FFL_RESPONSE_STATE)->state =
 			flow->visible_state;
 	} else {
 		add_pending(n, req, route, customer, id);
-		ffl_tail_peek(n, FFL_TOPIC_STATES);
+		ffl_tail_peek(n, &n->tails[FFL_TOPIC_STATES]);
 	}
 }
 
@@ -267,7 +294,7 @@
 	}
 	add_pending(n, req, route, customer, id);
 	if (!find_owned(n, id, route->queue, customer))
-		ffl_tail_peek(n, FFL_TOPIC_JOBS);
+		ffl_tail_peek(n, jobs_tail_of(n, id));
 }
 
 void ffl_held_free(void *data)
@@ -289,7 +316,7 @@
 	ffl_held_t *h;
 
 	if (n->stop_began_ms || n->held->len >= HELD_MAX ||
-	    is_outage_known(n)) {
+	    is_any_outage_known(n)) {
 		respond(n, req->call, FFL_RESPONSE_BUSY);
 		return;
 	}
@@ -308,14 +335,27 @@
 	g_ptr_array_add(n->held, h);
 }
 
-static void drive_held(ffl_node_t *n)
+/* Without a route, or for the length of a queue, all partitions count. */
+static bool can_serve_request(const ffl_node_t *n, const ffl_request_t *req)
 {
-	bool serves = ffl_node_can_serve(n);
+	const ffl_route_t *route;
+	const char *id;
+
+	if (ffl_node_can_serve(n))
+		return true;
+	if (!n->has_routes)
+		return false;
+	route = ffl_routes_match(&n->routes, req->host, req->path);
+	id = route ? req->path + strlen(route->prefix) : "";
+	return id[0] && ffl_node_can_serve_part(n, ffl_jobs_part(n, id));
+}
 
+static void drive_held(ffl_node_t *n)
+{
 	for (guint i = n->held->len; i-- > 0;) {
 		ffl_held_t *h = g_ptr_array_index(n->held, i);
 
-		if (serves)
+		if (can_serve_request(n, &h->req))
 			serve_request(n, &h->req);
 		else if (n->now_ms >= h->until_ms || n->stop_began_ms)
 			respond(n, h->req.call, FFL_RESPONSE_BUSY);
@@ -327,7 +367,7 @@
 
 void ffl_request_handle(ffl_node_t *n, ffl_request_t *req)
 {
-	if (!ffl_node_can_serve(n)) {
+	if (!can_serve_request(n, req)) {
 		hold_request(n, req);
 		return;
 	}
@@ -383,7 +423,7 @@
 static bool resolve_submission(ffl_node_t *n, guint index)
 {
 	const ffl_pending_t *p = g_ptr_array_index(n->pending, index);
-	const ffl_tail_t *t = &n->tails[FFL_TOPIC_JOBS];
+	const ffl_tail_t *t = ffl_node_jobs_tail(n, p->part);
 	bool first = p->written && t->synced && t->next >= p->offset;
 
 	if (find_owned(n, p->id, p->queue, p->customer))
@@ -403,8 +443,8 @@
 {
 	ffl_pending_t *p = g_ptr_array_index(n->pending, index);
 	const ffl_flow_t *flow = find_owned(n, p->id, p->queue, p->customer);
-	bool current = n->tails[FFL_TOPIC_JOBS].synced &&
-		       n->tails[FFL_TOPIC_JOBS].caught_up_ms >= p->received_ms;
+	ffl_tail_t *jobs = ffl_node_jobs_tail(n, p->part);
+	bool current = jobs->synced && jobs->caught_up_ms >= p->received_ms;
 
 	if (p->kind == FFL_REQUEST_SUBMIT)
 		return resolve_submission(n, index);
@@ -412,13 +452,13 @@
 		if (current)
 			respond_pending(n, index, FFL_RESPONSE_GONE);
 		else
-			ffl_tail_peek(n, FFL_TOPIC_JOBS);
+			ffl_tail_peek(n, jobs);
 		return current;
 	}
 	if (p->kind == FFL_REQUEST_QUERY) {
 		if (!is_state_current(n, flow, p->received_ms) &&
 		    n->now_ms - p->received_ms < QUERY_WAIT_MAX_MS) {
-			ffl_tail_peek(n, FFL_TOPIC_STATES);
+			ffl_tail_peek(n, &n->tails[FFL_TOPIC_STATES]);
 			return false;
 		}
 		respond_pending(n, index, FFL_RESPONSE_STATE);
@@ -430,6 +470,7 @@
 		return true;
 	}
 	if (!p->record) {
+		p->part = flow->spec_part;
 		p->record = g_byte_array_new();
 		g_byte_array_append(p->record, (const guint8 *)"1", 1);
 	}
@@ -450,19 +491,18 @@
 	return true;
 }
 
-static uint32_t appends_in_flight(const ffl_node_t *n)
+static void count_appends_in_flight(const ffl_node_t *n, uint32_t *open)
 {
-	uint64_t last = 0;
-	uint32_t open = 0;
+	uint64_t last[FFL_JOBS_PARTS_MAX] = { 0 };
 
 	for (guint i = 0; i < n->pending->len; i++) {
 		const ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 
-		if (p->append_call && p->append_call != last)
-			open++;
-		last = p->append_call ? p->append_call : last;
+		if (!p->append_call)
+			continue;
+		open[p->part] += p->append_call != last[p->part];
+		last[p->part] = p->append_call;
 	}
-	return open;
 }
 
 static ffl_write_t *new_write(const ffl_pending_t *p)
@@ -475,35 +515,39 @@
 	return w;
 }
 
-/* The records that wait share an append, which is sent without waiting for
- * more. */
+/* The records of a partition that wait share an append, which is sent without
+ * waiting for more. */
 static void send_appends(ffl_node_t *n)
 {
-	uint64_t left = ffl_node_append_bytes_max(n);
-	ffl_node_act_t *act = NULL;
-
-	if (appends_in_flight(n) >= APPENDS_IN_FLIGHT_MAX)
-		return;
+	uint32_t open_max =
+		MAX(APPENDS_IN_FLIGHT_MAX / n->jobs_parts, APPENDS_TO_PART_MIN);
+	uint32_t open[FFL_JOBS_PARTS_MAX] = { 0 };
+	uint64_t left[FFL_JOBS_PARTS_MAX];
+	ffl_jobs_batch_t batch = { .count = 0 };
+
+	count_appends_in_flight(n, open);
+	for (uint32_t i = 0; i < FFL_JOBS_PARTS_MAX; i++)
+		left[i] = open[i] < open_max ? ffl_node_append_bytes_max(n) : 0;
 	for (guint i = 0; i < n->pending->len; i++) {
 		ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 		ffl_write_t *w;
 
 		if (!p->record || p->append_call || p->written ||
-		    n->now_ms < p->retry_ms)
+		    n->now_ms < p->retry_ms || !left[p->part])
 			continue;
 		w = new_write(p);
-		if (act && ffl_write_bytes(w) > left) {
+		if (batch.writes[p->part] &&
+		    ffl_write_bytes(w) > left[p->part]) {
 			ffl_write_free(w);
-			return;
+			left[p->part] = 0;
+			continue;
 		}
-		if (!act)
-			act = ffl_node_add_jobs_append(n);
-		left -= MIN(left, ffl_write_bytes(w));
-		g_ptr_array_add(act->store.writes, w);
-		p->append_call = act->store.call;
-		p->append_index = act->store.writes->len - 1;
-		if (act->store.writes->len >= APPEND_RECORDS_MAX)
-			return;
+		left[p->part] -= MIN(left[p->part], ffl_write_bytes(w));
+		ffl_jobs_batch_add(n, &batch, p->part, w);
+		p->append_call = batch.calls[p->part];
+		p->append_index = batch.writes[p->part]->len - 1;
+		if (batch.writes[p->part]->len >= APPEND_RECORDS_MAX)
+			left[p->part] = 0;
 	}
 }
 
@@ -518,7 +562,7 @@
 	if (p->kind == FFL_REQUEST_CANCEL)
 		respond_pending(n, index, FFL_RESPONSE_CANCELLED);
 	else if (!resolve_submission(n, index))
-		ffl_tail_peek(n, FFL_TOPIC_JOBS);
+		ffl_tail_peek(n, ffl_node_jobs_tail(n, p->part));
 }
 
 bool ffl_request_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -17,12 +17,27 @@
  * leader's silence is noticed this much later. A query for a job does not wait
  * for it: it reads at once (ffl_tail_peek()). */
 #define FOLLOWER_GATHER_MS 200
-
-typedef void (*apply_fn_t)(ffl_node_t *n, const ffl_store_record_t *rec);
-
-static void apply_config(ffl_node_t *n, const ffl_store_record_t *rec);
-static void apply_worker(ffl_node_t *n, const ffl_store_record_t *rec);
-static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec);
+/** The same for each of several partitions of jobs, so that they cost no more
+ * reads than one. The number of jobs that wait may be 2 s old. */
+#define FOLLOWER_GATHER_PART_MS 1500
+/** How long a host that does not lead waits for a record in the further
+ * partitions of jobs: with the slack, a connection that went silent leaves
+ * their waiting jobs uncounted for less than 5 s. */
+#define FOLLOWER_READ_WAIT_MS 3000
+
+/** Shortest interval between two probes of all partitions after failures, so
+ * that a log that refuses calls gets few more of them. */
+#define PROBE_MIN_MS 1000
+
+typedef void (*apply_fn_t)(ffl_node_t *n, ffl_tail_t *t,
+			   const ffl_store_record_t *rec);
+
+static void apply_config(ffl_node_t *n, ffl_tail_t *t,
+			 const ffl_store_record_t *rec);
+static void apply_worker(ffl_node_t *n, ffl_tail_t *t,
+			 const ffl_store_record_t *rec);
+static void apply_run(ffl_node_t *n, ffl_tail_t *t,
+		      const ffl_store_record_t *rec);
 static bool is_topic_needed(const ffl_node_t *n, const ffl_tail_t *t);
 static void send_page_read(ffl_node_t *n, ffl_tail_t *t);
 static void send_read(ffl_node_t *n, ffl_tail_t *t);
@@ -35,7 +50,8 @@
 			   const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all);
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
-static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t);
+static bool follows_jobs(const ffl_node_t *n, const ffl_tail_t *t);
+static uint32_t read_wait_ms(const ffl_node_t *n, const ffl_tail_t *t);
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
@@ -48,8 +64,12 @@
 
 void ffl_tails_init(ffl_node_t *n)
 {
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
-		n->tails[i].topic = (ffl_topic_t)i;
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++) {
+		bool is_further = i >= FFL_TOPIC__MAX;
+
+		n->tails[i].topic =
+			is_further ? FFL_TOPIC_JOBS : (ffl_topic_t)i;
+		n->tails[i].part = is_further ? i - FFL_TOPIC__MAX + 1 : 0;
 		n->tails[i].paged_keys = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, NULL);
 	}
@@ -57,7 +77,7 @@
 
 void ffl_tails_finish(ffl_node_t *n)
 {
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++)
 		g_hash_table_destroy(n->tails[i].paged_keys);
 }
 
@@ -82,7 +102,8 @@
 
 /* Old versions come again where a topic is read anew; the version in force
  * never decreases. */
-static void apply_config(ffl_node_t *n, const ffl_store_record_t *rec)
+static void apply_config(ffl_node_t *n, ffl_tail_t *t,
+			 const ffl_store_record_t *rec)
 {
 	if (!rec->routes) {
 		/* The topic has records of other keys, too. */
@@ -107,10 +128,9 @@
 		      g_hash_table_size(n->routes.keys));
 }
 
-static void apply_worker(ffl_node_t *n, const ffl_store_record_t *rec)
+static void apply_worker(ffl_node_t *n, ffl_tail_t *t,
+			 const ffl_store_record_t *rec)
 {
-	ffl_tail_t *t = &n->tails[FFL_TOPIC_WORKERS];
-
 	if (!rec->value.size_bytes) {
 		ffl_dispatch_remove_worker(
 			&n->dispatch, rec->key,
@@ -134,7 +154,8 @@
 				   t->paging ? 0 : t->caught_up_ms, n->now_ms);
 }
 
-static void apply_run(ffl_node_t *n, const ffl_store_record_t *rec)
+static void apply_run(ffl_node_t *n, ffl_tail_t *t,
+		      const ffl_store_record_t *rec)
 {
 	if (strcmp(rec->key, KEY_LEAD) == 0) {
 		ffl_lead_apply_record(n, rec);
@@ -161,7 +182,7 @@
 		return n->lead.loading && !n->lead.call && !n->lead.check_call;
 	if (t->topic == FFL_TOPIC_WORKERS)
 		return n->lead.leading;
-	return true;
+	return t->part < n->jobs_read;
 }
 
 static void send_page_read(ffl_node_t *n, ffl_tail_t *t)
@@ -176,14 +197,13 @@
 		t->after_key[0] = '\0';
 		g_hash_table_remove_all(t->paged_keys);
 		/* The pages bring again what is still in the log. */
-		if (t->topic == FFL_TOPIC_JOBS) {
-			g_hash_table_remove_all(n->flows.early_cancels);
-			g_hash_table_remove_all(n->flows.rivals);
-		}
+		if (t->topic == FFL_TOPIC_JOBS)
+			ffl_jobs_begin_pages(n, t->part);
 		if (t->topic == FFL_TOPIC_STATES)
 			g_hash_table_remove_all(n->flows.early_states);
 	}
 	act->store.topic = t->topic;
+	act->store.part = t->part;
 	act->store.call = t->call = ffl_node_next_call(n);
 	act->store.timeout_ms = READ_SLACK_MS;
 	ffl_copy(act->store.after_key, sizeof(act->store.after_key),
@@ -191,29 +211,46 @@
 	t->sent_ms = n->now_ms;
 }
 
+/* A host that does not lead reads jobs only to answer requests, which peek. */
+static bool follows_jobs(const ffl_node_t *n, const ffl_tail_t *t)
+{
+	return t->topic == FFL_TOPIC_JOBS && !n->lead.leading &&
+	       !n->lead.loading;
+}
+
+/* The read of partition 0 also shows whether the log is there. After a failure,
+ * whether the log is back matters most. */
+static uint32_t read_wait_ms(const ffl_node_t *n, const ffl_tail_t *t)
+{
+	if (t->topic == FFL_TOPIC_WORKERS || t->failures || t->probing)
+		return 0;
+	return t->part && follows_jobs(n, t) ? FOLLOWER_READ_WAIT_MS
+					     : READ_WAIT_MS;
+}
+
 static void send_read(ffl_node_t *n, ffl_tail_t *t)
 {
 	ffl_node_act_t *act = ffl_node_add_act(n, FFL_NODE_ACT_READ);
 
 	act->store.topic = t->topic;
+	act->store.part = t->part;
 	act->store.call = t->call = ffl_node_next_call(n);
 	act->store.from = t->next;
-	/* After a failure, whether the log is back matters most. */
-	act->store.wait_ms =
-		t->topic == FFL_TOPIC_WORKERS || t->failures ? 0 : READ_WAIT_MS;
+	act->store.wait_ms = read_wait_ms(n, t);
+	t->probing = false;
 	act->store.timeout_ms = act->store.wait_ms + READ_SLACK_MS;
 	t->sent_ms = n->now_ms;
 }
 
-void ffl_tail_peek(ffl_node_t *n, ffl_topic_t topic)
+void ffl_tail_peek(ffl_node_t *n, ffl_tail_t *t)
 {
-	ffl_tail_t *t = &n->tails[topic];
 	ffl_node_act_t *act;
 
 	if (!t->synced || t->peek_call)
 		return;
 	act = ffl_node_add_act(n, FFL_NODE_ACT_READ);
-	act->store.topic = topic;
+	act->store.topic = t->topic;
+	act->store.part = t->part;
 	act->store.call = t->peek_call = ffl_node_next_call(n);
 	act->store.from = t->next;
 	act->store.timeout_ms = READ_SLACK_MS;
@@ -229,9 +266,26 @@
 	       t->caught_up_ms >= then_ms;
 }
 
+/* With one partition the read that waits is as short as the leader's. */
+void ffl_tails_probe_jobs(ffl_node_t *n)
+{
+	if (n->jobs_read == 1)
+		return;
+	n->jobs_probed_ms = n->now_ms;
+	for (uint32_t i = 0; i < n->jobs_read; i++) {
+		ffl_tail_t *t = ffl_node_jobs_tail(n, i);
+
+		if (!t->synced || t->failures)
+			continue;
+		t->call = 0;
+		t->due_ms = n->now_ms;
+		t->probing = true;
+	}
+}
+
 void ffl_tails_drive(ffl_node_t *n)
 {
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++) {
 		ffl_tail_t *t = &n->tails[i];
 
 		if (t->call || n->now_ms < t->due_ms || !is_topic_needed(n, t))
@@ -260,41 +314,25 @@
 	g_ptr_array_free(gone, TRUE);
 }
 
-/* Jobs that are known but not in the pages were removed in the part of the log
- * that was not read. Those handed in again since are read after the pages. */
-static void drop_removed_jobs(ffl_node_t *n, ffl_tail_t *t)
-{
-	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
-	GHashTableIter iter;
-	gpointer id;
-
-	g_hash_table_iter_init(&iter, n->flows.by_id);
-	while (g_hash_table_iter_next(&iter, &id, NULL)) {
-		if (!g_hash_table_contains(t->paged_keys, id))
-			g_ptr_array_add(gone, g_strdup(id));
-	}
-	for (guint i = 0; i < gone->len; i++)
-		ffl_jobs_remove(n, g_ptr_array_index(gone, i));
-	g_ptr_array_free(gone, TRUE);
-	g_hash_table_remove_all(t->paged_keys);
-}
-
 /* Without all pages, nothing is known of what they did not list. */
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all)
 {
 	t->paging = false;
 	t->synced = true;
+	t->was_synced = true;
 	t->caught_up_ms = MAX(t->caught_up_ms, t->paging_since_ms);
 	if (t->topic == FFL_TOPIC_WORKERS && all)
 		drop_unlisted(n, t);
-	if (t->topic == FFL_TOPIC_JOBS && all)
-		drop_removed_jobs(n, t);
+	if (t->topic == FFL_TOPIC_JOBS && all) {
+		ffl_jobs_drop_unlisted(n, t);
+		g_hash_table_remove_all(t->paged_keys);
+	}
 	if (t->topic == FFL_TOPIC_STATES && !n->lead.holder_seen_ms)
 		n->lead.holder_seen_ms = n->now_ms;
 	ffl_node_note(n, "topic-synced", ffl_topic_name(t->topic),
-		      "next=%" PRIu64 " all=%d records=%u bytes=%" PRIu64
-		      " took_ms=%" PRIu64,
-		      t->next, all, t->paged_records, t->paged_bytes,
+		      "part=%u next=%" PRIu64
+		      " all=%d records=%u bytes=%" PRIu64 " took_ms=%" PRIu64,
+		      t->part, t->next, all, t->paged_records, t->paged_bytes,
 		      n->now_ms - t->paging_since_ms);
 }
 
@@ -313,7 +351,7 @@
 	t->paged_records += reply->count;
 	for (uint32_t i = 0; i < reply->count; i++) {
 		t->paged_bytes += reply->records[i].value.size_bytes;
-		appliers[t->topic](n, &reply->records[i]);
+		appliers[t->topic](n, t, &reply->records[i]);
 	}
 	if (reply->more && reply->last_key &&
 	    strcmp(reply->last_key, t->after_key) != 0 &&
@@ -328,8 +366,10 @@
 		t->due_ms = n->now_ms + WORKERS_POLL_MS;
 	else if (count && t->topic == FFL_TOPIC_STATES)
 		t->due_ms = n->now_ms + FOLLOWER_GATHER_MS;
-	else if (count && !n->lead.leading && t->topic == FFL_TOPIC_JOBS)
-		t->due_ms = n->now_ms + FOLLOWER_GATHER_MS;
+	else if (count && follows_jobs(n, t))
+		t->due_ms =
+			n->now_ms + (n->jobs_parts > 1 ? FOLLOWER_GATHER_PART_MS
+						       : FOLLOWER_GATHER_MS);
 }
 
 /* Records the shortest round trip to the log, over calls that do not wait for
@@ -350,7 +390,7 @@
 
 		if (rec->offset < t->next)
 			continue;
-		appliers[t->topic](n, rec);
+		appliers[t->topic](n, t, rec);
 		t->last_record_ms = n->now_ms;
 		t->next = rec->offset + 1;
 	}
@@ -363,16 +403,21 @@
 {
 	if (reply->outcome == FFL_STORE_EXPIRED) {
 		ffl_node_note(n, "topic-expired", ffl_topic_name(t->topic),
-			      "next=%" PRIu64 " first=%" PRIu64, t->next,
-			      reply->first);
+			      "part=%u next=%" PRIu64 " first=%" PRIu64,
+			      t->part, t->next, reply->first);
 		ffl_tail_restart(t);
 		return;
 	}
 	if (!t->failures)
 		t->failing_since_ms = n->now_ms;
-	if (!t->failures++)
+	/* Whether the other partitions are there must not take their reads'
+	 * long wait to find out. */
+	if (!t->failures++ && t->topic == FFL_TOPIC_JOBS &&
+	    n->now_ms - n->jobs_probed_ms >= PROBE_MIN_MS)
+		ffl_tails_probe_jobs(n);
+	if (t->failures == 1)
 		ffl_node_note(n, "store-lost", ffl_topic_name(t->topic),
-			      "outcome=%s",
+			      "part=%u outcome=%s", t->part,
 			      ffl_store_outcome_name(reply->outcome));
 	t->healthy_since_ms = 0;
 	t->due_ms = n->now_ms + ffl_node_backoff_ms(n, t->failures);
@@ -380,7 +425,7 @@
 
 void ffl_tails_log_answered(ffl_node_t *n)
 {
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++) {
 		ffl_tail_t *t = &n->tails[i];
 
 		if (t->failures)
@@ -390,7 +435,7 @@
 
 bool ffl_tails_handle_reply(ffl_node_t *n, const ffl_store_reply_t *reply)
 {
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++) {
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++) {
 		ffl_tail_t *t = &n->tails[i];
 
 		if (t->peek_call && reply->call == t->peek_call) {
@@ -410,9 +455,9 @@
 			return true;
 		}
 		if (t->failures) {
-			ffl_node_note(n, "store-regained",
-				      ffl_topic_name(t->topic), "failures=%u",
-				      t->failures);
+			ffl_node_note(
+				n, "store-regained", ffl_topic_name(t->topic),
+				"part=%u failures=%u", t->part, t->failures);
 			ffl_tails_log_answered(n);
 		}
 		t->failures = 0;
--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -14,7 +14,7 @@
 	done
 }
 
-# start_host N [SETTINGS]
+# start_host N [SETTINGS]; PARTITIONS, if set, are those of the log.
 start_host() {
 	cat >"$DIR/host$1.ini" <<INI
 [host]
@@ -27,6 +27,7 @@
 metrics = 127.0.0.1:$((PORT + 30 + $1))
 [log]
 address = $SITE
+${PARTITIONS:+partitions = $PARTITIONS}
 [adviser]
 address = $SITE
 ${2:-}
--- a/site/log.c
+++ b/site/log.c
@@ -39,15 +39,24 @@
 	return query ? query : "";
 }
 
+/* Returns the index of the partition, or -1 if there is none. Only the topic of
+ * jobs has several. */
 static int query_topic(const char *query)
 {
 	char name[NAME_BYTES];
+	uint64_t part;
 
-	if (mg_get_var(query, strlen(query), "topic", name, sizeof(name)) < 0)
+	if (mg_get_var(query, strlen(query), "topic", name, sizeof(name)) < 0 ||
+	    !read_query_number(query, "part", &part))
 		return -1;
 	for (int i = 0; i < FFL_TOPIC__MAX; i++) {
+		uint64_t parts = i == FFL_TOPIC_JOBS ? FFL_JOBS_PARTS_MAX : 1;
+
 		if (strcmp(topics[i], name) == 0)
-			return i;
+			return part < parts
+				       ? (int)ffl_tail_index((ffl_topic_t)i,
+							     (uint32_t)part)
+				       : -1;
 	}
 	return -1;
 }
--- a/site/main.c
+++ b/site/main.c
@@ -180,7 +180,7 @@
 		task_worker_crash(&s->workers[n]);
 	else if (strcmp(kind, "drain") == 0 && n < s->worker_count)
 		s->workers[n].draining = true;
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX && strcmp(kind, "forget") == 0;
+	for (uint32_t i = 0; i < FFL_TAILS_MAX && strcmp(kind, "forget") == 0;
 	     i++)
 		keyed_log_trim_history(&s->topics[i]);
 	pthread_mutex_unlock(&s->lock);
@@ -306,7 +306,7 @@
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&s.changed, &attr);
-	for (uint32_t i = 0; i < FFL_TOPIC__MAX; i++)
+	for (uint32_t i = 0; i < FFL_TAILS_MAX; i++)
 		keyed_log_init(&s.topics[i]);
 	for (uint32_t i = 0; i < s.worker_count; i++)
 		task_worker_init(&s.workers[i], i, site_http_now_ms());
--- a/site/site.h
+++ b/site/site.h
@@ -22,7 +22,7 @@
 typedef struct {
 	pthread_mutex_t lock;	/**< guards topics, workers, faults, counters */
 	pthread_cond_t changed; /**< records appended or a task ended */
-	keyed_log_t topics[FFL_TOPIC__MAX];
+	keyed_log_t topics[FFL_TAILS_MAX]; /**< by ffl_tail_index() */
 	task_worker_t workers[SITE_HTTP_WORKERS_MAX];
 	uint32_t worker_count;
 	char addr[FFL_ADDR_BYTES];
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -696,7 +696,7 @@
 static void denial_of_earlier_job(bed_t *b)
 {
 	submit_for_advice(b);
-	ffl_flows_cancel(&b->flows, b->flow->spec.id);
+	ffl_flows_cancel(&b->flows, b->flow->spec.id, 0);
 	wait_ms(b, 2 * STEP_MS);
 	answer_advise(b, false);
 	ffl_flows_remove(&b->flows, "00000000000000aa");
@@ -931,7 +931,7 @@
 	uint64_t batch;
 
 	run_on_w0(b);
-	ffl_flows_cancel(&b->flows, b->flow->spec.id);
+	ffl_flows_cancel(&b->flows, b->flow->spec.id, 0);
 	for (uint32_t ms = 0; b->flow->placed_count && ms < 2 * GIVE_UP_MS;
 	     ms += STEP_MS) {
 		wait_ms(b, STEP_MS);
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -285,6 +285,7 @@
 static void test_odd_keys_in_page(void);
 static void test_empty_page(void);
 static void test_odd_keys_in_query(void);
+static void test_partition_in_query(void);
 static void test_odd_keys_in_read(void);
 static void test_renew_reply(void);
 static void test_odd_numbers_in_report(void);
@@ -587,6 +588,40 @@
 	ffl_arena_finish(&arena);
 }
 
+/* Each call names the partition that it is for. */
+static void test_partition_in_query(void)
+{
+	static const struct {
+		ffl_node_act_kind_t kind;
+		uint32_t part;
+		const char *url;
+	} cases[] = {
+		{ FFL_NODE_ACT_READ, 0, "read?topic=keyed.jobs&part=0&from=7" },
+		{ FFL_NODE_ACT_READ, 3, "read?topic=keyed.jobs&part=3&from=7" },
+		{ FFL_NODE_ACT_NEWEST, 2, "newest?topic=keyed.jobs&part=2" },
+		{ FFL_NODE_ACT_APPEND, 1, "append?topic=keyed.jobs&part=1" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_node_act_t act = { .kind = cases[i].kind };
+		char *url = g_strconcat("http://10.0.0.1:80/-/log-",
+					cases[i].url, NULL);
+		ffl_pf_call_t call;
+
+		act.store.topic = FFL_TOPIC_JOBS;
+		act.store.part = cases[i].part;
+		act.store.from = 7;
+		act.store.expected_end = FFL_ANY_END;
+		act.store.writes = g_ptr_array_new();
+		ffl_pf_store_call_encode("10.0.0.1:80", &act, &call);
+		g_assert_cmpstr(call.url, ==, url);
+		if (call.body)
+			g_byte_array_unref(call.body);
+		g_ptr_array_unref(act.store.writes);
+		g_free(url);
+	}
+}
+
 /* The last key of a page goes into the query of the next one. */
 static void test_odd_keys_in_query(void)
 {
@@ -1190,6 +1225,8 @@
 	g_test_add_func("/platform/odd-keys-in-page", test_odd_keys_in_page);
 	g_test_add_func("/platform/empty-page", test_empty_page);
 	g_test_add_func("/platform/odd-keys-in-query", test_odd_keys_in_query);
+	g_test_add_func("/platform/partition-in-query",
+			test_partition_in_query);
 	g_test_add_func("/platform/odd-keys-in-read", test_odd_keys_in_read);
 	g_test_add_func("/platform/hold", test_renew_reply);
 	g_test_add_func("/platform/odd-numbers-in-report",
