dispatch: where a job would go now, and why

Cause: operators have counts of waiting steps and log lines of what was started, but nothing that tells of one job where it would go, or what keeps it off which workers.

Change: ffl_dispatch_explain() places a job that is not among the open ones by the functions of placement. What becomes of a decision (place, stop, wait) is a table of functions: placement carries it out, the explanation records it, and removes at its end the runs that took resources. ffl_worker_bar() gives the reason that keeps a step off a worker, and ffl_is_candidate() is that it gives none; ffl_has_room() was part of ffl_choose_worker(). Runs, batches, counts, reservations and notes stay as they are; what a pass counts for itself (free GPUs, demands without room, ranks) is worked out anew, as each pass does.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -258,6 +258,12 @@
 /** Returns true if runs of a flow's tasks are known to the leader. */
 bool ffl_flow_has_runs(const ffl_flow_t *flow);
 
+/** Allocates a flow without progress and takes ownership of the contents of
+ * @p spec, which has been validated. */
+ffl_flow_t *ffl_flow_new(ffl_flow_spec_t *spec, uint64_t offset);
+/** Frees an ffl_flow_t. */
+void ffl_flow_free(void *data);
+
 void ffl_flows_init(ffl_flows_t *flows);
 void ffl_flows_finish(ffl_flows_t *flows);
 /** Returns the flow with an id, or NULL. */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -32,6 +32,16 @@
 			 ffl_dispatch_worker_t *const *chosen,
 			 const ffl_place_request_t *req);
 
+static const char *const bar_names[FFL_BAR__MAX] = {
+	[FFL_BAR_NONE] = "none",	   [FFL_BAR_UNLISTED] = "unlisted",
+	[FFL_BAR_SERVICE] = "service",	   [FFL_BAR_DRAINING] = "draining",
+	[FFL_BAR_EVACUATED] = "evacuated", [FFL_BAR_SILENT] = "silent",
+	[FFL_BAR_FAILURES] = "failures",   [FFL_BAR_RESERVED] = "reserved",
+	[FFL_BAR_LABEL] = "label",	   [FFL_BAR_SLOW] = "slow",
+	[FFL_BAR_RACK] = "rack",	   [FFL_BAR_TICKET] = "ticket",
+	[FFL_BAR_ROOM] = "room",
+};
+
 uint32_t ffl_dispatch_worker_count_tasks(const ffl_dispatch_worker_t *w,
 					 const ffl_place_request_t *req)
 {
@@ -53,27 +63,61 @@
 	       w->reserved_for != req->flow;
 }
 
-bool ffl_is_candidate(const ffl_dispatch_worker_t *w,
-		      const ffl_place_request_t *req)
+const char *ffl_bar_name(uint32_t bar)
+{
+	return bar < FFL_BAR__MAX ? bar_names[bar] : "?";
+}
+
+ffl_bar_t ffl_worker_bar(const ffl_dispatch_worker_t *w,
+			 const ffl_place_request_t *req)
 {
 	const ffl_step_t *step = req->step;
 	bool labelled = !step->label[0];
 
-	if (!w->listed || w->entry_outdated || w->entry.draining ||
-	    w->evacuated || w->missed_renewals || !w->clock_read_ms ||
-	    !ffl_trust_allows(w, req) ||
-	    strcmp(w->entry.service, req->flow->spec.service) != 0)
-		return false;
+	if (!w->listed || w->entry_outdated)
+		return FFL_BAR_UNLISTED;
+	if (strcmp(w->entry.service, req->flow->spec.service) != 0)
+		return FFL_BAR_SERVICE;
+	if (w->entry.draining)
+		return FFL_BAR_DRAINING;
+	if (w->evacuated)
+		return FFL_BAR_EVACUATED;
+	if (w->missed_renewals || !w->clock_read_ms)
+		return FFL_BAR_SILENT;
+	if (!ffl_trust_allows(w, req))
+		return FFL_BAR_FAILURES;
 	if (!req->guaranteed && ffl_dispatch_worker_is_reserved(w, req))
-		return false;
+		return FFL_BAR_RESERVED;
 	for (uint32_t i = 0; i < w->entry.labels_count && !labelled; i++)
 		labelled = strcmp(w->entry.labels[i], step->label) == 0;
 	if (!labelled)
-		return false;
+		return FFL_BAR_LABEL;
 	if (req->skip_slow && ffl_dispatch_worker_is_slow(w, req->now_ms))
+		return FFL_BAR_SLOW;
+	if (req->local_only && step->rack[0] &&
+	    strcmp(w->entry.rack, step->rack) != 0)
+		return FFL_BAR_RACK;
+	return FFL_BAR_NONE;
+}
+
+bool ffl_is_candidate(const ffl_dispatch_worker_t *w,
+		      const ffl_place_request_t *req)
+{
+	return ffl_worker_bar(w, req) == FFL_BAR_NONE;
+}
+
+bool ffl_has_room(const ffl_dispatch_worker_t *w,
+		  const ffl_place_request_t *req, const ffl_resources_t *need)
+{
+	ffl_resources_t available;
+
+	if (w->entry.capacity.gpus - w->used.gpus < need->gpus)
 		return false;
-	return !req->local_only || !step->rack[0] ||
-	       strcmp(w->entry.rack, step->rack) == 0;
+	available = available_for(w, req);
+	return ffl_resources_fit(&available, need) &&
+	       (!req->step->per_worker_max ||
+		ffl_dispatch_worker_count_tasks(w, req) <
+			req->step->per_worker_max);
 }
 
 bool ffl_is_eligible(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
@@ -124,18 +168,9 @@
 
 	for (guint i = 0; i < workers->len; i++) {
 		ffl_dispatch_worker_t *w = g_ptr_array_index(workers, i);
-		ffl_resources_t available;
 		int64_t cost;
 
-		if (w->entry.capacity.gpus - w->used.gpus < need.gpus)
-			continue;
-		available = available_for(w, req);
-		if (!ffl_resources_fit(&available, &need) ||
-		    !ffl_is_eligible(d, w, req))
-			continue;
-		if (req->step->per_worker_max &&
-		    ffl_dispatch_worker_count_tasks(w, req) >=
-			    req->step->per_worker_max)
+		if (!ffl_has_room(w, req, &need) || !ffl_is_eligible(d, w, req))
 			continue;
 		cost = placement_cost(w, req);
 		if (!best || cost < best_cost) {
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -5,7 +5,7 @@
 #ifndef FFL_DISPATCH_INT_H
 #define FFL_DISPATCH_INT_H
 
-#include "fireflyledge/dispatch.h"
+#include "fireflyledge/explain.h"
 
 /** Deadline of a start order. It covers both ways between regions and the
  * worker's processing. */
@@ -158,6 +158,8 @@
 /** Adds a run and takes its resources from the worker. */
 ffl_run_t *ffl_run_add(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
 		       uint32_t run, ffl_dispatch_worker_t *w, uint64_t now_ms);
+/** Takes a run back, with its resources, and frees it. */
+void ffl_run_remove(ffl_dispatch_t *d, ffl_run_t *run);
 /** Returns the runs of a flow, of ffl_run_t *; never NULL. */
 const GPtrArray *ffl_runs_of_flow(const ffl_dispatch_t *d,
 				  const ffl_flow_t *flow);
@@ -205,8 +207,22 @@
 	bool one_rack; /**< tried within single racks only */
 } ffl_demand_t;
 
-/** A step of one occurrence whose waiting tasks are to be placed. */
+typedef struct ffl_place_request ffl_place_request_t;
+typedef struct ffl_preempt_plan ffl_preempt_plan_t;
+
+/** What becomes of the decisions on a step: they are carried out, or only
+ * recorded for an explanation. */
 typedef struct {
+	void (*place)(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		      uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+	void (*preempt)(ffl_preempt_plan_t *plan,
+			const ffl_place_request_t *req);
+	void (*wait)(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		     ffl_wait_t why);
+} ffl_place_effects_t;
+
+/** A step of one occurrence whose waiting tasks are to be placed. */
+struct ffl_place_request {
 	ffl_flow_t *flow;
 	const ffl_step_t *step;
 	uint32_t step_index;
@@ -217,7 +233,24 @@
 	bool local_only; /**< only in the data's rack, gang in one rack */
 	bool skip_slow;	 /**< not on slow workers */
 	bool must_start; /**< guaranteed work that may wait no longer */
-} ffl_place_request_t;
+	const ffl_place_effects_t *effects;
+	void *effects_user; /**< for the effects */
+};
+
+/** Ranks the open flows, and another one unless it is NULL, and selects those
+ * of priority 0 whose GPUs are covered by their customer's guarantee.
+ *
+ * @param ranked receives ffl_flow_t *, best rank first
+ * @param guaranteed a set that receives the selected ones
+ */
+void ffl_rank_flows(ffl_dispatch_t *d, ffl_flow_t *other, uint64_t now_ms,
+		    GPtrArray *ranked, GHashTable *guaranteed);
+/** Decides on the steps of a flow that may run now.
+ *
+ * @param like gives guaranteed, now_ms and the effects
+ */
+void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
+		    const ffl_place_request_t *like, uint64_t wall_ms);
 
 /** Returns the resources that each task of a step takes. */
 ffl_resources_t ffl_step_resources(const ffl_step_t *step);
@@ -236,6 +269,14 @@
 
 /* choose.c */
 
+/** Returns what keeps a step off a worker, not counting tickets and free
+ * resources. */
+ffl_bar_t ffl_worker_bar(const ffl_dispatch_worker_t *w,
+			 const ffl_place_request_t *req);
+/** Returns true if a worker has the resources for a task of a step, and not as
+ * many of its tasks as it may have. */
+bool ffl_has_room(const ffl_dispatch_worker_t *w,
+		  const ffl_place_request_t *req, const ffl_resources_t *need);
 /** Returns true if a step may run on a worker, not counting tickets and free
  * resources. */
 bool ffl_is_candidate(const ffl_dispatch_worker_t *w,
@@ -383,5 +424,14 @@
  */
 bool ffl_preempt(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		 uint32_t tasks);
+/** Stops the runs of a plan and reserves what they free. */
+void ffl_preempt_execute(ffl_preempt_plan_t *plan,
+			 const ffl_place_request_t *req);
+/**
+ * Returns the number of runs that a plan stops.
+ *
+ * @param cost receives what that costs, in core-milliseconds
+ */
+uint32_t ffl_preempt_count(const ffl_preempt_plan_t *plan, uint64_t *cost);
 
 #endif
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -12,8 +12,6 @@
 static void mark_guaranteed(ffl_dispatch_t *d, GPtrArray *ranked,
 			    GHashTable *guaranteed_flows);
 static uint32_t peak_gpus(const ffl_flow_t *flow);
-static void place_flow(ffl_dispatch_t *d, ffl_flow_t *flow, bool guaranteed,
-		       uint64_t now_ms, uint64_t wall_ms);
 static bool is_due(const ffl_dispatch_t *d, const ffl_flow_t *flow,
 		   uint32_t occurrence, uint64_t wall_ms);
 static bool may_preempt(const ffl_place_request_t *req);
@@ -37,6 +35,25 @@
 				 const ffl_place_request_t *req);
 static void commit_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+static void count_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_wait_t why);
+
+static const ffl_place_effects_t real_effects = {
+	.place = commit_task,
+	.preempt = ffl_preempt_execute,
+	.wait = count_wait,
+};
+
+static const char *const wait_names[FFL_WAIT__MAX] = {
+	[FFL_WAIT_ROOM] = "room",
+	[FFL_WAIT_SKIPPED] = "skipped",
+	[FFL_WAIT_HEADROOM] = "headroom",
+};
+
+const char *ffl_place_wait_name(uint32_t wait)
+{
+	return wait < FFL_WAIT__MAX ? wait_names[wait] : "?";
+}
 
 ffl_resources_t ffl_step_resources(const ffl_step_t *step)
 {
@@ -144,6 +161,14 @@
 	ffl_dispatch_mark_dirty(d, req->flow);
 }
 
+static void count_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_wait_t why)
+{
+	d->waiting[why]++;
+	if (why == FFL_WAIT_ROOM)
+		ffl_advice_request(d, req);
+}
+
 static bool find_gang(ffl_dispatch_t *d, ffl_place_request_t *req,
 		      bool allow_remote, ffl_dispatch_worker_t **chosen)
 {
@@ -196,7 +221,7 @@
 	if (!found)
 		ffl_add_infeasible(d, req);
 	for (uint32_t i = 0; i < tasks && found; i++)
-		commit_task(d, req, req->first + i, chosen[i], run + 1);
+		req->effects->place(d, req, req->first + i, chosen[i], run + 1);
 	g_free(chosen);
 }
 
@@ -227,7 +252,8 @@
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
-			commit_task(d, req, req->first + i, w, task->run + 1);
+			req->effects->place(d, req, req->first + i, w,
+					    task->run + 1);
 		else
 			unplaced++;
 	}
@@ -306,11 +332,11 @@
 	    !ffl_flow_step_ready(req->flow, req->occurrence, req->step_index))
 		return;
 	if (!req->guaranteed && ffl_is_infeasible(d, req)) {
-		d->waiting[FFL_WAIT_SKIPPED]++;
+		req->effects->wait(d, req, FFL_WAIT_SKIPPED);
 		return;
 	}
 	if (!req->guaranteed && must_leave_headroom(d, req)) {
-		d->waiting[FFL_WAIT_HEADROOM]++;
+		req->effects->wait(d, req, FFL_WAIT_HEADROOM);
 		return;
 	}
 	req->must_start = must_start(d, req);
@@ -318,14 +344,12 @@
 		place_gang(d, req);
 	else
 		place_tasks(d, req);
-	if (!has_waiting_tasks(req))
-		return;
-	d->waiting[FFL_WAIT_ROOM]++;
-	ffl_advice_request(d, req);
+	if (has_waiting_tasks(req))
+		req->effects->wait(d, req, FFL_WAIT_ROOM);
 }
 
-static void place_flow(ffl_dispatch_t *d, ffl_flow_t *flow, bool guaranteed,
-		       uint64_t now_ms, uint64_t wall_ms)
+void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
+		    const ffl_place_request_t *like, uint64_t wall_ms)
 {
 	for (uint32_t k = 0; k < flow->spec.occurrences; k++) {
 		if (!is_due(d, flow, k, wall_ms))
@@ -337,9 +361,11 @@
 				.step_index = s,
 				.occurrence = k,
 				.first = ffl_flow_first_task(flow, k, s),
-				.now_ms = now_ms,
-				.guaranteed = guaranteed,
+				.now_ms = like->now_ms,
+				.guaranteed = like->guaranteed,
 				.skip_slow = true,
+				.effects = like->effects,
+				.effects_user = like->effects_user,
 			};
 
 			place_step(d, &req);
@@ -347,11 +373,9 @@
 	}
 }
 
-void ffl_place_flows(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms)
+void ffl_rank_flows(ffl_dispatch_t *d, ffl_flow_t *other, uint64_t now_ms,
+		    GPtrArray *ranked, GHashTable *guaranteed)
 {
-	GPtrArray *ranked = g_ptr_array_new();
-	GHashTable *guaranteed_flows = g_hash_table_new(NULL, NULL);
-
 	for (guint i = 0; i < d->flows->open->len; i++) {
 		ffl_flow_t *flow = g_ptr_array_index(d->flows->open, i);
 
@@ -360,11 +384,25 @@
 		ffl_rank_flow(d, flow, now_ms);
 		g_ptr_array_add(ranked, flow);
 	}
+	if (other) {
+		ffl_rank_flow(d, other, now_ms);
+		g_ptr_array_add(ranked, other);
+	}
+	g_ptr_array_sort(ranked, compare_rank);
+	mark_guaranteed(d, ranked, guaranteed);
+}
+
+void ffl_place_flows(ffl_dispatch_t *d, uint64_t now_ms, uint64_t wall_ms)
+{
+	GPtrArray *ranked = g_ptr_array_new();
+	GHashTable *guaranteed_flows = g_hash_table_new(NULL, NULL);
+	ffl_place_request_t like = { .now_ms = now_ms,
+				     .effects = &real_effects };
+
+	ffl_rank_flows(d, NULL, now_ms, ranked, guaranteed_flows);
 	ffl_count_free_gpus(d);
 	g_array_set_size(d->infeasible, 0);
 	memset(d->waiting, 0, sizeof(d->waiting));
-	g_ptr_array_sort(ranked, compare_rank);
-	mark_guaranteed(d, ranked, guaranteed_flows);
 	for (int pass = 0; pass < 2; pass++) {
 		for (guint i = 0; i < ranked->len; i++) {
 			ffl_flow_t *flow = g_ptr_array_index(ranked, i);
@@ -373,7 +411,8 @@
 
 			if (first != (pass == 0) || now_ms < flow->retry_ms)
 				continue;
-			place_flow(d, flow, first, now_ms, wall_ms);
+			like.guaranteed = first;
+			ffl_place_flow(d, flow, &like, wall_ms);
 		}
 	}
 	g_hash_table_destroy(guaranteed_flows);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -17,14 +17,16 @@
 } candidate_t;
 
 /** Runs to stop so that a step fits. */
-typedef struct {
+struct ffl_preempt_plan {
 	ffl_dispatch_t *d;
 	const ffl_place_request_t *req;
 	GArray *candidates;  /**< of candidate_t */
 	GHashTable *victims; /**< of ffl_run_t * */
 	uint64_t cost;	     /**< lost work, in core-milliseconds */
 	bool skip_reserved;  /**< no workers reserved for other flows */
-} plan_t;
+};
+
+typedef ffl_preempt_plan_t plan_t;
 
 static bool is_preemptible(const ffl_run_t *run);
 static bool may_preempt(const plan_t *plan, const ffl_run_t *run);
@@ -46,7 +48,6 @@
 static bool plan_in_best_rack(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			      uint32_t tasks, bool skip_reserved, plan_t *best);
 static bool is_worthwhile(const ffl_dispatch_t *d, const plan_t *plan);
-static void execute_plan(plan_t *plan);
 
 static bool is_preemptible(const ffl_run_t *run)
 {
@@ -284,7 +285,8 @@
 	       plan->cost <= own_work * OWN_WORK_PERCENT / PERCENT;
 }
 
-static void execute_plan(plan_t *plan)
+void ffl_preempt_execute(ffl_preempt_plan_t *plan,
+			 const ffl_place_request_t *req)
 {
 	uint64_t until_ms =
 		plan->req->now_ms + plan->d->opt.stop_max_ms + RESERVE_SLACK_MS;
@@ -321,6 +323,12 @@
 	}
 }
 
+uint32_t ffl_preempt_count(const ffl_preempt_plan_t *plan, uint64_t *cost)
+{
+	*cost = plan->cost;
+	return g_hash_table_size(plan->victims);
+}
+
 /* Searches for a plan within one rack if the step prefers that, then over all
  * workers. */
 static bool find_plan(ffl_dispatch_t *d, const ffl_place_request_t *req,
@@ -355,7 +363,7 @@
 		return false;
 	ok = is_worthwhile(d, &plan);
 	if (ok)
-		execute_plan(&plan);
+		req->effects->preempt(&plan, req);
 	plan_finish(&plan);
 	return ok;
 }
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -9,7 +9,6 @@
 static void count_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void complete_task(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void index_run(ffl_dispatch_t *d, ffl_run_t *run);
-static void remove_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
 
 static void index_run(ffl_dispatch_t *d, ffl_run_t *run)
@@ -117,7 +116,7 @@
 	return task->state == FFL_TASK_PLACED && task->run == run->run;
 }
 
-static void remove_run(ffl_dispatch_t *d, ffl_run_t *run)
+void ffl_run_remove(ffl_dispatch_t *d, ffl_run_t *run)
 {
 	GPtrArray *runs = g_hash_table_lookup(d->runs_by_flow, run->flow);
 	ffl_open_call_t *call;
@@ -135,7 +134,6 @@
 	if (!runs->len)
 		g_hash_table_remove(d->runs_by_flow, run->flow);
 	g_free(run);
-	d->replan = true;
 }
 
 /* The success of one run completes the whole gang. */
@@ -217,7 +215,8 @@
 		}
 	}
 	ffl_dispatch_mark_dirty(d, flow);
-	remove_run(d, run);
+	ffl_run_remove(d, run);
+	d->replan = true;
 	if (ffl_flow_ended(flow) && !flow->ended_ms) {
 		flow->ended_ms = now_ms;
 		ffl_dispatch_note(d, "job-ended", flow->spec.id, "state=%s",
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -2,7 +2,6 @@
 
 #include "fireflyledge/flow.h"
 
-static void flow_free(void *data);
 static void task_clear(ffl_task_t *task);
 static void set_checkpoint(ffl_task_t *task, const char *checkpoint);
 static int compare_age(const void *a, const void *b);
@@ -159,7 +158,7 @@
 	memset(task, 0, sizeof(*task));
 }
 
-static void flow_free(void *data)
+void ffl_flow_free(void *data)
 {
 	ffl_flow_t *flow = data;
 
@@ -174,8 +173,8 @@
 
 void ffl_flows_init(ffl_flows_t *flows)
 {
-	flows->by_id =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, flow_free);
+	flows->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     ffl_flow_free);
 	flows->open = g_ptr_array_new();
 	flows->early_progress = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
@@ -225,17 +224,10 @@
 	}
 }
 
-ffl_flow_t *ffl_flows_add(ffl_flows_t *flows, ffl_flow_spec_t *spec,
-			  uint64_t offset)
+ffl_flow_t *ffl_flow_new(ffl_flow_spec_t *spec, uint64_t offset)
 {
-	ffl_flow_t *flow = ffl_flows_find(flows, spec->id);
-	ffl_flow_state_t state;
+	ffl_flow_t *flow = g_new0(ffl_flow_t, 1);
 
-	if (flow) {
-		ffl_flow_spec_finish(spec);
-		return flow;
-	}
-	flow = g_new0(ffl_flow_t, 1);
 	flow->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
 	flow->spec_offset = offset;
@@ -245,6 +237,20 @@
 	flow->parts_count = (flow->tasks_count + FFL_PROGRESS_TASKS_MAX - 1) /
 			    FFL_PROGRESS_TASKS_MAX;
 	flow->parts = g_new0(ffl_progress_part_t, flow->parts_count);
+	return flow;
+}
+
+ffl_flow_t *ffl_flows_add(ffl_flows_t *flows, ffl_flow_spec_t *spec,
+			  uint64_t offset)
+{
+	ffl_flow_t *flow = ffl_flows_find(flows, spec->id);
+	ffl_flow_state_t state;
+
+	if (flow) {
+		ffl_flow_spec_finish(spec);
+		return flow;
+	}
+	flow = ffl_flow_new(spec, offset);
 	g_hash_table_insert(flows->by_id, flow->spec.id, flow);
 	g_ptr_array_add(flows->open, flow);
 	adopt_early_progress(flows, flow);
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1,7 +1,7 @@
 /** @file Tests of the dispatcher with simulated workers and simulated time. */
 #include <string.h>
 
-#include "fireflyledge/dispatch.h"
+#include "fireflyledge/explain.h"
 
 /** Simulated time between two steps of the dispatcher. */
 #define STEP_MS 50
@@ -67,6 +67,8 @@
 static void test_bed_init(test_bed_t *b, uint32_t workers);
 static void test_bed_finish(test_bed_t *b);
 static uint32_t min_pace_percent(const test_bed_t *b);
+static ffl_flow_spec_t make_spec(const test_bed_t *b, const char *id,
+				 uint32_t priority, ffl_step_t step);
 static ffl_flow_t *submit(test_bed_t *b, const char *id, uint32_t priority,
 			  ffl_step_t step);
 static sim_worker_t *find_worker(test_bed_t *b, const char *id);
@@ -146,8 +148,8 @@
 	return lowest;
 }
 
-static ffl_flow_t *submit(test_bed_t *b, const char *id, uint32_t priority,
-			  ffl_step_t step)
+static ffl_flow_spec_t make_spec(const test_bed_t *b, const char *id,
+				 uint32_t priority, ffl_step_t step)
 {
 	ffl_flow_spec_t spec;
 	ffl_err_t err;
@@ -169,6 +171,14 @@
 	step.mem_mb = step.gpus * 1000;
 	spec.steps[0] = step;
 	g_assert_cmpint(ffl_flow_spec_validate(&spec, &err), ==, FFL_OK);
+	return spec;
+}
+
+static ffl_flow_t *submit(test_bed_t *b, const char *id, uint32_t priority,
+			  ffl_step_t step)
+{
+	ffl_flow_spec_t spec = make_spec(b, id, priority, step);
+
 	ffl_dispatch_request_placement(&b->d);
 	return ffl_flows_add(&b->flows, &spec, g_str_hash(id));
 }
@@ -1244,9 +1254,560 @@
 	test_bed_finish(&b);
 }
 
+/** What is asked about, in a state of two workers. */
+typedef struct {
+	const char *name;
+	/** Changes each worker. */
+	void (*change)(test_bed_t *b, ffl_dispatch_worker_t *w);
+	uint32_t running; /**< tasks of one GPU that run before */
+	ffl_step_t step;
+	uint32_t priority;
+	bool tickets;
+	uint32_t guaranteed_gpus;
+	uint32_t placed;
+	uint32_t wait; /**< FFL_WAIT__MAX: all are placed */
+	uint32_t bar;  /**< with which both workers are barred */
+	bool guaranteed;
+	uint32_t stops;
+} question_t;
+
+static void unlist(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->listed = false;
+}
+
+static void outdate(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->entry_outdated = true;
+}
+
+static void drain(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->entry.draining = true;
+}
+
+static void mark_evacuated(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->evacuated = true;
+}
+
+static void silence(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->missed_renewals = 1;
+}
+
+static void quarantine(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->quarantined_until_ms = b->now_ms + 1000;
+}
+
+static void change_service(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	ffl_copy(w->entry.service, sizeof(w->entry.service), "other");
+}
+
+static void reserve(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->reserved_until_ms = b->now_ms + 1000;
+}
+
+static void slow_down(test_bed_t *b, ffl_dispatch_worker_t *w)
+{
+	w->slow_until_ms = b->now_ms + 1000;
+}
+
+static const question_t questions[] = {
+	{ "fits",
+	  NULL,
+	  0,
+	  { .tasks = 3, .gpus = 4 },
+	  1,
+	  false,
+	  0,
+	  3,
+	  FFL_WAIT__MAX,
+	  FFL_BAR_NONE,
+	  false,
+	  0 },
+	{ "gang fits",
+	  NULL,
+	  0,
+	  { .tasks = 2, .gpus = 8, .gang = true },
+	  1,
+	  false,
+	  0,
+	  2,
+	  FFL_WAIT__MAX,
+	  FFL_BAR_NONE,
+	  false,
+	  0 },
+	{ "some wait",
+	  NULL,
+	  0,
+	  { .tasks = 3, .gpus = 8 },
+	  1,
+	  false,
+	  0,
+	  2,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_ROOM,
+	  false,
+	  0 },
+	{ "one a worker",
+	  NULL,
+	  0,
+	  { .tasks = 3, .gpus = 1, .per_worker_max = 1 },
+	  1,
+	  false,
+	  0,
+	  2,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_ROOM,
+	  false,
+	  0 },
+	{ "gang too large",
+	  NULL,
+	  0,
+	  { .tasks = 3, .gpus = 8, .gang = true },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_NONE,
+	  false,
+	  0 },
+	{ "unlisted",
+	  unlist,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_UNLISTED,
+	  false,
+	  0 },
+	{ "outdated",
+	  outdate,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_UNLISTED,
+	  false,
+	  0 },
+	{ "draining",
+	  drain,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_DRAINING,
+	  false,
+	  0 },
+	{ "evacuated",
+	  mark_evacuated,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_EVACUATED,
+	  false,
+	  0 },
+	{ "silent",
+	  silence,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_SILENT,
+	  false,
+	  0 },
+	{ "failures",
+	  quarantine,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_FAILURES,
+	  false,
+	  0 },
+	{ "service",
+	  change_service,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_SERVICE,
+	  false,
+	  0 },
+	{ "reserved",
+	  reserve,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_RESERVED,
+	  false,
+	  0 },
+	{ "slow",
+	  slow_down,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_SLOW,
+	  false,
+	  0 },
+	{ "label",
+	  NULL,
+	  0,
+	  { .tasks = 1, .gpus = 1, .label = "wet" },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_LABEL,
+	  false,
+	  0 },
+	{ "rack",
+	  NULL,
+	  0,
+	  { .tasks = 1, .gpus = 1, .rack = "r9" },
+	  1,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_RACK,
+	  false,
+	  0 },
+	{ "ticket",
+	  NULL,
+	  0,
+	  { .tasks = 1, .gpus = 1 },
+	  1,
+	  true,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_TICKET,
+	  false,
+	  0 },
+	{ "room",
+	  NULL,
+	  16,
+	  { .tasks = 1, .gpus = 1 },
+	  0,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_ROOM,
+	  false,
+	  1 },
+	{ "headroom",
+	  NULL,
+	  15,
+	  { .tasks = 1, .gpus = 1 },
+	  2,
+	  false,
+	  0,
+	  0,
+	  FFL_WAIT_HEADROOM,
+	  FFL_BAR__MAX,
+	  false,
+	  0 },
+	{ "guarantee stops others",
+	  NULL,
+	  16,
+	  { .tasks = 1, .gpus = 8 },
+	  0,
+	  false,
+	  8,
+	  0,
+	  FFL_WAIT_ROOM,
+	  FFL_BAR_ROOM,
+	  true,
+	  8 },
+	{ "beyond the guarantee",
+	  NULL,
+	  0,
+	  { .tasks = 2, .gpus = 8 },
+	  0,
+	  false,
+	  8,
+	  2,
+	  FFL_WAIT__MAX,
+	  FFL_BAR_NONE,
+	  false,
+	  0 },
+};
+
+static void prepare(test_bed_t *b, const question_t *q)
+{
+	test_bed_init(b, 2);
+	b->work_ms = 20000;
+	if (q->guaranteed_gpus)
+		g_hash_table_insert(b->guaranteed, "ponds",
+				    GUINT_TO_POINTER(q->guaranteed_gpus));
+	if (q->running)
+		submit(b, "running", 1,
+		       (ffl_step_t){ .tasks = q->running,
+				     .gpus = 1,
+				     .runs_until_cancelled = true });
+	run_for_ms(b, 500);
+	for (uint32_t i = 0; i < b->workers_count && q->change; i++)
+		q->change(b, g_hash_table_lookup(b->d.workers,
+						 b->workers[i].entry.id));
+}
+
+static void ask(test_bed_t *b, const question_t *q, ffl_explanation_t *out)
+{
+	ffl_flow_spec_t spec = make_spec(b, "asked", q->priority, q->step);
+
+	spec.needs_tickets = q->tickets;
+	ffl_dispatch_explain(&b->d, &spec, b->now_ms, b->now_ms, out);
+}
+
+static void submit_question(test_bed_t *b, const question_t *q)
+{
+	submit(b, "asked", q->priority, q->step)->spec.needs_tickets =
+		q->tickets;
+}
+
+/* Each reason is told, with what would be placed and stopped. */
+static void test_explain(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(questions); i++) {
+		const question_t *q = &questions[i];
+		const ffl_explained_step_t *step;
+		ffl_explanation_t e;
+		test_bed_t b;
+
+		g_test_message("%s", q->name);
+		prepare(&b, q);
+		ask(&b, q, &e);
+		g_assert_cmpuint(e.steps->len, ==, 1);
+		step = &g_array_index(e.steps, ffl_explained_step_t, 0);
+		g_assert_cmpuint(step->tasks, ==, q->step.tasks);
+		g_assert_cmpuint(step->placed, ==, q->placed);
+		g_assert_cmpuint(step->wait, ==, q->wait);
+		if (q->wait == FFL_WAIT_ROOM)
+			g_assert_cmpuint(step->barred[q->bar], ==, 2);
+		g_assert_cmpuint(step->stops, ==, q->stops);
+		g_assert_true((step->stop_cost > 0) == (q->stops > 0));
+		g_assert_true(e.guaranteed == q->guaranteed);
+		g_assert_cmpstr(e.tier, ==, "on-time");
+		ffl_explanation_finish(&e);
+		test_bed_finish(&b);
+	}
+}
+
+/* What is told is what happens to the job when it comes, and to the runs that
+ * give way to it. */
+static void test_explain_holds(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(questions); i++) {
+		const question_t *q = &questions[i];
+		const ffl_explained_step_t *step;
+		uint32_t starts[2];
+		ffl_explanation_t e;
+		test_bed_t b;
+
+		g_test_message("%s", q->name);
+		prepare(&b, q);
+		for (uint32_t k = 0; k < 2; k++)
+			starts[k] = b.workers[k].starts;
+		ask(&b, q, &e);
+		step = &g_array_index(e.steps, ffl_explained_step_t, 0);
+		submit_question(&b, q);
+		run_for_ms(&b, 2 * STEP_MS);
+		for (guint k = 0; k < step->workers->len; k++) {
+			const ffl_explained_worker_t *w = &g_array_index(
+				step->workers, ffl_explained_worker_t, k);
+			uint32_t at = strcmp(w->id, "w01") == 0;
+
+			starts[at] += w->tasks;
+			g_assert_cmpstr(w->rack, ==, "r1");
+			g_assert_cmpstr(w->dc, ==, at ? "sur" : "norte");
+		}
+		for (uint32_t k = 0; k < 2; k++)
+			g_assert_cmpuint(b.workers[k].starts, ==, starts[k]);
+		g_assert_cmpuint(b.d.preempted, ==, step->stops);
+		ffl_explanation_finish(&e);
+		test_bed_finish(&b);
+	}
+}
+
+/* Steps the dispatcher and writes down what it orders. */
+static GString *orders_of(test_bed_t *b)
+{
+	GArray *orders = g_array_new(FALSE, TRUE, sizeof(ffl_order_t));
+	GString *text = g_string_new(NULL);
+
+	b->now_ms += STEP_MS;
+	ffl_dispatch_step(&b->d, b->now_ms, b->now_ms, true, true, orders);
+	for (guint i = 0; i < orders->len; i++) {
+		const ffl_order_t *o = &g_array_index(orders, ffl_order_t, i);
+
+		g_string_append_printf(text, "%u %s %s %u %u\n", o->kind,
+				       o->worker, o->task, o->run,
+				       (unsigned)o->call);
+	}
+	g_string_append_printf(
+		text, "%u %u %u %u %u %u\n", b->d.runs->len,
+		(unsigned)b->d.preempted, b->d.waiting[FFL_WAIT_ROOM],
+		b->d.waiting[FFL_WAIT_SKIPPED], b->d.waiting[FFL_WAIT_HEADROOM],
+		b->d.advice.pending);
+	g_array_free(orders, TRUE);
+	return text;
+}
+
+/* A question changes nothing: neither what it finds, nor what is decided after
+ * it. */
+static void test_explain_changes_nothing(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(questions); i++) {
+		const question_t *q = &questions[i];
+		GString *text[2];
+
+		g_test_message("%s", q->name);
+		for (uint32_t asked = 0; asked < 2; asked++) {
+			uint32_t waiting[FFL_WAIT__MAX];
+			ffl_explanation_t e;
+			test_bed_t b;
+			bool replan;
+			bool dirty;
+
+			prepare(&b, q);
+			replan = b.d.replan;
+			dirty = b.d.dirty;
+			memcpy(waiting, b.d.waiting, sizeof(waiting));
+			if (asked) {
+				ask(&b, q, &e);
+				ffl_explanation_finish(&e);
+			}
+			g_assert_true(b.d.replan == replan);
+			g_assert_true(b.d.dirty == dirty);
+			g_assert_cmpmem(waiting, sizeof(waiting), b.d.waiting,
+					sizeof(waiting));
+			g_assert_cmpuint(b.flows.open->len, ==,
+					 q->running ? 1 : 0);
+			text[asked] = orders_of(&b);
+			submit_question(&b, q);
+			for (uint32_t k = 0; k < 3; k++) {
+				GString *more;
+
+				ffl_dispatch_confirm_batch(&b.d,
+							   b.d.next_batch++);
+				more = orders_of(&b);
+				g_string_append(text[asked], more->str);
+				g_string_free(more, TRUE);
+			}
+			test_bed_finish(&b);
+		}
+		g_assert_cmpstr(text[0]->str, ==, text[1]->str);
+		g_string_free(text[0], TRUE);
+		g_string_free(text[1], TRUE);
+	}
+}
+
+/* Open jobs that wait and go first are counted, whatever their number. */
+static void test_explain_rank(void)
+{
+	static const struct {
+		uint32_t priority;
+		uint32_t ahead;
+	} cases[] = { { 0, 0 }, { 1, 2 }, { 2, 3 } };
+	test_bed_t b;
+
+	test_bed_init(&b, 1);
+	b.work_ms = 20000;
+	submit(&b, "runs", 1, (ffl_step_t){ .tasks = 8, .gpus = 1 });
+	run_for_ms(&b, 500);
+	submit(&b, "waits", 1, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	submit(&b, "too", 1, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	submit(&b, "low", 2, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+	run_for_ms(&b, 500);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		question_t q = { .priority = cases[i].priority,
+				 .step = { .tasks = 1, .gpus = 1 } };
+		ffl_explanation_t e;
+
+		ask(&b, &q, &e);
+		g_assert_cmpuint(e.ahead, ==, cases[i].ahead);
+		g_assert_cmpuint(e.free_percent, ==, 0);
+		ffl_explanation_finish(&e);
+	}
+	test_bed_finish(&b);
+}
+
+/* Steps that wait for others, and occurrences that are not due, are told of as
+ * later ones. */
+static void test_explain_later(void)
+{
+	test_bed_t b;
+
+	test_bed_init(&b, 1);
+	for (uint32_t timed = 0; timed < 2; timed++) {
+		ffl_flow_spec_t spec = make_spec(
+			&b, "chain", 1, (ffl_step_t){ .tasks = 1, .gpus = 1 });
+		ffl_explanation_t e;
+		ffl_err_t err;
+
+		spec.steps_count = 2;
+		spec.steps = g_renew(ffl_step_t, spec.steps, 2);
+		spec.steps[1] = spec.steps[0];
+		spec.steps[1].prerequisites = 1;
+		spec.timed = timed;
+		spec.start_at_ms = b.now_ms + 5000;
+		g_assert_cmpint(ffl_flow_spec_validate(&spec, &err), ==,
+				FFL_OK);
+		ffl_dispatch_explain(&b.d, &spec, b.now_ms, b.now_ms, &e);
+		g_assert_cmpuint(e.steps->len, ==, timed ? 0 : 1);
+		g_assert_cmpuint(e.later, ==, timed ? 2 : 1);
+		ffl_explanation_finish(&e);
+	}
+	test_bed_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dispatch/explain", test_explain);
+	g_test_add_func("/dispatch/explain-holds", test_explain_holds);
+	g_test_add_func("/dispatch/explain-changes-nothing",
+			test_explain_changes_nothing);
+	g_test_add_func("/dispatch/explain-rank", test_explain_rank);
+	g_test_add_func("/dispatch/explain-later", test_explain_later);
 	g_test_add_func("/dispatch/speed-learned", test_speed_learned);
 	g_test_add_func("/dispatch/slow-left-out", test_slow_worker_avoided);
 	g_test_add_func("/dispatch/hang-known", test_hang_detected);
