node, jobd, cli: ffl where

Cause: operators asked for a command that explains where a given request or job would go now, and why, without sending it.

Change: a new event of a host, answered by one action and without the log: the queue that host name and path select, whose key it is, what the caller would be told and why, the leader, and on the leader where the job would go. Routing and the decision on a submission are split off from what is done about them (ffl_request_route(), ffl_request_decide()). ffl-jobd answers POST /explain at its metrics address only, with the body decoded as that of a submission; `ffl where` prints it, a finding a line, or JSON.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -154,6 +154,9 @@
 /** Prints the log lines that concern a job, in the order of time. */
 cli_exit_t cli_run_explain(const cli_t *cli, const cli_subcommand_t *sub,
 			   const char *path, json_t *body);
+/** Prints where a job would go, as a host of ffl-jobd tells. */
+cli_exit_t cli_run_where(const cli_t *cli, const cli_subcommand_t *sub,
+			 const char *path, json_t *body);
 /** Prints the findings on a settings file of fireflyledged. */
 cli_exit_t cli_run_check_config(const cli_t *cli, const cli_subcommand_t *sub,
 				const char *path, json_t *body);
--- a/cli/subcommands.c
+++ b/cli/subcommands.c
@@ -150,6 +150,16 @@
 	  "file with lines of any hosts (standard input)" },
 };
 
+static const cli_opt_t where_opts[] = {
+	{ "PATH", "path", CLI_OPT_ARG, true,
+	  "path of the request, with an id" },
+	{ "at", "at", CLI_OPT_TEXT, true,
+	  "HOST:PORT of a host's metrics; only the leader knows all" },
+	{ "host", "host", CLI_OPT_TEXT, true, "host name of the request" },
+	{ "key", "key", CLI_OPT_TEXT, false, "the caller's API key" },
+	{ "body", "file", CLI_OPT_TEXT, false, "file with the job" },
+};
+
 static const cli_subcommand_t subcommands[] = {
 	INTENT("guarantee", "guarantee shapes to a customer", guarantee_opts),
 	INTENT("order", "set the order in which work is preempted", order_opts),
@@ -175,6 +185,9 @@
 	GET(OPERATORS, "hosts", "show workers and upstreams", "/v1/hosts"),
 	{ OPERATORS, "top", "show the counters of one entry host", cli_run_top,
 	  "GET", "/metrics", NULL, NULL, 0 },
+	CUSTOM(OPERATORS, "where",
+	       "show where a job would go now, without sending it",
+	       cli_run_where, "", where_opts),
 	GET(CALLERS, "jobs", "show open jobs", "/v1/jobs"),
 	ROUTE(CALLERS, "submit", "submit a job", "POST", "/v1/jobs",
 	      submit_opts),
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -13,7 +13,7 @@
 #ifndef FFL_NODE_H
 #define FFL_NODE_H
 
-#include "fireflyledge/dispatch.h"
+#include "fireflyledge/explain.h"
 #include "fireflyledge/rng.h"
 #include "fireflyledge/routes.h"
 
@@ -128,6 +128,8 @@
 	FFL_NODE_EV_WORKER,  /**< reply of a worker */
 	FFL_NODE_EV_REQUEST, /**< request of a caller */
 	FFL_NODE_EV_STOP,    /**< a planned stop begins */
+	FFL_NODE_EV_EXPLAIN, /**< an operator asks what would become of a
+			      * request; ffl_node_event_t.request */
 	FFL_NODE_EV__MAX
 } ffl_node_event_kind_t;
 
@@ -153,6 +155,7 @@
 	FFL_NODE_ACT_NOTE,    /**< write a log line */
 	FFL_NODE_ACT_MEASURE, /**< record a latency */
 	FFL_NODE_ACT_EXIT,    /**< end the process */
+	FFL_NODE_ACT_EXPLAIN, /**< answer an operator's question */
 	FFL_NODE_ACT__MAX
 } ffl_node_act_kind_t;
 
@@ -199,6 +202,40 @@
 	char problem[FFL_REASON_BYTES]; /**< of a FFL_RESPONSE_INVALID */
 } ffl_act_response_t;
 
+/** What a host would do now with a request, and why. */
+typedef struct {
+	bool routed; /**< the host name and the path select a queue */
+	ffl_name_t queue;
+	ffl_name_t service;
+	ffl_name_t customer; /**< whose key it is; "": nobody's */
+	bool needs_key;
+	bool has_key; /**< a key was given */
+	uint32_t priority;
+	/* The latency objective, as in ffl_route_t. */
+	uint32_t stretch_milli;
+	uint32_t objective_base_ms;
+	uint64_t config_version;
+	bool held;    /**< kept until the host can serve it */
+	bool decided; /**< answer tells the outcome; otherwise it is held, or no
+		       * submission was given */
+	/** What the caller would be told; accepted if the log takes the record.
+	 */
+	ffl_response_kind_t answer;
+	char why[FFL_REASON_BYTES]; /**< "" if nothing is to be said */
+	bool leading;		    /**< this host leads */
+	bool may_start; /**< as leader, it may start runs at this moment */
+	char leader[FFL_NAME_BYTES]; /**< last known leader, or "" */
+	bool placed;		     /**< place is set */
+	ffl_explanation_t place;
+} ffl_request_explanation_t;
+
+/** The answer to an operator's question. */
+typedef struct {
+	uint64_t call; /**< number of the question */
+	/** Freed by ffl_node_acts_clear(). */
+	ffl_request_explanation_t *explanation;
+} ffl_act_explain_t;
+
 /** An action that the caller of the node must carry out. */
 typedef struct {
 	ffl_node_act_kind_t kind;
@@ -208,6 +245,7 @@
 		ffl_act_response_t response;
 		ffl_act_note_t note;
 		ffl_act_measure_t measure;
+		ffl_act_explain_t explain;
 		bool ready;
 	};
 } ffl_node_act_t;
--- a/jobd/core.c
+++ b/jobd/core.c
@@ -37,6 +37,7 @@
 	[FFL_NODE_ACT_NOTE] = log_note,
 	[FFL_NODE_ACT_MEASURE] = observe_latency,
 	[FFL_NODE_ACT_EXIT] = request_exit,
+	[FFL_NODE_ACT_EXPLAIN] = jobd_web_explain,
 };
 
 uint64_t jobd_boottime_ms(void)
@@ -62,7 +63,9 @@
 {
 	if (event->ev.kind == FFL_NODE_EV_STORE)
 		ffl_pf_store_reply_finish(&event->ev.store);
-	if (event->ev.kind == FFL_NODE_EV_REQUEST && event->ev.request.spec) {
+	if ((event->ev.kind == FFL_NODE_EV_REQUEST ||
+	     event->ev.kind == FFL_NODE_EV_EXPLAIN) &&
+	    event->ev.request.spec) {
 		ffl_flow_spec_finish(event->ev.request.spec);
 		g_free(event->ev.request.spec);
 	}
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -185,6 +185,20 @@
 /** Passes the core's response to the thread that serves the request. */
 void jobd_web_respond(jobd_t *d, const ffl_node_act_t *act);
 
+/** Passes an explanation to the thread that serves the question. */
+void jobd_web_explain(jobd_t *d, const ffl_node_act_t *act);
+
+/* explain.c */
+
+/**
+ * Writes an explanation as JSON.
+ *
+ * @param host name of this host
+ * @return text to be freed with free()
+ */
+char *jobd_explanation_format(const char *host,
+			      const ffl_request_explanation_t *e);
+
 /* lines.c */
 
 /**
--- a/jobd/web.c
+++ b/jobd/web.c
@@ -3,6 +3,7 @@
  * @brief HTTP servers for callers, readiness probes and metrics.
  */
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <civetweb.h>
@@ -13,8 +14,12 @@
  * deadline, so this ends waits for a stuck core and of callers with a longer
  * deadline. */
 #define RESPONSE_WAIT_MS 10000
-#define READ_CHUNK_BYTES 16384
-#define MS_PER_S	 1000
+/** The same for an explanation: there are two threads for all probes. */
+#define EXPLAIN_WAIT_MS 1000
+/** Most bytes of a question for each of a job's: JSON may escape them. */
+#define EXPLAIN_BODY_FACTOR 2
+#define READ_CHUNK_BYTES    16384
+#define MS_PER_S	    1000
 /** Readiness is probed once a second, so two threads are enough. */
 #define PROBE_THREADS	 "2"
 #define COUNT_TEXT_BYTES 16
@@ -25,6 +30,7 @@
 	pthread_cond_t responded;
 	bool has_response;
 	ffl_pf_response_t response;
+	char *explanation; /**< instead of a response: JSON, to be freed */
 } pending_request_t;
 
 struct jobd_web {
@@ -49,13 +55,20 @@
 static void send_error(struct mg_connection *conn, ffl_response_kind_t outcome,
 		       const char *problem);
 static void add_pending(jobd_web_t *w, pending_request_t *request);
-static bool wait_response(jobd_web_t *w, pending_request_t *request);
+static bool wait_response(jobd_web_t *w, pending_request_t *request,
+			  uint32_t wait_ms);
 static void remove_pending(jobd_web_t *w, pending_request_t *request);
 static void send_body_error(struct mg_connection *conn, ffl_status_t status,
 			    guint received_bytes, size_t max_bytes);
-static void send_timeout(struct mg_connection *conn);
+static void send_timeout(struct mg_connection *conn, uint32_t wait_ms);
 static int handle_request(struct mg_connection *conn, void *user);
+static void send_text(struct mg_connection *conn, const char *type,
+		      const char *text);
 static void send_metrics(struct mg_connection *conn);
+static int port_of(const char *addr);
+static bool is_operators(const jobd_web_t *w, const struct mg_connection *conn);
+static const char *decode_question(const GByteArray *body, jobd_event_t *event);
+static void handle_explain(jobd_web_t *w, struct mg_connection *conn);
 static int handle_probe(struct mg_connection *conn, void *user);
 static struct mg_context *listen_on(jobd_web_t *w, const char *addr,
 				    const char *threads,
@@ -169,13 +182,14 @@
 	pthread_mutex_unlock(&w->lock);
 }
 
-static bool wait_response(jobd_web_t *w, pending_request_t *request)
+static bool wait_response(jobd_web_t *w, pending_request_t *request,
+			  uint32_t wait_ms)
 {
 	struct timespec ts;
 	int rc = 0;
 
 	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += RESPONSE_WAIT_MS / MS_PER_S;
+	ts.tv_sec += wait_ms / MS_PER_S;
 	pthread_mutex_lock(&w->lock);
 	while (!request->has_response && rc != ETIMEDOUT &&
 	       !atomic_load(&w->closing))
@@ -212,13 +226,13 @@
 	send_error(conn, FFL_RESPONSE_INVALID, problem);
 }
 
-static void send_timeout(struct mg_connection *conn)
+static void send_timeout(struct mg_connection *conn, uint32_t wait_ms)
 {
 	char problem[FFL_REASON_BYTES];
 
 	g_snprintf(problem, sizeof(problem),
-		   "no response within %d ms, or the host is stopping",
-		   RESPONSE_WAIT_MS);
+		   "no response within %u ms, or the host is stopping",
+		   wait_ms);
 	send_error(conn, FFL_RESPONSE_UNKNOWN, problem);
 }
 
@@ -240,39 +254,149 @@
 	if (!jobd_event_post(w->d, decode_request(conn, request.id, body)))
 		send_error(conn, FFL_RESPONSE_BUSY,
 			   "the host's event queue is full");
-	else if (wait_response(w, &request))
+	else if (wait_response(w, &request, RESPONSE_WAIT_MS))
 		send_response(conn, &request.response);
 	else
-		send_timeout(conn);
+		send_timeout(conn, RESPONSE_WAIT_MS);
 	remove_pending(w, &request);
 	g_byte_array_unref(body);
 	return 1;
 }
 
+static void send_text(struct mg_connection *conn, const char *type,
+		      const char *text)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
+		  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		  type, strlen(text), text);
+}
+
 static void send_metrics(struct mg_connection *conn)
 {
 	GString *text = g_string_new(NULL);
 
 	jobd_metrics_format(text);
-	mg_printf(conn,
-		  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
-		  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-		  text->len, text->str);
+	send_text(conn, "text/plain", text->str);
 	g_string_free(text, TRUE);
 }
 
+static int port_of(const char *addr)
+{
+	const char *colon = strrchr(addr, ':');
+
+	return (int)g_ascii_strtoll(colon ? colon + 1 : addr, NULL, 10);
+}
+
+/* The server tells the port at which a request came, but not the address. */
+static bool is_operators(const jobd_web_t *w, const struct mg_connection *conn)
+{
+	const jobd_settings_t *s = &w->d->settings;
+	int port = port_of(s->metrics_addr);
+
+	return mg_get_request_info(conn)->server_port == port &&
+	       port != port_of(s->ready_addr);
+}
+
+/* Returns what is wrong with a question, or NULL. */
+static const char *decode_question(const GByteArray *body, jobd_event_t *event)
+{
+	json_t *doc = ffl_pf_json_parse((ffl_bytes_t){ body->data, body->len });
+	const json_t *job = json_object_get(doc, "body");
+	ffl_request_t *req = &event->ev.request;
+	char problem[FFL_REASON_BYTES] = "";
+	const struct {
+		const char *name;
+		const char **out;
+	} fields[] = { { "host", &req->host },
+		       { "path", &req->path },
+		       { "key", &req->key } };
+	const char *wrong = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		const json_t *field = json_object_get(doc, fields[i].name);
+		const char *text = json_string_value(field);
+
+		if (!text && (field || fields[i].out != &req->key))
+			wrong = "host and path must be strings, as a key";
+		text = text ? text : "";
+		*fields[i].out =
+			ffl_arena_copy(&event->arena, text, strlen(text) + 1);
+	}
+	if (!json_is_object(doc))
+		wrong = "the question is not a JSON object";
+	else if (job && !json_is_string(job))
+		wrong = "body must be a string: the text of a submission";
+	if (!wrong && job) {
+		req->spec = ffl_pf_job_decode(
+			(ffl_bytes_t){ (const uint8_t *)json_string_value(job),
+				       json_string_length(job) },
+			problem, sizeof(problem));
+		if (!req->spec)
+			req->problem = ffl_arena_copy(&event->arena, problem,
+						      strlen(problem) + 1);
+	}
+	json_decref(doc);
+	return wrong;
+}
+
+static void handle_explain(jobd_web_t *w, struct mg_connection *conn)
+{
+	size_t max_bytes =
+		(size_t)w->d->settings.body_bytes * EXPLAIN_BODY_FACTOR;
+	GByteArray *body = g_byte_array_new();
+	ffl_status_t status = read_body(conn, body, max_bytes);
+	jobd_event_t *event;
+	pending_request_t request;
+	const char *wrong;
+
+	if (status != FFL_OK) {
+		send_body_error(conn, status, body->len, max_bytes);
+		g_byte_array_unref(body);
+		return;
+	}
+	event = jobd_event_new(FFL_NODE_EV_EXPLAIN);
+	wrong = decode_question(body, event);
+	g_byte_array_unref(body);
+	if (wrong) {
+		jobd_event_free(event);
+		send_error(conn, FFL_RESPONSE_INVALID, wrong);
+		return;
+	}
+	add_pending(w, &request);
+	event->ev.request.call = request.id;
+	event->ev.request.kind = FFL_REQUEST_SUBMIT;
+	if (!jobd_event_post(w->d, event))
+		send_error(conn, FFL_RESPONSE_BUSY,
+			   "the host's event queue is full");
+	else if (wait_response(w, &request, EXPLAIN_WAIT_MS))
+		send_text(conn, "application/json", request.explanation);
+	else
+		send_timeout(conn, EXPLAIN_WAIT_MS);
+	remove_pending(w, &request);
+	free(request.explanation);
+}
+
 static int handle_probe(struct mg_connection *conn, void *user)
 {
-	const jobd_web_t *w = user;
+	jobd_web_t *w = user;
+	const struct mg_request_info *info = mg_get_request_info(conn);
 	ffl_pf_response_t response = { .status = atomic_load(&w->d->ready)
 							 ? 200
 							 : 503 };
 
 	mg_disable_connection_keep_alive(conn);
-	if (strcmp(mg_get_request_info(conn)->local_uri, "/metrics") == 0) {
+	if (strcmp(info->local_uri, "/metrics") == 0) {
 		send_metrics(conn);
 		return 1;
 	}
+	if (strcmp(info->local_uri, "/explain") == 0 && is_operators(w, conn)) {
+		if (strcmp(info->request_method, "POST") == 0)
+			handle_explain(w, conn);
+		else
+			send_error(conn, FFL_RESPONSE_NO_METHOD, "");
+		return 1;
+	}
 	ffl_copy(response.body, sizeof(response.body), "{}");
 	send_response(conn, &response);
 	return 1;
@@ -363,3 +487,22 @@
 	}
 	pthread_mutex_unlock(&w->lock);
 }
+
+void jobd_web_explain(jobd_t *d, const ffl_node_act_t *act)
+{
+	char *text = jobd_explanation_format(d->settings.name,
+					     act->explain.explanation);
+	jobd_web_t *w = d->web;
+	pending_request_t *request;
+
+	pthread_mutex_lock(&w->lock);
+	request = g_hash_table_lookup(w->pending, &act->explain.call);
+	if (request) {
+		request->explanation = text;
+		request->has_response = true;
+		pthread_cond_signal(&request->responded);
+		text = NULL;
+	}
+	pthread_mutex_unlock(&w->lock);
+	free(text);
+}
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -21,6 +21,7 @@
 static void on_worker(ffl_node_t *n, ffl_node_event_t *ev);
 static void on_request(ffl_node_t *n, ffl_node_event_t *ev);
 static void on_stop(ffl_node_t *n, ffl_node_event_t *ev);
+static void on_explain(ffl_node_t *n, ffl_node_event_t *ev);
 static void add_note(void *user, const char *event, const char *subject,
 		     const char *text);
 static void begin_step(ffl_node_t *n, uint64_t now_ms, uint64_t wall_ms,
@@ -35,7 +36,7 @@
 static const event_fn_t handlers[FFL_NODE_EV__MAX] = {
 	[FFL_NODE_EV_TICK] = on_tick,	  [FFL_NODE_EV_STORE] = on_store,
 	[FFL_NODE_EV_WORKER] = on_worker, [FFL_NODE_EV_REQUEST] = on_request,
-	[FFL_NODE_EV_STOP] = on_stop,
+	[FFL_NODE_EV_STOP] = on_stop,	  [FFL_NODE_EV_EXPLAIN] = on_explain,
 };
 
 static const char *const topic_names[FFL_TOPIC__MAX] = {
@@ -261,6 +262,11 @@
 		      n->lead.leading, n->pending->len);
 }
 
+static void on_explain(ffl_node_t *n, ffl_node_event_t *ev)
+{
+	ffl_request_explain(n, &ev->request);
+}
+
 static void drive_dispatch(ffl_node_t *n)
 {
 	if (!n->lead.leading)
@@ -363,6 +369,8 @@
 
 		if (act->kind == FFL_NODE_ACT_APPEND && act->store.writes)
 			g_ptr_array_unref(act->store.writes);
+		if (act->kind == FFL_NODE_ACT_EXPLAIN)
+			ffl_request_explanation_free(act->explain.explanation);
 	}
 	g_array_set_size(acts, 0);
 }
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -211,6 +211,12 @@
  * nothing most times, as it visits every job. */
 void ffl_prune(ffl_node_t *n);
 
+/* explain.c */
+/** Answers an operator's question; nothing else comes of it. */
+void ffl_request_explain(ffl_node_t *n, ffl_request_t *req);
+/** Frees an ffl_request_explanation_t. */
+void ffl_request_explanation_free(void *data);
+
 /* requests.c */
 /** Answers a request, or keeps it until it can be answered. */
 void ffl_request_handle(ffl_node_t *n, ffl_request_t *req);
@@ -220,6 +226,30 @@
 /** Answers the waiting requests that can be answered or have timed out, and
  * sends the appends that are due. */
 void ffl_request_drive(ffl_node_t *n);
+/**
+ * Finds the queue that a request is for, and whose it is.
+ *
+ * @param customer receives the customer of its key, or NULL
+ * @return FFL_RESPONSE__MAX, or how the request is refused
+ */
+ffl_response_kind_t ffl_request_route(const ffl_node_t *n,
+				      const ffl_request_t *req,
+				      const ffl_route_t **route,
+				      const char **customer);
+/**
+ * Decides on a submission by what is known now; changes its specification only.
+ *
+ * @param record receives what is to be written, or NULL
+ * @param problem receives why it is invalid
+ * @return FFL_RESPONSE__MAX if its record is to be written, or the answer
+ */
+ffl_response_kind_t ffl_request_decide(const ffl_node_t *n, ffl_request_t *req,
+				       const ffl_route_t *route,
+				       const char *customer,
+				       GByteArray **record,
+				       char problem[FFL_REASON_BYTES]);
+/** Returns true if a request that cannot be served yet is held. */
+bool ffl_request_may_hold(const ffl_node_t *n);
 /** Frees an ffl_pending_t. */
 void ffl_pending_free(void *data);
 /** Frees an ffl_held_t. */
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -62,7 +62,7 @@
 static bool expire_pending(ffl_node_t *n, guint index);
 static bool is_outage_known(const ffl_node_t *n);
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
-		     const ffl_pending_t *p);
+		     uint32_t record_bytes);
 static void send_appends(ffl_node_t *n);
 static uint32_t appends_in_flight(const ffl_node_t *n);
 static ffl_write_t *new_write(const ffl_pending_t *p);
@@ -151,9 +151,9 @@
 
 /* A job whose records the log would refuse can never be served. */
 static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
-		     const ffl_pending_t *p)
+		     uint32_t record_bytes)
 {
-	uint64_t bytes = MAX(p->record->len, ffl_flow_progress_bytes_max(spec));
+	uint64_t bytes = MAX(record_bytes, ffl_flow_progress_bytes_max(spec));
 
 	/* Beside it an append holds a record of leadership. */
 	return bytes + FFL_RECORD_KEY_BYTES <= n->opt.record_bytes_max &&
@@ -161,20 +161,22 @@
 		       n->opt.append_bytes_max;
 }
 
-static void handle_submit(ffl_node_t *n, ffl_request_t *req,
-			  const ffl_route_t *route, const char *customer,
-			  const char *id)
+ffl_response_kind_t ffl_request_decide(const ffl_node_t *n, ffl_request_t *req,
+				       const ffl_route_t *route,
+				       const char *customer,
+				       GByteArray **record,
+				       char problem[FFL_REASON_BYTES])
 {
+	const char *id = req->path + strlen(route->prefix);
 	ffl_flow_spec_t *spec = req->spec;
 	ffl_flow_t *known;
-	ffl_pending_t *p;
 	ffl_err_t err;
 
+	*record = NULL;
 	if (!spec) {
-		ffl_copy(respond(n, req->call, FFL_RESPONSE_INVALID)->problem,
-			 FFL_REASON_BYTES,
+		ffl_copy(problem, FFL_REASON_BYTES,
 			 req->problem ? req->problem : "the body is missing");
-		return;
+		return FFL_RESPONSE_INVALID;
 	}
 	ffl_copy(spec->id, sizeof(spec->id), id);
 	ffl_copy(spec->queue, sizeof(spec->queue), route->queue);
@@ -189,34 +191,48 @@
 	spec->accepted_ms = n->wall_ms;
 	if (strlen(id) >= sizeof(spec->id) ||
 	    ffl_flow_spec_validate(spec, &err) != FFL_OK) {
-		ffl_copy(respond(n, req->call, FFL_RESPONSE_INVALID)->problem,
-			 FFL_REASON_BYTES,
+		ffl_copy(problem, FFL_REASON_BYTES,
 			 strlen(id) >= sizeof(spec->id)
 				 ? "the id has more than 16 characters"
 				 : err.text);
-		return;
+		return FFL_RESPONSE_INVALID;
 	}
 	known = ffl_flows_find(&n->flows, id);
-	if (known) {
-		respond(n, req->call,
-			ffl_flow_spec_equal(&known->spec, spec)
-				? FFL_RESPONSE_ACCEPTED
-				: FFL_RESPONSE_CONFLICT);
-		return;
-	}
-	if (is_outage_known(n)) {
-		respond(n, req->call, FFL_RESPONSE_BUSY);
+	if (known)
+		return ffl_flow_spec_equal(&known->spec, spec)
+			       ? FFL_RESPONSE_ACCEPTED
+			       : FFL_RESPONSE_CONFLICT;
+	if (is_outage_known(n))
+		return FFL_RESPONSE_BUSY;
+	*record = g_byte_array_new();
+	ffl_flow_spec_encode(spec, *record);
+	if (fits_log(n, spec, (*record)->len))
+		return FFL_RESPONSE__MAX;
+	g_byte_array_unref(*record);
+	*record = NULL;
+	ffl_copy(problem, FFL_REASON_BYTES,
+		 "the job exceeds a record of the log");
+	return FFL_RESPONSE_INVALID;
+}
+
+static void handle_submit(ffl_node_t *n, ffl_request_t *req,
+			  const ffl_route_t *route, const char *customer,
+			  const char *id)
+{
+	char problem[FFL_REASON_BYTES] = "";
+	GByteArray *record;
+	ffl_response_kind_t kind =
+		ffl_request_decide(n, req, route, customer, &record, problem);
+	ffl_pending_t *p;
+
+	if (kind != FFL_RESPONSE__MAX) {
+		ffl_copy(respond(n, req->call, kind)->problem, FFL_REASON_BYTES,
+			 problem);
 		return;
 	}
 	p = add_pending(n, req, route, customer, id);
-	ffl_flow_spec_name(spec, p->spec_name);
-	p->record = g_byte_array_new();
-	ffl_flow_spec_encode(spec, p->record);
-	if (fits_log(n, spec, p))
-		return;
-	ffl_copy(respond(n, req->call, FFL_RESPONSE_INVALID)->problem,
-		 FFL_REASON_BYTES, "the job exceeds a record of the log");
-	g_ptr_array_remove(n->pending, p);
+	ffl_flow_spec_name(req->spec, p->spec_name);
+	p->record = record;
 }
 
 /* Callers ask as soon as their work has ended, when the records of that end are
@@ -319,12 +335,17 @@
 	g_free(h);
 }
 
+bool ffl_request_may_hold(const ffl_node_t *n)
+{
+	return !n->stop_began_ms && n->held->len < HELD_MAX &&
+	       !is_outage_known(n);
+}
+
 static void hold_request(ffl_node_t *n, ffl_request_t *req)
 {
 	ffl_held_t *h;
 
-	if (n->stop_began_ms || n->held->len >= HELD_MAX ||
-	    is_outage_known(n)) {
+	if (!ffl_request_may_hold(n)) {
 		respond(n, req->call, FFL_RESPONSE_BUSY);
 		return;
 	}
@@ -369,21 +390,32 @@
 	serve_request(n, req);
 }
 
+ffl_response_kind_t ffl_request_route(const ffl_node_t *n,
+				      const ffl_request_t *req,
+				      const ffl_route_t **route,
+				      const char **customer)
+{
+	*customer = NULL;
+	*route = ffl_routes_match(&n->routes, req->host, req->path);
+	if (!*route)
+		return FFL_RESPONSE_NO_ROUTE;
+	if (req->key[0])
+		*customer = ffl_routes_customer(&n->routes, req->key);
+	if (!*customer && !(*route)->open_to_all)
+		return FFL_RESPONSE_NO_KEY;
+	return FFL_RESPONSE__MAX;
+}
+
 static void serve_request(ffl_node_t *n, ffl_request_t *req)
 {
 	const ffl_route_t *route;
-	const char *customer = NULL;
+	const char *customer;
+	ffl_response_kind_t refusal =
+		ffl_request_route(n, req, &route, &customer);
 	const char *id;
 
-	route = ffl_routes_match(&n->routes, req->host, req->path);
-	if (!route) {
-		respond(n, req->call, FFL_RESPONSE_NO_ROUTE);
-		return;
-	}
-	if (req->key[0])
-		customer = ffl_routes_customer(&n->routes, req->key);
-	if (!customer && !route->open_to_all) {
-		respond(n, req->call, FFL_RESPONSE_NO_KEY);
+	if (refusal != FFL_RESPONSE__MAX) {
+		respond(n, req->call, refusal);
 		return;
 	}
 	id = req->path + strlen(route->prefix);
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -39,6 +39,8 @@
 static void test_unlisted_worker_returns(void);
 static void test_quick_restarts(void);
 static void test_near_host_leads(void);
+static void test_explain(void);
+static void test_explain_unready(void);
 
 static void assert_no_fault(const site_t *s)
 {
@@ -1529,6 +1531,200 @@
 	}
 }
 
+/** A question about a submission, and what a host answers. */
+typedef struct {
+	const char *name;
+	const char *host;
+	const char *path;
+	const char *key;
+	bool has_job;
+	uint32_t gpus;
+	const char *problem; /**< why the job cannot be read, or NULL */
+	bool decided;
+	ffl_response_kind_t answer;
+	const char *why;
+	const char *queue; /**< "": none */
+	const char *customer;
+	bool goes_on; /**< the job would be placed by the leader */
+} question_t;
+
+static const question_t questions[] = {
+	{ "accepted", "ponds.example", "/lining/00000000000000aa", SITE_KEY,
+	  true, 1, NULL, true, FFL_RESPONSE_ACCEPTED, "", "lining", "ponds",
+	  true },
+	{ "any host name", "tailors.example:80", "/lining/00000000000000aa",
+	  SITE_KEY, true, 1, NULL, true, FFL_RESPONSE_ACCEPTED, "", "lining",
+	  "ponds", true },
+	{ "no key needed", "ponds.example", "/open/00000000000000ab", "", true,
+	  1, NULL, true, FFL_RESPONSE_ACCEPTED, "", "open", "", true },
+	{ "fits nowhere", "ponds.example", "/lining/00000000000000ac", SITE_KEY,
+	  true, 1000, NULL, true, FFL_RESPONSE_ACCEPTED, "", "lining", "ponds",
+	  true },
+	{ "no queue", "ponds.example", "/none/00000000000000aa", SITE_KEY, true,
+	  1, NULL, true, FFL_RESPONSE_NO_ROUTE,
+	  "no queue has this host name and path", "", "", false },
+	{ "key missing", "ponds.example", "/lining/00000000000000aa", "", true,
+	  1, NULL, true, FFL_RESPONSE_NO_KEY,
+	  "the queue needs a key, and this is nobody's", "lining", "", false },
+	{ "key unknown", "ponds.example", "/lining/00000000000000aa", "x", true,
+	  1, NULL, true, FFL_RESPONSE_NO_KEY,
+	  "the queue needs a key, and this is nobody's", "lining", "", false },
+	{ "id unfit", "ponds.example", "/lining/ab", SITE_KEY, true, 1, NULL,
+	  true, FFL_RESPONSE_INVALID, "the id is not 16 hexadecimal digits",
+	  "lining", "ponds", false },
+	{ "job unreadable", "ponds.example", "/lining/00000000000000aa",
+	  SITE_KEY, false, 0, "steps cannot be read", true,
+	  FFL_RESPONSE_INVALID, "steps cannot be read", "lining", "ponds",
+	  false },
+	{ "no job", "ponds.example", "/lining/00000000000000aa", SITE_KEY,
+	  false, 0, NULL, false, FFL_RESPONSE_ACCEPTED, "no job was given",
+	  "lining", "ponds", false },
+	{ "known", "ponds.example", "/lining/00000000000000af", SITE_KEY, true,
+	  1, NULL, true, FFL_RESPONSE_ACCEPTED,
+	  "a job of this id and content is known already", "lining", "ponds",
+	  false },
+	{ "known otherwise", "ponds.example", "/lining/00000000000000af",
+	  SITE_KEY, true, 2, NULL, true, FFL_RESPONSE_CONFLICT,
+	  "the id belongs to another job", "lining", "ponds", false },
+};
+
+/* Puts a question to a host; the answer is all that comes of it. */
+static void ask(site_t *s, uint32_t host, const question_t *q, GArray *acts)
+{
+	ffl_node_t *n = &s->hosts[host].node;
+	ffl_node_event_t ev = { .kind = FFL_NODE_EV_EXPLAIN,
+				.now_ms = s->now_ms,
+				.wall_ms = s->wall_ms + s->now_ms };
+	ffl_flow_spec_t spec = { .spec = g_strdup("spec"), .steps_count = 1 };
+	guint pending = n->pending->len;
+	guint held = n->held->len;
+	guint open = n->flows.open->len;
+	uint64_t calls = n->last_call;
+
+	spec.steps = g_new0(ffl_step_t, 1);
+	spec.steps[0] = (ffl_step_t){ .tasks = 1,
+				      .cpu_milli = q->gpus * 1000,
+				      .mem_mb = q->gpus * 1000,
+				      .gpus = q->gpus };
+	ev.request = (ffl_request_t){ .call = 7,
+				      .kind = FFL_REQUEST_SUBMIT,
+				      .host = q->host,
+				      .path = q->path,
+				      .key = q->key,
+				      .spec = q->has_job ? &spec : NULL,
+				      .problem = q->problem };
+	ffl_node_handle(n, &ev, acts);
+	ffl_flow_spec_finish(&spec);
+	g_assert_cmpuint(acts->len, ==, 1);
+	g_assert_cmpint(g_array_index(acts, ffl_node_act_t, 0).kind, ==,
+			FFL_NODE_ACT_EXPLAIN);
+	g_assert_cmpuint(n->pending->len, ==, pending);
+	g_assert_cmpuint(n->held->len, ==, held);
+	g_assert_cmpuint(n->flows.open->len, ==, open);
+	g_assert_cmpuint(n->last_call, ==, calls);
+}
+
+static const ffl_request_explanation_t *explanation_of(const GArray *acts)
+{
+	const ffl_node_act_t *act = &g_array_index(acts, ffl_node_act_t, 0);
+
+	g_assert_cmpuint(act->explain.call, ==, 7);
+	return act->explain.explanation;
+}
+
+static void check_answer(const question_t *q,
+			 const ffl_request_explanation_t *e, const char *leader)
+{
+	g_assert_true(e->decided == q->decided);
+	g_assert_false(e->held);
+	if (q->decided)
+		g_assert_cmpint(e->answer, ==, q->answer);
+	g_assert_cmpstr(e->why, ==, q->why);
+	g_assert_cmpstr(e->queue, ==, q->queue);
+	g_assert_cmpstr(e->customer, ==, q->customer);
+	g_assert_true(e->routed == (q->queue[0] != '\0'));
+	g_assert_true(e->has_key == (q->key[0] != '\0'));
+	g_assert_cmpstr(e->leader, ==, leader);
+	g_assert_true(e->placed == (q->goes_on && e->leading));
+	g_assert_true(e->may_start == e->leading);
+	if (e->placed)
+		g_assert_cmpuint(
+			g_array_index(e->place.steps, ffl_explained_step_t, 0)
+				.placed,
+			==, q->gpus < 1000);
+}
+
+/* Every host tells the queue, whose key it is and what it would answer; the
+ * leader also tells where the job would go, others name the leader. */
+static void test_explain(void)
+{
+	GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+	site_t s;
+
+	site_init(&s, 1, 3, 4);
+	site_run(&s, START_MS);
+	site_answer(&s, site_send(&s, 0, FFL_REQUEST_SUBMIT,
+				  "/lining/00000000000000af", SITE_KEY, 1));
+	site_run(&s, 1000);
+	for (size_t i = 0; i < G_N_ELEMENTS(questions); i++) {
+		uint32_t leader = (uint32_t)site_leader(&s);
+		uint64_t before = s.topics[FFL_TOPIC_JOBS].end;
+
+		g_test_message("%s", questions[i].name);
+		for (uint32_t h = 0; h < 3; h++) {
+			ask(&s, h, &questions[i], acts);
+			g_assert_true(explanation_of(acts)->leading ==
+				      (h == leader));
+			check_answer(&questions[i], explanation_of(acts),
+				     s.hosts[leader].node.opt.name);
+			ffl_node_acts_clear(acts);
+		}
+		site_run(&s, 500);
+		g_assert_cmpuint(s.topics[FFL_TOPIC_JOBS].end, ==, before);
+	}
+	assert_no_fault(&s);
+	site_finish(&s);
+	g_array_free(acts, TRUE);
+}
+
+/* A host that has read nothing yet would hold a request, as would one that is
+ * cut off from the log, until another is held: it refuses further ones. */
+static void test_explain_unready(void)
+{
+	GArray *acts = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
+	const ffl_request_explanation_t *e;
+	site_t s;
+
+	site_init(&s, 1, 3, 4);
+	ask(&s, 0, &questions[0], acts);
+	e = explanation_of(acts);
+	g_assert_true(e->held);
+	g_assert_false(e->decided);
+	g_assert_cmpstr(e->why, ==, "no configuration was read yet");
+	g_assert_cmpstr(e->leader, ==, "");
+	ffl_node_acts_clear(acts);
+	site_run(&s, START_MS);
+	s.hosts[0].log_cut_until_ms = s.now_ms + 20000;
+	site_run(&s, 8000);
+	ask(&s, 0, &questions[0], acts);
+	g_assert_true(explanation_of(acts)->held);
+	ffl_node_acts_clear(acts);
+	site_send(&s, 0, FFL_REQUEST_SUBMIT, "/lining/00000000000000ad",
+		  SITE_KEY, 1);
+	ask(&s, 0, &questions[0], acts);
+	e = explanation_of(acts);
+	g_assert_false(e->held);
+	g_assert_true(e->decided);
+	g_assert_cmpint(e->answer, ==, FFL_RESPONSE_BUSY);
+	g_assert_cmpstr(e->why, ==,
+			"the configuration is too old: the log does not serve "
+			"this host");
+	g_assert_false(e->placed);
+	ffl_node_acts_clear(acts);
+	site_finish(&s);
+	g_array_free(acts, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1551,5 +1747,7 @@
 	g_test_add_func("/node/near-host-leads", test_near_host_leads);
 	g_test_add_func("/node/evacuation-records", test_evacuation_records);
 	g_test_add_func("/node/pages-of-odd-keys", test_pages_of_odd_keys);
+	g_test_add_func("/node/explain", test_explain);
+	g_test_add_func("/node/explain-unready", test_explain_unready);
 	return g_test_run();
 }
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -7,7 +7,7 @@
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
 . scripts/hosts.sh
-echo 1..31
+echo 1..38
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -67,6 +67,19 @@
 ODD_USED='worker=odd|"call-failed".*(nowhere|:99999|:0/|/x/)'
 odd_seen() { grep -hE '"worker-unreadable"' "$DIR"/host*.log |
 	jq .subject | sort -u | wc -l; }
+echo '{"spec":"work=300","steps":[{"count":1,"gpu":1,"cpu":1000}]}' >"$DIR/job"
+where() {
+	local host=$1
+	shift
+	echo "$BUILD/ffl where /lining/00000000000000d1 --at 127.0.0.1:$((PORT + 30 + host))" \
+		"--host ponds.example --key k1 --body $DIR/job $*"
+}
+# explain LISTENER QUESTION: at the leader's callers (1), ready (2) or metrics (3).
+explain() {
+	curl -s -o "$DIR/body" -w '%{http_code} ' -d "$2" \
+		"http://127.0.0.1:$((PORT + 10 * $1 + L))/explain"
+	jq -r .error "$DIR/body"
+}
 JOB='{"spec":"work=300","steps":[{"count":3,"gpu":1,"cpu":1000}]}'
 LONG='{"spec":"work=20000","steps":[{"count":2,"gpu":1,"cpu":1000}]}'
 FAILS='{"spec":"work=100 fails","steps":[{"count":1,"gpu":1}]}'
@@ -109,6 +122,25 @@
 check "ffl explain gives the history of a job from the hosts' logs" bash -c \
 	"cat $DIR/host*.log | $BUILD/ffl explain 00000000000000a1 |
 	grep -q 'job-ended.*state=completed'"
+L=$(leader)
+F=$((3 - L))
+check "ffl where names the leader on a host that follows" bash -c \
+	"$(where "$F") | grep '^leader  *host-$L: .*ask it'"
+check "and on the leader the worker" bash -c \
+	"$(where "$L") >$DIR/where && grep -q 'worker  *w0.*1 tasks' $DIR/where"
+check "in JSON too, with the answer to the caller" bash -c \
+	"$(where "$L" --json) | jq -e '.answer == \"accepted\" and
+	.customer == \"ponds\" and .steps[0].workers[0].rack != \"\"'"
+check "no job came of these questions" \
+	[ "$(call GET "$L" /lining/00000000000000d1 -H "$KEY")" = 410 ]
+submit "$L" 00000000000000d1 "$(cat "$DIR/job")" >/dev/null
+check "the job starts on the worker that was named" wait_for 100 \
+	'grep -h run-ordered "$DIR/host$L.log" | grep 00000000000000d1 |
+	grep -q "worker=$(sed -n "s/^ *worker *\([^,]*\),.*/\1/p" "$DIR/where") "'
+check "a question that cannot be read is refused" \
+	[ "$(explain 3 '{"path":7}')" = "400 host and path must be strings, as a key" ]
+check "questions are not answered to callers and probes" bash -c \
+	"[ $(explain 1 "{}" | cut -c 1-3) = 404 ] && [ '$(explain 2 "{}")' = '200 null' ]"
 submit 1 00000000000000a3 "$FAILS" >/dev/null
 check "a job that always fails ends after its attempts" wait_for 100 \
 	'[ "$(state 1 00000000000000a3)" = failed ]'
