--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -15,6 +15,13 @@
  * placement_cost(). */
 #define RACK_SPEED_WEIGHT 8
 
+/* Exported functions are not inlined, and these two are called for each
+ * worker. */
+static ffl_bar_t worker_bar(const ffl_dispatch_worker_t *w,
+			    const ffl_place_request_t *req);
+static bool has_room(const ffl_dispatch_worker_t *w,
+		     const ffl_place_request_t *req,
+		     const ffl_resources_t *need);
 static int64_t placement_cost(const ffl_dispatch_worker_t *w,
 			      const ffl_place_request_t *req);
 static ffl_resources_t available_for(const ffl_dispatch_worker_t *w,
@@ -68,8 +75,8 @@
 	return bar < FFL_BAR__MAX ? bar_names[bar] : "?";
 }
 
-ffl_bar_t ffl_worker_bar(const ffl_dispatch_worker_t *w,
-			 const ffl_place_request_t *req)
+static ffl_bar_t worker_bar(const ffl_dispatch_worker_t *w,
+			    const ffl_place_request_t *req)
 {
 	const ffl_step_t *step = req->step;
 	bool labelled = !step->label[0];
@@ -100,14 +107,21 @@
 	return FFL_BAR_NONE;
 }
 
+ffl_bar_t ffl_worker_bar(const ffl_dispatch_worker_t *w,
+			 const ffl_place_request_t *req)
+{
+	return worker_bar(w, req);
+}
+
 bool ffl_is_candidate(const ffl_dispatch_worker_t *w,
 		      const ffl_place_request_t *req)
 {
-	return ffl_worker_bar(w, req) == FFL_BAR_NONE;
+	return worker_bar(w, req) == FFL_BAR_NONE;
 }
 
-bool ffl_has_room(const ffl_dispatch_worker_t *w,
-		  const ffl_place_request_t *req, const ffl_resources_t *need)
+static bool has_room(const ffl_dispatch_worker_t *w,
+		     const ffl_place_request_t *req,
+		     const ffl_resources_t *need)
 {
 	ffl_resources_t available;
 
@@ -120,6 +134,12 @@
 			req->step->per_worker_max);
 }
 
+bool ffl_has_room(const ffl_dispatch_worker_t *w,
+		  const ffl_place_request_t *req, const ffl_resources_t *need)
+{
+	return has_room(w, req, need);
+}
+
 bool ffl_is_eligible(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     const ffl_place_request_t *req)
 {
@@ -170,7 +190,7 @@
 		ffl_dispatch_worker_t *w = g_ptr_array_index(workers, i);
 		int64_t cost;
 
-		if (!ffl_has_room(w, req, &need) || !ffl_is_eligible(d, w, req))
+		if (!has_room(w, req, &need) || !ffl_is_eligible(d, w, req))
 			continue;
 		cost = placement_cost(w, req);
 		if (!best || cost < best_cost) {
