dispatch: a gang with a limit of tasks on one worker is spread

Cause: the search for a gang's workers took the best fit again, saw that it then had more tasks than anti-affinity allows, and gave up, although other workers had room. Such a gang waited for as long as one worker had room for more of its tasks than allowed.

Found by `ffl where`, which showed 0 of 2 tasks placed and workers with room.

Change: tasks that the search has given to a worker count towards its limit.

Before: dispatch/spread-gang fails, the gang is not started. After: dispatch tests pass.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -63,7 +63,8 @@
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
 	GPtrArray *runs;	   /**< of ffl_run_t *, not owned */
-	uint32_t calls;		/**< orders that have not been answered yet */
+	uint32_t chosen; /**< tasks of the gang that is being placed; scratch */
+	uint32_t calls;	 /**< orders that have not been answered yet */
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
 	uint64_t clock_ms;	/**< last reading of the worker's own clock */
 	bool clock_reported;	/**< clock_ms is its own, not from the list */
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -130,7 +130,7 @@
 	available = available_for(w, req);
 	return ffl_resources_fit(&available, need) &&
 	       (!req->step->per_worker_max ||
-		ffl_dispatch_worker_count_tasks(w, req) <
+		ffl_dispatch_worker_count_tasks(w, req) + w->chosen <
 			req->step->per_worker_max);
 }
 
@@ -312,20 +312,16 @@
 	if (!has_enough_slots(d, req, workers))
 		return false;
 	for (n_chosen = 0; n_chosen < tasks; n_chosen++) {
-		uint32_t on_worker = 0;
-
 		chosen[n_chosen] = ffl_choose_worker(d, req, workers);
 		if (!chosen[n_chosen])
 			break;
-		for (uint32_t i = 0; i <= n_chosen; i++)
-			on_worker += chosen[i] == chosen[n_chosen];
-		if (req->step->per_worker_max &&
-		    on_worker > req->step->per_worker_max)
-			break;
 		ffl_resources_add(&chosen[n_chosen]->used, &need);
+		chosen[n_chosen]->chosen++;
 	}
-	for (uint32_t i = 0; i < n_chosen; i++)
+	for (uint32_t i = 0; i < n_chosen; i++) {
 		ffl_resources_subtract(&chosen[i]->used, &need);
+		chosen[i]->chosen = 0;
+	}
 	return n_chosen == tasks;
 }
 
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1799,6 +1799,48 @@
 	test_bed_finish(&b);
 }
 
+/* A gang with a limit of tasks on one worker takes the next worker, also while
+ * the best fit has room for more. */
+static void test_spread_gang(void)
+{
+	static const struct {
+		uint32_t workers;
+		ffl_step_t step;
+		bool started;
+	} cases[] = {
+		{ 2,
+		  { .tasks = 2, .gpus = 1, .gang = true, .per_worker_max = 1 },
+		  true },
+		{ 3,
+		  { .tasks = 5, .gpus = 1, .gang = true, .per_worker_max = 2 },
+		  true },
+		{ 2,
+		  { .tasks = 4,
+		    .gpus = 1,
+		    .gang = true,
+		    .same_rack = true,
+		    .per_worker_max = 2 },
+		  true },
+		{ 2,
+		  { .tasks = 3, .gpus = 1, .gang = true, .per_worker_max = 1 },
+		  false },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		test_bed_init(&b, cases[i].workers);
+		flow = submit(&b, "spread", 1, cases[i].step);
+		run_for_ms(&b, 500);
+		g_assert_true(flow->started == cases[i].started);
+		for (uint32_t k = 0; k < cases[i].workers; k++)
+			g_assert_cmpuint(b.workers[k].starts, <=,
+					 cases[i].step.per_worker_max);
+		test_bed_finish(&b);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1813,6 +1855,7 @@
 	g_test_add_func("/dispatch/hang-known", test_hang_detected);
 	g_test_add_func("/dispatch/order-of-waiting", test_order_of_waiting);
 	g_test_add_func("/dispatch/choice-of-victim", test_choice_of_victim);
+	g_test_add_func("/dispatch/spread-gang", test_spread_gang);
 	g_test_add_func("/dispatch/failed-at-once", test_failed_at_once);
 	g_test_add_func("/dispatch/hopeless-job", test_hopeless_job);
 	g_test_add_func("/dispatch/probation", test_probation);
