dispatch: one count of workers that are left out

speed.c and trust.c counted in the same way how many workers are left out already. No change of decisions; dispatch, incarnation and node tests pass under ASan and UBSan.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -90,6 +90,17 @@
  * may be sent yet. */
 bool ffl_dispatch_worker_assign_token(const ffl_dispatch_t *d,
 				      ffl_dispatch_worker_t *w);
+/**
+ * Returns true if one more worker may be left out.
+ *
+ * @param is_left_out tells whether a worker is at a time
+ * @param max_percent largest share of the listed workers that may be
+ */
+bool ffl_dispatch_may_leave_out(
+	const ffl_dispatch_t *d,
+	bool (*is_left_out)(const ffl_dispatch_worker_t *, uint64_t),
+	uint32_t max_percent, uint64_t now_ms);
+
 /* trust.c */
 
 /** Forgets what is known of a worker's failures. */
--- a/lib/dispatch/speed.c
+++ b/lib/dispatch/speed.c
@@ -26,7 +26,6 @@
 static uint32_t weighted_mean(uint32_t old, uint32_t sample, uint32_t percent);
 static uint32_t local_rate(const ffl_dispatch_t *d, const ffl_run_t *run,
 			   uint32_t rate);
-static bool may_exclude(const ffl_dispatch_t *d, uint64_t now_ms);
 static void check_slow(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void learn_speed(ffl_run_t *run, uint32_t rate);
 
@@ -78,23 +77,6 @@
 	return (uint32_t)((uint64_t)rate * d->opt.spread_percent / PERCENT);
 }
 
-static bool may_exclude(const ffl_dispatch_t *d, uint64_t now_ms)
-{
-	uint32_t listed = 0;
-	uint32_t excluded = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const ffl_dispatch_worker_t *w = value;
-
-		listed += w->listed;
-		excluded += w->listed && ffl_dispatch_worker_is_slow(w, now_ms);
-	}
-	return (excluded + 1) * PERCENT <= listed * SLOW_MAX_PERCENT;
-}
-
 /* Compares a run's rate with its own best and with the rest of its gang. */
 static void check_slow(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
@@ -103,7 +85,9 @@
 	bool slow = ffl_dispatch_worker_is_slow(w, now_ms);
 
 	if (run->rate * PERCENT < expected * SLOW_PERCENT) {
-		if (!slow && !may_exclude(d, now_ms))
+		if (!slow &&
+		    !ffl_dispatch_may_leave_out(d, ffl_dispatch_worker_is_slow,
+						SLOW_MAX_PERCENT, now_ms))
 			return;
 		if (!slow)
 			ffl_dispatch_note(d, "worker-slow", w->entry.id,
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -24,8 +24,7 @@
 
 static void quarantine(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		       uint64_t now_ms);
-static bool may_quarantine(const ffl_dispatch_t *d, const ffl_flow_t *flow,
-			   uint64_t now_ms);
+static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unproven_run(const ffl_dispatch_worker_t *w);
 
 void ffl_trust_reset(ffl_dispatch_worker_t *w)
@@ -61,24 +60,10 @@
 			  QUARANTINE_MS);
 }
 
-static bool may_quarantine(const ffl_dispatch_t *d, const ffl_flow_t *flow,
-			   uint64_t now_ms)
+static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms)
 {
-	uint32_t listed = 0;
-	uint32_t left_out = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const ffl_dispatch_worker_t *w = value;
-
-		listed += w->listed;
-		left_out += w->listed && (now_ms < w->quarantined_until_ms ||
-					  now_ms < w->probation_until_ms);
-	}
-	return flow->failed_at_once < AT_ONCE_PER_JOB_MAX &&
-	       (left_out + 1) * PERCENT <= listed * AT_ONCE_MAX_PERCENT;
+	return now_ms < w->quarantined_until_ms ||
+	       now_ms < w->probation_until_ms;
 }
 
 /* A run that fails at once tells of its worker, one that fails later as often
@@ -91,7 +76,9 @@
 
 	w->has_succeeded = false;
 	w->failed_ms = now_ms;
-	if (at_once && may_quarantine(d, flow, now_ms)) {
+	if (at_once && flow->failed_at_once < AT_ONCE_PER_JOB_MAX &&
+	    ffl_dispatch_may_leave_out(d, is_left_out, AT_ONCE_MAX_PERCENT,
+				       now_ms)) {
 		flow->failed_at_once++;
 		w->fail_streak++;
 		w->fail_flow = flow;
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -110,6 +110,26 @@
 	return w->clock_ms + ahead_ms;
 }
 
+bool ffl_dispatch_may_leave_out(
+	const ffl_dispatch_t *d,
+	bool (*is_left_out)(const ffl_dispatch_worker_t *, uint64_t),
+	uint32_t max_percent, uint64_t now_ms)
+{
+	uint32_t listed = 0;
+	uint32_t left_out = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, d->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ffl_dispatch_worker_t *w = value;
+
+		listed += w->listed;
+		left_out += w->listed && is_left_out(w, now_ms);
+	}
+	return (left_out + 1) * PERCENT <= listed * max_percent;
+}
+
 static void forget_incarnation(ffl_dispatch_worker_t *w)
 {
 	w->end_seen = 0;
