--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -9,7 +9,9 @@
 out=$3
 jobs=${4:-3}
 # Site and days of a hunt: 40, or 8 where it has 30 hosts or more.
-sites="further/canasta-quito:40 further-grown/canasta-quito-grown:8
+sites="shifted/rocio-ops-now-grown:40 demands/selitermin-grown:40
+demands/tararua-toll-grown:40 sites/rocio-ops:40 sites/bcrfo-ledge:40
+further/canasta-quito:40 further-grown/canasta-quito-grown:8
 large/rocio-ops-large:8 grown/rocio-ops-grown:8 grown/bcrfo-ledge-grown:8"
 mkdir -p "$out"
 failed=0
