dispatch: a run that is being stopped and ends well completes its task

Cause: a run that the leader had given up, and that its worker lists again, is kept as a run without a record and told to stop. If it ended well before the stop reached it, ffl_run_finish() counted the success for the worker only: the task stayed placed elsewhere or waiting, the end was acknowledged, and the task ran once more. Only the success of a run that was not known at all was accepted. Change: ffl_run_finish() accepts it too, by the function that handle_ended_runs() uses. Why it works: whatever way an end 'done' comes in, the task is done before the batch that allows its acknowledgement, and every other run of it is stopped. Measured: /incarnation/success-of-run-being-stopped failed before (state 1, placed, in place of 2, done) and passes now; incarnation, dispatch and node tests pass.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -186,6 +186,10 @@
  */
 void ffl_run_finish(ffl_dispatch_t *d, ffl_run_t *run, ffl_run_end_t end,
 		    const char *checkpoint, uint64_t now_ms);
+/** Completes a task by the success of a run that had been given up. It counts
+ * also if the task has been placed again: the later run is stopped. */
+void ffl_run_accept_late_success(ffl_dispatch_t *d, ffl_flow_t *flow,
+				 uint32_t task, uint32_t run);
 /**
  * Marks a run, and all of its gang, to be stopped.
  *
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -33,8 +33,6 @@
 			    uint64_t now_ms);
 static bool accept_incarnation(ffl_dispatch_t *d, const ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms);
-static void accept_late_success(ffl_dispatch_t *d,
-				const ffl_run_report_t *report);
 static bool is_lasting(const ffl_run_report_t *report);
 static void handle_ended_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			      const ffl_reply_t *reply, uint64_t now_ms);
@@ -61,35 +59,6 @@
 	[FFL_ORDER_THROTTLE] = handle_throttle_reply,
 };
 
-/* Handles the success of a run that had been given up. It counts also if its
- * task has been placed again: the later run is stopped. */
-static void accept_late_success(ffl_dispatch_t *d,
-				const ffl_run_report_t *report)
-{
-	ffl_flow_t *flow = report->flow;
-	const GPtrArray *runs = ffl_runs_of_flow(d, flow);
-	uint32_t first;
-	uint32_t count;
-
-	ffl_flow_gang_range(flow, report->task_index, &first, &count);
-	for (uint32_t i = first; i < first + count; i++) {
-		if (flow->tasks[i].state == FFL_TASK_DONE ||
-		    flow->tasks[i].run < report->run)
-			return;
-	}
-	for (uint32_t i = first; i < first + count; i++)
-		ffl_flow_task_set_state(flow, i, FFL_TASK_DONE);
-	for (guint i = 0; i < runs->len; i++) {
-		ffl_run_t *run = g_ptr_array_index(runs, i);
-
-		if (run->task >= first && run->task < first + count)
-			ffl_run_request_stop(d, run, "done-before");
-	}
-	ffl_dispatch_note(d, "run-belated", report->task, "run=%u",
-			  report->run);
-	ffl_dispatch_mark_dirty(d, flow);
-}
-
 /* Returns true if the task runs until it is cancelled: no end completes it. */
 static bool is_lasting(const ffl_run_report_t *report)
 {
@@ -120,7 +89,9 @@
 				       now_ms);
 		else if (report->flow && report->end == FFL_RUN_END_DONE &&
 			 !is_lasting(report))
-			accept_late_success(d, report);
+			ffl_run_accept_late_success(d, report->flow,
+						    report->task_index,
+						    report->run);
 	}
 	if (!any)
 		return;
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -152,6 +152,33 @@
 	ffl_rank_record_run(d, run, now_ms);
 }
 
+void ffl_run_accept_late_success(ffl_dispatch_t *d, ffl_flow_t *flow,
+				 uint32_t task, uint32_t run)
+{
+	const GPtrArray *runs = ffl_runs_of_flow(d, flow);
+	char name[FFL_TASK_NAME_BYTES];
+	uint32_t first;
+	uint32_t count;
+
+	ffl_flow_gang_range(flow, task, &first, &count);
+	for (uint32_t i = first; i < first + count; i++) {
+		if (flow->tasks[i].state == FFL_TASK_DONE ||
+		    flow->tasks[i].run < run)
+			return;
+	}
+	for (uint32_t i = first; i < first + count; i++)
+		ffl_flow_task_set_state(flow, i, FFL_TASK_DONE);
+	for (guint i = 0; i < runs->len; i++) {
+		ffl_run_t *other = g_ptr_array_index(runs, i);
+
+		if (other->task >= first && other->task < first + count)
+			ffl_run_request_stop(d, other, "done-before");
+	}
+	ffl_task_name(flow, task, name);
+	ffl_dispatch_note(d, "run-belated", name, "run=%u", run);
+	ffl_dispatch_mark_dirty(d, flow);
+}
+
 static void count_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	ffl_flow_t *flow = run->flow;
@@ -182,6 +209,8 @@
 	ffl_flow_t *flow = run->flow;
 	char name[FFL_TASK_NAME_BYTES];
 	bool current = is_current(run);
+	bool succeeded = end == FFL_RUN_END_DONE &&
+			 !ffl_run_step(run)->runs_until_cancelled;
 
 	ffl_task_name(flow, run->task, name);
 	ffl_dispatch_note(d, "run-ended", name,
@@ -193,8 +222,7 @@
 			  run->stop_reason ? run->stop_reason : "-");
 	if (end == FFL_RUN_END_FAILED && current)
 		count_failure(d, run, now_ms);
-	if (end == FFL_RUN_END_DONE && current &&
-	    !ffl_run_step(run)->runs_until_cancelled) {
+	if (succeeded && current) {
 		complete_task(d, run, now_ms);
 	} else if (current) {
 		ffl_flow_task_set_checkpoint(flow, run->task, checkpoint);
@@ -202,6 +230,9 @@
 		flow->retry_ms = now_ms + RETRY_MS;
 	} else if (end == FFL_RUN_END_DONE) {
 		ffl_trust_count_success(run->worker);
+		if (succeeded)
+			ffl_run_accept_late_success(d, flow, run->task,
+						    run->run);
 	}
 	if (end != FFL_RUN_END_DONE) {
 		const GPtrArray *runs = ffl_runs_of_flow(d, flow);
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -610,6 +610,36 @@
 	g_assert_nonnull(find_order(b, FFL_ORDER_STOP, "w1"));
 }
 
+/* A run that was given up is listed again, and told to stop, and ends well all
+ * the same. */
+static void success_of_run_being_stopped(bed_t *b)
+{
+	const ffl_reply_t before = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+	const ffl_run_report_t running = { .run = 1 };
+	const ffl_run_report_t done = { .run = 1,
+					.number = 1,
+					.end = FFL_RUN_END_DONE };
+	ffl_dispatch_worker_t *w;
+
+	run_on_w0(b);
+	w = g_hash_table_lookup(b->d.workers, "w0");
+	w->quarantined_until_ms = b->now_ms + 60000;
+	answer(b, FFL_ORDER_RENEW, "w0", before, NULL);
+	wait_ms(b, 300);
+	g_assert_nonnull(find_order(b, FFL_ORDER_START, "w1"));
+	answer(b, FFL_ORDER_START, "w1", (ffl_reply_t){ .clock_ms = CLOCK_A },
+	       NULL);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	wait_ms(b, 300);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &done);
+	wait_ms(b, 200);
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_DONE);
+	g_assert_nonnull(find_order(b, FFL_ORDER_STOP, "w1"));
+}
+
 /* One packet that is lost while connecting is no reason to start elsewhere. */
 static void one_unsent_start_moves_task(bed_t *b)
 {
@@ -1089,6 +1119,7 @@
 	{ "entry-of-earlier-incarnation", entry_of_earlier_incarnation },
 	{ "lease-before-first-report", lease_before_first_report },
 	{ "success-of-superseded-run", success_of_superseded_run },
+	{ "success-of-run-being-stopped", success_of_run_being_stopped },
 	{ "one-unsent-start-moves-task", one_unsent_start_moves_task },
 	{ "unanswered-start-never-settled", unanswered_start_never_settled },
 	{ "denial-of-earlier-incarnation", denial_of_earlier_incarnation },
