dispatch: runs of an earlier leader say nothing of run times

A new leader sees a run that it takes over as begun when it first hears of it. All jobs of the queue then counted as late, and the first priority's lost the right to stop lower work. Nor does a failure soon after a takeover mean that the run never came to work.

--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -40,7 +40,8 @@
 	uint64_t mean_ms = GPOINTER_TO_SIZE(
 		g_hash_table_lookup(d->mean_run_ms, flow->spec.queue));
 
-	if (run->run != 1 || !run->running_ms || !took_ms)
+	/* When a run of an earlier leader began is not known. */
+	if (run->run != 1 || !run->sendings || !run->running_ms || !took_ms)
 		return;
 	if (mean_ms)
 		took_ms = (mean_ms * (PERCENT - NEWEST_RUN_WEIGHT_PERCENT) +
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -37,10 +37,8 @@
 
 void ffl_trust_count_success(ffl_dispatch_worker_t *w)
 {
-	w->fail_streak = 0;
+	ffl_trust_reset(w);
 	w->has_succeeded = true;
-	w->quarantined_until_ms = 0;
-	w->probation_until_ms = 0;
 }
 
 void ffl_trust_count_work(ffl_dispatch_worker_t *w, const ffl_run_t *run,
@@ -72,7 +70,7 @@
 {
 	ffl_dispatch_worker_t *w = run->worker;
 	ffl_flow_t *flow = run->flow;
-	bool at_once = now_ms - run->placed_ms <= AT_ONCE_MS;
+	bool at_once = run->sendings && now_ms - run->placed_ms <= AT_ONCE_MS;
 
 	w->has_succeeded = false;
 	w->failed_ms = now_ms;
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -763,6 +763,34 @@
 	}
 }
 
+/* Runs that a new leader takes over tell nothing of how long runs take, as it
+ * does not know when they began: first priority still gets its room. */
+static void test_takeover_run_times(void)
+{
+	ffl_flow_t *before;
+	ffl_flow_t *first;
+	test_bed_t b;
+
+	test_bed_init(&b, 2);
+	before = submit(&b, "before", 1, (ffl_step_t){ .tasks = 2, .gpus = 1 });
+	run_for_ms(&b, b.work_ms - 300);
+	ffl_dispatch_become_leader(&b.d, 2, b.now_ms, b.now_ms);
+	for (uint32_t i = 0; i < b.workers_count; i++)
+		ffl_dispatch_update_worker(&b.d, &b.workers[i].entry, b.now_ms,
+					   b.now_ms);
+	run_for_ms(&b, 1500);
+	g_assert_cmpint(ffl_flow_state(before), ==, FFL_FLOW_COMPLETED);
+	b.work_ms = 60000;
+	submit(&b, "low", 2, (ffl_step_t){ .tasks = 16, .gpus = 1 });
+	run_for_ms(&b, 1000);
+	b.work_ms = 4000;
+	first = submit(&b, "first", 0,
+		       (ffl_step_t){ .tasks = 2, .gpus = 4, .gang = true });
+	run_for_ms(&b, 1500);
+	g_assert_true(first->started);
+	test_bed_finish(&b);
+}
+
 /* Moves a worker to another service and rack. */
 static void move_worker(test_bed_t *b, uint32_t worker, const char *service,
 			const char *rack)
@@ -1873,6 +1901,8 @@
 	g_test_add_func("/dispatch/guarantee-skips",
 			test_guarantee_skips_large);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
+	g_test_add_func("/dispatch/takeover-run-times",
+			test_takeover_run_times);
 	g_test_add_func("/dispatch/full-service-bars-idle-one",
 			test_full_service_bars_idle);
 	g_test_add_func("/dispatch/full-rack-bars-remote-work",
