dispatch: the last attempt of a job with slack waits while workers fail

Now the last attempt waits while workers are in quarantine by runs of other jobs and the job has slack; guaranteed work that must start does not.

--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -183,6 +183,7 @@
 	uint64_t retry_ms;	  /**< no placement is tried before */
 	uint64_t next_preempt_ms; /**< nothing is preempted for it before */
 	uint32_t failed_at_once;  /**< runs that failed before they worked */
+	uint64_t held_ms;  /**< when its last attempts were last said to wait */
 	uint64_t ended_ms; /**< when it was first seen to have ended; 0: not */
 	uint64_t dropped_ms;	/**< when it was last dropped from the log: its
 				 * progress, later its specification; 0: not */
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -282,6 +282,11 @@
 bool ffl_trust_allows(const ffl_dispatch_worker_t *w,
 		      const ffl_place_request_t *req);
 
+/** Returns true if a task's last attempt is to wait, as its job has slack and
+ * workers fail what they start. */
+bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task);
+
 /* choose.c */
 
 /** Returns what keeps a step off a worker, not counting tickets and free
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -28,7 +28,8 @@
 static bool must_start(const ffl_dispatch_t *d, const ffl_place_request_t *req);
 static bool has_waiting_tasks(const ffl_place_request_t *req);
 static void place_step(ffl_dispatch_t *d, ffl_place_request_t *req);
-static bool may_place(const ffl_task_t *task);
+static bool may_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		      uint32_t task);
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void place_tasks(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void report_queue_latency(ffl_dispatch_t *d,
@@ -186,9 +187,13 @@
 
 /* A run that was given up, and that a worker reports all the same, has to be
  * stopped first. */
-static bool may_place(const ffl_task_t *task)
+static bool may_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		      uint32_t task)
 {
-	return task->state == FFL_TASK_WAITING && !task->live_runs;
+	const ffl_task_t *t = &req->flow->tasks[task];
+
+	return t->state == FFL_TASK_WAITING && !t->live_runs &&
+	       !ffl_trust_holds_back(d, req, task);
 }
 
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req)
@@ -200,13 +205,11 @@
 	bool found;
 
 	for (uint32_t i = 0; i < tasks; i++) {
-		const ffl_task_t *task = &req->flow->tasks[req->first + i];
-
-		if (!may_place(task)) {
+		if (!may_place(d, req, req->first + i)) {
 			g_free(chosen);
 			return;
 		}
-		run = MAX(run, task->run);
+		run = MAX(run, req->flow->tasks[req->first + i].run);
 	}
 	allow_remote = ffl_allows_remote(d, req);
 	found = find_gang(d, req, allow_remote, chosen);
@@ -246,7 +249,7 @@
 		ffl_task_t *task = &req->flow->tasks[req->first + i];
 		ffl_dispatch_worker_t *w;
 
-		if (!may_place(task))
+		if (!may_place(d, req, req->first + i))
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -26,6 +26,8 @@
 		       uint64_t now_ms);
 static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unproven_run(const ffl_dispatch_worker_t *w);
+static uint32_t count_failing(const ffl_dispatch_t *d,
+			      const ffl_place_request_t *req);
 
 void ffl_trust_reset(ffl_dispatch_worker_t *w)
 {
@@ -118,3 +120,46 @@
 		       req->flow->spec.attempts_max &&
 	       !has_unproven_run(w);
 }
+
+/* Returns the number of workers that are quarantined for what they did to other
+ * jobs. */
+static uint32_t count_failing(const ffl_dispatch_t *d,
+			      const ffl_place_request_t *req)
+{
+	const GPtrArray *listed = ffl_listed_workers(d);
+	uint32_t failing = 0;
+
+	for (guint i = 0; i < listed->len; i++) {
+		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
+
+		failing += req->now_ms < w->quarantined_until_ms &&
+			   w->fail_flow != req->flow;
+	}
+	return failing;
+}
+
+/* Failing workers are found out one by one, so the next attempt may meet
+ * another one. */
+bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task)
+{
+	ffl_flow_t *flow = req->flow;
+	uint32_t failures = flow->tasks[task].failures;
+	char name[FFL_TASK_NAME_BYTES];
+	uint32_t failing;
+
+	if (!failures || failures + 1 < flow->spec.attempts_max ||
+	    req->must_start || !ffl_rank_has_slack(d, flow, req->now_ms))
+		return false;
+	failing = count_failing(d, req);
+	if (!failing)
+		return false;
+	if (req->now_ms >= flow->held_ms + QUARANTINE_MS) {
+		ffl_task_name(flow, task, name);
+		ffl_dispatch_note(d, "attempt-held", name,
+				  "failures=%u attempts=%u failing=%u",
+				  failures, flow->spec.attempts_max, failing);
+		flow->held_ms = req->now_ms;
+	}
+	return true;
+}
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -791,6 +791,71 @@
 	test_bed_finish(&b);
 }
 
+/* While workers fail what they start, a job with slack keeps its last attempt
+ * until they are found out; one without goes on, as it would be late. */
+static void test_last_attempt_waits(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t priority;
+		uint32_t attempts_max;
+		uint32_t stretch_milli;
+		ffl_step_t step;
+		bool waits;
+	} cases[] = {
+		{ "gang",
+		  1,
+		  2,
+		  6000,
+		  { .tasks = 6, .gpus = 8, .gang = true },
+		  true },
+		{ "gang, three attempts",
+		  1,
+		  3,
+		  6000,
+		  { .tasks = 6, .gpus = 8, .gang = true },
+		  true },
+		{ "tasks", 2, 2, 6000, { .tasks = 6, .gpus = 8 }, true },
+		{ "first priority",
+		  0,
+		  2,
+		  6000,
+		  { .tasks = 6, .gpus = 8, .gang = true },
+		  true },
+		{ "no slack",
+		  1,
+		  2,
+		  1000,
+		  { .tasks = 6, .gpus = 8, .gang = true },
+		  false },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 12);
+		/* Another job shows that it is not only this one that fails. */
+		b.workers[0].fails = true;
+		submit(&b, "other", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		run_for_ms(&b, 150);
+		for (uint32_t k = 1; k < b.workers_count; k++)
+			b.workers[k].fails = k < 4;
+		flow = submit(&b, "job", cases[i].priority, cases[i].step);
+		flow->spec.attempts_max = cases[i].attempts_max;
+		flow->spec.stretch_milli = cases[i].stretch_milli;
+		run_for_ms(&b, 3000);
+		for (uint32_t k = 0; k < b.workers_count; k++)
+			b.workers[k].fails = false;
+		g_assert_true(flow->failed == !cases[i].waits);
+		run_for_ms(&b, 15000);
+		g_assert_true((ffl_flow_state(flow) == FFL_FLOW_COMPLETED) ==
+			      cases[i].waits);
+		test_bed_finish(&b);
+	}
+}
+
 /* Moves a worker to another service and rack. */
 static void move_worker(test_bed_t *b, uint32_t worker, const char *service,
 			const char *rack)
@@ -1901,6 +1966,8 @@
 	g_test_add_func("/dispatch/guarantee-skips",
 			test_guarantee_skips_large);
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
+	g_test_add_func("/dispatch/last-attempt-waits",
+			test_last_attempt_waits);
 	g_test_add_func("/dispatch/takeover-run-times",
 			test_takeover_run_times);
 	g_test_add_func("/dispatch/full-service-bars-idle-one",
