dispatch: one function takes a task's place, a job's class of work is worked out once

The placement and its explanation each gave a task its worker, its run and its GPUs; now both call ffl_place_task(), so that they cannot drift apart. The class of a job's work follows from its specification and is kept.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -267,6 +267,10 @@
 void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
 		    const ffl_place_request_t *like, uint64_t wall_ms);
 
+/** Gives a task a run on a worker and takes the resources for it. */
+ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task, ffl_dispatch_worker_t *w,
+			  uint32_t run);
 /** Returns the resources that each task of a step takes. */
 ffl_resources_t ffl_step_resources(const ffl_step_t *step);
 
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -73,11 +73,7 @@
 	ffl_explained_step_t *step = step_of(req);
 	ffl_explained_worker_t added = { .tasks = 1 };
 
-	ffl_flow_task_place(req->flow, task, run, w->entry.id,
-			    w->entry.born_ms);
-	g_ptr_array_add(trial->runs,
-			ffl_run_add(d, req->flow, task, run, w, req->now_ms));
-	ffl_take_free_gpus(d, req);
+	g_ptr_array_add(trial->runs, ffl_place_task(d, req, task, w, run));
 	step->placed++;
 	for (guint i = 0; i < step->workers->len; i++) {
 		ffl_explained_worker_t *known = &g_array_index(
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -148,15 +148,21 @@
 				    req->now_ms - req->flow->first_seen_ms);
 }
 
+ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+{
+	ffl_flow_task_place(req->flow, task, run, w->entry.id,
+			    w->entry.born_ms);
+	ffl_take_free_gpus(d, req);
+	return ffl_run_add(d, req->flow, task, run, w, req->now_ms);
+}
+
 static void commit_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
 {
 	if (!req->flow->started)
 		report_queue_latency(d, req);
-	ffl_flow_task_place(req->flow, task, run, w->entry.id,
-			    w->entry.born_ms);
-	ffl_run_add(d, req->flow, task, run, w, req->now_ms);
-	ffl_take_free_gpus(d, req);
+	ffl_place_task(d, req, task, w, run);
 	ffl_dispatch_mark_dirty(d, req->flow);
 }
 
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -119,7 +119,8 @@
 	flow->path_ms = critical_path_ms(d, flow, true);
 	flow->tier = ffl_rank_tier_at(flow, now_ms - flow->first_seen_ms +
 						    flow->path_ms);
-	flow->work_class = ffl_cost_class(flow);
+	if (!flow->work_class)
+		flow->work_class = ffl_cost_class(flow);
 }
 
 bool ffl_rank_has_slack(const ffl_dispatch_t *d, const ffl_flow_t *flow,
