dispatch: each task's last attempt is kept off workers on probation

It went by the failures of the step's first task. Of jobs of single tasks another one's last attempt was tried on a worker that still failed, and the job with it.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -243,6 +243,7 @@
 	uint32_t step_index;
 	uint32_t occurrence;
 	uint32_t first; /**< index of the step's first task */
+	uint32_t task;	/**< task to be placed next; of a gang the first */
 	uint64_t now_ms;
 	bool guaranteed; /**< within its customer's guarantee */
 	bool local_only; /**< only in the data's rack, gang in one rack */
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -255,11 +255,12 @@
 		ffl_task_t *task = &req->flow->tasks[req->first + i];
 		ffl_dispatch_worker_t *w;
 
-		if (!may_place(d, req, req->first + i))
+		req->task = req->first + i;
+		if (!may_place(d, req, req->task))
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
-			req->effects->place(d, req, req->first + i, w,
+			req->effects->place(d, req, req->task, w,
 					    task->run + 1);
 		else
 			unplaced++;
@@ -368,6 +369,7 @@
 				.step_index = s,
 				.occurrence = k,
 				.first = ffl_flow_first_task(flow, k, s),
+				.task = ffl_flow_first_task(flow, k, s),
 				.now_ms = like->now_ms,
 				.guaranteed = like->guaranteed,
 				.skip_slow = true,
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -116,7 +116,7 @@
 	if (req->now_ms >= w->probation_until_ms || req->must_start)
 		return true;
 	return !req->step->gang && req->flow->spec.priority > 0 &&
-	       req->flow->tasks[req->first].failures + 1 <
+	       req->flow->tasks[req->task].failures + 1 <
 		       req->flow->spec.attempts_max &&
 	       !has_unproven_run(w);
 }
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -856,6 +856,27 @@
 	}
 }
 
+/* The last attempt of any task of a step is kept off a worker on probation,
+ * not only that of its first one. */
+static void test_last_attempt_off_probation(void)
+{
+	ffl_flow_t *flow;
+	test_bed_t b;
+
+	test_bed_init(&b, 5);
+	b.work_ms = 8000;
+	b.workers[0].fails = true;
+	submit(&b, "first", 1, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+	submit(&b, "rest", 1, (ffl_step_t){ .tasks = 2, .gpus = 8 });
+	run_for_ms(&b, 4200);
+	g_assert_cmpuint(b.workers[0].starts, ==, 1);
+	flow = submit(&b, "job", 1, (ffl_step_t){ .tasks = 2, .gpus = 8 });
+	flow->tasks[1].failures = 1;
+	run_for_ms(&b, 20000);
+	g_assert_cmpint(ffl_flow_state(flow), ==, FFL_FLOW_COMPLETED);
+	test_bed_finish(&b);
+}
+
 /* Moves a worker to another service and rack. */
 static void move_worker(test_bed_t *b, uint32_t worker, const char *service,
 			const char *rack)
@@ -1968,6 +1989,8 @@
 	g_test_add_func("/dispatch/first-priority", test_first_priority);
 	g_test_add_func("/dispatch/last-attempt-waits",
 			test_last_attempt_waits);
+	g_test_add_func("/dispatch/last-attempt-off-probation",
+			test_last_attempt_off_probation);
 	g_test_add_func("/dispatch/takeover-run-times",
 			test_takeover_run_times);
 	g_test_add_func("/dispatch/full-service-bars-idle-one",
