--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -26,7 +26,7 @@
 		       uint64_t now_ms);
 static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unproven_run(const ffl_dispatch_worker_t *w);
-static uint32_t count_failing(const ffl_dispatch_t *d,
+static uint32_t count_failing(ffl_dispatch_t *d,
 			      const ffl_place_request_t *req);
 
 void ffl_trust_reset(ffl_dispatch_worker_t *w)
@@ -123,8 +123,7 @@
 
 /* Returns the number of workers that are quarantined for what they did to other
  * jobs. */
-static uint32_t count_failing(const ffl_dispatch_t *d,
-			      const ffl_place_request_t *req)
+static uint32_t count_failing(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
 	const GPtrArray *listed = ffl_listed_workers(d);
 	uint32_t failing = 0;
