--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -243,6 +243,7 @@
 	uint32_t step_index;
 	uint32_t occurrence;
 	uint32_t first; /**< index of the step's first task */
+	uint32_t task;	/**< task to be placed next; of a gang the first */
 	uint64_t now_ms;
 	bool guaranteed; /**< within its customer's guarantee */
 	bool local_only; /**< only in the data's rack, gang in one rack */
@@ -267,6 +268,10 @@
 void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
 		    const ffl_place_request_t *like, uint64_t wall_ms);
 
+/** Gives a task a run on a worker and takes the resources for it. */
+ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task, ffl_dispatch_worker_t *w,
+			  uint32_t run);
 /** Returns the resources that each task of a step takes. */
 ffl_resources_t ffl_step_resources(const ffl_step_t *step);
 
@@ -282,6 +287,11 @@
 bool ffl_trust_allows(const ffl_dispatch_worker_t *w,
 		      const ffl_place_request_t *req);
 
+/** Returns true if a task's last attempt is to wait, as its job has slack and
+ * workers fail what they start. */
+bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task);
+
 /* choose.c */
 
 /** Returns what keeps a step off a worker, not counting tickets and free
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -28,7 +28,8 @@
 static bool must_start(const ffl_dispatch_t *d, const ffl_place_request_t *req);
 static bool has_waiting_tasks(const ffl_place_request_t *req);
 static void place_step(ffl_dispatch_t *d, ffl_place_request_t *req);
-static bool may_place(const ffl_task_t *task);
+static bool may_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		      uint32_t task);
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void place_tasks(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void report_queue_latency(ffl_dispatch_t *d,
@@ -147,15 +148,21 @@
 				    req->now_ms - req->flow->first_seen_ms);
 }
 
+ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+{
+	ffl_flow_task_place(req->flow, task, run, w->entry.id,
+			    w->entry.born_ms);
+	ffl_take_free_gpus(d, req);
+	return ffl_run_add(d, req->flow, task, run, w, req->now_ms);
+}
+
 static void commit_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
 {
 	if (!req->flow->started)
 		report_queue_latency(d, req);
-	ffl_flow_task_place(req->flow, task, run, w->entry.id,
-			    w->entry.born_ms);
-	ffl_run_add(d, req->flow, task, run, w, req->now_ms);
-	ffl_take_free_gpus(d, req);
+	ffl_place_task(d, req, task, w, run);
 	ffl_dispatch_mark_dirty(d, req->flow);
 }
 
@@ -186,9 +193,13 @@
 
 /* A run that was given up, and that a worker reports all the same, has to be
  * stopped first. */
-static bool may_place(const ffl_task_t *task)
+static bool may_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		      uint32_t task)
 {
-	return task->state == FFL_TASK_WAITING && !task->live_runs;
+	const ffl_task_t *t = &req->flow->tasks[task];
+
+	return t->state == FFL_TASK_WAITING && !t->live_runs &&
+	       !ffl_trust_holds_back(d, req, task);
 }
 
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req)
@@ -200,13 +211,11 @@
 	bool found;
 
 	for (uint32_t i = 0; i < tasks; i++) {
-		const ffl_task_t *task = &req->flow->tasks[req->first + i];
-
-		if (!may_place(task)) {
+		if (!may_place(d, req, req->first + i)) {
 			g_free(chosen);
 			return;
 		}
-		run = MAX(run, task->run);
+		run = MAX(run, req->flow->tasks[req->first + i].run);
 	}
 	allow_remote = ffl_allows_remote(d, req);
 	found = find_gang(d, req, allow_remote, chosen);
@@ -246,11 +255,12 @@
 		ffl_task_t *task = &req->flow->tasks[req->first + i];
 		ffl_dispatch_worker_t *w;
 
-		if (!may_place(task))
+		req->task = req->first + i;
+		if (!may_place(d, req, req->task))
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
-			req->effects->place(d, req, req->first + i, w,
+			req->effects->place(d, req, req->task, w,
 					    task->run + 1);
 		else
 			unplaced++;
@@ -359,6 +369,7 @@
 				.step_index = s,
 				.occurrence = k,
 				.first = ffl_flow_first_task(flow, k, s),
+				.task = ffl_flow_first_task(flow, k, s),
 				.now_ms = like->now_ms,
 				.guaranteed = like->guaranteed,
 				.skip_slow = true,
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -26,6 +26,8 @@
 		       uint64_t now_ms);
 static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unproven_run(const ffl_dispatch_worker_t *w);
+static uint32_t count_failing(ffl_dispatch_t *d,
+			      const ffl_place_request_t *req);
 
 void ffl_trust_reset(ffl_dispatch_worker_t *w)
 {
@@ -37,10 +39,8 @@
 
 void ffl_trust_count_success(ffl_dispatch_worker_t *w)
 {
-	w->fail_streak = 0;
+	ffl_trust_reset(w);
 	w->has_succeeded = true;
-	w->quarantined_until_ms = 0;
-	w->probation_until_ms = 0;
 }
 
 void ffl_trust_count_work(ffl_dispatch_worker_t *w, const ffl_run_t *run,
@@ -72,7 +72,7 @@
 {
 	ffl_dispatch_worker_t *w = run->worker;
 	ffl_flow_t *flow = run->flow;
-	bool at_once = now_ms - run->placed_ms <= AT_ONCE_MS;
+	bool at_once = run->sendings && now_ms - run->placed_ms <= AT_ONCE_MS;
 
 	w->has_succeeded = false;
 	w->failed_ms = now_ms;
@@ -116,7 +116,49 @@
 	if (req->now_ms >= w->probation_until_ms || req->must_start)
 		return true;
 	return !req->step->gang && req->flow->spec.priority > 0 &&
-	       req->flow->tasks[req->first].failures + 1 <
+	       req->flow->tasks[req->task].failures + 1 <
 		       req->flow->spec.attempts_max &&
 	       !has_unproven_run(w);
 }
+
+/* Returns the number of workers that are quarantined for what they did to other
+ * jobs. */
+static uint32_t count_failing(ffl_dispatch_t *d, const ffl_place_request_t *req)
+{
+	const GPtrArray *listed = ffl_listed_workers(d);
+	uint32_t failing = 0;
+
+	for (guint i = 0; i < listed->len; i++) {
+		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
+
+		failing += req->now_ms < w->quarantined_until_ms &&
+			   w->fail_flow != req->flow;
+	}
+	return failing;
+}
+
+/* Failing workers are found out one by one, so the next attempt may meet
+ * another one. */
+bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			  uint32_t task)
+{
+	ffl_flow_t *flow = req->flow;
+	uint32_t failures = flow->tasks[task].failures;
+	char name[FFL_TASK_NAME_BYTES];
+	uint32_t failing;
+
+	if (!failures || failures + 1 < flow->spec.attempts_max ||
+	    req->must_start || !ffl_rank_has_slack(d, flow, req->now_ms))
+		return false;
+	failing = count_failing(d, req);
+	if (!failing)
+		return false;
+	if (req->now_ms >= flow->held_ms + QUARANTINE_MS) {
+		ffl_task_name(flow, task, name);
+		ffl_dispatch_note(d, "attempt-held", name,
+				  "failures=%u attempts=%u failing=%u",
+				  failures, flow->spec.attempts_max, failing);
+		flow->held_ms = req->now_ms;
+	}
+	return true;
+}
