dispatch: lost work is counted by why runs end early

Each early end is counted with the core-milliseconds since its start or last checkpoint, on the metrics address and as lost= in its run-ended line; why= tells guaranteed (reclaimed) from other urgent work (preempted).

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -135,6 +135,7 @@
 	uint64_t retry_ms;   /**< no further order before */
 	uint64_t running_ms; /**< when it was first known to run */
 	uint64_t seen_ms;    /**< when it was last reported */
+	uint64_t saved_ms;   /**< when it last wrote a checkpoint; 0: never */
 	bool reported; /**< the known incarnation of its worker started it */
 	/** The same by its worker's clock, which tells when a report was made,
 	 * however late it is read; 0: not known. */
@@ -197,6 +198,23 @@
 	FFL_WAIT__MAX
 } ffl_wait_t;
 
+/** Why a run ended early, and its work since its start or last checkpoint was
+ * lost. */
+typedef enum {
+	FFL_LOSS_RECLAIMED,	/**< stopped for guaranteed work */
+	FFL_LOSS_PREEMPTED,	/**< stopped for other work of priority 0 */
+	FFL_LOSS_CANCELLED,	/**< its job was cancelled */
+	FFL_LOSS_GANG_BROKEN,	/**< another task of its gang ended early */
+	FFL_LOSS_WORKER_LEAVES, /**< stopped as its worker drains */
+	FFL_LOSS_LEASE_EXPIRED, /**< its lease ended, or its worker is gone */
+	FFL_LOSS_HUNG,		/**< stopped as it made no progress */
+	FFL_LOSS_FAILED,	/**< it failed, or its job has failed */
+	FFL_LOSS_GIVEN_UP,	/**< its start was withdrawn or in doubt */
+	FFL_LOSS__MAX
+} ffl_loss_t;
+
+const char *ffl_loss_name(uint32_t loss);
+
 /** The dispatcher. */
 typedef struct {
 	ffl_dispatch_options_t opt;
@@ -231,10 +249,13 @@
 	bool fenced; /**< a worker has seen a later leader's token */
 	ffl_note_fn_t note;
 	ffl_latency_fn_t measure;
-	void *note_user;		  /**< argument of note and measure */
-	uint32_t waiting[FFL_WAIT__MAX];  /**< steps, in the last pass */
-	uint64_t starts;		  /**< runs started */
-	uint64_t preempted;		  /**< runs preempted */
+	void *note_user;		   /**< argument of note and measure */
+	uint32_t waiting[FFL_WAIT__MAX];   /**< steps, in the last pass */
+	uint64_t starts;		   /**< runs started */
+	uint64_t preempted;		   /**< runs preempted */
+	uint64_t lost_runs[FFL_LOSS__MAX]; /**< runs that ended early */
+	/** Their work, in core-milliseconds, a GPU as 8 cores. */
+	uint64_t lost_work[FFL_LOSS__MAX];
 	uint64_t repeats[FFL_REPLY__MAX]; /**< repeated start orders by outcome
 					   */
 } ffl_dispatch_t;
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -49,11 +49,15 @@
 			      "runs that this host has preempted" },
 };
 
+static void format_losses(GString *out);
+
 static struct {
 	pthread_mutex_t lock;
 	GHashTable *events; /**< count by name of event */
 	uint64_t gauges[GAUGE__MAX];
 	uint64_t repeats[FFL_REPLY__MAX];
+	uint64_t lost_runs[FFL_LOSS__MAX];
+	uint64_t lost_work[FFL_LOSS__MAX];
 } metrics;
 
 void jobd_metrics_init(void)
@@ -99,9 +103,36 @@
 	for (uint32_t i = 0; i < GAUGE__MAX; i++)
 		metrics.gauges[i] = values[i];
 	memcpy(metrics.repeats, n->dispatch.repeats, sizeof(metrics.repeats));
+	memcpy(metrics.lost_runs, n->dispatch.lost_runs,
+	       sizeof(metrics.lost_runs));
+	memcpy(metrics.lost_work, n->dispatch.lost_work,
+	       sizeof(metrics.lost_work));
 	pthread_mutex_unlock(&metrics.lock);
 }
 
+static void format_losses(GString *out)
+{
+	g_string_append(out, "# HELP ffl_jobd_lost_runs_total runs that ended "
+			     "early, by reason\n"
+			     "# TYPE ffl_jobd_lost_runs_total counter\n");
+	for (uint32_t i = 0; i < FFL_LOSS__MAX; i++)
+		g_string_append_printf(out,
+				       "ffl_jobd_lost_runs_total{why=\"%s\"} "
+				       "%" PRIu64 "\n",
+				       ffl_loss_name(i), metrics.lost_runs[i]);
+	g_string_append(out,
+			"# HELP ffl_jobd_lost_work_core_ms_total their work "
+			"since their start or last checkpoint, a GPU as 8 "
+			"cores\n"
+			"# TYPE ffl_jobd_lost_work_core_ms_total counter\n");
+	for (uint32_t i = 0; i < FFL_LOSS__MAX; i++)
+		g_string_append_printf(
+			out,
+			"ffl_jobd_lost_work_core_ms_total{why=\"%s\"} "
+			"%" PRIu64 "\n",
+			ffl_loss_name(i), metrics.lost_work[i]);
+}
+
 void jobd_metrics_format(GString *out)
 {
 	GHashTableIter iter;
@@ -133,6 +164,7 @@
 			"ffl_jobd_repeated_starts_total{outcome=\"%s\"} "
 			"%" PRIu64 "\n",
 			ffl_reply_outcome_name(i), metrics.repeats[i]);
+	format_losses(out);
 	pthread_mutex_unlock(&metrics.lock);
 	jobd_hist_format(out);
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -429,6 +429,18 @@
 /** Returns a step's cores, with the GPUs counted as such. */
 uint32_t ffl_cost_cores(const ffl_step_t *step);
 
+/* loss.c */
+
+/**
+ * Counts a run that ended, if its work is lost.
+ *
+ * @param checkpoint as reported with the end, or NULL
+ * @return the lost work, in core-milliseconds
+ */
+uint64_t ffl_loss_count(ffl_dispatch_t *d, const ffl_run_t *run,
+			ffl_run_end_t end, const char *checkpoint,
+			uint64_t now_ms);
+
 /* preempt.c */
 
 /**
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -319,7 +319,9 @@
 				  "task=%u run=%u worker=%s for=%s", run->task,
 				  run->run, run->worker->entry.id,
 				  plan->req->flow->spec.id);
-		ffl_run_request_stop(plan->d, run, "preempted");
+		ffl_run_request_stop(plan->d, run,
+				     req->guaranteed ? "reclaimed"
+						     : "preempted");
 	}
 }
 
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -114,10 +114,13 @@
 			run->progress_clock_ms = clock_ms;
 	}
 	run->percent = report->percent;
-	if (report->checkpoint[0] &&
-	    run->flow->tasks[run->task].run == run->run)
-		ffl_flow_task_set_checkpoint(run->flow, run->task,
-					     report->checkpoint);
+	if (!report->checkpoint[0] ||
+	    run->flow->tasks[run->task].run != run->run)
+		return;
+	if (g_strcmp0(report->checkpoint,
+		      run->flow->tasks[run->task].checkpoint) != 0)
+		run->saved_ms = now_ms;
+	ffl_flow_task_set_checkpoint(run->flow, run->task, report->checkpoint);
 }
 
 static void update_running_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -215,11 +215,12 @@
 	ffl_task_name(flow, run->task, name);
 	ffl_dispatch_note(d, "run-ended", name,
 			  "run=%u worker=%s end=%s current=%d after_ms=%" PRIu64
-			  " why=%s",
+			  " why=%s lost=%" PRIu64,
 			  run->run, run->worker->entry.id,
 			  ffl_run_end_name(end), current,
 			  now_ms - run->placed_ms,
-			  run->stop_reason ? run->stop_reason : "-");
+			  run->stop_reason ? run->stop_reason : "-",
+			  ffl_loss_count(d, run, end, checkpoint, now_ms));
 	if (end == FFL_RUN_END_FAILED && current)
 		count_failure(d, run, now_ms);
 	if (succeeded && current) {
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1041,6 +1041,123 @@
 	}
 }
 
+static void lose_to_guarantee(test_bed_t *b, ffl_flow_t *flow)
+{
+	(void)flow;
+	g_hash_table_insert(b->guaranteed, "ponds", GUINT_TO_POINTER(8));
+	submit(b, "urgent", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+}
+
+static void lose_to_urgent(test_bed_t *b, ffl_flow_t *flow)
+{
+	(void)flow;
+	submit(b, "urgent", 0, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+}
+
+static void lose_by_cancelling(test_bed_t *b, ffl_flow_t *flow)
+{
+	flow->cancelled = true;
+	ffl_dispatch_request_placement(&b->d);
+}
+
+static void lose_by_draining(test_bed_t *b, ffl_flow_t *flow)
+{
+	sim_worker_t *w = find_worker(b, flow->tasks[0].worker);
+
+	w->entry.draining = true;
+	ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms, b->now_ms);
+}
+
+static void lose_by_hanging(test_bed_t *b, ffl_flow_t *flow)
+{
+	find_worker(b, flow->tasks[0].worker)->hangs = true;
+}
+
+static void lose_by_failing(test_bed_t *b, ffl_flow_t *flow)
+{
+	sim_worker_t *w = find_worker(b, flow->tasks[0].worker);
+
+	g_array_index(w->runs, sim_run_t, 0).failed = true;
+}
+
+static void lose_worker(test_bed_t *b, ffl_flow_t *flow)
+{
+	sim_worker_t *w = find_worker(b, flow->tasks[0].worker);
+
+	w->entry.draining = true;
+	w->entry.drain_left_ms = 60000;
+	ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms, b->now_ms);
+	ffl_dispatch_remove_worker(&b->d, w->entry.id, 10000, b->now_ms);
+}
+
+/* Work that is lost since a run's start is counted by why the run ended; a
+ * gang's that broke is counted apart from the failure that broke it. */
+static void test_lost_work(void)
+{
+	static const struct {
+		const char *name;
+		void (*lose)(test_bed_t *b, ffl_flow_t *flow);
+		uint32_t tasks; /**< of the gang */
+		uint32_t cpu_milli;
+		ffl_loss_t loss;
+		uint32_t runs;
+		uint32_t work_min, work_max; /**< core-ms */
+	} cases[] = {
+		{ "guaranteed work", lose_to_guarantee, 1, 0,
+		  FFL_LOSS_RECLAIMED, 1, 64000, 128000 },
+		{ "urgent work", lose_to_urgent, 1, 0, FFL_LOSS_PREEMPTED, 1,
+		  64000, 128000 },
+		{ "cores count too", lose_to_urgent, 1, 16000,
+		  FFL_LOSS_PREEMPTED, 1, 80000, 160000 },
+		{ "cancelled", lose_by_cancelling, 2, 0, FFL_LOSS_CANCELLED, 2,
+		  128000, 256000 },
+		{ "drained", lose_by_draining, 2, 0, FFL_LOSS_WORKER_LEAVES, 2,
+		  128000, 256000 },
+		{ "hung", lose_by_hanging, 1, 0, FFL_LOSS_HUNG, 1, 64000,
+		  512000 },
+		{ "failed", lose_by_failing, 1, 0, FFL_LOSS_FAILED, 1, 64000,
+		  128000 },
+		{ "gang broken by a failure", lose_by_failing, 2, 0,
+		  FFL_LOSS_GANG_BROKEN, 1, 64000, 128000 },
+		{ "worker gone", lose_worker, 1, 0, FFL_LOSS_LEASE_EXPIRED, 1,
+		  64000, 1000000 },
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+		uint64_t others = 0;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, cases[i].tasks);
+		b.work_ms = 8000;
+		flow = submit(&b, "low", 2,
+			      (ffl_step_t){ .tasks = cases[i].tasks,
+					    .cpu_milli = cases[i].cpu_milli,
+					    .gpus = 8,
+					    .gang = true });
+		run_for_ms(&b, 1300);
+		cases[i].lose(&b, flow);
+		for (uint32_t t = 0; t < 15000 && !b.d.lost_runs[cases[i].loss];
+		     t += STEP_MS)
+			run_for_ms(&b, STEP_MS);
+		run_for_ms(&b, 300);
+		for (uint32_t k = 0; k < FFL_LOSS__MAX; k++) {
+			g_assert_cmpstr(ffl_loss_name(k), !=, "?");
+			if (k != cases[i].loss && k != FFL_LOSS_FAILED)
+				others += b.d.lost_runs[k];
+		}
+		g_assert_cmpuint(b.d.lost_runs[cases[i].loss], ==,
+				 cases[i].runs);
+		g_assert_cmpuint(b.d.lost_work[cases[i].loss], >=,
+				 cases[i].work_min);
+		g_assert_cmpuint(b.d.lost_work[cases[i].loss], <,
+				 cases[i].work_max);
+		g_assert_cmpuint(others, ==, 0);
+		test_bed_finish(&b);
+	}
+}
+
 /* Evacuates a data centre, or takes its evacuation back. */
 static void evacuate(test_bed_t *b, const char *dc, bool evacuated)
 {
@@ -1855,6 +1972,7 @@
 	g_test_add_func("/dispatch/hang-known", test_hang_detected);
 	g_test_add_func("/dispatch/order-of-waiting", test_order_of_waiting);
 	g_test_add_func("/dispatch/choice-of-victim", test_choice_of_victim);
+	g_test_add_func("/dispatch/lost-work", test_lost_work);
 	g_test_add_func("/dispatch/spread-gang", test_spread_gang);
 	g_test_add_func("/dispatch/failed-at-once", test_failed_at_once);
 	g_test_add_func("/dispatch/hopeless-job", test_hopeless_job);
