dispatch: less is stopped for the work that goes first

Cause: a plan added up the runs of a worker in the order in which they came until a task fitted, stopped small ones that a large one then made needless, and stopped others although runs would have ended before a stop does.

Now the runs are picked that cost least for the GPUs that are missing, those that are not needed beside the rest are dropped, and the cost decides by what would really be stopped. A run that by its own rate ends before a stop would counts as room to come, if the job is worth as much, and begins within its guarantee, when that and a stop after it take their longest. Costs of workers are kept while a plan does not change them.

--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -14,6 +14,8 @@
 	ffl_dispatch_worker_t *worker;
 	ffl_resources_t available;
 	uint32_t tasks; /**< of the step: running and planned there */
+	uint64_t cost;	/**< of one more task, in core-milliseconds */
+	bool is_costed; /**< cost is up to date */
 } candidate_t;
 
 /** Runs to stop so that a step fits. */
@@ -22,8 +24,10 @@
 	const ffl_place_request_t *req;
 	GArray *candidates;  /**< of candidate_t */
 	GHashTable *victims; /**< of ffl_run_t * */
+	GPtrArray *picked;   /**< of ffl_run_t *: for one task on one worker */
 	uint64_t cost;	     /**< lost work, in core-milliseconds */
 	bool skip_reserved;  /**< no workers reserved for other flows */
+	bool may_wait;	     /**< for runs that end soon */
 };
 
 typedef ffl_preempt_plan_t plan_t;
@@ -33,11 +37,20 @@
 static void set_gang_stop_cost(ffl_dispatch_t *d, ffl_run_t *run,
 			       uint64_t now_ms);
 static void update_stop_costs(ffl_dispatch_t *d, uint64_t now_ms);
+static bool may_wait(const ffl_dispatch_t *d, const ffl_place_request_t *req);
+static bool frees_room(const plan_t *plan, const ffl_run_t *run);
 static void add_candidates(plan_t *plan, const GPtrArray *workers);
-static ffl_run_t *cheapest_victim(const plan_t *plan, const candidate_t *cand);
+static bool is_picked(const plan_t *plan, const ffl_run_t *run);
+static ffl_run_t *cheapest_victim(const plan_t *plan, const candidate_t *cand,
+				  uint32_t missing_gpus);
+static ffl_resources_t freed_by(const plan_t *plan, const ffl_run_t *run);
+static void drop_needless(plan_t *plan, ffl_resources_t available,
+			  const ffl_resources_t *need, uint64_t *cost);
 static void add_victim(plan_t *plan, ffl_run_t *run);
-static uint64_t preemption_cost(plan_t *plan, const candidate_t *cand,
-				const ffl_resources_t *need);
+static uint64_t pick_victims(plan_t *plan, const candidate_t *cand,
+			     const ffl_resources_t *need);
+static candidate_t *cheapest_candidate(plan_t *plan,
+				       const ffl_resources_t *need);
 static bool allot_task(plan_t *plan, const ffl_resources_t *need);
 static bool make_plan(plan_t *plan, uint32_t tasks, const GPtrArray *workers);
 static void plan_init(plan_t *plan, ffl_dispatch_t *d,
@@ -93,7 +106,7 @@
 
 static bool may_preempt(const plan_t *plan, const ffl_run_t *run)
 {
-	return is_preemptible(run) &&
+	return is_preemptible(run) && !frees_room(plan, run) &&
 	       !g_hash_table_contains(plan->victims, run) &&
 	       ffl_step_allows_disruption(plan->d, run, plan->victims);
 }
@@ -102,10 +115,12 @@
 		      const ffl_place_request_t *req, bool skip_reserved)
 {
 	plan->skip_reserved = skip_reserved;
+	plan->may_wait = may_wait(d, req);
 	plan->d = d;
 	plan->req = req;
 	plan->candidates = g_array_new(FALSE, TRUE, sizeof(candidate_t));
 	plan->victims = g_hash_table_new(NULL, NULL);
+	plan->picked = g_ptr_array_new();
 	plan->cost = 0;
 }
 
@@ -113,6 +128,35 @@
 {
 	g_array_free(plan->candidates, TRUE);
 	g_hash_table_destroy(plan->victims);
+	g_ptr_array_free(plan->picked, TRUE);
+}
+
+/* Returns true if a step may wait for runs that end: if they do not and others
+ * are stopped afterwards, its job is still worth as much, and begins within its
+ * guarantee. */
+static bool may_wait(const ffl_dispatch_t *d, const ffl_place_request_t *req)
+{
+	const ffl_flow_t *flow = req->flow;
+	uint64_t waited_ms = req->now_ms - flow->first_seen_ms;
+	uint64_t both_ms = 2 * (uint64_t)d->opt.stop_max_ms;
+
+	if (req->guaranteed &&
+	    waited_ms + both_ms + RESERVE_SLACK_MS > d->opt.reclaim_ms)
+		return false;
+	return ffl_rank_tier_at(flow, waited_ms + flow->path_ms + both_ms) ==
+	       ffl_rank_tier_at(flow, waited_ms + flow->path_ms);
+}
+
+/* Returns true if a run frees its resources without being stopped by this plan:
+ * it is being stopped, or a stop would take longer than it still needs. */
+static bool frees_room(const plan_t *plan, const ffl_run_t *run)
+{
+	return run->stopping ||
+	       (plan->may_wait && run->state == FFL_RUN_RUNNING && run->rate &&
+		!run->worker->missed_renewals &&
+		!ffl_run_step(run)->runs_until_cancelled &&
+		ffl_run_remaining_ms(plan->d, run, plan->req->now_ms) <=
+			plan->d->opt.stop_max_ms);
 }
 
 static void add_candidates(plan_t *plan, const GPtrArray *workers)
@@ -127,11 +171,10 @@
 			continue;
 		cand.available = ffl_dispatch_worker_available(w);
 		cand.tasks = ffl_dispatch_worker_count_tasks(w, plan->req);
-		/* Runs that are being stopped will free their resources. */
 		for (guint i = 0; i < w->runs->len; i++) {
 			const ffl_run_t *run = g_ptr_array_index(w->runs, i);
 
-			if (run->stopping)
+			if (frees_room(plan, run))
 				ffl_resources_add(&cand.available,
 						  &run->resources);
 		}
@@ -139,7 +182,20 @@
 	}
 }
 
-static ffl_run_t *cheapest_victim(const plan_t *plan, const candidate_t *cand)
+static bool is_picked(const plan_t *plan, const ffl_run_t *run)
+{
+	for (guint i = 0; i < plan->picked->len; i++) {
+		const ffl_run_t *other = g_ptr_array_index(plan->picked, i);
+
+		if (other == run || ffl_run_same_gang(other, run))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the run that costs least for the GPUs that are still missing. */
+static ffl_run_t *cheapest_victim(const plan_t *plan, const candidate_t *cand,
+				  uint32_t missing_gpus)
 {
 	ffl_run_t *best = NULL;
 	uint64_t best_cost = 0;
@@ -148,9 +204,10 @@
 		ffl_run_t *run = g_ptr_array_index(cand->worker->runs, i);
 		uint64_t cost;
 
-		if (!may_preempt(plan, run))
+		if (!may_preempt(plan, run) || is_picked(plan, run))
 			continue;
-		cost = run->stop_cost / (run->resources.gpus + 1);
+		cost = run->stop_cost /
+		       (MIN(run->resources.gpus, missing_gpus) + 1);
 		if (!best || cost < best_cost) {
 			best = run;
 			best_cost = cost;
@@ -159,6 +216,40 @@
 	return best;
 }
 
+/* Returns what stopping a run, and its gang, frees on its worker. */
+static ffl_resources_t freed_by(const plan_t *plan, const ffl_run_t *run)
+{
+	ffl_resources_t freed = run->resources;
+
+	for (guint i = 0; i < run->worker->runs->len; i++) {
+		const ffl_run_t *other =
+			g_ptr_array_index(run->worker->runs, i);
+
+		if (other != run && ffl_run_same_gang(run, other) &&
+		    !frees_room(plan, other))
+			ffl_resources_add(&freed, &other->resources);
+	}
+	return freed;
+}
+
+/* Takes back what was picked but is not needed beside the rest. */
+static void drop_needless(plan_t *plan, ffl_resources_t available,
+			  const ffl_resources_t *need, uint64_t *cost)
+{
+	for (guint i = plan->picked->len; i-- > 0;) {
+		ffl_run_t *run = g_ptr_array_index(plan->picked, i);
+		ffl_resources_t freed = freed_by(plan, run);
+		ffl_resources_t rest = available;
+
+		ffl_resources_subtract(&rest, &freed);
+		if (!ffl_resources_fit(&rest, need))
+			continue;
+		available = rest;
+		*cost -= run->stop_cost;
+		g_ptr_array_remove_index(plan->picked, i);
+	}
+}
+
 /* A gang is stopped as a whole and frees resources on all of its workers. */
 static void add_victim(plan_t *plan, ffl_run_t *run)
 {
@@ -171,67 +262,90 @@
 		if (other != run && !ffl_run_same_gang(run, other))
 			continue;
 		g_hash_table_add(plan->victims, other);
+		if (frees_room(plan, other))
+			continue;
 		for (guint j = 0; j < plan->candidates->len; j++) {
 			candidate_t *cand = &g_array_index(plan->candidates,
 							   candidate_t, j);
 
-			if (cand->worker == other->worker)
-				ffl_resources_add(&cand->available,
-						  &other->resources);
+			if (cand->worker != other->worker)
+				continue;
+			ffl_resources_add(&cand->available, &other->resources);
+			cand->is_costed = false;
 		}
 	}
 }
 
-/* Returns the estimated cost of fitting one more task on a worker, in
- * core-milliseconds; UINT64_MAX if that is not possible. */
-static uint64_t preemption_cost(plan_t *plan, const candidate_t *cand,
-				const ffl_resources_t *need)
+/* Picks the runs to stop so that one more task fits on a worker. Returns what
+ * that costs, in core-milliseconds; UINT64_MAX if it is not possible. */
+static uint64_t pick_victims(plan_t *plan, const candidate_t *cand,
+			     const ffl_resources_t *need)
 {
 	ffl_resources_t available = cand->available;
 	uint64_t cost = 0;
 
+	g_ptr_array_set_size(plan->picked, 0);
 	if (plan->req->step->per_worker_max &&
 	    cand->tasks >= plan->req->step->per_worker_max)
 		return UINT64_MAX;
-	if (ffl_resources_fit(&available, need))
-		return 0;
-	for (guint i = 0; i < cand->worker->runs->len; i++) {
-		const ffl_run_t *run = g_ptr_array_index(cand->worker->runs, i);
-
-		if (!may_preempt(plan, run))
-			continue;
-		ffl_resources_add(&available, &run->resources);
+	while (!ffl_resources_fit(&available, need)) {
+		ffl_run_t *run = cheapest_victim(
+			plan, cand,
+			need->gpus - MIN(need->gpus, available.gpus));
+		ffl_resources_t freed;
+
+		if (!run)
+			return UINT64_MAX;
+		freed = freed_by(plan, run);
+		ffl_resources_add(&available, &freed);
+		g_ptr_array_add(plan->picked, run);
 		cost += run->stop_cost;
-		if (ffl_resources_fit(&available, need))
-			return cost;
 	}
-	return UINT64_MAX;
+	drop_needless(plan, available, need, &cost);
+	return cost;
 }
 
-static bool allot_task(plan_t *plan, const ffl_resources_t *need)
+static candidate_t *cheapest_candidate(plan_t *plan,
+				       const ffl_resources_t *need)
 {
 	candidate_t *best = NULL;
-	uint64_t best_cost = UINT64_MAX;
 
 	for (guint i = 0; i < plan->candidates->len; i++) {
 		candidate_t *cand =
 			&g_array_index(plan->candidates, candidate_t, i);
-		uint64_t cost = preemption_cost(plan, cand, need);
 
-		if (cost < best_cost) {
+		if (!cand->is_costed)
+			cand->cost = pick_victims(plan, cand, need);
+		cand->is_costed = true;
+		if (cand->cost < (best ? best->cost : UINT64_MAX))
 			best = cand;
-			best_cost = cost;
-		}
 	}
-	if (!best)
-		return false;
-	while (!ffl_resources_fit(&best->available, need)) {
-		ffl_run_t *victim = cheapest_victim(plan, best);
+	return best;
+}
 
-		if (!victim)
+static bool allot_task(plan_t *plan, const ffl_resources_t *need)
+{
+	candidate_t *best;
+
+	/* A stop elsewhere may have used up what a step allows since the cost
+	 * was worked out. */
+	do {
+		best = cheapest_candidate(plan, need);
+		if (!best)
+			return false;
+		best->cost = pick_victims(plan, best, need);
+	} while (best->cost == UINT64_MAX);
+	while (!ffl_resources_fit(&best->available, need)) {
+		if (pick_victims(plan, best, need) == UINT64_MAX)
 			return false;
-		add_victim(plan, victim);
+		for (guint i = 0; i < plan->picked->len; i++) {
+			ffl_run_t *run = g_ptr_array_index(plan->picked, i);
+
+			if (may_preempt(plan, run))
+				add_victim(plan, run);
+		}
 	}
+	best->is_costed = false;
 	ffl_resources_subtract(&best->available, need);
 	best->tasks++;
 	return true;
