--- a/bench/dispatch_bench.c
+++ b/bench/dispatch_bench.c
@@ -12,7 +12,7 @@
 #include "fireflyledge/rng.h"
 
 #define WORKERS	    350
-#define WORKERS_MAX 2500
+#define WORKERS_MAX 3000
 #define RACK	    8
 #define GPUS	    8
 #define CPU_MILLI   64000
@@ -382,6 +382,7 @@
 	play(WORKERS, 200);
 	play(2 * WORKERS, 70);
 	play(4 * WORKERS, 70);
-	play(WORKERS_MAX, 70);
+	play(2500, 70);
+	play(WORKERS_MAX, 12);
 	return 0;
 }
