dispatch: the leader's step costs less for each run and worker

Cause: each step worked out the expected rate and the step of every run, looked at every worker in a hash table for renew orders that only workers with runs, ends to acknowledge or an open order can need, and copied resources by calls that can't be inlined. Change: a run that reports progress is not compared with the expected rate; one that goes on with nothing to order is passed over; the leader follows the workers to which a renew order may come due; the three functions on resources are inline. Why it works: the orders are the same; a worker is followed from its first run or restart until its last end has been acknowledged.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -59,6 +59,7 @@
 	bool listed;		   /**< present in the worker list */
 	bool entry_outdated;	   /**< entry is an earlier incarnation's */
 	bool evacuated;		   /**< its data centre is being evacuated */
+	bool followed;		   /**< see ffl_dispatch_t, is in its array */
 	uint64_t listed_ms;	   /**< when its entry was last read */
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
@@ -204,6 +205,9 @@
 	GHashTable *workers;	  /**< ffl_dispatch_worker_t by id */
 	GPtrArray *runs;	  /**< of ffl_run_t, owned */
 	GHashTable *runs_by_flow; /**< GPtrArray of ffl_run_t by flow */
+	/** Workers to which renew orders may come due, of
+	 * ffl_dispatch_worker_t. */
+	GPtrArray *followed;
 	GPtrArray *listed; /**< listed ffl_dispatch_worker_t, sorted by id */
 	GPtrArray *racks;  /**< ffl_rack_t of the listed workers */
 	bool racks_valid;  /**< listed and racks are up to date */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -39,6 +39,7 @@
 	d->flows = flows;
 	d->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   ffl_dispatch_worker_destroy);
+	d->followed = g_ptr_array_new();
 	d->runs = g_ptr_array_new();
 	d->runs_by_flow = g_hash_table_new_full(
 		NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
@@ -66,6 +67,7 @@
 	ffl_advice_finish(&d->advice);
 	g_hash_table_destroy(d->calls);
 	g_hash_table_destroy(d->workers);
+	g_ptr_array_free(d->followed, TRUE);
 }
 
 static void adopt_runs(ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms)
@@ -120,6 +122,7 @@
 	g_hash_table_remove_all(d->calls);
 	ffl_runs_clear(d);
 	ffl_racks_invalidate(d);
+	g_ptr_array_set_size(d->followed, 0);
 	g_hash_table_remove_all(d->workers);
 	d->dirty = false;
 }
@@ -190,13 +193,9 @@
 
 void ffl_dispatch_confirm_batch(ffl_dispatch_t *d, uint64_t batch)
 {
-	GHashTableIter iter;
-	gpointer value;
-
 	d->recorded_batch = batch;
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_dispatch_worker_t *w = value;
+	for (guint i = 0; i < d->followed->len; i++) {
+		ffl_dispatch_worker_t *w = g_ptr_array_index(d->followed, i);
 
 		if (!w->ack_batch || w->ack_batch > batch)
 			continue;
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -54,14 +54,40 @@
 ffl_dispatch_worker_t *ffl_dispatch_worker_get(ffl_dispatch_t *d,
 					       const char *id);
 void ffl_dispatch_worker_destroy(void *data);
-bool ffl_resources_fit(const ffl_resources_t *available,
-		       const ffl_resources_t *need);
+/** Must be called when a run is added to a worker, and when it has to be asked
+ * for a report. */
+void ffl_dispatch_worker_follow(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
 void ffl_resources_add(ffl_resources_t *to, const ffl_resources_t *amount);
+
+/* The next three are called for each worker in the search for a place. */
+
+static inline bool ffl_resources_fit(const ffl_resources_t *available,
+				     const ffl_resources_t *need)
+{
+	return available->cpu_milli >= need->cpu_milli &&
+	       available->mem_mb >= need->mem_mb &&
+	       available->gpus >= need->gpus;
+}
+
 /** Subtracts an amount; no resource goes below 0. */
-void ffl_resources_subtract(ffl_resources_t *from,
-			    const ffl_resources_t *amount);
+static inline void ffl_resources_subtract(ffl_resources_t *from,
+					  const ffl_resources_t *amount)
+{
+	from->cpu_milli -= MIN(from->cpu_milli, amount->cpu_milli);
+	from->mem_mb -= MIN(from->mem_mb, amount->mem_mb);
+	from->gpus -= MIN(from->gpus, amount->gpus);
+}
+
 /** Returns the part of a worker's capacity that no run uses. */
-ffl_resources_t ffl_dispatch_worker_available(const ffl_dispatch_worker_t *w);
+static inline ffl_resources_t
+ffl_dispatch_worker_available(const ffl_dispatch_worker_t *w)
+{
+	ffl_resources_t available = w->entry.capacity;
+
+	ffl_resources_subtract(&available, &w->used);
+	return available;
+}
+
 /** Returns the time at which a lease given now has ended on the slowest clock.
  */
 uint64_t ffl_lease_end_ms(uint64_t lease_ms, uint64_t now_ms);
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -61,6 +61,7 @@
 	flow->tasks[task].live_runs++;
 	ffl_resources_add(&w->used, &added->resources);
 	g_ptr_array_add(w->runs, added);
+	ffl_dispatch_worker_follow(d, w);
 	g_ptr_array_add(d->runs, added);
 	index_run(d, added);
 	return added;
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -23,6 +23,7 @@
 static uint32_t renewals_max(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool renewal_due(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unreported_run(const ffl_dispatch_worker_t *w);
+static bool is_settled(const ffl_dispatch_worker_t *w);
 static bool has_ends_to_acknowledge(const ffl_dispatch_worker_t *w);
 static uint64_t acked_to_send(const ffl_dispatch_worker_t *w);
 static void send_renewal(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
@@ -246,6 +247,9 @@
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms)
 {
+	if (run->state == FFL_RUN_RUNNING && !run->stopping &&
+	    run->limit_percent == run->acked_limit_percent)
+		return;
 	if (run->stopping && run->state == FFL_RUN_PLANNED) {
 		ffl_run_finish(d, run, FFL_RUN_END_STOPPED, NULL, now_ms);
 		return;
@@ -282,18 +286,26 @@
 	}
 }
 
-void ffl_send_worker_orders(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms)
+/* Returns true if no renew order to a worker can come due before it is given a
+ * run or listed anew. */
+static bool is_settled(const ffl_dispatch_worker_t *w)
 {
-	GHashTableIter iter;
-	gpointer value;
+	return !w->runs->len && !w->fence_due && !w->missed_renewals &&
+	       !w->renewals_open && !w->ack_batch && w->acked <= w->acked_sent;
+}
 
-	g_hash_table_iter_init(&iter, d->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		ffl_dispatch_worker_t *w = value;
+void ffl_send_worker_orders(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms)
+{
+	for (guint i = d->followed->len; i-- > 0;) {
+		ffl_dispatch_worker_t *w = g_ptr_array_index(d->followed, i);
 
 		ffl_watch_worker(d, w, now_ms);
 		if (renewal_due(w, now_ms) &&
 		    ffl_dispatch_worker_assign_token(d, w))
 			send_renewal(d, w, orders, now_ms);
+		if (!is_settled(w))
+			continue;
+		w->followed = false;
+		g_ptr_array_remove_index_fast(d->followed, i);
 	}
 }
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -22,7 +22,7 @@
 static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
 				    const ffl_dispatch_worker_t *w);
-static void stop_cancelled(ffl_dispatch_t *d);
+static void stop_cancelled(ffl_dispatch_t *d, ffl_run_t *run);
 
 /* Returns the time that a run still needs: from its own rate if that is known,
  * otherwise from the run time of others. */
@@ -47,13 +47,13 @@
 static void leave_draining(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	const ffl_worker_entry_t *entry = &run->worker->entry;
-	uint32_t step = ffl_flow_step_of(run->flow, run->task);
 	uint64_t left_ms = now_ms - run->worker->listed_ms;
-	bool saves = run->flow->spec.steps[step].writes_checkpoints;
+	const ffl_step_t *step;
 
 	if (!entry->draining || run->stopping || run->state != FFL_RUN_RUNNING)
 		return;
-	if (run->flow->spec.steps[step].runs_until_cancelled) {
+	step = ffl_run_step(run);
+	if (step->runs_until_cancelled) {
 		if (ffl_step_allows_disruption(d, run, NULL))
 			ffl_run_request_stop(d, run, "drained");
 		return;
@@ -61,7 +61,7 @@
 	left_ms = entry->drain_left_ms > left_ms
 			  ? entry->drain_left_ms - left_ms
 			  : 0;
-	if (!saves)
+	if (!step->writes_checkpoints)
 		left_ms += DRAIN_OVERRUN_MS;
 	if (left_ms < remaining_ms(d, run, now_ms))
 		ffl_run_request_stop(d, run, "drained");
@@ -72,11 +72,11 @@
 	uint64_t stalled_ms = run->report_clock_ms -
 			      MIN(run->report_clock_ms, run->progress_clock_ms);
 
-	if (run->worker->missed_renewals || run->percent >= PERCENT)
+	if (run->worker->missed_renewals || run->percent >= PERCENT ||
+	    stalled_ms < HANG_KNOWN_RATE_MS)
 		return false;
-	return stalled_ms >= (ffl_run_expected_rate(d, run) >= HANG_RATE_MIN
-				      ? HANG_KNOWN_RATE_MS
-				      : HANG_MS);
+	return stalled_ms >= HANG_MS ||
+	       ffl_run_expected_rate(d, run) >= HANG_RATE_MIN;
 }
 
 /* Returns true if the data centre is evacuated before a start was ordered, or
@@ -108,42 +108,35 @@
  * against its worker. */
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
-	const ffl_step_t *step = ffl_run_step(run);
-
 	leave_draining(d, run, now_ms);
 	withdraw_start(d, run, now_ms);
 	if (run->state != FFL_RUN_RUNNING || run->stopping ||
-	    step->runs_until_cancelled)
-		return;
-	if (!is_hung(d, run))
+	    !is_hung(d, run) || ffl_run_step(run)->runs_until_cancelled)
 		return;
 	ffl_trust_count_failure(d, run, now_ms);
 	ffl_run_request_stop(d, run, "hangs");
 }
 
-static void stop_cancelled(ffl_dispatch_t *d)
+static void stop_cancelled(ffl_dispatch_t *d, ffl_run_t *run)
 {
-	for (guint i = 0; i < d->runs->len; i++) {
-		ffl_run_t *run = g_ptr_array_index(d->runs, i);
-		const ffl_task_t *task = &run->flow->tasks[run->task];
-		bool current =
-			task->state == FFL_TASK_PLACED && task->run == run->run;
+	const ffl_flow_t *flow = run->flow;
+	const ffl_task_t *task;
 
-		if (run->stopping || !current)
-			continue;
-		if (run->flow->cancelled)
-			ffl_run_request_stop(d, run, "cancelled");
-		else if (run->flow->failed)
-			ffl_run_request_stop(d, run, "failed");
-	}
+	if (run->stopping || (!flow->cancelled && !flow->failed))
+		return;
+	task = &flow->tasks[run->task];
+	if (task->state == FFL_TASK_PLACED && task->run == run->run)
+		ffl_run_request_stop(d, run,
+				     flow->cancelled ? "cancelled" : "failed");
 }
 
 void ffl_watch_runs(ffl_dispatch_t *d, uint64_t now_ms)
 {
-	stop_cancelled(d);
-	for (guint i = d->runs->len; i-- > 0;) {
-		if (i < d->runs->len)
-			watch_run(d, g_ptr_array_index(d->runs, i), now_ms);
+	for (guint i = 0; i < d->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(d->runs, i);
+
+		stop_cancelled(d, run);
+		watch_run(d, run, now_ms);
 	}
 }
 
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -16,6 +16,7 @@
 				 const ffl_worker_entry_t *entry);
 static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     uint64_t now_ms);
+static void remove_unused(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     uint64_t list_followed_ms, uint64_t now_ms);
 
@@ -35,6 +36,23 @@
 	return w;
 }
 
+void ffl_dispatch_worker_follow(ffl_dispatch_t *d, ffl_dispatch_worker_t *w)
+{
+	if (w->followed)
+		return;
+	w->followed = true;
+	g_ptr_array_add(d->followed, w);
+}
+
+static void remove_unused(ffl_dispatch_t *d, ffl_dispatch_worker_t *w)
+{
+	if (w->runs->len || w->calls)
+		return;
+	if (w->followed)
+		g_ptr_array_remove_fast(d->followed, w);
+	g_hash_table_remove(d->workers, w->entry.id);
+}
+
 void ffl_dispatch_worker_destroy(void *data)
 {
 	ffl_dispatch_worker_t *w = data;
@@ -43,14 +61,6 @@
 	g_free(w);
 }
 
-bool ffl_resources_fit(const ffl_resources_t *available,
-		       const ffl_resources_t *need)
-{
-	return available->cpu_milli >= need->cpu_milli &&
-	       available->mem_mb >= need->mem_mb &&
-	       available->gpus >= need->gpus;
-}
-
 void ffl_resources_add(ffl_resources_t *to, const ffl_resources_t *amount)
 {
 	to->cpu_milli += amount->cpu_milli;
@@ -58,22 +68,6 @@
 	to->gpus += amount->gpus;
 }
 
-void ffl_resources_subtract(ffl_resources_t *from,
-			    const ffl_resources_t *amount)
-{
-	from->cpu_milli -= MIN(from->cpu_milli, amount->cpu_milli);
-	from->mem_mb -= MIN(from->mem_mb, amount->mem_mb);
-	from->gpus -= MIN(from->gpus, amount->gpus);
-}
-
-ffl_resources_t ffl_dispatch_worker_available(const ffl_dispatch_worker_t *w)
-{
-	ffl_resources_t available = w->entry.capacity;
-
-	ffl_resources_subtract(&available, &w->used);
-	return available;
-}
-
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms)
 {
@@ -219,6 +213,7 @@
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
+	ffl_dispatch_worker_follow(d, w);
 	d->replan = true;
 }
 
@@ -260,8 +255,10 @@
 	}
 	/* It may have been on the list before, under orders of this leader. An
 	 * entry without a start time may be another writer's. */
-	if (!w->listed && (written_after_ms || !entry->born_ms))
+	if (!w->listed && (written_after_ms || !entry->born_ms)) {
 		w->fence_due = true;
+		ffl_dispatch_worker_follow(d, w);
+	}
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
 				  w->runs->len);
@@ -323,8 +320,7 @@
 		return;
 	ffl_racks_invalidate(d);
 	if (!w->listed) {
-		if (!w->runs->len && !w->calls)
-			g_hash_table_remove(d->workers, id);
+		remove_unused(d, w);
 		return;
 	}
 	w->listed = false;
@@ -337,6 +333,5 @@
 			  left);
 	if (left)
 		end_settled_runs(d, w, now_ms);
-	if (!w->runs->len && !w->calls)
-		g_hash_table_remove(d->workers, id);
+	remove_unused(d, w);
 }
