--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -59,7 +59,7 @@
 	bool listed;		   /**< present in the worker list */
 	bool entry_outdated;	   /**< entry is an earlier incarnation's */
 	bool evacuated;		   /**< its data centre is being evacuated */
-	bool followed;		   /**< see ffl_dispatch_t, is in its array */
+	bool followed;		   /**< is in the dispatcher's array of them */
 	uint64_t listed_ms;	   /**< when its entry was last read */
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
