node: a host's link counts for who leads

Cause: the size by which hosts claim and ask a leader to resign was its processor alone. Change: [host] link, filled in from the platform's settings; ffl_lead_size_milli() counts 20 thousandths of a core for each Mbit/s, as a leader of 350 workers uses a tenth of a core and 5 Mbit/s (docs/CAPACITY.md), so a host of 0.3 cores and 10 Mbit/s counts as 0.2. Tests: /node/host-size; larger_host_leads as before.

--- a/daemon/help.c
+++ b/daemon/help.c
@@ -19,6 +19,7 @@
 		[FFL_SET_DURATION] = " ms",
 		[FFL_SET_SIZE] = " bytes",
 		[FFL_SET_CORES] = " thousandths of a core",
+		[FFL_SET_RATE] = " kbit/s",
 	};
 
 	fputs(ffl_setting_type_name(s->type), out);
--- a/daemon/reload.c
+++ b/daemon/reload.c
@@ -18,6 +18,7 @@
 		[FFL_SET_DURATION] = sizeof(uint32_t),
 		[FFL_SET_SIZE] = sizeof(uint32_t),
 		[FFL_SET_CORES] = sizeof(uint32_t),
+		[FFL_SET_RATE] = sizeof(uint32_t),
 	};
 
 	return bytes[s->type];
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -270,8 +270,7 @@
 				   * evacuated data centre */
 	uint32_t stop_drain_ms;	  /**< longest duration of a planned stop */
 	uint32_t keep_ended_ms;	  /**< how long an ended job can be queried */
-	uint32_t size_milli;	  /**< processor, in thousandths of a core; 0:
-				   * not known */
+	uint32_t size_milli; /**< see ffl_lead_size_milli(); 0: not known */
 	uint32_t record_bytes_max; /**< largest record that the log takes */
 	uint32_t append_bytes_max; /**< largest append that it takes */
 	uint32_t partitions;	   /**< of a topic of the log; 0: 1 */
@@ -446,4 +445,10 @@
 const char *ffl_response_kind_name(uint32_t kind);
 const char *ffl_store_outcome_name(uint32_t outcome);
 
+/**
+ * Returns how much a host can carry as leader: its processor in thousandths of
+ * a core, or less if its link is narrow for that.
+ */
+uint32_t ffl_lead_size_milli(uint32_t processor_milli, uint32_t link_kbit);
+
 #endif
--- a/include/fireflyledge/settings.h
+++ b/include/fireflyledge/settings.h
@@ -24,6 +24,7 @@
 	FFL_SET_DURATION, /**< uint32_t in ms; units ms, s and min */
 	FFL_SET_SIZE,	  /**< uint32_t in bytes; units B, KB and MB */
 	FFL_SET_CORES,	  /**< uint32_t in thousandths of a core; unit core */
+	FFL_SET_RATE,	  /**< uint32_t in kbit/s; units kbit and Mbit */
 	FFL_SET__MAX
 } ffl_setting_type_t;
 
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -53,6 +53,7 @@
 	uint32_t grace_ms;
 	uint32_t processor_milli; /**< thousandths of each core */
 	uint32_t cores;
+	uint32_t link_kbit; /**< kbit/s */
 } jobd_settings_t;
 
 /** An event for the core, with the memory that it points to. */
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -39,7 +39,8 @@
 	opt->config_skew_ms = s->config_skew_ms;
 	opt->evacuate_ms = s->evacuate_ms;
 	opt->keep_ended_ms = s->keep_ended_ms;
-	opt->size_milli = s->processor_milli * s->cores;
+	opt->size_milli = ffl_lead_size_milli(s->processor_milli * s->cores,
+					      s->link_kbit);
 	opt->record_bytes_max = s->record_bytes;
 	opt->append_bytes_max = s->append_bytes;
 	opt->partitions = s->partitions;
--- a/jobd/settings.c
+++ b/jobd/settings.c
@@ -23,6 +23,8 @@
 	    "1core", "share of each core that the host may use"),
 	ROW("host", "cores", FFL_SET_COUNT, cores, 1, 4096, "1",
 	    "number of cores of the host"),
+	ROW("host", "link", FFL_SET_RATE, link_kbit, 1, UINT32_MAX, "1000Mbit",
+	    "rate of the host's own link"),
 	ROW("listen", "callers", FFL_SET_ADDRESS, callers_addr, 0, 0, NULL,
 	    "address on which callers are served"),
 	ROW("listen", "ready", FFL_SET_ADDRESS, ready_addr, 0, 0, NULL,
--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -53,6 +53,8 @@
 		       void *dst);
 static void store_cores(parser_t *r, const ffl_setting_t *s, const char *value,
 			void *dst);
+static void store_rate(parser_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst);
 static void store_number(parser_t *r, const ffl_setting_t *s, const char *value,
 			 const unit_t *units, void *dst);
 static bool is_valid_address(const char *text);
@@ -156,12 +158,16 @@
 };
 
 static const unit_t core_units[] = { { "core", 1000 }, { NULL, 0 } };
+static const unit_t rate_units[] = { { "kbit", 1 },
+				     { "Mbit", 1000 },
+				     { NULL, 0 } };
 
 static const store_fn_t store_fns[FFL_SET__MAX] = {
 	[FFL_SET_NAME] = store_name,	     [FFL_SET_ADDRESS] = store_address,
 	[FFL_SET_URL] = store_url,	     [FFL_SET_HASH] = store_hash,
 	[FFL_SET_COUNT] = store_count,	     [FFL_SET_SIZE] = store_size,
 	[FFL_SET_DURATION] = store_duration, [FFL_SET_CORES] = store_cores,
+	[FFL_SET_RATE] = store_rate,
 };
 
 static const char *const type_names[FFL_SET__MAX] = {
@@ -169,6 +175,7 @@
 	[FFL_SET_URL] = "url",	   [FFL_SET_HASH] = "hash",
 	[FFL_SET_COUNT] = "count", [FFL_SET_DURATION] = "duration",
 	[FFL_SET_SIZE] = "size",   [FFL_SET_CORES] = "cores",
+	[FFL_SET_RATE] = "rate",
 };
 
 uint32_t ffl_settings_count(void)
@@ -327,6 +334,12 @@
 	store_number(r, s, value, core_units, dst);
 }
 
+static void store_rate(parser_t *r, const ffl_setting_t *s, const char *value,
+		       void *dst)
+{
+	store_number(r, s, value, rate_units, dst);
+}
+
 static const ffl_setting_t *find_key(const parser_t *r, const char *section,
 				     const char *key, uint32_t *index)
 {
--- a/lib/node/claim.c
+++ b/lib/node/claim.c
@@ -19,6 +19,11 @@
 /** Size in thousandths of a core that is assumed for a host that does not state
  * its own, and for the largest host while no leader has been seen. */
 #define DEFAULT_SIZE_MILLI 1000
+/** Processor that goes with a leader's traffic, in thousandths of a core for
+ * each Mbit/s: a tenth of a core and 5 Mbit/s at 350 workers
+ * (docs/CAPACITY.md). */
+#define SIZE_MILLI_PER_MBIT 20
+#define KBIT_PER_MBIT	    1000
 /** A leader of at most half the size of another host is asked to resign at the
  * earliest this long after it began to lead and after the other host's reads
  * of the log became healthy. */
@@ -32,6 +37,14 @@
 static void start_loading(ffl_node_t *n);
 static void request_resignation(ffl_node_t *n);
 
+uint32_t ffl_lead_size_milli(uint32_t processor_milli, uint32_t link_kbit)
+{
+	uint64_t link_milli =
+		(uint64_t)link_kbit * SIZE_MILLI_PER_MBIT / KBIT_PER_MBIT;
+
+	return (uint32_t)MAX(MIN(processor_milli, link_milli), 1);
+}
+
 void ffl_lead_update_holder(ffl_node_t *n, const ffl_lead_record_t *r,
 			    bool alive)
 {
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -1746,6 +1746,31 @@
 	g_array_free(acts, TRUE);
 }
 
+/** A host's processor and link, and the size that counts. */
+static const struct {
+	const char *name;
+	uint32_t processor_milli;
+	uint32_t link_kbit;
+	uint32_t size_milli;
+} host_sizes[] = {
+	{ "wide link", 500, 200000, 500 },
+	{ "narrow link", 300, 10000, 200 },
+	{ "small processor", 90, 10000, 90 },
+	{ "hardly a link", 500, 1, 1 },
+	{ "no limit known", 4000000, UINT32_MAX, 4000000 },
+};
+
+static void test_host_size(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(host_sizes); i++) {
+		uint32_t size = ffl_lead_size_milli(
+			host_sizes[i].processor_milli, host_sizes[i].link_kbit);
+
+		g_test_message("%s", host_sizes[i].name);
+		g_assert_cmpuint(size, ==, host_sizes[i].size_milli);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1755,6 +1780,7 @@
 		g_test_add_data_func(path, &scenarios[i], test_scenario);
 		g_free(path);
 	}
+	g_test_add_func("/node/host-size", test_host_size);
 	g_test_add_func("/node/last-ends", test_last_ends);
 	g_test_add_func("/node/superseded-leader-extends-leases",
 			test_superseded_leader_extends);
