--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -5,8 +5,6 @@
 /** Freed resources stay reserved for guaranteed work for this long beyond the
  * longest time that a stop takes. */
 #define RESERVE_SLACK_MS 600
-/** Time that a job takes on slow workers, in percent of the usual one. */
-#define SLOW_RUN_PERCENT 140
 /** Most work that a step of priority 0 beyond its guarantee may cause to be
  * lost, in percent of its own work. */
 #define OWN_WORK_PERCENT 100
@@ -141,12 +139,11 @@
 	const ffl_flow_t *flow = req->flow;
 	uint64_t waited_ms = req->now_ms - flow->first_seen_ms;
 	uint64_t both_ms = 2 * (uint64_t)d->opt.stop_max_ms;
-	uint64_t slow_ms = flow->path_ms * SLOW_RUN_PERCENT / PERCENT;
 
 	if (req->guaranteed &&
 	    waited_ms + both_ms + RESERVE_SLACK_MS > d->opt.reclaim_ms)
 		return false;
-	return ffl_rank_tier_at(flow, waited_ms + slow_ms + both_ms) ==
+	return ffl_rank_tier_at(flow, waited_ms + flow->path_ms + both_ms) ==
 	       ffl_rank_tier_at(flow, waited_ms + flow->path_ms);
 }
 
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1210,15 +1210,6 @@
 		  0,
 		  2,
 		  { false, true } },
-		{ "one ends soon, late if slow then",
-		  { 1, 1 },
-		  { 8, 8 },
-		  2300,
-		  1,
-		  8,
-		  1000,
-		  2,
-		  { false, true } },
 	};
 
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
