node: a leader's silence is judged by the log's own answers

Cause: a silent leader was replaced after a fixed 1.8 s, and waits, reads of the progress; a lost one was noticed 2.05 s after its last sign of life. Jobs of first priority that came meanwhile were late.

A silence counts up to the sending of a read that brought no sign, so a suspended or cut off host counts none. The progress is read 0.1 s ahead of the claim.

Only an earlier incarnation of this host has ended.

--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -16,6 +16,7 @@
 #include "fireflyledge/explain.h"
 #include "fireflyledge/rng.h"
 #include "fireflyledge/routes.h"
+#include "fireflyledge/silence.h"
 
 /** Topics of the log. */
 typedef enum {
@@ -360,6 +361,7 @@
 	uint64_t holder_since_ms;    /**< when the holder was first seen */
 	uint64_t holder_seen_ms; /**< when it was last seen alive, or the wait
 				  * for a leader began */
+	ffl_silence_t silence;	 /**< of the holder */
 	uint32_t min_rtt_ms; /**< shortest round trip to the log; 0: none yet */
 	bool loading;	     /**< progress is being read before a claim */
 	uint64_t resign_asked_ms; /**< when a leader was last asked to resign */
--- a/lib/node/claim.c
+++ b/lib/node/claim.c
@@ -2,9 +2,11 @@
 
 #include "lib/node/node_int.h"
 
-/** A leader that is silent for this long is replaced: the duration of its
- * authority (1300 ms) and a margin. */
-#define TAKEOVER_SILENCE_MS 1800
+/** The progress is read this long before a silence counts as a loss, so that
+ * the claim can follow at once. */
+#define LOAD_AHEAD_MS 100
+/** Shortest interval between two reads that ask for a sign of life. */
+#define SIGN_READ_MIN_MS 50
 /** The log must have answered without failure for this long before a leader's
  * silence counts. */
 #define LOG_HEALTHY_MS 900
@@ -24,14 +26,30 @@
  * of the log became healthy. */
 #define RESIGN_REQUEST_WAIT_MS 2000
 
+static void note_silence(ffl_node_t *n);
 static bool is_rest_read(const ffl_node_t *n);
 static bool knows_all_jobs(const ffl_node_t *n);
 static uint32_t claim_wait_ms(const ffl_node_t *n);
 static bool may_lead(const ffl_node_t *n);
-static bool is_claim_due(const ffl_node_t *n);
+static uint32_t silence_limit_ms(const ffl_node_t *n);
+static bool is_silent_for(ffl_node_t *n, uint32_t ms);
+static bool is_claim_due(ffl_node_t *n);
 static void start_loading(ffl_node_t *n);
 static void request_resignation(ffl_node_t *n);
 
+/* The silence that ends is as long as reads have shown: the interval between
+ * this host's reads is none of the leader's. */
+static void note_silence(ffl_node_t *n)
+{
+	ffl_lead_t *l = &n->lead;
+	uint64_t caught_up_ms = n->tails[FFL_TOPIC_STATES].caught_up_ms;
+
+	if (l->holder_since_ms < l->holder_seen_ms &&
+	    l->holder_seen_ms < caught_up_ms)
+		ffl_silence_end(&l->silence, caught_up_ms - l->holder_seen_ms,
+				n->now_ms);
+}
+
 void ffl_lead_update_holder(ffl_node_t *n, const ffl_lead_record_t *r,
 			    bool alive)
 {
@@ -47,6 +65,7 @@
 			      "token=%" PRIu64 " size=%u resigned=%d", r->token,
 			      r->size_milli, r->resigned);
 		l->holder_since_ms = n->now_ms;
+		ffl_silence_forget(&l->silence);
 	}
 	ffl_copy(l->holder, sizeof(l->holder), r->holder);
 	l->holder_incarnation = r->incarnation;
@@ -56,6 +75,7 @@
 	l->holder_resigned = r->resigned;
 	if (!alive)
 		return;
+	note_silence(n);
 	l->holder_seen_ms = n->now_ms;
 	if (l->loading && !l->writes && !r->resigned &&
 	    r->incarnation != n->incarnation)
@@ -151,12 +171,38 @@
 	       t->caught_up_ms + FFL_LEAD_STALENESS_MAX_MS >= n->now_ms;
 }
 
+static uint32_t silence_limit_ms(const ffl_node_t *n)
+{
+	const ffl_lead_t *l = &n->lead;
+
+	return ffl_silence_limit_ms(
+		&l->silence, n->now_ms - l->holder_since_ms,
+		n->now_ms - n->tails[FFL_TOPIC_STATES].healthy_since_ms,
+		n->now_ms);
+}
+
+/* Returns true if a read that was sent @p ms after the leader's last sign of
+ * life has brought no other: a host that was suspended or cut off has seen
+ * none for that long, either. */
+static bool is_silent_for(ffl_node_t *n, uint32_t ms)
+{
+	uint64_t until_ms = n->lead.holder_seen_ms + ms;
+	ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
+
+	if (n->now_ms < until_ms)
+		return false;
+	if (t->caught_up_ms < until_ms &&
+	    n->now_ms - t->peek_sent_ms >= SIGN_READ_MIN_MS)
+		ffl_tail_peek(n, t);
+	return t->caught_up_ms >= until_ms;
+}
+
 /* Returns true if, to this host's knowledge, no host leads and the wait before
- * its own claim is over. */
-static bool is_claim_due(const ffl_node_t *n)
+ * its own claim is over; as long as the progress is still to be read, that it
+ * will soon be. */
+static bool is_claim_due(ffl_node_t *n)
 {
 	const ffl_lead_t *l = &n->lead;
-	uint32_t wait_ms = TAKEOVER_SILENCE_MS + claim_wait_ms(n);
 
 	if (!may_lead(n))
 		return false;
@@ -164,11 +210,12 @@
 	    l->holder_incarnation != n->incarnation)
 		return true;
 	if (!l->holder[0] || l->holder_resigned)
-		wait_ms = claim_wait_ms(n);
-	else if (n->now_ms - n->tails[FFL_TOPIC_STATES].healthy_since_ms <
-		 LOG_HEALTHY_MS)
+		return n->now_ms - l->holder_seen_ms >= claim_wait_ms(n);
+	if (n->now_ms - n->tails[FFL_TOPIC_STATES].healthy_since_ms <
+	    LOG_HEALTHY_MS)
 		return false;
-	return n->now_ms - l->holder_seen_ms >= wait_ms;
+	return is_silent_for(n, silence_limit_ms(n) + claim_wait_ms(n) -
+					(l->loading ? 0 : LOAD_AHEAD_MS));
 }
 
 static void start_loading(ffl_node_t *n)
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -224,8 +224,11 @@
 static void become_leader(ffl_node_t *n, uint64_t offset)
 {
 	ffl_lead_t *l = &n->lead;
+	/* A record of this incarnation may be the claim itself, and hides whom
+	 * it follows. */
 	bool has_ended =
-		l->holder_resigned || strcmp(l->holder, n->opt.name) == 0;
+		l->holder_resigned || (strcmp(l->holder, n->opt.name) == 0 &&
+				       l->holder_incarnation != n->incarnation);
 	/* Unless it is known to have ended, the earlier leader may go on
 	 * extending leases. Its last append precedes this claim. When it was
 	 * last seen says less: its appends to the topic of states may be late
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -147,8 +147,6 @@
 
 /* lead.c */
 
-/** Interval of the leader's heartbeats. */
-#define FFL_LEAD_HEARTBEAT_MS 400
 /** A host may lead, and a leader may start runs, only while it knows all
  * records older than this. */
 #define FFL_LEAD_STALENESS_MAX_MS 2200
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -46,6 +46,7 @@
 static void handle_read(ffl_node_t *n, ffl_tail_t *t,
 			const ffl_store_reply_t *reply, uint64_t sent_ms);
 static void record_rtt(ffl_node_t *n, uint64_t sent_ms);
+static void record_delay(ffl_node_t *n, const ffl_tail_t *t);
 static void handle_failure(ffl_node_t *n, ffl_tail_t *t,
 			   const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all);
@@ -390,6 +391,17 @@
 		n->lead.min_rtt_ms = MAX(took_ms, 1);
 }
 
+/* Records by how much the log is slower than usual, from reads of the topic on
+ * which a leader's signs of life come. */
+static void record_delay(ffl_node_t *n, const ffl_tail_t *t)
+{
+	uint32_t took_ms = (uint32_t)(n->now_ms - t->peek_sent_ms);
+
+	if (t->topic == FFL_TOPIC_STATES)
+		n->lead.silence.delay_ms =
+			took_ms - MIN(took_ms, n->lead.min_rtt_ms);
+}
+
 static void handle_read(ffl_node_t *n, ffl_tail_t *t,
 			const ffl_store_reply_t *reply, uint64_t sent_ms)
 {
@@ -452,6 +464,7 @@
 				return true;
 			ffl_tails_log_answered(n);
 			record_rtt(n, t->peek_sent_ms);
+			record_delay(n, t);
 			handle_read(n, t, reply, t->peek_sent_ms);
 			return true;
 		}
