dispatch, node: turn away what would certainly be of no use

Cause: hosts that accept knew nothing of the queue, so in a flood all was accepted and callers of what could never be served were told nothing. Change: the leader publishes an outlook a service while work waits and no room is free; hosts refuse by it at once, with a time to return. The test bed's workers forget acknowledged ends, as the platform's do.

--- a/cli/where.c
+++ b/cli/where.c
@@ -136,6 +136,9 @@
 	print_route(reply);
 	printf("%-*s %s%s%s\n", KEY_WIDTH, "answer", answer[0] ? answer : "-",
 	       why[0] ? ": " : "", why);
+	if (number_of(reply, "retry_after_ms"))
+		printf("%-*s after %lld ms\n", KEY_WIDTH, "return",
+		       number_of(reply, "retry_after_ms"));
 	print_leader(reply);
 	if (json_object_get(reply, "steps"))
 		print_place(reply);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -14,6 +14,7 @@
 #define FFL_NODE_H
 
 #include "fireflyledge/explain.h"
+#include "fireflyledge/outlook.h"
 #include "fireflyledge/rng.h"
 #include "fireflyledge/routes.h"
 
@@ -207,7 +208,7 @@
 	ffl_flow_state_t state;		/**< of a FFL_RESPONSE_STATE */
 	uint32_t pending;		/**< jobs, of a FFL_RESPONSE_PENDING */
 	uint32_t retry_after_ms;	/**< 0: not stated */
-	char problem[FFL_REASON_BYTES]; /**< of a FFL_RESPONSE_INVALID */
+	char problem[FFL_REASON_BYTES]; /**< why it is refused */
 } ffl_act_response_t;
 
 /** What a host would do now with a request, and why. */
@@ -230,6 +231,7 @@
 	 */
 	ffl_response_kind_t answer;
 	char why[FFL_REASON_BYTES]; /**< "" if nothing is to be said */
+	uint32_t retry_after_ms;    /**< of a refusal; 0: not stated */
 	bool leading;		    /**< this host leads */
 	bool may_start; /**< as leader, it may start runs at this moment */
 	char leader[FFL_NAME_BYTES]; /**< last known leader, or "" */
@@ -309,6 +311,13 @@
 	GHashTable *paged_keys;
 } ffl_tail_t;
 
+/** Why a submission is turned away. */
+typedef struct {
+	ffl_outlook_verdict_t verdict;
+	uint64_t age_ms; /**< of the outlook */
+	char why[FFL_REASON_BYTES];
+} ffl_turned_away_t;
+
 /** A request that waits for the log before it can be answered. */
 typedef struct {
 	uint64_t call; /**< number of the request */
@@ -327,6 +336,9 @@
 	bool maybe_written;    /**< an earlier append had an unknown outcome */
 	uint64_t retry_ms;     /**< no append before */
 	GByteArray *record;    /**< value to append, or NULL */
+	/** Set while a submission is to be turned away, once no record of its
+	 * id stands on the log; else NULL. */
+	ffl_turned_away_t *turned_away;
 } ffl_pending_t;
 
 /** A request that is held until the host can serve it. */
@@ -346,6 +358,14 @@
 				 * callers wait */
 } ffl_publish_t;
 
+/** An outlook that was read from the log. */
+typedef struct {
+	ffl_outlook_t outlook;
+	uint64_t token;	  /**< of the leader that wrote it */
+	uint64_t wall_ms; /**< Unix time there */
+	uint64_t read_ms;
+} ffl_known_outlook_t;
+
 /** Leadership: what this host knows of the leader, and its own claim and
  * appends to the topic of runs. */
 typedef struct {
@@ -399,6 +419,10 @@
 	/** Offset of the record that evacuates it, as uint64_t, by the name of
 	 * each evacuated data centre. */
 	GHashTable *evacuations;
+	GHashTable *outlooks; /**< ffl_known_outlook_t by service */
+	uint64_t outlooks_ms; /**< when this host last worked them out */
+	uint64_t turned_away; /**< submissions turned away for want of room */
+	uint64_t turned_back; /**< of those that were to be, kept in the end */
 	/** By topic, its partition 0; then the further ones of the topic of
 	 * jobs. */
 	ffl_tail_t tails[FFL_TAILS_MAX];
--- a/jobd/explain.c
+++ b/jobd/explain.c
@@ -107,6 +107,8 @@
 		add_route(out, e);
 	json_object_set_new(out, "answer", json_string(answer));
 	json_object_set_new(out, "why", json_string(e->why));
+	json_object_set_new(out, "retry_after_ms",
+			    json_integer(e->retry_after_ms));
 	json_object_set_new(out, "leader", json_string(e->leader));
 	json_object_set_new(out, "leading", json_boolean(e->leading));
 	json_object_set_new(out, "may_start", json_boolean(e->may_start));
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -20,6 +20,8 @@
 	GAUGE_WORKERS,
 	GAUGE_EVACUATED,
 	GAUGE_PENDING,
+	GAUGE_TURNED_AWAY,
+	GAUGE_TURNED_BACK,
 	GAUGE_STARTS,
 	GAUGE_PREEMPTED,
 	GAUGE__MAX
@@ -44,6 +46,11 @@
 	[GAUGE_WORKERS] = { "workers", "workers known; of the leader only" },
 	[GAUGE_EVACUATED] = { "evacuated", "data centres that are evacuated" },
 	[GAUGE_PENDING] = { "calls_pending", "requests that wait for the log" },
+	[GAUGE_TURNED_AWAY] = { "turned_away",
+				"submissions refused for want of room" },
+	[GAUGE_TURNED_BACK] = { "turned_back",
+				"submissions kept although they were to be "
+				"refused: known, or the log was not read" },
 	[GAUGE_STARTS] = { "starts", "runs that this host has ordered" },
 	[GAUGE_PREEMPTED] = { "preempted",
 			      "runs that this host has preempted" },
@@ -91,6 +98,8 @@
 		[GAUGE_WORKERS] = g_hash_table_size(n->dispatch.workers),
 		[GAUGE_EVACUATED] = g_hash_table_size(n->evacuations),
 		[GAUGE_PENDING] = n->pending->len,
+		[GAUGE_TURNED_AWAY] = n->turned_away,
+		[GAUGE_TURNED_BACK] = n->turned_back,
 		[GAUGE_STARTS] = n->dispatch.starts,
 		[GAUGE_PREEMPTED] = n->dispatch.preempted,
 	};
--- a/lib/node/explain.c
+++ b/lib/node/explain.c
@@ -72,6 +72,7 @@
 	const ffl_route_t *route = NULL;
 	const char *customer = NULL;
 	GByteArray *record = NULL;
+	ffl_turned_away_t turned_away;
 	bool serves = ffl_request_can_serve(n, req);
 	ffl_response_kind_t kind = ffl_request_route(n, req, &route, &customer);
 
@@ -99,7 +100,14 @@
 	out->answer = kind == FFL_RESPONSE__MAX ? FFL_RESPONSE_ACCEPTED : kind;
 	if (!out->why[0])
 		ffl_copy(out->why, sizeof(out->why), refusal_reason(kind));
-	if (kind != FFL_RESPONSE__MAX || !n->lead.leading)
+	if (kind != FFL_RESPONSE__MAX)
+		return;
+	if (ffl_outlooks_refuse(n, req->spec, &turned_away)) {
+		out->answer = FFL_RESPONSE_BUSY;
+		out->retry_after_ms = turned_away.verdict.retry_after_ms;
+		ffl_copy(out->why, sizeof(out->why), turned_away.why);
+	}
+	if (!n->lead.leading)
 		return;
 	out->placed = true;
 	ffl_dispatch_explain(&n->dispatch, req->spec, n->now_ms, n->wall_ms,
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -245,6 +245,7 @@
 	n->dispatch.note_user = n;
 	ffl_routes_init(&n->routes);
 	ffl_evacuations_init(n);
+	ffl_outlooks_init(n);
 	n->jobs_read = CLAMP(opt->partitions, 1, FFL_JOBS_PARTS_MAX);
 	n->jobs_parts = 1;
 	ffl_tails_init(n);
@@ -266,6 +267,7 @@
 	ffl_dispatch_finish(&n->dispatch);
 	ffl_flows_finish(&n->flows);
 	ffl_evacuations_finish(n);
+	ffl_outlooks_finish(n);
 	ffl_routes_finish(&n->routes);
 }
 
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -12,6 +12,7 @@
 #define KEY_CANCEL   'c'
 #define KEY_PROGRESS 'r'
 #define KEY_STATE    's'
+#define KEY_OUTLOOK  'o'
 /** Key of a leadership record. */
 #define KEY_LEAD "lead"
 /** Largest leadership record. */
@@ -145,6 +146,18 @@
 /** Schedules the removal of the state of a job that has left the log. */
 void ffl_publish_add_drop(ffl_node_t *n, const char *id);
 
+/* outlook.c */
+void ffl_outlooks_init(ffl_node_t *n);
+void ffl_outlooks_finish(ffl_node_t *n);
+/** As leader, adds the records of the outlooks that are due. */
+void ffl_outlooks_publish(ffl_node_t *n, GPtrArray *writes);
+/** Applies a record that was read from the topic of states. */
+void ffl_outlooks_apply_record(ffl_node_t *n, const ffl_store_record_t *rec);
+/** Returns true if a submission is to be turned away by what is known now; an
+ * outlook that is old, or not of the present leader, decides nothing. */
+bool ffl_outlooks_refuse(const ffl_node_t *n, const ffl_flow_spec_t *spec,
+			 ffl_turned_away_t *out);
+
 /* lead.c */
 
 /** Interval of the leader's heartbeats. */
--- a/lib/node/publish.c
+++ b/lib/node/publish.c
@@ -82,6 +82,7 @@
 	g_ptr_array_add(writes, ffl_lead_encode(n, n->lead.token, false));
 	add_states(n, writes);
 	add_state_drops(n, writes);
+	ffl_outlooks_publish(n, writes);
 	if (writes->len > 1 ||
 	    n->now_ms - p->sent_ms >= FFL_LEAD_HEARTBEAT_MS) {
 		ffl_node_act_t *act = states_append(n);
@@ -197,6 +198,10 @@
 		apply_state(n, rec);
 		return;
 	}
+	if (rec->key[0] == KEY_OUTLOOK) {
+		ffl_outlooks_apply_record(n, rec);
+		return;
+	}
 	if (!ffl_lead_decode(rec->value, &r))
 		return;
 	if (strcmp(rec->key, KEY_LEAD) == 0)
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -29,6 +29,9 @@
 /** The end of a run reaches the topic of states within this: the worker's
  * report, an append to each of two topics, and the interval between appends. */
 #define QUERY_SETTLE_MS 80
+/** A submission that is to be turned away waits this long for what stands on
+ * the log by its id, and is accepted after. */
+#define TURN_AWAY_WAIT_MS 250
 
 typedef void (*handler_fn_t)(ffl_node_t *n, ffl_request_t *req,
 			     const ffl_route_t *route, const char *customer,
@@ -61,6 +64,7 @@
 static void respond_pending(ffl_node_t *n, guint index,
 			    ffl_response_kind_t kind);
 static bool resolve_submission(ffl_node_t *n, guint index);
+static bool turn_away(ffl_node_t *n, guint index);
 static bool resolve_pending(ffl_node_t *n, guint index);
 static bool expire_pending(ffl_node_t *n, guint index);
 static bool is_outage_known(const ffl_node_t *n, uint32_t part);
@@ -86,6 +90,7 @@
 
 	if (p->record)
 		g_byte_array_unref(p->record);
+	g_free(p->turned_away);
 	g_free(p);
 }
 
@@ -249,6 +254,7 @@
 	GByteArray *record;
 	ffl_response_kind_t kind =
 		ffl_request_decide(n, req, route, customer, &record, problem);
+	ffl_turned_away_t turned_away;
 	ffl_pending_t *p;
 
 	if (kind != FFL_RESPONSE__MAX) {
@@ -259,6 +265,10 @@
 	p = add_pending(n, req, route, customer, id);
 	ffl_flow_spec_name(req->spec, p->spec_name);
 	p->record = record;
+	if (!ffl_outlooks_refuse(n, req->spec, &turned_away))
+		return;
+	p->turned_away = g_memdup2(&turned_away, sizeof(turned_away));
+	ffl_tail_peek(n, jobs_tail_of(n, id));
 }
 
 /* Callers ask as soon as their work has ended, when the records of that end are
@@ -484,6 +494,46 @@
 	g_ptr_array_remove_index(n->pending, index);
 }
 
+/* Refuses a submission once it is known that no job of its id stood on the log
+ * when it came. One that does, or that cannot be looked for in time, goes on as
+ * if nothing had kept it. */
+static bool turn_away(ffl_node_t *n, guint index)
+{
+	ffl_pending_t *p = g_ptr_array_index(n->pending, index);
+	const ffl_turned_away_t *t = p->turned_away;
+	const ffl_outlook_verdict_t *v = &t->verdict;
+	ffl_tail_t *jobs = ffl_node_jobs_tail(n, p->part);
+	bool known = ffl_flows_find(&n->flows, p->id) != NULL;
+	bool read = jobs->synced && jobs->caught_up_ms >= p->received_ms;
+	ffl_act_response_t *act;
+
+	if (!known && !read && n->now_ms - p->received_ms < TURN_AWAY_WAIT_MS) {
+		ffl_tail_peek(n, jobs);
+		return false;
+	}
+	ffl_node_note(n, "turned-away", p->id,
+		      "outcome=%s queue=%s customer=%s taken_ms=%" PRIu64
+		      " wait_max_ms=%" PRIu64 " run_ms=%u outlook_ms=%" PRIu64
+		      " leader=%s retry_after_ms=%u after_ms=%" PRIu64,
+		      known  ? "known"
+		      : read ? "refused"
+			     : "unread",
+		      p->queue, p->customer, v->taken_ms, v->wait_max_ms,
+		      v->run_ms, t->age_ms, n->lead.holder, v->retry_after_ms,
+		      n->now_ms - p->received_ms);
+	if (known || !read) {
+		n->turned_back++;
+		g_clear_pointer(&p->turned_away, g_free);
+		return resolve_submission(n, index);
+	}
+	n->turned_away++;
+	act = respond(n, p->call, FFL_RESPONSE_BUSY);
+	act->retry_after_ms = v->retry_after_ms;
+	ffl_copy(act->problem, sizeof(act->problem), t->why);
+	g_ptr_array_remove_index(n->pending, index);
+	return true;
+}
+
 /* An id belongs to the owner whose record comes first. A submission is accepted
  * only when all records before its own are known. */
 static bool resolve_submission(ffl_node_t *n, guint index)
@@ -492,6 +542,8 @@
 	const ffl_tail_t *t = ffl_node_jobs_tail(n, p->part);
 	bool first = p->written && t->synced && t->next >= p->offset;
 
+	if (p->turned_away)
+		return turn_away(n, index);
 	if (find_owned(n, p->id, p->queue, p->customer))
 		respond_pending(n, index, FFL_RESPONSE_ACCEPTED);
 	else if (ffl_flows_find(&n->flows, p->id))
@@ -598,8 +650,8 @@
 		ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 		ffl_write_t *w;
 
-		if (!p->record || p->append_call || p->written ||
-		    n->now_ms < p->retry_ms || !left[p->part])
+		if (!p->record || p->turned_away || p->append_call ||
+		    p->written || n->now_ms < p->retry_ms || !left[p->part])
 			continue;
 		w = new_write(p);
 		if (batch.writes[p->part] &&
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fireflyledge/explain.h"
+#include "fireflyledge/outlook.h"
 
 /** Simulated time between two steps of the dispatcher. */
 #define STEP_MS 50
@@ -37,6 +38,7 @@
 	bool fails;	       /**< it fails all that it starts, at once */
 	GArray *runs;	       /**< of sim_run_t */
 	uint64_t ended;	       /**< number of runs that have ended */
+	uint64_t acked;	       /**< ends up to this number are forgotten */
 	uint32_t starts;
 	uint32_t starts_with_ticket; /**< with the right ticket */
 	bool denied;		     /**< the adviser grants no ticket for it */
@@ -271,6 +273,7 @@
 		w->starts++;
 		w->starts_with_ticket += ticket_matches(order);
 	}
+	w->acked = MAX(w->acked, order->acked);
 	for (guint i = 0; i < w->runs->len; i++) {
 		sim_run_t *r = &g_array_index(w->runs, sim_run_t, i);
 		bool has_ended = r->end_number != 0;
@@ -289,7 +292,7 @@
 		    strcmp(r->task, order->task) == 0)
 			r->pace_percent = order->percent;
 		if (order->kind != FFL_ORDER_RENEW ||
-		    (has_ended && r->end_number <= order->acked))
+		    (has_ended && r->end_number <= w->acked))
 			continue;
 		ffl_copy(row->task, sizeof(row->task), r->task);
 		row->run = r->run;
@@ -1841,6 +1844,134 @@
 	}
 }
 
+/** Interval between two outlooks. */
+#define OUTLOOK_MS 500
+
+/** Interval between two outlooks. */
+#define OUTLOOK_MS 500
+
+/** A flood of jobs of four tasks of 8 s, each eighth of 32: in time within 25
+ * s, of use within 75 s. Four workers begin one of them a second. */
+typedef struct {
+	const char *name;
+	uint32_t every_ms; /**< between two arrivals */
+	uint32_t arrivals;
+	bool refuses; /**< more work waits than can be of use */
+} flood_case_t;
+
+/** What has become of a flood. */
+typedef struct {
+	uint32_t refused; /**< or to be refused, if all are accepted */
+	uint32_t in_time;
+	uint32_t late; /**< and still of use */
+	/** In time or late, of those to be refused. */
+	uint32_t refused_of_use;
+} flood_outcome_t;
+
+/** Text of a job that was to be refused. */
+#define TO_BE_REFUSED "r"
+
+/* Decides on an arrival by an outlook of some time ago, as hosts do. */
+static void submit_of_flood(test_bed_t *b, uint32_t number,
+			    const ffl_outlook_t *outlook, uint64_t age_ms,
+			    bool may_refuse, flood_outcome_t *out)
+{
+	char id[FFL_FLOW_ID_BYTES];
+	ffl_outlook_verdict_t verdict;
+	ffl_flow_spec_t spec;
+
+	g_snprintf(id, sizeof(id), "job-%u", number);
+	spec = make_spec(
+		b, id, 2,
+		(ffl_step_t){ .tasks = number % 8 == 7 ? 32 : 4, .gpus = 1 });
+	ffl_outlook_decide(outlook, age_ms, &spec, &verdict);
+	out->refused += verdict.refused;
+	if (verdict.refused && may_refuse) {
+		ffl_flow_spec_finish(&spec);
+		return;
+	}
+	if (verdict.refused)
+		memcpy(spec.spec, TO_BE_REFUSED, sizeof(TO_BE_REFUSED));
+	ffl_dispatch_request_placement(&b->d);
+	ffl_flows_add(&b->flows, &spec, number);
+}
+
+/* Counts the jobs that have ended since the last time. */
+static void count_ended(const test_bed_t *b, GHashTable *ended,
+			flood_outcome_t *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->flows.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const ffl_flow_t *flow = value;
+		uint64_t took_ms = b->now_ms - flow->first_seen_ms;
+
+		if (flow->done_count < flow->tasks_count ||
+		    !g_hash_table_add(ended, value))
+			continue;
+		out->in_time += took_ms <= 25000;
+		out->late += took_ms > 25000 && took_ms <= 75000;
+		out->refused_of_use +=
+			took_ms <= 75000 &&
+			strcmp(flow->spec.spec, TO_BE_REFUSED) == 0;
+	}
+}
+
+static flood_outcome_t play_flood(const flood_case_t *c, bool may_refuse)
+{
+	flood_outcome_t out = { 0 };
+	GHashTable *ended = g_hash_table_new(NULL, NULL);
+	ffl_outlook_t outlook;
+	uint32_t next = 0;
+	test_bed_t b;
+
+	test_bed_init(&b, 4);
+	b.work_ms = 8000;
+	for (uint64_t t = 0; t < 110000; t += OUTLOOK_MS) {
+		ffl_outlook_build(&b.d, "survey", b.now_ms, &outlook);
+		for (; next < c->arrivals && next * c->every_ms < t; next++)
+			submit_of_flood(&b, next, &outlook,
+					t - next * c->every_ms, may_refuse,
+					&out);
+		run_for_ms(&b, OUTLOOK_MS);
+		count_ended(&b, ended, &out);
+	}
+	g_hash_table_destroy(ended);
+	test_bed_finish(&b);
+	return out;
+}
+
+/* Turning away takes nothing from anybody: the flood gets as much as if all had
+ * been accepted, and none of those refused would have been of use then. */
+static void test_turning_away(void)
+{
+	static const flood_case_t cases[] = {
+		{ "room for all", 1000, 30, false },
+		{ "all at once, nothing known yet", 1, 240, false },
+		{ "over before all room is given out", 40, 300, false },
+		{ "over before any is late", 53, 300, true },
+		{ "half a minute", 100, 300, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const flood_case_t *c = &cases[i];
+		flood_outcome_t all = play_flood(c, false);
+		flood_outcome_t some = play_flood(c, true);
+
+		g_test_message("%s: in time %u, late %u; %u refused: in time "
+			       "%u, late %u",
+			       c->name, all.in_time, all.late, some.refused,
+			       some.in_time, some.late);
+		g_assert_true((some.refused > 0) == c->refuses);
+		g_assert_cmpuint(some.in_time, >=, all.in_time);
+		g_assert_cmpuint(some.in_time + some.late, >=,
+				 all.in_time + all.late);
+		g_assert_cmpuint(all.refused_of_use, ==, 0);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1886,5 +2017,6 @@
 			test_evacuation_reclaims);
 	g_test_add_func("/dispatch/evacuation-headroom",
 			test_evacuation_headroom);
+	g_test_add_func("/dispatch/turning-away", test_turning_away);
 	return g_test_run();
 }
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -1,6 +1,7 @@
 /** @file Tests of hosts, workers and the platform in simulated time, each with
  * one kind of fault. */
 #include <string.h>
+#include <msgpack.h>
 
 #include "fakes/site.h"
 
@@ -1746,6 +1747,124 @@
 	g_array_free(acts, TRUE);
 }
 
+/** Time in which a host has read a new outlook. */
+#define OUTLOOK_READ_MS 300
+/** Key of the outlook of the workers' service. */
+#define OUTLOOK_KEY "osurvey"
+
+/** A submission while an outlook stands on the log. */
+typedef struct {
+	const char *name;
+	const char *path;
+	int64_t token_off;    /**< from the leader's token */
+	int64_t wall_off_ms;  /**< from the time of day */
+	uint32_t count_off;   /**< numbers that are missing at its end */
+	uint32_t wait_ms;     /**< from the outlook to the submission */
+	uint32_t jobs_lag_ms; /**< its host reads no jobs for this long */
+	bool known;	      /**< accepted before, by another host */
+	ffl_response_kind_t answer;
+} outlook_case_t;
+
+static int append_bytes(void *user, const char *buf, size_t size_bytes)
+{
+	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
+	return 0;
+}
+
+/* Writes an outlook by which work that goes before the jobs of "lining" takes
+ * all room for two minutes, just after the leader has worked its own out. */
+static void write_outlook(site_t *s, const outlook_case_t *c)
+{
+	const ffl_node_t *leader = &s->hosts[site_leader(s)].node;
+	GByteArray *value = g_byte_array_new();
+	uint64_t numbers[] = { 0,      0,
+			       1,      1,
+			       0,      120000,
+			       120000, 120000,
+			       120000, 1,
+			       1,      1,
+			       1,      ffl_outlook_queue_sum("lining"),
+			       4000 };
+	uint32_t count = G_N_ELEMENTS(numbers) - c->count_off;
+	msgpack_packer pk;
+
+	while (s->now_ms - leader->outlooks_ms > SITE_STEP_MS)
+		site_run(s, SITE_STEP_MS);
+	numbers[0] = leader->lead.token + (uint64_t)c->token_off;
+	numbers[1] = s->wall_ms + s->now_ms + (uint64_t)c->wall_off_ms;
+	msgpack_packer_init(&pk, value, append_bytes);
+	msgpack_pack_array(&pk, count);
+	for (uint32_t i = 0; i < count; i++)
+		msgpack_pack_uint64(&pk, numbers[i]);
+	keyed_log_put(&s->topics[FFL_TOPIC_STATES], OUTLOOK_KEY, value->data,
+		      value->len);
+	g_byte_array_unref(value);
+}
+
+static const outlook_case_t outlook_cases[] = {
+	{ "refused", "/lining/", .answer = FFL_RESPONSE_BUSY },
+	{ "of an earlier leader", "/lining/", .token_off = -1 },
+	{ "written long ago", "/lining/", .wall_off_ms = -3000 },
+	{ "by a clock that is ahead", "/lining/", .wall_off_ms = 3000 },
+	{ "unreadable", "/lining/", .count_off = 1 },
+	{ "removed since", "/lining/", .wait_ms = 1000 },
+	{ "no run time of the queue", "/open/" },
+	{ "first priority", "/dew/" },
+	{ "handed in again", "/lining/", .known = true },
+	{ "on the log, not read yet", "/lining/", .jobs_lag_ms = 100,
+	  .known = true },
+	{ "jobs cannot be read", "/lining/", .jobs_lag_ms = 1500 },
+};
+
+/* A job is refused at once and leaves nothing on the log; whatever is in doubt
+ * is accepted. */
+static void test_turned_away(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(outlook_cases); i++) {
+		const outlook_case_t *c = &outlook_cases[i];
+		const ffl_act_response_t *answer;
+		uint32_t host;
+		char path[40];
+		uint64_t sent_ms;
+		uint64_t end;
+		site_t s;
+
+		g_test_message("%s", c->name);
+		site_init(&s, 1, 3, 4);
+		site_run(&s, START_MS);
+		host = ((uint32_t)site_leader(&s) + 1) % 3;
+		g_snprintf(path, sizeof(path), "%s00000000000000c1", c->path);
+		if (c->jobs_lag_ms)
+			s.hosts[host].jobs_lag_until_ms = UINT64_MAX;
+		if (c->known)
+			site_answer(&s, site_send(&s, (host + 1) % 3,
+						  FFL_REQUEST_SUBMIT, path,
+						  SITE_KEY, 1));
+		write_outlook(&s, c);
+		site_run(&s, OUTLOOK_READ_MS + c->wait_ms);
+		s.hosts[host].jobs_lag_until_ms = s.now_ms + c->jobs_lag_ms;
+		end = s.topics[FFL_TOPIC_JOBS].end;
+		sent_ms = s.now_ms;
+		answer = site_answer(&s, site_send(&s, host, FFL_REQUEST_SUBMIT,
+						   path, SITE_KEY, 1));
+		g_assert_nonnull(answer);
+		g_assert_cmpint(answer->kind, ==, c->answer);
+		if (c->answer == FFL_RESPONSE_BUSY) {
+			g_assert_cmpuint(s.now_ms - sent_ms, <=, 100);
+			g_assert_cmpuint(answer->retry_after_ms, >=, 60000);
+			g_assert_nonnull(strstr(answer->problem, "not run"));
+			site_run(&s, 1000);
+			g_assert_cmpuint(s.topics[FFL_TOPIC_JOBS].end, ==, end);
+			g_assert_cmpuint(s.hosts[host].node.turned_away, ==, 1);
+		}
+		site_run(&s, 1000);
+		g_assert_null(g_tree_lookup(s.topics[FFL_TOPIC_STATES].newest,
+					    OUTLOOK_KEY));
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1770,5 +1889,6 @@
 	g_test_add_func("/node/pages-of-odd-keys", test_pages_of_odd_keys);
 	g_test_add_func("/node/explain", test_explain);
 	g_test_add_func("/node/explain-unready", test_explain_unready);
+	g_test_add_func("/node/turned-away", test_turned_away);
 	return g_test_run();
 }
