--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -22,6 +22,12 @@
 /** Lowest rate of a worker's clock: it may be 2% slow. */
 #define CLOCK_SLOW_PERCENT 98
 #define PERCENT		   100
+/** A job that takes longer than this multiple of its objective is worth nothing
+ * any more; the platform defines this figure. */
+#define FFL_LATE_FACTOR 3
+/** Jobs with less slack than this share of their remaining time leave no room
+ * free to others, and so may pass them. */
+#define FFL_SLACK_PERCENT 40
 
 /** An order that has not been answered yet. */
 typedef struct {
--- a/lib/dispatch/outlook.c
+++ b/lib/dispatch/outlook.c
@@ -13,19 +13,13 @@
 #include "lib/dispatch/dispatch_int.h"
 #include "fireflyledge/outlook.h"
 
-/** As in rank.c: a job that takes longer than this multiple of its objective is
- * worth nothing any more. */
-#define LATE_FACTOR 3
-#define MILLI	    1000
+#define MILLI 1000
 /** Share of the expected work that counts: estimates are up to half too high.
  */
 #define WORK_PERCENT 67
 /** A job is refused if the room is taken for this share of the time that it may
  * wait. The rest is for jobs that the outlook cannot know of yet. */
 #define TAKEN_PERCENT 95
-/** As in rank.c: jobs with less slack than this share of their time leave no
- * room free, and so may pass others of their rank. */
-#define SLACK_PERCENT 40
 /** Share of the room that is free for a moment as runs end and begin. */
 #define CHANGING_PERCENT 5
 /** A shortage that is over before an outlook would be too old is none. */
@@ -155,7 +149,8 @@
 		.priority = flow->spec.priority,
 		.work_class = flow->work_class,
 		.on_time_ms = left_ms(flow->limit_ms, spent_ms),
-		.of_use_ms = left_ms(LATE_FACTOR * flow->limit_ms, spent_ms),
+		.of_use_ms =
+			left_ms(FFL_LATE_FACTOR * flow->limit_ms, spent_ms),
 	};
 
 	if (flow->spec.timed || flow->spec.needs_tickets || !w.of_use_ms ||
@@ -483,8 +478,8 @@
 	path = path_ms(spec, out->run_ms);
 	limit_ms = path * spec->stretch_milli / MILLI + spec->objective_base_ms;
 	on_time_ms = left_ms(limit_ms, path);
-	out->wait_max_ms = left_ms(LATE_FACTOR * limit_ms, path);
-	if (on_time_ms * PERCENT < path * SLACK_PERCENT)
+	out->wait_max_ms = left_ms(FFL_LATE_FACTOR * limit_ms, path);
+	if (on_time_ms * PERCENT < path * FFL_SLACK_PERCENT)
 		return;
 	for (uint32_t r = 0; r < FFL_OUTLOOK__MAX; r++) {
 		uint64_t taken_ms = left_ms(rank->of_use_ms[r], age_ms);
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -4,16 +4,11 @@
 
 /** Weight of the newest run in the mean run time of a queue, in percent. */
 #define NEWEST_RUN_WEIGHT_PERCENT 20
-/** A job that takes longer than this multiple of its objective is worth nothing
- * any more; the platform defines this figure. */
-#define LATE_FACTOR 3
-#define MILLI	    1000
+#define MILLI			  1000
 /** Share of the GPUs that jobs with slack leave free, for priority 1 and for
  * lower ones, so that guaranteed work seldom has to preempt any. */
 #define HEADROOM_PERCENT_PRIORITY_1 8
 #define HEADROOM_PERCENT_OTHER	    35
-/** Jobs with less slack than this share of their remaining time do not wait. */
-#define SLACK_PERCENT 40
 
 static uint64_t critical_path_ms(const ffl_dispatch_t *d,
 				 const ffl_flow_t *flow, bool unfinished_only);
@@ -109,8 +104,8 @@
 	if (flow->spec.timed || is_long_running(flow) ||
 	    end_ms <= flow->limit_ms)
 		return FFL_TIER_ON_TIME;
-	return end_ms <= LATE_FACTOR * flow->limit_ms ? FFL_TIER_LATE
-						      : FFL_TIER_WORTHLESS;
+	return end_ms <= FFL_LATE_FACTOR * flow->limit_ms ? FFL_TIER_LATE
+							  : FFL_TIER_WORTHLESS;
 }
 
 void ffl_rank_flow(const ffl_dispatch_t *d, ffl_flow_t *flow, uint64_t now_ms)
@@ -130,7 +125,7 @@
 	uint64_t end_ms = now_ms - flow->first_seen_ms + left_ms;
 
 	return !is_long_running(flow) &&
-	       end_ms + left_ms * SLACK_PERCENT / PERCENT <
+	       end_ms + left_ms * FFL_SLACK_PERCENT / PERCENT <
 		       objective_ms(d, flow);
 }
 
