node: hosts that are late in the line to lead read the states less often

Cause: every follower read a leader's signs of life at the grain at which one of them has to notice its loss. Change: a host lets the states gather 200 ms and twice its own wait before a claim, 1 s at most; leaders and hosts that load stay at 200 ms. Once a silence might be a loss a host asks for itself (is_silent_for()), and queries peek, so neither waits for it. Test: hosts-late-in-line-read-seldom, 75 reads in 10 s before, at most 45 now; larger_host_leads failed in a first form in which the leader gathered longer too.

--- a/lib/node/claim.c
+++ b/lib/node/claim.c
@@ -34,7 +34,6 @@
 static void note_silence(ffl_node_t *n);
 static bool is_rest_read(const ffl_node_t *n);
 static bool knows_all_jobs(const ffl_node_t *n);
-static uint32_t claim_wait_ms(const ffl_node_t *n);
 static bool may_lead(const ffl_node_t *n);
 static uint32_t silence_limit_ms(const ffl_node_t *n);
 static bool is_silent_for(ffl_node_t *n, uint32_t ms);
@@ -154,9 +153,9 @@
 		       n->tails[FFL_TOPIC_RUNS].last_record_ms;
 }
 
-/* Returns how long this host waits before it claims. Larger hosts come first,
- * then those near the log; a hash of the name spreads hosts that are alike. */
-static uint32_t claim_wait_ms(const ffl_node_t *n)
+/* Larger hosts come first, then those near the log; a hash of the name spreads
+ * hosts that are alike. */
+uint32_t ffl_claim_wait_ms(const ffl_node_t *n)
 {
 	const ffl_lead_t *l = &n->lead;
 	uint32_t size =
@@ -223,11 +222,11 @@
 	    l->holder_incarnation != n->incarnation)
 		return true;
 	if (!l->holder[0] || l->holder_resigned)
-		return n->now_ms - l->holder_seen_ms >= claim_wait_ms(n);
+		return n->now_ms - l->holder_seen_ms >= ffl_claim_wait_ms(n);
 	if (n->now_ms - n->tails[FFL_TOPIC_STATES].healthy_since_ms <
 	    LOG_HEALTHY_MS)
 		return false;
-	return is_silent_for(n, silence_limit_ms(n) + claim_wait_ms(n) -
+	return is_silent_for(n, silence_limit_ms(n) + ffl_claim_wait_ms(n) -
 					(l->loading ? 0 : LOAD_AHEAD_MS));
 }
 
@@ -261,7 +260,7 @@
 {
 	ffl_lead_t *l = &n->lead;
 	const ffl_tail_t *t = &n->tails[FFL_TOPIC_STATES];
-	uint32_t wait_ms = RESIGN_REQUEST_WAIT_MS + claim_wait_ms(n);
+	uint32_t wait_ms = RESIGN_REQUEST_WAIT_MS + ffl_claim_wait_ms(n);
 
 	if (!may_lead(n) || !l->holder[0] || l->holder_resigned ||
 	    !l->holder_size_milli ||
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -207,6 +207,9 @@
 /** Handles the request of a host of @p size_milli thousandths of a core that
  * the leader resign. */
 void ffl_lead_handle_resign_request(ffl_node_t *n, uint32_t size_milli);
+/** Returns how long this host waits before it claims, beyond the silence that
+ * counts as a loss, in ms. */
+uint32_t ffl_claim_wait_ms(const ffl_node_t *n);
 /** Advances a claim: loads the progress of jobs once this host should lead, or
  * asks a much smaller leader to resign. Returns true if the claim is to be
  * written now. */
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -17,6 +17,13 @@
  * leader's silence is noticed this much later. A query for a job does not wait
  * for it: it reads at once (ffl_tail_peek()). */
 #define FOLLOWER_GATHER_MS 200
+/** Most that a host which is late in the line to lead lets the states gather.
+ * Once a leader seems silent it asks for itself; the number of jobs that wait
+ * and an outlook may be 2 s old. */
+#define FOLLOWER_GATHER_MAX_MS 1000
+/** For each millisecond that it would wait before a claim, a host lets the
+ * states gather this much longer. */
+#define GATHER_PER_CLAIM_WAIT 2
 /** The same for each of several partitions of jobs, so that they cost no more
  * reads than one. The number of jobs that wait may be 2 s old. */
 #define FOLLOWER_GATHER_PART_MS 1500
@@ -53,6 +60,7 @@
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
 static bool follows_jobs(const ffl_node_t *n, const ffl_tail_t *t);
 static uint32_t read_wait_ms(const ffl_node_t *n, const ffl_tail_t *t);
+static uint32_t states_gather_ms(const ffl_node_t *n);
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count);
 
 static const apply_fn_t appliers[FFL_TOPIC__MAX] = {
@@ -369,12 +377,22 @@
 	finish_pages(n, t, !reply->more);
 }
 
+/* A leader may be asked to resign there. */
+static uint32_t states_gather_ms(const ffl_node_t *n)
+{
+	if (n->lead.leading || n->lead.loading)
+		return FOLLOWER_GATHER_MS;
+	return MIN(FOLLOWER_GATHER_MS +
+			   GATHER_PER_CLAIM_WAIT * ffl_claim_wait_ms(n),
+		   FOLLOWER_GATHER_MAX_MS);
+}
+
 static void schedule_next_read(ffl_node_t *n, ffl_tail_t *t, uint32_t count)
 {
 	if (t->topic == FFL_TOPIC_WORKERS)
 		t->due_ms = n->now_ms + WORKERS_POLL_MS;
 	else if (count && t->topic == FFL_TOPIC_STATES)
-		t->due_ms = n->now_ms + FOLLOWER_GATHER_MS;
+		t->due_ms = n->now_ms + states_gather_ms(n);
 	else if (count && follows_jobs(n, t))
 		t->due_ms =
 			n->now_ms + (n->jobs_parts > 1 ? FOLLOWER_GATHER_PART_MS
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -618,6 +618,28 @@
 	g_assert_cmpuint(find_job_at_leader(s, job)->tasks[0].run, ==, 1);
 }
 
+/* Hosts that are late in the line to lead read the leader's signs of life less
+ * often, and one of them still replaces a leader that is lost. */
+static void hosts_late_in_line_read_seldom(site_t *s)
+{
+	const uint32_t ms = 10000;
+	uint64_t before;
+
+	for (uint32_t i = 0; i < 3; i++) {
+		s->size_milli[i] = i == 1 ? 500 : 60;
+		site_kill(s, i, 100);
+	}
+	site_run(s, 8000);
+	g_assert_cmpint(site_leader(s), ==, 1);
+	before = s->topic_reads[FFL_TOPIC_STATES];
+	site_run(s, ms);
+	g_assert_cmpuint(s->topic_reads[FFL_TOPIC_STATES] - before, <=,
+			 ms / 400 + 2 * ms / 1000);
+	site_kill(s, 1, ms);
+	site_run(s, 4000);
+	g_assert_cmpint(site_leader(s), >=, 0);
+}
+
 /* An append of a state is carried out after a newer one; a host that starts
  * reads the newest record only. */
 static void late_state_hides_end(site_t *s)
@@ -1267,6 +1289,7 @@
 	{ "slow-log-takes-an-append-once", slow_log_takes_once },
 	{ "followers-skip-progress", followers_skip_progress },
 	{ "larger-host-leads", larger_host_leads },
+	{ "hosts-late-in-line-read-seldom", hosts_late_in_line_read_seldom },
 	{ "late-state-hides-end", late_state_hides_end },
 	{ "removal-forgotten", removal_forgotten },
 	{ "removal-of-earlier-term", removal_of_earlier_term },
