dispatch: nobody waits for runs that seem about to end

Cause: since a plan counted runs that by their rate would end before a stop does as room to come. Their ends, reports and records take longer than that, and the job waits for the next plan if one of them does not. Change: that part is taken out; runs are still picked by cost and needless ones dropped.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -423,10 +423,6 @@
 /** Stops runs that are cancelled, hang, or would not end before their
  * draining worker leaves, and takes back those that are not to be started. */
 void ffl_watch_runs(ffl_dispatch_t *d, uint64_t now_ms);
-/** Returns the time that a run still needs: from its own rate if that is known,
- * otherwise from the run time of others. */
-uint64_t ffl_run_remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
-			      uint64_t now_ms);
 /** Ends the runs of an unreachable worker once all its leases are over. */
 void ffl_watch_worker(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      uint64_t now_ms);
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -27,7 +27,6 @@
 	GPtrArray *picked;   /**< of ffl_run_t *: for one task on one worker */
 	uint64_t cost;	     /**< lost work, in core-milliseconds */
 	bool skip_reserved;  /**< no workers reserved for other flows */
-	bool may_wait;	     /**< for runs that end soon */
 };
 
 typedef ffl_preempt_plan_t plan_t;
@@ -37,8 +36,6 @@
 static void set_gang_stop_cost(ffl_dispatch_t *d, ffl_run_t *run,
 			       uint64_t now_ms);
 static void update_stop_costs(ffl_dispatch_t *d, uint64_t now_ms);
-static bool may_wait(const ffl_dispatch_t *d, const ffl_place_request_t *req);
-static bool frees_room(const plan_t *plan, const ffl_run_t *run);
 static void add_candidates(plan_t *plan, const GPtrArray *workers);
 static bool is_picked(const plan_t *plan, const ffl_run_t *run);
 static ffl_run_t *cheapest_victim(const plan_t *plan, const candidate_t *cand,
@@ -106,7 +103,7 @@
 
 static bool may_preempt(const plan_t *plan, const ffl_run_t *run)
 {
-	return is_preemptible(run) && !frees_room(plan, run) &&
+	return is_preemptible(run) &&
 	       !g_hash_table_contains(plan->victims, run) &&
 	       ffl_step_allows_disruption(plan->d, run, plan->victims);
 }
@@ -115,7 +112,6 @@
 		      const ffl_place_request_t *req, bool skip_reserved)
 {
 	plan->skip_reserved = skip_reserved;
-	plan->may_wait = may_wait(d, req);
 	plan->d = d;
 	plan->req = req;
 	plan->candidates = g_array_new(FALSE, TRUE, sizeof(candidate_t));
@@ -131,34 +127,6 @@
 	g_ptr_array_free(plan->picked, TRUE);
 }
 
-/* Returns true if a step may wait for runs that end: if they do not and others
- * are stopped afterwards, its job is still worth as much, and begins within its
- * guarantee. */
-static bool may_wait(const ffl_dispatch_t *d, const ffl_place_request_t *req)
-{
-	const ffl_flow_t *flow = req->flow;
-	uint64_t waited_ms = req->now_ms - flow->first_seen_ms;
-	uint64_t both_ms = 2 * (uint64_t)d->opt.stop_max_ms;
-
-	if (req->guaranteed &&
-	    waited_ms + both_ms + RESERVE_SLACK_MS > d->opt.reclaim_ms)
-		return false;
-	return ffl_rank_tier_at(flow, waited_ms + flow->path_ms + both_ms) ==
-	       ffl_rank_tier_at(flow, waited_ms + flow->path_ms);
-}
-
-/* Returns true if a run frees its resources without being stopped by this plan:
- * it is being stopped, or a stop would take longer than it still needs. */
-static bool frees_room(const plan_t *plan, const ffl_run_t *run)
-{
-	return run->stopping ||
-	       (plan->may_wait && run->state == FFL_RUN_RUNNING && run->rate &&
-		!run->worker->missed_renewals &&
-		!ffl_run_step(run)->runs_until_cancelled &&
-		ffl_run_remaining_ms(plan->d, run, plan->req->now_ms) <=
-			plan->d->opt.stop_max_ms);
-}
-
 static void add_candidates(plan_t *plan, const GPtrArray *workers)
 {
 	for (guint j = 0; j < workers->len; j++) {
@@ -171,10 +139,11 @@
 			continue;
 		cand.available = ffl_dispatch_worker_available(w);
 		cand.tasks = ffl_dispatch_worker_count_tasks(w, plan->req);
+		/* Runs that are being stopped will free their resources. */
 		for (guint i = 0; i < w->runs->len; i++) {
 			const ffl_run_t *run = g_ptr_array_index(w->runs, i);
 
-			if (frees_room(plan, run))
+			if (run->stopping)
 				ffl_resources_add(&cand.available,
 						  &run->resources);
 		}
@@ -226,7 +195,7 @@
 			g_ptr_array_index(run->worker->runs, i);
 
 		if (other != run && ffl_run_same_gang(run, other) &&
-		    !frees_room(plan, other))
+		    !other->stopping)
 			ffl_resources_add(&freed, &other->resources);
 	}
 	return freed;
@@ -262,7 +231,7 @@
 		if (other != run && !ffl_run_same_gang(run, other))
 			continue;
 		g_hash_table_add(plan->victims, other);
-		if (frees_room(plan, other))
+		if (other->stopping)
 			continue;
 		for (guint j = 0; j < plan->candidates->len; j++) {
 			candidate_t *cand = &g_array_index(plan->candidates,
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -16,14 +16,18 @@
 static void leave_draining(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static bool is_start_barred(const ffl_run_t *run);
 static void watch_run(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
+			     uint64_t now_ms);
 static bool is_hung(const ffl_dispatch_t *d, const ffl_run_t *run);
 static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
 				    const ffl_dispatch_worker_t *w);
 static void stop_cancelled(ffl_dispatch_t *d, ffl_run_t *run);
 
-uint64_t ffl_run_remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
-			      uint64_t now_ms)
+/* Returns the time that a run still needs: from its own rate if that is known,
+ * otherwise from the run time of others. */
+static uint64_t remaining_ms(const ffl_dispatch_t *d, const ffl_run_t *run,
+			     uint64_t now_ms)
 {
 	uint64_t since_ms = run->rate ? run->seen_ms : run->running_ms;
 	uint64_t total_ms;
@@ -59,7 +63,7 @@
 			  : 0;
 	if (!step->writes_checkpoints)
 		left_ms += DRAIN_OVERRUN_MS;
-	if (left_ms < ffl_run_remaining_ms(d, run, now_ms))
+	if (left_ms < remaining_ms(d, run, now_ms))
 		ffl_run_request_stop(d, run, "drained");
 }
 
