dispatch: what a run's end loses is counted before it is logged

Cause: the count stood among the arguments of a log line, where a reader looks for no effect. Change: a variable of its own; the order of things is the same. Measured: /dispatch/lost-work passes; no decision changes.

--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -212,6 +212,7 @@
 	bool current = is_current(run);
 	bool succeeded = end == FFL_RUN_END_DONE &&
 			 !ffl_run_step(run)->runs_until_cancelled;
+	uint64_t lost = ffl_loss_count(d, run, end, checkpoint, now_ms);
 
 	ffl_task_name(flow, run->task, name);
 	ffl_dispatch_note(d, "run-ended", name,
@@ -220,8 +221,7 @@
 			  run->run, run->worker->entry.id,
 			  ffl_run_end_name(end), current,
 			  now_ms - run->placed_ms,
-			  run->stop_reason ? run->stop_reason : "-",
-			  ffl_loss_count(d, run, end, checkpoint, now_ms));
+			  run->stop_reason ? run->stop_reason : "-", lost);
 	if (end == FFL_RUN_END_FAILED && current)
 		count_failure(d, run, now_ms);
 	if (succeeded && current) {
