log client: a read after a failure does not wait for records

Cause: the host counts the log as away until a read succeeds, and that read, sent when the log was back, waited 1,000 ms for new records as any other.

--- a/lib/config/logc.c
+++ b/lib/config/logc.c
@@ -321,7 +321,10 @@
 
 	act->log_read.from = lc->next_offset;
 	act->log_read.max = READ_RECORDS_MAX;
-	if (lc->end && lc->append_state != FFL_APPEND_UNCERTAIN)
+	/* The answer of a read that waits would be late: it resolves an append
+	 * whose reply was lost, or shows that the log is back. */
+	if (lc->end && lc->append_state != FFL_APPEND_UNCERTAIN &&
+	    !lc->read_failures)
 		act->log_read.wait_ms = READ_WAIT_MS;
 	lc->reading = true;
 	lc->reads++;
--- a/tests/config_test.c
+++ b/tests/config_test.c
@@ -51,8 +51,26 @@
 	{ 6, 10, { 6, 7, 8 }, FFL_READ_TRIMMED },
 };
 
+/** What the reader knows, and whether its next read may wait for records. */
+typedef struct {
+	uint64_t end;
+	uint32_t read_failures;
+	ffl_append_state_t append_state;
+	bool waits;
+} wait_case_t;
+
+static const wait_case_t wait_cases[] = {
+	{ 0, 0, FFL_APPEND_IDLE, false },
+	{ 10, 0, FFL_APPEND_IDLE, true },
+	{ 10, 0, FFL_APPEND_BACKOFF, true },
+	{ 10, 0, FFL_APPEND_UNCERTAIN, false },
+	{ 10, 1, FFL_APPEND_IDLE, false },
+	{ 10, 9, FFL_APPEND_BACKOFF, false },
+};
+
 static void test_bad_intents(void);
 static void test_reads(void);
+static void test_waiting_reads(void);
 static void test_late_writer(void);
 static void test_tampered_trail(void);
 static void test_damaged_snapshot(void);
@@ -111,6 +129,29 @@
 	}
 }
 
+static void test_waiting_reads(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(wait_cases); i++) {
+		const wait_case_t *c = &wait_cases[i];
+		const ffl_action_t *read;
+		ffl_actions_t out;
+		ffl_logc_t lc;
+
+		ffl_actions_init(&out);
+		ffl_logc_init(&lc, 1, 1, 1);
+		lc.end = c->end;
+		lc.read_failures = c->read_failures;
+		lc.append_state = c->append_state;
+		ffl_logc_run(&lc, 1, &out);
+		g_assert_cmpuint(out.items->len, ==, 1);
+		read = &g_array_index(out.items, ffl_action_t, 0);
+		g_assert_cmpint(read->kind, ==, FFL_ACT_LOG_READ);
+		g_assert_cmpint(read->log_read.wait_ms > 0, ==, c->waits);
+		ffl_logc_finish(&lc);
+		ffl_actions_finish(&out);
+	}
+}
+
 /* The writer of a record that lands more than FFL_FOLD_WINDOW offsets after its
  * base may have been forgotten: the record must not be taken for a new one. */
 static void test_late_writer(void)
@@ -287,6 +328,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/config/bad-intents", test_bad_intents);
 	g_test_add_func("/config/reads", test_reads);
+	g_test_add_func("/config/waiting-reads", test_waiting_reads);
 	g_test_add_func("/config/late-writer", test_late_writer);
 	g_test_add_func("/config/tampered-trail", test_tampered_trail);
 	g_test_add_func("/config/damaged-snapshot", test_damaged_snapshot);
