wire: msgpack output and the check of an array stand once

The function by which a packer appends stood in four files, and measuring and unpacking a value that must be an array in three. They are in lib/wire/pack.c. No behaviour changes: bytes after the first value were ignored before as well.

--- a/lib/flow/flow_record.c
+++ b/lib/flow/flow_record.c
@@ -2,7 +2,7 @@
 #include <msgpack.h>
 
 #include "fireflyledge/flow.h"
-#include "lib/wire/measure.h"
+#include "lib/wire/pack.h"
 
 /** Format versions of the records; records of another version are rejected. */
 #define SPEC_VERSION	 1
@@ -21,12 +21,10 @@
 	bool bad;
 } fields_t;
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes);
 static void pack_string(msgpack_packer *pk, const char *text);
 static void pack_step(msgpack_packer *pk, const ffl_step_t *step);
 static void pack_task(msgpack_packer *pk, const ffl_task_t *task);
-static bool unpack(msgpack_unpacked *msg, ffl_bytes_t in);
-static fields_t open_fields(const msgpack_object *obj, uint32_t count);
+static fields_t open_fields(const msgpack_object_array *array, uint32_t count);
 static uint64_t read_u64(fields_t *f);
 static uint32_t read_u32(fields_t *f);
 static int64_t read_i64(fields_t *f);
@@ -45,12 +43,6 @@
 static uint32_t part_count(const ffl_flow_t *flow, uint32_t part);
 static bool has_part_progress(const ffl_flow_t *flow, uint32_t part);
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes)
-{
-	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
-	return 0;
-}
-
 static void pack_string(msgpack_packer *pk, const char *text)
 {
 	size_t n = text ? strlen(text) : 0;
@@ -86,7 +78,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_bytes);
+	msgpack_packer_init(&pk, out, ffl_wire_write);
 	msgpack_pack_array(&pk, SPEC_FIELDS_WRITTEN);
 	msgpack_pack_uint8(&pk, SPEC_VERSION);
 	pack_string(&pk, spec->id);
@@ -109,26 +101,15 @@
 	msgpack_pack_uint64(&pk, spec->text_sum);
 }
 
-/* Measures the input first, so that a record cannot make the unpacker allocate
- * memory for elements that it claims to have but does not. */
-static bool unpack(msgpack_unpacked *msg, ffl_bytes_t in)
-{
-	size_t used = 0;
-	size_t off = 0;
-
-	return ffl_wire_measure(in, &used) == FFL_OK &&
-	       msgpack_unpack_next(msg, (const char *)in.data, used, &off) ==
-		       MSGPACK_UNPACK_SUCCESS;
-}
-
-static fields_t open_fields(const msgpack_object *obj, uint32_t count)
+/* An array that is missing, or too short, is bad. */
+static fields_t open_fields(const msgpack_object_array *array, uint32_t count)
 {
 	fields_t f = { NULL, 0, true };
 
-	if (obj->type != MSGPACK_OBJECT_ARRAY || obj->via.array.size < count)
+	if (!array || array->size < count)
 		return f;
-	f.next = obj->via.array.ptr;
-	f.left = obj->via.array.size;
+	f.next = array->ptr;
+	f.left = array->size;
 	f.bad = false;
 	return f;
 }
@@ -199,7 +180,7 @@
 		return inner;
 	}
 	f->left--;
-	return open_fields(f->next++, 0);
+	return open_fields(&(f->next++)->via.array, 0);
 }
 
 static void read_step(fields_t *f, ffl_step_t *out)
@@ -268,15 +249,13 @@
 ffl_status_t ffl_flow_spec_decode(ffl_bytes_t in, ffl_flow_spec_t *out)
 {
 	msgpack_unpacked msg;
-	fields_t f = { NULL, 0, true };
 	ffl_err_t err;
+	fields_t f;
 
 	ffl_flow_spec_init(out);
 	msgpack_unpacked_init(&msg);
-	if (unpack(&msg, in)) {
-		f = open_fields(&msg.data, SPEC_FIELDS);
-		read_spec(&f, out);
-	}
+	f = open_fields(ffl_wire_unpack_array(in, &msg), SPEC_FIELDS);
+	read_spec(&f, out);
 	msgpack_unpacked_destroy(&msg);
 	if (!f.bad && ffl_flow_spec_validate(out, &err) == FFL_OK)
 		return FFL_OK;
@@ -364,7 +343,7 @@
 	uint32_t count = part_count(flow, part);
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_bytes);
+	msgpack_packer_init(&pk, out, ffl_wire_write);
 	msgpack_pack_array(&pk, PROGRESS_FIELDS);
 	msgpack_pack_uint8(&pk, PROGRESS_VERSION);
 	msgpack_pack_uint8(&pk, flow->failed);
@@ -440,22 +419,20 @@
 ffl_status_t ffl_flow_progress_decode(ffl_bytes_t in, ffl_flow_t *flow,
 				      uint32_t part)
 {
-	fields_t f = { NULL, 0, true };
-	ffl_task_t *tasks = NULL;
 	msgpack_unpacked msg;
-	bool failed = false;
-	bool started = false;
+	ffl_task_t *tasks;
+	fields_t f;
+	bool failed;
+	bool started;
 	uint32_t count = 0;
 
 	msgpack_unpacked_init(&msg);
-	if (unpack(&msg, in)) {
-		f = open_fields(&msg.data, PROGRESS_FIELDS);
-		if (read_u64(&f) != PROGRESS_VERSION)
-			f.bad = true;
-		failed = read_bool(&f);
-		started = read_bool(&f);
-		tasks = read_tasks(&f, &count);
-	}
+	f = open_fields(ffl_wire_unpack_array(in, &msg), PROGRESS_FIELDS);
+	if (read_u64(&f) != PROGRESS_VERSION)
+		f.bad = true;
+	failed = read_bool(&f);
+	started = read_bool(&f);
+	tasks = read_tasks(&f, &count);
 	msgpack_unpacked_destroy(&msg);
 	if (f.bad || !tasks ||
 	    (count != part_count(flow, part) &&
--- a/lib/node/lead_record.c
+++ b/lib/node/lead_record.c
@@ -2,26 +2,18 @@
 #include <msgpack.h>
 
 #include "lib/node/node_int.h"
-#include "lib/wire/measure.h"
+#include "lib/wire/pack.h"
 
 /** Number of fields that a leadership record must have. */
 #define LEAD_FIELDS	    5
 #define LEAD_FIELDS_WRITTEN 6 /**< with the holder's size, added later */
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes);
-
-static int write_bytes(void *user, const char *buf, size_t size_bytes)
-{
-	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
-	return 0;
-}
-
 ffl_write_t *ffl_lead_encode(const ffl_node_t *n, uint64_t token, bool resigned)
 {
 	ffl_write_t *w = ffl_write_new('\0', KEY_LEAD);
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, w->value, write_bytes);
+	msgpack_packer_init(&pk, w->value, ffl_wire_write);
 	msgpack_pack_array(&pk, LEAD_FIELDS_WRITTEN);
 	msgpack_pack_str(&pk, strlen(n->opt.name));
 	msgpack_pack_str_body(&pk, n->opt.name, strlen(n->opt.name));
@@ -36,20 +28,16 @@
 bool ffl_lead_decode(ffl_bytes_t in, ffl_lead_record_t *out)
 {
 	msgpack_unpacked msg;
+	const msgpack_object_array *fields;
 	const msgpack_object *f;
-	size_t used = 0;
-	size_t off = 0;
 	bool ok;
 
 	memset(out, 0, sizeof(*out));
 	msgpack_unpacked_init(&msg);
-	ok = ffl_wire_measure(in, &used) == FFL_OK &&
-	     msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
-				 &off) == MSGPACK_UNPACK_SUCCESS &&
-	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
-	     msg.data.via.array.size >= LEAD_FIELDS;
+	fields = ffl_wire_unpack_array(in, &msg);
+	ok = fields && fields->size >= LEAD_FIELDS;
 	if (ok) {
-		f = msg.data.via.array.ptr;
+		f = fields->ptr;
 		ok = f[0].type == MSGPACK_OBJECT_STR &&
 		     f[0].via.str.size < sizeof(out->holder);
 		for (int i = 1; i < LEAD_FIELDS; i++)
@@ -61,7 +49,7 @@
 			out->token = f[2].via.u64;
 			out->append_number = f[3].via.u64;
 			out->resigned = f[4].via.u64 != 0;
-			if (msg.data.via.array.size > LEAD_FIELDS &&
+			if (fields->size > LEAD_FIELDS &&
 			    f[LEAD_FIELDS].type ==
 				    MSGPACK_OBJECT_POSITIVE_INTEGER)
 				out->size_milli = (uint32_t)MIN(
--- a/lib/node/outlook.c
+++ b/lib/node/outlook.c
@@ -9,7 +9,7 @@
 #include <msgpack.h>
 
 #include "lib/node/node_int.h"
-#include "lib/wire/measure.h"
+#include "lib/wire/pack.h"
 
 /** Interval between two outlooks of a service. */
 #define OUTLOOK_INTERVAL_MS 500
@@ -27,7 +27,6 @@
 	uint32_t next; /**< read so far */
 } numbers_t;
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes);
 static void put(numbers_t *to, uint64_t number);
 static uint64_t take(numbers_t *from, uint64_t most);
 static ffl_write_t *encode(const ffl_node_t *n, const char *service,
@@ -48,12 +47,6 @@
 	g_hash_table_destroy(n->outlooks);
 }
 
-static int write_bytes(void *user, const char *buf, size_t size_bytes)
-{
-	g_byte_array_append(user, (const guint8 *)buf, (guint)size_bytes);
-	return 0;
-}
-
 static void put(numbers_t *to, uint64_t number)
 {
 	to->n[to->count++] = number;
@@ -100,7 +93,7 @@
 		put(&all, o->queues[i].name_sum);
 		put(&all, o->queues[i].run_ms);
 	}
-	msgpack_packer_init(&pk, w->value, write_bytes);
+	msgpack_packer_init(&pk, w->value, ffl_wire_write);
 	msgpack_pack_array(&pk, all.count);
 	for (uint32_t i = 0; i < all.count; i++)
 		msgpack_pack_uint64(&pk, all.n[i]);
@@ -109,20 +102,16 @@
 
 static bool read_numbers(ffl_bytes_t in, numbers_t *out)
 {
+	const msgpack_object_array *fields;
 	msgpack_unpacked msg;
-	size_t used = 0;
-	size_t off = 0;
 	bool ok;
 
 	memset(out, 0, sizeof(*out));
 	msgpack_unpacked_init(&msg);
-	ok = ffl_wire_measure(in, &used) == FFL_OK &&
-	     msgpack_unpack_next(&msg, (const char *)in.data, in.size_bytes,
-				 &off) == MSGPACK_UNPACK_SUCCESS &&
-	     msg.data.type == MSGPACK_OBJECT_ARRAY &&
-	     msg.data.via.array.size <= NUMBERS_MAX;
-	for (uint32_t i = 0; ok && i < msg.data.via.array.size; i++) {
-		const msgpack_object *f = &msg.data.via.array.ptr[i];
+	fields = ffl_wire_unpack_array(in, &msg);
+	ok = fields && fields->size <= NUMBERS_MAX;
+	for (uint32_t i = 0; ok && i < fields->size; i++) {
+		const msgpack_object *f = &fields->ptr[i];
 
 		ok = f->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 		if (ok)
--- a/lib/wire/schema.c
+++ b/lib/wire/schema.c
@@ -7,6 +7,7 @@
 
 #include "fireflyledge/schema.h"
 #include "lib/wire/measure.h"
+#include "lib/wire/pack.h"
 
 /** Packs the value of field @p f at @p p. */
 typedef void (*pack_fn_t)(const ffl_field_t *f, const void *p,
@@ -15,7 +16,6 @@
 typedef bool (*unpack_fn_t)(const ffl_field_t *f, const msgpack_object *o,
 			    void *p, ffl_arena_t *arena);
 
-static int write_bytes(void *data, const char *buf, size_t len);
 static void pack_struct(const ffl_schema_t *schema, const void *obj,
 			msgpack_packer *pk);
 static bool unpack_struct(const ffl_schema_t *schema, const msgpack_object *o,
@@ -58,12 +58,6 @@
 	[FFL_FIELD_LIST] = unpack_list, [FFL_FIELD_BLOB] = unpack_blob,
 };
 
-static int write_bytes(void *data, const char *buf, size_t len)
-{
-	g_byte_array_append(data, (const guint8 *)buf, (guint)len);
-	return 0;
-}
-
 static void pack_bool(const ffl_field_t *f, const void *p, msgpack_packer *pk)
 {
 	if (*(const bool *)p)
@@ -243,7 +237,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_bytes);
+	msgpack_packer_init(&pk, out, ffl_wire_write);
 	pack_struct(schema, obj, &pk);
 }
 
