dispatch: slots, paths and free room are counted by one function each

outlook.c had twins of the tasks that fit on a worker (choose.c), the longest chain of steps (rank.c) and the room of workers that take new tasks (ffl_count_free_gpus()). They are ffl_resources_slots(), ffl_rank_path_ms() and ffl_count_slots(). No decision changes: a GPU is a task that needs one, and the chain of an outlook has steps of equal length.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -171,11 +171,12 @@
 	GPtrArray *workers; /**< of ffl_dispatch_worker_t *, by id */
 } ffl_rack_t;
 
-/** GPUs of a service's workers that are neither draining nor evacuated. */
+/** Tasks of one size that fit on workers that are neither draining nor
+ * evacuated; of one GPU each: their GPUs. */
 typedef struct {
 	uint64_t total;
 	uint64_t free;
-} ffl_gpu_count_t;
+} ffl_slot_count_t;
 
 /** Tickets from the adviser. Only one call is open at a time because the
  * adviser serves one host. */
@@ -242,7 +243,7 @@
 	bool dirty;		 /**< next_batch holds changes */
 	bool replan;		 /**< an input of placement has changed */
 	uint64_t last_placement_ms;
-	GHashTable *gpus; /**< ffl_gpu_count_t by service, in this pass */
+	GHashTable *gpus; /**< ffl_slot_count_t by service, in this pass */
 	GHashTable *mean_run_ms; /**< mean duration of a run by queue */
 	GArray *infeasible; /**< of ffl_demand_t: did not fit in this pass */
 	ffl_advice_t advice;
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -201,31 +201,44 @@
 	return best;
 }
 
+bool ffl_count_slots(const ffl_dispatch_worker_t *w,
+		     const ffl_resources_t *need, ffl_slot_count_t *count)
+{
+	ffl_resources_t available = ffl_dispatch_worker_available(w);
+
+	if (w->entry.draining || w->evacuated)
+		return false;
+	count->total += ffl_resources_slots(&w->entry.capacity, need);
+	count->free += ffl_resources_slots(&available, need);
+	return true;
+}
+
 void ffl_count_free_gpus(ffl_dispatch_t *d)
 {
+	static const ffl_resources_t one_gpu = { .gpus = 1 };
 	const GPtrArray *listed = ffl_listed_workers(d);
 
 	g_hash_table_remove_all(d->gpus);
 	for (guint i = 0; i < listed->len; i++) {
 		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
-		ffl_gpu_count_t *count =
+		ffl_slot_count_t *known =
 			g_hash_table_lookup(d->gpus, w->entry.service);
+		ffl_slot_count_t count =
+			known ? *known : (ffl_slot_count_t){ 0 };
 
-		if (w->entry.draining || w->evacuated)
+		if (!ffl_count_slots(w, &one_gpu, &count))
 			continue;
-		if (!count) {
-			count = g_new0(ffl_gpu_count_t, 1);
+		if (known)
+			*known = count;
+		else
 			g_hash_table_insert(d->gpus, g_strdup(w->entry.service),
-					    count);
-		}
-		count->total += w->entry.capacity.gpus;
-		count->free += ffl_dispatch_worker_available(w).gpus;
+					    g_memdup2(&count, sizeof(count)));
 	}
 }
 
 void ffl_take_free_gpus(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
-	ffl_gpu_count_t *count =
+	ffl_slot_count_t *count =
 		g_hash_table_lookup(d->gpus, req->flow->spec.service);
 
 	if (count)
@@ -235,7 +248,7 @@
 uint32_t ffl_free_gpus_percent(const ffl_dispatch_t *d,
 			       const ffl_place_request_t *req)
 {
-	const ffl_gpu_count_t *count =
+	const ffl_slot_count_t *count =
 		g_hash_table_lookup(d->gpus, req->flow->spec.service);
 
 	return count && count->total
@@ -274,13 +287,7 @@
 
 	if (!ffl_resources_fit(&available, need) || !ffl_is_eligible(d, w, req))
 		return 0;
-	if (need->gpus)
-		most = MIN(most, available.gpus / need->gpus);
-	if (need->cpu_milli)
-		most = MIN(most, available.cpu_milli / need->cpu_milli);
-	if (need->mem_mb)
-		most = MIN(most, available.mem_mb / need->mem_mb);
-	return most;
+	return MIN(most, ffl_resources_slots(&available, need));
 }
 
 static bool has_enough_slots(const ffl_dispatch_t *d,
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -65,7 +65,7 @@
 void ffl_dispatch_worker_follow(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
 void ffl_resources_add(ffl_resources_t *to, const ffl_resources_t *amount);
 
-/* The next three are called for each worker in the search for a place. */
+/* The next four are called for each worker in the search for a place. */
 
 static inline bool ffl_resources_fit(const ffl_resources_t *available,
 				     const ffl_resources_t *need)
@@ -75,6 +75,21 @@
 	       available->gpus >= need->gpus;
 }
 
+/** Returns the number of tasks that fit, UINT32_MAX if they need nothing. */
+static inline uint32_t ffl_resources_slots(const ffl_resources_t *available,
+					   const ffl_resources_t *need)
+{
+	uint32_t slots = UINT32_MAX;
+
+	if (need->gpus)
+		slots = MIN(slots, available->gpus / need->gpus);
+	if (need->cpu_milli)
+		slots = MIN(slots, available->cpu_milli / need->cpu_milli);
+	if (need->mem_mb)
+		slots = MIN(slots, available->mem_mb / need->mem_mb);
+	return slots;
+}
+
 /** Subtracts an amount; no resource goes below 0. */
 static inline void ffl_resources_subtract(ffl_resources_t *from,
 					  const ffl_resources_t *amount)
@@ -366,6 +381,13 @@
 			     ffl_dispatch_worker_t **chosen);
 /** Returns true if a step may run away from its data or spread over racks. */
 bool ffl_allows_remote(const ffl_dispatch_t *d, const ffl_place_request_t *req);
+/** Adds the tasks that fit on a worker, in all and beside its runs, unless it
+ * takes no new ones as it leaves or its data centre is evacuated.
+ *
+ * @return whether it takes new ones
+ */
+bool ffl_count_slots(const ffl_dispatch_worker_t *w,
+		     const ffl_resources_t *need, ffl_slot_count_t *count);
 /** Counts the free GPUs of each service at the start of a placement pass. */
 void ffl_count_free_gpus(ffl_dispatch_t *d);
 /** Counts the GPUs of a task that was placed as used. */
@@ -437,6 +459,11 @@
 	FFL_TIER__MAX
 } ffl_tier_t;
 
+/** Returns the duration of the longest chain of dependent steps.
+ *
+ * @param step_ms duration of each step
+ */
+uint64_t ffl_rank_path_ms(const ffl_flow_spec_t *spec, const uint64_t *step_ms);
 /** Returns the expected duration of a run close to its data. */
 uint64_t ffl_rank_expected_run_ms(const ffl_dispatch_t *d,
 				  const ffl_flow_t *flow, uint32_t step);
--- a/lib/dispatch/outlook.c
+++ b/lib/dispatch/outlook.c
@@ -64,13 +64,11 @@
 static int by_of_use(const void *a, const void *b);
 static void take(const GArray *waiting, const room_t *room, bool on_time,
 		 ffl_outlook_rank_t *rank);
-static uint32_t slots(const ffl_resources_t *room, const ffl_resources_t *task);
 static bool is_full(ffl_dispatch_t *d, const char *service,
 		    const ffl_resources_t *task);
 static void add_ranks(const GArray *waiting, ffl_outlook_t *out);
 static void drop_free_ranks(ffl_dispatch_t *d, const char *service,
 			    ffl_outlook_t *out);
-static uint64_t path_ms(const ffl_flow_spec_t *spec, uint32_t run_ms);
 static uint32_t learned_run_ms(const ffl_outlook_t *o, const char *queue);
 static bool may_refuse(const ffl_flow_spec_t *spec);
 static const ffl_outlook_rank_t *rank_of(const ffl_outlook_t *o,
@@ -254,39 +252,21 @@
 	}
 }
 
-static uint32_t slots(const ffl_resources_t *room, const ffl_resources_t *task)
-{
-	uint32_t count = UINT32_MAX;
-
-	if (task->cpu_milli)
-		count = MIN(count, room->cpu_milli / task->cpu_milli);
-	if (task->mem_mb)
-		count = MIN(count, room->mem_mb / task->mem_mb);
-	if (task->gpus)
-		count = MIN(count, room->gpus / task->gpus);
-	return count;
-}
-
 /* Nobody is turned away while room is free, also if it is left free for other
  * work. */
 static bool is_full(ffl_dispatch_t *d, const char *service,
 		    const ffl_resources_t *task)
 {
 	const GPtrArray *listed = ffl_listed_workers(d);
-	uint64_t all = 0;
-	uint64_t free = 0;
+	ffl_slot_count_t slots = { 0 };
 
 	for (guint i = 0; i < listed->len; i++) {
 		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
-		ffl_resources_t available = ffl_dispatch_worker_available(w);
 
-		if (strcmp(w->entry.service, service) != 0 ||
-		    w->entry.draining || w->evacuated)
-			continue;
-		all += slots(&w->entry.capacity, task);
-		free += slots(&available, task);
+		if (strcmp(w->entry.service, service) == 0)
+			ffl_count_slots(w, task, &slots);
 	}
-	return free * PERCENT < all * CHANGING_PERCENT;
+	return slots.free * PERCENT < slots.total * CHANGING_PERCENT;
 }
 
 /* Each rank has the work of those before it. */
@@ -372,23 +352,6 @@
 		memset(out, 0, sizeof(*out));
 }
 
-/* Returns the duration of the longest chain of dependent steps. */
-static uint64_t path_ms(const ffl_flow_spec_t *spec, uint32_t run_ms)
-{
-	uint32_t ends[FFL_FLOW_STEPS_MAX] = { 0 };
-	uint32_t longest = 0;
-
-	for (uint32_t s = 0; s < spec->steps_count; s++) {
-		for (uint32_t k = 0; k < s; k++) {
-			if (spec->steps[s].prerequisites >> k & 1)
-				ends[s] = MAX(ends[s], ends[k]);
-		}
-		ends[s]++;
-		longest = MAX(longest, ends[s]);
-	}
-	return (uint64_t)longest * run_ms;
-}
-
 static uint32_t learned_run_ms(const ffl_outlook_t *o, const char *queue)
 {
 	uint64_t sum = ffl_outlook_queue_sum(queue);
@@ -464,6 +427,7 @@
 			const ffl_flow_spec_t *spec, ffl_outlook_verdict_t *out)
 {
 	const ffl_outlook_rank_t *rank = rank_of(o, spec);
+	uint64_t step_ms[FFL_FLOW_STEPS_MAX] = { 0 };
 	uint64_t path;
 	uint64_t limit_ms;
 	uint64_t on_time_ms;
@@ -475,7 +439,9 @@
 	if (!rank || !out->run_ms || !may_refuse(spec) ||
 	    fits_between(spec, rank) || age_ms > FFL_OUTLOOK_AGE_MAX_MS)
 		return;
-	path = path_ms(spec, out->run_ms);
+	for (uint32_t s = 0; s < spec->steps_count; s++)
+		step_ms[s] = out->run_ms;
+	path = ffl_rank_path_ms(spec, step_ms);
 	limit_ms = path * spec->stretch_milli / MILLI + spec->objective_base_ms;
 	on_time_ms = left_ms(limit_ms, path);
 	out->wait_max_ms = left_ms(FFL_LATE_FACTOR * limit_ms, path);
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -58,28 +58,36 @@
 	return false;
 }
 
-/* Returns the duration of the longest chain of dependent steps. */
-static uint64_t critical_path_ms(const ffl_dispatch_t *d,
-				 const ffl_flow_t *flow, bool unfinished_only)
+uint64_t ffl_rank_path_ms(const ffl_flow_spec_t *spec, const uint64_t *step_ms)
 {
 	uint64_t end_ms[FFL_FLOW_STEPS_MAX] = { 0 };
 	uint64_t longest_ms = 0;
 
-	for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
+	for (uint32_t s = 0; s < spec->steps_count; s++) {
 		uint64_t start_ms = 0;
 
 		for (uint32_t k = 0; k < s; k++) {
-			if (flow->spec.steps[s].prerequisites >> k & 1)
+			if (spec->steps[s].prerequisites >> k & 1)
 				start_ms = MAX(start_ms, end_ms[k]);
 		}
-		end_ms[s] = start_ms;
-		if (!unfinished_only || has_unfinished_tasks(flow, s))
-			end_ms[s] += ffl_rank_expected_run_ms(d, flow, s);
+		end_ms[s] = start_ms + step_ms[s];
 		longest_ms = MAX(longest_ms, end_ms[s]);
 	}
 	return longest_ms;
 }
 
+static uint64_t critical_path_ms(const ffl_dispatch_t *d,
+				 const ffl_flow_t *flow, bool unfinished_only)
+{
+	uint64_t step_ms[FFL_FLOW_STEPS_MAX] = { 0 };
+
+	for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
+		if (!unfinished_only || has_unfinished_tasks(flow, s))
+			step_ms[s] = ffl_rank_expected_run_ms(d, flow, s);
+	}
+	return ffl_rank_path_ms(&flow->spec, step_ms);
+}
+
 /* Returns the longest time that a flow may take to meet its objective. */
 static uint64_t objective_ms(const ffl_dispatch_t *d, const ffl_flow_t *flow)
 {
