dispatch: quarantined workers are listed once a pass

ffl_trust_holds_back() walked all listed workers for each held task of a pass. They are listed when the pass begins; quarantines begin only between passes. (ffl_trust_count_success() calls ffl_trust_reset() already: nothing to do there.)

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -246,6 +246,8 @@
 	GHashTable *gpus; /**< ffl_slot_count_t by service, in this pass */
 	GHashTable *mean_run_ms; /**< mean duration of a run by queue */
 	GArray *infeasible; /**< of ffl_demand_t: did not fit in this pass */
+	/** Quarantined workers in this pass, of ffl_dispatch_worker_t. */
+	GPtrArray *quarantined;
 	ffl_advice_t advice;
 	bool may_renew; /**< leases may be extended */
 	/** Partitions of jobs, a bit each, of which newer records may not be
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -51,6 +51,7 @@
 	d->gpus =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->infeasible = g_array_new(FALSE, TRUE, sizeof(ffl_demand_t));
+	d->quarantined = g_ptr_array_new();
 	ffl_advice_init(&d->advice);
 	d->next_batch = 1;
 }
@@ -64,6 +65,7 @@
 	g_hash_table_destroy(d->mean_run_ms);
 	g_hash_table_destroy(d->gpus);
 	g_array_free(d->infeasible, TRUE);
+	g_ptr_array_free(d->quarantined, TRUE);
 	ffl_advice_finish(&d->advice);
 	g_hash_table_destroy(d->calls);
 	g_hash_table_destroy(d->workers);
@@ -124,6 +126,7 @@
 	ffl_racks_invalidate(d);
 	g_ptr_array_set_size(d->followed, 0);
 	g_hash_table_remove_all(d->workers);
+	g_ptr_array_set_size(d->quarantined, 0);
 	d->dirty = false;
 }
 
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -334,6 +334,8 @@
 bool ffl_trust_allows(const ffl_dispatch_worker_t *w,
 		      const ffl_place_request_t *req);
 
+/** Lists the quarantined workers at the start of a placement pass. */
+void ffl_list_quarantined(ffl_dispatch_t *d, uint64_t now_ms);
 /** Returns true if a task's last attempt is to wait, as its job has slack and
  * workers fail what they start. */
 bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -193,6 +193,7 @@
 	explain_rank(d, flow, now_ms, out);
 	like.guaranteed = out->guaranteed;
 	ffl_count_free_gpus(d);
+	ffl_list_quarantined(d, now_ms);
 	out->free_percent = ffl_free_gpus_percent(d, &like);
 	g_array_set_size(d->infeasible, 0);
 	ffl_place_flow(d, flow, &like, wall_ms);
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -410,6 +410,7 @@
 
 	ffl_rank_flows(d, NULL, now_ms, ranked, guaranteed_flows);
 	ffl_count_free_gpus(d);
+	ffl_list_quarantined(d, now_ms);
 	g_array_set_size(d->infeasible, 0);
 	memset(d->waiting, 0, sizeof(d->waiting));
 	for (int pass = 0; pass < 2; pass++) {
--- a/lib/dispatch/trust.c
+++ b/lib/dispatch/trust.c
@@ -26,8 +26,7 @@
 		       uint64_t now_ms);
 static bool is_left_out(const ffl_dispatch_worker_t *w, uint64_t now_ms);
 static bool has_unproven_run(const ffl_dispatch_worker_t *w);
-static uint32_t count_failing(ffl_dispatch_t *d,
-			      const ffl_place_request_t *req);
+static uint32_t count_failing(const ffl_dispatch_t *d, const ffl_flow_t *flow);
 
 void ffl_trust_reset(ffl_dispatch_worker_t *w)
 {
@@ -121,18 +120,30 @@
 	       !has_unproven_run(w);
 }
 
+void ffl_list_quarantined(ffl_dispatch_t *d, uint64_t now_ms)
+{
+	const GPtrArray *listed = ffl_listed_workers(d);
+
+	g_ptr_array_set_size(d->quarantined, 0);
+	for (guint i = 0; i < listed->len; i++) {
+		ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
+
+		if (now_ms < w->quarantined_until_ms)
+			g_ptr_array_add(d->quarantined, w);
+	}
+}
+
 /* Returns the number of workers that are quarantined for what they did to other
  * jobs. */
-static uint32_t count_failing(ffl_dispatch_t *d, const ffl_place_request_t *req)
+static uint32_t count_failing(const ffl_dispatch_t *d, const ffl_flow_t *flow)
 {
-	const GPtrArray *listed = ffl_listed_workers(d);
 	uint32_t failing = 0;
 
-	for (guint i = 0; i < listed->len; i++) {
-		const ffl_dispatch_worker_t *w = g_ptr_array_index(listed, i);
+	for (guint i = 0; i < d->quarantined->len; i++) {
+		const ffl_dispatch_worker_t *w =
+			g_ptr_array_index(d->quarantined, i);
 
-		failing += req->now_ms < w->quarantined_until_ms &&
-			   w->fail_flow != req->flow;
+		failing += w->fail_flow != flow;
 	}
 	return failing;
 }
@@ -150,7 +161,7 @@
 	if (!failures || failures + 1 < flow->spec.attempts_max ||
 	    req->must_start || !ffl_rank_has_slack(d, flow, req->now_ms))
 		return false;
-	failing = count_failing(d, req);
+	failing = count_failing(d, flow);
 	if (!failing)
 		return false;
 	if (req->now_ms >= flow->held_ms + QUARANTINE_MS) {
