--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -273,10 +273,10 @@
 typedef struct ffl_preempt_plan ffl_preempt_plan_t;
 
 /** What becomes of the decisions on a step: they are carried out, or only
- * recorded for an explanation. */
+ * recorded for an explanation. A run has taken its resources by then. */
 typedef struct {
-	void (*place)(ffl_dispatch_t *d, const ffl_place_request_t *req,
-		      uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+	void (*placed)(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run);
 	void (*preempt)(ffl_preempt_plan_t *plan,
 			const ffl_place_request_t *req);
 	void (*wait)(ffl_dispatch_t *d, const ffl_place_request_t *req,
@@ -296,6 +296,7 @@
 	bool local_only; /**< only in the data's rack, gang in one rack */
 	bool skip_slow;	 /**< not on slow workers */
 	bool must_start; /**< guaranteed work that may wait no longer */
+	bool started;	 /**< its flow has had a run before */
 	const ffl_place_effects_t *effects;
 	void *effects_user; /**< for the effects */
 };
@@ -315,10 +316,6 @@
 void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
 		    const ffl_place_request_t *like, uint64_t wall_ms);
 
-/** Gives a task a run on a worker and takes the resources for it. */
-ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			  uint32_t task, ffl_dispatch_worker_t *w,
-			  uint32_t run);
 /** Returns the resources that each task of a step takes. */
 ffl_resources_t ffl_step_resources(const ffl_step_t *step);
 
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -16,8 +16,8 @@
 } trial_t;
 
 static ffl_explained_step_t *step_of(const ffl_place_request_t *req);
-static void record_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			 uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+static void record_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run);
 static void record_preempt(ffl_preempt_plan_t *plan,
 			   const ffl_place_request_t *req);
 static void record_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
@@ -32,7 +32,7 @@
 static void step_clear(void *data);
 
 static const ffl_place_effects_t recorded = {
-	.place = record_place,
+	.placed = record_run,
 	.preempt = record_preempt,
 	.wait = record_wait,
 };
@@ -66,14 +66,15 @@
 	return &g_array_index(steps, ffl_explained_step_t, steps->len - 1);
 }
 
-static void record_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			 uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+static void record_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run)
 {
+	const ffl_dispatch_worker_t *w = run->worker;
 	const trial_t *trial = req->effects_user;
 	ffl_explained_step_t *step = step_of(req);
 	ffl_explained_worker_t added = { .tasks = 1 };
 
-	g_ptr_array_add(trial->runs, ffl_place_task(d, req, task, w, run));
+	g_ptr_array_add(trial->runs, run);
 	step->placed++;
 	for (guint i = 0; i < step->workers->len; i++) {
 		ffl_explained_worker_t *known = &g_array_index(
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -34,13 +34,15 @@
 static void place_tasks(ffl_dispatch_t *d, ffl_place_request_t *req);
 static void report_queue_latency(ffl_dispatch_t *d,
 				 const ffl_place_request_t *req);
-static void commit_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+static void place_task(ffl_dispatch_t *d, ffl_place_request_t *req,
+		       uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
+static void commit_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run);
 static void count_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		       ffl_wait_t why);
 
 static const ffl_place_effects_t real_effects = {
-	.place = commit_task,
+	.placed = commit_run,
 	.preempt = ffl_preempt_execute,
 	.wait = count_wait,
 };
@@ -148,21 +150,23 @@
 				    req->now_ms - req->flow->first_seen_ms);
 }
 
-ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			  uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+/* Gives a task a run on a worker and takes the resources for it. */
+static void place_task(ffl_dispatch_t *d, ffl_place_request_t *req,
+		       uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
 {
+	req->started = req->flow->started;
 	ffl_flow_task_place(req->flow, task, run, w->entry.id,
 			    w->entry.born_ms);
 	ffl_take_free_gpus(d, req);
-	return ffl_run_add(d, req->flow, task, run, w, req->now_ms);
+	req->effects->placed(
+		d, req, ffl_run_add(d, req->flow, task, run, w, req->now_ms));
 }
 
-static void commit_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+static void commit_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run)
 {
-	if (!req->flow->started)
+	if (!req->started)
 		report_queue_latency(d, req);
-	ffl_place_task(d, req, task, w, run);
 	ffl_dispatch_mark_dirty(d, req->flow);
 }
 
@@ -228,7 +232,7 @@
 	if (!found)
 		ffl_add_infeasible(d, req);
 	for (uint32_t i = 0; i < tasks && found; i++)
-		req->effects->place(d, req, req->first + i, chosen[i], run + 1);
+		place_task(d, req, req->first + i, chosen[i], run + 1);
 	g_free(chosen);
 }
 
@@ -260,8 +264,7 @@
 			continue;
 		w = unplaced ? NULL : find_worker(d, req, allow_remote);
 		if (w)
-			req->effects->place(d, req, req->task, w,
-					    task->run + 1);
+			place_task(d, req, req->task, w, task->run + 1);
 		else
 			unplaced++;
 	}
