--- a/lib/node/claim.c
+++ b/lib/node/claim.c
@@ -131,11 +131,11 @@
 {
 	uint32_t unread = ffl_node_unread_parts(n);
 
-	if (unread == (1U << n->jobs_parts) - 1)
+	if (unread == ffl_node_all_parts(n))
 		return false;
 	for (uint32_t i = 0; i < n->jobs_parts; i++) {
 		if ((unread >> i & 1) &&
-		    !n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)].failures)
+		    !ffl_node_view_jobs_tail(n, i)->failures)
 			return false;
 	}
 	return true;
--- a/lib/node/jobs.c
+++ b/lib/node/jobs.c
@@ -220,7 +220,7 @@
 static uint64_t first_seen_ms(const ffl_node_t *n, const ffl_flow_spec_t *spec,
 			      uint32_t part)
 {
-	const ffl_tail_t *t = &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
+	const ffl_tail_t *t = ffl_node_view_jobs_tail(n, part);
 	uint64_t age_ms = 0;
 
 	if (t->paging && spec->accepted_ms < n->wall_ms)
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -65,7 +65,7 @@
 
 	return l->leading && !n->stop_began_ms && !l->resign_requested &&
 	       n->now_ms - l->authority_ms <= AUTHORITY_MS &&
-	       ffl_node_unread_parts(n) != (1U << n->jobs_parts) - 1 &&
+	       ffl_node_unread_parts(n) != ffl_node_all_parts(n) &&
 	       ffl_tail_is_caught_up(n, FFL_TOPIC_WORKERS,
 				     FFL_LEAD_STALENESS_MAX_MS) &&
 	       ffl_evacuations_may_start(n);
--- a/lib/node/node.c
+++ b/lib/node/node.c
@@ -144,10 +144,20 @@
 	return &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
 }
 
+const ffl_tail_t *ffl_node_view_jobs_tail(const ffl_node_t *n, uint32_t part)
+{
+	return &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
+}
+
+uint32_t ffl_node_all_parts(const ffl_node_t *n)
+{
+	return (1U << n->jobs_parts) - 1;
+}
+
 bool ffl_node_knows_jobs(const ffl_node_t *n)
 {
 	for (uint32_t i = 0; i < n->jobs_parts; i++) {
-		if (!n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)].synced)
+		if (!ffl_node_view_jobs_tail(n, i)->synced)
 			return false;
 	}
 	return true;
@@ -158,8 +168,7 @@
 	uint32_t unread = 0;
 
 	for (uint32_t i = 0; i < n->jobs_parts; i++) {
-		const ffl_tail_t *t =
-			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+		const ffl_tail_t *t = ffl_node_view_jobs_tail(n, i);
 
 		if (!t->synced ||
 		    n->now_ms - t->caught_up_ms > FFL_LEAD_STALENESS_MAX_MS)
@@ -174,8 +183,7 @@
 
 	for (uint32_t i = 0; i < n->jobs_parts; i++)
 		oldest_ms = MIN(oldest_ms,
-				n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)]
-					.caught_up_ms);
+				ffl_node_view_jobs_tail(n, i)->caught_up_ms);
 	return oldest_ms;
 }
 
@@ -292,8 +300,7 @@
 bool ffl_node_can_serve_part(const ffl_node_t *n, uint32_t part)
 {
 	for (uint32_t i = 0; i < n->jobs_parts; i++) {
-		const ffl_tail_t *t =
-			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+		const ffl_tail_t *t = ffl_node_view_jobs_tail(n, i);
 
 		if (!t->was_synced || (i == part && !t->synced))
 			return false;
@@ -361,8 +368,7 @@
 	uint64_t since_ms = n->now_ms;
 
 	for (uint32_t i = 0; i < n->jobs_parts; i++) {
-		const ffl_tail_t *t =
-			&n->tails[ffl_tail_index(FFL_TOPIC_JOBS, i)];
+		const ffl_tail_t *t = ffl_node_view_jobs_tail(n, i);
 
 		if (!t->failures)
 			return false;
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -48,6 +48,10 @@
 ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n, uint32_t part);
 /** Returns the read position in a partition of the topic of jobs. */
 ffl_tail_t *ffl_node_jobs_tail(ffl_node_t *n, uint32_t part);
+/** The same, to be looked at only. */
+const ffl_tail_t *ffl_node_view_jobs_tail(const ffl_node_t *n, uint32_t part);
+/** Returns the partitions over which jobs are spread, a bit each. */
+uint32_t ffl_node_all_parts(const ffl_node_t *n);
 /** Returns true if all partitions over which jobs are spread have been read. */
 bool ffl_node_knows_jobs(const ffl_node_t *n);
 /** Returns the partitions of jobs, a bit each, of which records older than
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -149,7 +149,7 @@
 
 static bool has_failed_long(const ffl_node_t *n, uint32_t part)
 {
-	const ffl_tail_t *t = &n->tails[ffl_tail_index(FFL_TOPIC_JOBS, part)];
+	const ffl_tail_t *t = ffl_node_view_jobs_tail(n, part);
 
 	return t->failures && n->now_ms - t->failing_since_ms >= HOLD_MAX_MS;
 }
