--- a/jobd/web.c
+++ b/jobd/web.c
@@ -48,7 +48,7 @@
 static const char *bearer_token(const struct mg_connection *conn);
 static ffl_status_t read_body(struct mg_connection *conn, GByteArray *body,
 			      size_t max_bytes);
-static jobd_event_t *decode_request(struct mg_connection *conn, uint64_t id,
+static jobd_event_t *decode_request(struct mg_connection *conn,
 				    const GByteArray *body);
 static void send_response(struct mg_connection *conn,
 			  const ffl_pf_response_t *response);
@@ -61,6 +61,8 @@
 static void send_body_error(struct mg_connection *conn, ffl_status_t status,
 			    guint received_bytes, size_t max_bytes);
 static void send_timeout(struct mg_connection *conn, uint32_t wait_ms);
+static void answer(jobd_web_t *w, struct mg_connection *conn,
+		   jobd_event_t *event, uint32_t wait_ms);
 static int handle_request(struct mg_connection *conn, void *user);
 static void send_text(struct mg_connection *conn, const char *type,
 		      const char *text);
@@ -112,7 +114,7 @@
 	return FFL_OK;
 }
 
-static jobd_event_t *decode_request(struct mg_connection *conn, uint64_t id,
+static jobd_event_t *decode_request(struct mg_connection *conn,
 				    const GByteArray *body)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
@@ -122,7 +124,6 @@
 	const char *key = bearer_token(conn);
 	char problem[FFL_REASON_BYTES];
 
-	req->call = id;
 	req->kind = ffl_pf_request_kind(info->request_method);
 	req->host = ffl_arena_copy(&event->arena, host, strlen(host) + 1);
 	req->path = ffl_arena_copy(&event->arena, info->local_uri_raw,
@@ -236,29 +237,40 @@
 	send_error(conn, FFL_RESPONSE_UNKNOWN, problem);
 }
 
+/* Hands a request, or a question about one, to the core, and sends what that
+ * responds. */
+static void answer(jobd_web_t *w, struct mg_connection *conn,
+		   jobd_event_t *event, uint32_t wait_ms)
+{
+	pending_request_t request;
+
+	add_pending(w, &request);
+	event->ev.request.call = request.id;
+	if (!jobd_event_post(w->d, event))
+		send_error(conn, FFL_RESPONSE_BUSY,
+			   "the host's event queue is full");
+	else if (!wait_response(w, &request, wait_ms))
+		send_timeout(conn, wait_ms);
+	else if (request.explanation)
+		send_text(conn, "application/json", request.explanation);
+	else
+		send_response(conn, &request.response);
+	remove_pending(w, &request);
+	free(request.explanation);
+}
+
 static int handle_request(struct mg_connection *conn, void *user)
 {
 	jobd_web_t *w = user;
 	GByteArray *body = g_byte_array_new();
 	ffl_status_t status = read_body(conn, body, w->d->settings.body_bytes);
-	pending_request_t request;
 
 	mg_disable_connection_keep_alive(conn);
-	if (status != FFL_OK) {
+	if (status == FFL_OK)
+		answer(w, conn, decode_request(conn, body), RESPONSE_WAIT_MS);
+	else
 		send_body_error(conn, status, body->len,
 				w->d->settings.body_bytes);
-		g_byte_array_unref(body);
-		return 1;
-	}
-	add_pending(w, &request);
-	if (!jobd_event_post(w->d, decode_request(conn, request.id, body)))
-		send_error(conn, FFL_RESPONSE_BUSY,
-			   "the host's event queue is full");
-	else if (wait_response(w, &request, RESPONSE_WAIT_MS))
-		send_response(conn, &request.response);
-	else
-		send_timeout(conn, RESPONSE_WAIT_MS);
-	remove_pending(w, &request);
 	g_byte_array_unref(body);
 	return 1;
 }
@@ -347,7 +359,6 @@
 	GByteArray *body = g_byte_array_new();
 	ffl_status_t status = read_body(conn, body, max_bytes);
 	jobd_event_t *event;
-	pending_request_t request;
 	const char *wrong;
 
 	if (status != FFL_OK) {
@@ -363,18 +374,8 @@
 		send_error(conn, FFL_RESPONSE_INVALID, wrong);
 		return;
 	}
-	add_pending(w, &request);
-	event->ev.request.call = request.id;
 	event->ev.request.kind = FFL_REQUEST_SUBMIT;
-	if (!jobd_event_post(w->d, event))
-		send_error(conn, FFL_RESPONSE_BUSY,
-			   "the host's event queue is full");
-	else if (wait_response(w, &request, EXPLAIN_WAIT_MS))
-		send_text(conn, "application/json", request.explanation);
-	else
-		send_timeout(conn, EXPLAIN_WAIT_MS);
-	remove_pending(w, &request);
-	free(request.explanation);
+	answer(w, conn, event, EXPLAIN_WAIT_MS);
 }
 
 static int handle_probe(struct mg_connection *conn, void *user)
