--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -56,15 +56,51 @@
 			      "runs that this host has preempted" },
 };
 
-static void format_losses(GString *out);
+/** Counters of the dispatcher, each with a value for each reason. */
+typedef enum {
+	COUNTER_REPEATS,
+	COUNTER_LOST_RUNS,
+	COUNTER_LOST_WORK,
+	COUNTER__MAX
+} counter_index_t;
+
+/** Most values of a counter. */
+#define COUNTER_VALUES_MAX \
+	MAX((uint32_t)FFL_REPLY__MAX, (uint32_t)FFL_LOSS__MAX)
+
+/** A counter, of which ffl_dispatch_t has the values. */
+typedef struct {
+	const char *name;
+	const char *help;
+	const char *label;
+	const char *(*value_name)(uint32_t value);
+	uint32_t count; /**< number of values */
+	size_t offset;	/**< of the first one in ffl_dispatch_t */
+} counter_t;
+
+static const counter_t counters[COUNTER__MAX] = {
+	[COUNTER_REPEATS] = { "repeated_starts_total",
+			      "start orders that were sent before, by outcome",
+			      "outcome", ffl_reply_outcome_name, FFL_REPLY__MAX,
+			      offsetof(ffl_dispatch_t, repeats) },
+	[COUNTER_LOST_RUNS] = { "lost_runs_total",
+				"runs that ended early, by reason", "why",
+				ffl_loss_name, FFL_LOSS__MAX,
+				offsetof(ffl_dispatch_t, lost_runs) },
+	[COUNTER_LOST_WORK] = { "lost_work_core_ms_total",
+				"their work since their start or last "
+				"checkpoint, a GPU as 8 cores",
+				"why", ffl_loss_name, FFL_LOSS__MAX,
+				offsetof(ffl_dispatch_t, lost_work) },
+};
+
+static void format_counter(GString *out, uint32_t counter);
 
 static struct {
 	pthread_mutex_t lock;
 	GHashTable *events; /**< count by name of event */
 	uint64_t gauges[GAUGE__MAX];
-	uint64_t repeats[FFL_REPLY__MAX];
-	uint64_t lost_runs[FFL_LOSS__MAX];
-	uint64_t lost_work[FFL_LOSS__MAX];
+	uint64_t counters[COUNTER__MAX][COUNTER_VALUES_MAX];
 } metrics;
 
 void jobd_metrics_init(void)
@@ -111,35 +147,26 @@
 	pthread_mutex_lock(&metrics.lock);
 	for (uint32_t i = 0; i < GAUGE__MAX; i++)
 		metrics.gauges[i] = values[i];
-	memcpy(metrics.repeats, n->dispatch.repeats, sizeof(metrics.repeats));
-	memcpy(metrics.lost_runs, n->dispatch.lost_runs,
-	       sizeof(metrics.lost_runs));
-	memcpy(metrics.lost_work, n->dispatch.lost_work,
-	       sizeof(metrics.lost_work));
+	for (uint32_t i = 0; i < COUNTER__MAX; i++)
+		memcpy(metrics.counters[i],
+		       (const char *)&n->dispatch + counters[i].offset,
+		       counters[i].count * sizeof(uint64_t));
 	pthread_mutex_unlock(&metrics.lock);
 }
 
-static void format_losses(GString *out)
+static void format_counter(GString *out, uint32_t counter)
 {
-	g_string_append(out, "# HELP ffl_jobd_lost_runs_total runs that ended "
-			     "early, by reason\n"
-			     "# TYPE ffl_jobd_lost_runs_total counter\n");
-	for (uint32_t i = 0; i < FFL_LOSS__MAX; i++)
+	const counter_t *c = &counters[counter];
+
+	g_string_append_printf(out,
+			       "# HELP ffl_jobd_%s %s\n"
+			       "# TYPE ffl_jobd_%s counter\n",
+			       c->name, c->help, c->name);
+	for (uint32_t i = 0; i < c->count; i++)
 		g_string_append_printf(out,
-				       "ffl_jobd_lost_runs_total{why=\"%s\"} "
-				       "%" PRIu64 "\n",
-				       ffl_loss_name(i), metrics.lost_runs[i]);
-	g_string_append(out,
-			"# HELP ffl_jobd_lost_work_core_ms_total their work "
-			"since their start or last checkpoint, a GPU as 8 "
-			"cores\n"
-			"# TYPE ffl_jobd_lost_work_core_ms_total counter\n");
-	for (uint32_t i = 0; i < FFL_LOSS__MAX; i++)
-		g_string_append_printf(
-			out,
-			"ffl_jobd_lost_work_core_ms_total{why=\"%s\"} "
-			"%" PRIu64 "\n",
-			ffl_loss_name(i), metrics.lost_work[i]);
+				       "ffl_jobd_%s{%s=\"%s\"} %" PRIu64 "\n",
+				       c->name, c->label, c->value_name(i),
+				       metrics.counters[counter][i]);
 }
 
 void jobd_metrics_format(GString *out)
@@ -164,16 +191,8 @@
 		g_string_append_printf(
 			out, "ffl_jobd_events_total{event=\"%s\"} %zu\n",
 			(const char *)key, GPOINTER_TO_SIZE(value));
-	g_string_append(out, "# HELP ffl_jobd_repeated_starts_total start "
-			     "orders that were sent before, by outcome\n"
-			     "# TYPE ffl_jobd_repeated_starts_total counter\n");
-	for (uint32_t i = 0; i < FFL_REPLY__MAX; i++)
-		g_string_append_printf(
-			out,
-			"ffl_jobd_repeated_starts_total{outcome=\"%s\"} "
-			"%" PRIu64 "\n",
-			ffl_reply_outcome_name(i), metrics.repeats[i]);
-	format_losses(out);
+	for (uint32_t i = 0; i < COUNTER__MAX; i++)
+		format_counter(out, i);
 	pthread_mutex_unlock(&metrics.lock);
 	jobd_hist_format(out);
 }
