dispatch: a plan's first picks are the ones carried out

allot_task() picked the runs to stop on the chosen worker, threw the list away and picked again. Nothing changes in between, and the pick depends on the plan and the runs alone, so the second list was always the first one: no decision changes. ffl_preempt_execute() was also given the request that its plan has.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -277,8 +277,7 @@
 typedef struct {
 	void (*placed)(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		       ffl_run_t *run);
-	void (*preempt)(ffl_preempt_plan_t *plan,
-			const ffl_place_request_t *req);
+	void (*preempt)(ffl_preempt_plan_t *plan);
 	void (*wait)(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		     ffl_wait_t why);
 } ffl_place_effects_t;
@@ -520,8 +519,9 @@
 bool ffl_preempt(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		 uint32_t tasks);
 /** Stops the runs of a plan and reserves what they free. */
-void ffl_preempt_execute(ffl_preempt_plan_t *plan,
-			 const ffl_place_request_t *req);
+void ffl_preempt_execute(ffl_preempt_plan_t *plan);
+/** Returns the step that a plan makes room for. */
+const ffl_place_request_t *ffl_preempt_request(const ffl_preempt_plan_t *plan);
 /**
  * Returns the number of runs that a plan stops.
  *
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -18,8 +18,7 @@
 static ffl_explained_step_t *step_of(const ffl_place_request_t *req);
 static void record_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		       ffl_run_t *run);
-static void record_preempt(ffl_preempt_plan_t *plan,
-			   const ffl_place_request_t *req);
+static void record_preempt(ffl_preempt_plan_t *plan);
 static void record_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			ffl_wait_t why);
 static ffl_bar_t bar_of(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
@@ -91,10 +90,9 @@
 	g_array_append_val(step->workers, added);
 }
 
-static void record_preempt(ffl_preempt_plan_t *plan,
-			   const ffl_place_request_t *req)
+static void record_preempt(ffl_preempt_plan_t *plan)
 {
-	ffl_explained_step_t *step = step_of(req);
+	ffl_explained_step_t *step = step_of(ffl_preempt_request(plan));
 
 	step->stops = ffl_preempt_count(plan, &step->stop_cost);
 }
--- a/lib/dispatch/preempt.c
+++ b/lib/dispatch/preempt.c
@@ -48,6 +48,7 @@
 			     const ffl_resources_t *need);
 static candidate_t *cheapest_candidate(plan_t *plan,
 				       const ffl_resources_t *need);
+static void stop_picked(plan_t *plan);
 static bool allot_task(plan_t *plan, const ffl_resources_t *need);
 static bool make_plan(plan_t *plan, uint32_t tasks, const GPtrArray *workers);
 static void plan_init(plan_t *plan, ffl_dispatch_t *d,
@@ -292,6 +293,17 @@
 	return best;
 }
 
+/* What was picked before may use up what a step allows. */
+static void stop_picked(plan_t *plan)
+{
+	for (guint i = 0; i < plan->picked->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(plan->picked, i);
+
+		if (may_preempt(plan, run))
+			add_victim(plan, run);
+	}
+}
+
 static bool allot_task(plan_t *plan, const ffl_resources_t *need)
 {
 	candidate_t *best;
@@ -304,15 +316,11 @@
 			return false;
 		best->cost = pick_victims(plan, best, need);
 	} while (best->cost == UINT64_MAX);
+	stop_picked(plan);
 	while (!ffl_resources_fit(&best->available, need)) {
 		if (pick_victims(plan, best, need) == UINT64_MAX)
 			return false;
-		for (guint i = 0; i < plan->picked->len; i++) {
-			ffl_run_t *run = g_ptr_array_index(plan->picked, i);
-
-			if (may_preempt(plan, run))
-				add_victim(plan, run);
-		}
+		stop_picked(plan);
 	}
 	best->is_costed = false;
 	ffl_resources_subtract(&best->available, need);
@@ -368,8 +376,7 @@
 	       plan->cost <= own_work * OWN_WORK_PERCENT / PERCENT;
 }
 
-void ffl_preempt_execute(ffl_preempt_plan_t *plan,
-			 const ffl_place_request_t *req)
+void ffl_preempt_execute(ffl_preempt_plan_t *plan)
 {
 	uint64_t until_ms =
 		plan->req->now_ms + plan->d->opt.stop_max_ms + RESERVE_SLACK_MS;
@@ -403,11 +410,16 @@
 				  run->run, run->worker->entry.id,
 				  plan->req->flow->spec.id);
 		ffl_run_request_stop(plan->d, run,
-				     req->guaranteed ? "reclaimed"
-						     : "preempted");
+				     plan->req->guaranteed ? "reclaimed"
+							   : "preempted");
 	}
 }
 
+const ffl_place_request_t *ffl_preempt_request(const ffl_preempt_plan_t *plan)
+{
+	return plan->req;
+}
+
 uint32_t ffl_preempt_count(const ffl_preempt_plan_t *plan, uint64_t *cost)
 {
 	*cost = plan->cost;
@@ -448,7 +460,7 @@
 		return false;
 	ok = is_worthwhile(d, &plan);
 	if (ok)
-		req->effects->preempt(&plan, req);
+		req->effects->preempt(&plan);
 	plan_finish(&plan);
 	return ok;
 }
