node: appends of submissions in a file of their own

Which records are appended when, and what an append's reply says of a request, are in request_append.c; what is answered stays. No behaviour changes.

--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -318,4 +318,16 @@
 /** Frees an ffl_held_t. */
 void ffl_held_free(void *data);
 
+/* request_append.c */
+/** Returns true if the log takes the records of a job: one whose records it
+ * would refuse can never be served. */
+bool ffl_request_fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
+			  uint32_t record_bytes);
+/** Appends the records of waiting requests that are due. */
+void ffl_request_send_appends(ffl_node_t *n);
+/** Notes what came of the append that holds a request's record; returns false
+ * if @p reply answers another call. */
+bool ffl_request_take_reply(const ffl_node_t *n, ffl_pending_t *p,
+			    const ffl_store_reply_t *reply);
+
 #endif
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -6,14 +6,6 @@
 #define DEFAULT_DEADLINE_MS 3000
 /** A response is sent this long before the caller's deadline. */
 #define RESPONSE_MARGIN_MS 300
-/** Delay before a failed append is retried. */
-#define APPEND_RETRY_MS 100
-/** Most appends in flight at once, over all partitions and at least to one, and
- * most records in one. A second one to a partition passes one without answer.
- */
-#define APPENDS_IN_FLIGHT_MAX 4
-#define APPENDS_TO_PART_MIN   2
-#define APPEND_RECORDS_MAX    64
 /** When a refused caller is told to retry; by then another host serves it. */
 #define RETRY_AFTER_MS 1000
 /** How long a request that cannot be served yet is held, and most requests held
@@ -71,12 +63,7 @@
 static bool has_failed_long(const ffl_node_t *n, uint32_t part);
 static ffl_tail_t *jobs_tail_of(ffl_node_t *n, const char *id);
 static bool is_any_outage_known(const ffl_node_t *n);
-static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
-		     uint32_t record_bytes);
-static void send_appends(ffl_node_t *n);
-static void count_appends_in_flight(const ffl_node_t *n, uint32_t *open);
-static ffl_write_t *new_write(const ffl_pending_t *p);
-static void handle_written(ffl_node_t *n, guint index, uint64_t first);
+static void handle_written(ffl_node_t *n, guint index);
 
 static const handler_fn_t request_handlers[FFL_REQUEST__MAX] = {
 	[FFL_REQUEST_SUBMIT] = handle_submit,
@@ -157,7 +144,7 @@
 /* Answers for outages of the log, when requests would be held one after the
  * other although none can be accepted soon. Returns true if a partition has
  * failed for longer than a request is held and another request waits for it:
- * that one notices the end of the outage within APPEND_RETRY_MS. */
+ * that one notices the end of the outage when its append is retried. */
 static bool is_outage_known(const ffl_node_t *n, uint32_t part)
 {
 	if (!has_failed_long(n, part))
@@ -180,18 +167,6 @@
 	return false;
 }
 
-/* A job whose records the log would refuse can never be served. */
-static bool fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
-		     uint32_t record_bytes)
-{
-	uint64_t bytes = MAX(record_bytes, ffl_flow_progress_bytes_max(spec));
-
-	/* Beside it an append holds a record of leadership. */
-	return bytes + FFL_RECORD_KEY_BYTES <= n->opt.record_bytes_max &&
-	       bytes + LEAD_RECORD_BYTES_MAX + 2 * FFL_RECORD_KEY_BYTES <=
-		       n->opt.append_bytes_max;
-}
-
 ffl_response_kind_t ffl_request_decide(const ffl_node_t *n, ffl_request_t *req,
 				       const ffl_route_t *route,
 				       const char *customer,
@@ -237,7 +212,7 @@
 		return FFL_RESPONSE_BUSY;
 	*record = g_byte_array_new();
 	ffl_flow_spec_encode(spec, *record);
-	if (fits_log(n, spec, (*record)->len))
+	if (ffl_request_fits_log(n, spec, (*record)->len))
 		return FFL_RESPONSE__MAX;
 	g_byte_array_unref(*record);
 	*record = NULL;
@@ -609,74 +584,11 @@
 	return true;
 }
 
-static void count_appends_in_flight(const ffl_node_t *n, uint32_t *open)
-{
-	uint64_t last[FFL_JOBS_PARTS_MAX] = { 0 };
-
-	for (guint i = 0; i < n->pending->len; i++) {
-		const ffl_pending_t *p = g_ptr_array_index(n->pending, i);
-
-		if (!p->append_call)
-			continue;
-		open[p->part] += p->append_call != last[p->part];
-		last[p->part] = p->append_call;
-	}
-}
-
-static ffl_write_t *new_write(const ffl_pending_t *p)
-{
-	ffl_write_t *w = p->kind == FFL_REQUEST_SUBMIT
-				 ? ffl_write_new(KEY_SPEC, p->spec_name)
-				 : ffl_write_new(KEY_CANCEL, p->id);
-
-	g_byte_array_append(w->value, p->record->data, p->record->len);
-	return w;
-}
-
-/* The records of a partition that wait share an append, which is sent without
- * waiting for more. */
-static void send_appends(ffl_node_t *n)
-{
-	uint32_t open_max =
-		MAX(APPENDS_IN_FLIGHT_MAX / n->jobs_parts, APPENDS_TO_PART_MIN);
-	uint32_t open[FFL_JOBS_PARTS_MAX] = { 0 };
-	uint64_t left[FFL_JOBS_PARTS_MAX];
-	ffl_jobs_batch_t batch = { .count = 0 };
-
-	count_appends_in_flight(n, open);
-	for (uint32_t i = 0; i < FFL_JOBS_PARTS_MAX; i++)
-		left[i] = open[i] < open_max ? ffl_node_append_bytes_max(n) : 0;
-	for (guint i = 0; i < n->pending->len; i++) {
-		ffl_pending_t *p = g_ptr_array_index(n->pending, i);
-		ffl_write_t *w;
-
-		if (!p->record || p->turned_away || p->append_call ||
-		    p->written || n->now_ms < p->retry_ms || !left[p->part])
-			continue;
-		w = new_write(p);
-		if (batch.writes[p->part] &&
-		    ffl_write_bytes(w) > left[p->part]) {
-			ffl_write_free(w);
-			left[p->part] = 0;
-			continue;
-		}
-		left[p->part] -= MIN(left[p->part], ffl_write_bytes(w));
-		ffl_jobs_batch_add(n, &batch, p->part, w);
-		p->append_call = batch.calls[p->part];
-		p->append_index = batch.writes[p->part]->len - 1;
-		if (batch.writes[p->part]->len >= APPEND_RECORDS_MAX)
-			left[p->part] = 0;
-	}
-}
-
 /* A cancellation stands wherever its record lies. */
-static void handle_written(ffl_node_t *n, guint index, uint64_t first)
+static void handle_written(ffl_node_t *n, guint index)
 {
-	ffl_pending_t *p = g_ptr_array_index(n->pending, index);
+	const ffl_pending_t *p = g_ptr_array_index(n->pending, index);
 
-	p->written = true;
-	p->maybe_written = true;
-	p->offset = first + p->append_index;
 	if (p->kind == FFL_REQUEST_CANCEL)
 		respond_pending(n, index, FFL_RESPONSE_CANCELLED);
 	else if (!resolve_submission(n, index))
@@ -690,16 +602,12 @@
 	for (guint i = n->pending->len; i-- > 0;) {
 		ffl_pending_t *p = g_ptr_array_index(n->pending, i);
 
-		if (!p->append_call || p->append_call != reply->call)
+		if (!ffl_request_take_reply(n, p, reply))
 			continue;
 		found = true;
-		p->append_call = 0;
-		p->retry_ms = n->now_ms + APPEND_RETRY_MS;
 		if (reply->outcome == FFL_STORE_OK) {
 			ffl_tails_log_answered(n);
-			handle_written(n, i, reply->first);
-		} else if (reply->outcome == FFL_STORE_UNKNOWN) {
-			p->maybe_written = true;
+			handle_written(n, i);
 		} else if (!p->maybe_written && p->kind == FFL_REQUEST_SUBMIT &&
 			   n->now_ms - p->received_ms >= HOLD_MAX_MS) {
 			respond_pending(n, i, FFL_RESPONSE_BUSY);
@@ -715,5 +623,5 @@
 		if (!resolve_pending(n, i))
 			expire_pending(n, i);
 	}
-	send_appends(n);
+	ffl_request_send_appends(n);
 }
