tests: parts.sh, site.sh and silence.sh start the same way in one place

The first lines of parts.sh and site.sh (files, processes, calls) were the same, and a third of them in silence.sh; they are in scripts/hosts.sh. All checks, their commands and numbers stay as they were.

--- a/tests/parts.sh
+++ b/tests/parts.sh
@@ -3,31 +3,11 @@
 # a topic; prints TAP.
 BUILD=${BUILD:-build/asan}
 PORT=${PORT:-18100}
-DIR=$(mktemp -d)
-SITE=127.0.0.1:$PORT
 . scripts/tap.sh
 . scripts/hosts.sh
 echo 1..7
 
-cleanup() {
-	for p in "$DIR"/*.pid; do
-		kill -9 "$(cat "$p")" 2>/dev/null
-	done
-	wait 2>/dev/null
-	rm -rf "$DIR"
-}
-trap cleanup EXIT
-
-KEY='Authorization: Bearer k1'
 JOB='{"spec":"work=200","steps":[{"count":2,"gpu":1,"cpu":1000}]}'
-call() {
-	local method=$1 host=$2 path=$3
-	shift 3
-	curl -s -o "$DIR/body" -w '%{http_code}' -X "$method" \
-		-H 'Host: ponds.example' -H 'X-Deadline-Ms: 3000' -H "$KEY" \
-		"$@" "$(callers_url "$host")$path"
-}
-state() { call GET "$1" "/lining/$2" >/dev/null; jq -r .state "$DIR/body"; }
 ids() { for i in $(seq "$1" "$2"); do printf "%016x\n" $((i * 40503)); done; }
 all() {
 	local want=$1 host=$2 id
@@ -47,9 +27,7 @@
 	wait_for 100 "ready 1 && ready 2"
 }
 
-"$BUILD/ffl-site" -l "$SITE" -w 3 >"$DIR/site.log" 2>&1 &
-echo $! >"$DIR/site.pid"
-wait_for 100 "curl -sf http://$SITE/state"
+start_site 3
 curl -sf -X POST "http://$SITE/config" -d '{"version":1,"routes":[
 	{"name":"lining","host":"ponds.example","path_prefix":"/lining/",
 	"service":"survey","priority":1,"max_attempts":2,"deadline_factor":3,
@@ -58,7 +36,7 @@
 start_host 1
 start_host 2
 wait_for 100 "ready 1 && ready 2"
-call POST 1 "/lining/$(ids 1 1)" -d "$JOB" >/dev/null
+submit 1 "$(ids 1 1)" "$JOB" >/dev/null
 ALL=$(ids 1 13 | tr '\n' ' ')
 FIRST=$(ids 1 1)
 check "a job is accepted and completes on one partition" \
@@ -67,7 +45,7 @@
 check "they spread jobs" wait_for 100 \
 	'grep -l "jobs-spread.*partitions=4" "$DIR"/host[12].log | wc -l | grep -q 2'
 for id in $(ids 2 13); do
-	call POST $((0x${id: -1} % 2 + 1)) "/lining/$id" -d "$JOB" >/dev/null
+	submit $((0x${id: -1} % 2 + 1)) "$id" "$JOB" >/dev/null
 done
 check "they complete, and each host reports this" wait_for 150 \
 	"all completed 1 $ALL && all completed 2 $ALL"
--- a/tests/silence.sh
+++ b/tests/silence.sh
@@ -4,22 +4,11 @@
 # renewals and the age of the configuration are printed, not checked.
 BUILD=${BUILD:-build/asan}
 PORT=${PORT:-17900}
-DIR=$(mktemp -d)
-SITE=127.0.0.1:$PORT
 WORKERS=3
 . scripts/tap.sh
 . scripts/hosts.sh
 echo 1..9
 
-end_processes() {
-	for p in $(ls "$DIR" | grep pid); do
-		kill -9 "$(cat "$DIR/$p")" 2>/dev/null
-	done
-	wait 2>/dev/null
-	rm -f "$DIR"/*
-}
-trap 'end_processes; rm -rf "$DIR"' EXIT
-
 call() {
 	curl -s -o /dev/null -w '%{http_code}' -X "$1" \
 		-H 'Host: ponds.example' -H 'Authorization: Bearer k1' \
@@ -41,9 +30,7 @@
 # connections behind. The lease lasts 6.5 s, 65% of the longest one.
 silence() {
 	local tasks=$(($1 * WORKERS)) since starts
-	"$BUILD/ffl-site" -l "$SITE" -w $WORKERS >"$DIR/site.log" 2>&1 &
-	echo $! >"$DIR/site.pid"
-	wait_for 100 "curl -sf http://$SITE/state"
+	start_site $WORKERS
 	config 1 "$(queue lining)"
 	start_host 1
 	start_host 2
@@ -64,6 +51,7 @@
 	check "no lease lapses" \
 		[ "$(figure running) $(figure starts)" = "$tasks $starts" ]
 	end_processes
+	rm -f "$DIR"/*
 }
 
 silence 1
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -3,32 +3,10 @@
 # protocol of the platform; prints TAP.
 BUILD=${BUILD:-build/asan}
 PORT=${PORT:-17600}
-DIR=$(mktemp -d)
-SITE=127.0.0.1:$PORT
 . scripts/tap.sh
 . scripts/hosts.sh
 echo 1..38
 
-cleanup() {
-	for p in "$DIR"/*.pid; do
-		kill -9 "$(cat "$p")" 2>/dev/null
-	done
-	wait 2>/dev/null
-	rm -rf "$DIR"
-}
-trap cleanup EXIT
-
-call() {
-	local method=$1 host=$2 path=$3
-	shift 3
-	curl -s -o "$DIR/body" -w '%{http_code}' -X "$method" \
-		-H 'Host: ponds.example' -H 'X-Deadline-Ms: 3000' "$@" \
-		"$(callers_url "$host")$path"
-}
-KEY='Authorization: Bearer k1'
-submit() { call POST "$1" "/lining/$2" -H "$KEY" -d "$3"; }
-state() { call GET "$1" "/lining/$2" -H "$KEY" >/dev/null
-	jq -r .state "$DIR/body"; }
 leader() { grep -l leader-began "$DIR"/host*.log | tail -n 1 |
 	sed 's/.*host\([0-9]\).log/\1/'; }
 config() {
@@ -84,9 +62,7 @@
 LONG='{"spec":"work=20000","steps":[{"count":2,"gpu":1,"cpu":1000}]}'
 FAILS='{"spec":"work=100 fails","steps":[{"count":1,"gpu":1}]}'
 
-"$BUILD/ffl-site" -l "$SITE" -w 3 >"$DIR/site.log" 2>&1 &
-echo $! >"$DIR/site.pid"
-wait_for 100 "curl -sf http://$SITE/state"
+start_site 3
 start_host 1
 check "a host without a configuration is not ready" \
 	bash -c "sleep 1; ! curl -sf $(ready_url 1)/-/readyz"
