--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -10,7 +10,10 @@
 #define LINE_BYTES	   16384
 #define CONNECT_TIMEOUT_MS 500
 #define POLL_INTERVAL_MS   200
-#define HTTP_NOT_RUN	   503
+/** Longest time for which an answer that has arrived is read once the attempt's
+ * time is over: without end, an upstream that goes on sending had no limit. */
+#define LATE_READ_MS 200
+#define HTTP_NOT_RUN 503
 
 static size_t on_response_body(char *data, size_t size, size_t n, void *user);
 static size_t on_request_body(char *data, size_t size, size_t n, void *user);
@@ -21,7 +24,10 @@
 			struct curl_slist *headers);
 static void set_method(ffld_relay_t *r, CURL *easy);
 static bool check_caller(ffld_relay_t *r, CURL *easy, bool readable);
-static bool run_transfer(ffld_relay_t *r, ffld_pool_conn_t *pc, CURLcode *code);
+static bool is_over(uint64_t deadline_ms, uint64_t read_ms, bool active,
+		    uint64_t *late_ms);
+static bool run_transfer(ffld_relay_t *r, ffld_pool_conn_t *pc,
+			 uint64_t deadline_ms, CURLcode *code);
 static ffl_up_outcome_t attempt_outcome(const ffld_relay_t *r, CURL *easy,
 					CURLcode code);
 static void post_request_gone(ffld_relay_t *r);
@@ -167,7 +173,11 @@
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->info->request_method);
 }
 
-/* libcurl resends a request on its own if a reused connection breaks before the
+/* The time limit is not given to libcurl, which compares it with the clock
+ * before it reads: after a pause of this process an answer that had arrived
+ * would count as missing.
+ *
+ * libcurl resends a request on its own if a reused connection breaks before the
  * response, so only repeatable requests may reuse one. */
 static void set_options(ffld_relay_t *r, CURL *easy, struct curl_slist *headers)
 {
@@ -188,8 +198,6 @@
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 r->call.repeatable && r->body_buffered ? 0L : 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-			 (long)r->call.forward.timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
@@ -220,11 +228,27 @@
 	return !r->caller_gone;
 }
 
+/* Returns true if an attempt is to be given up: its time was over at read_ms,
+ * and what had arrived by then has been read. */
+static bool is_over(uint64_t deadline_ms, uint64_t read_ms, bool active,
+		    uint64_t *late_ms)
+{
+	if (read_ms < deadline_ms)
+		return false;
+	if (!*late_ms)
+		*late_ms = read_ms;
+	return !active || read_ms - *late_ms >= LATE_READ_MS;
+}
+
 /* Returns false if the transfer was aborted before it had a result. */
-static bool run_transfer(ffld_relay_t *r, ffld_pool_conn_t *pc, CURLcode *code)
+static bool run_transfer(ffld_relay_t *r, ffld_pool_conn_t *pc,
+			 uint64_t deadline_ms, CURLcode *code)
 {
 	bool watch = r->caller_conn->fd >= 0;
+	uint64_t read_ms = 0; /* before the wait that the last read followed */
+	uint64_t late_ms = 0;
 	int running = 1;
+	int active = 0;
 	CURLMsg *msg;
 	int left;
 
@@ -235,8 +259,17 @@
 		curl_multi_perform(pc->multi, &running);
 		if (!running)
 			break;
-		curl_multi_poll(pc->multi, &fd, watch ? 1 : 0, POLL_INTERVAL_MS,
-				NULL);
+		if (is_over(deadline_ms, read_ms, active > 0, &late_ms)) {
+			*code = CURLE_OPERATION_TIMEDOUT;
+			return true;
+		}
+		read_ms = ffld_now_ms();
+		curl_multi_poll(
+			pc->multi, &fd, watch ? 1 : 0,
+			(int)MIN(POLL_INTERVAL_MS,
+				 deadline_ms - MIN(deadline_ms, read_ms)),
+			&active);
+		active -= fd.revents != 0;
 		if (!check_caller(r, pc->easy, fd.revents != 0))
 			return false;
 		/* A pipelined request is left unread and would keep waking this
@@ -334,7 +367,8 @@
 	headers = make_headers(r);
 	set_options(r, pc->easy, headers);
 	curl_multi_add_handle(pc->multi, pc->easy);
-	finished = run_transfer(r, pc, &code);
+	finished = run_transfer(r, pc, started_ms + r->call.forward.timeout_ms,
+				&code);
 	if (finished)
 		outcome = attempt_outcome(r, pc->easy, code);
 	curl_easy_getinfo(pc->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
--- a/daemon/client.c
+++ b/daemon/client.c
@@ -27,6 +27,7 @@
 	call_kind_t kind;
 	uint64_t action_id; /**< of the append or worker call, 0 otherwise */
 	uint32_t timeout_ms;
+	uint64_t deadline_ms; /**< given up then; set when it starts */
 	ffl_name_t worker;
 	char url[URL_BYTES];
 	GByteArray *body; /**< NULL for GET */
@@ -56,6 +57,9 @@
 static void start_call(ffld_client_t *c, call_t *call);
 static ffl_status_t call_status(CURLcode code, long http_status);
 static void finish_call(ffld_client_t *c, CURL *easy, CURLcode code);
+static call_t *call_of(CURL *easy);
+static void expire_calls(ffld_client_t *c, uint64_t read_ms);
+static uint32_t next_deadline_ms(const ffld_client_t *c, uint64_t now_ms);
 static ffl_bytes_t reply_bytes(const call_t *call);
 static ffl_box_t *finish_log_read(call_t *call, ffl_status_t status);
 static ffl_box_t *finish_log_append(call_t *call, ffl_status_t status);
@@ -191,15 +195,22 @@
 	return http_status == 503 ? FFL_UNAVAILABLE : FFL_UNKNOWN;
 }
 
+static call_t *call_of(CURL *easy)
+{
+	call_t *call;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	return call;
+}
+
 static void finish_call(ffld_client_t *c, CURL *easy, CURLcode code)
 {
 	ffl_box_t *box;
 	char addr[FFL_ADDR_BYTES];
-	call_t *call;
+	call_t *call = call_of(easy);
 	long http_status = 0;
 	long connects = 0;
 
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
 	curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connects);
 	if (code == CURLE_OPERATION_TIMEDOUT && !connects) {
@@ -224,12 +235,12 @@
 	ffl_conn_choice_t choice;
 
 	ffl_connage_addr(call->url, addr, sizeof(addr));
+	call->deadline_ms = ffld_now_ms() + call->timeout_ms;
 	choice = ffl_connage_choose(&c->ages, addr, ffld_now_ms());
 	curl_easy_reset(easy);
 	curl_easy_setopt(easy, CURLOPT_URL, call->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, (long)choice.fresh);
@@ -248,9 +259,38 @@
 	g_ptr_array_add(c->active, easy);
 }
 
+/* Gives up the calls whose time was over at read_ms; what had arrived by then
+ * has been read. libcurl compares its own time limit with the clock before it
+ * reads: after a pause of this process an answer that had arrived would count
+ * as missing. */
+static void expire_calls(ffld_client_t *c, uint64_t read_ms)
+{
+	for (guint i = c->active->len; i-- > 0;) {
+		CURL *easy = g_ptr_array_index(c->active, i);
+
+		if (call_of(easy)->deadline_ms <= read_ms)
+			finish_call(c, easy, CURLE_OPERATION_TIMEDOUT);
+	}
+}
+
+/* Returns the time until the first call is given up, POLL_INTERVAL_MS at
+ * most. */
+static uint32_t next_deadline_ms(const ffld_client_t *c, uint64_t now_ms)
+{
+	uint64_t until_ms = now_ms + POLL_INTERVAL_MS;
+
+	for (guint i = 0; i < c->active->len; i++) {
+		CURL *easy = g_ptr_array_index(c->active, i);
+
+		until_ms = MIN(until_ms, call_of(easy)->deadline_ms);
+	}
+	return (uint32_t)(MAX(until_ms, now_ms) - now_ms);
+}
+
 static void *client_thread(void *arg)
 {
 	ffld_client_t *c = arg;
+	uint64_t read_ms = 0; /* before the wait that the last read followed */
 	int running;
 	int left;
 
@@ -266,7 +306,10 @@
 				finish_call(c, msg->easy_handle,
 					    msg->data.result);
 		}
-		curl_multi_poll(c->multi, NULL, 0, POLL_INTERVAL_MS, NULL);
+		expire_calls(c, read_ms);
+		read_ms = ffld_now_ms();
+		curl_multi_poll(c->multi, NULL, 0,
+				(int)next_deadline_ms(c, read_ms), NULL);
 	}
 	return NULL;
 }
@@ -292,9 +335,8 @@
 
 static void abort_call(ffld_client_t *c, CURL *easy)
 {
-	call_t *call;
+	call_t *call = call_of(easy);
 
-	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
 	curl_multi_remove_handle(c->multi, easy);
 	curl_easy_cleanup(easy);
 	call_free(call);
--- a/tests/relay.sh
+++ b/tests/relay.sh
@@ -216,6 +216,43 @@
 }
 check "a hundred slow bodies do not delay others" slow
 
+# What arrives while the host is stopped has arrived in time.
+stop_host() {
+	sleep 0.3
+	kill -STOP "$HOST1"
+	sleep "$1"
+	kill -CONT "$HOST1"
+}
+arrives_while_stopped() {
+	call -H "X-Work-Ms: 600" -H "Fireflyledge-Timeout-Ms: 1500" \
+		-H "X-Answer-Bytes: $1" -d x -o "$DIR/late" \
+		-w '%{http_code} %{size_download}\n' "$URL/late" >"$DIR/late.code" &
+	stop_host 2
+	wait $!
+	cat "$DIR/late.code"
+	head -c 300 "$DIR/late" | tr -cd '[:print:]'
+	[ "$(cat "$DIR/late.code")" = "200 $1" ]
+}
+append_is_known() {
+	local before=$(counter appends_unknown_total) i
+	for i in 1 2 3; do
+		fault delay_ms=600
+		change order name=rocio order=fair reason="late$i" &
+		stop_host 3
+		wait $!
+		fault delay_ms=0
+	done
+	echo "unknown: $before $(counter appends_unknown_total)"
+	[ "$(counter appends_unknown_total)" = "$before" ]
+}
+for bytes in 100 60000 100; do
+	check "an answer of $bytes bytes that arrives while the host is stopped" \
+		arrives_while_stopped $bytes
+	wait_for 100 '[ "$(call -d up $URL/x)" = up ]'
+done
+check "the log's answers that arrive while the host is stopped" append_is_known
+wait_for 100 '[ "$(call -d up $URL/x)" = up ]'
+
 cleanup=$(curl -s "$URL/metrics" | grep -c "^ffl_")
 check "the host still serves its metrics" test "$cleanup" -gt 20
 echo "1..$N"
