--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -65,7 +65,7 @@
 void ffl_dispatch_worker_follow(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
 void ffl_resources_add(ffl_resources_t *to, const ffl_resources_t *amount);
 
-/* The next three are called for each worker in the search for a place. */
+/* The next four are called for each worker in the search for a place. */
 
 static inline bool ffl_resources_fit(const ffl_resources_t *available,
 				     const ffl_resources_t *need)
@@ -75,6 +75,21 @@
 	       available->gpus >= need->gpus;
 }
 
+/** Returns the number of tasks that fit, UINT32_MAX if they need nothing. */
+static inline uint32_t ffl_resources_slots(const ffl_resources_t *available,
+					   const ffl_resources_t *need)
+{
+	uint32_t slots = UINT32_MAX;
+
+	if (need->gpus)
+		slots = MIN(slots, available->gpus / need->gpus);
+	if (need->cpu_milli)
+		slots = MIN(slots, available->cpu_milli / need->cpu_milli);
+	if (need->mem_mb)
+		slots = MIN(slots, available->mem_mb / need->mem_mb);
+	return slots;
+}
+
 /** Subtracts an amount; no resource goes below 0. */
 static inline void ffl_resources_subtract(ffl_resources_t *from,
 					  const ffl_resources_t *amount)
@@ -258,12 +273,11 @@
 typedef struct ffl_preempt_plan ffl_preempt_plan_t;
 
 /** What becomes of the decisions on a step: they are carried out, or only
- * recorded for an explanation. */
+ * recorded for an explanation. A run has taken its resources by then. */
 typedef struct {
-	void (*place)(ffl_dispatch_t *d, const ffl_place_request_t *req,
-		      uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
-	void (*preempt)(ffl_preempt_plan_t *plan,
-			const ffl_place_request_t *req);
+	void (*placed)(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run);
+	void (*preempt)(ffl_preempt_plan_t *plan);
 	void (*wait)(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		     ffl_wait_t why);
 } ffl_place_effects_t;
@@ -281,6 +295,7 @@
 	bool local_only; /**< only in the data's rack, gang in one rack */
 	bool skip_slow;	 /**< not on slow workers */
 	bool must_start; /**< guaranteed work that may wait no longer */
+	bool started;	 /**< its flow has had a run before */
 	const ffl_place_effects_t *effects;
 	void *effects_user; /**< for the effects */
 };
@@ -300,10 +315,6 @@
 void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
 		    const ffl_place_request_t *like, uint64_t wall_ms);
 
-/** Gives a task a run on a worker and takes the resources for it. */
-ffl_run_t *ffl_place_task(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			  uint32_t task, ffl_dispatch_worker_t *w,
-			  uint32_t run);
 /** Returns the resources that each task of a step takes. */
 ffl_resources_t ffl_step_resources(const ffl_step_t *step);
 
@@ -319,6 +330,8 @@
 bool ffl_trust_allows(const ffl_dispatch_worker_t *w,
 		      const ffl_place_request_t *req);
 
+/** Lists the quarantined workers at the start of a placement pass. */
+void ffl_list_quarantined(ffl_dispatch_t *d, uint64_t now_ms);
 /** Returns true if a task's last attempt is to wait, as its job has slack and
  * workers fail what they start. */
 bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
@@ -366,6 +379,13 @@
 			     ffl_dispatch_worker_t **chosen);
 /** Returns true if a step may run away from its data or spread over racks. */
 bool ffl_allows_remote(const ffl_dispatch_t *d, const ffl_place_request_t *req);
+/** Adds the tasks that fit on a worker, in all and beside its runs, unless it
+ * takes no new ones as it leaves or its data centre is evacuated.
+ *
+ * @return whether it takes new ones
+ */
+bool ffl_count_slots(const ffl_dispatch_worker_t *w,
+		     const ffl_resources_t *need, ffl_slot_count_t *count);
 /** Counts the free GPUs of each service at the start of a placement pass. */
 void ffl_count_free_gpus(ffl_dispatch_t *d);
 /** Counts the GPUs of a task that was placed as used. */
@@ -437,6 +457,11 @@
 	FFL_TIER__MAX
 } ffl_tier_t;
 
+/** Returns the duration of the longest chain of dependent steps.
+ *
+ * @param step_ms duration of each step
+ */
+uint64_t ffl_rank_path_ms(const ffl_flow_spec_t *spec, const uint64_t *step_ms);
 /** Returns the expected duration of a run close to its data. */
 uint64_t ffl_rank_expected_run_ms(const ffl_dispatch_t *d,
 				  const ffl_flow_t *flow, uint32_t step);
@@ -494,8 +519,9 @@
 bool ffl_preempt(ffl_dispatch_t *d, const ffl_place_request_t *req,
 		 uint32_t tasks);
 /** Stops the runs of a plan and reserves what they free. */
-void ffl_preempt_execute(ffl_preempt_plan_t *plan,
-			 const ffl_place_request_t *req);
+void ffl_preempt_execute(ffl_preempt_plan_t *plan);
+/** Returns the step that a plan makes room for. */
+const ffl_place_request_t *ffl_preempt_request(const ffl_preempt_plan_t *plan);
 /**
  * Returns the number of runs that a plan stops.
  *
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -16,10 +16,9 @@
 } trial_t;
 
 static ffl_explained_step_t *step_of(const ffl_place_request_t *req);
-static void record_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			 uint32_t task, ffl_dispatch_worker_t *w, uint32_t run);
-static void record_preempt(ffl_preempt_plan_t *plan,
-			   const ffl_place_request_t *req);
+static void record_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run);
+static void record_preempt(ffl_preempt_plan_t *plan);
 static void record_wait(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			ffl_wait_t why);
 static ffl_bar_t bar_of(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
@@ -32,7 +31,7 @@
 static void step_clear(void *data);
 
 static const ffl_place_effects_t recorded = {
-	.place = record_place,
+	.placed = record_run,
 	.preempt = record_preempt,
 	.wait = record_wait,
 };
@@ -66,14 +65,15 @@
 	return &g_array_index(steps, ffl_explained_step_t, steps->len - 1);
 }
 
-static void record_place(ffl_dispatch_t *d, const ffl_place_request_t *req,
-			 uint32_t task, ffl_dispatch_worker_t *w, uint32_t run)
+static void record_run(ffl_dispatch_t *d, const ffl_place_request_t *req,
+		       ffl_run_t *run)
 {
+	const ffl_dispatch_worker_t *w = run->worker;
 	const trial_t *trial = req->effects_user;
 	ffl_explained_step_t *step = step_of(req);
 	ffl_explained_worker_t added = { .tasks = 1 };
 
-	g_ptr_array_add(trial->runs, ffl_place_task(d, req, task, w, run));
+	g_ptr_array_add(trial->runs, run);
 	step->placed++;
 	for (guint i = 0; i < step->workers->len; i++) {
 		ffl_explained_worker_t *known = &g_array_index(
@@ -90,10 +90,9 @@
 	g_array_append_val(step->workers, added);
 }
 
-static void record_preempt(ffl_preempt_plan_t *plan,
-			   const ffl_place_request_t *req)
+static void record_preempt(ffl_preempt_plan_t *plan)
 {
-	ffl_explained_step_t *step = step_of(req);
+	ffl_explained_step_t *step = step_of(ffl_preempt_request(plan));
 
 	step->stops = ffl_preempt_count(plan, &step->stop_cost);
 }
@@ -193,6 +192,7 @@
 	explain_rank(d, flow, now_ms, out);
 	like.guaranteed = out->guaranteed;
 	ffl_count_free_gpus(d);
+	ffl_list_quarantined(d, now_ms);
 	out->free_percent = ffl_free_gpus_percent(d, &like);
 	g_array_set_size(d->infeasible, 0);
 	ffl_place_flow(d, flow, &like, wall_ms);
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -48,6 +48,10 @@
 ffl_node_act_t *ffl_node_add_jobs_append(ffl_node_t *n, uint32_t part);
 /** Returns the read position in a partition of the topic of jobs. */
 ffl_tail_t *ffl_node_jobs_tail(ffl_node_t *n, uint32_t part);
+/** The same, to be looked at only. */
+const ffl_tail_t *ffl_node_view_jobs_tail(const ffl_node_t *n, uint32_t part);
+/** Returns the partitions over which jobs are spread, a bit each. */
+uint32_t ffl_node_all_parts(const ffl_node_t *n);
 /** Returns true if all partitions over which jobs are spread have been read. */
 bool ffl_node_knows_jobs(const ffl_node_t *n);
 /** Returns the partitions of jobs, a bit each, of which records older than
@@ -314,4 +318,16 @@
 /** Frees an ffl_held_t. */
 void ffl_held_free(void *data);
 
+/* request_append.c */
+/** Returns true if the log takes the records of a job: one whose records it
+ * would refuse can never be served. */
+bool ffl_request_fits_log(const ffl_node_t *n, const ffl_flow_spec_t *spec,
+			  uint32_t record_bytes);
+/** Appends the records of waiting requests that are due. */
+void ffl_request_send_appends(ffl_node_t *n);
+/** Notes what came of the append that holds a request's record; returns false
+ * if @p reply answers another call. */
+bool ffl_request_take_reply(const ffl_node_t *n, ffl_pending_t *p,
+			    const ffl_store_reply_t *reply);
+
 #endif
