dispatch: cold workers

A worker's cold_remaining_ms was read and dropped, so that one that has just started, or whose data centre was evacuated, counted as a sound one: its slow runs were learned as its speed and as its queue's run time, it could be taken for slow, and its gang's tasks for hung.

A warm worker is taken of two that are equal otherwise; first priority counts the mean speed over the run; where a job would be worth less for it, a cold worker is the last choice. Nothing waits for one to become warm. Runs on cold workers count neither for run times nor for speeds. Lines worker-cold and worker-warm (20 a second at most), metric workers_cold, and ffl where tells for how long a worker is cold; ffl-site's workers can say so.

tests: dispatch_test cold-*, platform_test entry-cold and site.sh 17 to 19 are new; site.sh now plans 41 checks instead of 38. No check that existed changed.

--- a/cli/where.c
+++ b/cli/where.c
@@ -73,10 +73,14 @@
 	       number_of(step, "tasks"));
 	json_array_foreach(json_object_get(step, "workers"), i, value)
 	{
-		printf("%-*s %s, data centre %s, rack %s: %lld tasks\n",
+		printf("%-*s %s, data centre %s, rack %s: %lld tasks",
 		       KEY_WIDTH, "  worker", text_of(value, "worker"),
 		       text_of(value, "dc"), text_of(value, "rack"),
 		       number_of(value, "tasks"));
+		if (number_of(value, "cold_ms"))
+			printf(", cold for %lld ms",
+			       number_of(value, "cold_ms"));
+		printf("\n");
 	}
 	if (text_of(step, "waits_for")[0])
 		printf("%-*s for %s\n", KEY_WIDTH, "  waits",
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -109,6 +109,11 @@
 	uint32_t speed_milli;	  /**< thousandths of mean speed; 0: unknown */
 	uint64_t slow_until_ms;	  /**< treated as slow before; 0: not slow */
 	uint32_t limit_percent;	  /**< speed limit of best-effort runs there */
+	/** It runs slowly from the first on and before the second: at first
+	 * after a start or an evacuation; 0: not known to have. */
+	uint64_t cold_since_ms;
+	uint64_t cold_until_ms;
+	bool cold_noted; /**< counted as cold when this was last watched */
 } ffl_dispatch_worker_t;
 
 /** State of a run. */
@@ -148,9 +153,10 @@
 	/** When the rate window began, by its worker's clock; 0: none yet. */
 	uint64_t sample_clock_ms;
 	uint32_t rate; /**< newest rate, in thousandths of a percent a second */
-	uint32_t best_rate;	      /**< highest rate measured so far */
-	uint32_t recent_load;	      /**< see ffl_run_report_t */
-	uint32_t limit_percent;	      /**< speed limit that it is to have */
+	uint32_t best_rate;	/**< highest rate measured so far */
+	uint32_t cold_rate;	/**< newest rate on its cold worker; 0: none */
+	uint32_t recent_load;	/**< see ffl_run_report_t */
+	uint32_t limit_percent; /**< speed limit that it is to have */
 	uint32_t acked_limit_percent; /**< limit that its worker has accepted */
 	uint32_t sendings; /**< start orders made for it by this leader */
 	/** End of the lease in its start orders, by the worker's clock; the
@@ -244,7 +250,14 @@
 	uint64_t last_placement_ms;
 	GHashTable *gpus; /**< ffl_gpu_count_t by service, in this pass */
 	GHashTable *mean_run_ms; /**< mean duration of a run by queue */
-	GArray *infeasible; /**< of ffl_demand_t: did not fit in this pass */
+	/** Rate of cold workers in thousandths of their usual one, as measured;
+	 * 0: not measured yet. */
+	uint32_t cold_milli;
+	uint32_t cold_workers; /**< listed workers that are cold */
+	uint64_t cold_watched_ms;
+	uint32_t cold_lines;  /**< log lines on them since then */
+	uint32_t cold_unsaid; /**< changes without a line since the last one */
+	GArray *infeasible;   /**< of ffl_demand_t: did not fit in this pass */
 	ffl_advice_t advice;
 	bool may_renew; /**< leases may be extended */
 	/** Partitions of jobs, a bit each, of which newer records may not be
--- a/include/fireflyledge/explain.h
+++ b/include/fireflyledge/explain.h
@@ -33,6 +33,8 @@
 	ffl_name_t dc;
 	ffl_name_t rack;
 	uint32_t tasks; /**< number of these tasks */
+	/** For how long it still runs slowly, in ms; 0: it is warm. */
+	uint64_t cold_ms;
 } ffl_explained_worker_t;
 
 /** A step that may run now. */
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -32,6 +32,7 @@
 	ffl_name_t rack;
 	bool draining;
 	uint32_t drain_left_ms; /**< least time until it leaves, if draining */
+	uint32_t cold_left_ms;	/**< how much longer it runs slowly; 0: warm */
 	int64_t born_ms;	/**< incarnation: Unix time of its start */
 	uint64_t clock_ms;	/**< worker's clock; 0: unknown */
 	ffl_resources_t capacity;
--- a/jobd/explain.c
+++ b/jobd/explain.c
@@ -18,9 +18,10 @@
 			&g_array_index(workers, ffl_explained_worker_t, i);
 
 		json_array_append_new(
-			out, json_pack("{s:s, s:s, s:s, s:I}", "worker", w->id,
-				       "dc", w->dc, "rack", w->rack, "tasks",
-				       (json_int_t)w->tasks));
+			out, json_pack("{s:s, s:s, s:s, s:I, s:I}", "worker",
+				       w->id, "dc", w->dc, "rack", w->rack,
+				       "tasks", (json_int_t)w->tasks, "cold_ms",
+				       (json_int_t)w->cold_ms));
 	}
 	return out;
 }
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -6,8 +6,8 @@
  * close to its data may run elsewhere after this share of its run time. */
 #define REMOTE_FREE_PERCENT 40
 #define REMOTE_WAIT_PERCENT 50
-/** Penalty for a worker that had a failure or is not in the data's rack, in
- * GPUs left over. */
+/** Penalty for a worker that had a failure, is not in the data's rack, or is so
+ * cold that the job is worth less, in GPUs left over. */
 #define PENALTY_GPUS 64
 /** Difference in speed, in thousandths, that counts as one GPU left over. */
 #define SPEED_MILLI_PER_GPU 50
@@ -22,7 +22,14 @@
 static bool has_room(const ffl_dispatch_worker_t *w,
 		     const ffl_place_request_t *req,
 		     const ffl_resources_t *need);
-static int64_t placement_cost(const ffl_dispatch_worker_t *w,
+static uint32_t speed_for(const ffl_dispatch_t *d,
+			  const ffl_dispatch_worker_t *w,
+			  const ffl_place_request_t *req);
+static bool costs_worth(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
+			const ffl_place_request_t *req);
+static int64_t prefer_warm(int64_t cost, bool cold);
+static int64_t placement_cost(const ffl_dispatch_t *d,
+			      const ffl_dispatch_worker_t *w,
 			      const ffl_place_request_t *req);
 static ffl_resources_t available_for(const ffl_dispatch_worker_t *w,
 				     const ffl_place_request_t *req);
@@ -35,7 +42,7 @@
 			     const GPtrArray *workers);
 static uint32_t rack_available(const ffl_dispatch_t *d, const ffl_rack_t *rack,
 			       const ffl_place_request_t *req);
-static int64_t rack_cost(uint32_t available,
+static int64_t rack_cost(const ffl_dispatch_t *d, uint32_t available,
 			 ffl_dispatch_worker_t *const *chosen,
 			 const ffl_place_request_t *req);
 
@@ -146,25 +153,64 @@
 	return ffl_is_candidate(w, req) && ffl_advice_allows(d, req, w);
 }
 
+/* Returns the mean speed of a worker over a run of a step that begins now. */
+static uint32_t speed_for(const ffl_dispatch_t *d,
+			  const ffl_dispatch_worker_t *w,
+			  const ffl_place_request_t *req)
+{
+	uint64_t speed = ffl_dispatch_worker_speed(w);
+	uint64_t delay_ms = ffl_cold_delay_ms(d, w, req);
+	uint64_t run_ms;
+
+	if (!delay_ms)
+		return (uint32_t)speed;
+	run_ms = ffl_rank_expected_run_ms(d, req->flow, req->step_index);
+	return (uint32_t)(speed * run_ms / (run_ms + delay_ms));
+}
+
+/* Returns true if the job is worth less to its caller for being placed on a
+ * cold worker. */
+static bool costs_worth(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
+			const ffl_place_request_t *req)
+{
+	const ffl_flow_t *flow = req->flow;
+	uint64_t delay_ms = ffl_cold_delay_ms(d, w, req);
+
+	return delay_ms &&
+	       ffl_rank_tier_at(flow, req->now_ms - flow->first_seen_ms +
+					      flow->path_ms + delay_ms) >
+		       flow->tier;
+}
+
+/* Of two workers with equal cost, the warm one is cheaper. */
+static int64_t prefer_warm(int64_t cost, bool cold)
+{
+	return 2 * cost + cold;
+}
+
 /* Best fit: the worker with the fewest GPUs left over is the cheapest, which
  * keeps others free for tasks that need a whole worker. */
-static int64_t placement_cost(const ffl_dispatch_worker_t *w,
+static int64_t placement_cost(const ffl_dispatch_t *d,
+			      const ffl_dispatch_worker_t *w,
 			      const ffl_place_request_t *req)
 {
 	ffl_resources_t available = ffl_dispatch_worker_available(w);
 	int64_t cost = (int64_t)available.gpus - req->step->gpus;
-	int64_t speed = ffl_dispatch_worker_speed(w) / SPEED_MILLI_PER_GPU;
 
 	/* Priority 0 has the least slack, so other work leaves it the fast
-	 * workers. */
-	cost += req->flow->spec.priority == 0 ? -speed : speed;
-
+	 * workers, but is not drawn to those that are cold. */
+	if (req->flow->spec.priority == 0)
+		cost -= speed_for(d, w, req) / SPEED_MILLI_PER_GPU;
+	else
+		cost += ffl_dispatch_worker_speed(w) / SPEED_MILLI_PER_GPU;
+	if (costs_worth(d, w, req))
+		cost += PENALTY_GPUS;
 	if (w->fail_streak ||
 	    (req->flow->tasks[req->first].failures && !w->has_succeeded))
 		cost += PENALTY_GPUS;
 	if (req->step->rack[0] && strcmp(w->entry.rack, req->step->rack) != 0)
 		cost += PENALTY_GPUS;
-	return cost;
+	return prefer_warm(cost, ffl_worker_is_cold(w, req->now_ms));
 }
 
 /* Returns the resources of a worker that a step may use. */
@@ -192,7 +238,7 @@
 
 		if (!has_room(w, req, &need) || !ffl_is_eligible(d, w, req))
 			continue;
-		cost = placement_cost(w, req);
+		cost = placement_cost(d, w, req);
 		if (!best || cost < best_cost) {
 			best = w;
 			best_cost = cost;
@@ -326,18 +372,24 @@
 }
 
 /* A gang runs at the speed of its slowest worker. */
-static int64_t rack_cost(uint32_t available,
+static int64_t rack_cost(const ffl_dispatch_t *d, uint32_t available,
 			 ffl_dispatch_worker_t *const *chosen,
 			 const ffl_place_request_t *req)
 {
-	uint32_t slowest = ffl_dispatch_worker_speed(chosen[0]);
-
-	if (req->flow->spec.priority != 0)
-		return available;
-	for (uint32_t i = 1; i < req->step->tasks; i++)
-		slowest = MIN(slowest, ffl_dispatch_worker_speed(chosen[i]));
-	return (int64_t)available -
-	       (int64_t)slowest * RACK_SPEED_WEIGHT / SPEED_MILLI_PER_GPU;
+	uint32_t slowest = UINT32_MAX;
+	int64_t cost = available;
+	bool worth_less = false;
+	bool cold = false;
+
+	for (uint32_t i = 0; i < req->step->tasks; i++) {
+		slowest = MIN(slowest, speed_for(d, chosen[i], req));
+		worth_less |= costs_worth(d, chosen[i], req);
+		cold |= ffl_worker_is_cold(chosen[i], req->now_ms);
+	}
+	if (req->flow->spec.priority == 0)
+		cost -= (int64_t)slowest * RACK_SPEED_WEIGHT /
+			SPEED_MILLI_PER_GPU;
+	return prefer_warm(cost + (worth_less ? PENALTY_GPUS : 0), cold);
 }
 
 /* Returns the number of free GPUs plus the number of workers of a rack,
@@ -371,7 +423,7 @@
 
 		if (!ffl_choose_gang_workers(d, req, rack->workers, chosen))
 			continue;
-		cost = rack_cost(rack_available(d, rack, req), chosen, req);
+		cost = rack_cost(d, rack_available(d, rack, req), chosen, req);
 		if (best &&
 		    (cost > best_cost ||
 		     (cost == best_cost && strcmp(rack->name, best->name) > 0)))
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -124,6 +124,7 @@
 	ffl_racks_invalidate(d);
 	g_ptr_array_set_size(d->followed, 0);
 	g_hash_table_remove_all(d->workers);
+	d->cold_workers = 0;
 	d->dirty = false;
 }
 
@@ -162,6 +163,7 @@
 		return;
 	d->may_renew = may_renew;
 	update_open_flows(d, now_ms);
+	ffl_cold_watch(d, now_ms);
 	ffl_watch_runs(d, now_ms);
 	if (may_start &&
 	    (d->replan || now_ms - d->last_placement_ms >= REPLAN_MS)) {
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -324,6 +324,47 @@
 bool ffl_trust_holds_back(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			  uint32_t task);
 
+/* cold.c */
+
+/** Returns true if a worker was cold at some time of a span. */
+bool ffl_worker_was_cold(const ffl_dispatch_worker_t *w, uint64_t from_ms,
+			 uint64_t to_ms);
+bool ffl_worker_is_cold(const ffl_dispatch_worker_t *w, uint64_t now_ms);
+/**
+ * Returns when a worker will be warm.
+ *
+ * @param left_ms how much longer it was to be cold when it said so
+ * @param age_ms how long ago that was
+ * @return 0 if it is warm by now
+ */
+uint64_t ffl_cold_until_ms(uint32_t left_ms, uint64_t age_ms, uint64_t now_ms);
+/**
+ * Returns how much longer a run takes that begins on a cold worker.
+ *
+ * @param left_ms for how long the worker is still cold
+ * @param run_ms the run's duration on a warm worker
+ * @param rate_milli rate while cold, in thousandths of the usual one; 0: not
+ *                   known, no longer
+ */
+uint64_t ffl_cold_extra_ms(uint64_t left_ms, uint64_t run_ms,
+			   uint32_t rate_milli);
+/** Returns the rate of cold workers in thousandths of their usual one; the
+ * usual one as long as no run has shown another. */
+uint32_t ffl_cold_rate(const ffl_dispatch_t *d);
+/** Learns the rate of cold workers from the rates of the same work on a cold
+ * and on a warm one; 0: not known. */
+void ffl_cold_learn(ffl_dispatch_t *d, uint32_t cold, uint32_t warm);
+/** Returns how much longer a step is expected to run on a worker as it is cold.
+ */
+uint64_t ffl_cold_delay_ms(const ffl_dispatch_t *d,
+			   const ffl_dispatch_worker_t *w,
+			   const ffl_place_request_t *req);
+/** Takes over from a worker's new entry until when it is cold. */
+void ffl_cold_update(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+		     uint64_t now_ms);
+/** Counts the cold workers, and notes those that have become warm. */
+void ffl_cold_watch(ffl_dispatch_t *d, uint64_t now_ms);
+
 /* choose.c */
 
 /** Returns what keeps a step off a worker, not counting tickets and free
--- a/lib/dispatch/explain.c
+++ b/lib/dispatch/explain.c
@@ -84,6 +84,8 @@
 		known->tasks++;
 		return;
 	}
+	if (ffl_worker_is_cold(w, req->now_ms))
+		added.cold_ms = w->cold_until_ms - req->now_ms;
 	ffl_copy(added.id, sizeof(added.id), w->entry.id);
 	ffl_copy(added.dc, sizeof(added.dc), w->entry.dc);
 	ffl_copy(added.rack, sizeof(added.rack), w->entry.rack);
--- a/lib/dispatch/rank.c
+++ b/lib/dispatch/rank.c
@@ -12,6 +12,8 @@
 
 static uint64_t critical_path_ms(const ffl_dispatch_t *d,
 				 const ffl_flow_t *flow, bool unfinished_only);
+static bool ran_cold(const ffl_dispatch_t *d, const ffl_run_t *run,
+		     uint64_t now_ms);
 static bool has_unfinished_tasks(const ffl_flow_t *flow, uint32_t step);
 static uint64_t objective_ms(const ffl_dispatch_t *d, const ffl_flow_t *flow);
 static bool is_long_running(const ffl_flow_t *flow);
@@ -27,6 +29,23 @@
 	return mean_ms ? mean_ms : flow->spec.steps[step].estimate_ms;
 }
 
+/* A gang takes as long as its slowest run. */
+static bool ran_cold(const ffl_dispatch_t *d, const ffl_run_t *run,
+		     uint64_t now_ms)
+{
+	const GPtrArray *runs = ffl_runs_of_flow(d, run->flow);
+
+	for (guint i = 0; i < runs->len; i++) {
+		const ffl_run_t *other = g_ptr_array_index(runs, i);
+
+		if ((other == run || ffl_run_same_gang(run, other)) &&
+		    ffl_worker_was_cold(other->worker, other->running_ms,
+					now_ms))
+			return true;
+	}
+	return false;
+}
+
 void ffl_rank_record_run(ffl_dispatch_t *d, const ffl_run_t *run,
 			 uint64_t now_ms)
 {
@@ -36,7 +55,8 @@
 		g_hash_table_lookup(d->mean_run_ms, flow->spec.queue));
 
 	/* When a run of an earlier leader began is not known. */
-	if (run->run != 1 || !run->sendings || !run->running_ms || !took_ms)
+	if (run->run != 1 || !run->sendings || !run->running_ms || !took_ms ||
+	    ran_cold(d, run, now_ms))
 		return;
 	if (mean_ms)
 		took_ms = (mean_ms * (PERCENT - NEWEST_RUN_WEIGHT_PERCENT) +
--- a/lib/dispatch/speed.c
+++ b/lib/dispatch/speed.c
@@ -28,6 +28,7 @@
 			   uint32_t rate);
 static void check_slow(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void learn_speed(ffl_run_t *run, uint32_t rate);
+static void learn_cold(ffl_dispatch_t *d, ffl_run_t *run, uint32_t rate);
 
 uint32_t ffl_dispatch_worker_speed(const ffl_dispatch_worker_t *w)
 {
@@ -125,6 +126,22 @@
 		weighted_mean(rates->mean, base_rate, GANG_WEIGHT_PERCENT);
 }
 
+/* A run is compared with the rest of its gang on warm workers, or later with
+ * itself: single tasks differ too much in work. */
+static void learn_cold(ffl_dispatch_t *d, ffl_run_t *run, uint32_t rate)
+{
+	const ffl_step_rate_t *rates = step_rate(run);
+
+	if (ffl_run_step(run)->gang && rates->mean)
+		ffl_cold_learn(
+			d,
+			(uint32_t)((uint64_t)rate * MILLI /
+				   ffl_dispatch_worker_speed(run->worker)),
+			rates->mean);
+	else
+		run->cold_rate = rate;
+}
+
 uint64_t ffl_run_expected_rate(const ffl_dispatch_t *d, const ffl_run_t *run)
 {
 	const ffl_step_t *step = ffl_run_step(run);
@@ -149,6 +166,9 @@
 			 uint64_t clock_ms, uint64_t now_ms)
 {
 	uint64_t window_ms = clock_ms - run->sample_clock_ms;
+	uint64_t began_ms = now_ms - MIN(now_ms, window_ms);
+	ffl_dispatch_worker_t *w = run->worker;
+	uint32_t rate;
 
 	if (!run->sample_clock_ms || percent < run->sample_percent) {
 		ffl_run_begin_rate_window(run, percent, clock_ms);
@@ -160,7 +180,17 @@
 			       window_ms);
 	ffl_run_begin_rate_window(run, percent, clock_ms);
 	run->best_rate = MAX(run->best_rate, run->rate);
+	rate = local_rate(d, run, run->rate);
+	if (ffl_worker_was_cold(w, began_ms, now_ms)) {
+		if (rate && ffl_worker_is_cold(w, began_ms) &&
+		    ffl_worker_is_cold(w, now_ms))
+			learn_cold(d, run, rate);
+		return;
+	}
 	check_slow(d, run, now_ms);
-	if (!ffl_dispatch_worker_is_slow(run->worker, now_ms) && run->rate)
-		learn_speed(run, local_rate(d, run, run->rate));
+	if (ffl_dispatch_worker_is_slow(w, now_ms) || !run->rate)
+		return;
+	ffl_cold_learn(d, run->cold_rate, rate);
+	run->cold_rate = 0;
+	learn_speed(run, rate);
 }
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -75,8 +75,13 @@
 	if (run->worker->missed_renewals || run->percent >= PERCENT ||
 	    stalled_ms < HANG_KNOWN_RATE_MS)
 		return false;
+	/* On a cold worker it has no rate that is known. */
 	return stalled_ms >= HANG_MS ||
-	       ffl_run_expected_rate(d, run) >= HANG_RATE_MIN;
+	       (!ffl_worker_was_cold(run->worker,
+				     run->seen_ms -
+					     MIN(run->seen_ms, stalled_ms),
+				     run->seen_ms) &&
+		ffl_run_expected_rate(d, run) >= HANG_RATE_MIN);
 }
 
 /* Returns true if the data centre is evacuated before a start was ordered, or
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -136,6 +136,8 @@
 	ffl_trust_reset(w);
 	w->speed_milli = 0;
 	w->slow_until_ms = 0;
+	w->cold_since_ms = 0;
+	w->cold_until_ms = 0;
 	w->limit_percent = PERCENT;
 }
 
@@ -273,6 +275,7 @@
 	w->written_after_ms = written_after_ms;
 	if (!w->clock_read_ms || now_ms - w->clock_read_ms > CLOCK_FRESH_MS)
 		ffl_dispatch_worker_set_clock(w, entry->clock_ms, now_ms);
+	ffl_cold_update(d, w, now_ms);
 	d->replan = true;
 }
 
--- a/site/main.c
+++ b/site/main.c
@@ -153,6 +153,7 @@
  * lost: the next n appends take effect without a response;
  * slow: a page of newest records takes n ms to send;
  * forget: the log drops its history, but not the newest records;
+ * cold: all workers say that they are cold, for n ms;
  * crash, drain: worker n;
  * silence: connections that are open, also this one, carry nothing any more.
  */
@@ -176,6 +177,8 @@
 		s->unanswered_appends = n;
 	else if (strcmp(kind, "slow") == 0)
 		s->newest_send_ms = n;
+	else if (strcmp(kind, "cold") == 0)
+		s->cold_until_ms = site_http_now_ms() + n;
 	else if (strcmp(kind, "crash") == 0 && n < s->worker_count)
 		task_worker_crash(&s->workers[n]);
 	else if (strcmp(kind, "drain") == 0 && n < s->worker_count)
--- a/site/site.h
+++ b/site/site.h
@@ -29,6 +29,7 @@
 	uint32_t work_ms;	     /**< unused */
 	uint32_t unanswered_appends; /**< next appends left unanswered */
 	bool log_down;		     /**< the log rejects every call */
+	uint64_t cold_until_ms;	     /**< its workers say that they are cold */
 	uint32_t newest_send_ms; /**< of a page of newest records; 0: at once */
 	uint64_t starts;	 /**< start orders received */
 	uint64_t
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -2315,9 +2315,269 @@
 	}
 }
 
+/* A worker says that it is cold for a time, and now runs at a rate. */
+static void chill(test_bed_t *b, uint32_t worker, uint32_t left_ms,
+		  uint32_t rate_percent)
+{
+	sim_worker_t *w = &b->workers[worker];
+
+	w->rate_percent = rate_percent;
+	w->entry.cold_left_ms = left_ms;
+	w->entry.clock_ms = b->now_ms;
+	ffl_dispatch_update_worker(&b->d, &w->entry, b->now_ms, b->now_ms);
+}
+
+/* Of two workers the first has half its GPUs taken, and so fits better, unless
+ * it is said to be idle; it is cold. */
+static void test_cold_choice(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t cold_milli;
+		uint32_t left_ms;
+		uint32_t idle_ms; /* from then to the submission */
+		uint32_t priority;
+		bool idle;
+		bool gang;
+		uint32_t chosen;
+	} cases[] = {
+		{ "warm", 100, 0, 0, 1, true, false, 0 },
+		{ "warm, gang", 100, 0, 0, 0, true, true, 0 },
+		{ "warm by now", 100, 500, 1000, 1, true, false, 0 },
+		{ "no run has shown how slow", 0, 60000, 0, 1, true, false, 1 },
+		{ "the same, fits better", 0, 60000, 0, 1, false, false, 0 },
+		{ "would be late", 100, 60000, 0, 1, false, false, 1 },
+		{ "gang would be late", 100, 60000, 0, 1, false, true, 1 },
+		{ "in time all the same", 500, 2000, 0, 1, false, false, 0 },
+		{ "urgent, little time", 500, 100, 0, 0, false, false, 0 },
+		{ "urgent, in time", 500, 4000, 0, 0, false, false, 1 },
+		{ "urgent gang, in time", 500, 4000, 0, 0, false, true, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 2);
+		ffl_copy(b.workers[1].entry.rack, sizeof(ffl_name_t), "r2");
+		chill(&b, 1, 0, RATE_USUAL_PERCENT);
+		if (!cases[i].idle)
+			submit(&b, "held", 1,
+			       (ffl_step_t){ .tasks = 1,
+					     .gpus = 4,
+					     .runs_until_cancelled = true });
+		run_for_ms(&b, 200);
+		chill(&b, 0, cases[i].left_ms, RATE_USUAL_PERCENT);
+		b.d.cold_milli = cases[i].cold_milli;
+		run_for_ms(&b, cases[i].idle_ms);
+		flow = submit(&b, "one", cases[i].priority,
+			      (ffl_step_t){ .tasks = 1,
+					    .gpus = 4,
+					    .gang = cases[i].gang,
+					    .same_rack = cases[i].gang });
+		run_for_ms(&b, 2 * STEP_MS);
+		g_assert_cmpstr(flow->tasks[0].worker, ==,
+				b.workers[cases[i].chosen].entry.id);
+		test_bed_finish(&b);
+	}
+}
+
+/* Work waits for no worker to become warm. */
+static void test_cold_starts_at_once(void)
+{
+	for (uint32_t priority = 0; priority < 2; priority++) {
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		test_bed_init(&b, 2);
+		g_hash_table_insert(b.guaranteed, "ponds", GUINT_TO_POINTER(8));
+		submit(&b, "held", 1, (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		run_for_ms(&b, 200);
+		chill(&b, 1, 60000, 10);
+		b.d.cold_milli = 100;
+		flow = submit(&b, "one", priority,
+			      (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		run_for_ms(&b, 2 * STEP_MS);
+		g_assert_cmpstr(flow->tasks[0].worker, ==, "w01");
+		g_assert_cmpuint(b.workers[1].starts, ==, 1);
+		g_assert_cmpuint(b.preempted, ==, 0);
+		test_bed_finish(&b);
+	}
+}
+
+/* What runs on a cold worker tells how slow those are (the mean moves by 0.3 of
+ * the difference with each second that shows progress), and nothing of the
+ * worker's usual speed, of run times, of being hung or of failures. */
+static void test_cold_learned(void)
+{
+	static const struct {
+		const char *name;
+		ffl_step_t step;
+		bool all_cold;
+		uint32_t rate_percent; /* while cold */
+		uint32_t milli_min;    /* learned then */
+		uint32_t milli_max;
+	} cases[] = {
+		{ "single task, compared with itself",
+		  { .tasks = 1, .gpus = 8 },
+		  true,
+		  25,
+		  700,
+		  850 },
+		{ "gang, compared with the warm one",
+		  { .tasks = 2, .gpus = 8, .gang = true },
+		  false,
+		  25,
+		  250,
+		  500 },
+		{ "no slower",
+		  { .tasks = 2, .gpus = 8, .gang = true },
+		  true,
+		  100,
+		  950,
+		  1000 },
+		{ "hardly moves",
+		  { .tasks = 2, .gpus = 8, .gang = true },
+		  false,
+		  4,
+		  100,
+		  600 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_dispatch_worker_t *w;
+		ffl_flow_t *flow;
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 2);
+		b.work_ms = 10000;
+		run_for_ms(&b, 200);
+		chill(&b, 0, 6000, cases[i].rate_percent);
+		if (cases[i].all_cold)
+			chill(&b, 1, 6000, cases[i].rate_percent);
+		flow = submit(&b, "one", 1, cases[i].step);
+		run_for_ms(&b, 6000);
+		chill(&b, 0, 0, RATE_USUAL_PERCENT);
+		chill(&b, 1, 0, RATE_USUAL_PERCENT);
+		run_for_ms(&b, 3000);
+		w = g_hash_table_lookup(b.d.workers, flow->tasks[0].worker);
+		g_assert_cmpuint(b.d.cold_milli, >=, cases[i].milli_min);
+		g_assert_cmpuint(b.d.cold_milli, <=, cases[i].milli_max);
+		g_assert_true(!w->speed_milli || w->speed_milli > 950);
+		g_assert_cmpuint(w->slow_until_ms, ==, 0);
+		g_assert_cmpuint(flow->tasks[0].run, ==, 1);
+		run_for_ms(&b, 12000);
+		g_assert_cmpint(ffl_flow_state(flow), ==, FFL_FLOW_COMPLETED);
+		g_assert_cmpuint(g_hash_table_size(b.d.mean_run_ms), ==, 0);
+		test_bed_finish(&b);
+	}
+}
+
+static void count_cold_lines(void *user, const char *event, const char *subject,
+			     const char *text)
+{
+	uint32_t *lines = user;
+
+	lines[0] += strcmp(event, "worker-cold") == 0;
+	lines[1] += strcmp(event, "worker-warm") == 0;
+}
+
+/* A worker is cold by the time of its report, until it says otherwise or
+ * another incarnation of it does. */
+static void test_cold_state(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t left_ms;
+		uint32_t age_ms;   /* of the entry when it is read */
+		uint32_t later_ms; /* from then on */
+		bool says_warm;	   /* in an entry then */
+		bool restarts;	   /* then */
+		uint32_t cold;	   /* workers at the end */
+		uint32_t lines[2]; /* on cold and on warm ones */
+	} cases[] = {
+		{ "warm", 0, 0, 1000, false, false, 0, { 0, 0 } },
+		{ "still cold", 5000, 0, 3000, false, false, 1, { 1, 0 } },
+		{ "time is over", 2000, 0, 4000, false, false, 0, { 1, 1 } },
+		{ "read late", 5000, 3000, 3500, false, false, 0, { 1, 1 } },
+		{ "read too late", 2000, 3000, 0, false, false, 0, { 0, 0 } },
+		{ "warm early", 9000, 0, 2000, true, false, 0, { 1, 1 } },
+		{ "restarted", 9000, 0, 2000, false, true, 0, { 1, 1 } },
+		{ "longest", UINT32_MAX, 0, 9000, false, false, 1, { 1, 0 } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ffl_worker_entry_t *entry;
+		uint32_t lines[2] = { 0, 0 };
+		test_bed_t b;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 1);
+		b.d.note = count_cold_lines;
+		b.d.note_user = lines;
+		entry = &b.workers[0].entry;
+		submit(&b, "long", 1,
+		       (ffl_step_t){ .tasks = 1,
+				     .gpus = 1,
+				     .runs_until_cancelled = true });
+		run_for_ms(&b, 4000);
+		entry->cold_left_ms = cases[i].left_ms;
+		entry->clock_ms = b.now_ms - cases[i].age_ms;
+		ffl_dispatch_update_worker(&b.d, entry, b.now_ms, b.now_ms);
+		run_for_ms(&b, cases[i].later_ms);
+		if (cases[i].says_warm || cases[i].restarts)
+			entry->cold_left_ms = 0;
+		entry->born_ms += cases[i].restarts;
+		if (cases[i].says_warm || cases[i].restarts)
+			ffl_dispatch_update_worker(&b.d, entry, b.now_ms,
+						   b.now_ms);
+		run_for_ms(&b, 1000);
+		g_assert_cmpuint(b.d.cold_workers, ==, cases[i].cold);
+		g_assert_cmpuint(lines[0], ==, cases[i].lines[0]);
+		g_assert_cmpuint(lines[1], ==, cases[i].lines[1]);
+		test_bed_finish(&b);
+	}
+}
+
+/* A data centre of workers becomes cold, and warm, in a bounded number of
+ * lines. */
+static void test_cold_lines_bounded(void)
+{
+	uint32_t lines[2] = { 0, 0 };
+	test_bed_t b;
+
+	test_bed_init(&b, 1);
+	b.d.note = count_cold_lines;
+	b.d.note_user = lines;
+	run_for_ms(&b, 1000);
+	for (uint32_t i = 0; i < 300; i++) {
+		ffl_worker_entry_t entry = b.workers[0].entry;
+
+		g_snprintf(entry.id, sizeof(entry.id), "cold%03u", i);
+		entry.cold_left_ms = 1500;
+		ffl_dispatch_update_worker(&b.d, &entry, 0, b.now_ms);
+	}
+	g_assert_cmpuint(b.d.cold_workers, ==, 300);
+	run_for_ms(&b, 900);
+	g_assert_cmpuint(lines[0], ==, 20);
+	run_for_ms(&b, 3000);
+	g_assert_cmpuint(b.d.cold_workers, ==, 0);
+	g_assert_cmpuint(lines[1], ==, 20);
+	test_bed_finish(&b);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/dispatch/cold-choice", test_cold_choice);
+	g_test_add_func("/dispatch/cold-starts-at-once",
+			test_cold_starts_at_once);
+	g_test_add_func("/dispatch/cold-learned", test_cold_learned);
+	g_test_add_func("/dispatch/cold-state", test_cold_state);
+	g_test_add_func("/dispatch/cold-lines-bounded",
+			test_cold_lines_bounded);
 	g_test_add_func("/dispatch/explain", test_explain);
 	g_test_add_func("/dispatch/explain-holds", test_explain_holds);
 	g_test_add_func("/dispatch/explain-changes-nothing",
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -278,6 +278,7 @@
 static void test_appends(void);
 static void test_starts(void);
 static void test_entries(void);
+static void test_entry_cold(void);
 static void test_entry_ids(void);
 static void *decode_nested(void *depth);
 static void test_entry_nested_deeply(void);
@@ -413,6 +414,38 @@
 	}
 }
 
+/* What a worker says of being cold; the least that its type allows counts. */
+static void test_entry_cold(void)
+{
+	static const struct {
+		const char *value;
+		uint32_t left_ms;
+	} cases[] = {
+		{ ENTRY("ready"), 0 },
+		{ WITH("\"cold_remaining_ms\":0"), 0 },
+		{ WITH("\"cold_remaining_ms\":5997"), 5997 },
+		{ WITH("\"cold_remaining_ms\":5997.9"), 5997 },
+		{ WITH("\"cold_remaining_ms\":0.5"), 0 },
+		{ WITH("\"cold_remaining_ms\":-5"), 0 },
+		{ WITH("\"cold_remaining_ms\":4294967296"), UINT32_MAX },
+		{ WITH("\"cold_remaining_ms\":1e300"), UINT32_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_worker_entry_t *entry;
+		const char *problem;
+		ffl_arena_t arena;
+
+		g_test_message("%s", cases[i].value);
+		ffl_arena_init(&arena);
+		entry = ffl_pf_worker_entry_decode(
+			"i-1", bytes_of(cases[i].value), &arena, &problem);
+		g_assert_nonnull(entry);
+		g_assert_cmpuint(entry->cold_left_ms, ==, cases[i].left_ms);
+		ffl_arena_finish(&arena);
+	}
+}
+
 /* An id goes into a header of every order. */
 static void test_entry_ids(void)
 {
@@ -1378,6 +1411,7 @@
 	g_test_add_func("/platform/appends", test_appends);
 	g_test_add_func("/platform/starts", test_starts);
 	g_test_add_func("/platform/entries", test_entries);
+	g_test_add_func("/platform/entry-cold", test_entry_cold);
 	g_test_add_func("/platform/entry-ids", test_entry_ids);
 	g_test_add_func("/platform/entry-nested-deeply",
 			test_entry_nested_deeply);
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -7,7 +7,7 @@
 SITE=127.0.0.1:$PORT
 . scripts/tap.sh
 . scripts/hosts.sh
-echo 1..38
+echo 1..41
 
 cleanup() {
 	for p in "$DIR"/*.pid; do
@@ -131,6 +131,17 @@
 check "in JSON too, with the answer to the caller" bash -c \
 	"$(where "$L" --json) | jq -e '.answer == \"accepted\" and
 	.customer == \"ponds\" and .steps[0].workers[0].rack != \"\"'"
+curl -s "http://$SITE/fault?kind=cold&n=60000" >/dev/null
+check "workers that say that they are cold count as such" wait_for 100 \
+	'curl -sf http://127.0.0.1:$((PORT + 30 + L))/metrics |
+	grep -q "^ffl_jobd_workers_cold 3"'
+check "ffl where names a cold worker as one" bash -c \
+	"$(where "$L") | grep -Eq 'worker  *w0.*, cold for [1-9][0-9]* ms'"
+curl -s "http://$SITE/fault?kind=cold&n=0" >/dev/null
+check "they are warm when they say so" wait_for 100 \
+	'grep -q worker-warm "$DIR/host$L.log" &&
+	curl -sf http://127.0.0.1:$((PORT + 30 + L))/metrics |
+	grep -q "^ffl_jobd_workers_cold 0"'
 check "no job came of these questions" \
 	[ "$(call GET "$L" /lining/00000000000000d1 -H "$KEY")" = 410 ]
 submit "$L" 00000000000000d1 "$(cat "$DIR/job")" >/dev/null
