--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -2493,19 +2493,21 @@
 		uint32_t left_ms;
 		uint32_t age_ms;   /* of the entry when it is read */
 		uint32_t later_ms; /* from then on */
-		bool says_warm;	   /* in an entry then */
+		int64_t says_ms;   /* left, in an entry then; -1: none */
 		bool restarts;	   /* then */
 		uint32_t cold;	   /* workers at the end */
 		uint32_t lines[2]; /* on cold and on warm ones */
 	} cases[] = {
-		{ "warm", 0, 0, 1000, false, false, 0, { 0, 0 } },
-		{ "still cold", 5000, 0, 3000, false, false, 1, { 1, 0 } },
-		{ "time is over", 2000, 0, 4000, false, false, 0, { 1, 1 } },
-		{ "read late", 5000, 3000, 3500, false, false, 0, { 1, 1 } },
-		{ "read too late", 2000, 3000, 0, false, false, 0, { 0, 0 } },
-		{ "warm early", 9000, 0, 2000, true, false, 0, { 1, 1 } },
-		{ "restarted", 9000, 0, 2000, false, true, 0, { 1, 1 } },
-		{ "longest", UINT32_MAX, 0, 9000, false, false, 1, { 1, 0 } },
+		{ "warm", 0, 0, 1000, -1, false, 0, { 0, 0 } },
+		{ "still cold", 5000, 0, 3000, -1, false, 1, { 1, 0 } },
+		{ "time is over", 2000, 0, 4000, -1, false, 0, { 1, 1 } },
+		{ "read late", 5000, 3000, 3500, -1, false, 0, { 1, 1 } },
+		{ "read too late", 2000, 3000, 0, -1, false, 0, { 0, 0 } },
+		{ "warm early", 9000, 0, 2000, 0, false, 0, { 1, 1 } },
+		{ "restarted", 9000, 0, 2000, 0, true, 0, { 1, 1 } },
+		{ "restarted, cold", 9000, 0, 2000, 8000, true, 1, { 2, 0 } },
+		{ "said again", 9000, 0, 2000, 7000, false, 1, { 1, 0 } },
+		{ "longest", UINT32_MAX, 0, 9000, -1, false, 1, { 1, 0 } },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -2527,10 +2529,10 @@
 		entry->clock_ms = b.now_ms - cases[i].age_ms;
 		ffl_dispatch_update_worker(&b.d, entry, b.now_ms, b.now_ms);
 		run_for_ms(&b, cases[i].later_ms);
-		if (cases[i].says_warm || cases[i].restarts)
-			entry->cold_left_ms = 0;
 		entry->born_ms += cases[i].restarts;
-		if (cases[i].says_warm || cases[i].restarts)
+		entry->cold_left_ms = (uint32_t)cases[i].says_ms;
+		entry->clock_ms = b.now_ms;
+		if (cases[i].says_ms >= 0)
 			ffl_dispatch_update_worker(&b.d, entry, b.now_ms,
 						   b.now_ms);
 		run_for_ms(&b, 1000);
