dispatch: the rate of cold workers is learned with less noise

It is compared with its gang only once its speed is known, and a sample counts a tenth instead of three.

--- a/lib/dispatch/cold.c
+++ b/lib/dispatch/cold.c
@@ -5,9 +5,9 @@
 #include "lib/dispatch/dispatch_int.h"
 
 #define MILLI 1000
-/** Weight of a new sample in the rate of cold workers, in percent: as of tasks
- * with equal work, since a run is compared with itself or with its gang. */
-#define SAMPLE_WEIGHT_PERCENT 30
+/** Weight of a new sample in the rate of cold workers, in percent. Progress in
+ * whole percent makes a sample of a second err by a tenth or more. */
+#define SAMPLE_WEIGHT_PERCENT 10
 /** Bounds of a sample, in thousandths: a step of a progress in whole percent
  * may be of 0 or of 2 in a window. */
 #define SAMPLE_MIN_MILLI 100
--- a/lib/dispatch/speed.c
+++ b/lib/dispatch/speed.c
@@ -126,13 +126,13 @@
 		weighted_mean(rates->mean, base_rate, GANG_WEIGHT_PERCENT);
 }
 
-/* A run is compared with the rest of its gang on warm workers, or later with
- * itself: single tasks differ too much in work. */
+/* A run is compared with the rest of its gang on warm workers if its worker's
+ * usual speed is known, and otherwise later with itself. */
 static void learn_cold(ffl_dispatch_t *d, ffl_run_t *run, uint32_t rate)
 {
 	const ffl_step_rate_t *rates = step_rate(run);
 
-	if (ffl_run_step(run)->gang && rates->mean)
+	if (ffl_run_step(run)->gang && rates->mean && run->worker->speed_milli)
 		ffl_cold_learn(
 			d,
 			(uint32_t)((uint64_t)rate * MILLI /
