fakes: the site's oracle watches that runs of cancelled jobs are stopped

Cause: mutant "a cancelled job's runs are stopped" was held by unit tests only: the oracle saw starts of cancelled jobs, not runs that go on.

Change: with nothing disturbed, a run of a job whose cancellation was confirmed has to be gone 3.4 s after that, after the run's start, or after its worker's first report (RULES.md, UNASKED).

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -607,6 +607,7 @@
 		}
 		tick_hosts(s);
 		site_watch_waiting(s);
+		site_watch_cancelled(s);
 		if (!site_is_calm(s))
 			s->disturbed_ms = s->now_ms;
 	}
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -87,6 +87,8 @@
 /** Returns true if a job belongs to the top-priority queue (every third job).
  */
 bool site_is_top_priority(const site_t *s, const site_job_t *job);
+/** Records a violation if a run of a cancelled job is not stopped. */
+void site_watch_cancelled(site_t *s);
 /** Notes the ends in a worker's reply. */
 void site_note_report(site_t *s, const ffl_reply_t *reply);
 /* Callbacks of task_hooks_t; the user pointer is the site. */
--- a/fakes/site_oracle.c
+++ b/fakes/site_oracle.c
@@ -5,7 +5,12 @@
 
 /** Time after a confirmed cancellation from which no task may start. */
 #define CANCEL_GRACE_MS 3000
+/** Longest stop, added to it until a run of a cancelled job has to be gone from
+ * a site that nothing disturbs (RULES.md, UNASKED). */
+#define STOP_MAX_MS 400
 
+static bool runs_on(const site_t *s, const task_worker_t *w,
+		    const task_run_t *run);
 static bool is_barred(const site_t *s, const task_worker_t *w);
 static char *run_key(const char *task, uint32_t run);
 static bool is_repeated(const site_t *s, const task_run_t *run);
@@ -97,6 +102,37 @@
 	return repeated;
 }
 
+/* Returns true if a run goes on although its job was cancelled for long enough,
+ * with a leader that nothing disturbed. */
+static bool runs_on(const site_t *s, const task_worker_t *w,
+		    const task_run_t *run)
+{
+	uint32_t step = 0;
+	const site_job_t *job = site_find_job((site_t *)s, run->task, &step);
+	uint64_t since_ms = MAX(s->disturbed_ms, w->boot_ms + SITE_REPORT_MS);
+
+	since_ms = MAX(since_ms, run->started_ms);
+	return job && job->cancelled_ms &&
+	       s->now_ms > MAX(since_ms, job->cancelled_ms) + CANCEL_GRACE_MS +
+				   STOP_MAX_MS;
+}
+
+void site_watch_cancelled(site_t *s)
+{
+	for (uint32_t i = 0; i < s->workers_count; i++) {
+		const task_worker_t *w = &s->workers[i];
+
+		for (guint k = 0; w->alive && k < w->runs->len; k++) {
+			const task_run_t *run = g_ptr_array_index(w->runs, k);
+
+			if (runs_on(s, w, run))
+				site_record_violation(s,
+						      "a cancelled job runs on",
+						      run->task);
+		}
+	}
+}
+
 /* Returns true if the data centre of a worker has been evacuated for so long
  * that no run may start there, by an order that was not delayed. */
 static bool is_barred(const site_t *s, const task_worker_t *w)
