dispatch: a run given up is taken back if its worker has started again

Cause: after a restart nothing is to be placed again before the new life's report under a higher token, as an order that is late may have started it there. That held for runs that the leader still had.

Change: a worker's given-up runs, but those of gangs, are remembered until it reports; where a restart is read while their tasks still wait, they are taken back as adopted runs. It narrows the incident and does not close it.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -64,6 +64,8 @@
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
 	GPtrArray *runs;	   /**< of ffl_run_t *, not owned */
+	GPtrArray *given_up; /**< tasks whose last run was given up there, of
+				char *, with the run: "task run" */
 	uint32_t chosen; /**< tasks of the gang that is being placed; scratch */
 	uint32_t calls;	 /**< orders that have not been answered yet */
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -110,6 +110,8 @@
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
+/** Notes a run that is given up, in case its worker starts again. */
+void ffl_dispatch_worker_note_given_up(const ffl_run_t *run);
 /** Ends the runs of a worker whose address another one has taken: no order can
  * reach it any more. */
 void ffl_dispatch_worker_end_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -175,8 +175,9 @@
 		if (i >= w->runs->len)
 			continue;
 		run = g_ptr_array_index(w->runs, i);
-		if (run->state != FFL_RUN_PLANNED)
-			ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL,
-				       now_ms);
+		if (run->state == FFL_RUN_PLANNED)
+			continue;
+		ffl_dispatch_worker_note_given_up(run);
+		ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL, now_ms);
 	}
 }
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "lib/dispatch/dispatch_int.h"
@@ -10,6 +11,8 @@
 /** Margin for timers and network delay when waiting for leases to end. */
 #define EXPIRE_SLACK_MS 150
 
+static void take_back(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+		      uint64_t now_ms);
 static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
 static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
@@ -31,6 +34,7 @@
 	ffl_racks_invalidate(d);
 	ffl_copy(w->entry.id, sizeof(w->entry.id), id);
 	w->runs = g_ptr_array_new();
+	w->given_up = g_ptr_array_new_with_free_func(g_free);
 	w->limit_percent = PERCENT;
 	g_hash_table_insert(d->workers, w->entry.id, w);
 	return w;
@@ -58,6 +62,7 @@
 	ffl_dispatch_worker_t *w = data;
 
 	g_ptr_array_free(w->runs, TRUE);
+	g_ptr_array_free(w->given_up, TRUE);
 	g_free(w);
 }
 
@@ -171,6 +176,47 @@
 	return acked;
 }
 
+void ffl_dispatch_worker_note_given_up(const ffl_run_t *run)
+{
+	char name[FFL_TASK_NAME_BYTES];
+
+	if (ffl_run_step(run)->gang)
+		return;
+	ffl_task_name(run->flow, run->task, name);
+	g_ptr_array_add(run->worker->given_up,
+			g_strdup_printf("%s %u", name, run->run));
+}
+
+/* Takes back the runs that were given up and are not placed again: an order
+ * that was late may have started them in the new incarnation. */
+static void take_back(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+		      uint64_t now_ms)
+{
+	for (guint i = 0; i < w->given_up->len; i++) {
+		char *name = g_ptr_array_index(w->given_up, i);
+		char *space = strchr(name, ' ');
+		uint32_t run = (uint32_t)strtoul(space + 1, NULL, 10);
+		uint32_t task;
+		ffl_flow_t *flow;
+
+		*space = 0;
+		flow = ffl_task_find(d->flows, name, &task);
+		if (!flow || flow->ended_ms || flow->cancelled ||
+		    flow->failed || flow->dropped_ms ||
+		    flow->tasks[task].state != FFL_TASK_WAITING ||
+		    flow->tasks[task].run != run)
+			continue;
+		ffl_dispatch_note(d, "run-taken-back", name, "run=%u worker=%s",
+				  run, w->entry.id);
+		ffl_flow_task_place(flow, task, run, w->entry.id,
+				    w->entry.born_ms);
+		ffl_run_add(d, flow, task, run, w, now_ms)->state =
+			FFL_RUN_ADOPTED;
+		ffl_dispatch_mark_dirty(d, flow);
+	}
+	g_ptr_array_set_size(w->given_up, 0);
+}
+
 /* Any order that has been sent may have been carried out by the new
  * incarnation, or may still be. Its report under a higher token settles which:
  * what is listed there runs, and it accepts no earlier order any more. */
@@ -213,6 +259,7 @@
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
+	take_back(d, w, now_ms);
 	ffl_dispatch_worker_follow(d, w);
 	d->replan = true;
 }
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -242,6 +242,51 @@
 }
 
 /* The sending that was answered is not the one that is still under way. */
+/* A start is not answered, its worker leaves the list, the run is given up, and
+ * the worker is back before the task is placed again. */
+static void restart_after_give_up(bed_t *b)
+{
+	const ffl_reply_t unknown = { .outcome = FFL_REPLY_UNKNOWN };
+
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	submit(b);
+	wait_ms(b, 2 * STEP_MS);
+	answer(b, FFL_ORDER_START, "w0", unknown, NULL);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	for (uint32_t i = 0; i < GIVE_UP_MS; i += 200) {
+		wait_ms(b, 200);
+		answer(b, FFL_ORDER_STOP, "w0", unknown, NULL);
+		answer(b, FFL_ORDER_RENEW, "w0", unknown, NULL);
+	}
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_WAITING);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	assert_not_placed_again(b, 300);
+}
+
+static void late_order_after_give_up(bed_t *b)
+{
+	const ffl_run_report_t running = { .run = 1, .percent = 1 };
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+
+	restart_after_give_up(b);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	assert_not_placed_again(b, 300);
+}
+
+static void no_late_order_after_give_up(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+	uint64_t token = 0;
+
+	restart_after_give_up(b);
+	token = find_order(b, FFL_ORDER_START, "w0")->token;
+	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->token, >, token);
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	wait_ms(b, 200);
+	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
+}
+
 static void answered_order_sent_twice(bed_t *b)
 {
 	uint64_t token;
@@ -1097,6 +1142,8 @@
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
+	{ "late-order-after-give-up", late_order_after_give_up },
+	{ "no-late-order-after-give-up", no_late_order_after_give_up },
 	{ "answered-order-sent-twice", answered_order_sent_twice },
 	{ "reply-of-earlier-incarnation", reply_of_earlier_incarnation },
 	{ "clock-of-earlier-incarnation", clock_of_earlier_incarnation },
