dispatch: runs given up are kept as what they are, not as text

No change of behaviour; incarnation_test and the other unit tests of dispatch, node, platform, outlook and config pass.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -53,6 +53,12 @@
 	char adviser_addr[FFL_ADDR_BYTES]; /**< "" if there is no adviser */
 } ffl_dispatch_options_t;
 
+/** A run that was given up because its worker was silent. */
+typedef struct {
+	char task[FFL_TASK_NAME_BYTES];
+	uint32_t run; /**< number of the attempt */
+} ffl_given_up_t;
+
 /** State that the leader keeps of a worker. */
 typedef struct {
 	ffl_worker_entry_t entry;
@@ -64,8 +70,7 @@
 	uint64_t written_after_ms; /**< its entry was written later than this */
 	ffl_resources_t used;	   /**< by the runs placed on it */
 	GPtrArray *runs;	   /**< of ffl_run_t *, not owned */
-	GPtrArray *given_up; /**< tasks whose last run was given up there, of
-				char *, with the run: "task run" */
+	GArray *given_up; /**< of ffl_given_up_t: since its last report */
 	uint32_t chosen; /**< tasks of the gang that is being placed; scratch */
 	uint32_t calls;	 /**< orders that have not been answered yet */
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -239,7 +239,7 @@
 	}
 	w->missed_renewals = 0;
 	w->fence_due = false;
-	g_ptr_array_set_size(w->given_up, 0);
+	g_array_set_size(w->given_up, 0);
 	w->clock_reported = reply->clock_ms != 0;
 	w->renew_ms = now_ms;
 	w->acked_sent = MAX(w->acked_sent, call->acked);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -1,4 +1,3 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "lib/dispatch/dispatch_int.h"
@@ -34,7 +33,7 @@
 	ffl_racks_invalidate(d);
 	ffl_copy(w->entry.id, sizeof(w->entry.id), id);
 	w->runs = g_ptr_array_new();
-	w->given_up = g_ptr_array_new_with_free_func(g_free);
+	w->given_up = g_array_new(FALSE, FALSE, sizeof(ffl_given_up_t));
 	w->limit_percent = PERCENT;
 	g_hash_table_insert(d->workers, w->entry.id, w);
 	return w;
@@ -62,7 +61,7 @@
 	ffl_dispatch_worker_t *w = data;
 
 	g_ptr_array_free(w->runs, TRUE);
-	g_ptr_array_free(w->given_up, TRUE);
+	g_array_free(w->given_up, TRUE);
 	g_free(w);
 }
 
@@ -180,13 +179,12 @@
 
 void ffl_dispatch_worker_note_given_up(const ffl_run_t *run)
 {
-	char name[FFL_TASK_NAME_BYTES];
+	ffl_given_up_t given_up = { .run = run->run };
 
 	if (ffl_run_step(run)->gang)
 		return;
-	ffl_task_name(run->flow, run->task, name);
-	g_ptr_array_add(run->worker->given_up,
-			g_strdup_printf("%s %u", name, run->run));
+	ffl_task_name(run->flow, run->task, given_up.task);
+	g_array_append_val(run->worker->given_up, given_up);
 }
 
 /* Takes back the runs that were given up and are not placed again: an order
@@ -195,28 +193,27 @@
 		      uint64_t now_ms)
 {
 	for (guint i = 0; i < w->given_up->len; i++) {
-		char *name = g_ptr_array_index(w->given_up, i);
-		char *space = strchr(name, ' ');
-		uint32_t run = (uint32_t)strtoul(space + 1, NULL, 10);
+		const ffl_given_up_t *given_up =
+			&g_array_index(w->given_up, ffl_given_up_t, i);
 		uint32_t task;
-		ffl_flow_t *flow;
+		ffl_flow_t *flow =
+			ffl_task_find(d->flows, given_up->task, &task);
 
-		*space = 0;
-		flow = ffl_task_find(d->flows, name, &task);
 		if (!flow || flow->ended_ms || flow->cancelled ||
 		    flow->failed || flow->dropped_ms ||
 		    flow->tasks[task].state != FFL_TASK_WAITING ||
-		    flow->tasks[task].run != run)
+		    flow->tasks[task].run != given_up->run)
 			continue;
-		ffl_dispatch_note(d, "run-taken-back", name, "run=%u worker=%s",
-				  run, w->entry.id);
-		ffl_flow_task_place(flow, task, run, w->entry.id,
+		ffl_dispatch_note(d, "run-taken-back", given_up->task,
+				  "run=%u worker=%s", given_up->run,
+				  w->entry.id);
+		ffl_flow_task_place(flow, task, given_up->run, w->entry.id,
 				    w->entry.born_ms);
-		ffl_run_add(d, flow, task, run, w, now_ms)->state =
+		ffl_run_add(d, flow, task, given_up->run, w, now_ms)->state =
 			FFL_RUN_ADOPTED;
 		ffl_dispatch_mark_dirty(d, flow);
 	}
-	g_ptr_array_set_size(w->given_up, 0);
+	g_array_set_size(w->given_up, 0);
 }
 
 /* Any order that has been sent may have been carried out by the new
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -241,7 +241,6 @@
 	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
 }
 
-/* The sending that was answered is not the one that is still under way. */
 /* A start is not answered, its worker leaves the list, the run is given up, and
  * the worker is back before the task is placed again. */
 static void restart_after_give_up(bed_t *b)
@@ -287,6 +286,7 @@
 	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
 }
 
+/* The sending that was answered is not the one that is still under way. */
 static void answered_order_sent_twice(bed_t *b)
 {
 	uint64_t token;
