--- a/scripts/hosts.sh
+++ b/scripts/hosts.sh
@@ -7,6 +7,7 @@
 
 end_processes() {
 	for p in "$DIR"/*.pid; do
+		[ -e "$p" ] || continue
 		kill -9 "$(cat "$p")" 2>/dev/null
 	done
 	wait 2>/dev/null
