node: callers with little time left are answered before their deadline

Cause: an answer came after 300 ms at least; a request that is held until the host can serve it was held for 900 ms whatever its deadline, and had its whole time again once it was served.

Now the answer comes 300 ms before the deadline, or after half of the time that is left if that is later, also for what is held, and held time counts. For callers with 600 ms or more nothing changes unless they are held.

Measured: node_test answered-in-time failed before (answer 310 ms after a request with 200 ms left), and fails if held time is not counted.

--- a/fakes/site.h
+++ b/fakes/site.h
@@ -113,7 +113,8 @@
 	uint64_t log_down_until_ms; /**< the log refuses all calls before */
 	uint64_t part_down_until_ms[FFL_TAILS_MAX]; /**< a partition refuses
 						       them before */
-	uint64_t log_silent_until_ms;  /**< the log does not reply before */
+	uint64_t log_silent_until_ms; /**< the log does not reply before */
+	uint32_t deadline_ms;	      /**< of requests by site_send(); 0: 3 s */
 	uint64_t append_lost_until_ms; /**< replies to appends may be lost
 					  before */
 	uint64_t orders_late_until_ms; /**< orders may be delayed before */
--- a/fakes/site_requests.c
+++ b/fakes/site_requests.c
@@ -169,7 +169,7 @@
 	ev.request.host = "ponds.example";
 	ev.request.path = path;
 	ev.request.key = key;
-	ev.request.deadline_ms = DEADLINE_MS;
+	ev.request.deadline_ms = s->deadline_ms ? s->deadline_ms : DEADLINE_MS;
 	ev.request.spec = kind == FFL_REQUEST_SUBMIT ? &spec : NULL;
 	site_step_host(s, host, &ev);
 	ffl_flow_spec_finish(&spec);
--- a/include/fireflyledge/node.h
+++ b/include/fireflyledge/node.h
@@ -344,6 +344,7 @@
 /** A request that is held until the host can serve it. */
 typedef struct {
 	ffl_request_t req; /**< owns copies of its strings */
+	uint64_t received_ms;
 	uint64_t until_ms; /**< when it is refused as busy */
 } ffl_held_t;
 
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -4,7 +4,9 @@
 
 /** Deadline of a request whose caller states none. */
 #define DEFAULT_DEADLINE_MS 3000
-/** A response is sent this long before the caller's deadline. */
+/** A response is sent this long before the caller's deadline, or when half of
+ * the time that is left has passed, if that is later: an answer that comes
+ * after the deadline tells the caller nothing. */
 #define RESPONSE_MARGIN_MS 300
 /** When a refused caller is told to retry; by then another host serves it. */
 #define RETRY_AFTER_MS 1000
@@ -45,9 +47,12 @@
 		       uint64_t received_ms);
 static void serve_request(ffl_node_t *n, ffl_request_t *req);
 static void hold_request(ffl_node_t *n, ffl_request_t *req);
+static void serve_held(ffl_node_t *n, ffl_held_t *h);
 static void drive_held(ffl_node_t *n);
 static ffl_act_response_t *respond(ffl_node_t *n, uint64_t call,
 				   ffl_response_kind_t kind);
+static uint32_t caller_waits_ms(const ffl_request_t *req);
+static uint64_t answer_by_ms(uint64_t now_ms, const ffl_request_t *req);
 static ffl_pending_t *add_pending(ffl_node_t *n, const ffl_request_t *req,
 				  const ffl_route_t *route,
 				  const char *customer, const char *id);
@@ -93,14 +98,26 @@
 	return &act->response;
 }
 
+static uint32_t caller_waits_ms(const ffl_request_t *req)
+{
+	return req->deadline_ms ? req->deadline_ms : DEFAULT_DEADLINE_MS;
+}
+
+/* Returns the time at which a caller that waits from now on is answered at
+ * latest. */
+static uint64_t answer_by_ms(uint64_t now_ms, const ffl_request_t *req)
+{
+	uint32_t wait_ms = caller_waits_ms(req);
+
+	return now_ms + wait_ms - MIN(RESPONSE_MARGIN_MS, wait_ms / 2);
+}
+
 /* The caller has checked that the id is valid. */
 static ffl_pending_t *add_pending(ffl_node_t *n, const ffl_request_t *req,
 				  const ffl_route_t *route,
 				  const char *customer, const char *id)
 {
 	ffl_pending_t *p = g_new0(ffl_pending_t, 1);
-	uint32_t wait_ms =
-		req->deadline_ms ? req->deadline_ms : DEFAULT_DEADLINE_MS;
 
 	p->call = req->call;
 	p->kind = req->kind;
@@ -109,8 +126,7 @@
 	ffl_copy(p->queue, sizeof(p->queue), route->queue);
 	ffl_copy(p->customer, sizeof(p->customer), customer ? customer : "");
 	p->received_ms = n->now_ms;
-	p->deadline_ms = n->now_ms + MAX(wait_ms, 2 * RESPONSE_MARGIN_MS) -
-			 RESPONSE_MARGIN_MS;
+	p->deadline_ms = answer_by_ms(n->now_ms, req);
 	g_ptr_array_add(n->pending, p);
 	return p;
 }
@@ -371,7 +387,10 @@
 		*h->req.spec = *req->spec;
 		ffl_flow_spec_init(req->spec);
 	}
-	h->until_ms = n->now_ms + HOLD_MAX_MS;
+	h->req.deadline_ms = caller_waits_ms(req);
+	h->received_ms = n->now_ms;
+	h->until_ms =
+		MIN(n->now_ms + HOLD_MAX_MS, answer_by_ms(n->now_ms, req));
 	g_ptr_array_add(n->held, h);
 }
 
@@ -390,13 +409,22 @@
 	return id[0] && ffl_node_can_serve_part(n, ffl_jobs_part(n, id));
 }
 
+/* The caller's deadline counts from when its request was received. */
+static void serve_held(ffl_node_t *n, ffl_held_t *h)
+{
+	uint32_t held_ms = (uint32_t)(n->now_ms - h->received_ms);
+
+	h->req.deadline_ms -= MIN(held_ms, h->req.deadline_ms - 1);
+	serve_request(n, &h->req);
+}
+
 static void drive_held(ffl_node_t *n)
 {
 	for (guint i = n->held->len; i-- > 0;) {
 		ffl_held_t *h = g_ptr_array_index(n->held, i);
 
 		if (ffl_request_can_serve(n, &h->req))
-			serve_request(n, &h->req);
+			serve_held(n, h);
 		else if (n->now_ms >= h->until_ms || n->stop_began_ms)
 			respond(n, h->req.call, FFL_RESPONSE_BUSY);
 		else
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -1913,6 +1913,59 @@
 	}
 }
 
+/* While the log does not reply, a caller is told before its deadline that its
+ * job may have been accepted, or was not, also one that has little time left.
+ */
+static void test_answered_in_time(void)
+{
+	static const struct {
+		uint32_t start_ms; /**< when the request comes */
+		uint32_t down_ms;  /**< the log refuses calls first */
+		uint32_t deadline_ms;
+		uint32_t margin_ms; /**< the answer comes so long before it */
+		ffl_response_kind_t answer;
+	} cases[] = {
+		{ START_MS, 0, 3000, 300, FFL_RESPONSE_UNKNOWN },
+		{ START_MS, 0, 1000, 300, FFL_RESPONSE_UNKNOWN },
+		{ START_MS, 0, 600, 300, FFL_RESPONSE_UNKNOWN },
+		{ START_MS, 0, 400, 200, FFL_RESPONSE_UNKNOWN },
+		{ START_MS, 0, 200, 100, FFL_RESPONSE_UNKNOWN },
+		{ START_MS, 0, 100, 50, FFL_RESPONSE_UNKNOWN },
+		/* Held, as the host has read nothing yet. */
+		{ 0, 10000, 3000, 2100, FFL_RESPONSE_BUSY },
+		{ 0, 10000, 1000, 300, FFL_RESPONSE_BUSY },
+		{ 0, 10000, 200, 100, FFL_RESPONSE_BUSY },
+		/* Held, then served by a log that is silent. */
+		{ 0, 500, 1500, 300, FFL_RESPONSE_UNKNOWN },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_act_response_t *answer;
+		uint64_t due_ms;
+		uint64_t call;
+		site_t s;
+
+		g_test_message("case %zu", i);
+		site_init(&s, 1, 3, 4);
+		site_run(&s, cases[i].start_ms);
+		s.log_down_until_ms = s.now_ms + cases[i].down_ms;
+		s.deadline_ms = cases[i].deadline_ms;
+		due_ms = s.now_ms + s.deadline_ms - cases[i].margin_ms;
+		call = site_send(&s, 0, FFL_REQUEST_SUBMIT,
+				 "/lining/00000000000000c1", SITE_KEY, 1);
+		while (!s.hosts[0].node.pending->len && s.now_ms < due_ms)
+			site_run(&s, SITE_STEP_MS);
+		s.log_silent_until_ms = s.now_ms + 10000;
+		answer = site_answer(&s, call);
+		g_assert_nonnull(answer);
+		g_assert_cmpint(answer->kind, ==, cases[i].answer);
+		g_assert_cmpuint(s.now_ms, >=, due_ms);
+		g_assert_cmpuint(s.now_ms, <, due_ms + cases[i].margin_ms);
+		assert_no_fault(&s);
+		site_finish(&s);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1939,5 +1992,6 @@
 	g_test_add_func("/node/explain", test_explain);
 	g_test_add_func("/node/explain-unready", test_explain_unready);
 	g_test_add_func("/node/turned-away", test_turned_away);
+	g_test_add_func("/node/answered-in-time", test_answered_in_time);
 	return g_test_run();
 }
