--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -59,6 +59,18 @@
 	uint32_t run; /**< number of the attempt */
 } ffl_given_up_t;
 
+/** What tells when the leases of a worker have ended. */
+typedef enum {
+	FFL_LEASE_NONE,	       /**< it was given none */
+	FFL_LEASE_ORDER,       /**< orders of this leader */
+	FFL_LEASE_RESTART,     /**< it has started again under its id */
+	FFL_LEASE_CLAIM,       /**< orders of an earlier leader */
+	FFL_LEASE_UNKNOWN_RUN, /**< it listed a run without a record */
+	FFL_LEASE__MAX
+} ffl_lease_basis_t;
+
+const char *ffl_lease_basis_name(uint32_t basis);
+
 /** State that the leader keeps of a worker. */
 typedef struct {
 	ffl_worker_entry_t entry;
@@ -79,6 +91,7 @@
 	/** All leases that it may have been given have ended by then; those of
 	 * unanswered orders not counted. */
 	uint64_t leases_end_ms;
+	ffl_lease_basis_t leases_basis; /**< what leases_end_ms rests on */
 	/** When a report told its incarnation; 0: known from the list or from
 	 * the log only. */
 	uint64_t born_reported_ms;
@@ -285,6 +298,8 @@
 	uint64_t lost_work[FFL_LOSS__MAX];
 	uint64_t repeats[FFL_REPLY__MAX]; /**< repeated start orders by outcome
 					   */
+	/** Workers that were given up, by what told the end of their leases. */
+	uint64_t lost_workers[FFL_LEASE__MAX];
 } ffl_dispatch_t;
 
 void ffl_dispatch_init(ffl_dispatch_t *d, const ffl_dispatch_options_t *opt,
--- a/jobd/metrics.c
+++ b/jobd/metrics.c
@@ -65,6 +65,7 @@
 	COUNTER_REPEATS,
 	COUNTER_LOST_RUNS,
 	COUNTER_LOST_WORK,
+	COUNTER_LOST_WORKERS,
 	COUNTER__MAX
 } counter_index_t;
 
@@ -96,6 +97,12 @@
 				"checkpoint, a GPU as 8 cores",
 				"why", ffl_loss_name, FFL_LOSS__MAX,
 				offsetof(ffl_dispatch_t, lost_work) },
+	[COUNTER_LOST_WORKERS] = { "lost_workers_total",
+				   "workers that were given up, by what told "
+				   "the end of their leases",
+				   "leases", ffl_lease_basis_name,
+				   FFL_LEASE__MAX,
+				   offsetof(ffl_dispatch_t, lost_workers) },
 };
 
 static void format_counter(GString *out, uint32_t counter);
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -110,7 +110,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_dispatch_worker_t *w = value;
 
-		w->leases_end_ms = w->runs->len ? leases_end_ms : 0;
+		w->leases_end_ms = 0;
+		w->leases_basis = FFL_LEASE_NONE;
+		if (w->runs->len)
+			ffl_dispatch_worker_add_lease(w, leases_end_ms,
+						      FFL_LEASE_CLAIM);
 	}
 	d->replan = true;
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -122,6 +122,9 @@
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 const ffl_dispatch_worker_t *w,
 					 uint64_t now_ms, uint64_t *end_ms);
+/** Records that a worker may have a lease until a time by this host's clock. */
+void ffl_dispatch_worker_add_lease(ffl_dispatch_worker_t *w, uint64_t end_ms,
+				   ffl_lease_basis_t basis);
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -15,6 +15,9 @@
  * not act on it. */
 #define REFUSED_QUARANTINE_MS	400
 #define UNHEALTHY_QUARANTINE_MS 1500
+/** A worker's clock may differ by this from what its last reading lets
+ * expect: a call's time-out, and what a slow clock loses meanwhile. */
+#define CLOCK_TOLERANCE_MS 1000
 /** Most ended runs that a worker lists in one report. */
 #define REPORT_ENDS_MAX 500
 
@@ -33,6 +36,9 @@
 			    uint64_t now_ms);
 static bool accept_incarnation(ffl_dispatch_t *d, const ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms);
+static void note_unexpected_clock(ffl_dispatch_t *d,
+				  const ffl_open_call_t *call,
+				  const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_lasting(const ffl_run_report_t *report);
 static void handle_ended_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			      const ffl_reply_t *reply, uint64_t now_ms);
@@ -139,9 +145,10 @@
 			/* A run without a record must not continue. */
 			run = ffl_run_add(d, report->flow, report->task_index,
 					  report->run, w, now_ms);
-			w->leases_end_ms = MAX(
-				w->leases_end_ms,
-				ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
+			ffl_dispatch_worker_add_lease(
+				w,
+				ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
+				FFL_LEASE_UNKNOWN_RUN);
 			run->stopping = true;
 			run->stop_reason = "unknown";
 		}
@@ -381,6 +388,27 @@
 	return true;
 }
 
+/* Another incarnation's clock starts anew. Only reports name theirs. */
+static void note_unexpected_clock(ffl_dispatch_t *d,
+				  const ffl_open_call_t *call,
+				  const ffl_reply_t *reply, uint64_t now_ms)
+{
+	const ffl_dispatch_worker_t *w = call->worker;
+	uint64_t expected_ms = w->clock_ms + now_ms - w->clock_read_ms;
+
+	if (!w->clock_reported || !reply->clock_ms ||
+	    (reply->clock_ms + CLOCK_TOLERANCE_MS >= expected_ms &&
+	     reply->clock_ms <= expected_ms + CLOCK_TOLERANCE_MS))
+		return;
+	ffl_dispatch_note(
+		d, "clock-unexpected", w->entry.id,
+		"clock_ms=%" PRIu64 " expected_ms=%" PRIu64 " age_ms=%" PRIu64
+		" after_ms=%" PRIu64 " start=%d outcome=%s",
+		reply->clock_ms, expected_ms, now_ms - w->clock_read_ms,
+		now_ms - call->sent_ms, call->kind == FFL_ORDER_START,
+		ffl_reply_outcome_name(reply->outcome));
+}
+
 void ffl_dispatch_handle_reply(ffl_dispatch_t *d, const ffl_reply_t *reply,
 			       uint64_t now_ms)
 {
@@ -397,13 +425,16 @@
 	if (reply->outcome == FFL_REPLY_FENCED && call->token >= w->token)
 		d->fenced = true;
 	if (reply->outcome != FFL_REPLY_NOT_SENT)
-		w->leases_end_ms = MAX(w->leases_end_ms, call->lease_end_ms);
+		ffl_dispatch_worker_add_lease(w, call->lease_end_ms,
+					      FFL_LEASE_ORDER);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
 		handle_replaced(d, w, now_ms);
 	else if (!accept_incarnation(d, call, reply, now_ms))
 		return;
-	else
+	else {
+		note_unexpected_clock(d, call, reply, now_ms);
 		ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
+	}
 	resolve_tasks(d, reply->running, reply->running_count);
 	resolve_tasks(d, reply->ended, reply->ended_count);
 	reply_handlers[call->kind](d, call, reply, now_ms);
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -172,8 +172,16 @@
 	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms ||
 	    now_ms < latest_lease_end_ms(d, w))
 		return;
-	ffl_dispatch_note(d, "worker-lost", w->entry.id, "runs=%u silent=%u",
-			  w->runs->len, w->missed_renewals);
+	ffl_dispatch_note(d, "worker-lost", w->entry.id,
+			  "runs=%u silent=%u leases=%s over_ms=%" PRIu64
+			  " reported_ms=%" PRIu64 " leader_ms=%" PRIu64,
+			  w->runs->len, w->missed_renewals,
+			  ffl_lease_basis_name(w->leases_basis),
+			  w->leases_end_ms ? now_ms - w->leases_end_ms : 0,
+			  w->born_reported_ms ? now_ms - w->born_reported_ms
+					      : 0,
+			  now_ms - d->leader_since_ms);
+	d->lost_workers[w->leases_basis]++;
 	for (guint i = w->runs->len; i-- > 0;) {
 		ffl_run_t *run;
 
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -87,6 +87,28 @@
 	       EXPIRE_SLACK_MS;
 }
 
+const char *ffl_lease_basis_name(uint32_t basis)
+{
+	static const char *const names[FFL_LEASE__MAX] = {
+		[FFL_LEASE_NONE] = "none",
+		[FFL_LEASE_ORDER] = "order",
+		[FFL_LEASE_RESTART] = "restart",
+		[FFL_LEASE_CLAIM] = "claim",
+		[FFL_LEASE_UNKNOWN_RUN] = "unknown-run",
+	};
+
+	return basis < FFL_LEASE__MAX ? names[basis] : "?";
+}
+
+void ffl_dispatch_worker_add_lease(ffl_dispatch_worker_t *w, uint64_t end_ms,
+				   ffl_lease_basis_t basis)
+{
+	if (end_ms <= w->leases_end_ms)
+		return;
+	w->leases_end_ms = end_ms;
+	w->leases_basis = basis;
+}
+
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 const ffl_dispatch_worker_t *w,
 					 uint64_t now_ms, uint64_t *end_ms)
@@ -155,6 +177,7 @@
 	}
 	forget_incarnation(w);
 	w->leases_end_ms = 0;
+	w->leases_basis = FFL_LEASE_NONE;
 }
 
 /* Drops the unanswered orders to a worker; returns the highest number up to
@@ -253,8 +276,9 @@
 		run->best_rate = 0;
 	}
 	forget_incarnation(w);
-	w->leases_end_ms = MAX(w->leases_end_ms,
-			       ffl_lease_end_ms(d->opt.lease_max_ms, now_ms));
+	ffl_dispatch_worker_add_lease(
+		w, ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
+		FFL_LEASE_RESTART);
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -255,8 +255,8 @@
 	ffl_dispatch_become_leader(&n->dispatch, l->token, last_lease_ms,
 				   n->now_ms);
 	ffl_node_note(n, "leader-began", n->opt.name,
-		      "token=%" PRIu64 " runs=%u open=%u", l->token,
-		      n->dispatch.runs->len, n->flows.open->len);
+		      "token=%" PRIu64 " runs=%u open=%u ended=%d", l->token,
+		      n->dispatch.runs->len, n->flows.open->len, has_ended);
 }
 
 /* Changes that have not reached the log are void: all progress is discarded
