platform: the number of a worker's entry is read

An incarnation numbers its entries from 1 on and writes one a heartbeat, so that the number tells how long it has lived at least, whatever clocks say. Nothing decides by it yet. A number that cannot be one counts as unknown. The fakes and the stand-in write it.

--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -81,6 +81,7 @@
 	w->token = 0;
 	w->until_ms = 0;
 	w->last_end = 0;
+	w->entries = 0;
 }
 
 uint64_t task_worker_clock(const task_worker_t *w, uint64_t now_ms)
@@ -308,7 +309,7 @@
 	handlers[order->kind](w, order, now_ms, hooks, arena, out);
 }
 
-void task_worker_fill_entry(const task_worker_t *w, uint64_t now_ms,
+void task_worker_fill_entry(task_worker_t *w, uint64_t now_ms,
 			    ffl_worker_entry_t *out)
 {
 	memset(out, 0, sizeof(*out));
@@ -320,5 +321,6 @@
 	out->draining = w->draining;
 	out->born_ms = w->born_ms;
 	out->clock_ms = task_worker_clock(w, now_ms);
+	out->number = ++w->entries;
 	out->capacity = w->capacity;
 }
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -50,6 +50,7 @@
 				    incarnation */
 	uint64_t until_ms;	 /**< end of the lease, on its own clock */
 	uint64_t last_end;	 /**< number of the last end of a run */
+	uint64_t entries;	 /**< entries of this incarnation in the list */
 	GPtrArray *runs;	 /**< of task_run_t */
 	GPtrArray *ended;  /**< ends not acknowledged, of ffl_run_report_t */
 	GPtrArray *lapsed; /**< of bool, as ended: the lease expired after it */
@@ -97,8 +98,8 @@
  * now. */
 void task_worker_extend_lease(task_worker_t *w, const ffl_order_t *order,
 			      uint64_t now_ms);
-/** Fills the entry of the worker in the list of workers. */
-void task_worker_fill_entry(const task_worker_t *w, uint64_t now_ms,
+/** Fills the next entry of the worker in the list of workers. */
+void task_worker_fill_entry(task_worker_t *w, uint64_t now_ms,
 			    ffl_worker_entry_t *out);
 /** Returns a run, or NULL where it is not on the worker. */
 task_run_t *task_worker_find(const task_worker_t *w, const char *task,
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -34,6 +34,9 @@
 	uint32_t drain_left_ms; /**< least time until it leaves, if draining */
 	uint32_t cold_left_ms;	/**< how much longer it runs slowly; 0: warm */
 	int64_t born_ms;	/**< incarnation: Unix time of its start */
+	/** Number of the entry, from 1 on in each incarnation, which writes one
+	 * a heartbeat; 0: unknown. */
+	uint64_t number;
 	uint64_t clock_ms;	/**< worker's clock; 0: unknown */
 	ffl_resources_t capacity;
 	uint32_t labels_count;
--- a/site/worker.c
+++ b/site/worker.c
@@ -349,14 +349,16 @@
 		}
 		site_http_worker_addr(s, i, addr);
 		doc = json_pack(
-			"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}",
+			"{s:s,s:s,s:s,s:s,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I,"
+			"s:I}",
 			"service", "survey", "address", addr, "zone", "norte",
 			"state", w->draining ? "draining" : "ready", "capacity",
 			"cpu", (int)w->capacity.cpu_milli, "mem_mb",
 			(int)w->capacity.mem_mb, "gpu", (int)w->capacity.gpus,
 			"labels", "a", "r1", "clock_ms",
 			(json_int_t)task_worker_clock(w, now_ms), "born",
-			(json_int_t)w->born_ms, "cold_remaining_ms",
+			(json_int_t)w->born_ms, "sequence",
+			(json_int_t)++w->entries, "cold_remaining_ms",
 			(json_int_t)(s->cold_until_ms -
 				     MIN(s->cold_until_ms, now_ms)));
 		text = json_dumps(doc, JSON_COMPACT);
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -279,6 +279,7 @@
 static void test_starts(void);
 static void test_entries(void);
 static void test_entry_cold(void);
+static void test_entry_number(void);
 static void test_entry_ids(void);
 static void *decode_nested(void *depth);
 static void test_entry_nested_deeply(void);
@@ -446,6 +447,35 @@
 	}
 }
 
+static void test_entry_number(void)
+{
+	static const struct {
+		const char *value;
+		uint64_t number;
+	} cases[] = {
+		{ ENTRY("ready"), 0 },
+		{ WITH("\"sequence\":1"), 1 },
+		{ WITH("\"sequence\":9007199254740992"), 1ULL << 53 },
+		{ WITH("\"sequence\":9007199254740993"), 0 },
+		{ WITH("\"sequence\":-1"), 0 },
+		{ WITH("\"sequence\":2.5"), 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_worker_entry_t *entry;
+		const char *problem;
+		ffl_arena_t arena;
+
+		g_test_message("%s", cases[i].value);
+		ffl_arena_init(&arena);
+		entry = ffl_pf_worker_entry_decode(
+			"i-1", bytes_of(cases[i].value), &arena, &problem);
+		g_assert_nonnull(entry);
+		g_assert_cmpuint(entry->number, ==, cases[i].number);
+		ffl_arena_finish(&arena);
+	}
+}
+
 /* An id goes into a header of every order. */
 static void test_entry_ids(void)
 {
@@ -1412,6 +1442,7 @@
 	g_test_add_func("/platform/starts", test_starts);
 	g_test_add_func("/platform/entries", test_entries);
 	g_test_add_func("/platform/entry-cold", test_entry_cold);
+	g_test_add_func("/platform/entry-number", test_entry_number);
 	g_test_add_func("/platform/entry-ids", test_entry_ids);
 	g_test_add_func("/platform/entry-nested-deeply",
 			test_entry_nested_deeply);
