incarnation_test: the next leader cuts short the lease of a restarted worker

Fails: an order that was meant for the incarnation before and is taken after a restart gives the longest lease, 10 s here. Its pair holds that a worker which has lived for long is not waited for any longer than now.

--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -388,11 +388,12 @@
 	assert_not_placed_again(b, 1500);
 }
 
-/* Refuses all connections to w0 for some time. Returns how long it took until
- * the task was ordered on w1. */
-static uint32_t refuse_until_placed(bed_t *b, uint32_t ms)
+/* Lets all orders to w0 fail for some time. Returns how long it took until the
+ * task was ordered on w1. */
+static uint32_t fail_until_placed(bed_t *b, ffl_reply_outcome_t outcome,
+				  uint32_t ms)
 {
-	ffl_reply_t reply = { .outcome = FFL_REPLY_NOT_SENT };
+	ffl_reply_t reply = { .outcome = outcome };
 
 	for (uint32_t at_ms = 0; at_ms < ms; at_ms += STEP_MS) {
 		wait_ms(b, STEP_MS);
@@ -411,6 +412,49 @@
 	return ms;
 }
 
+static uint32_t refuse_until_placed(bed_t *b, uint32_t ms)
+{
+	return fail_until_placed(b, FFL_REPLY_NOT_SENT, ms);
+}
+
+/* The next leader is told of a run by the log, and of its worker by the list.
+ */
+static void lose_leader_and_w0(bed_t *b, uint64_t entry_number)
+{
+	ffl_worker_entry_t entry = { .id = "w0",
+				     .addr = ADDR_A,
+				     .service = "survey",
+				     .born_ms = BORN_A,
+				     .clock_ms = CLOCK_A,
+				     .number = entry_number,
+				     .capacity = { 32000, 65536, 8 } };
+
+	run_on_w0(b);
+	b->now_ms += 1000;
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	g_array_set_size(b->orders, 0);
+	ffl_dispatch_update_worker(&b->d, &entry, 0, b->now_ms);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+}
+
+/* An order for the incarnation before, taken after the restart, gives the
+ * longest lease. The leader that sent it knew, the next one does not. */
+static void next_leader_cuts_short_lease_of_restarted_worker(bed_t *b)
+{
+	lose_leader_and_w0(b, 2);
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), >=,
+		LEASE_MAX_MS);
+}
+
+static void next_leader_waits_too_long_for_old_worker(bed_t *b)
+{
+	lose_leader_and_w0(b, 100);
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), <,
+		LEASE_MAX_MS * 3 / 4);
+}
+
 /* A start in doubt at a worker that has gone must not be granted a new lease by
  * each order that never left. */
 static void refused_starts_hold_task(bed_t *b)
@@ -1150,6 +1194,10 @@
 	{ "restart-with-earlier-start-time", restart_with_earlier_start_time },
 	{ "entry-of-another-writer", entry_of_another_writer },
 	{ "restart-unknown-to-next-leader", restart_unknown_to_next_leader },
+	{ "next-leader-cuts-short-lease-of-restarted-worker",
+	  next_leader_cuts_short_lease_of_restarted_worker },
+	{ "next-leader-waits-too-long-for-old-worker",
+	  next_leader_waits_too_long_for_old_worker },
 	{ "refused-starts-hold-task", refused_starts_hold_task },
 	{ "refused-starts-of-listed-worker", refused_starts_of_listed_worker },
 	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
