dispatch: the next leader waits out the longest lease of a young worker

Cause: an order names its worker by an id that restarts keep, and its lease is a time by the clock of the incarnation that it was meant for. The next incarnation takes it, and grants its longest lease. The leader that sent it learns so from the list and waits; the next one counted 65% of the longest from its claim, as the log tells nothing of it.

One that has lived for less than the longest lease and two heartbeats may have such a lease, and is waited for that long from the takeover; nothing else is waited for any longer.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -65,6 +65,9 @@
 	FFL_LEASE_ORDER,       /**< orders of this leader */
 	FFL_LEASE_RESTART,     /**< it has started again under its id */
 	FFL_LEASE_CLAIM,       /**< orders of an earlier leader */
+	/** The same, at a worker that may have taken them for the incarnation
+	 * before. */
+	FFL_LEASE_YOUNG,
 	FFL_LEASE_UNKNOWN_RUN, /**< it listed a run without a record */
 	FFL_LEASE__MAX
 } ffl_lease_basis_t;
@@ -263,6 +266,8 @@
 	GHashTable *evacuated;
 	uint64_t token; /**< highest fencing token of this leader; 0: none */
 	uint64_t leader_since_ms; /**< when it became leader */
+	/** Latest time at which an earlier leader may have given a lease. */
+	uint64_t last_lease_ms;
 	uint64_t next_call;
 	uint64_t next_batch;	 /**< batch that collects further changes */
 	uint64_t recorded_batch; /**< last batch that is in the log */
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -7,6 +7,9 @@
 #define CLOCK_FRESH_MS 5000
 /** A worker's list entry expires after this many missed heartbeats. */
 #define SILENCE_HEARTBEATS 3
+/** Heartbeats in which a leader learns of a restart and has a report under a
+ * higher token: the entry is written within one, and read within the next. */
+#define FENCE_HEARTBEATS 2
 /** Margin for timers and network delay when waiting for leases to end. */
 #define EXPIRE_SLACK_MS 150
 
@@ -18,6 +21,9 @@
 				 const ffl_worker_entry_t *entry);
 static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     uint64_t now_ms);
+static bool is_young(const ffl_dispatch_t *d, const ffl_worker_entry_t *entry);
+static void take_over(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+		      const ffl_worker_entry_t *entry, uint64_t now_ms);
 static void remove_unused(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
 static bool has_left(const ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
 		     uint64_t list_followed_ms, uint64_t now_ms);
@@ -94,6 +100,7 @@
 		[FFL_LEASE_ORDER] = "order",
 		[FFL_LEASE_RESTART] = "restart",
 		[FFL_LEASE_CLAIM] = "claim",
+		[FFL_LEASE_YOUNG] = "young",
 		[FFL_LEASE_UNKNOWN_RUN] = "unknown-run",
 	};
 
@@ -310,6 +317,40 @@
 	return w->entry.addr[0] && strcmp(w->entry.addr, entry->addr) != 0;
 }
 
+/* Returns true if an incarnation may still have a lease from an order that was
+ * meant for the one before: worked out for that one's clock, it is the longest
+ * one. An incarnation writes an entry a heartbeat; time of day and the worker's
+ * own clock do not tell how long it has lived. */
+static bool is_young(const ffl_dispatch_t *d, const ffl_worker_entry_t *entry)
+{
+	uint64_t heartbeats = entry->number ? entry->number - 1 : 0;
+
+	return heartbeats * d->opt.heartbeat_ms <
+	       ffl_lease_end_ms(d->opt.lease_max_ms, 0) +
+		       (uint64_t)d->opt.heartbeat_ms * FENCE_HEARTBEATS;
+}
+
+/* Takes a worker over that has runs of an earlier leader's. That leader may
+ * have known of leases that the log does not tell. */
+static void take_over(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+		      const ffl_worker_entry_t *entry, uint64_t now_ms)
+{
+	bool adopted = false;
+
+	for (guint i = 0; i < w->runs->len && !adopted; i++) {
+		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
+
+		adopted = run->state == FFL_RUN_ADOPTED;
+	}
+	if (!adopted || !is_young(d, entry))
+		return;
+	ffl_dispatch_worker_add_lease(
+		w,
+		ffl_lease_end_ms(d->opt.lease_max_ms,
+				 MAX(now_ms, d->last_lease_ms)),
+		FFL_LEASE_YOUNG);
+}
+
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
 				const ffl_worker_entry_t *entry,
 				uint64_t written_after_ms, uint64_t now_ms)
@@ -329,6 +370,8 @@
 		w->fence_due = true;
 		ffl_dispatch_worker_follow(d, w);
 	}
+	if (!w->listed)
+		take_over(d, w, entry, now_ms);
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
 				  w->runs->len);
