--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -455,6 +455,27 @@
 		LEASE_MAX_MS * 3 / 4);
 }
 
+/* Until an incarnation has seen a higher token it takes orders for the one
+ * before, also long after its restart was noticed. */
+static void late_fence_cuts_short_longest_lease(bed_t *b)
+{
+	const ffl_reply_t unknown = { .outcome = FFL_REPLY_UNKNOWN };
+
+	run_on_w0(b);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	for (uint32_t i = 0; i < 4000; i += 200) {
+		wait_ms(b, 200);
+		answer(b, FFL_ORDER_RENEW, "w0", unknown, NULL);
+	}
+	wait_ms(b, 2000);
+	answer(b, FFL_ORDER_RENEW, "w0",
+	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B },
+	       &(ffl_run_report_t){ .run = 1, .percent = 1 });
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), >=,
+		LEASE_MAX_MS);
+}
+
 /* A start in doubt at a worker that has gone must not be granted a new lease by
  * each order that never left. */
 static void refused_starts_hold_task(bed_t *b)
@@ -1198,6 +1219,8 @@
 	  next_leader_cuts_short_lease_of_restarted_worker },
 	{ "next-leader-waits-too-long-for-old-worker",
 	  next_leader_waits_too_long_for_old_worker },
+	{ "late-fence-cuts-short-longest-lease",
+	  late_fence_cuts_short_longest_lease },
 	{ "refused-starts-hold-task", refused_starts_hold_task },
 	{ "refused-starts-of-listed-worker", refused_starts_of_listed_worker },
 	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
