dispatch: the lease of an order is told by the clock in its answer

Cause: the end of a lease was worked out from the clock of the incarnation that the order was meant for, also where the answer came from another one. Only reports and entries name their incarnation, but each answer tells its clock.

Change: the end of an answered order's lease is worked out from the clock in its answer. An order without an answer counts as before.

--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -39,9 +39,10 @@
 	/** End of the lease in the order; 0: none. It counts as given until the
 	 * order is known not to have been sent. */
 	uint64_t lease_end_ms;
-	uint64_t token;	  /**< as in the order */
-	uint64_t acked;	  /**< as in the order */
-	uint32_t percent; /**< speed limit in the order */
+	uint64_t until_ms; /**< the same by the worker's clock, as sent */
+	uint64_t token;	   /**< as in the order */
+	uint64_t acked;	   /**< as in the order */
+	uint32_t percent;  /**< speed limit in the order */
 } ffl_open_call_t;
 
 /** Passes an event to the caller's log; the text is cut at
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -36,6 +36,9 @@
 			    uint64_t now_ms);
 static bool accept_incarnation(ffl_dispatch_t *d, const ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms);
+static uint64_t granted_until_ms(const ffl_dispatch_t *d,
+				 const ffl_open_call_t *call,
+				 const ffl_reply_t *reply, uint64_t now_ms);
 static void note_unexpected_clock(ffl_dispatch_t *d,
 				  const ffl_open_call_t *call,
 				  const ffl_reply_t *reply, uint64_t now_ms);
@@ -392,6 +395,21 @@
 	return true;
 }
 
+/* Returns the end of the lease that an order has given, at latest. The clock in
+ * the answer is that of the incarnation which took the order, so that it tells
+ * more than the one that the lease was worked out for. */
+static uint64_t granted_until_ms(const ffl_dispatch_t *d,
+				 const ffl_open_call_t *call,
+				 const ffl_reply_t *reply, uint64_t now_ms)
+{
+	uint64_t left_ms;
+
+	if (!call->until_ms || !reply->clock_ms)
+		return call->lease_end_ms;
+	left_ms = call->until_ms - MIN(call->until_ms, reply->clock_ms);
+	return ffl_lease_end_ms(MIN(left_ms, d->opt.lease_max_ms), now_ms);
+}
+
 /* Another incarnation's clock starts anew. Only reports name theirs. */
 static void note_unexpected_clock(ffl_dispatch_t *d,
 				  const ffl_open_call_t *call,
@@ -429,8 +447,9 @@
 	if (reply->outcome == FFL_REPLY_FENCED && call->token >= w->token)
 		d->fenced = true;
 	if (reply->outcome != FFL_REPLY_NOT_SENT)
-		ffl_dispatch_worker_add_lease(w, call->lease_end_ms,
-					      FFL_LEASE_ORDER);
+		ffl_dispatch_worker_add_lease(
+			w, granted_until_ms(d, call, reply, now_ms),
+			FFL_LEASE_ORDER);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
 		handle_replaced(d, w, now_ms);
 	else if (!accept_incarnation(d, call, reply, now_ms))
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -168,8 +168,9 @@
 	 * longest one. */
 	if (w->runs->len && w->listed && w->clock_reported &&
 	    !w->missed_renewals && d->may_renew)
-		order->until_ms = ffl_dispatch_worker_grant_lease(
-			d, w, now_ms, &call->lease_end_ms);
+		order->until_ms = call->until_ms =
+			ffl_dispatch_worker_grant_lease(d, w, now_ms,
+							&call->lease_end_ms);
 	/* While an order waits, it goes on acknowledging. */
 	if (w->runs->len && !w->missed_renewals && !adopted &&
 	    w->clock_read_ms && !w->ack_batch && !has_ends_to_acknowledge(w))
@@ -203,7 +204,7 @@
 	if (!run->lease_until_ms)
 		run->lease_until_ms = ffl_dispatch_worker_grant_lease(
 			d, run->worker, now_ms, &run->lease_end_ms);
-	order->until_ms = run->lease_until_ms;
+	order->until_ms = call->until_ms = run->lease_until_ms;
 	call->lease_end_ms = run->lease_end_ms;
 	order->ticket = ffl_advice_ticket(d, run);
 	order->timeout_ms = START_TIMEOUT_MS;
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -476,6 +476,33 @@
 		LEASE_MAX_MS);
 }
 
+/* The clock in the answer to a start is that of the incarnation which took it;
+ * the list does not tell of that one before it is out of reach. */
+static void answer_of_next_incarnation_cuts_short_its_lease(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_run_report_t failed = { .run = 1,
+					  .number = 1,
+					  .end = FFL_RUN_END_FAILED };
+	const ffl_order_t *start;
+
+	run_on_w0(b);
+	ffl_dispatch_remove_worker(&b->d, "w1", 60000, b->now_ms);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &failed);
+	wait_ms(b, 200);
+	answer(b, FFL_ORDER_RENEW, "w0", report, NULL);
+	b->now_ms += LEASE_MAX_MS;
+	wait_ms(b, 200);
+	start = find_order(b, FFL_ORDER_START, "w0");
+	g_assert_cmpuint(start->run, ==, 2);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_B },
+	       NULL);
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), >=,
+		LEASE_MAX_MS);
+}
+
 /* A start in doubt at a worker that has gone must not be granted a new lease by
  * each order that never left. */
 static void refused_starts_hold_task(bed_t *b)
@@ -1221,6 +1248,8 @@
 	  next_leader_waits_too_long_for_old_worker },
 	{ "late-fence-cuts-short-longest-lease",
 	  late_fence_cuts_short_longest_lease },
+	{ "answer-of-next-incarnation-cuts-short-its-lease",
+	  answer_of_next_incarnation_cuts_short_its_lease },
 	{ "refused-starts-hold-task", refused_starts_hold_task },
 	{ "refused-starts-of-listed-worker", refused_starts_of_listed_worker },
 	{ "refused-starts-end-no-doubt", refused_starts_end_no_doubt },
