dispatch: a young worker may have the longest lease without a run on the log

A lease holds for the whole worker and never shortens. Where the runs under the longest one had ended before the leader was lost, the next leader had nothing to take over there, started a task, and counted the lease of that start alone.

Evidence: found by the reviewer. The case next-leader-starts-on-worker-with-longest-lease failed: given up after 6.95 s.

Change: each worker that is listed when a host begins to lead counts, with or without runs, and until a time that rests on how long its incarnation has lived: its fence, two heartbeats after its start, and the longest lease. So it is waited for less the older it is, and not anew when it is listed again (young-worker-is-waited-for-each-time-it-is-listed, 17.0 s before).

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -21,7 +21,6 @@
 				 const ffl_worker_entry_t *entry);
 static void end_settled_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     uint64_t now_ms);
-static bool is_young(const ffl_dispatch_t *d, const ffl_worker_entry_t *entry);
 static void take_over(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      const ffl_worker_entry_t *entry, uint64_t now_ms);
 static void remove_unused(ffl_dispatch_t *d, ffl_dispatch_worker_t *w);
@@ -317,38 +316,22 @@
 	return w->entry.addr[0] && strcmp(w->entry.addr, entry->addr) != 0;
 }
 
-/* Returns true if an incarnation may still have a lease from an order that was
- * meant for the one before: worked out for that one's clock, it is the longest
- * one. An incarnation writes an entry a heartbeat; time of day and the worker's
- * own clock do not tell how long it has lived. */
-static bool is_young(const ffl_dispatch_t *d, const ffl_worker_entry_t *entry)
-{
-	uint64_t heartbeats = entry->number ? entry->number - 1 : 0;
-
-	return heartbeats * d->opt.heartbeat_ms <
-	       ffl_lease_end_ms(d->opt.lease_max_ms, 0) +
-		       (uint64_t)d->opt.heartbeat_ms * FENCE_HEARTBEATS;
-}
-
-/* Takes a worker over that has runs of an earlier leader's. That leader may
- * have known of leases that the log does not tell. */
+/* Takes a worker over that was listed when this host began to lead. Its
+ * incarnation may have taken orders for the one before until it was fenced, and
+ * then has the longest lease, for all that runs there. The earlier leader knew;
+ * the log does not tell. An incarnation writes an entry a heartbeat, while
+ * clocks do not tell how long it has lived. */
 static void take_over(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      const ffl_worker_entry_t *entry, uint64_t now_ms)
 {
-	bool adopted = false;
-
-	for (guint i = 0; i < w->runs->len && !adopted; i++) {
-		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
+	uint64_t heartbeats = entry->number ? entry->number - 1 : 0;
+	uint64_t end_ms = ffl_lease_end_ms(d->opt.lease_max_ms, now_ms) +
+			  (uint64_t)d->opt.heartbeat_ms * FENCE_HEARTBEATS;
 
-		adopted = run->state == FFL_RUN_ADOPTED;
-	}
-	if (!adopted || !is_young(d, entry))
-		return;
-	ffl_dispatch_worker_add_lease(
-		w,
-		ffl_lease_end_ms(d->opt.lease_max_ms,
-				 MAX(now_ms, d->last_lease_ms)),
-		FFL_LEASE_YOUNG);
+	if (heartbeats < (end_ms - now_ms) / MAX(d->opt.heartbeat_ms, 1))
+		ffl_dispatch_worker_add_lease(
+			w, end_ms - heartbeats * d->opt.heartbeat_ms,
+			FFL_LEASE_YOUNG);
 }
 
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
@@ -370,7 +353,7 @@
 		w->fence_due = true;
 		ffl_dispatch_worker_follow(d, w);
 	}
-	if (!w->listed)
+	if (!w->listed && !written_after_ms)
 		take_over(d, w, entry, now_ms);
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -1231,6 +1231,53 @@
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->acked, ==, 50);
 }
 
+/* An order for the incarnation before gave the longest lease to a worker that
+ * has no run on the log; the answer to the next start does not tell. */
+static void next_leader_starts_on_worker_with_longest_lease(bed_t *b)
+{
+	ffl_worker_entry_t entry = { .id = "w0",
+				     .addr = ADDR_A,
+				     .service = "survey",
+				     .born_ms = BORN_B,
+				     .clock_ms = CLOCK_B,
+				     .number = 2,
+				     .capacity = { 32000, 65536, 8 } };
+
+	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
+	ffl_dispatch_update_worker(&b->d, &entry, 0, b->now_ms);
+	submit(b);
+	wait_ms(b, 2 * STEP_MS);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_B },
+	       NULL);
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), >=,
+		LEASE_MAX_MS);
+}
+
+/* Each time that the worker is back on the list, it is waited for anew. */
+static void young_worker_is_waited_for_each_time_it_is_listed(bed_t *b)
+{
+	ffl_worker_entry_t entry = { .id = "w0",
+				     .addr = ADDR_A,
+				     .service = "survey",
+				     .born_ms = BORN_A,
+				     .clock_ms = CLOCK_A,
+				     .number = 2,
+				     .capacity = { 32000, 65536, 8 } };
+	uint64_t since_ms;
+
+	lose_leader_and_w0(b, 2);
+	since_ms = b->now_ms;
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, 6000);
+	ffl_dispatch_remove_worker(&b->d, "w0", 0, b->now_ms);
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, 500);
+	entry.number = 5;
+	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms - 500, b->now_ms);
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS);
+	g_assert_cmpuint(b->now_ms - since_ms, <, GIVE_UP_MS);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -1291,6 +1338,10 @@
 	{ "late-acknowledgement", late_acknowledgement },
 	{ "acknowledgement-after-unreported-start",
 	  acknowledgement_after_unreported_start },
+	{ "next-leader-starts-on-worker-with-longest-lease",
+	  next_leader_starts_on_worker_with_longest_lease },
+	{ "young-worker-is-waited-for-each-time-it-is-listed",
+	  young_worker_is_waited_for_each_time_it_is_listed },
 };
 
 static void test_case(gconstpointer data)
