dispatch: a worker that is listed again is not waited for as a restarted one

What callers saw: nothing yet.

Cause: took each worker whose report was due for one that had restarted.

Change: only a restart leaves a lease in doubt until its report. A worker of which a leader reads the first entry late, as that had lapsed, counts by how long it has lived, like those on the list from the start.

--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -105,6 +105,9 @@
 	/** Restarted or newly listed, and has not reported since: earlier
 	 * orders may still be carried out. */
 	bool fence_due;
+	/** Restarted, and has not reported since: it may go on taking orders
+	 * for its former incarnation, with the longest lease. */
+	bool lease_in_doubt;
 	/** Highest number of an end that was processed; the ends up to it are
 	 * recorded with batch ack_batch. */
 	uint64_t end_seen;
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -248,10 +248,11 @@
 		return;
 	}
 	w->missed_renewals = 0;
-	if (w->fence_due)
+	if (w->lease_in_doubt)
 		ffl_dispatch_worker_add_lease(
 			w, ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
 			FFL_LEASE_RESTART);
+	w->lease_in_doubt = false;
 	w->fence_due = false;
 	g_array_set_size(w->given_up, 0);
 	w->clock_reported = reply->clock_ms != 0;
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -290,6 +290,7 @@
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
+	w->lease_in_doubt = true;
 	take_back(d, w, now_ms);
 	ffl_dispatch_worker_follow(d, w);
 	d->replan = true;
@@ -318,11 +319,11 @@
 	return w->entry.addr[0] && strcmp(w->entry.addr, entry->addr) != 0;
 }
 
-/* Takes a worker over that was listed when this host began to lead. Its
- * incarnation may have taken orders for the one before until it was fenced, and
- * then has the longest lease, for all that runs there. The earlier leader knew;
- * the log does not tell. An incarnation writes an entry a heartbeat, while
- * clocks do not tell how long it has lived. */
+/* Counts the leases of a worker that an earlier leader knew, as this one reads
+ * its first entry. Its incarnation may have taken orders for the one before
+ * until it was fenced, and then has the longest lease, for all that runs there.
+ * The earlier leader knew; the log does not tell. An incarnation writes an
+ * entry a heartbeat, while clocks do not tell how long it has lived. */
 static void take_over(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      const ffl_worker_entry_t *entry, uint64_t now_ms)
 {
@@ -355,7 +356,7 @@
 		w->fence_due = true;
 		ffl_dispatch_worker_follow(d, w);
 	}
-	if (!w->listed && !written_after_ms)
+	if (!w->entry.addr[0] && (!written_after_ms || w->runs->len))
 		take_over(d, w, entry, now_ms);
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -1303,6 +1303,28 @@
 		3000 + LEASE_MAX_MS);
 }
 
+/* It is back on the list and has not restarted: its report tells its start
+ * time, as before. */
+static void relisted_worker_is_waited_for_as_restarted(bed_t *b)
+{
+	const ffl_reply_t report = { .clock_ms = CLOCK_A, .born_ms = BORN_A };
+	const ffl_run_report_t running = { .run = 1, .percent = 1 };
+
+	run_on_w0(b);
+	for (uint32_t i = 0; i < LEASE_MAX_MS; i += 1000) {
+		wait_ms(b, 1000);
+		answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	}
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	wait_ms(b, STEP_MS);
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	wait_ms(b, STEP_MS);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	g_assert_cmpuint(
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), <,
+		LEASE_MAX_MS * 3 / 4);
+}
+
 static const test_case_t cases[] = {
 	{ "order-reaches-next-incarnation", order_reaches_next_incarnation },
 	{ "late-order-after-restart", late_order_after_restart },
@@ -1369,6 +1391,8 @@
 	  young_worker_is_waited_for_each_time_it_is_listed },
 	{ "restart-read-late-under-two-leaders",
 	  restart_read_late_under_two_leaders },
+	{ "relisted-worker-is-waited-for-as-restarted",
+	  relisted_worker_is_waited_for_as_restarted },
 };
 
 static void test_case(gconstpointer data)
