dispatch: a run given up is remembered after its worker left the list

Cause: a run that was given up is taken back when its worker is read to have started again. What was given up was kept with the worker, and the worker was forgotten when its entry went without runs on it: only one that had left the list before it was given up was remembered.

The case late-order-after-give-up-of-listed failed before.

Change: a worker with runs that were given up is not forgotten, as one that left the list first never was. incarnation_test, dispatch_test and node_test pass.

--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -53,9 +53,10 @@
 	g_ptr_array_add(d->followed, w);
 }
 
+/* What was given up is kept: the worker may be back under its id. */
 static void remove_unused(ffl_dispatch_t *d, ffl_dispatch_worker_t *w)
 {
-	if (w->runs->len || w->calls)
+	if (w->runs->len || w->calls || w->given_up->len)
 		return;
 	if (w->followed)
 		g_ptr_array_remove_fast(d->followed, w);
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -286,6 +286,35 @@
 	g_assert_cmpuint(b->flow->tasks[0].run, ==, 2);
 }
 
+/* The run is given up before its worker leaves the list. */
+static void late_order_after_give_up_of_listed(bed_t *b)
+{
+	const ffl_reply_t unknown = { .outcome = FFL_REPLY_UNKNOWN };
+	const ffl_run_report_t running = { .run = 1, .percent = 1 };
+	const ffl_reply_t report = { .clock_ms = CLOCK_B, .born_ms = BORN_B };
+
+	list_worker(b, "w0", ADDR_A, BORN_A);
+	submit(b);
+	wait_ms(b, 2 * STEP_MS);
+	for (uint32_t i = 0; i < GIVE_UP_MS && b->d.runs->len; i += STEP_MS) {
+		answer(b, FFL_ORDER_START, "w0", unknown, NULL);
+		if (find_order(b, FFL_ORDER_STOP, "w0"))
+			answer(b, FFL_ORDER_STOP, "w0", unknown, NULL);
+		answer(b, FFL_ORDER_RENEW, "w0", unknown, NULL);
+		wait_ms(b, STEP_MS);
+	}
+	g_assert_cmpint(b->flow->tasks[0].state, ==, FFL_TASK_WAITING);
+	answer(b, FFL_ORDER_STOP, "w0", unknown, NULL);
+	answer(b, FFL_ORDER_RENEW, "w0", unknown, NULL);
+	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
+	wait_ms(b, 2000);
+	list_worker(b, "w0", ADDR_A, BORN_B);
+	list_worker(b, "w1", ADDR_B, BORN_A);
+	assert_not_placed_again(b, 300);
+	answer(b, FFL_ORDER_RENEW, "w0", report, &running);
+	assert_not_placed_again(b, 300);
+}
+
 /* The sending that was answered is not the one that is still under way. */
 static void answered_order_sent_twice(bed_t *b)
 {
@@ -1236,6 +1265,8 @@
 	{ "late-order-after-restart", late_order_after_restart },
 	{ "late-order-after-give-up", late_order_after_give_up },
 	{ "no-late-order-after-give-up", no_late_order_after_give_up },
+	{ "late-order-after-give-up-of-listed",
+	  late_order_after_give_up_of_listed },
 	{ "answered-order-sent-twice", answered_order_sent_twice },
 	{ "reply-of-earlier-incarnation", reply_of_earlier_incarnation },
 	{ "clock-of-earlier-incarnation", clock_of_earlier_incarnation },
