node_test: the next leader repeats a run of a restarted worker

Cause: no test of whole hosts and workers had a worker that is back under its id with a clock that starts anew, takes an order for the incarnation before, and is cut off as its leader is lost. incarnation_test holds the decision alone.

Change: two scenarios. In both a run is placed again after the restart, so that the log names the new incarnation; in one the run that the earlier order began goes on, in the other it has ended and only its lease is left. The worker is back in reach before its lease ends, and the runs must be those that began.

--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -10,6 +10,9 @@
 #define START_MS    3000
 #define WORK_MS	    2000
 #define RECOVERY_MS 60000
+/** Time after which a worker's clock is ahead of the one that it starts anew
+ * with by more than the longest lease. */
+#define LONG_LIFE_MS 15000
 /** Time in which the leader has read and answered a worker's next report. */
 #define REPORT_READ_MS 2500
 /** Time in which each host has read a new record of the configuration's topic.
@@ -1255,6 +1258,61 @@
 	}
 }
 
+/* An order for the incarnation before begins a run of @p work_ms after it. */
+static void lose_restarted_worker_and_leader(site_t *s, uint32_t work_ms)
+{
+	const task_worker_t *w = &s->workers[0];
+	uint32_t leader = (uint32_t)site_leader(s);
+	uint32_t placed_again;
+	uint32_t ordered_before;
+	uint64_t token;
+
+	for (uint32_t i = 1; i < s->workers_count; i++)
+		site_worker_crash(s, i);
+	site_run(s, LONG_LIFE_MS);
+	placed_again = site_submit(s, leader, 1, 4, 8300, false);
+	site_run(s, 1000);
+	site_worker_restart(s, 0, false);
+	ordered_before = site_submit(s, leader, 1, 4, work_ms, false);
+	while (!w->runs->len)
+		site_run(s, SITE_STEP_MS);
+	g_assert_cmpuint(w->until_ms, >,
+			 task_worker_clock(w, s->now_ms) +
+				 w->lease_max_ms * 9 / 10);
+	token = w->token;
+	while (w->token == token)
+		site_run(s, SITE_STEP_MS);
+	site_run(s, 300);
+	site_kill(s, leader, 500);
+	s->worker_cut[0] = true;
+	for (uint32_t i = 1; i < s->workers_count; i++)
+		site_worker_boot(s, i);
+	site_run(s, 7500);
+	g_assert_cmpuint(w->runs->len, >, 0);
+	site_run(s, 1100);
+	s->worker_cut[0] = false;
+	site_run(s, 5000);
+	assert_no_fault(s);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[ordered_before].completed),
+			 ==, 1);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[placed_again].completed), ==,
+			 1);
+	g_assert_cmpuint(find_job_at_leader(s, ordered_before)->tasks[0].run,
+			 ==, 1);
+	g_assert_cmpuint(find_job_at_leader(s, placed_again)->tasks[0].run, ==,
+			 2);
+}
+
+static void next_leader_repeats_run_of_restarted_worker(site_t *s)
+{
+	lose_restarted_worker_and_leader(s, 9000);
+}
+
+static void next_leader_forgets_lease_of_ended_run(site_t *s)
+{
+	lose_restarted_worker_and_leader(s, 300);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -1309,6 +1367,10 @@
 	{ "evacuation-forgotten", evacuation_forgotten },
 	{ "evacuation-unknown-to-leader", evacuation_unknown_to_leader },
 	{ "config-read-late", config_read_late },
+	{ "next-leader-repeats-run-of-restarted-worker",
+	  next_leader_repeats_run_of_restarted_worker },
+	{ "next-leader-forgets-lease-of-ended-run",
+	  next_leader_forgets_lease_of_ended_run },
 };
 
 static void test_scenario(gconstpointer data)
