fuzz: workers that start again are cut off as their leader is lost

Cause: it needs a restart as an order is on its way, a cut of some 7 to 10 s that begins once the restart is known, a leader that is lost then, and room elsewhere. And the clocks of workers that started anew began at 1 s, never ahead of the ones before.

Change: an operation that plays this on first bytes 246 to 249. These chose restart, restart-back, replace and remove, which keep 9 bytes each; other bytes mean what they did. One of its three kinds cuts the worker off before any entry tells of the restart, with the leader left. Under the fuzzers of the host the clocks of workers begin near the one before, ahead or behind, or anywhere, drawn apart from the faults, which stay as they were.

Not tried: whether end-acknowledged-at-restart still fails on by these clocks.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -497,6 +497,7 @@
 	s->worker_ms = WORKER_MS;
 	s->wall_ms = 1700000000000;
 	ffl_rng_init(&s->rng, seed);
+	ffl_rng_init(&s->clock_rng, ~seed);
 	ffl_arena_init(&s->arena);
 	g_queue_init(&s->events);
 	s->act_buf = g_array_new(FALSE, TRUE, sizeof(ffl_node_act_t));
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -86,13 +86,18 @@
 	bool worker_cut[SITE_WORKERS_MAX]; /**< cut off from all hosts */
 	/** Hosts that cannot reach the worker, a bit each. */
 	uint32_t hosts_cut[SITE_WORKERS_MAX];
+	/** Workers whose entries do not reach the list, a bit each. */
+	uint32_t entries_cut;
 	/** Workers that are removed, a bit each: one with a new id and address
 	 * boots in their place. */
 	uint32_t removed;
 	/** When each data centre was evacuated; 0: it is not. Worker i is in
 	 * the data centre i % SITE_DCS. */
 	uint64_t evacuated_ms[SITE_DCS];
-	uint32_t new_workers;	  /**< workers with a new id so far */
+	uint32_t new_workers; /**< workers with a new id so far */
+	bool clocks_vary;    /**< clocks of workers that start begin anywhere */
+	ffl_rng_t clock_rng; /**< where; apart from rng, which would draw
+				other faults */
 	GHashTable *reported_ms;  /**< time of the last report of each id that
 				     is listed */
 	GHashTable *silent_addrs; /**< addresses at which nothing answers; at
@@ -157,6 +162,8 @@
 /** Returns true if a partition of the log refuses all calls. */
 bool site_is_part_down(const site_t *s);
 void site_finish(site_t *s);
+/** Lets the clocks of the workers begin anywhere, now and at each start. */
+void site_vary_clocks(site_t *s);
 /** Advances virtual time by @p ms. */
 void site_run(site_t *s, uint32_t ms);
 /** Writes a new version of the configuration to its topic. */
--- a/fakes/site_workers.c
+++ b/fakes/site_workers.c
@@ -6,6 +6,10 @@
 #define SILENT_REPORTS 3
 /** How far a clock that jumps sets back the start time of an incarnation. */
 #define CLOCK_BACK_MS 4987
+/** Clocks that start anywhere: half within this of the clock before, the others
+ * below the second. */
+#define CLOCK_NEAR_MS 15000
+#define CLOCK_FAR_MS  8000000
 
 /** Key that evacuates a data centre, before its name. */
 #define EVACUATE_PREFIX "evacuate/"
@@ -15,6 +19,7 @@
 static const char *const dc_names[SITE_DCS] = { "norte", "sur" };
 
 static void remove_entry(site_t *s, const char *id);
+static uint64_t first_clock_ms(site_t *s, const task_worker_t *before);
 
 const char *site_dc_name(uint32_t dc)
 {
@@ -79,7 +84,8 @@
 		task_worker_t *w = &s->workers[i];
 		ffl_worker_entry_t entry;
 
-		if (s->now_ms % SITE_REPORT_MS != i * SITE_STEP_MS || !w->alive)
+		if (s->now_ms % SITE_REPORT_MS != i * SITE_STEP_MS ||
+		    !w->alive || (s->entries_cut >> i & 1))
 			continue;
 		task_worker_fill_entry(w, s->now_ms, &entry);
 		keyed_log_put(&s->topics[FFL_TOPIC_WORKERS], w->id, &entry,
@@ -132,6 +138,27 @@
 	s->removed |= 1U << worker;
 }
 
+/* Returns where the clock of a worker's next incarnation begins. */
+static uint64_t first_clock_ms(site_t *s, const task_worker_t *before)
+{
+	uint64_t clock_ms = task_worker_clock(before, s->now_ms);
+
+	if (!s->clocks_vary)
+		return TASK_WORKER_FIRST_CLOCK_MS;
+	if (ffl_rng_below(&s->clock_rng, 2))
+		return 1 + ffl_rng_below(&s->clock_rng, CLOCK_FAR_MS);
+	clock_ms += ffl_rng_below(&s->clock_rng, 2 * CLOCK_NEAR_MS);
+	return MAX(clock_ms, CLOCK_NEAR_MS + 1) - CLOCK_NEAR_MS;
+}
+
+void site_vary_clocks(site_t *s)
+{
+	s->clocks_vary = true;
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		s->workers[i].first_clock_ms =
+			first_clock_ms(s, &s->workers[i]);
+}
+
 void site_worker_boot(site_t *s, uint32_t worker)
 {
 	task_worker_t *w = &s->workers[worker];
@@ -145,7 +172,8 @@
 		ffl_copy(w->addr, sizeof(w->addr), w->id);
 	}
 	g_hash_table_remove(s->silent_addrs, w->addr);
-	task_worker_boot(w, s->now_ms, (int64_t)s->now_ms + 1);
+	task_worker_boot(w, s->now_ms, (int64_t)s->now_ms + 1,
+			 first_clock_ms(s, w));
 	w->listed = g_hash_table_contains(s->reported_ms, w->id);
 }
 
--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -50,7 +50,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->capacity = (ffl_resources_t){ 32000, 65536, 8 };
 	w->lease_max_ms = 10000;
-	task_worker_boot(w, now_ms, (int64_t)now_ms + 1);
+	task_worker_boot(w, now_ms, (int64_t)now_ms + 1,
+			 TASK_WORKER_FIRST_CLOCK_MS);
 }
 
 void task_worker_finish(task_worker_t *w)
@@ -71,13 +72,15 @@
 	memset(&w->used, 0, sizeof(w->used));
 }
 
-void task_worker_boot(task_worker_t *w, uint64_t now_ms, int64_t born_ms)
+void task_worker_boot(task_worker_t *w, uint64_t now_ms, int64_t born_ms,
+		      uint64_t clock_ms)
 {
 	w->alive = true;
 	w->listed = true;
 	w->draining = false;
 	w->born_ms = born_ms;
 	w->boot_ms = now_ms;
+	w->first_clock_ms = clock_ms;
 	w->token = 0;
 	w->until_ms = 0;
 	w->last_end = 0;
@@ -86,7 +89,7 @@
 
 uint64_t task_worker_clock(const task_worker_t *w, uint64_t now_ms)
 {
-	return now_ms - w->boot_ms + 1000;
+	return now_ms - w->boot_ms + w->first_clock_ms;
 }
 
 static uint32_t highest_past_run(const task_worker_t *w, const char *task)
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -14,6 +14,9 @@
 #include "fireflyledge/arena.h"
 #include "fireflyledge/order.h"
 
+/** Usual reading of a clock that starts anew. */
+#define TASK_WORKER_FIRST_CLOCK_MS 1000
+
 /** Properties of a task. */
 typedef struct {
 	uint32_t work_ms;
@@ -45,7 +48,8 @@
 	bool hangs;	  /**< runs make no progress */
 	int64_t born_ms;  /**< start time; identifies the incarnation */
 	uint64_t boot_ms; /**< simulation time at which its clock started */
-	uint64_t token;	  /**< highest fencing token seen */
+	uint64_t first_clock_ms; /**< reading of its clock then */
+	uint64_t token;		 /**< highest fencing token seen */
 	uint64_t reported_token; /**< highest one of a report, of any
 				    incarnation */
 	uint64_t until_ms;	 /**< end of the lease, on its own clock */
@@ -83,8 +87,10 @@
 /** Crashes the worker: it loses all runs and is down until
  * task_worker_boot(). */
 void task_worker_crash(task_worker_t *w);
-/** Starts a new incarnation without a lease. */
-void task_worker_boot(task_worker_t *w, uint64_t now_ms, int64_t born_ms);
+/** Starts a new incarnation without a lease, whose clock begins at
+ * @p clock_ms. */
+void task_worker_boot(task_worker_t *w, uint64_t now_ms, int64_t born_ms,
+		      uint64_t clock_ms);
 /** Converts simulation time to the clock of the worker, in milliseconds. */
 uint64_t task_worker_clock(const task_worker_t *w, uint64_t now_ms);
 /** Advances the runs by @p ms and ends those that are due. */
--- a/fuzz/node_ops.c
+++ b/fuzz/node_ops.c
@@ -46,20 +46,40 @@
 	OP_REMOVE,
 	OP_EVACUATE,
 	OP_TAKE_BACK,
+	OP_RECUT,
 	OP__MAX
 } op_t;
 
-/** First bytes from this one on choose among the operations from OP_EVACUATE
- * on, lower ones among those before it. */
+/** What OP_RECUT plays. */
+typedef enum {
+	RECUT_PLACED,	/**< a task is placed again after the restart */
+	RECUT_ENDED,	/**< the run of the earlier order has ended */
+	RECUT_UNLISTED, /**< no entry tells of the restart */
+	RECUT__MAX
+} recut_t;
+
+/** First bytes from RECUT_BYTE on choose OP_RECUT, those from EVACUATE_BYTE on
+ * OP_EVACUATE or OP_TAKE_BACK, lower ones among the operations before these. */
+#define RECUT_BYTE    246
 #define EVACUATE_BYTE 250
 
+/** Work of a run that outlasts a cut, and of others. */
+#define RECUT_WORK_MS 9000
+#define SHORT_WORK_MS 300
+/** Time in which an accepted job's runs have begun. */
+#define SOON_MS 300
+/** Shortest cut, about what a next leader waits. */
+#define CUT_MIN_MS 6000
+/** Time in which a leader reads of a restart and has the worker's report. */
+#define RESTART_READ_MS 1900
+
 static const char *const op_names[OP__MAX] = {
-	"submit",     "chain",	  "repeat",	  "cancel",  "look",
-	"kill",	      "kill-all", "stop",	  "freeze",  "cut",
-	"log-silent", "log-busy", "log-lost",	  "forget",  "late",
-	"crash",      "boot",	  "hang",	  "drain",   "cut-worker",
-	"exit",	      "restart",  "restart-back", "replace", "remove",
-	"evacuate",   "take-back"
+	"submit",     "chain",	   "repeat",	   "cancel",  "look",
+	"kill",	      "kill-all",  "stop",	   "freeze",  "cut",
+	"log-silent", "log-busy",  "log-lost",	   "forget",  "late",
+	"crash",      "boot",	   "hang",	   "drain",   "cut-worker",
+	"exit",	      "restart",   "restart-back", "replace", "remove",
+	"evacuate",   "take-back", "recut"
 };
 
 static op_t op_of(uint8_t byte);
@@ -69,6 +89,9 @@
 static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time);
 static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms);
 static void apply_worker(site_t *s, op_t op, uint32_t worker);
+static void recut(site_t *s, uint8_t arg, uint32_t cut_ms);
+static void lose(site_t *s, uint32_t worker, recut_t kind, uint32_t restart_ms,
+		 uint32_t cut_ms);
 
 static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms)
 {
@@ -114,9 +137,58 @@
 
 static op_t op_of(uint8_t byte)
 {
-	if (byte < EVACUATE_BYTE)
+	if (byte < RECUT_BYTE)
 		return (op_t)(byte % OP_EVACUATE);
-	return (op_t)(OP_EVACUATE + byte % (OP__MAX - OP_EVACUATE));
+	if (byte < EVACUATE_BYTE)
+		return OP_RECUT;
+	return byte % 2 ? OP_TAKE_BACK : OP_EVACUATE;
+}
+
+static void lose(site_t *s, uint32_t worker, recut_t kind, uint32_t restart_ms,
+		 uint32_t cut_ms)
+{
+	bool was_cut = s->worker_cut[worker];
+	int leader = site_leader(s);
+
+	if (kind == RECUT_UNLISTED)
+		s->entries_cut = 1U << worker;
+	else if (leader >= 0)
+		site_kill(s, (uint32_t)leader, restart_ms);
+	s->worker_cut[worker] = true;
+	site_run(s, cut_ms);
+	s->worker_cut[worker] = was_cut;
+	s->entries_cut = 0;
+}
+
+/* Restarts one or all workers under their ids, as an order for the incarnation
+ * before is on its way, and cuts off one that has runs as the leader is lost,
+ * or before its entry tells of the restart. */
+static void recut(site_t *s, uint8_t arg, uint32_t cut_ms)
+{
+	uint32_t host = arg % HOSTS;
+	uint32_t worker = arg % WORKERS;
+	bool restarts_all = arg / 4 % 4 != 0;
+	recut_t kind = (recut_t)(arg / 16 % RECUT__MAX);
+
+	if (kind != RECUT_ENDED) {
+		site_submit(s, host, WORKERS, 2, RECUT_WORK_MS, false);
+		site_run(s, SOON_MS);
+	}
+	for (uint32_t i = 0; i < WORKERS; i++) {
+		if (i == worker || restarts_all)
+			site_worker_restart(s, i, false);
+	}
+	site_submit(s, host, WORKERS, kind == RECUT_ENDED ? 2 : 1,
+		    kind == RECUT_ENDED ? SHORT_WORK_MS : RECUT_WORK_MS, false);
+	site_run(s,
+		 kind == RECUT_UNLISTED ? SOON_MS : SOON_MS + RESTART_READ_MS);
+	if (kind == RECUT_ENDED) {
+		site_submit(s, host, 1, 2, RECUT_WORK_MS, false);
+		site_run(s, SOON_MS);
+	}
+	for (uint32_t i = 0; i < WORKERS && !s->workers[worker].runs->len; i++)
+		worker = (worker + 1) % WORKERS;
+	lose(s, worker, kind, arg / 128 ? 500 : 100, cut_ms);
 }
 
 /* Half of the restarts, exits and boots strike all workers. */
@@ -177,6 +249,8 @@
 	} else if (op == OP_LATE) {
 		s->orders_late_until_ms = s->now_ms + ms;
 		s->late_percent = arg % 60;
+	} else if (op == OP_RECUT) {
+		recut(s, arg, CUT_MIN_MS + time * RUN_UNIT_MS);
 	} else if (op >= OP_EVACUATE) {
 		site_evacuate(s, arg % SITE_DCS, op == OP_EVACUATE);
 	} else if (op >= OP_CRASH) {
@@ -202,6 +276,7 @@
 			 spread ? 1 + op_count % FFL_JOBS_PARTS_MAX : 1);
 	s.tickets_required = op_count % 2;
 	s.append_ms = spread && op_count % SLOW_APPENDS == 0 ? APPEND_MS : 0;
+	site_vary_clocks(&s);
 	site_run(&s, START_MS);
 	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.violation; i++) {
 		const uint8_t *b = &ops[3 * i];
