--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -61,10 +61,10 @@
 
 /** What tells when the leases of a worker have ended. */
 typedef enum {
-	FFL_LEASE_NONE,	       /**< it was given none */
-	FFL_LEASE_ORDER,       /**< orders of this leader */
-	FFL_LEASE_RESTART,     /**< it has started again under its id */
-	FFL_LEASE_CLAIM,       /**< orders of an earlier leader */
+	FFL_LEASE_NONE,	   /**< it was given none */
+	FFL_LEASE_ORDER,   /**< orders of this leader */
+	FFL_LEASE_RESTART, /**< it has started again under its id */
+	FFL_LEASE_CLAIM,   /**< orders of an earlier leader */
 	/** The same, at a worker that may have taken them for the incarnation
 	 * before. */
 	FFL_LEASE_YOUNG,
--- a/include/fireflyledge/order.h
+++ b/include/fireflyledge/order.h
@@ -37,7 +37,7 @@
 	/** Number of the entry, from 1 on in each incarnation, which writes one
 	 * a heartbeat; 0: unknown. */
 	uint64_t number;
-	uint64_t clock_ms;	/**< worker's clock; 0: unknown */
+	uint64_t clock_ms; /**< worker's clock; 0: unknown */
 	ffl_resources_t capacity;
 	uint32_t labels_count;
 	ffl_name_t labels[FFL_WORKER_LABELS_MAX];
