node: leases of leaders before the last one are bounded when they are read

A leadership record of another writer, or one that cannot be right, could tell that earlier leaders give leases for weeks, and tasks of lost workers would wait for as long. It counts for at most the 3 s that a leader extends leases without the log. Beside it, braces. No change of what hosts write or decide by their own records; incarnation_test, dispatch_test and node_test pass.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -455,11 +455,11 @@
 		ffl_dispatch_worker_add_lease(
 			w, granted_until_ms(d, call, reply, now_ms),
 			FFL_LEASE_ORDER);
-	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION)
+	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION) {
 		handle_replaced(d, w, now_ms);
-	else if (!accept_incarnation(d, call, reply, now_ms))
+	} else if (!accept_incarnation(d, call, reply, now_ms)) {
 		return;
-	else {
+	} else {
 		note_unexpected_clock(d, call, reply, now_ms);
 		ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
 	}
--- a/lib/node/lead.c
+++ b/lib/node/lead.c
@@ -244,7 +244,8 @@
 				   ? n->now_ms
 				   : claimed_ms + LEASE_EXTENSION_MAX_MS;
 
-	return MAX(last_ms, n->lead.earlier_lease_ms);
+	return MAX(last_ms, MIN(n->lead.earlier_lease_ms,
+				n->now_ms + LEASE_EXTENSION_MAX_MS));
 }
 
 uint32_t ffl_lead_earlier_lease_ms(const ffl_node_t *n)
