fuzz: inputs kept before keep the clocks they were found with

What callers saw: nothing. fuzz/corpus/node/end-acknowledged-at-restart fails on, as it is kept for.

Cause: each sequence got such clocks, so that a restart in it met other orders refused.

Change: only sequences with the new operation get them, so that all others mean what they did.

The kept input of the new operation fails with undone and holds here.

--- a/fuzz/node_ops.c
+++ b/fuzz/node_ops.c
@@ -84,6 +84,7 @@
 
 static op_t op_of(uint8_t byte);
 
+static bool has_recut(const uint8_t *ops, size_t op_count);
 static bool strikes_all(op_t op, uint8_t arg);
 static void apply_part(site_t *s, op_t op, uint8_t arg, uint32_t ms);
 static void apply(site_t *s, op_t op, uint8_t arg, uint8_t time);
@@ -144,6 +145,16 @@
 	return byte % 2 ? OP_TAKE_BACK : OP_EVACUATE;
 }
 
+/* Kept inputs from before there was OP_RECUT need clocks that start at 1 s. */
+static bool has_recut(const uint8_t *ops, size_t op_count)
+{
+	for (size_t i = 0; i < op_count; i++) {
+		if (op_of(ops[i * NODE_OP_BYTES]) == OP_RECUT)
+			return true;
+	}
+	return false;
+}
+
 static void lose(site_t *s, uint32_t worker, recut_t kind, uint32_t restart_ms,
 		 uint32_t cut_ms)
 {
@@ -276,7 +287,8 @@
 			 spread ? 1 + op_count % FFL_JOBS_PARTS_MAX : 1);
 	s.tickets_required = op_count % 2;
 	s.append_ms = spread && op_count % SLOW_APPENDS == 0 ? APPEND_MS : 0;
-	site_vary_clocks(&s);
+	if (has_recut(ops, MIN(op_count, OPS_MAX)))
+		site_vary_clocks(&s);
 	site_run(&s, START_MS);
 	for (size_t i = 0; i < op_count && i < OPS_MAX && !s.violation; i++) {
 		const uint8_t *b = &ops[3 * i];
