Revert "dispatch: an unanswered start counts with the longest lease"

It bought a TWICE that needs an order that is late by seconds with waits that are common. Its run is on a worker that is cut off, is waited out for 13.8 s, is ordered at another that is cut off as it is placed, and is waited out for 12.3 s, in place of 6.8: each of the starts in doubt counted with the longest lease.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -398,17 +398,13 @@
 
 /* Returns the end of the lease that an order has given, at latest. The clock in
  * the answer is that of the incarnation which took the order, so that it tells
- * more than the one that the lease was worked out for. A start without an
- * answer may have begun at the next incarnation. */
+ * more than the one that the lease was worked out for. */
 static uint64_t granted_until_ms(const ffl_dispatch_t *d,
 				 const ffl_open_call_t *call,
 				 const ffl_reply_t *reply, uint64_t now_ms)
 {
 	uint64_t left_ms;
 
-	if (call->kind == FFL_ORDER_START &&
-	    reply->outcome == FFL_REPLY_UNKNOWN)
-		return ffl_lease_end_ms(d->opt.lease_max_ms, now_ms);
 	if (!call->until_ms || !reply->clock_ms)
 		return call->lease_end_ms;
 	left_ms = call->until_ms - MIN(call->until_ms, reply->clock_ms);
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -34,7 +34,6 @@
 		      uint64_t now_ms);
 static void send_throttle(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
 			  uint64_t now_ms);
-static bool is_repeat_held(const ffl_run_t *run);
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms);
 
@@ -246,13 +245,6 @@
 	order->timeout_ms = THROTTLE_TIMEOUT_MS;
 }
 
-/* Returns true if a start in doubt is not to be repeated, as its worker answers
- * no renewal either: each further sending would have to be waited out. */
-static bool is_repeat_held(const ffl_run_t *run)
-{
-	return run->start_in_doubt && run->worker->missed_renewals;
-}
-
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms)
 {
@@ -279,7 +271,7 @@
 			send_start(d, run, orders, now_ms);
 		return;
 	}
-	if (run->state == FFL_RUN_SENT && may_start && !is_repeat_held(run))
+	if (run->state == FFL_RUN_SENT && may_start)
 		send_start(d, run, orders, now_ms);
 	else if (ffl_throttle_due(run))
 		send_throttle(d, run, orders, now_ms);
