--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -1317,6 +1317,34 @@
 	lose_restarted_worker_and_leader(s, 300);
 }
 
+/* It is cut off before an entry tells of its restart: the log has none of it.
+ */
+static void next_leader_reads_no_entry_of_restarted_worker(site_t *s)
+{
+	const task_worker_t *w = &s->workers[0];
+	uint32_t leader = (uint32_t)site_leader(s);
+
+	for (uint32_t i = 1; i < s->workers_count; i++)
+		site_worker_crash(s, i);
+	site_run(s, LONG_LIFE_MS);
+	site_worker_restart(s, 0, false);
+	site_submit(s, leader, 1, 4, 9000, false);
+	while (!w->runs->len)
+		site_run(s, SITE_STEP_MS);
+	site_run(s, 200);
+	g_assert_cmpuint(w->entries, ==, 0);
+	site_kill(s, leader, 500);
+	s->worker_cut[0] = true;
+	s->entries_cut = 1;
+	for (uint32_t i = 1; i < s->workers_count; i++)
+		site_worker_boot(s, i);
+	site_run(s, 8600);
+	s->worker_cut[0] = false;
+	s->entries_cut = 0;
+	site_run(s, 5000);
+	assert_no_fault(s);
+}
+
 static const scenario_t scenarios[] = {
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
@@ -1377,6 +1405,12 @@
 	  next_leader_forgets_lease_of_ended_run },
 };
 
+/* Fail for faults in KNOWN-RED.txt; run by tests/known-red.sh. */
+static const scenario_t known_red[] = {
+	{ "next-leader-reads-no-entry-of-restarted-worker",
+	  next_leader_reads_no_entry_of_restarted_worker },
+};
+
 static void test_scenario(gconstpointer data)
 {
 	const scenario_t *scenario = data;
@@ -2083,6 +2117,14 @@
 		g_test_add_data_func(path, &scenarios[i], test_scenario);
 		g_free(path);
 	}
+	for (size_t i = 0; g_getenv("KNOWN_RED") && i < G_N_ELEMENTS(known_red);
+	     i++) {
+		char *path =
+			g_strdup_printf("/known-red/%s", known_red[i].name);
+
+		g_test_add_data_func(path, &known_red[i], test_scenario);
+		g_free(path);
+	}
 	g_test_add_func("/node/host-size", test_host_size);
 	g_test_add_func("/node/last-ends", test_last_ends);
 	g_test_add_func("/node/superseded-leader-extends-leases",
