--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -79,6 +79,23 @@
 	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
 }
 
+/* Reads an entry of w0 that was written after a time; 0: from the pages of a
+ * new leader. */
+static void read_entry(bed_t *b, int64_t born_ms, uint64_t number,
+		       uint64_t written_after_ms)
+{
+	ffl_worker_entry_t entry = { .id = "w0",
+				     .addr = ADDR_A,
+				     .service = "survey",
+				     .born_ms = born_ms,
+				     .clock_ms = born_ms == BORN_A ? CLOCK_A
+								   : CLOCK_B,
+				     .number = number,
+				     .capacity = { 32000, 65536, 8 } };
+
+	ffl_dispatch_update_worker(&b->d, &entry, written_after_ms, b->now_ms);
+}
+
 /* The entry of a draining worker was written some time before it is read. */
 static void list_draining(bed_t *b, uint32_t written_before_ms)
 {
@@ -450,19 +467,11 @@
  */
 static void lose_leader_and_w0(bed_t *b, uint64_t entry_number)
 {
-	ffl_worker_entry_t entry = { .id = "w0",
-				     .addr = ADDR_A,
-				     .service = "survey",
-				     .born_ms = BORN_A,
-				     .clock_ms = CLOCK_A,
-				     .number = entry_number,
-				     .capacity = { 32000, 65536, 8 } };
-
 	run_on_w0(b);
 	b->now_ms += 1000;
 	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
 	g_array_set_size(b->orders, 0);
-	ffl_dispatch_update_worker(&b->d, &entry, 0, b->now_ms);
+	read_entry(b, BORN_A, entry_number, 0);
 	list_worker(b, "w1", ADDR_B, BORN_A);
 }
 
@@ -1264,16 +1273,8 @@
  * has no run on the log; the answer to the next start does not tell. */
 static void next_leader_starts_on_worker_with_longest_lease(bed_t *b)
 {
-	ffl_worker_entry_t entry = { .id = "w0",
-				     .addr = ADDR_A,
-				     .service = "survey",
-				     .born_ms = BORN_B,
-				     .clock_ms = CLOCK_B,
-				     .number = 2,
-				     .capacity = { 32000, 65536, 8 } };
-
 	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms, b->now_ms);
-	ffl_dispatch_update_worker(&b->d, &entry, 0, b->now_ms);
+	read_entry(b, BORN_B, 2, 0);
 	submit(b);
 	wait_ms(b, 2 * STEP_MS);
 	list_worker(b, "w1", ADDR_B, BORN_A);
@@ -1287,13 +1288,6 @@
 /* Each time that the worker is back on the list, it is waited for anew. */
 static void young_worker_is_waited_for_each_time_it_is_listed(bed_t *b)
 {
-	ffl_worker_entry_t entry = { .id = "w0",
-				     .addr = ADDR_A,
-				     .service = "survey",
-				     .born_ms = BORN_A,
-				     .clock_ms = CLOCK_A,
-				     .number = 2,
-				     .capacity = { 32000, 65536, 8 } };
 	uint64_t since_ms;
 
 	lose_leader_and_w0(b, 2);
@@ -1301,8 +1295,7 @@
 	fail_until_placed(b, FFL_REPLY_UNKNOWN, 6000);
 	ffl_dispatch_remove_worker(&b->d, "w0", 0, b->now_ms);
 	fail_until_placed(b, FFL_REPLY_UNKNOWN, 500);
-	entry.number = 5;
-	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms - 500, b->now_ms);
+	read_entry(b, BORN_A, 5, b->now_ms - 500);
 	fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS);
 	g_assert_cmpuint(b->now_ms - since_ms, <, GIVE_UP_MS);
 }
@@ -1310,22 +1303,12 @@
 /* The earlier leader may go on giving leases, for the incarnation before. */
 static void restart_read_late_under_two_leaders(bed_t *b)
 {
-	ffl_worker_entry_t entry = { .id = "w0",
-				     .addr = ADDR_A,
-				     .service = "survey",
-				     .born_ms = BORN_A,
-				     .clock_ms = CLOCK_A,
-				     .number = 100,
-				     .capacity = { 32000, 65536, 8 } };
-
 	run_on_w0(b);
 	ffl_dispatch_become_leader(&b->d, b->now_ms, b->now_ms + 3000,
 				   b->now_ms);
 	g_array_set_size(b->orders, 0);
-	ffl_dispatch_update_worker(&b->d, &entry, 0, b->now_ms);
-	entry.born_ms = BORN_B;
-	entry.number = 1;
-	ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
+	read_entry(b, BORN_A, 100, 0);
+	read_entry(b, BORN_B, 1, b->now_ms);
 	list_worker(b, "w1", ADDR_B, BORN_A);
 	g_assert_cmpuint(
 		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * GIVE_UP_MS), >=,
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -278,6 +278,8 @@
 static void test_appends(void);
 static void test_starts(void);
 static void test_entries(void);
+static const ffl_worker_entry_t *decode_entry(const char *value,
+					      ffl_arena_t *arena);
 static void test_entry_cold(void);
 static void test_entry_number(void);
 static void test_entry_ids(void);
@@ -416,6 +418,19 @@
 }
 
 /* What a worker says of being cold; the least that its type allows counts. */
+static const ffl_worker_entry_t *decode_entry(const char *value,
+					      ffl_arena_t *arena)
+{
+	const ffl_worker_entry_t *entry;
+	const char *problem;
+
+	g_test_message("%s", value);
+	entry = ffl_pf_worker_entry_decode("i-1", bytes_of(value), arena,
+					   &problem);
+	g_assert_nonnull(entry);
+	return entry;
+}
+
 static void test_entry_cold(void)
 {
 	static const struct {
@@ -434,14 +449,10 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const ffl_worker_entry_t *entry;
-		const char *problem;
 		ffl_arena_t arena;
 
-		g_test_message("%s", cases[i].value);
 		ffl_arena_init(&arena);
-		entry = ffl_pf_worker_entry_decode(
-			"i-1", bytes_of(cases[i].value), &arena, &problem);
-		g_assert_nonnull(entry);
+		entry = decode_entry(cases[i].value, &arena);
 		g_assert_cmpuint(entry->cold_left_ms, ==, cases[i].left_ms);
 		ffl_arena_finish(&arena);
 	}
@@ -463,14 +474,10 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const ffl_worker_entry_t *entry;
-		const char *problem;
 		ffl_arena_t arena;
 
-		g_test_message("%s", cases[i].value);
 		ffl_arena_init(&arena);
-		entry = ffl_pf_worker_entry_decode(
-			"i-1", bytes_of(cases[i].value), &arena, &problem);
-		g_assert_nonnull(entry);
+		entry = decode_entry(cases[i].value, &arena);
 		g_assert_cmpuint(entry->number, ==, cases[i].number);
 		ffl_arena_finish(&arena);
 	}
