--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Builds the stand-in of each case of the second review into target/review-2/.
+# Needs what deploy/system.toml names: gcc, pkg-config, jansson.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for c in review/*/case.c; do
+	[ -f "$c" ] || continue
+	n=$(basename "$(dirname "$c")")
+	# shellcheck disable=SC2046
+	gcc -O1 -g -Wall -Wextra -D_GNU_SOURCE -pthread -Ireview \
+		$(pkg-config --cflags jansson) "$c" review/standin-2.c \
+		-o "target/review-2/case$n" $(pkg-config --libs jansson)
+done
