--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,9 +4,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for c in review/*/case.c; do
+for n in 6 7 8 9 10; do
+	c=review/$n/case.c
 	[ -f "$c" ] || continue
-	n=$(basename "$(dirname "$c")")
 	# shellcheck disable=SC2046
 	gcc -O1 -g -Wall -Wextra -D_GNU_SOURCE -pthread -Ireview \
 		$(pkg-config --cflags jansson) "$c" review/standin-2.c \
