review: case 9: a late start runs beside a second run

Cause: a start without an answer counts with the lease of its order by the clock of the life that is known; the minion's next life carries it out with the longest lease.

The stand-in has minions that start again under their id, that carry a start out late, and that are cut off.

--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -556,7 +556,33 @@
 		       : NULL;
 }
 
-static bool serve_start(int fd, minion_t *m, const json_t *doc)
+/* Counts what breaks TWICE. */
+static void check_twice(const minion_t *m, const char *task, uint32_t run)
+{
+	const job_t *j = job_of(task);
+
+	for (uint32_t i = 0; i < stand.minion_count; i++) {
+		const minion_t *other = &stand.minions[i];
+
+		for (uint32_t k = 0; k < other->item_count; k++) {
+			if (strcmp(other->items[k].task, task) != 0)
+				continue;
+			stand.beside++;
+			note("%s: run %u of %s begins, while run %u of it is "
+			     "at work on %s, for %" PRIu64 " ms now",
+			     m->id, run, task, other->items[k].run, other->id,
+			     steady_ms() - other->items[k].began_ms);
+		}
+	}
+	if (!j->done)
+		return;
+	stand.after_done++;
+	note("%s: run %u of %s begins after an end as done was taken note of",
+	     m->id, run, task);
+}
+
+/* Begins a run; returns why not, or NULL. */
+static const char *begin_run(minion_t *m, const json_t *doc)
 {
 	const char *task = json_string_value(json_object_get(doc, "task"));
 	uint32_t run = (uint32_t)whole(doc, "run_id");
@@ -565,13 +591,11 @@
 	item_t *it;
 
 	if (!j)
-		return respond(fd, 400, "", 0);
+		return "unknown";
 	for (uint32_t i = 0; i < m->item_count; i++) {
 		if (!strcmp(m->items[i].task, task) && m->items[i].run == run) {
 			extend_lease(m, doc);
-			return respond_json(fd, 200,
-					    json_pack("{s:I}", "clock_ms",
-						      (json_int_t)clock_of(m)));
+			return NULL;
 		}
 	}
 	reason = refusal_of(m, task, run, doc, j);
@@ -579,8 +603,9 @@
 		if (!stand.brief)
 			note("%s: start of %s run %u refused: %s", m->id, task,
 			     run, reason);
-		return refuse(fd, m, reason);
+		return reason;
 	}
+	check_twice(m, task, run);
 	extend_lease(m, doc);
 	it = &m->items[m->item_count++];
 	memset(it, 0, sizeof(*it));
@@ -599,6 +624,21 @@
 	if (!stand.brief)
 		note("%s (rack %s): start of %s run %u, %" PRIu64 " ms of work",
 		     m->id, m->rack, task, run, it->work_ms);
+	return NULL;
+}
+
+static bool serve_start(int fd, minion_t *m, json_t *doc)
+{
+	const char *task = json_string_value(json_object_get(doc, "task"));
+	const char *reason;
+
+	if (task && stand.on_start && stand.on_start(m, task)) {
+		m->late_order = json_incref(doc);
+		return false;
+	}
+	reason = begin_run(m, doc);
+	if (reason)
+		return refuse(fd, m, reason);
 	return respond_json(
 		fd, 200,
 		json_pack("{s:I}", "clock_ms", (json_int_t)clock_of(m)));
@@ -661,6 +701,16 @@
 	bool ok;
 
 	pthread_mutex_lock(&stand.lock);
+	if (steady_ms() < m->cut_until_ms) {
+		/* What is sent meanwhile is lost. */
+		uint64_t until = m->cut_until_ms;
+
+		pthread_mutex_unlock(&stand.lock);
+		while (steady_ms() < until)
+			sleep_ms(20);
+		json_decref(doc);
+		return false;
+	}
 	if (m->gone) {
 		ok = false;
 	} else if (r->expect[0] && strcmp(r->expect, m->id) != 0) {
@@ -703,8 +753,9 @@
 	doc = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,"
 		"s:I}",
-		"service", "pool", "address", addr, "zone", "north", "version",
-		"v1", "slots", 8, "state", m->draining ? "draining" : "ready",
+		"service", "pool", "address", addr, "zone",
+		m->zone[0] ? m->zone : "north", "version", "v1", "slots", 8,
+		"state", m->draining ? "draining" : "ready",
 		"cold_remaining_ms", 0, "capacity", "cpu", (int)m->cpu,
 		"mem_mb", (int)m->mem_mb, "gpu", (int)m->gpu, "labels", m->kind,
 		m->rack, "clock_ms", (json_int_t)clock_of(m), "born",
@@ -740,18 +791,41 @@
 		else if (!j->lasts && now - it->began_ms >= it->work_ms)
 			end_item(m, i, "done");
 	}
-	if (m->gone) {
+	if (m->late_ms && now >= m->late_ms) {
+		m->late_ms = 0;
+		note("%s: the late start is carried out", m->id);
+		begin_run(m, m->late_order);
+	}
+	/* The store removes an entry after three intervals of silence. */
+	if (m->gone || (m->listed && now > m->beat_ms + 2ULL * HEARTBEAT_MS)) {
 		if (m->listed)
 			put_keyed("keyed.servers", m->id, "");
 		m->listed = false;
-		return;
 	}
-	if (now < m->beat_ms)
+	if (m->gone || now < m->beat_ms || now < m->cut_until_ms)
 		return;
 	m->beat_ms = now + HEARTBEAT_MS;
 	beat(m);
 }
 
+void restart_minion(minion_t *m)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	m->born_ms =
+		(uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+	m->clock_base_ms = steady_ms() - 1;
+	m->sequence = 0;
+	m->token = 0;
+	m->lease_until_ms = 0;
+	m->last_end = 0;
+	m->item_count = 0;
+	m->end_count = 0;
+	m->over_count = 0;
+	note("%s has crashed and starts again under its id", m->id);
+}
+
 static void *advance_all(void *arg)
 {
 	for (;;) {
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -54,6 +54,10 @@
 	bool draining;
 	bool gone;		/**< it has left, and answers nothing */
 	uint64_t busy_until_ms; /**< it answers orders with 503 until then */
+	char zone[TEXT_BYTES];	/**< "": north */
+	uint64_t cut_until_ms;	/**< nothing passes to or from it until then */
+	uint64_t late_ms;	/**< when late_order is carried out; 0: none */
+	void *late_order;	/**< json_t: a start that gets no answer */
 	uint64_t token;
 	uint64_t lease_until_ms; /**< on its clock */
 	uint64_t last_end;
@@ -107,6 +111,11 @@
 	uint32_t attempts_max; /**< of the queue; 0: 4 */
 	uint32_t cpu;	       /**< of a work item; 0: 1000 */
 	bool brief;	       /**< no line for each run */
+	/** Called for a start, under the lock; with true it isn't carried out
+	 * now, and gets no answer. */
+	bool (*on_start)(minion_t *m, const char *task);
+	uint32_t beside;     /**< starts beside a run of the same work item */
+	uint32_t after_done; /**< starts after an end that was taken note of */
 	const char *dir;
 	FILE *record;
 	uint64_t began_ms;
@@ -141,6 +150,9 @@
 /** Opens the record, starts the stand-in with @p hosts hosts and waits until
  * they are ready under a first config; ends the program with 2 if it cannot. */
 void begin_case(char **argv, uint32_t hosts);
+/** The minion starts again under its id, and knows nothing of before; under
+ * the lock. */
+void restart_minion(minion_t *m);
 /** Returns the GPUs that are in use, in percent of all. */
 uint32_t gpus_used_percent(void);
 
