--- a/review/10/case.c
+++ b/review/10/case.c
@@ -1,85 +1,86 @@
 /**
  * @file case.c
- * @brief How many jobs a queue is said to hold that have not begun, while their
- * minion refuses every start.
+ * @brief A queue is given to another service while a job of it waits, and the
+ * one minion of the service before is taken away.
  */
 #include "standin-2.h"
 
-#include <stdlib.h>
+#include <inttypes.h>
 #include <string.h>
 
-#define JOBS 1
-/** How long the minion is unhealthy; of the site's srv_grey. */
-#define GREY_MS 6500
-/** Of RULES.md, MIXED: accepted over visible_ms + 2 s before. */
-#define OLD_MS	5000
-#define MORE_MS 2000
+#define FIRST_MS  5000
+#define SECOND_MS 3000
+#define APPLY_MS  2600
+#define LEAVE_MS  2700
+#define FINISH_MS 14000
+#define WATCH_MS  20000
+/** Of RULES.md, LOST: nothing of a job runs for 3 s. */
+#define IDLE_MAX_MS 3000
 
 int main(int argc, char **argv)
 {
 	bool trouble = argc > 3 && argv[3][0] != '0';
-	static const char more[] =
-		",\"required_label\":\"b\",\"estimate_ms\":20000";
-	uint32_t wrong = 0;
-	uint32_t asked = 0;
-	uint64_t until;
+	char answer[256];
 	minion_t *m;
+	job_t *first;
+	job_t *j;
 
 	if (argc < 4)
 		return 2;
 	for (int i = 0; i < 11; i++) {
 		char rack[8];
 
-		snprintf(rack, sizeof(rack), "r1-%d", 1 + i / 2);
-		add_minion("a", rack, 8);
+		snprintf(rack, sizeof(rack), "r2-%d", 1 + i / 2);
+		add_minion("a", rack, 8)->service = "pool-2";
 	}
-	m = add_minion("b", "r1-6", 8);
+	m = add_minion("a", "r1-1", 8);
 	begin_case(argv, 2);
-	until = steady_ms() + GREY_MS;
+	first = submit(0, "00000000000000a1", 1, 8, FIRST_MS, NULL,
+		       ",\"estimate_ms\":5000");
+	j = submit(1, "00000000000000a2", 1, 8, SECOND_MS, NULL,
+		   ",\"estimate_ms\":3000");
+	if (!first->accepted_ms || !j->accepted_ms)
+		return 2;
 	if (trouble) {
-		note("srv_grey: %s answers 503 for %d ms", m->id, GREY_MS);
+		stand.service = "pool-2";
+		put_config(2, 1);
+		sleep_ms(APPLY_MS);
+		note("scale_in: %s, the one minion of pool, drains", m->id);
 		pthread_mutex_lock(&stand.lock);
-		m->busy_until_ms = until;
+		m->draining = true;
+		m->beat_ms = 0;
 		pthread_mutex_unlock(&stand.lock);
-	}
-	for (uint32_t i = 0; i < JOBS; i++) {
-		char id[17];
-
-		snprintf(id, sizeof(id), "00000000000000a%u", i + 1);
-		if (!submit(i % 2, id, 1, 1, 20000, NULL, more)->accepted_ms)
+		sleep_ms(LEAVE_MS);
+		pthread_mutex_lock(&stand.lock);
+		m->gone = true;
+		pthread_mutex_unlock(&stand.lock);
+		note("%s has left", m->id);
+		if (!submit(0, "00000000000000a3", 1, 8, SECOND_MS, NULL,
+			    ",\"estimate_ms\":3000")
+			     ->accepted_ms)
 			return 2;
 	}
-	until += trouble ? 0 : MORE_MS;
-	while (steady_ms() < until) {
-		for (uint32_t h = 0; h < 2; h++) {
-			uint64_t now = steady_ms();
-			uint32_t waiting = 0;
-			char answer[256];
-			const char *p;
-			int status;
+	sleep_ms(FINISH_MS);
+	note("finish_s after the end of the traffic; %u%% of the GPUs in use",
+	     gpus_used_percent());
+	pthread_mutex_lock(&stand.lock);
+	j->longest_idle_ms = 0;
+	j->idle_since_ms = 0;
+	pthread_mutex_unlock(&stand.lock);
+	sleep_ms(WATCH_MS);
+	for (uint32_t i = 0; i < stand.job_count; i++) {
+		char path[64];
+		int status;
 
-			/* It may be 2 s old, so jobs count that were accepted
-			 * that long before. */
-			pthread_mutex_lock(&stand.lock);
-			for (uint32_t i = 0; i < JOBS; i++)
-				waiting += now - stand.jobs[i].accepted_ms >
-						   OLD_MS &&
-					   !stand.jobs[i].first_start_ms;
-			pthread_mutex_unlock(&stand.lock);
-			status = call(h, "GET", "/work/", NULL, answer,
-				      sizeof(answer));
-			p = strstr(answer, "\"pending\":");
-			if (status != 200 || !p || !waiting)
-				continue;
-			asked++;
-			note("GET /work/ at host %u: %s; %u jobs have waited "
-			     "for over 5 s, none of them has begun",
-			     h + 1, answer, waiting);
-			wrong += 2 * strtoul(p + 10, NULL, 10) < waiting;
-		}
-		sleep_ms(200);
+		snprintf(path, sizeof(path), "/work/%s", stand.jobs[i].id);
+		status = call(1, "GET", path, NULL, answer, sizeof(answer));
+		note("GET %s: %d %s, %u starts", path, status, answer,
+		     stand.jobs[i].starts);
 	}
-	note("%u answers, %u of them under half of what waits; MIXED %s", asked,
-	     wrong, wrong ? "is broken" : "holds");
-	return wrong != 0;
+	note("nothing of job %s ran for up to %" PRIu64 " ms, with %u%% of the "
+	     "GPUs in use",
+	     j->id, j->longest_idle_ms, gpus_used_percent());
+	note("LOST %s",
+	     j->longest_idle_ms >= IDLE_MAX_MS ? "is broken" : "holds");
+	return j->longest_idle_ms >= IDLE_MAX_MS;
 }
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -55,6 +55,7 @@
 	bool gone;		/**< it has left, and answers nothing */
 	uint64_t busy_until_ms; /**< it answers orders with 503 until then */
 	char zone[TEXT_BYTES];	/**< "": north */
+	const char *service;	/**< NULL: pool */
 	uint64_t cut_until_ms;	/**< nothing passes to or from it until then */
 	uint64_t late_ms;	/**< when late_order is carried out; 0: none */
 	void *late_order;	/**< json_t: a start that gets no answer */
@@ -109,6 +110,7 @@
 	} hosts[HOSTS_MAX];
 	uint32_t host_count;
 	uint32_t attempts_max; /**< of the queue; 0: 4 */
+	const char *service;   /**< of the queue; NULL: pool */
 	uint32_t cpu;	       /**< of a work item; 0: 1000 */
 	bool brief;	       /**< no line for each run */
 	/** Called for a start, under the lock; with true it isn't carried out
