dispatch: wait for the next incarnation that may begin a late start

A start got no answer, its worker crashed, its region was cut off, and the worker's next incarnation began the run 4 s after the order, with the longest lease. 7.0 s after the order the task was started elsewhere, while run 1 had been at work for 3 s and went on for 2.3 s.

Cause: a start without an answer counted with the lease that it gave by the clock of the known incarnation. Another incarnation may carry it out up to 12 s later (kinds, applied_late), and its clock starts anew, so that its lease is the longest one. Also where another sending of the order was answered, and where the restart was read while the order had no answer.

Change: a run that had a start without an answer is given up once such an order can come no more (bounds.order_late_max, 12 s) and the longest lease from then on is over. The wait ends with a report of the next incarnation, a stop that it accepted, or a report of the known one after the last late order; other runs of the worker are not held, nor tasks that allow duplicates. A start in doubt is not repeated while its worker answers no renewal. worker-waited-out tells of the wait.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -240,6 +240,7 @@
 		.partitions = s->partitions,
 		.dispatch = { .adviser_addr = "adviser",
 			      .lease_max_ms = 10000,
+			      .order_late_max_ms = LATE_ORDER_MAX_MS,
 			      .stop_max_ms = 400,
 			      .gang_wait_ms = 3000,
 			      .reclaim_ms = 2900,
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -98,8 +98,11 @@
 	bool clocks_vary;    /**< clocks of workers that start begin anywhere */
 	ffl_rng_t clock_rng; /**< where; apart from rng, which would draw
 				other faults */
-	GHashTable *reported_ms;  /**< time of the last report of each id that
-				     is listed */
+	GHashTable *reported_ms; /**< time of the last report of each id that
+				    is listed */
+	/** When the last start order of each task that got no answer arrived.
+	 */
+	GHashTable *unanswered_ms;
 	GHashTable *silent_addrs; /**< addresses at which nothing answers; at
 				     others, where nobody listens, a connection
 				     is refused */
@@ -138,7 +141,8 @@
 	uint64_t topic_reads[FFL_TOPIC__MAX]; /**< reads so far, by topic */
 	uint64_t
 		disturbed_ms; /**< when a host, the log or a link last failed */
-	GHashTable *settled_runs;  /**< runs whose end was reported */
+	GHashTable *settled_runs;  /**< runs whose end was reported, or whose
+				stop was accepted */
 	GHashTable *repeated_runs; /**< such runs that a late order has started
 				      again, see site_on_started() */
 	bool order_outdated; /**< an earlier incarnation has reported under a
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -91,6 +91,8 @@
 void site_watch_cancelled(site_t *s);
 /** Notes the ends in a worker's reply. */
 void site_note_report(site_t *s, const ffl_reply_t *reply);
+/** Notes a run that the incarnation which answered cannot begin any more. */
+void site_note_settled(site_t *s, const char *task, uint32_t run);
 /* Callbacks of task_hooks_t; the user pointer is the site. */
 bool site_plan_task(void *user, const char *task, task_plan_t *out);
 void site_on_started(void *user, task_worker_t *w, const task_run_t *run);
--- a/fakes/site_oracle.c
+++ b/fakes/site_oracle.c
@@ -87,7 +87,8 @@
 
 /* No leader can prevent that an order which is late starts a run at an
  * incarnation that is newer than the order and has not been fenced yet,
- * although another sending of it has ended at the one before. */
+ * although another sending of it has ended at the one before, or that one has
+ * accepted its stop. */
 static bool note_repeated(site_t *s, const task_run_t *run)
 {
 	char *key = run_key(run->task, run->run);
@@ -225,8 +226,13 @@
 void site_note_report(site_t *s, const ffl_reply_t *reply)
 {
 	for (uint32_t i = 0; i < reply->ended_count; i++)
-		g_hash_table_add(s->settled_runs, run_key(reply->ended[i].task,
-							  reply->ended[i].run));
+		site_note_settled(s, reply->ended[i].task, reply->ended[i].run);
+}
+
+void site_note_settled(site_t *s, const char *task, uint32_t run)
+{
+	g_hash_table_add(s->settled_runs, run_key(task, run));
+	g_hash_table_remove(s->unanswered_ms, task);
 }
 
 void site_on_acked(void *user, task_worker_t *w, const ffl_run_report_t *row)
--- a/fakes/site_workers.c
+++ b/fakes/site_workers.c
@@ -58,6 +58,8 @@
 			 dc_names[i % SITE_DCS]);
 	s->reported_ms =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->unanswered_ms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->silent_addrs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -65,6 +67,7 @@
 void site_workers_finish(site_t *s)
 {
 	g_hash_table_destroy(s->reported_ms);
+	g_hash_table_destroy(s->unanswered_ms);
 	g_hash_table_destroy(s->silent_addrs);
 }
 
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -42,6 +42,9 @@
 /** Limits and figures set by the deployment. */
 typedef struct {
 	uint32_t lease_max_ms; /**< longest lease that workers grant */
+	/** Longest time after which a worker carries out an order that it left
+	 * unanswered. */
+	uint32_t order_late_max_ms;
 	uint32_t stop_max_ms;  /**< longest time that stopping a run takes */
 	uint32_t gang_wait_ms; /**< how long a gang's task waits for the rest */
 	uint32_t reclaim_ms;   /**< guaranteed work must start within this */
@@ -95,6 +98,11 @@
 	 * unanswered orders not counted. */
 	uint64_t leases_end_ms;
 	ffl_lease_basis_t leases_basis; /**< what leases_end_ms rests on */
+	/** By then it has carried out all orders with a lease that it left
+	 * unanswered, or never will; 0: it has left none. */
+	uint64_t late_orders_ms;
+	/** Runs in doubt are being waited out, and that is in the log. */
+	bool waits_out;
 	/** When a report told its incarnation; 0: known from the list or from
 	 * the log only. */
 	uint64_t born_reported_ms;
@@ -191,7 +199,12 @@
 	uint64_t lease_until_ms;
 	uint64_t lease_end_ms; /**< the same by this host's clock, at latest */
 	bool start_in_doubt;   /**< a start order timed out, may still act */
-	bool stopping;	       /**< to be stopped */
+	/** By then a start order without an answer has been carried out, or
+	 * never will be; 0: there is none, or it is settled. The incarnation
+	 * after the one that is known may begin the run by it, with the longest
+	 * lease, also where another sending was answered. */
+	uint64_t late_start_ms;
+	bool stopping;		   /**< to be stopped */
 	uint64_t stop_accepted_ms; /**< when the worker accepted the stop */
 	const char *stop_reason;   /**< static string, for the log */
 	uint64_t stop_cost; /**< work lost if its gang is stopped; scratch */
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -40,6 +40,7 @@
 	char adviser_addr[FFL_ADDR_BYTES]; /**< "": there is no adviser */
 	uint32_t lines_per_s;
 	uint32_t lease_max_ms;
+	uint32_t order_late_max_ms;
 	uint32_t stop_max_ms;
 	uint32_t gang_wait_ms;
 	uint32_t reclaim_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -50,6 +50,7 @@
 	ffl_copy(opt->dispatch.adviser_addr, sizeof(opt->dispatch.adviser_addr),
 		 s->adviser_addr);
 	opt->dispatch.lease_max_ms = s->lease_max_ms;
+	opt->dispatch.order_late_max_ms = s->order_late_max_ms;
 	opt->dispatch.stop_max_ms = s->stop_max_ms;
 	opt->dispatch.gang_wait_ms = s->gang_wait_ms;
 	opt->dispatch.reclaim_ms = s->reclaim_ms;
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -43,6 +43,9 @@
 	uint64_t token;	   /**< as in the order */
 	uint64_t acked;	   /**< as in the order */
 	uint32_t percent;  /**< speed limit in the order */
+	/** The clock in its answer is another incarnation's than the known one.
+	 */
+	bool other_clock;
 } ffl_open_call_t;
 
 /** Passes an event to the caller's log; the text is cut at
@@ -126,6 +129,9 @@
 /** Records that a worker may have a lease until a time by this host's clock. */
 void ffl_dispatch_worker_add_lease(ffl_dispatch_worker_t *w, uint64_t end_ms,
 				   ffl_lease_basis_t basis);
+/** Records that an order, which was sent by now, was left unanswered. */
+void ffl_dispatch_note_unanswered(const ffl_dispatch_t *d,
+				  const ffl_open_call_t *call, uint64_t now_ms);
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -39,9 +39,8 @@
 static uint64_t granted_until_ms(const ffl_dispatch_t *d,
 				 const ffl_open_call_t *call,
 				 const ffl_reply_t *reply, uint64_t now_ms);
-static void note_unexpected_clock(ffl_dispatch_t *d,
-				  const ffl_open_call_t *call,
-				  const ffl_reply_t *reply, uint64_t now_ms);
+static void check_clock(ffl_dispatch_t *d, ffl_open_call_t *call,
+			const ffl_reply_t *reply, uint64_t now_ms);
 static bool is_lasting(const ffl_run_report_t *report);
 static void handle_ended_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			      const ffl_reply_t *reply, uint64_t now_ms);
@@ -58,6 +57,7 @@
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     const ffl_reply_t *reply, uint64_t sent_ms,
 			     uint64_t now_ms);
+static void settle_late_starts(ffl_dispatch_worker_t *w, uint64_t requested_ms);
 static void handle_start_refusal(ffl_dispatch_t *d, ffl_run_t *run,
 				 const ffl_reply_t *reply, uint64_t now_ms);
 
@@ -228,6 +228,19 @@
 	}
 }
 
+/* A report ends doubts: a new incarnation under a higher token accepts no
+ * earlier order, and what the known one has not begun until it is too late has
+ * not begun elsewhere. */
+static void settle_late_starts(ffl_dispatch_worker_t *w, uint64_t requested_ms)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(w->runs, i);
+
+		if (w->lease_in_doubt || requested_ms >= run->late_start_ms)
+			run->late_start_ms = 0;
+	}
+}
+
 static void handle_renew_reply(ffl_dispatch_t *d, ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms)
 {
@@ -252,6 +265,7 @@
 		ffl_dispatch_worker_add_lease(
 			w, ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
 			FFL_LEASE_RESTART);
+	settle_late_starts(w, call->sent_ms);
 	w->lease_in_doubt = false;
 	w->fence_due = false;
 	g_array_set_size(w->given_up, 0);
@@ -331,6 +345,7 @@
 static void handle_stop_reply(ffl_dispatch_t *d, ffl_open_call_t *call,
 			      const ffl_reply_t *reply, uint64_t now_ms)
 {
+	ffl_dispatch_worker_t *w = call->worker;
 	ffl_run_t *run = call->run;
 
 	if (!run)
@@ -340,6 +355,12 @@
 	/* Once a stop was accepted, the run cannot start there any more. */
 	if (reply->outcome == FFL_REPLY_OK && !run->stop_accepted_ms)
 		run->stop_accepted_ms = now_ms;
+	/* An incarnation that has accepted the stop refuses late starts. */
+	if (reply->outcome == FFL_REPLY_OK && call->other_clock) {
+		run->late_start_ms = 0;
+		ffl_dispatch_worker_add_lease(w, now_ms + d->opt.stop_max_ms,
+					      FFL_LEASE_RESTART);
+	}
 	if (reply->outcome != FFL_REPLY_OK)
 		run->retry_ms = now_ms + RESEND_MS;
 }
@@ -412,9 +433,8 @@
 }
 
 /* Another incarnation's clock starts anew. Only reports name theirs. */
-static void note_unexpected_clock(ffl_dispatch_t *d,
-				  const ffl_open_call_t *call,
-				  const ffl_reply_t *reply, uint64_t now_ms)
+static void check_clock(ffl_dispatch_t *d, ffl_open_call_t *call,
+			const ffl_reply_t *reply, uint64_t now_ms)
 {
 	const ffl_dispatch_worker_t *w = call->worker;
 	uint64_t expected_ms = w->clock_ms + now_ms - w->clock_read_ms;
@@ -423,6 +443,7 @@
 	    (reply->clock_ms + CLOCK_TOLERANCE_MS >= expected_ms &&
 	     reply->clock_ms <= expected_ms + CLOCK_TOLERANCE_MS))
 		return;
+	call->other_clock = true;
 	ffl_dispatch_note(
 		d, "clock-unexpected", w->entry.id,
 		"clock_ms=%" PRIu64 " expected_ms=%" PRIu64 " age_ms=%" PRIu64
@@ -451,12 +472,14 @@
 		ffl_dispatch_worker_add_lease(
 			w, granted_until_ms(d, call, reply, now_ms),
 			FFL_LEASE_ORDER);
+	if (reply->outcome == FFL_REPLY_UNKNOWN)
+		ffl_dispatch_note_unanswered(d, call, now_ms);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION) {
 		handle_replaced(d, w, now_ms);
 	} else if (!accept_incarnation(d, call, reply, now_ms)) {
 		return;
 	} else {
-		note_unexpected_clock(d, call, reply, now_ms);
+		check_clock(d, call, reply, now_ms);
 		ffl_dispatch_worker_set_clock(w, reply->clock_ms, now_ms);
 	}
 	resolve_tasks(d, reply->running, reply->running_count);
--- a/lib/dispatch/send.c
+++ b/lib/dispatch/send.c
@@ -34,6 +34,7 @@
 		      uint64_t now_ms);
 static void send_throttle(ffl_dispatch_t *d, ffl_run_t *run, GArray *orders,
 			  uint64_t now_ms);
+static bool holds_repeat(const ffl_run_t *run);
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms);
 
@@ -245,6 +246,13 @@
 	order->timeout_ms = THROTTLE_TIMEOUT_MS;
 }
 
+/* Returns true if a start in doubt is not to be repeated, as its worker answers
+ * no renewal either: each further sending would have to be waited out. */
+static bool holds_repeat(const ffl_run_t *run)
+{
+	return run->start_in_doubt && run->worker->missed_renewals;
+}
+
 static void send_run_order(ffl_dispatch_t *d, ffl_run_t *run, bool may_start,
 			   GArray *orders, uint64_t now_ms)
 {
@@ -271,7 +279,7 @@
 			send_start(d, run, orders, now_ms);
 		return;
 	}
-	if (run->state == FFL_RUN_SENT && may_start)
+	if (run->state == FFL_RUN_SENT && may_start && !holds_repeat(run))
 		send_start(d, run, orders, now_ms);
 	else if (ffl_throttle_due(run))
 		send_throttle(d, run, orders, now_ms);
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -22,6 +22,11 @@
 static void withdraw_start(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
 				    const ffl_dispatch_worker_t *w);
+static bool has_open_start(const ffl_dispatch_t *d, const ffl_run_t *run);
+static bool may_run_late(const ffl_dispatch_t *d, const ffl_run_t *run,
+			 uint64_t now_ms);
+static void note_waited_out(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			    uint32_t runs, uint64_t now_ms);
 static void stop_cancelled(ffl_dispatch_t *d, ffl_run_t *run);
 
 /* Returns the time that a run still needs: from its own rate if that is known,
@@ -164,27 +169,79 @@
 	return end_ms;
 }
 
+static bool has_open_start(const ffl_dispatch_t *d, const ffl_run_t *run)
+{
+	const ffl_open_call_t *call = g_hash_table_lookup(d->calls, &run->call);
+
+	return call && call->kind == FFL_ORDER_START;
+}
+
+/* Returns true if an incarnation that is not known may have begun a run by a
+ * late order, and may still have its lease. A lease holds for the whole worker,
+ * so that the latest of such orders counts for all of them. */
+static bool may_run_late(const ffl_dispatch_t *d, const ffl_run_t *run,
+			 uint64_t now_ms)
+{
+	uint64_t end_ms = ffl_lease_end_ms(d->opt.lease_max_ms,
+					   run->worker->late_orders_ms);
+
+	if (ffl_run_step(run)->allows_duplicates)
+		return false;
+	return (run->late_start_ms && now_ms < end_ms) ||
+	       has_open_start(d, run);
+}
+
+/* Tells that a worker's leases are over, but for runs that are waited out. */
+static void note_waited_out(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
+			    uint32_t runs, uint64_t now_ms)
+{
+	if (w->waits_out)
+		return;
+	w->waits_out = true;
+	ffl_dispatch_note(
+		d, "worker-waited-out", w->entry.id,
+		"runs=%u of=%u silent=%u late_ms=%" PRIu64 " wait_ms=%" PRIu64,
+		runs, w->runs->len, w->missed_renewals,
+		w->late_orders_ms - MIN(w->late_orders_ms, now_ms),
+		ffl_lease_end_ms(d->opt.lease_max_ms, w->late_orders_ms) -
+			now_ms);
+}
+
 void ffl_watch_worker(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      uint64_t now_ms)
 {
 	bool unreachable = w->missed_renewals || !w->entry.addr[0];
+	uint32_t late = 0;
+	uint32_t lost = 0;
 
 	/* The list is yet to be read, and may tell of a restart. */
 	if (!w->entry.addr[0] && !d->may_start &&
 	    now_ms < ffl_lease_end_ms(d->opt.lease_max_ms, d->last_lease_ms))
 		return;
+	if (!unreachable)
+		w->waits_out = false;
 	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms ||
 	    now_ms < latest_lease_end_ms(d, w))
 		return;
-	ffl_dispatch_note(d, "worker-lost", w->entry.id,
-			  "runs=%u silent=%u leases=%s over_ms=%" PRIu64
-			  " reported_ms=%" PRIu64 " leader_ms=%" PRIu64,
-			  w->runs->len, w->missed_renewals,
-			  ffl_lease_basis_name(w->leases_basis),
-			  w->leases_end_ms ? now_ms - w->leases_end_ms : 0,
-			  w->born_reported_ms ? now_ms - w->born_reported_ms
-					      : 0,
-			  now_ms - d->leader_since_ms);
+	for (guint i = 0; i < w->runs->len; i++) {
+		const ffl_run_t *run = g_ptr_array_index(w->runs, i);
+		bool may_run = may_run_late(d, run, now_ms);
+
+		late += may_run;
+		lost += !may_run && run->state != FFL_RUN_PLANNED;
+	}
+	if (late)
+		note_waited_out(d, w, late, now_ms);
+	if (!lost)
+		return;
+	ffl_dispatch_note(
+		d, "worker-lost", w->entry.id,
+		"runs=%u silent=%u leases=%s over_ms=%" PRIu64
+		" reported_ms=%" PRIu64 " leader_ms=%" PRIu64,
+		lost, w->missed_renewals, ffl_lease_basis_name(w->leases_basis),
+		w->leases_end_ms ? now_ms - w->leases_end_ms : 0,
+		w->born_reported_ms ? now_ms - w->born_reported_ms : 0,
+		now_ms - d->leader_since_ms);
 	d->lost_workers[w->leases_basis]++;
 	for (guint i = w->runs->len; i-- > 0;) {
 		ffl_run_t *run;
@@ -192,7 +249,8 @@
 		if (i >= w->runs->len)
 			continue;
 		run = g_ptr_array_index(w->runs, i);
-		if (run->state == FFL_RUN_PLANNED)
+		if (run->state == FFL_RUN_PLANNED ||
+		    may_run_late(d, run, now_ms))
 			continue;
 		ffl_dispatch_worker_note_given_up(run);
 		ffl_run_finish(d, run, FFL_RUN_END_LEASE_EXPIRED, NULL, now_ms);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -15,7 +15,8 @@
 
 static void take_back(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 		      uint64_t now_ms);
-static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w);
+static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
+			   uint64_t now_ms);
 static void forget_incarnation(ffl_dispatch_worker_t *w);
 static bool is_other_incarnation(const ffl_dispatch_worker_t *w,
 				 const ffl_worker_entry_t *entry);
@@ -116,6 +117,18 @@
 	w->leases_basis = basis;
 }
 
+void ffl_dispatch_note_unanswered(const ffl_dispatch_t *d,
+				  const ffl_open_call_t *call, uint64_t now_ms)
+{
+	uint64_t late_ms = now_ms + d->opt.order_late_max_ms;
+
+	if (!call->until_ms)
+		return;
+	call->worker->late_orders_ms = late_ms;
+	if (call->kind == FFL_ORDER_START && call->run)
+		call->run->late_start_ms = late_ms;
+}
+
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 const ffl_dispatch_worker_t *w,
 					 uint64_t now_ms, uint64_t *end_ms)
@@ -189,7 +202,8 @@
 
 /* Drops the unanswered orders to a worker; returns the highest number up to
  * which they acknowledge ends. */
-static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w)
+static uint64_t drop_calls(ffl_dispatch_t *d, const ffl_dispatch_worker_t *w,
+			   uint64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -202,6 +216,7 @@
 		if (call->worker != w)
 			continue;
 		acked = MAX(acked, call->acked);
+		ffl_dispatch_note_unanswered(d, call, now_ms);
 		g_hash_table_iter_remove(&iter);
 	}
 	return acked;
@@ -252,7 +267,7 @@
 void ffl_dispatch_worker_restart(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 				 int64_t born_ms, uint64_t now_ms)
 {
-	uint64_t acked = drop_calls(d, w);
+	uint64_t acked = drop_calls(d, w, now_ms);
 
 	ffl_dispatch_note(d, "worker-restarted", w->entry.id,
 			  "runs=%u born=%" PRId64 " before=%" PRId64
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -87,6 +87,7 @@
 {
 	ffl_dispatch_options_t opt = {
 		.lease_max_ms = 10000,
+		.order_late_max_ms = 12000,
 		.stop_max_ms = 400,
 		.gang_wait_ms = 3000,
 		.reclaim_ms = 2900,
