node: jobs follow their queue to another service

Cause: what a route says of its queue was copied into the job's record at its acceptance, and the dispatcher went by the record for good. The same held for the adviser's tickets (a job that waits as its queue gets an adviser was refused by every worker), the limit of attempts, priority and objective. A label, racks and the like are the caller's, a customer's guarantee was read from the configuration in force all along, and the route's timeout is not kept.

Change: ffl_flow_spec_set_route() is the one place that copies, at the acceptance, when a host reads the record, and when a configuration comes into force. A task that has failed as often as a lowered limit allows fails its job; a raised limit gives it the rest. The record keeps what the queue said then, for a queue that is gone. job-moved and config-in-force moved= tell of it.

Tests that fail before: waiting-job-is-left-in-former-service, next-host-reads-former-service, waiting-job-never-asks-for-tickets (node_test), attempts-changed (dispatch_test: two runs where one is allowed).

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fakes/site_int.h"
@@ -24,6 +25,7 @@
 static void send_act(site_t *s, uint32_t host, const ffl_node_act_t *act);
 static void record_response(site_t *s, const ffl_act_response_t *response);
 static void boot_host(site_t *s, uint32_t host);
+static void read_service(const ffl_store_record_t *rec, ffl_name_t out);
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply);
 static void serve_store(site_t *s, site_event_t *e, site_event_t *reply_event);
@@ -258,25 +260,41 @@
 	h->restart_ms = 0;
 }
 
-/* The record holds only the version; decode_records() adds the routes when it
- * is read. */
+/* The record holds only the version and the service; decode_records() adds the
+ * routes when it is read. */
 void site_write_config(site_t *s)
 {
 	char text[32];
 
 	s->version++;
-	g_snprintf(text, sizeof(text), "%" PRIu64, s->version);
+	g_snprintf(text, sizeof(text), "%" PRIu64 " %u", s->version,
+		   s->service);
 	keyed_log_put(&s->topics[FFL_TOPIC_CONFIG], "config", text,
 		      strlen(text));
 }
 
+void site_move_queues(site_t *s)
+{
+	s->service++;
+	site_write_config(s);
+}
+
+static void read_service(const ffl_store_record_t *rec, ffl_name_t out)
+{
+	char *text =
+		g_strndup((const char *)rec->value.data, rec->value.size_bytes);
+	const char *service = strchr(text, ' ');
+
+	site_service_name(service ? (uint32_t)atoi(service) : 0, out);
+	g_free(text);
+}
+
 static void decode_records(site_t *s, ffl_topic_t topic,
 			   ffl_store_reply_t *reply)
 {
 	for (uint32_t i = 0; i < reply->count; i++) {
 		ffl_store_record_t *rec = &reply->records[i];
 		ffl_route_t route = { .queue = "lining",
-				      .service = "survey",
 				      .priority = 1,
 				      .attempts_max = 2,
 				      .stretch_milli = 3000,
@@ -292,6 +310,7 @@
 				site_dc_name(site_evacuated_dc(rec->key));
 			continue;
 		}
+		read_service(rec, route.service);
 		rec->routes = ffl_arena_alloc(&s->arena, sizeof(*rec->routes));
 		ffl_routes_init(rec->routes);
 		rec->routes->version = rec->offset + 1;
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -135,6 +135,7 @@
 	uint32_t late_percent; /**< share of orders that are delayed */
 	uint32_t spec_bytes;   /**< length of the text of new jobs; 0: short */
 	uint64_t version;      /**< of the configuration */
+	uint32_t service;      /**< number of the service of all queues */
 	bool tickets_required; /**< the top-priority queue needs tickets */
 	uint64_t actions;      /**< actions of all hosts so far */
 	uint64_t reads;	       /**< reads of the log by all hosts so far */
@@ -173,6 +174,10 @@
 /** Writes a new version of the configuration to its topic. */
 void site_write_config(site_t *s);
 
+/** Gives all queues to another service, in a new version of the configuration.
+ * Workers are in it from their next start on. */
+void site_move_queues(site_t *s);
+
 /** Evacuates a data centre, or takes its evacuation back. */
 void site_evacuate(site_t *s, uint32_t dc, bool evacuated);
 
--- a/fakes/site_int.h
+++ b/fakes/site_int.h
@@ -48,6 +48,9 @@
 /** Delivers an event to a host and carries out the resulting actions. */
 void site_step_host(site_t *s, uint32_t host, ffl_node_event_t *ev);
 
+/** Writes the name of the service of a number to @p out. */
+void site_service_name(uint32_t number, ffl_name_t out);
+
 /* site_orders.c */
 /** Formats the ticket of a step for the current incarnation of a worker. */
 void site_make_ticket(const char *step, const task_worker_t *w,
--- a/fakes/site_waiting.c
+++ b/fakes/site_waiting.c
@@ -93,8 +93,11 @@
 {
 	const task_worker_t *w = &s->workers[worker];
 	const uint64_t *at = g_hash_table_lookup(s->reported_ms, w->id);
+	ffl_name_t service;
 
-	return w->alive && at && *at >= w->boot_ms && !w->draining &&
+	site_service_name(s->service, service);
+	return w->alive && strcmp(w->service, service) == 0 && at &&
+	       *at >= w->boot_ms && !w->draining &&
 	       !s->evacuated_ms[worker % SITE_DCS] && !w->hangs &&
 	       !s->worker_cut[worker] && !(s->hosts_cut[worker] >> leader & 1);
 }
--- a/fakes/site_workers.c
+++ b/fakes/site_workers.c
@@ -26,6 +26,14 @@
 	return dc_names[dc];
 }
 
+void site_service_name(uint32_t number, ffl_name_t out)
+{
+	if (number)
+		g_snprintf(out, sizeof(ffl_name_t), "survey-%u", number);
+	else
+		ffl_copy(out, sizeof(ffl_name_t), "survey");
+}
+
 uint32_t site_evacuated_dc(const char *key)
 {
 	uint32_t dc = 0;
@@ -178,6 +186,7 @@
 	task_worker_boot(w, s->now_ms, (int64_t)s->now_ms + 1,
 			 first_clock_ms(s, w));
 	w->listed = g_hash_table_contains(s->reported_ms, w->id);
+	site_service_name(s->service, w->service);
 }
 
 void site_worker_restart(site_t *s, uint32_t worker, bool clock_back)
--- a/fakes/task_worker.c
+++ b/fakes/task_worker.c
@@ -43,6 +43,7 @@
 	g_snprintf(w->id, sizeof(w->id), "w%02u", index);
 	ffl_copy(w->addr, sizeof(w->addr), w->id);
 	ffl_copy(w->dc, sizeof(w->dc), "norte");
+	ffl_copy(w->service, sizeof(w->service), "survey");
 	w->runs = g_ptr_array_new_with_free_func(g_free);
 	w->ended = g_ptr_array_new_with_free_func(g_free);
 	w->lapsed = g_ptr_array_new_with_free_func(g_free);
@@ -318,7 +319,7 @@
 	memset(out, 0, sizeof(*out));
 	ffl_copy(out->id, sizeof(out->id), w->id);
 	ffl_copy(out->addr, sizeof(out->addr), w->addr);
-	ffl_copy(out->service, sizeof(out->service), "survey");
+	ffl_copy(out->service, sizeof(out->service), w->service);
 	ffl_copy(out->dc, sizeof(out->dc), w->dc);
 	ffl_copy(out->rack, sizeof(out->rack), "r1");
 	out->draining = w->draining;
--- a/fakes/task_worker.h
+++ b/fakes/task_worker.h
@@ -42,6 +42,7 @@
 	char id[16];
 	char addr[16];
 	char dc[16]; /**< its data centre */
+	ffl_name_t service;
 	bool alive;
 	bool listed;
 	bool draining;
--- a/fuzz/node_ops.c
+++ b/fuzz/node_ops.c
@@ -48,6 +48,7 @@
 	OP_TAKE_BACK,
 	OP_RECUT,
 	OP_LATE_START,
+	OP_MOVE,
 	OP__MAX
 } op_t;
 
@@ -59,9 +60,10 @@
 	RECUT__MAX
 } recut_t;
 
-/** First bytes from RECUT_BYTE on choose OP_RECUT, but for that of
- * OP_LATE_START, those from EVACUATE_BYTE on OP_EVACUATE or OP_TAKE_BACK, lower
- * ones among the operations before these. */
+/** First bytes from RECUT_BYTE on choose OP_RECUT, those from EVACUATE_BYTE on
+ * OP_EVACUATE or OP_TAKE_BACK, lower ones among the operations before these;
+ * but LATE_START_BYTE and MOVE_BYTE choose the operation of their name. */
+#define MOVE_BYTE	243
 #define RECUT_BYTE	246
 #define LATE_START_BYTE 248
 #define EVACUATE_BYTE	250
@@ -73,16 +75,18 @@
 #define SOON_MS 300
 /** Shortest cut, about what a next leader waits. */
 #define CUT_MIN_MS 6000
+/** Time between the starts of workers of another service. */
+#define MOVE_GAP_MS 500
 /** Time in which a leader reads of a restart and has the worker's report. */
 #define RESTART_READ_MS 1900
 
 static const char *const op_names[OP__MAX] = {
-	"submit",     "chain",	   "repeat",	   "cancel",	"look",
-	"kill",	      "kill-all",  "stop",	   "freeze",	"cut",
-	"log-silent", "log-busy",  "log-lost",	   "forget",	"late",
-	"crash",      "boot",	   "hang",	   "drain",	"cut-worker",
-	"exit",	      "restart",   "restart-back", "replace",	"remove",
-	"evacuate",   "take-back", "recut",	   "late-start"
+	"submit",     "chain",	   "repeat",	   "cancel",	 "look",
+	"kill",	      "kill-all",  "stop",	   "freeze",	 "cut",
+	"log-silent", "log-busy",  "log-lost",	   "forget",	 "late",
+	"crash",      "boot",	   "hang",	   "drain",	 "cut-worker",
+	"exit",	      "restart",   "restart-back", "replace",	 "remove",
+	"evacuate",   "take-back", "recut",	   "late-start", "move"
 };
 
 static op_t op_of(uint8_t byte);
@@ -97,6 +101,7 @@
 static void lose(site_t *s, uint32_t worker, recut_t kind, uint32_t restart_ms,
 		 uint32_t cut_ms);
 static void start_late(site_t *s, uint8_t arg, uint32_t cut_ms);
+static void move(site_t *s, uint8_t arg);
 
 static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms)
 {
@@ -142,6 +147,8 @@
 
 static op_t op_of(uint8_t byte)
 {
+	if (byte == MOVE_BYTE)
+		return OP_MOVE;
 	if (byte < RECUT_BYTE)
 		return (op_t)(byte % OP_EVACUATE);
 	if (byte == LATE_START_BYTE)
@@ -222,6 +229,19 @@
 	lose(s, arg % WORKERS, RECUT_UNLISTED, 0, cut_ms);
 }
 
+/* The queues are given to another service while tasks run and wait, and its
+ * workers take the place of those of the one before. */
+static void move(site_t *s, uint8_t arg)
+{
+	site_submit(s, arg % HOSTS, 2 * WORKERS, 8, RECUT_WORK_MS, false);
+	site_run(s, SOON_MS);
+	site_move_queues(s);
+	for (uint32_t i = 0; i < WORKERS; i++) {
+		site_run(s, MOVE_GAP_MS);
+		site_worker_replace(s, (i + arg) % WORKERS);
+	}
+}
+
 /* Half of the restarts, exits and boots strike all workers. */
 static bool strikes_all(op_t op, uint8_t arg)
 {
@@ -284,6 +304,8 @@
 		recut(s, arg, CUT_MIN_MS + time * RUN_UNIT_MS);
 	} else if (op == OP_LATE_START) {
 		start_late(s, arg, CUT_MIN_MS + time * FAULT_UNIT_MS);
+	} else if (op == OP_MOVE) {
+		move(s, arg);
 	} else if (op >= OP_EVACUATE) {
 		site_evacuate(s, arg % SITE_DCS, op == OP_EVACUATE);
 	} else if (op >= OP_CRASH) {
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -388,6 +388,10 @@
  * cancelled. */
 void ffl_dispatch_request_placement(ffl_dispatch_t *d);
 
+/** Handles new terms of queues, which the flows have by now: a flow of which a
+ * task has failed too often under them is failed. */
+void ffl_dispatch_update_queues(ffl_dispatch_t *d);
+
 /**
  * Makes the decisions that are due and appends the resulting orders.
  *
--- a/include/fireflyledge/flow.h
+++ b/include/fireflyledge/flow.h
@@ -15,6 +15,7 @@
 #include <inttypes.h>
 #include <glib.h>
 
+#include "fireflyledge/routes.h"
 #include "fireflyledge/status.h"
 #include "fireflyledge/types.h"
 
@@ -70,24 +71,26 @@
 	uint32_t first_task; /**< index of its first task in an occurrence */
 } ffl_step_t;
 
-/** Specification of a job; never changes once accepted. */
+/** Specification of a job. What its caller asked for never changes once it is
+ * accepted. The rest is what the configuration says of its queue: the record
+ * has it as of then, and the configuration in force goes before. */
 typedef struct {
 	char id[FFL_FLOW_ID_BYTES];
 	ffl_name_t queue;
-	ffl_name_t service; /**< only workers of this service may run it */
 	ffl_name_t customer;
+	ffl_name_t service;    /**< only workers of this service may run it */
 	uint32_t priority;     /**< 0 is the highest */
 	uint32_t attempts_max; /**< failures of a task that fail the job */
 	/* The latency objective is objective_base_ms plus stretch_milli
 	 * thousandths of the expected processing time. */
 	uint32_t stretch_milli;
 	uint32_t objective_base_ms;
+	bool needs_tickets; /**< runs only on workers that the adviser allows */
 	uint64_t accepted_ms; /**< Unix time at the accepting host */
 	uint64_t start_at_ms; /**< Unix time of the first occurrence */
 	uint64_t interval_ms; /**< between the starts of two occurrences */
 	uint32_t occurrences; /**< 1 if the job is not repeated */
 	bool timed;	      /**< occurrences start at set times */
-	bool needs_tickets; /**< runs only on workers that the adviser allows */
 	uint32_t steps_count;
 	uint32_t tasks_per_occurrence;
 	ffl_step_t *steps;
@@ -214,6 +217,8 @@
  * @return FFL_OK, or FFL_INVALID with the reason in @p err
  */
 ffl_status_t ffl_flow_spec_validate(ffl_flow_spec_t *spec, ffl_err_t *err);
+/** Takes over what a route says of its queue; the queue's name stays. */
+void ffl_flow_spec_set_route(ffl_flow_spec_t *spec, const ffl_route_t *route);
 /** Returns true if two specifications request the same work, so that the second
  * is a retry of the first. */
 bool ffl_flow_spec_equal(const ffl_flow_spec_t *a, const ffl_flow_spec_t *b);
--- a/include/fireflyledge/routes.h
+++ b/include/fireflyledge/routes.h
@@ -46,6 +46,10 @@
  */
 const ffl_route_t *ffl_routes_match(const ffl_routes_t *routes,
 				    const char *host, const char *path);
+/** Returns the route of a queue, the first of several; NULL if there is none.
+ */
+const ffl_route_t *ffl_routes_find(const ffl_routes_t *routes,
+				   const char *queue);
 /** Returns the name of the customer that has an API key, or NULL. */
 const char *ffl_routes_customer(const ffl_routes_t *routes, const char *key);
 
--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -263,7 +263,8 @@
 {
 	char step[FFL_TASK_NAME_BYTES];
 
-	if (!flow->spec.needs_tickets)
+	/* Its queue may have asked for tickets before. */
+	if (!g_hash_table_size(d->advice.steps) && !d->advice.step[0])
 		return;
 	for (uint32_t k = 0; k < flow->spec.occurrences; k++) {
 		for (uint32_t s = 0; s < flow->spec.steps_count; s++) {
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -117,7 +117,7 @@
 			ffl_dispatch_worker_add_lease(w, leases_end_ms,
 						      FFL_LEASE_CLAIM);
 	}
-	d->replan = true;
+	ffl_dispatch_update_queues(d);
 }
 
 /* What is known of workers is forgotten too: they may restart, and change their
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -7,6 +7,10 @@
 #define RETRY_MS 50
 
 static void count_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
+static bool has_attempts(const ffl_flow_t *flow, uint32_t task);
+static void fail_flow(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
+		      const char *worker);
+static void fail_without_attempts(ffl_dispatch_t *d, const ffl_run_t *run);
 static void complete_task(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms);
 static void index_run(ffl_dispatch_t *d, ffl_run_t *run);
 static bool is_current(const ffl_run_t *run);
@@ -183,8 +187,6 @@
 static void count_failure(ffl_dispatch_t *d, ffl_run_t *run, uint64_t now_ms)
 {
 	ffl_flow_t *flow = run->flow;
-	uint32_t step = ffl_flow_step_of(flow, run->task);
-	const ffl_step_t *st = &flow->spec.steps[step];
 	uint32_t count;
 	uint32_t first;
 
@@ -194,13 +196,54 @@
 		return;
 	flow->tasks[first].failed_run = run->run;
 	flow->tasks[first].failures++;
-	if (!st->runs_until_cancelled &&
-	    flow->tasks[first].failures >= flow->spec.attempts_max) {
-		flow->failed = true;
-		ffl_dispatch_note(d, "job-failed", flow->spec.id,
-				  "step=%u failures=%u worker=%s", step,
-				  flow->tasks[first].failures,
-				  run->worker->entry.id);
+}
+
+static bool has_attempts(const ffl_flow_t *flow, uint32_t task)
+{
+	const ffl_step_t *step =
+		&flow->spec.steps[ffl_flow_step_of(flow, task)];
+
+	return step->runs_until_cancelled ||
+	       flow->tasks[task].failures < flow->spec.attempts_max;
+}
+
+static void fail_flow(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
+		      const char *worker)
+{
+	flow->failed = true;
+	ffl_dispatch_note(d, "job-failed", flow->spec.id,
+			  "step=%u failures=%u attempts=%u worker=%s",
+			  ffl_flow_step_of(flow, task),
+			  flow->tasks[task].failures, flow->spec.attempts_max,
+			  worker);
+}
+
+/* The failures of a gang count at its first task. */
+static void fail_without_attempts(ffl_dispatch_t *d, const ffl_run_t *run)
+{
+	uint32_t first;
+	uint32_t count;
+
+	ffl_flow_gang_range(run->flow, run->task, &first, &count);
+	if (!run->flow->failed && !has_attempts(run->flow, first))
+		fail_flow(d, run->flow, first, run->worker->entry.id);
+}
+
+void ffl_dispatch_update_queues(ffl_dispatch_t *d)
+{
+	d->replan = true;
+	if (!d->token)
+		return;
+	for (guint i = 0; i < d->flows->open->len; i++) {
+		ffl_flow_t *flow = g_ptr_array_index(d->flows->open, i);
+
+		for (uint32_t k = 0; k < flow->tasks_count; k++) {
+			if (flow->tasks[k].state != FFL_TASK_WAITING ||
+			    has_attempts(flow, k) || ffl_flow_ended(flow))
+				continue;
+			fail_flow(d, flow, k, "-");
+			ffl_dispatch_mark_dirty(d, flow);
+		}
 	}
 }
 
@@ -230,6 +273,7 @@
 		ffl_flow_task_set_checkpoint(flow, run->task, checkpoint);
 		ffl_flow_task_set_state(flow, run->task, FFL_TASK_WAITING);
 		flow->retry_ms = now_ms + RETRY_MS;
+		fail_without_attempts(d, run);
 	} else if (end == FFL_RUN_END_DONE) {
 		ffl_trust_count_success(run->worker);
 		if (succeeded)
--- a/lib/flow/flow.c
+++ b/lib/flow/flow.c
@@ -121,6 +121,16 @@
 	ffl_flow_spec_encode(&ended, out);
 }
 
+void ffl_flow_spec_set_route(ffl_flow_spec_t *spec, const ffl_route_t *route)
+{
+	ffl_copy(spec->service, sizeof(spec->service), route->service);
+	spec->priority = route->priority;
+	spec->attempts_max = MAX(route->attempts_max, 1);
+	spec->stretch_milli = route->stretch_milli;
+	spec->objective_base_ms = route->objective_base_ms;
+	spec->needs_tickets = route->needs_tickets;
+}
+
 bool ffl_flow_spec_equal(const ffl_flow_spec_t *a, const ffl_flow_spec_t *b)
 {
 	if (a->steps_count != b->steps_count ||
--- a/lib/node/jobs.c
+++ b/lib/node/jobs.c
@@ -235,6 +235,7 @@
 	uint64_t seen_ms = first_seen_ms(n, spec, place->part);
 	ffl_flow_t *flow = ffl_flows_add(&n->flows, spec, place->offset);
 
+	ffl_node_apply_route(n, flow);
 	flow->first_seen_ms = seen_ms;
 	ffl_copy(flow->spec_name, sizeof(flow->spec_name), place->name);
 	flow->spec_part = place->part;
--- a/lib/node/node_int.h
+++ b/lib/node/node_int.h
@@ -86,6 +86,9 @@
 /* tail.c */
 void ffl_tails_init(ffl_node_t *n);
 void ffl_tails_finish(ffl_node_t *n);
+/** Lets a job go by what the configuration in force says of its queue. Returns
+ * true if it has not ended and its service has changed. */
+bool ffl_node_apply_route(ffl_node_t *n, ffl_flow_t *flow);
 /** Sends the reads that are due. */
 void ffl_tails_drive(ffl_node_t *n);
 /** Handles a reply to a read of a followed topic; returns false if @p reply
--- a/lib/node/requests.c
+++ b/lib/node/requests.c
@@ -202,14 +202,9 @@
 	}
 	ffl_copy(spec->id, sizeof(spec->id), id);
 	ffl_copy(spec->queue, sizeof(spec->queue), route->queue);
-	ffl_copy(spec->service, sizeof(spec->service), route->service);
 	ffl_copy(spec->customer, sizeof(spec->customer),
 		 customer ? customer : "");
-	spec->priority = route->priority;
-	spec->attempts_max = MAX(route->attempts_max, 1);
-	spec->stretch_milli = route->stretch_milli;
-	spec->objective_base_ms = route->objective_base_ms;
-	spec->needs_tickets = route->needs_tickets;
+	ffl_flow_spec_set_route(spec, route);
 	spec->accepted_ms = n->wall_ms;
 	if (strlen(id) >= sizeof(spec->id) ||
 	    ffl_flow_spec_validate(spec, &err) != FFL_OK) {
--- a/lib/node/routes.c
+++ b/lib/node/routes.c
@@ -62,6 +62,19 @@
 	return best;
 }
 
+const ffl_route_t *ffl_routes_find(const ffl_routes_t *routes,
+				   const char *queue)
+{
+	for (guint i = 0; i < routes->routes->len; i++) {
+		const ffl_route_t *route =
+			&g_array_index(routes->routes, ffl_route_t, i);
+
+		if (strcmp(route->queue, queue) == 0)
+			return route;
+	}
+	return NULL;
+}
+
 const char *ffl_routes_customer(const ffl_routes_t *routes, const char *key)
 {
 	return g_hash_table_lookup(routes->keys, key);
--- a/lib/node/tail.c
+++ b/lib/node/tail.c
@@ -57,6 +57,8 @@
 static void handle_failure(ffl_node_t *n, ffl_tail_t *t,
 			   const ffl_store_reply_t *reply);
 static void finish_pages(ffl_node_t *n, ffl_tail_t *t, bool all);
+static uint32_t apply_routes(ffl_node_t *n);
+static void note_moved(ffl_node_t *n, const ffl_flow_t *flow);
 static void drop_unlisted(ffl_node_t *n, ffl_tail_t *t);
 static bool follows_jobs(const ffl_node_t *n, const ffl_tail_t *t);
 static uint32_t read_wait_ms(const ffl_node_t *n, const ffl_tail_t *t);
@@ -109,11 +111,53 @@
 	return t->synced && n->now_ms - t->caught_up_ms <= age_ms;
 }
 
+/* A job that is on the log goes by what the configuration in force says of its
+ * queue. A queue that is gone leaves its jobs as they are. */
+bool ffl_node_apply_route(ffl_node_t *n, ffl_flow_t *flow)
+{
+	const ffl_route_t *route =
+		n->has_routes ? ffl_routes_find(&n->routes, flow->spec.queue)
+			      : NULL;
+	bool moved = route && strcmp(flow->spec.service, route->service) != 0;
+
+	if (route)
+		ffl_flow_spec_set_route(&flow->spec, route);
+	return moved && !ffl_flow_ended(flow);
+}
+
+static uint32_t apply_routes(ffl_node_t *n)
+{
+	uint32_t moved = 0;
+	GHashTableIter iter;
+	gpointer flow;
+
+	g_hash_table_iter_init(&iter, n->flows.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &flow)) {
+		if (!ffl_node_apply_route(n, flow))
+			continue;
+		moved++;
+		if (n->lead.leading)
+			note_moved(n, flow);
+	}
+	return moved;
+}
+
+/* Only the leader tells of each job. */
+static void note_moved(ffl_node_t *n, const ffl_flow_t *flow)
+{
+	ffl_node_note(n, "job-moved", flow->spec.id,
+		      "queue=%s service=%s version=%" PRIu64 " placed=%u",
+		      flow->spec.queue, flow->spec.service, n->routes.version,
+		      flow->placed_count);
+}
+
 /* Old versions come again where a topic is read anew; the version in force
  * never decreases. */
 static void apply_config(ffl_node_t *n, ffl_tail_t *t,
 			 const ffl_store_record_t *rec)
 {
+	uint32_t moved;
+
 	if (rec->evacuated_dc) {
 		ffl_evacuations_apply_record(n, rec);
 		return;
@@ -134,11 +178,12 @@
 	ffl_routes_init(rec->routes);
 	n->has_routes = true;
 	n->dispatch.guaranteed = n->routes.guaranteed;
-	ffl_dispatch_request_placement(&n->dispatch);
+	moved = apply_routes(n);
+	ffl_dispatch_update_queues(&n->dispatch);
 	ffl_node_note(n, "config-in-force", n->opt.name,
-		      "version=%" PRIu64 " routes=%u keys=%u",
+		      "version=%" PRIu64 " routes=%u keys=%u moved=%u",
 		      n->routes.version, n->routes.routes->len,
-		      g_hash_table_size(n->routes.keys));
+		      g_hash_table_size(n->routes.keys), moved);
 }
 
 static void apply_worker(ffl_node_t *n, ffl_tail_t *t,
--- a/tests/dispatch_test.c
+++ b/tests/dispatch_test.c
@@ -1037,6 +1037,41 @@
 	test_bed_finish(&b);
 }
 
+/* A queue's limit of attempts is changed while a job of it has a failure: a
+ * lower one must not be exceeded, and of a higher one it has the rest. */
+static void test_attempts_changed(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t attempts_max;
+		uint32_t runs;
+	} cases[] = {
+		{ "kept", 2, 2 },
+		{ "raised", 3, 3 },
+		{ "lowered", 1, 1 },
+	};
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		test_bed_t b;
+		ffl_flow_t *flow;
+
+		g_test_message("%s", cases[i].name);
+		test_bed_init(&b, 4);
+		flow = submit(&b, "poison", 1,
+			      (ffl_step_t){ .tasks = 1, .gpus = 8 });
+		b.poison = flow;
+		while (!flow->tasks[0].failures)
+			run_for_ms(&b, 10);
+		g_assert_cmpint(flow->tasks[0].state, ==, FFL_TASK_WAITING);
+		flow->spec.attempts_max = cases[i].attempts_max;
+		ffl_dispatch_update_queues(&b.d);
+		run_for_ms(&b, 40000);
+		g_assert_cmpint(ffl_flow_state(flow), ==, FFL_FLOW_FAILED);
+		g_assert_cmpuint(flow->tasks[0].run, ==, cases[i].runs);
+		test_bed_finish(&b);
+	}
+}
+
 /* A worker that was left out is tried with a single task first, not with a
  * gang; once that is at work, all is placed there again. */
 static void test_probation(void)
@@ -2622,6 +2657,7 @@
 	g_test_add_func("/dispatch/spread-gang", test_spread_gang);
 	g_test_add_func("/dispatch/failed-at-once", test_failed_at_once);
 	g_test_add_func("/dispatch/hopeless-job", test_hopeless_job);
+	g_test_add_func("/dispatch/attempts-changed", test_attempts_changed);
 	g_test_add_func("/dispatch/probation", test_probation);
 	g_test_add_func("/dispatch/max-unavailable", test_max_unavailable);
 	g_test_add_func("/dispatch/until-cancelled-placed",
--- a/tests/node_test.c
+++ b/tests/node_test.c
@@ -1345,7 +1345,75 @@
 	assert_no_fault(s);
 }
 
+/* Fills all workers; returns a job that waits for room. */
+static uint32_t submit_waiting(site_t *s)
+{
+	uint32_t job;
+
+	site_submit(s, 0, 4, 8, 2 * WORK_MS, false);
+	site_run(s, 500);
+	job = site_submit(s, 1, 1, 8, WORK_MS, false);
+	site_run(s, 500);
+	g_assert_true(s->jobs[job].accepted);
+	g_assert_cmpuint(find_job_at_leader(s, job)->placed_count, ==, 0);
+	return job;
+}
+
+static void replace_workers(site_t *s)
+{
+	for (uint32_t i = 0; i < s->workers_count; i++)
+		site_worker_replace(s, i);
+}
+
+/* A job waits as its queue is given to another service, and the workers of the
+ * one before leave: it would wait for them for good. */
+static void waiting_job_is_left_in_former_service(site_t *s)
+{
+	uint32_t job = submit_waiting(s);
+
+	site_move_queues(s);
+	site_run(s, CONFIG_READ_MS);
+	replace_workers(s);
+	site_resubmit(s, 2, job);
+	site_run(s, 4 * WORK_MS);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 1);
+	g_assert_false(s->jobs[job].conflict);
+}
+
+/* The record on the log has the service as of then. */
+static void next_host_reads_former_service(site_t *s)
+{
+	uint32_t job = submit_waiting(s);
+
+	site_move_queues(s);
+	replace_workers(s);
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		site_kill(s, i, 1000);
+	site_run(s, 5 * WORK_MS);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 1);
+}
+
+/* Workers refuse starts without a ticket from then on. */
+static void waiting_job_never_asks_for_tickets(site_t *s)
+{
+	uint32_t job;
+
+	/* Every third job is of the queue that needs them. */
+	do
+		job = submit_waiting(s);
+	while (job % 3);
+	s->tickets_required = true;
+	site_write_config(s);
+	site_run(s, CONFIG_READ_MS + 8 * WORK_MS);
+	g_assert_cmpuint(g_hash_table_size(s->jobs[job].completed), ==, 1);
+}
+
 static const scenario_t scenarios[] = {
+	{ "waiting-job-is-left-in-former-service",
+	  waiting_job_is_left_in_former_service },
+	{ "next-host-reads-former-service", next_host_reads_former_service },
+	{ "waiting-job-never-asks-for-tickets",
+	  waiting_job_never_asks_for_tickets },
 	{ "no-faults", no_faults },
 	{ "chain", dependent_steps },
 	{ "cancelled-before-restart", cancelled_before_restart },
