dispatch: another writer's entry is no sign of a worker

An entry without a start time may be another writer's, so that it does not tell that a worker of an earlier leader's runs has not started again. The line worker-waited-out tells no wait where only an open call holds the run, and a job without failures has attempts, whatever its record says.

--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -433,7 +433,8 @@
 	return ffl_lease_end_ms(MIN(left_ms, d->opt.lease_max_ms), now_ms);
 }
 
-/* Another incarnation's clock starts anew. Only reports name theirs. */
+/* Notes in the call whether another incarnation has answered: its clock starts
+ * anew. Only reports name theirs. */
 static void check_clock(ffl_dispatch_t *d, ffl_open_call_t *call,
 			const ffl_reply_t *reply, uint64_t now_ms)
 {
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -200,11 +200,11 @@
 
 static bool has_attempts(const ffl_flow_t *flow, uint32_t task)
 {
-	const ffl_step_t *step =
-		&flow->spec.steps[ffl_flow_step_of(flow, task)];
+	uint32_t failures = flow->tasks[task].failures;
 
-	return step->runs_until_cancelled ||
-	       flow->tasks[task].failures < flow->spec.attempts_max;
+	return !failures || failures < flow->spec.attempts_max ||
+	       flow->spec.steps[ffl_flow_step_of(flow, task)]
+		       .runs_until_cancelled;
 }
 
 static void fail_flow(ffl_dispatch_t *d, ffl_flow_t *flow, uint32_t task,
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -205,16 +205,18 @@
 static void note_waited_out(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			    uint32_t runs, uint64_t now_ms)
 {
+	uint64_t end_ms =
+		ffl_lease_end_ms(d->opt.lease_max_ms, w->late_orders_ms);
+
 	if (w->waits_out)
 		return;
 	w->waits_out = true;
-	ffl_dispatch_note(
-		d, "worker-waited-out", w->entry.id,
-		"runs=%u of=%u silent=%u late_ms=%" PRIu64 " wait_ms=%" PRIu64,
-		runs, w->runs->len, w->missed_renewals,
-		w->late_orders_ms - MIN(w->late_orders_ms, now_ms),
-		ffl_lease_end_ms(d->opt.lease_max_ms, w->late_orders_ms) -
-			now_ms);
+	ffl_dispatch_note(d, "worker-waited-out", w->entry.id,
+			  "runs=%u of=%u silent=%u late_ms=%" PRIu64
+			  " wait_ms=%" PRIu64,
+			  runs, w->runs->len, w->missed_renewals,
+			  w->late_orders_ms - MIN(w->late_orders_ms, now_ms),
+			  end_ms - MIN(end_ms, now_ms));
 }
 
 void ffl_watch_worker(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -374,7 +374,7 @@
 	}
 	if (!w->entry.addr[0] && (!written_after_ms || w->runs->len))
 		take_over(d, w, entry, now_ms);
-	if (written_after_ms >= d->leader_since_ms)
+	if (entry->born_ms && written_after_ms >= d->leader_since_ms)
 		w->unheard = false;
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
