--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -57,7 +57,6 @@
 static void end_missing_runs(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			     const ffl_reply_t *reply, uint64_t sent_ms,
 			     uint64_t now_ms);
-static void settle_late_starts(ffl_dispatch_worker_t *w, uint64_t requested_ms);
 static void handle_start_refusal(ffl_dispatch_t *d, ffl_run_t *run,
 				 const ffl_reply_t *reply, uint64_t now_ms);
 
@@ -228,19 +227,6 @@
 	}
 }
 
-/* A report ends doubts: a new incarnation under a higher token accepts no
- * earlier order, and what the known one has not begun until it is too late has
- * not begun elsewhere. */
-static void settle_late_starts(ffl_dispatch_worker_t *w, uint64_t requested_ms)
-{
-	for (guint i = 0; i < w->runs->len; i++) {
-		ffl_run_t *run = g_ptr_array_index(w->runs, i);
-
-		if (w->lease_in_doubt || requested_ms >= run->late_start_ms)
-			run->late_start_ms = 0;
-	}
-}
-
 static void handle_renew_reply(ffl_dispatch_t *d, ffl_open_call_t *call,
 			       const ffl_reply_t *reply, uint64_t now_ms)
 {
@@ -266,7 +252,9 @@
 		ffl_dispatch_worker_add_lease(
 			w, ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
 			FFL_LEASE_RESTART);
-	settle_late_starts(w, call->sent_ms);
+	/* A new incarnation under a higher token accepts no earlier order. */
+	ffl_dispatch_worker_settle_starts(w, w->lease_in_doubt ? UINT64_MAX
+							       : call->sent_ms);
 	w->lease_in_doubt = false;
 	w->fence_due = false;
 	g_array_set_size(w->given_up, 0);
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -129,6 +129,17 @@
 		call->run->late_start_ms = late_ms;
 }
 
+void ffl_dispatch_worker_settle_starts(ffl_dispatch_worker_t *w,
+				       uint64_t alive_ms)
+{
+	for (guint i = 0; i < w->runs->len; i++) {
+		ffl_run_t *run = g_ptr_array_index(w->runs, i);
+
+		if (alive_ms >= run->late_start_ms)
+			run->late_start_ms = 0;
+	}
+}
+
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 const ffl_dispatch_worker_t *w,
 					 uint64_t now_ms, uint64_t *end_ms)
@@ -374,8 +385,11 @@
 	}
 	if (!w->entry.addr[0] && (!written_after_ms || w->runs->len))
 		take_over(d, w, entry, now_ms);
-	if (entry->born_ms && written_after_ms >= d->leader_since_ms)
+	if (entry->born_ms && written_after_ms >= d->leader_since_ms) {
 		w->unheard = false;
+		if (!w->lease_in_doubt)
+			ffl_dispatch_worker_settle_starts(w, written_after_ms);
+	}
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
 				  w->runs->len);
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -1543,6 +1543,39 @@
 		GIVE_UP_MS);
 }
 
+/* The same, of a worker that is cut off from the hosts and goes on writing its
+ * entry. */
+static void late_start_is_waited_out_beside_entries(bed_t *b)
+{
+	uint64_t since_ms;
+
+	start_again_on_w0(b);
+	since_ms = b->now_ms;
+	for (uint32_t i = 0; i < LATE_MAX_MS + 1500; i += 1500) {
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 1500);
+		read_entry(b, BORN_A, 100 + i, b->now_ms);
+	}
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, LATE_GIVE_UP_MS);
+	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS);
+	g_assert_cmpuint(b->now_ms - since_ms, <, LATE_MAX_MS + 4000);
+}
+
+/* Its next incarnation's entry tells nothing of what that has begun. */
+static void entry_of_next_incarnation_ends_doubt(bed_t *b)
+{
+	uint64_t since_ms;
+
+	start_again_on_w0(b);
+	since_ms = b->now_ms;
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, 1500);
+	for (uint32_t i = 0; i < LATE_MAX_MS + 1500; i += 1500) {
+		read_entry(b, BORN_B, 1 + i / 1500, b->now_ms);
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 1500);
+	}
+	fail_until_placed(b, FFL_REPLY_UNKNOWN, LATE_GIVE_UP_MS);
+	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
+}
+
 /* Two runs of the task may run at a time, so that none is waited out. */
 static void late_start_holds_task_that_allows_duplicates(bed_t *b)
 {
@@ -1666,6 +1699,10 @@
 	  start_in_doubt_is_repeated_at_silent_worker },
 	{ "late-start-that-never-came-is-waited-out",
 	  late_start_that_never_came_is_waited_out },
+	{ "late-start-is-waited-out-beside-entries",
+	  late_start_is_waited_out_beside_entries },
+	{ "entry-of-next-incarnation-ends-doubt",
+	  entry_of_next_incarnation_ends_doubt },
 	{ "late-start-holds-task-that-allows-duplicates",
 	  late_start_holds_task_that_allows_duplicates },
 	{ "start-in-doubt-holds-other-runs", start_in_doubt_holds_other_runs },
