--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -558,6 +558,26 @@
 	list_worker(b, "w1", ADDR_B, BORN_A);
 }
 
+/* The same, and the call of the start times out. Returns when it was sent, at
+ * latest. */
+static uint64_t leave_start_unanswered(bed_t *b)
+{
+	start_again_on_w0(b);
+	answer(b, FFL_ORDER_START, "w0",
+	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	return b->now_ms;
+}
+
+/* Nobody hears of w0 any more. Returns for how long the task still waits. */
+static uint32_t assert_waited_out(bed_t *b, uint64_t since_ms)
+{
+	uint32_t waited_ms =
+		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * LATE_GIVE_UP_MS);
+
+	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
+	return waited_ms;
+}
+
 /* The clock in the answer to a start is that of the incarnation which took it;
  * the list does not tell of that one before it is out of reach. */
 static void answer_of_next_incarnation_cuts_short_its_lease(bed_t *b)
@@ -1406,31 +1426,22 @@
 static void late_start_at_incarnation_out_of_reach(bed_t *b)
 {
 	uint64_t since_ms;
-	uint32_t waited_ms;
 
 	start_again_on_w0(b);
 	since_ms = b->now_ms;
 	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
-	waited_ms =
-		fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * LATE_GIVE_UP_MS);
-	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
-	g_assert_cmpuint(waited_ms, <, LATE_GIVE_UP_MS);
+	g_assert_cmpuint(assert_waited_out(b, since_ms), <, LATE_GIVE_UP_MS);
 }
 
 /* Another sending was answered; the one without an answer is late. */
 static void late_sending_of_answered_start(bed_t *b)
 {
-	uint64_t since_ms;
+	uint64_t since_ms = leave_start_unanswered(b);
 
-	start_again_on_w0(b);
-	since_ms = b->now_ms;
-	answer(b, FFL_ORDER_START, "w0",
-	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
 	wait_ms(b, 200);
 	answer(b, FFL_ORDER_START, "w0",
 	       (ffl_reply_t){ .clock_ms = CLOCK_A + LEASE_MAX_MS }, NULL);
-	fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * LATE_GIVE_UP_MS);
-	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
+	assert_waited_out(b, since_ms);
 }
 
 /* The restart is read while the start has no answer yet. */
@@ -1442,8 +1453,7 @@
 	since_ms = b->now_ms;
 	answer(b, FFL_ORDER_RENEW, "w0",
 	       (ffl_reply_t){ .clock_ms = CLOCK_B, .born_ms = BORN_B }, NULL);
-	fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * LATE_GIVE_UP_MS);
-	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
+	assert_waited_out(b, since_ms);
 }
 
 /* A renewal without an answer may come late too, and extend what a late start
@@ -1453,9 +1463,7 @@
 	const ffl_dispatch_worker_t *w;
 	uint64_t late_ms;
 
-	start_again_on_w0(b);
-	answer(b, FFL_ORDER_START, "w0",
-	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	leave_start_unanswered(b);
 	w = g_hash_table_lookup(b->d.workers, "w0");
 	late_ms = w->late_orders_ms;
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
@@ -1468,11 +1476,9 @@
 /* An incarnation that has accepted the stop cannot begin the run any more. */
 static void stop_at_next_incarnation_is_not_believed(bed_t *b)
 {
-	uint32_t waited_ms = 0;
+	uint32_t waited_ms;
 
-	start_again_on_w0(b);
-	answer(b, FFL_ORDER_START, "w0",
-	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	leave_start_unanswered(b);
 	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
 	wait_ms(b, 2 * STEP_MS);
 	answer(b, FFL_ORDER_STOP, "w0", (ffl_reply_t){ .clock_ms = CLOCK_B },
@@ -1484,18 +1490,13 @@
 /* The incarnation that the start was meant for may still crash. */
 static void stop_at_known_incarnation_ends_doubt(bed_t *b)
 {
-	uint64_t since_ms;
+	uint64_t since_ms = leave_start_unanswered(b);
 
-	start_again_on_w0(b);
-	since_ms = b->now_ms;
-	answer(b, FFL_ORDER_START, "w0",
-	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
 	ffl_dispatch_remove_worker(&b->d, "w0", 60000, b->now_ms);
 	wait_ms(b, 2 * STEP_MS);
 	answer(b, FFL_ORDER_STOP, "w0",
 	       (ffl_reply_t){ .clock_ms = CLOCK_A + LEASE_MAX_MS }, NULL);
-	fail_until_placed(b, FFL_REPLY_UNKNOWN, 2 * LATE_GIVE_UP_MS);
-	g_assert_cmpuint(b->now_ms - since_ms, >=, LATE_MAX_MS + LEASE_MAX_MS);
+	assert_waited_out(b, since_ms);
 }
 
 /* A worker that does not answer is sent no start again: each would have to be
@@ -1527,9 +1528,7 @@
 			       .born_ms = BORN_A };
 	const ffl_run_report_t running = { .run = 2, .percent = 1 };
 
-	start_again_on_w0(b);
-	answer(b, FFL_ORDER_START, "w0",
-	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
+	leave_start_unanswered(b);
 	wait_ms(b, 200);
 	answer(b, FFL_ORDER_START, "w0", (ffl_reply_t){ .clock_ms = CLOCK_A },
 	       NULL);
