node fuzzer: a sequence of moves leaves no more work than ends in time

The operation asked for too much: its tasks take 1 s now, so that 32 moves, the most of a sequence, fit.

--- a/fuzz/node_ops.c
+++ b/fuzz/node_ops.c
@@ -75,8 +75,10 @@
 #define SOON_MS 300
 /** Shortest cut, about what a next leader waits. */
 #define CUT_MIN_MS 6000
-/** Time between the starts of workers of another service. */
-#define MOVE_GAP_MS 500
+/** Time between the starts of workers of another service, and work of each task
+ * meanwhile: a sequence of moves leaves no more than ends within HEAL_MS. */
+#define MOVE_GAP_MS  500
+#define MOVE_WORK_MS 1000
 /** Time in which a leader reads of a restart and has the worker's report. */
 #define RESTART_READ_MS 1900
 
@@ -233,7 +235,7 @@
  * workers take the place of those of the one before. */
 static void move(site_t *s, uint8_t arg)
 {
-	site_submit(s, arg % HOSTS, 2 * WORKERS, 8, RECUT_WORK_MS, false);
+	site_submit(s, arg % HOSTS, 2 * WORKERS, 8, MOVE_WORK_MS, false);
 	site_run(s, SOON_MS);
 	site_move_queues(s);
 	for (uint32_t i = 0; i < WORKERS; i++) {
