--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -26,6 +26,8 @@
 #define ANSWER_MS      2
 #define STOP_MS	       120
 #define STARTUP_MS     300
+#define DRAIN_MS       2500
+#define LINGER_MS      500
 #define HOLD_MAX_MS    10000
 #define STATUS_OK      200
 #define LASTING_IDLE_MS 6000
@@ -76,6 +78,8 @@
 	char label[16];
 	char rack[16];
 	bool draining;
+	bool gone;
+	uint64_t leave_ms; /**< when it has left; 0: it stays */
 	uint64_t boot_ms;
 	int64_t born_ms;
 	uint64_t fence;
@@ -105,6 +109,7 @@
 static GHashTable *items;
 static minion_t minions[MINIONS_MAX];
 static uint32_t minions_count = 4;
+static uint32_t minions_per_rack = MINIONS_MAX;
 static const char *special_label;
 static uint32_t notice_ms = 4500;
 static int port;
@@ -580,6 +585,18 @@
 	json_decref(doc);
 }
 
+/* A minion that has drained exits: what runs there ends, and its entry goes. */
+static void leave(minion_t *m)
+{
+	if (!m->leave_ms || m->gone || now_ms() < m->leave_ms)
+		return;
+	note("%s leaves", m->id);
+	m->gone = true;
+	while (m->runs->len)
+		end_run(m, g_ptr_array_index(m->runs, 0), "lost");
+	put_named("keyed.servers", m->id, "");
+}
+
 static void *run_minions(void *arg)
 {
 	uint64_t published = 0;
@@ -587,13 +604,17 @@
 	for (;;) {
 		pause_ms(10);
 		pthread_mutex_lock(&lock);
-		for (uint32_t i = 0; i < minions_count; i++)
+		for (uint32_t i = 0; i < minions_count; i++) {
 			advance(&minions[i]);
+			leave(&minions[i]);
+		}
 		judge_items();
 		if (now_ms() - published >= 1500) {
 			published = now_ms();
-			for (uint32_t i = 0; i < minions_count; i++)
-				publish(&minions[i]);
+			for (uint32_t i = 0; i < minions_count; i++) {
+				if (!minions[i].gone)
+					publish(&minions[i]);
+			}
 		}
 		pthread_mutex_unlock(&lock);
 	}
@@ -605,7 +626,7 @@
 	const char *host = mg_get_header(conn, "Host");
 
 	for (uint32_t i = 0; host && i < minions_count; i++) {
-		if (strcmp(minions[i].addr, host) == 0)
+		if (!minions[i].gone && strcmp(minions[i].addr, host) == 0)
 			return &minions[i];
 	}
 	return NULL;
@@ -858,10 +879,21 @@
 
 /* What the script asks for. */
 
+static void drain(uint32_t from, uint32_t to)
+{
+	for (uint32_t i = from; i <= to && i < minions_count; i++) {
+		minions[i].draining = true;
+		minions[i].leave_ms = now_ms() + DRAIN_MS + LINGER_MS;
+		publish(&minions[i]);
+	}
+	note("m%02u to m%02u drain", from, to);
+}
+
 /* POST /x/config stores the newest configuration; POST /x/note adds a line to
  * the record, /x/break one on a broken rule; POST /x/advice sets the adviser's
- * times; GET /x/broken tells how often a rule was broken; GET /x/running how
- * many runs there are. */
+ * times; POST /x/drain names the first and the last minion that leave; GET
+ * /x/broken tells how often a rule was broken; GET /x/running how many runs
+ * there are. */
 static int serve_script(struct mg_connection *conn, void *user)
 {
 	const char *uri = mg_get_request_info(conn)->local_uri;
@@ -870,6 +902,8 @@
 	uint32_t running = 0;
 	uint32_t decide;
 	uint32_t period;
+	uint32_t from;
+	uint32_t to;
 
 	g_byte_array_append(body, (const guint8 *)"", 1);
 	pthread_mutex_lock(&lock);
@@ -885,6 +919,9 @@
 		atomic_store(&decide_ms, decide);
 		atomic_store(&period_ms, period);
 	}
+	else if (strcmp(uri, "/x/drain") == 0 &&
+		 sscanf((const char *)body->data, "%u %u", &from, &to) == 2)
+		drain(from, to);
 	broken += strcmp(uri, "/x/break") == 0;
 	for (uint32_t i = 0; i < minions_count; i++)
 		running += minions[i].runs->len;
@@ -906,7 +943,8 @@
 			   port);
 		g_strlcpy(m->label, !i && special_label ? special_label : "a",
 			  sizeof(m->label));
-		g_snprintf(m->rack, sizeof(m->rack), "r1");
+		g_snprintf(m->rack, sizeof(m->rack), "r%u",
+			   i / minions_per_rack + 1);
 		m->boot_ms = now_ms();
 		m->born_ms = g_get_real_time() / 1000 - 60000;
 		m->entries = 40;
@@ -938,11 +976,13 @@
 	int opt;
 
 	record = stdout;
-	while ((opt = getopt(argc, argv, "p:m:l:r:")) != -1) {
+	while ((opt = getopt(argc, argv, "p:m:k:l:r:")) != -1) {
 		if (opt == 'p')
 			port = atoi(optarg);
 		else if (opt == 'm')
 			minions_count = MIN((uint32_t)atoi(optarg), MINIONS_MAX);
+		else if (opt == 'k')
+			minions_per_rack = MAX((uint32_t)atoi(optarg), 1);
 		else if (opt == 'l')
 			special_label = optarg;
 		else if (opt == 'r')
