--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -95,7 +95,7 @@
 		ready = 127.0.4.$1:$((PORT + 1))
 		metrics = 127.0.4.$1:$((PORT + 2))
 		[log]
-		address = 127.0.3.1:$PORT
+		address = 127.0.3.$1:$PORT
 		record = 262144B
 		append = 2097152B
 		partitions = 12
--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -28,6 +28,11 @@
 #define STARTUP_MS     300
 #define DRAIN_MS       2500
 #define LINGER_MS      500
+#define DOWN_MS	       3000
+#define SILENT_MS      4500
+#define HOSTS_MAX      3
+#define HEARTBEAT_MS   1500
+#define LIVED_MS       480000
 #define HOLD_MAX_MS    10000
 #define STATUS_OK      200
 #define LASTING_IDLE_MS 6000
@@ -54,6 +59,7 @@
 	uint32_t tasks;	    /**< of its step */
 	uint32_t away_max;  /**< max_unavailable of its step; 0: not judged */
 	bool ticket;	    /**< its minion asks for one */
+	uint32_t late_ms;   /**< its first order is carried out so late */
 } text_t;
 
 typedef struct {
@@ -80,7 +86,12 @@
 	bool draining;
 	bool gone;
 	uint64_t leave_ms; /**< when it has left; 0: it stays */
+	bool cut;	   /**< from the store and the hosts beyond the cut */
+	uint64_t up_ms;	   /**< it is down before */
+	json_t *late;	   /**< an order to be carried out late, or NULL */
+	uint64_t late_ms;
 	uint64_t boot_ms;
+	uint64_t clock_ms; /**< its clock as it was seen first */
 	int64_t born_ms;
 	uint64_t fence;
 	uint64_t until_ms; /**< by its clock */
@@ -115,6 +126,12 @@
 static int port;
 static FILE *record;
 static uint64_t zero_ms;
+/** Host that will be cut off from the store, with the minion of the first order
+ * that is late; 0: none. */
+static uint32_t cut_host;
+static bool is_cut;
+static uint64_t cut_ms;
+static uint64_t cut_fence; /**< highest that was seen before the cut */
 static pthread_mutex_t adviser = PTHREAD_MUTEX_INITIALIZER;
 static _Atomic uint32_t advice_waiting;
 static _Atomic uint32_t decide_ms;
@@ -170,6 +187,14 @@
 	json_decref(doc);
 }
 
+/* Leaves a call without an answer. */
+static int drop(struct mg_connection *conn)
+{
+	pause_ms(DOWN_MS);
+	mg_disable_connection_keep_alive(conn);
+	return 1;
+}
+
 static GByteArray *read_body(struct mg_connection *conn)
 {
 	GByteArray *body = g_byte_array_new();
@@ -202,6 +227,17 @@
 	return ok;
 }
 
+/* Returns true if a call to the store comes from the host that is cut off: each
+ * host has an address of the store to itself. */
+static bool is_cut_off(const struct mg_connection *conn)
+{
+	const char *host = mg_get_header(conn, "Host");
+	char mine[32];
+
+	g_snprintf(mine, sizeof(mine), "127.0.3.%u:%d", cut_host, port);
+	return is_cut && host && strcmp(host, mine) == 0;
+}
+
 /* The log. */
 
 static void record_free(void *data)
@@ -268,6 +304,10 @@
 	guint pos = 0;
 
 	pause_ms(APPEND_MS);
+	if (is_cut_off(conn)) {
+		g_byte_array_unref(body);
+		return drop(conn);
+	}
 	pthread_mutex_lock(&lock);
 	t = get_topic(conn);
 	offset = t->records->len;
@@ -336,6 +376,10 @@
 		g_byte_array_append(out, r->value->data, r->value->len);
 	}
 	pthread_mutex_unlock(&lock);
+	if (is_cut_off(conn)) {
+		g_byte_array_unref(out);
+		return drop(conn);
+	}
 	respond(conn, STATUS_OK, (const char *)out->data, out->len);
 	g_byte_array_unref(out);
 	return 1;
@@ -392,6 +436,10 @@
 	pthread_mutex_unlock(&lock);
 	g_hash_table_destroy(newest);
 	g_free(after);
+	if (is_cut_off(conn)) {
+		json_decref(list);
+		return drop(conn);
+	}
 	respond_json(conn, STATUS_OK,
 		     json_pack("{s:o,s:b,s:I}", "items", list, "has_more", more,
 			       "end_offset", (json_int_t)end));
@@ -402,11 +450,11 @@
 
 static uint64_t clock_of(const minion_t *m)
 {
-	return now_ms() - m->boot_ms + 5000;
+	return now_ms() - m->boot_ms + m->clock_ms;
 }
 
-/* The words of a text: work=MS, fail=RUN,MS, gpu=N, tasks=N, away=N, ticket.
- * Without work the run lasts. */
+/* The words of a text: work=MS, fail=RUN,MS, gpu=N, tasks=N, away=N, ticket,
+ * late=MS. Without work the run lasts. */
 static text_t parse_text(const char *text)
 {
 	text_t out = { .gpu = 1, .tasks = 1 };
@@ -423,6 +471,8 @@
 	if ((p = strstr(text, "away=")))
 		out.away_max = (uint32_t)atoi(p + 5);
 	out.ticket = strstr(text, "ticket") != NULL;
+	if ((p = strstr(text, "late=")))
+		out.late_ms = (uint32_t)atoi(p + 5);
 	return out;
 }
 
@@ -597,6 +647,19 @@
 	put_named("keyed.servers", m->id, "");
 }
 
+/* The store removes an entry after three ping intervals of silence. */
+static void lose_entry(const minion_t *m)
+{
+	static bool lost;
+
+	if (!m->cut || lost || now_ms() - cut_ms < SILENT_MS)
+		return;
+	lost = true;
+	put_named("keyed.servers", m->id, "");
+}
+
+static void carry_out_late(minion_t *m);
+
 static void *run_minions(void *arg)
 {
 	uint64_t published = 0;
@@ -607,12 +670,14 @@
 		for (uint32_t i = 0; i < minions_count; i++) {
 			advance(&minions[i]);
 			leave(&minions[i]);
+			carry_out_late(&minions[i]);
+			lose_entry(&minions[i]);
 		}
 		judge_items();
-		if (now_ms() - published >= 1500) {
+		if (now_ms() - published >= HEARTBEAT_MS) {
 			published = now_ms();
 			for (uint32_t i = 0; i < minions_count; i++) {
-				if (!minions[i].gone)
+				if (!minions[i].gone && !minions[i].cut)
 					publish(&minions[i]);
 			}
 		}
@@ -676,6 +741,24 @@
 	return text ? text : "";
 }
 
+/* TWICE: two runs of one work item at the same time. */
+static void judge_start(const minion_t *m, const char *task, uint32_t run)
+{
+	for (uint32_t i = 0; i < minions_count; i++) {
+		for (guint k = 0; k < minions[i].runs->len; k++) {
+			const run_t *r =
+				g_ptr_array_index(minions[i].runs, k);
+
+			if (strcmp(r->task, task) != 0)
+				continue;
+			broken++;
+			note("BROKEN TWICE: %s run %u begins at %s while run "
+			     "%u is at work at %s",
+			     task, run, m->id, r->run, minions[i].id);
+		}
+	}
+}
+
 /* A ticket names the step, the minion and the end of its time. */
 static bool is_ticket(const minion_t *m, const char *task, const char *ticket)
 {
@@ -712,6 +795,7 @@
 		return refusal(m, "late");
 	if (text.ticket && !is_ticket(m, task, text_of(doc, "ticket")))
 		return refusal(m, "ticket");
+	judge_start(m, task, run);
 	r = g_new0(run_t, 1);
 	g_strlcpy(r->task, task, sizeof(r->task));
 	r->run = run;
@@ -750,6 +834,66 @@
 	return json_pack("{s:I}", "clock_ms", (json_int_t)clock_of(m));
 }
 
+/* The region of the minion and of the leader is cut off from the rest as an
+ * order comes; the minion crashes, starts again, and carries out the order. */
+static void begin_trouble(minion_t *m, json_t *order, uint32_t late_ms)
+{
+	is_cut = true;
+	cut_ms = now_ms();
+	for (uint32_t i = 0; i < minions_count; i++)
+		cut_fence = MAX(cut_fence, minions[i].fence);
+	m->cut = true;
+	m->late = json_incref(order);
+	m->late_ms = now_ms() + late_ms;
+	m->up_ms = now_ms() + DOWN_MS;
+	m->boot_ms = m->up_ms;
+	m->clock_ms = 0;
+	m->born_ms = g_get_real_time() / 1000 + DOWN_MS;
+	m->fence = 0;
+	m->until_ms = 0;
+	m->last_end = 0;
+	m->entries = 0;
+	g_ptr_array_set_size(m->runs, 0);
+	g_ptr_array_set_size(m->ends, 0);
+	g_hash_table_remove_all(m->highest);
+	note("%s: an order to start %s is left unanswered; the minion crashes, "
+	     "and is cut off with host-%u",
+	     m->id, text_of(order, "task"), cut_host);
+}
+
+/* Returns true if a call to a minion gets no answer. */
+static bool is_unheard(minion_t *m, json_t *order, const char *uri)
+{
+	uint32_t late_ms = parse_text(text_of(order, "spec")).late_ms;
+	uint64_t fence = (uint64_t)json_integer_value(
+		json_object_get(order, "fencing_token"));
+
+	if (now_ms() < m->up_ms || (m->cut && fence > cut_fence))
+		return true;
+	if (!late_ms || !cut_host || is_cut ||
+	    strcmp(uri, "/-/run-start") != 0)
+		return false;
+	m->fence = MAX(m->fence, fence);
+	begin_trouble(m, order, late_ms);
+	return true;
+}
+
+static void carry_out_late(minion_t *m)
+{
+	json_t *order = m->late;
+	int status;
+
+	if (!order || now_ms() < m->late_ms)
+		return;
+	m->late = NULL;
+	note("%s: the order to start %s is carried out%s", m->id,
+	     text_of(order, "task"),
+	     takes(m, order) ? "" : " under a fence that refuses it");
+	if (takes(m, order))
+		json_decref(start(m, order, &status));
+	json_decref(order);
+}
+
 static json_t *list_runs(const minion_t *m)
 {
 	json_t *running = json_array();
@@ -812,6 +956,11 @@
 	g_byte_array_unref(body);
 	pthread_mutex_lock(&lock);
 	m = find_minion(conn);
+	if (m && doc && is_unheard(m, doc, uri)) {
+		pthread_mutex_unlock(&lock);
+		json_decref(doc);
+		return drop(conn);
+	}
 	if (!m || !doc || (expected && strcmp(expected, m->id) != 0)) {
 		status = m && doc ? 421 : 400;
 		out = json_object();
@@ -891,8 +1040,8 @@
 
 /* POST /x/config stores the newest configuration; POST /x/note adds a line to
  * the record, /x/break one on a broken rule; POST /x/advice sets the adviser's
- * times; POST /x/drain names the first and the last minion that leave; GET
- * /x/broken tells how often a rule was broken; GET /x/running how many runs
+ * times; POST /x/drain names the first and the last minion that leave; POST
+ * /x/cut names the host that is cut off once an order is late; GET /x/broken tells how often a rule was broken; GET /x/running how many runs
  * there are. */
 static int serve_script(struct mg_connection *conn, void *user)
 {
@@ -919,6 +1068,8 @@
 		atomic_store(&decide_ms, decide);
 		atomic_store(&period_ms, period);
 	}
+	else if (strcmp(uri, "/x/cut") == 0)
+		cut_host = (uint32_t)atoi((const char *)body->data);
 	else if (strcmp(uri, "/x/drain") == 0 &&
 		 sscanf((const char *)body->data, "%u %u", &from, &to) == 2)
 		drain(from, to);
@@ -946,8 +1097,9 @@
 		g_snprintf(m->rack, sizeof(m->rack), "r%u",
 			   i / minions_per_rack + 1);
 		m->boot_ms = now_ms();
-		m->born_ms = g_get_real_time() / 1000 - 60000;
-		m->entries = 40;
+		m->clock_ms = LIVED_MS;
+		m->born_ms = g_get_real_time() / 1000 - LIVED_MS;
+		m->entries = LIVED_MS / HEARTBEAT_MS;
 		m->runs = g_ptr_array_new_with_free_func(g_free);
 		m->ends = g_ptr_array_new_with_free_func(g_free);
 		m->highest = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -1001,6 +1153,8 @@
 	pthread_cond_init(&changed, &attr);
 	boot_minions();
 	g_string_printf(listen_on, "127.0.3.1:%d", port);
+	for (uint32_t i = 2; i <= HOSTS_MAX; i++)
+		g_string_append_printf(listen_on, ",127.0.3.%u:%d", i, port);
 	for (uint32_t i = 0; i < minions_count; i++)
 		g_string_append_printf(listen_on, ",%s", minions[i].addr);
 	options[1] = listen_on->str;
