--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -55,6 +55,7 @@
 # call HOST METHOD PATH [BODY]: as a consumer; the record has it.
 call() {
 	local out
+	note "host-$1 is sent $2 $3 ${4:-}"
 	out=$(http "$2" "127.0.4.$1:$PORT" "$3" "${4:-}" "Host: ponds.example" \
 		"Authorization: Bearer k1" "X-Deadline-Ms: 3000")
 	note "host-$1 answers $2 $3 with $out"
