advice: tickets that hold for half a second or less are used

What callers saw: nothing of a queue whose tickets hold for 0.5 s or less ever runs; the adviser is asked about it without a pause.

Cause: no ticket was used in the last 500 ms of its validity, which is all of these.

Change: the part that is left for the start order to arrive is half of the validity at most.

The new test short-tickets-are-never-used failed before.

--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -9,6 +9,8 @@
 /** A ticket is not used in the last part of its validity: the start order has
  * to be recorded and to reach the worker before it expires. */
 #define TICKET_MARGIN_MS 500
+/** That part is no larger than this share of the validity. */
+#define TICKET_MARGIN_PERCENT 50
 
 static void mark_denied(GHashTable *known, const ffl_advice_call_t *call);
 static uint32_t margin_ms(uint32_t valid_ms);
@@ -91,7 +93,9 @@
 
 static uint32_t margin_ms(uint32_t valid_ms)
 {
-	return MIN(TICKET_MARGIN_MS, valid_ms);
+	uint64_t most_ms = (uint64_t)valid_ms * TICKET_MARGIN_PERCENT / PERCENT;
+
+	return (uint32_t)MIN(TICKET_MARGIN_MS, most_ms);
 }
 
 void ffl_advice_store(ffl_dispatch_t *d, const ffl_advice_call_t *call,
--- a/tests/advice_test.c
+++ b/tests/advice_test.c
@@ -476,6 +476,39 @@
 	}
 }
 
+/* Tickets that hold for less than the time that is usually kept for the start
+ * order to arrive are used all the same. */
+static void test_short_tickets(void)
+{
+	static const struct {
+		uint32_t valid_ms;
+		ffl_adviser_times_t times;
+		ffl_step_t step;
+	} cases[] = {
+		{ 500, { 20, 10 }, { .tasks = 1, .gpus = 1 } },
+		{ 400, { 20, 10 }, { .tasks = 1, .gpus = 1 } },
+		{ 400, { 200, 100 }, { .tasks = 1, .gpus = 1 } },
+		{ 150, { 20, 10 }, { .tasks = 3, .gpus = 8 } },
+		{ 50, { 20, 10 }, { .tasks = 8, .gpus = 8, .gang = true } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_step_t *step = &cases[i].step;
+		bed_t b;
+
+		g_test_message("%u ms", cases[i].valid_ms);
+		bed_init(&b, WORKERS_MAX);
+		b.adviser.times = cases[i].times;
+		b.adviser.valid_ms = cases[i].valid_ms;
+		b.allowed_from = 20;
+		submit(&b, "fit", 1, 1, step, cases[i].times);
+		run_until(&b, b.now_ms + ask_all_ms(&b) + LOST_MS, step->tasks);
+		g_assert_cmpuint(b.starts, ==, step->tasks);
+		g_assert_cmpuint(b.refused_starts, ==, 0);
+		bed_finish(&b);
+	}
+}
+
 /* Calls do not pile up at an adviser that is slower than it should be, which
  * each repetition would make later. */
 static void test_no_pile(void)
@@ -623,6 +656,8 @@
 	g_test_add_func("/advice/slow-advice-is-never-waited-for",
 			test_slow_advice);
 	g_test_add_func("/advice/no-later-than-in-calls-of-30", test_no_later);
+	g_test_add_func("/advice/short-tickets-are-never-used",
+			test_short_tickets);
 	g_test_add_func("/advice/given-up-calls-pile-up", test_no_pile);
 	g_test_add_func("/advice/refused-call", test_refused_call);
 	g_test_add_func("/advice/learn", test_learn);
