advice: the tickets of a gang are renewed together

What callers saw: a gang that needs tickets for many workers never runs where they hold for less time than the adviser needs to name all of them.

Cause: each call was about the workers whose tickets had expired or were not known; with 40 workers in two calls the tickets of the first were over before the second was answered. Evidence: on a stand-in with 200 and 200 ms a call and tickets of 1.5 s the calls were about 40, 8, 32, 8, 32 ... workers, all answered, and nothing started in 60 s.

Change: what is allowed stays known when its ticket has expired. Once a step fits on such workers, one call renews the tickets that it needs.

The new test tickets-of-gang-expire-in-turn failed before.

--- a/lib/dispatch/advice.c
+++ b/lib/dispatch/advice.c
@@ -48,7 +48,8 @@
 		return true;
 	ffl_advice_step_name(req->flow, req->occurrence, req->step_index, step);
 	a = ffl_advice_find(d, step, w);
-	return a && a->ticket[0] && req->now_ms < a->usable_until_ms;
+	return a && a->ticket[0] &&
+	       (req->expired_tickets || req->now_ms < a->usable_until_ms);
 }
 
 const char *ffl_advice_ticket(const ffl_dispatch_t *d, const ffl_run_t *run)
--- a/lib/dispatch/advice_call.c
+++ b/lib/dispatch/advice_call.c
@@ -26,6 +26,7 @@
 	const ffl_dispatch_worker_t *worker;
 	uint32_t free_gpus;
 	uint32_t tasks; /**< that fit on it now */
+	bool known;	/**< the adviser has answered about it before */
 	int64_t cost;	/**< see ffl_placement_cost() */
 } candidate_t;
 
@@ -44,12 +45,16 @@
 			    const candidate_t *c);
 static bool is_being_asked(const ffl_advice_t *a, const char *step,
 			   const char *worker);
+static void remove_known(GArray *found);
 static GArray *list_candidates(ffl_dispatch_t *d,
 			       const ffl_place_request_t *req,
 			       ffl_advice_call_t *call, bool asks_again);
 static uint32_t workers_needed(const GArray *found, uint32_t tasks);
 static void select_workers(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			   ffl_advice_call_t *call);
+static bool starts_whole(const ffl_place_request_t *req);
+static bool select_renewals(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			    ffl_advice_call_t *call);
 static uint64_t wait_ms(const ffl_advice_call_t *call);
 
 static void call_free(void *data)
@@ -217,6 +222,16 @@
 	return false;
 }
 
+/* The tickets of a gang are renewed together, once enough workers are known to
+ * be allowed. */
+static void remove_known(GArray *found)
+{
+	for (guint i = found->len; i-- > 0;) {
+		if (g_array_index(found, candidate_t, i).known)
+			g_array_remove_index_fast(found, i);
+	}
+}
+
 /* Lists the workers that the adviser may be asked about, those with the most
  * free GPUs first; also those that a late call names, if asked again. */
 static GArray *list_candidates(ffl_dispatch_t *d,
@@ -225,7 +240,7 @@
 {
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	ffl_resources_t need = ffl_step_resources(req->step);
-	bool any_unknown = false;
+	uint32_t unknown = 0;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -245,12 +260,15 @@
 		    (!asks_again &&
 		     is_being_asked(&d->advice, call->step, w->entry.id)))
 			continue;
-		any_unknown |= !ffl_advice_find(d, call->step, w);
+		c.known = ffl_advice_find(d, call->step, w) != NULL;
+		unknown += !c.known;
 		c.cost = ffl_placement_cost(d, w, req);
 		g_array_append_val(found, c);
 	}
+	if (unknown && req->step->gang)
+		remove_known(found);
 	g_array_sort(found, compare_free_gpus);
-	if (any_unknown && ffl_advice_of_step(d, call->step))
+	if (unknown && ffl_advice_of_step(d, call->step))
 		call->ask.asked =
 			g_hash_table_size(ffl_advice_of_step(d, call->step));
 	return found;
@@ -285,6 +303,50 @@
 	g_array_free(found, TRUE);
 }
 
+/* A member of a gang that is still running somewhere is waited for. */
+static bool starts_whole(const ffl_place_request_t *req)
+{
+	return !req->step->gang ||
+	       ffl_place_count_waiting(req) == req->step->tasks;
+}
+
+/* Selects the workers on which the step would be placed if their tickets held
+ * long enough; those of a gang have to be valid all at once. Returns false if
+ * too few workers are known to be allowed, or none of them has room. */
+static bool select_renewals(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			    ffl_advice_call_t *call)
+{
+	uint32_t waiting = ffl_place_count_waiting(req);
+	ffl_place_request_t trial = *req;
+	ffl_dispatch_worker_t **chosen;
+	uint64_t until_ms = req->now_ms;
+	uint32_t found;
+
+	if (!ffl_advice_of_step(d, call->step) || !starts_whole(req))
+		return false;
+	trial.expired_tickets = true;
+	chosen = g_new0(ffl_dispatch_worker_t *, req->step->tasks);
+	found = ffl_place_find(d, &trial, MIN(waiting, FFL_ADVISER_WORKERS_MAX),
+			       chosen);
+	if (req->step->gang)
+		until_ms += ffl_adviser_cost_ms(
+			call->adviser, MIN(found, FFL_ADVISER_WORKERS_MAX));
+	for (uint32_t i = 0;
+	     i < found && call->workers->len < FFL_ADVISER_WORKERS_MAX; i++) {
+		const ffl_advice_entry_t *a =
+			ffl_advice_find(d, call->step, chosen[i]);
+
+		if (a->usable_until_ms <= until_ms &&
+		    !g_ptr_array_find_with_equal_func(call->workers,
+						      chosen[i]->entry.id,
+						      g_str_equal, NULL))
+			add_worker(call, chosen[i]);
+	}
+	g_free(chosen);
+	call->ask.need = call->ask.unasked = call->workers->len;
+	return call->workers->len > 0;
+}
+
 void ffl_advice_request(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
 	ffl_advice_t *a = &d->advice;
@@ -301,7 +363,8 @@
 	call->ask.begin_ms = d->opt.reclaim_ms;
 	ffl_advice_step_name(req->flow, req->occurrence, req->step_index,
 			     call->step);
-	select_workers(d, req, call);
+	if (!select_renewals(d, req, call))
+		select_workers(d, req, call);
 	if (call->workers->len)
 		g_ptr_array_add(a->pending, call);
 	else
--- a/lib/dispatch/choose.c
+++ b/lib/dispatch/choose.c
@@ -360,17 +360,14 @@
 }
 
 /* The resources of each chosen worker are taken during the search only. */
-bool ffl_choose_gang_workers(const ffl_dispatch_t *d,
-			     const ffl_place_request_t *req,
-			     const GPtrArray *workers,
-			     ffl_dispatch_worker_t **chosen)
+uint32_t ffl_choose_workers(const ffl_dispatch_t *d,
+			    const ffl_place_request_t *req,
+			    const GPtrArray *workers, uint32_t tasks,
+			    ffl_dispatch_worker_t **chosen)
 {
-	uint32_t tasks = req->step->tasks;
 	ffl_resources_t need = ffl_step_resources(req->step);
 	uint32_t n_chosen;
 
-	if (!has_enough_slots(d, req, workers))
-		return false;
 	for (n_chosen = 0; n_chosen < tasks; n_chosen++) {
 		chosen[n_chosen] = ffl_choose_worker(d, req, workers);
 		if (!chosen[n_chosen])
@@ -382,7 +379,18 @@
 		ffl_resources_subtract(&chosen[i]->used, &need);
 		chosen[i]->chosen = 0;
 	}
-	return n_chosen == tasks;
+	return n_chosen;
+}
+
+bool ffl_choose_gang_workers(const ffl_dispatch_t *d,
+			     const ffl_place_request_t *req,
+			     const GPtrArray *workers,
+			     ffl_dispatch_worker_t **chosen)
+{
+	uint32_t tasks = req->step->tasks;
+
+	return has_enough_slots(d, req, workers) &&
+	       ffl_choose_workers(d, req, workers, tasks, chosen) == tasks;
 }
 
 /* A gang runs at the speed of its slowest worker. */
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -307,11 +307,12 @@
 	uint32_t first; /**< index of the step's first task */
 	uint32_t task;	/**< task to be placed next; of a gang the first */
 	uint64_t now_ms;
-	bool guaranteed; /**< within its customer's guarantee */
-	bool local_only; /**< only in the data's rack, gang in one rack */
-	bool skip_slow;	 /**< not on slow workers */
-	bool must_start; /**< guaranteed work that may wait no longer */
-	bool started;	 /**< its flow has had a run before */
+	bool guaranteed;      /**< within its customer's guarantee */
+	bool local_only;      /**< only in the data's rack, gang in one rack */
+	bool skip_slow;	      /**< not on slow workers */
+	bool must_start;      /**< guaranteed work that may wait no longer */
+	bool expired_tickets; /**< tickets that have expired count, too */
+	bool started;	      /**< its flow has had a run before */
 	const ffl_place_effects_t *effects;
 	void *effects_user; /**< for the effects */
 };
@@ -331,6 +332,16 @@
 void ffl_place_flow(ffl_dispatch_t *d, ffl_flow_t *flow,
 		    const ffl_place_request_t *like, uint64_t wall_ms);
 
+/**
+ * Finds workers for the waiting tasks of a step, as far as they fit; of a gang
+ * for all or none.
+ *
+ * @param tasks most tasks that workers are found for, unless it is a gang
+ * @param chosen receives the workers, at most one for each task of the step
+ * @return number of workers found
+ */
+uint32_t ffl_place_find(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			uint32_t tasks, ffl_dispatch_worker_t **chosen);
 /** Returns the number of tasks of a step that wait and have no run. */
 uint32_t ffl_place_count_waiting(const ffl_place_request_t *req);
 /** Returns the resources that each task of a step takes. */
@@ -428,6 +439,17 @@
 ffl_dispatch_worker_t *ffl_choose_worker(const ffl_dispatch_t *d,
 					 const ffl_place_request_t *req,
 					 const GPtrArray *workers);
+/**
+ * Chooses a worker for each of several tasks of a step, as far as they fit.
+ *
+ * @param tasks number of tasks
+ * @param chosen receives the workers
+ * @return number of tasks that fit
+ */
+uint32_t ffl_choose_workers(const ffl_dispatch_t *d,
+			    const ffl_place_request_t *req,
+			    const GPtrArray *workers, uint32_t tasks,
+			    ffl_dispatch_worker_t **chosen);
 /**
  * Chooses a worker for each task of a gang.
  *
--- a/lib/dispatch/place.c
+++ b/lib/dispatch/place.c
@@ -218,6 +218,26 @@
 	return waiting;
 }
 
+uint32_t ffl_place_find(ffl_dispatch_t *d, const ffl_place_request_t *req,
+			uint32_t tasks, ffl_dispatch_worker_t **chosen)
+{
+	const GPtrArray *listed = ffl_listed_workers(d);
+	ffl_place_request_t trial = *req;
+	bool allow_remote = ffl_allows_remote(d, req);
+	uint32_t found;
+
+	if (req->step->gang)
+		return find_gang(d, &trial, allow_remote, chosen)
+			       ? req->step->tasks
+			       : 0;
+	trial.local_only = true;
+	found = ffl_choose_workers(d, &trial, listed, tasks, chosen);
+	if (found || !allow_remote)
+		return found;
+	trial.local_only = false;
+	return ffl_choose_workers(d, &trial, listed, tasks, chosen);
+}
+
 static void place_gang(ffl_dispatch_t *d, ffl_place_request_t *req)
 {
 	uint32_t tasks = req->step->tasks;
--- a/tests/advice_test.c
+++ b/tests/advice_test.c
@@ -509,6 +509,47 @@
 	}
 }
 
+/* A gang needs tickets for all of its workers that are valid at the same time,
+ * also where those of the first call have expired when the last one is
+ * answered. */
+static void test_gang_tickets(void)
+{
+	static const struct {
+		ffl_adviser_times_t times;
+		uint32_t valid_ms;
+		uint32_t allowed_from;
+		uint32_t tasks;
+	} cases[] = {
+		{ { 20, 10 }, 3000, 8, 40 },   { { 200, 100 }, 3000, 0, 40 },
+		{ { 200, 200 }, 1500, 8, 40 }, { { 200, 200 }, 300, 20, 28 },
+		{ { 20, 3200 }, 3000, 45, 3 }, { { 3200, 10 }, 400, 10, 38 },
+		{ { 20, 10 }, 60, 24, 24 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_adviser_times_t *t = &cases[i].times;
+		ffl_step_t step = { .tasks = cases[i].tasks,
+				    .gpus = GPUS,
+				    .gang = true };
+		uint64_t bound_ms;
+		bed_t b;
+
+		g_test_message("gang of %u, %u ms, %u ms a worker", step.tasks,
+			       t->call_ms, t->worker_ms);
+		bed_init(&b, WORKERS_MAX);
+		b.adviser.times = *t;
+		b.adviser.valid_ms = cases[i].valid_ms;
+		b.allowed_from = cases[i].allowed_from;
+		submit(&b, "fit", 1, 1, &step, *t);
+		bound_ms = ask_all_ms(&b) + t->call_ms +
+			   step.tasks * t->worker_ms + LOST_MS;
+		run_until(&b, b.now_ms + bound_ms, step.tasks);
+		g_assert_cmpuint(b.starts, ==, step.tasks);
+		g_assert_cmpuint(b.refused_starts, ==, 0);
+		bed_finish(&b);
+	}
+}
+
 /* Calls do not pile up at an adviser that is slower than it should be, which
  * each repetition would make later. */
 static void test_no_pile(void)
@@ -658,6 +699,8 @@
 	g_test_add_func("/advice/no-later-than-in-calls-of-30", test_no_later);
 	g_test_add_func("/advice/short-tickets-are-never-used",
 			test_short_tickets);
+	g_test_add_func("/advice/tickets-of-gang-expire-in-turn",
+			test_gang_tickets);
 	g_test_add_func("/advice/given-up-calls-pile-up", test_no_pile);
 	g_test_add_func("/advice/refused-call", test_refused_call);
 	g_test_add_func("/advice/learn", test_learn);
