advice: queues take turns at the adviser

Cause: the next call went to the step that ranks first and has anything to ask about, also if it had just been asked about. Evidence: in the record the slow queue's calls follow each other while the other queue's jobs are queued.

Change: start-time fair queueing of the queues by the adviser's time; while steps of another queue wait, a slow call takes half of the time in which a step is to begin at most.

The new test slow-queue-keeps-others-from-advice failed before.

--- a/include/fireflyledge/adviser.h
+++ b/include/fireflyledge/adviser.h
@@ -33,6 +33,9 @@
 	uint32_t seen_workers; /**< of the last answer; 0: none yet */
 	uint64_t seen_ms;      /**< time that it took */
 	bool doubted; /**< the last answer did not take as long as expected */
+	/** End of the queue's last call in the virtual time of the queues, in
+	 * which each is served at the same rate (see fairq.h); in ms. */
+	uint64_t turn_ms;
 } ffl_adviser_t;
 
 /** What is known of a step when the adviser is to be asked about it. */
--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -240,6 +240,7 @@
 	 * expected. */
 	uint64_t busy_until_ms;
 	uint64_t answered_ms; /**< when a call was last answered */
+	uint64_t turn_ms;     /**< virtual time, see ffl_adviser_t.turn_ms */
 	uint64_t retry_ms;    /**< no call before */
 	uint32_t failures;    /**< calls that failed in a row */
 	bool may_call;	      /**< a call may be made after this pass */
--- a/lib/dispatch/advice_call.c
+++ b/lib/dispatch/advice_call.c
@@ -56,6 +56,8 @@
 static bool select_renewals(ffl_dispatch_t *d, const ffl_place_request_t *req,
 			    ffl_advice_call_t *call);
 static uint64_t wait_ms(const ffl_advice_call_t *call);
+static ffl_advice_call_t *take_next_call(ffl_advice_t *a);
+static void learn(ffl_advice_t *a, ffl_advice_call_t *call, uint64_t now_ms);
 
 static void call_free(void *data)
 {
@@ -120,6 +122,17 @@
 			     : NULL;
 }
 
+/* Learns from a call that the adviser has spent all time on since it was sent,
+ * or since the answer before; its queue is charged what it took. */
+static void learn(ffl_advice_t *a, ffl_advice_call_t *call, uint64_t now_ms)
+{
+	uint64_t took_ms = now_ms - MAX(call->sent_ms, a->answered_ms);
+
+	ffl_adviser_learn(call->adviser, call->workers->len, took_ms);
+	call->adviser->turn_ms += MAX(took_ms, call->cost_ms) - call->cost_ms;
+	call->cost_ms = MAX(took_ms, call->cost_ms);
+}
+
 /* A call that is late was lost, or the adviser is slower than expected. */
 static void mark_late(ffl_dispatch_t *d, ffl_advice_call_t *call,
 		      uint64_t now_ms)
@@ -128,8 +141,7 @@
 
 	call->late = true;
 	if (a->calls->len == 1)
-		ffl_adviser_learn(call->adviser, call->workers->len,
-				  now_ms - MAX(call->sent_ms, a->answered_ms));
+		learn(a, call, now_ms);
 	a->busy_until_ms = now_ms;
 	ffl_dispatch_note(d, "advice-late", call->step[0] ? call->step : "-",
 			  "asked=%u after_ms=%" PRIu64 " expected_ms=%" PRIu64
@@ -379,6 +391,32 @@
 	return CLAMP(ms, WAIT_MIN_MS, UINT32_MAX);
 }
 
+/* Takes the call whose queue has had the least of the adviser's time: a slow
+ * queue delays others by a call at a time, and one that was idle has saved up
+ * nothing. Of equal ones the one that ranks first. */
+static ffl_advice_call_t *take_next_call(ffl_advice_t *a)
+{
+	ffl_advice_call_t *call;
+	uint64_t least_ms = UINT64_MAX;
+	guint next = 0;
+
+	for (guint i = 0; i < a->pending->len; i++) {
+		uint64_t turn_ms;
+
+		call = g_ptr_array_index(a->pending, i);
+		turn_ms = MAX(a->turn_ms, call->adviser->turn_ms);
+		if (turn_ms < least_ms) {
+			least_ms = turn_ms;
+			next = i;
+		}
+	}
+	call = g_ptr_array_steal_index(a->pending, next);
+	call->ask.others_wait = a->pending->len > 0;
+	g_ptr_array_set_size(a->pending, 0);
+	a->turn_ms = least_ms;
+	return call;
+}
+
 void ffl_advice_send(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms)
 {
 	ffl_advice_t *a = &d->advice;
@@ -388,15 +426,15 @@
 
 	if (!a->pending->len)
 		return;
-	call = g_ptr_array_steal_index(a->pending, 0);
-	g_ptr_array_set_size(a->pending, 0);
+	call = take_next_call(a);
 	a->may_call = false;
 	width = ffl_adviser_width(call->adviser, &call->ask);
 	g_ptr_array_set_size(call->workers, MIN(call->workers->len, width));
 	call->number = order.call = ++d->next_call;
 	call->sent_ms = now_ms;
-	call->due_ms = MAX(now_ms, a->busy_until_ms) +
-		       ffl_adviser_cost_ms(call->adviser, call->workers->len);
+	call->cost_ms = ffl_adviser_cost_ms(call->adviser, call->workers->len);
+	call->adviser->turn_ms = a->turn_ms + call->cost_ms;
+	call->due_ms = MAX(now_ms, a->busy_until_ms) + call->cost_ms;
 	call->late_ms = now_ms + LATE_FACTOR * (call->due_ms - now_ms) +
 			((uint64_t)LATE_SLACK_MS
 			 << MIN(a->calls->len, LATE_DOUBLINGS_MAX));
@@ -439,8 +477,7 @@
 			  call->due_ms - call->sent_ms);
 	/* After an earlier call, lost or not, its time is not known. */
 	if (ok && i == 0)
-		ffl_adviser_learn(call->adviser, call->workers->len,
-				  now_ms - MAX(call->sent_ms, a->answered_ms));
+		learn(a, call, now_ms);
 	if (ok && call->step[0]) {
 		ffl_advice_store(d, call, reply, now_ms);
 		d->replan = true;
--- a/lib/dispatch/adviser.c
+++ b/lib/dispatch/adviser.c
@@ -42,6 +42,7 @@
 		.configured = *times,
 		.call_us = (uint64_t)times->call_ms * US_PER_MS,
 		.worker_us = (uint64_t)times->worker_ms * US_PER_MS,
+		.turn_ms = a->turn_ms,
 	};
 }
 
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -513,6 +513,7 @@
 	GPtrArray *workers; /**< ids of the workers in the call */
 	GArray *born_ms;    /**< of int64_t: their incarnations then */
 	uint64_t sent_ms;
+	uint64_t cost_ms; /**< time of the adviser that its queue is charged */
 	uint64_t due_ms;  /**< when its answer is expected */
 	uint64_t late_ms; /**< from then on it is late */
 	bool late;	  /**< and that was taken note of */
--- a/tests/advice_test.c
+++ b/tests/advice_test.c
@@ -1,4 +1,5 @@
 /** @file Tests of the dispatcher with an adviser that takes its time. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "fakes/fake_adviser.h"
@@ -11,12 +12,15 @@
 #define GPUS	    8
 #define RECLAIM_MS  2900
 #define BORN_MS	    1
-#define ANY	    WORKERS_MAX
 /** Workers of a call before there was a choice, which no step may now be later
  * than. */
 #define FORMER_WIDTH 30
 /** Time after which a call without an answer was repeated before. */
 #define FORMER_RETRY_MS 3250
+/** Jobs from this number on are of a queue for which the adviser is quick. */
+#define QUICK_JOBS 0x100
+/** A job whose starts need no ticket. */
+#define UNADVISED_JOB 9
 /** Time for which a task may wait while there is room (RULES.md, LOST). */
 #define LOST_MS 3000
 /** Time of this simulation for an order and its answer. */
@@ -44,16 +48,13 @@
 	uint64_t now_ms;
 	fake_worker_t workers[WORKERS_MAX];
 	uint32_t workers_count;
-	uint32_t allowed_from; /**< the workers before are denied */
-	uint32_t lost;	       /**< answers still to be lost */
-	GArray *open;	       /**< of open_call_t */
-	uint32_t open_max;     /**< most calls at the adviser at a time */
+	ffl_adviser_times_t quick; /**< its times for other jobs, see below */
+	uint32_t allowed_from;	   /**< the workers before are denied */
+	uint32_t lost;		   /**< answers still to be lost */
+	GArray *open;		   /**< of open_call_t */
 	uint32_t calls;
 	uint32_t refused_starts; /**< for want of a ticket */
-	uint64_t call_ms;	 /**< time of the adviser on all calls */
 	uint64_t last_start_ms;
-	char started[8][FFL_TASK_NAME_BYTES]; /**< first tasks to start */
-	uint64_t started_ms[8];
 	uint32_t starts;
 } bed_t;
 
@@ -168,6 +169,10 @@
 	ffl_reply_t refusal = { .call = order->call,
 				.outcome = FFL_REPLY_UNHEALTHY };
 
+	const ffl_adviser_times_t usual = b->adviser.times;
+
+	if (strtoull(order->task, NULL, 16) >= QUICK_JOBS)
+		b->adviser.times = b->quick;
 	g_assert_cmpuint(order->asked_workers->len, >, 0);
 	g_assert_cmpuint(order->asked_workers->len, <=,
 			 FFL_ADVISER_WORKERS_MAX);
@@ -177,8 +182,6 @@
 		return;
 	}
 	b->calls++;
-	b->call_ms += b->adviser.times.call_ms +
-		      b->adviser.times.worker_ms * order->asked_workers->len;
 	ffl_copy(open.step, sizeof(open.step), order->task);
 	open.workers = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; i < order->asked_workers->len; i++)
@@ -186,7 +189,7 @@
 			open.workers,
 			g_strdup(g_ptr_array_index(order->asked_workers, i)));
 	g_array_append_val(b->open, open);
-	b->open_max = MAX(b->open_max, b->open->len);
+	b->adviser.times = usual;
 }
 
 /* Nothing of a call that is given up is heard, but the adviser goes on. */
@@ -247,6 +250,7 @@
 			      .running = running };
 
 	if (order->kind == FFL_ORDER_START &&
+	    strtoull(order->task, NULL, 16) != UNADVISED_JOB &&
 	    !fake_adviser_accepts(order->ticket, order->task, w->id, BORN_MS,
 				  b->now_ms)) {
 		reply.outcome = FFL_REPLY_BAD_TICKET;
@@ -254,11 +258,6 @@
 	} else if (order->kind == FFL_ORDER_START) {
 		g_ptr_array_add(w->tasks, g_strdup(order->task));
 		b->last_start_ms = b->now_ms;
-		if (b->starts < G_N_ELEMENTS(b->started)) {
-			ffl_copy(b->started[b->starts], FFL_TASK_NAME_BYTES,
-				 order->task);
-			b->started_ms[b->starts] = b->now_ms;
-		}
 		b->starts++;
 	}
 	for (guint i = 0; i < w->tasks->len; i++) {
@@ -550,6 +549,58 @@
 	}
 }
 
+/* A step of a queue whose advice is slow is asked about again and again; steps
+ * of another queue wait for no longer than one such call at a time. */
+static void test_turns(void)
+{
+	static const struct {
+		ffl_adviser_times_t slow;
+		uint32_t slow_priority;
+	} cases[] = {
+		{ { 200, 100 }, 1 }, { { 400, 500 }, 1 }, { { 400, 500 }, 0 },
+		{ { 20, 3200 }, 0 }, { { 3200, 10 }, 0 }, { { 50, 25 }, 0 },
+	};
+	static const ffl_adviser_times_t quick = { 20, 10 };
+	static const ffl_step_t step = { .tasks = 1, .gpus = 1 };
+	static const ffl_step_t large = { .tasks = 1, .gpus = GPUS };
+	static const ffl_step_t one_each = { .tasks = WORKERS_MAX,
+					     .gpus = 1,
+					     .per_worker_max = 1 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const ffl_adviser_times_t *slow = &cases[i].slow;
+		/* A call for one worker takes as long as it takes. */
+		uint64_t call_ms =
+			MAX(LOST_MS, slow->call_ms * 3 / 2 + slow->worker_ms);
+		uint64_t bound_ms = call_ms + quick.call_ms +
+				    FORMER_WIDTH * quick.worker_ms + SLACK_MS;
+		bed_t b;
+
+		g_test_message("%u ms, %u ms a worker", slow->call_ms,
+			       slow->worker_ms);
+		bed_init(&b, WORKERS_MAX);
+		b.adviser.times = *slow;
+		b.quick = quick;
+		/* No worker has room for a step of the slow queue. */
+		submit(&b, "fill", UNADVISED_JOB, 0, &one_each, quick)
+			->spec.needs_tickets = false;
+		run_until(&b, b.now_ms + LOST_MS, WORKERS_MAX);
+		g_assert_cmpuint(b.starts, ==, WORKERS_MAX);
+		for (uint32_t k = 0; k < 3; k++)
+			submit(&b, "slow", 1 + k, cases[i].slow_priority,
+			       &large, *slow);
+		run_until(&b, b.now_ms + LOST_MS / 2, UINT32_MAX);
+		for (uint32_t k = 0; k < 5; k++) {
+			uint32_t starts = b.starts;
+
+			submit(&b, "quick", QUICK_JOBS + k, 2, &step, quick);
+			run_until(&b, b.now_ms + bound_ms, starts + 1);
+			g_assert_cmpuint(b.starts, ==, starts + 1);
+		}
+		bed_finish(&b);
+	}
+}
+
 /* Calls do not pile up at an adviser that is slower than it should be, which
  * each repetition would make later. */
 static void test_no_pile(void)
@@ -701,6 +752,8 @@
 			test_short_tickets);
 	g_test_add_func("/advice/tickets-of-gang-expire-in-turn",
 			test_gang_tickets);
+	g_test_add_func("/advice/slow-queue-keeps-others-from-advice",
+			test_turns);
 	g_test_add_func("/advice/given-up-calls-pile-up", test_no_pile);
 	g_test_add_func("/advice/refused-call", test_refused_call);
 	g_test_add_func("/advice/learn", test_learn);
