site, node fuzzer: an adviser whose times and tickets change

Its times and the validity of its tickets come from the configuration now; the operation adviser changes them during a run, with a new version of the configuration or without, and hands in a job that needs tickets.

--- a/fuzz/node_ops.c
+++ b/fuzz/node_ops.c
@@ -49,6 +49,7 @@
 	OP_RECUT,
 	OP_LATE_START,
 	OP_MOVE,
+	OP_ADVISER,
 	OP__MAX
 } op_t;
 
@@ -62,7 +63,9 @@
 
 /** First bytes from RECUT_BYTE on choose OP_RECUT, those from EVACUATE_BYTE on
  * OP_EVACUATE or OP_TAKE_BACK, lower ones among the operations before these;
- * but LATE_START_BYTE and MOVE_BYTE choose the operation of their name. */
+ * but LATE_START_BYTE, MOVE_BYTE and ADVISER_BYTE choose the operation of their
+ * name. */
+#define ADVISER_BYTE	241
 #define MOVE_BYTE	243
 #define RECUT_BYTE	246
 #define LATE_START_BYTE 248
@@ -88,7 +91,8 @@
 	"log-silent", "log-busy",  "log-lost",	   "forget",	 "late",
 	"crash",      "boot",	   "hang",	   "drain",	 "cut-worker",
 	"exit",	      "restart",   "restart-back", "replace",	 "remove",
-	"evacuate",   "take-back", "recut",	   "late-start", "move"
+	"evacuate",   "take-back", "recut",	   "late-start", "move",
+	"adviser"
 };
 
 static op_t op_of(uint8_t byte);
@@ -104,6 +108,7 @@
 		 uint32_t cut_ms);
 static void start_late(site_t *s, uint8_t arg, uint32_t cut_ms);
 static void move(site_t *s, uint8_t arg);
+static void set_adviser(site_t *s, uint8_t arg);
 
 static void apply_host(site_t *s, op_t op, uint32_t host, uint32_t ms)
 {
@@ -151,6 +156,8 @@
 {
 	if (byte == MOVE_BYTE)
 		return OP_MOVE;
+	if (byte == ADVISER_BYTE)
+		return OP_ADVISER;
 	if (byte < RECUT_BYTE)
 		return (op_t)(byte % OP_EVACUATE);
 	if (byte == LATE_START_BYTE)
@@ -244,6 +251,32 @@
 	}
 }
 
+/* The adviser's times and the validity of its tickets change; the configuration
+ * follows at once, or not before the next change. A job of the queue that
+ * needs tickets is handed in. */
+static void set_adviser(site_t *s, uint8_t arg)
+{
+	static const ffl_adviser_times_t times[] = { { 30, 2 },
+						     { 200, 100 },
+						     { 700, 700 },
+						     { 3200, 10 },
+						     { 20, 3200 } };
+	static const uint32_t valid_ms[] = { 3000, 1000, 400, 150 };
+	uint32_t job;
+
+	site_set_adviser(s, times[arg % G_N_ELEMENTS(times)],
+			 valid_ms[arg / 5 % G_N_ELEMENTS(valid_ms)],
+			 arg / 20 % 2);
+	if (!s->tickets_required) {
+		s->tickets_required = true;
+		site_write_config(s);
+	}
+	do
+		job = site_submit(s, arg % HOSTS, arg / 40 % 2 ? WORKERS : 1, 4,
+				  SHORT_WORK_MS, arg / 80 % 2);
+	while (job % 3 && job + 1 < SITE_JOBS_MAX);
+}
+
 /* Half of the restarts, exits and boots strike all workers. */
 static bool strikes_all(op_t op, uint8_t arg)
 {
@@ -308,6 +341,10 @@
 		start_late(s, arg, CUT_MIN_MS + time * FAULT_UNIT_MS);
 	} else if (op == OP_MOVE) {
 		move(s, arg);
+	} else if (op == OP_ADVISER) {
+		set_adviser(s, arg);
+		ms = time * FAULT_UNIT_MS;
+		site_run(s, ms);
 	} else if (op >= OP_EVACUATE) {
 		site_evacuate(s, arg % SITE_DCS, op == OP_EVACUATE);
 	} else if (op >= OP_CRASH) {
@@ -354,7 +391,7 @@
 			apply(&s, op, b[1], b[2]);
 	}
 	s.append_ms = 0;
-	site_settle(&s, HEAL_MS);
+	site_settle(&s, HEAL_MS + (uint32_t)site_advice_backlog_ms(&s));
 	fault = s.violation;
 	if (trace && fault)
 		g_string_append_printf(trace, "%s: %s\n", fault, s.detail);
