advice: an answer that is lost is over with the next one

The adviser takes calls in turn, so that an answer shows that the calls before it are done. They count no longer, and are still taken if they come. A late call only puts the times in doubt. The choice of workers has a file of its own, advice_ask.c.

New test lost-answer-is-over: three steps after a lost answer begin as soon as without it.

--- a/include/fireflyledge/adviser.h
+++ b/include/fireflyledge/adviser.h
@@ -54,7 +54,7 @@
 /** Returns the expected duration of a call, in ms. */
 uint64_t ffl_adviser_cost_ms(const ffl_adviser_t *a, uint32_t workers);
 /**
- * Learns from a call that was answered, or is known to take at least so long.
+ * Learns from a call that was answered.
  *
  * @param workers number of workers named, at least 1
  * @param took_ms time that the adviser spent on it
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -517,6 +517,7 @@
 	uint64_t due_ms;  /**< when its answer is expected */
 	uint64_t late_ms; /**< from then on it is late */
 	bool late;	  /**< and that was taken note of */
+	bool overtaken;	  /**< a later call was answered */
 } ffl_advice_call_t;
 
 /** Writes the adviser's name of a step to @p out. */
@@ -541,17 +542,23 @@
 void ffl_advice_store(ffl_dispatch_t *d, const ffl_advice_call_t *call,
 		      const ffl_reply_t *reply, uint64_t now_ms);
 
+/* advice_ask.c */
+
+/** Requests tickets for a step, unless no call may be made, or a step of its
+ * queue has requested some in this pass. */
+void ffl_advice_request(ffl_dispatch_t *d, const ffl_place_request_t *req);
+
 /* advice_call.c */
 
+/** Frees a call, see ffl_advice_call_t. */
+void ffl_advice_call_free(void *call);
+
 void ffl_advice_init(ffl_advice_t *a);
 void ffl_advice_finish(ffl_advice_t *a);
 /** Drops all tickets: a new leader does not know those of an earlier one. */
 void ffl_advice_reset(ffl_advice_t *a);
 /** Begins a placement pass: decides whether a call may be made after it. */
 void ffl_advice_begin(ffl_dispatch_t *d, uint64_t now_ms);
-/** Requests tickets for a step, unless no call may be made, or a step of its
- * queue has requested some in this pass. */
-void ffl_advice_request(ffl_dispatch_t *d, const ffl_place_request_t *req);
 /** Adds the order for a pending call. */
 void ffl_advice_send(ffl_dispatch_t *d, GArray *orders, uint64_t now_ms);
 /** Handles the adviser's reply; returns false if it is not one. */
--- a/tests/advice_test.c
+++ b/tests/advice_test.c
@@ -618,6 +618,29 @@
 	bed_finish(&b);
 }
 
+/* An answer that is lost does not make the steps after it wait: the next one
+ * shows that the adviser is as quick as before. */
+static void test_lost_answer_is_over(void)
+{
+	static const ffl_step_t step = { .tasks = 1, .gpus = 1 };
+	static const ffl_adviser_times_t times = { 20, 10 };
+	bed_t b;
+
+	bed_init(&b, WORKERS_MAX);
+	b.adviser.times = times;
+	b.lost = 1;
+	submit(&b, "fit", 1, 1, &step, times);
+	run_until(&b, b.now_ms + FORMER_RETRY_MS, 1);
+	g_assert_cmpuint(b.starts, ==, 1);
+	b.allowed_from = WORKERS_MAX - 2;
+	for (uint32_t i = 2; i < 5; i++) {
+		submit(&b, "fit", i, 1, &step, times);
+		run_until(&b, b.now_ms + ask_all_ms(&b) + SLACK_MS, i);
+		g_assert_cmpuint(b.starts, ==, i);
+	}
+	bed_finish(&b);
+}
+
 /* An adviser that has too many calls waiting refuses further ones until it has
  * done some; the step is asked about then. */
 static void test_refused_call(void)
@@ -755,6 +778,8 @@
 	g_test_add_func("/advice/slow-queue-keeps-others-from-advice",
 			test_turns);
 	g_test_add_func("/advice/given-up-calls-pile-up", test_no_pile);
+	g_test_add_func("/advice/lost-answer-is-over",
+			test_lost_answer_is_over);
 	g_test_add_func("/advice/refused-call", test_refused_call);
 	g_test_add_func("/advice/learn", test_learn);
 	g_test_add_func("/advice/width", test_width);
