advice: behind a late call one worker is asked about

The configuration that the hosts know is older than the adviser's, which takes 3.2 s a worker, and the leaders are killed.

Cause: a call that is late is followed by a further one, in case it was lost. That one named as many workers as the first: 4 workers, 12.8 s each. If the first was not lost, both are done in turn, and each loss of the leader adds such a pair at the adviser of another host. The wait there reached 97 s.

Change: behind a late call a further one names one worker: enough to see whether the adviser answers, and it costs the least if nothing was lost.

The simulated site charged the scheduler with the time that the adviser of a host spends on the calls of its killed processes, which the next process can neither know nor shorten (PROTOCOL.md: an adviser "handles one call at a time for each calling machine, in turn"). Waiting is not counted for so long; the wait after it is bounded as before, and so is all that happens elsewhere.

--- a/fakes/fake_adviser.c
+++ b/fakes/fake_adviser.c
@@ -36,6 +36,13 @@
 	return true;
 }
 
+uint64_t fake_adviser_busy_until_ms(const fake_adviser_t *a, uint32_t host)
+{
+	const GArray *open = a->done_ms[host];
+
+	return open->len ? g_array_index(open, uint64_t, open->len - 1) : 0;
+}
+
 void fake_adviser_ticket(const char *step, const char *worker, int64_t born_ms,
 			 uint64_t until_ms, char out[FFL_TICKET_BYTES])
 {
--- a/fakes/fake_adviser.h
+++ b/fakes/fake_adviser.h
@@ -38,6 +38,8 @@
  */
 bool fake_adviser_take(fake_adviser_t *a, uint32_t host, uint32_t workers,
 		       uint64_t now_ms, uint64_t *done_ms);
+/** Returns when all calls of a host are done; 0: there were none. */
+uint64_t fake_adviser_busy_until_ms(const fake_adviser_t *a, uint32_t host);
 /** Formats a ticket for a step on an incarnation of a worker. */
 void fake_adviser_ticket(const char *step, const char *worker, int64_t born_ms,
 			 uint64_t until_ms, char out[FFL_TICKET_BYTES]);
--- a/fakes/site.c
+++ b/fakes/site.c
@@ -265,6 +265,7 @@
 	h->incarnation++;
 	h->ticked_ms = s->now_ms + ffl_rng_below(&s->rng, TICK_MS);
 	h->restart_ms = 0;
+	h->adviser_busy_ms = fake_adviser_busy_until_ms(&s->adviser, host);
 }
 
 /* The record holds only the version, the service and the adviser's times;
@@ -296,6 +297,7 @@
 
 uint64_t site_advice_backlog_ms(const site_t *s)
 {
+	uint64_t left_ms = 0;
 	uint64_t calls = 0;
 
 	for (uint32_t i = 0; i < s->jobs_count; i++) {
@@ -309,7 +311,11 @@
 			calls += job->spec.steps_count *
 				 MAX(job->spec.occurrences, 1) * (1 + RUNS_MAX);
 	}
-	return s->tickets_required ? calls * s->advice_max_ms : 0;
+	for (uint32_t i = 0; i < s->hosts_count; i++)
+		left_ms = MAX(left_ms,
+			      fake_adviser_busy_until_ms(&s->adviser, i));
+	left_ms -= MIN(left_ms, s->now_ms);
+	return s->tickets_required ? calls * s->advice_max_ms + left_ms : 0;
 }
 
 void site_move_queues(site_t *s)
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -46,6 +46,8 @@
 	uint64_t jobs_lag_until_ms; /**< gets no new job records before */
 	uint64_t ticked_ms;	    /**< time of the last tick */
 	uint64_t restart_ms;	    /**< when it starts again; 0: never */
+	uint64_t adviser_busy_ms; /**< by then the adviser has done the calls of
+				     its earlier starts */
 } site_host_t;
 
 /** A submitted job, as its caller and the oracle know it. */
@@ -187,8 +189,8 @@
 void site_set_adviser(site_t *s, ffl_adviser_times_t times, uint32_t valid_ms,
 		      bool told);
 /** Returns the longest time that the adviser may spend on the steps that wait
- * for tickets: on each a call about all workers, and one to renew the tickets
- * of each of its runs. */
+ * for tickets, after the calls that it has been sent: on each a call about all
+ * workers, and one to renew the tickets of each of its runs. */
 uint64_t site_advice_backlog_ms(const site_t *s);
 
 /** Gives all queues to another service, in a new version of the configuration.
--- a/include/fireflyledge/adviser.h
+++ b/include/fireflyledge/adviser.h
@@ -46,6 +46,7 @@
 	uint32_t unasked;  /**< workers that may be asked about now */
 	uint32_t begin_ms; /**< time in which a step is to begin */
 	bool others_wait;  /**< steps of other queues wait for a call */
+	bool probes;	   /**< an earlier call is late */
 } ffl_adviser_ask_t;
 
 /** Takes over the configured times; if they have changed, what was learned is
--- a/lib/dispatch/advice_call.c
+++ b/lib/dispatch/advice_call.c
@@ -198,6 +198,7 @@
 		return;
 	call = take_next_call(a);
 	a->may_call = false;
+	call->ask.probes = count_undone(a) > 0;
 	width = ffl_adviser_width(call->adviser, &call->ask);
 	g_ptr_array_set_size(call->workers, MIN(call->workers->len, width));
 	call->number = order.call = ++d->next_call;
--- a/lib/dispatch/adviser.c
+++ b/lib/dispatch/adviser.c
@@ -127,7 +127,9 @@
 	return block_size(ask) - ask->asked % block_size(ask);
 }
 
-/* The first call for a step is the shorter, the slower the adviser is; further
+/* Behind a late call, one worker is enough to see whether that was lost: if it
+ * was not, the adviser does it first.
+ * The first call for a step is the shorter, the slower the adviser is; further
  * ones name the rest of the block, in parts that others may wait for. */
 uint32_t ffl_adviser_width(const ffl_adviser_t *a, const ffl_adviser_ask_t *ask)
 {
@@ -137,6 +139,8 @@
 	uint64_t width = 2 * (uint64_t)ask->need;
 	uint32_t calls;
 
+	if (ask->probes)
+		return 1;
 	if (a->doubted)
 		width = MAX(width, GROWTH * (uint64_t)ask->asked);
 	else if (ask->asked)
