advice: the first call for a step may show that the times have changed

Cause: the first call for a step is made as wide as the configured times allow, and nothing is known of the real ones until it is answered.

Change: where a further call takes a tenth of a block's time or less, the first one names twice the workers that the step needs, as it does already where the adviser is slow. Its answer tells the real times, and the next call follows from them.

--- a/lib/dispatch/adviser.c
+++ b/lib/dispatch/adviser.c
@@ -17,6 +17,9 @@
  * where calls are slow, as a first one that is short matters more then. */
 #define WORKERS_PERCENT	     2000U
 #define WORKERS_SLOW_PERCENT 50U
+/** A call to see whether the times still hold is made if it takes no more of
+ * the time of a block than this, in percent. */
+#define CHECK_PERCENT 10U
 /** While the times are in doubt, each further call for a step names so many
  * times the workers before it. */
 #define GROWTH 3U
@@ -31,6 +34,7 @@
 static uint32_t workers_in(const ffl_adviser_t *a, uint64_t time_us);
 static uint32_t workers_in_turn(const ffl_adviser_t *a,
 				const ffl_adviser_ask_t *ask);
+static bool is_check_cheap(const ffl_adviser_t *a);
 static uint32_t block_size(const ffl_adviser_ask_t *ask);
 
 void ffl_adviser_configure(ffl_adviser_t *a, const ffl_adviser_times_t *times)
@@ -115,6 +119,15 @@
 	return MAX(workers_in(a, left_us), 1);
 }
 
+/* Returns whether the adviser is asked about a few workers first, as it may
+ * have become slower than its configured times say. */
+static bool is_check_cheap(const ffl_adviser_t *a)
+{
+	uint64_t block_us = a->call_us + BLOCK_WORKERS * a->worker_us;
+
+	return block_us && a->call_us * PERCENT <= block_us * CHECK_PERCENT;
+}
+
 static uint32_t block_size(const ffl_adviser_ask_t *ask)
 {
 	return ask->gang ? CLAMP(ask->need, BLOCK_WORKERS,
@@ -145,7 +158,7 @@
 		width = MAX(width, GROWTH * (uint64_t)ask->asked);
 	else if (ask->asked)
 		width = left;
-	else
+	else if (!is_check_cheap(a))
 		width = MAX(width,
 			    workers_in(a, a->call_us * percent / PERCENT));
 	width = MIN(width, left);
