--- a/include/fireflyledge/dispatch.h
+++ b/include/fireflyledge/dispatch.h
@@ -16,6 +16,7 @@
 #define FFL_DISPATCH_H
 
 #include "fireflyledge/adviser.h"
+#include "fireflyledge/doubt.h"
 #include "fireflyledge/order.h"
 
 /** Logs an event: a decision and the figures that it is based on. */
@@ -63,21 +64,6 @@
 	uint32_t run; /**< number of the attempt */
 } ffl_given_up_t;
 
-/** What tells when the leases of a worker have ended. */
-typedef enum {
-	FFL_LEASE_NONE,	   /**< it was given none */
-	FFL_LEASE_ORDER,   /**< orders of this leader */
-	FFL_LEASE_RESTART, /**< it has started again under its id */
-	FFL_LEASE_CLAIM,   /**< orders of an earlier leader */
-	/** The same, at a worker that may have taken them for the incarnation
-	 * before. */
-	FFL_LEASE_YOUNG,
-	FFL_LEASE_UNKNOWN_RUN, /**< it listed a run without a record */
-	FFL_LEASE__MAX
-} ffl_lease_basis_t;
-
-const char *ffl_lease_basis_name(uint32_t basis);
-
 /** State that the leader keeps of a worker. */
 typedef struct {
 	ffl_worker_entry_t entry;
@@ -95,19 +81,7 @@
 	uint64_t clock_read_ms; /**< when clock_ms was received; 0: never */
 	uint64_t clock_ms;	/**< last reading of the worker's own clock */
 	bool clock_reported;	/**< clock_ms is its own, not from the list */
-	/** All leases that it may have been given have ended by then; those of
-	 * unanswered orders not counted. */
-	uint64_t leases_end_ms;
-	ffl_lease_basis_t leases_basis; /**< what leases_end_ms rests on */
-	/** By then it has carried out all orders with a lease that it left
-	 * unanswered, or never will; 0: it has left none. */
-	uint64_t late_orders_ms;
-	/** It has runs of an earlier leader, and nothing that it wrote after
-	 * the claim was read: it may have started again before, and taken
-	 * orders for the incarnation that the log tells of. */
-	bool unheard;
-	/** Runs in doubt are being waited out, and that is in the log. */
-	bool waits_out;
+	ffl_doubt_t doubt;	/**< what it may hold or still carry out */
 	/** When a report told its incarnation; 0: known from the list or from
 	 * the log only. */
 	uint64_t born_reported_ms;
@@ -167,7 +141,7 @@
 } ffl_run_state_t;
 
 /** A run: one attempt to execute a task, on one worker. */
-typedef struct {
+typedef struct ffl_run {
 	ffl_flow_t *flow;
 	uint32_t task; /**< index of the task in the flow */
 	uint32_t run;  /**< number of the attempt, from 1 */
@@ -204,12 +178,7 @@
 	uint64_t lease_until_ms;
 	uint64_t lease_end_ms; /**< the same by this host's clock, at latest */
 	bool start_in_doubt;   /**< a start order timed out, may still act */
-	/** By then a start order without an answer has been carried out, or
-	 * never will be; 0: there is none, or it is settled. The incarnation
-	 * after the one that is known may begin the run by it, with the longest
-	 * lease, also where another sending was answered. */
-	uint64_t late_start_ms;
-	bool stopping;		   /**< to be stopped */
+	bool stopping;	       /**< to be stopped */
 	uint64_t stop_accepted_ms; /**< when the worker accepted the stop */
 	const char *stop_reason;   /**< static string, for the log */
 	uint64_t stop_cost; /**< work lost if its gang is stopped; scratch */
--- a/lib/dispatch/dispatch.c
+++ b/lib/dispatch/dispatch.c
@@ -111,12 +111,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		ffl_dispatch_worker_t *w = value;
 
-		w->leases_end_ms = 0;
-		w->leases_basis = FFL_LEASE_NONE;
-		w->unheard = w->runs->len > 0;
-		if (w->unheard)
-			ffl_dispatch_worker_add_lease(w, leases_end_ms,
-						      FFL_LEASE_CLAIM);
+		ffl_doubt_claim(&w->doubt, w->runs->len > 0, leases_end_ms);
 	}
 	ffl_dispatch_update_queues(d);
 }
--- a/lib/dispatch/dispatch_int.h
+++ b/lib/dispatch/dispatch_int.h
@@ -126,16 +126,9 @@
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
 					 const ffl_dispatch_worker_t *w,
 					 uint64_t now_ms, uint64_t *end_ms);
-/** Records that a worker may have a lease until a time by this host's clock. */
-void ffl_dispatch_worker_add_lease(ffl_dispatch_worker_t *w, uint64_t end_ms,
-				   ffl_lease_basis_t basis);
 /** Records that an order, which was sent by now, was left unanswered. */
 void ffl_dispatch_note_unanswered(const ffl_dispatch_t *d,
 				  const ffl_open_call_t *call, uint64_t now_ms);
-/** Records that the known incarnation was there at a time: what it had not
- * begun by a late order by then, no other one had. */
-void ffl_dispatch_worker_settle_starts(ffl_dispatch_worker_t *w,
-				       uint64_t alive_ms);
 /** Records a reading of the worker's clock; 0 is ignored. */
 void ffl_dispatch_worker_set_clock(ffl_dispatch_worker_t *w, uint64_t clock_ms,
 				   uint64_t now_ms);
--- a/lib/dispatch/reply.c
+++ b/lib/dispatch/reply.c
@@ -147,8 +147,8 @@
 			/* A run without a record must not continue. */
 			run = ffl_run_add(d, report->flow, report->task_index,
 					  report->run, w, now_ms);
-			ffl_dispatch_worker_add_lease(
-				w,
+			ffl_doubt_add_lease(
+				&w->doubt,
 				ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
 				FFL_LEASE_UNKNOWN_RUN);
 			run->stopping = true;
@@ -247,14 +247,15 @@
 		return;
 	}
 	w->missed_renewals = 0;
-	w->unheard = false;
+	ffl_doubt_note_heard(&w->doubt);
 	if (w->lease_in_doubt)
-		ffl_dispatch_worker_add_lease(
-			w, ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
+		ffl_doubt_add_lease(
+			&w->doubt,
+			ffl_lease_end_ms(d->opt.lease_max_ms, now_ms),
 			FFL_LEASE_RESTART);
 	/* A new incarnation under a higher token accepts no earlier order. */
-	ffl_dispatch_worker_settle_starts(w, w->lease_in_doubt ? UINT64_MAX
-							       : call->sent_ms);
+	ffl_doubt_settle_starts(&w->doubt,
+				w->lease_in_doubt ? UINT64_MAX : call->sent_ms);
 	w->lease_in_doubt = false;
 	w->fence_due = false;
 	g_array_set_size(w->given_up, 0);
@@ -346,9 +347,9 @@
 		run->stop_accepted_ms = now_ms;
 	/* An incarnation that has accepted the stop refuses late starts. */
 	if (reply->outcome == FFL_REPLY_OK && call->other_clock) {
-		run->late_start_ms = 0;
-		ffl_dispatch_worker_add_lease(w, now_ms + d->opt.stop_max_ms,
-					      FFL_LEASE_RESTART);
+		ffl_doubt_settle_start(&w->doubt, run);
+		ffl_doubt_add_lease(&w->doubt, now_ms + d->opt.stop_max_ms,
+				    FFL_LEASE_RESTART);
 	}
 	if (reply->outcome != FFL_REPLY_OK)
 		run->retry_ms = now_ms + RESEND_MS;
@@ -459,9 +460,9 @@
 	if (reply->outcome == FFL_REPLY_FENCED && call->token >= w->token)
 		d->fenced = true;
 	if (reply->outcome != FFL_REPLY_NOT_SENT)
-		ffl_dispatch_worker_add_lease(
-			w, granted_until_ms(d, call, reply, now_ms),
-			FFL_LEASE_ORDER);
+		ffl_doubt_add_lease(&w->doubt,
+				    granted_until_ms(d, call, reply, now_ms),
+				    FFL_LEASE_ORDER);
 	if (reply->outcome == FFL_REPLY_UNKNOWN)
 		ffl_dispatch_note_unanswered(d, call, now_ms);
 	if (reply->outcome == FFL_REPLY_OTHER_INCARNATION) {
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -42,6 +42,7 @@
 		ffl_run_t *run = g_ptr_array_index(d->runs, i);
 
 		run->flow->tasks[run->task].live_runs--;
+		ffl_doubt_settle_start(&run->worker->doubt, run);
 		g_free(run);
 	}
 	g_ptr_array_set_size(d->runs, 0);
@@ -134,6 +135,7 @@
 	run->flow->tasks[run->task].live_runs--;
 	ffl_resources_subtract(&run->worker->used, &run->resources);
 	g_ptr_array_remove_fast(run->worker->runs, run);
+	ffl_doubt_settle_start(&run->worker->doubt, run);
 	g_ptr_array_remove_fast(d->runs, run);
 	g_ptr_array_remove_fast(runs, run);
 	if (!runs->len)
--- a/lib/dispatch/watch.c
+++ b/lib/dispatch/watch.c
@@ -157,7 +157,7 @@
 static uint64_t latest_lease_end_ms(const ffl_dispatch_t *d,
 				    const ffl_dispatch_worker_t *w)
 {
-	uint64_t end_ms = w->leases_end_ms;
+	uint64_t end_ms = w->doubt.leases_end_ms;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -185,11 +185,12 @@
 			 uint64_t now_ms)
 {
 	uint64_t end_ms = ffl_lease_end_ms(d->opt.lease_max_ms,
-					   run->worker->late_orders_ms);
+					   run->worker->doubt.late_orders_ms);
 
 	if (ffl_run_step(run)->allows_duplicates)
 		return false;
-	return (run->late_start_ms && now_ms < end_ms) ||
+	return (now_ms < end_ms &&
+		ffl_doubt_find_start(&run->worker->doubt, run)) ||
 	       has_open_start(d, run);
 }
 
@@ -198,24 +199,26 @@
 static bool may_have_restarted(const ffl_dispatch_t *d,
 			       const ffl_dispatch_worker_t *w)
 {
-	return w->unheard || (!w->entry.addr[0] && !d->may_start);
+	return w->doubt.unheard || (!w->entry.addr[0] && !d->may_start);
 }
 
 /* Tells that a worker's leases are over, but for runs that are waited out. */
 static void note_waited_out(ffl_dispatch_t *d, ffl_dispatch_worker_t *w,
 			    uint32_t runs, uint64_t now_ms)
 {
+	ffl_doubt_t *u = &w->doubt;
 	uint64_t end_ms =
-		ffl_lease_end_ms(d->opt.lease_max_ms, w->late_orders_ms);
+		ffl_lease_end_ms(d->opt.lease_max_ms, u->late_orders_ms);
 
-	if (w->waits_out)
+	if (u->waits_out)
 		return;
-	w->waits_out = true;
+	u->waits_out = true;
 	ffl_dispatch_note(d, "worker-waited-out", w->entry.id,
-			  "runs=%u of=%u silent=%u late_ms=%" PRIu64
-			  " wait_ms=%" PRIu64,
+			  "runs=%u of=%u silent=%u born=%" PRId64
+			  " late_ms=%" PRIu64 " wait_ms=%" PRIu64,
 			  runs, w->runs->len, w->missed_renewals,
-			  w->late_orders_ms - MIN(w->late_orders_ms, now_ms),
+			  ffl_doubt_meant_for(u),
+			  u->late_orders_ms - MIN(u->late_orders_ms, now_ms),
 			  end_ms - MIN(end_ms, now_ms));
 }
 
@@ -230,8 +233,8 @@
 	    now_ms < ffl_lease_end_ms(d->opt.lease_max_ms, d->last_lease_ms))
 		return;
 	if (!unreachable)
-		w->waits_out = false;
-	if (!unreachable || !w->runs->len || now_ms < w->leases_end_ms ||
+		w->doubt.waits_out = false;
+	if (!unreachable || !w->runs->len || now_ms < w->doubt.leases_end_ms ||
 	    now_ms < latest_lease_end_ms(d, w))
 		return;
 	for (guint i = 0; i < w->runs->len; i++) {
@@ -249,11 +252,12 @@
 		d, "worker-lost", w->entry.id,
 		"runs=%u silent=%u leases=%s over_ms=%" PRIu64
 		" reported_ms=%" PRIu64 " leader_ms=%" PRIu64,
-		lost, w->missed_renewals, ffl_lease_basis_name(w->leases_basis),
-		w->leases_end_ms ? now_ms - w->leases_end_ms : 0,
+		lost, w->missed_renewals,
+		ffl_lease_basis_name(w->doubt.leases_basis),
+		w->doubt.leases_end_ms ? now_ms - w->doubt.leases_end_ms : 0,
 		w->born_reported_ms ? now_ms - w->born_reported_ms : 0,
 		now_ms - d->leader_since_ms);
-	d->lost_workers[w->leases_basis]++;
+	d->lost_workers[w->doubt.leases_basis]++;
 	for (guint i = w->runs->len; i-- > 0;) {
 		ffl_run_t *run;
 
--- a/lib/dispatch/worker.c
+++ b/lib/dispatch/worker.c
@@ -40,6 +40,7 @@
 	ffl_copy(w->entry.id, sizeof(w->entry.id), id);
 	w->runs = g_ptr_array_new();
 	w->given_up = g_array_new(FALSE, FALSE, sizeof(ffl_given_up_t));
+	ffl_doubt_init(&w->doubt);
 	w->limit_percent = PERCENT;
 	g_hash_table_insert(d->workers, w->entry.id, w);
 	return w;
@@ -69,6 +70,7 @@
 
 	g_ptr_array_free(w->runs, TRUE);
 	g_array_free(w->given_up, TRUE);
+	ffl_doubt_finish(&w->doubt);
 	g_free(w);
 }
 
@@ -94,29 +96,6 @@
 	       EXPIRE_SLACK_MS;
 }
 
-const char *ffl_lease_basis_name(uint32_t basis)
-{
-	static const char *const names[FFL_LEASE__MAX] = {
-		[FFL_LEASE_NONE] = "none",
-		[FFL_LEASE_ORDER] = "order",
-		[FFL_LEASE_RESTART] = "restart",
-		[FFL_LEASE_CLAIM] = "claim",
-		[FFL_LEASE_YOUNG] = "young",
-		[FFL_LEASE_UNKNOWN_RUN] = "unknown-run",
-	};
-
-	return basis < FFL_LEASE__MAX ? names[basis] : "?";
-}
-
-void ffl_dispatch_worker_add_lease(ffl_dispatch_worker_t *w, uint64_t end_ms,
-				   ffl_lease_basis_t basis)
-{
-	if (end_ms <= w->leases_end_ms)
-		return;
-	w->leases_end_ms = end_ms;
-	w->leases_basis = basis;
-}
-
 void ffl_dispatch_note_unanswered(const ffl_dispatch_t *d,
 				  const ffl_open_call_t *call, uint64_t now_ms)
 {
@@ -124,20 +103,11 @@
 
 	if (!call->until_ms)
 		return;
-	call->worker->late_orders_ms = late_ms;
 	if (call->kind == FFL_ORDER_START && call->run)
-		call->run->late_start_ms = late_ms;
-}
-
-void ffl_dispatch_worker_settle_starts(ffl_dispatch_worker_t *w,
-				       uint64_t alive_ms)
-{
-	for (guint i = 0; i < w->runs->len; i++) {
-		ffl_run_t *run = g_ptr_array_index(w->runs, i);
-
-		if (alive_ms >= run->late_start_ms)
-			run->late_start_ms = 0;
-	}
+		ffl_doubt_add_late_start(&call->worker->doubt, call->run,
+					 call->worker->entry.born_ms, late_ms);
+	else
+		ffl_doubt_add_late_order(&call->worker->doubt, late_ms);
 }
 
 uint64_t ffl_dispatch_worker_grant_lease(const ffl_dispatch_t *d,
@@ -207,8 +177,7 @@
 				       FFL_RUN_END_LEASE_EXPIRED, NULL, now_ms);
 	}
 	forget_incarnation(w);
-	w->leases_end_ms = 0;
-	w->leases_basis = FFL_LEASE_NONE;
+	ffl_doubt_drop_leases(&w->doubt);
 }
 
 /* Drops the unanswered orders to a worker; returns the highest number up to
@@ -309,11 +278,10 @@
 		run->best_rate = 0;
 	}
 	forget_incarnation(w);
-	ffl_dispatch_worker_add_lease(
-		w,
-		ffl_lease_end_ms(d->opt.lease_max_ms,
-				 MAX(now_ms, d->last_lease_ms)),
-		FFL_LEASE_RESTART);
+	ffl_doubt_add_lease(&w->doubt,
+			    ffl_lease_end_ms(d->opt.lease_max_ms,
+					     MAX(now_ms, d->last_lease_ms)),
+			    FFL_LEASE_RESTART);
 	w->entry.born_ms = born_ms;
 	w->token_outdated = w->token != 0;
 	w->fence_due = true;
@@ -359,9 +327,9 @@
 			  (uint64_t)d->opt.heartbeat_ms * FENCE_HEARTBEATS;
 
 	if (heartbeats < (end_ms - now_ms) / MAX(d->opt.heartbeat_ms, 1))
-		ffl_dispatch_worker_add_lease(
-			w, end_ms - heartbeats * d->opt.heartbeat_ms,
-			FFL_LEASE_YOUNG);
+		ffl_doubt_add_lease(&w->doubt,
+				    end_ms - heartbeats * d->opt.heartbeat_ms,
+				    FFL_LEASE_YOUNG);
 }
 
 void ffl_dispatch_update_worker(ffl_dispatch_t *d,
@@ -386,9 +354,9 @@
 	if (!w->entry.addr[0] && (!written_after_ms || w->runs->len))
 		take_over(d, w, entry, now_ms);
 	if (entry->born_ms && written_after_ms >= d->leader_since_ms) {
-		w->unheard = false;
+		ffl_doubt_note_heard(&w->doubt);
 		if (!w->lease_in_doubt)
-			ffl_dispatch_worker_settle_starts(w, written_after_ms);
+			ffl_doubt_settle_starts(&w->doubt, written_after_ms);
 	}
 	if (entry->draining && !w->entry.draining)
 		ffl_dispatch_note(d, "worker-draining", entry->id, "runs=%u",
--- a/tests/incarnation_test.c
+++ b/tests/incarnation_test.c
@@ -638,11 +638,11 @@
 		wait_ms(b, 1000);
 	}
 	w = g_hash_table_lookup(b->d.workers, "w0");
-	end_ms = w->leases_end_ms;
+	end_ms = w->doubt.leases_end_ms;
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
 	answer(b, FFL_ORDER_RENEW, "w0",
 	       (ffl_reply_t){ .outcome = FFL_REPLY_NOT_SENT }, NULL);
-	g_assert_cmpuint(w->leases_end_ms, ==, end_ms);
+	g_assert_cmpuint(w->doubt.leases_end_ms, ==, end_ms);
 }
 
 static void unsent_start_waits_for_lease(bed_t *b)
@@ -1465,12 +1465,12 @@
 
 	leave_start_unanswered(b);
 	w = g_hash_table_lookup(b->d.workers, "w0");
-	late_ms = w->late_orders_ms;
+	late_ms = w->doubt.late_orders_ms;
 	g_assert_cmpuint(find_order(b, FFL_ORDER_RENEW, "w0")->until_ms, >, 0);
 	wait_ms(b, 1000);
 	answer(b, FFL_ORDER_RENEW, "w0",
 	       (ffl_reply_t){ .outcome = FFL_REPLY_UNKNOWN }, NULL);
-	g_assert_cmpuint(w->late_orders_ms, >=, late_ms + 1000);
+	g_assert_cmpuint(w->doubt.late_orders_ms, >=, late_ms + 1000);
 }
 
 /* An incarnation that has accepted the stop cannot begin the run any more. */
