site: a task waits no longer for an adviser that was never slow

The simulated site allows a task to wait for what a slow adviser may have to do, and counted that at the adviser's usual times, too, where the bound was enough before. It counts it only once the adviser has had longer times.

--- a/fakes/site.c
+++ b/fakes/site.c
@@ -284,11 +284,14 @@
 void site_set_adviser(site_t *s, ffl_adviser_times_t times, uint32_t valid_ms,
 		      bool told)
 {
+	uint64_t usual_ms = ADVICE_MS + ADVICE_EACH_MS * s->workers_count;
+	uint64_t max_ms =
+		times.call_ms + (uint64_t)times.worker_ms * s->workers_count;
+
 	s->adviser.times = times;
 	s->adviser.valid_ms = valid_ms;
-	s->advice_max_ms = MAX(s->advice_max_ms,
-			       times.call_ms + (uint64_t)times.worker_ms *
-						       s->workers_count);
+	s->advice_max_ms = MAX(s->advice_max_ms, max_ms);
+	s->adviser_slow |= max_ms > usual_ms;
 	if (!told)
 		return;
 	s->advice = times;
@@ -300,6 +303,8 @@
 	uint64_t left_ms = 0;
 	uint64_t calls = 0;
 
+	if (!s->adviser_slow)
+		return 0;
 	for (uint32_t i = 0; i < s->jobs_count; i++) {
 		const site_job_t *job = &s->jobs[i];
 
@@ -315,7 +320,7 @@
 		left_ms = MAX(left_ms,
 			      fake_adviser_busy_until_ms(&s->adviser, i));
 	left_ms -= MIN(left_ms, s->now_ms);
-	return s->tickets_required ? calls * s->advice_max_ms + left_ms : 0;
+	return calls * s->advice_max_ms + left_ms;
 }
 
 void site_move_queues(site_t *s)
--- a/fakes/site.h
+++ b/fakes/site.h
@@ -143,6 +143,7 @@
 	fake_adviser_t adviser;
 	ffl_adviser_times_t advice; /**< that the configuration states */
 	uint64_t advice_max_ms;	  /**< longest call about all workers so far */
+	bool adviser_slow;	  /**< it has had times above the usual ones */
 	const char *order_ticket; /**< ticket that order_worker was sent */
 	uint64_t actions;	  /**< actions of all hosts so far */
 	uint64_t reads;		  /**< reads of the log by all hosts so far */
@@ -188,9 +189,10 @@
  */
 void site_set_adviser(site_t *s, ffl_adviser_times_t times, uint32_t valid_ms,
 		      bool told);
-/** Returns the longest time that the adviser may spend on the steps that wait
- * for tickets, after the calls that it has been sent: on each a call about all
- * workers, and one to renew the tickets of each of its runs. */
+/** Returns the longest time that a slow adviser may spend on the steps that
+ * wait for tickets, after the calls that it has been sent: on each a call about
+ * all workers, and one to renew the tickets of each of its runs. 0 if it was
+ * never slow. */
 uint64_t site_advice_backlog_ms(const site_t *s);
 
 /** Gives all queues to another service, in a new version of the configuration.
