advice: one share of a call's time for its workers, not two

The larger of the two decided nothing any more: where a first call is not slow and a check in front of it is not cheap, the call takes over a tenth of a block's time, and 20 times that is more than a block. The condition says so now. The widths are the same, by a comparison with the function before over call and worker times, needs and states (a trial outside the tree).

--- a/lib/dispatch/adviser.c
+++ b/lib/dispatch/adviser.c
@@ -13,10 +13,8 @@
  * call with about this many a step. */
 #define BLOCK_WORKERS 30U
 /** Least time for the workers of a call, in percent of the time for the call
- * itself, so that the calls of a block cost together hardly more than one; and
- * where calls are slow, as a first one that is short matters more then. */
-#define WORKERS_PERCENT	     2000U
-#define WORKERS_SLOW_PERCENT 50U
+ * itself: fewer would hardly make it shorter. */
+#define WORKERS_PERCENT 50U
 /** A call to see whether the times still hold is made if it takes no more of
  * the time of a block than this, in percent. */
 #define CHECK_PERCENT 10U
@@ -115,7 +113,7 @@
 			   (ask->others_wait ? 2 : 1);
 	uint64_t left_us = turn_us - MIN(turn_us, a->call_us);
 
-	left_us = MAX(left_us, a->call_us * WORKERS_SLOW_PERCENT / PERCENT);
+	left_us = MAX(left_us, a->call_us * WORKERS_PERCENT / PERCENT);
 	return MAX(workers_in(a, left_us), 1);
 }
 
@@ -147,7 +145,6 @@
 uint32_t ffl_adviser_width(const ffl_adviser_t *a, const ffl_adviser_ask_t *ask)
 {
 	bool slow = ffl_adviser_is_slow(a, ask->begin_ms);
-	uint32_t percent = slow ? WORKERS_SLOW_PERCENT : WORKERS_PERCENT;
 	uint32_t left = MIN(ask->unasked, ffl_adviser_block(ask));
 	uint64_t width = 2 * (uint64_t)ask->need;
 	uint32_t calls;
@@ -156,11 +153,11 @@
 		return 1;
 	if (a->doubted)
 		width = MAX(width, GROWTH * (uint64_t)ask->asked);
-	else if (ask->asked)
+	else if (ask->asked || (!slow && !is_check_cheap(a)))
 		width = left;
-	else if (!is_check_cheap(a))
-		width = MAX(width,
-			    workers_in(a, a->call_us * percent / PERCENT));
+	else
+		width = MAX(width, workers_in(a, a->call_us * WORKERS_PERCENT /
+							 PERCENT));
 	width = MIN(width, left);
 	if (slow || a->doubted || ask->others_wait) {
 		calls = DIV_ROUND_UP(width, workers_in_turn(a, ask));
