advice, runs: look things up once

list_candidates() looked up twice what is known of each worker, and ffl_advice_request() the times of its queue. ffl_runs_clear() settled the starts of each run before the workers that hold them are dropped.

--- a/lib/dispatch/advice_ask.c
+++ b/lib/dispatch/advice_ask.c
@@ -20,10 +20,9 @@
 static void add_worker(ffl_advice_call_t *call, const ffl_dispatch_worker_t *w);
 static int compare_free_gpus(const void *a, const void *b);
 static int compare_preference(const void *a, const void *b);
-static bool is_worth_asking(const ffl_dispatch_t *d,
-			    const ffl_place_request_t *req,
-			    const ffl_advice_call_t *call,
-			    const candidate_t *c);
+static bool is_worth_asking(const ffl_place_request_t *req,
+			    const ffl_advice_call_t *call, const candidate_t *c,
+			    const ffl_advice_entry_t *a);
 static bool is_being_asked(const ffl_advice_t *a, const char *step,
 			   const char *worker);
 static void remove_known(GArray *found);
@@ -96,12 +95,10 @@
 /* What is denied stays denied for the incarnation, what is allowed stays
  * allowed. Where calls are slow, a ticket is renewed ahead of its use only for
  * a step that may make room for itself. */
-static bool is_worth_asking(const ffl_dispatch_t *d,
-			    const ffl_place_request_t *req,
-			    const ffl_advice_call_t *call, const candidate_t *c)
+static bool is_worth_asking(const ffl_place_request_t *req,
+			    const ffl_advice_call_t *call, const candidate_t *c,
+			    const ffl_advice_entry_t *a)
 {
-	const ffl_advice_entry_t *a = ffl_advice_find(d, call->step, c->worker);
-
 	if (!a)
 		return true;
 	if (!a->ticket[0] || req->now_ms < a->usable_until_ms)
@@ -141,6 +138,7 @@
 			       ffl_advice_call_t *call, bool asks_again)
 {
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	GHashTable *known = ffl_advice_of_step(d, call->step);
 	ffl_resources_t need = ffl_step_resources(req->step);
 	uint32_t unknown = 0;
 	GHashTableIter iter;
@@ -149,8 +147,11 @@
 	g_hash_table_iter_init(&iter, d->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const ffl_dispatch_worker_t *w = value;
+		const ffl_advice_entry_t *a = ffl_advice_find(d, call->step, w);
 		ffl_resources_t available = ffl_dispatch_worker_available(w);
-		candidate_t c = { .worker = w, .free_gpus = available.gpus };
+		candidate_t c = { .worker = w,
+				  .free_gpus = available.gpus,
+				  .known = a != NULL };
 
 		if (!ffl_is_candidate(w, req))
 			continue;
@@ -158,11 +159,10 @@
 			c.tasks = ffl_resources_slots(&available, &need);
 		if (req->step->per_worker_max)
 			c.tasks = MIN(c.tasks, req->step->per_worker_max);
-		if (!is_worth_asking(d, req, call, &c) ||
+		if (!is_worth_asking(req, call, &c, a) ||
 		    (!asks_again &&
 		     is_being_asked(&d->advice, call->step, w->entry.id)))
 			continue;
-		c.known = ffl_advice_find(d, call->step, w) != NULL;
 		unknown += !c.known;
 		c.cost = ffl_placement_cost(d, w, req);
 		g_array_append_val(found, c);
@@ -170,9 +170,8 @@
 	if (unknown && req->step->gang)
 		remove_known(found);
 	g_array_sort(found, compare_free_gpus);
-	if (unknown && ffl_advice_of_step(d, call->step))
-		call->ask.asked =
-			g_hash_table_size(ffl_advice_of_step(d, call->step));
+	if (unknown && known)
+		call->ask.asked = g_hash_table_size(known);
 	return found;
 }
 
@@ -252,13 +251,16 @@
 void ffl_advice_request(ffl_dispatch_t *d, const ffl_place_request_t *req)
 {
 	ffl_advice_t *a = &d->advice;
+	ffl_adviser_t *adviser;
 	ffl_advice_call_t *call;
 
-	if (!req->flow->spec.needs_tickets || !a->may_call ||
-	    is_pending(a, adviser_of(a, req->flow)))
+	if (!req->flow->spec.needs_tickets || !a->may_call)
+		return;
+	adviser = adviser_of(a, req->flow);
+	if (is_pending(a, adviser))
 		return;
 	call = g_new0(ffl_advice_call_t, 1);
-	call->adviser = adviser_of(a, req->flow);
+	call->adviser = adviser;
 	call->workers = g_ptr_array_new_with_free_func(g_free);
 	call->born_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	call->ask.gang = req->step->gang;
--- a/lib/dispatch/run.c
+++ b/lib/dispatch/run.c
@@ -42,7 +42,6 @@
 		ffl_run_t *run = g_ptr_array_index(d->runs, i);
 
 		run->flow->tasks[run->task].live_runs--;
-		ffl_doubt_settle_start(&run->worker->doubt, run);
 		g_free(run);
 	}
 	g_ptr_array_set_size(d->runs, 0);
