--- a/tests/advice_test.c
+++ b/tests/advice_test.c
@@ -59,6 +59,7 @@
 } bed_t;
 
 static void bed_init(bed_t *b, uint32_t workers);
+static void list_workers(bed_t *b);
 static void bed_finish(bed_t *b);
 static ffl_flow_t *submit(bed_t *b, const char *queue, uint32_t number,
 			  uint32_t priority, const ffl_step_t *step,
@@ -94,19 +95,27 @@
 	b->now_ms = LEAD_MS;
 	ffl_dispatch_become_leader(&b->d, 1, 0, b->now_ms);
 	for (uint32_t i = 0; i < workers; i++) {
-		ffl_worker_entry_t entry = { .born_ms = BORN_MS,
-					     .clock_ms = b->now_ms,
-					     .capacity = { 32000, 65536,
-							   GPUS } };
 		fake_worker_t *w = &b->workers[b->workers_count++];
 
 		g_snprintf(w->id, sizeof(w->id), "w%02u", i);
 		w->tasks = g_ptr_array_new_with_free_func(g_free);
-		ffl_copy(entry.id, sizeof(entry.id), w->id);
-		ffl_copy(entry.addr, sizeof(entry.addr), w->id);
-		ffl_copy(entry.service, sizeof(entry.service), "survey");
-		ffl_copy(entry.rack, sizeof(entry.rack), "r1");
-		ffl_copy(entry.dc, sizeof(entry.dc), "norte");
+	}
+	list_workers(b);
+}
+
+/* Reads the list of workers, as a new leader does. */
+static void list_workers(bed_t *b)
+{
+	for (uint32_t i = 0; i < b->workers_count; i++) {
+		ffl_worker_entry_t entry = { .born_ms = BORN_MS,
+					     .clock_ms = b->now_ms,
+					     .capacity = { 32000, 65536, GPUS },
+					     .service = "survey",
+					     .rack = "r1",
+					     .dc = "norte" };
+
+		ffl_copy(entry.id, sizeof(entry.id), b->workers[i].id);
+		ffl_copy(entry.addr, sizeof(entry.addr), b->workers[i].id);
 		ffl_dispatch_update_worker(&b->d, &entry, b->now_ms, b->now_ms);
 	}
 }
@@ -407,22 +416,7 @@
 		if (cases[i].leads_anew) {
 			run_until(&b, b.now_ms + 1000, 1);
 			ffl_dispatch_become_leader(&b.d, 2, b.now_ms, b.now_ms);
-			for (uint32_t k = 0; k < WORKERS_MAX; k++) {
-				ffl_worker_entry_t entry = {
-					.born_ms = BORN_MS,
-					.clock_ms = b.now_ms,
-					.capacity = { 32000, 65536, GPUS },
-					.service = "survey",
-					.dc = "norte",
-				};
-
-				ffl_copy(entry.id, sizeof(entry.id),
-					 b.workers[k].id);
-				ffl_copy(entry.addr, sizeof(entry.addr),
-					 b.workers[k].id);
-				ffl_dispatch_update_worker(&b.d, &entry,
-							   b.now_ms, b.now_ms);
-			}
+			list_workers(&b);
 		}
 		bound_ms = LOST_MS + cases[i].lost * FORMER_RETRY_MS +
 			   ask_all_ms(&b) * (1 + cases[i].leads_anew);
